--- /dev/null
+++ b/crates/bench/benches/decisions.rs
@@ -0,0 +1,2 @@
+//! Figures.
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benchmarks with regression bounds, and the capacity report.
--- /dev/null
+++ b/crates/bundle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Bundle schema, checks, signatures and the fold of the configuration stream.
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,1 @@
+//! Traffic decisions: placement, load bound, queues, limits, retries, quarantine.
--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! A whole fleet on loopback in one process, with load and faults.
--- /dev/null
+++ b/crates/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! Histories of concurrent runs and the checker that reads them.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators tool: keys, checks, signatures, rolls.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform and the timer service.
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,2 @@
+//! Binary.
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and the endpoints, with faults to switch on.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! State decisions: claims, membership, leases, orders, drain.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between instances, their authentication, and header names.
