--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod id;
 pub mod instance;
 pub mod outcome;
+pub mod policy;
 pub mod request;
