--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,8 @@
 //! Benchmarks with regression bounds, and the capacity report.
+//!
+//! `cargo bench --bench decisions` and `cargo bench --bench state` print one
+//! line for each figure. Figures that depend on seeds alone are also checked
+//! by the crate's tests; those that depend on the machine never decide a
+//! verdict there.
+
+pub mod figure;
