platform: connections, log, list, weights and timer

At most once needs a client that says whether a request can have left. hyper-util's pool may send a request again on a connection found closed and doesn't tell, so the pool here is our own over hyper's low-level client. It writes a request to one connection at most and tells "not sent" from "fate unknown" by whether hyper gives the unserialized request back.

The log client keeps that distinction for appends. The list client leaves out entries that it can't read and names them. The timer has a pure wheel and two drivers: the runtime's clock, and a test's calls.

--- /dev/null
+++ b/crates/platform/src/connect.rs
@@ -0,0 +1,215 @@
+//! HTTP/1.1 connections to endpoints, peers and the platform, pooled.
+//!
+//! The pool is our own, over hyper's low-level client. hyper-util's pooled
+//! client is not used: when a pooled connection turns out to be closed it may
+//! send the request again by itself, and a caller of that client can't tell
+//! one attempt from two. At most once rests on knowing that, so the rules are:
+//!
+//! - A request is written to one connection at most. Nothing here repeats it.
+//! - Each failure says which it is: [`Error::NotSent`] only when no byte of
+//!   the request was handed to a socket, [`Error::Unknown`] otherwise. The
+//!   line is drawn by hyper: it gives an unsent request back, and it does so
+//!   only if it has not begun to serialize it.
+//! - A server may close an idle connection at any time. If that is seen before
+//!   the request is serialized, hyper gives it back and the next connection is
+//!   tried: no byte has left, so this is not a second attempt. If it is seen
+//!   later the fate is unknown, and the caller is told so.
+//! - A caller that drops the future of [`Connector::send`] must assume
+//!   unknown. [`Connector::send`] takes the time-out itself to be exact there.
+//!
+//! A response body that is dropped before its end closes the connection at
+//! once, which is how an endpoint learns that the caller went away.
+
+mod pool;
+mod received;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{HeaderValue, Request, Response};
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+pub use self::pool::Settings;
+use self::pool::{Connection, Pool};
+pub use self::received::Received;
+
+/// An error of a body or a connection below this module.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+/// The body of a request, streamed or whole.
+pub type Body = UnsyncBoxBody<Bytes, BoxError>;
+
+/// Why a request has no response.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// not sent: {cause}; it may be sent elsewhere
+    NotSent {
+        /// Why.
+        cause: Cause,
+        /// The request with its body untouched, to be sent elsewhere; `None`
+        /// if the connection swallowed it unsent.
+        request: Option<Box<Request<Body>>>,
+    },
+    /// fate unknown: {0}; repeat only what may run twice
+    Unknown(Cause),
+}
+
+/// What went wrong with a connection.
+#[derive(Debug, displaydoc::Display)]
+pub enum Cause {
+    /// cannot connect ({0}); check that the address is up
+    Connect(std::io::Error),
+    /// no connection within the time allowed; check the network or allow more
+    ConnectTimeout,
+    /// no response head within the time allowed; check the load or allow more
+    ResponseTimeout,
+    /// the connection failed ({0}); check the other side's log
+    Connection(hyper::Error),
+}
+
+impl std::error::Error for Error {}
+impl std::error::Error for Cause {}
+
+impl Error {
+    /// Returns whether the request may have reached the other side.
+    #[must_use]
+    pub const fn may_have_run(&self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+}
+
+/// Sends requests over pooled connections.
+#[derive(Clone, Debug)]
+pub struct Connector {
+    pool: Pool,
+}
+
+impl Connector {
+    /// Makes a connector with an empty pool.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            pool: Pool::new(settings),
+        }
+    }
+
+    /// Sends a request to an address and returns the response's head.
+    ///
+    /// The request's URI is in origin form (`/path?query`). A missing `Host`
+    /// is set to the address. `wait` bounds the time until the response's
+    /// head; the body that follows has no time-out here.
+    ///
+    /// Must run within a tokio runtime, which then drives the connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] if no byte of the request can have left, else
+    /// [`Error::Unknown`].
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+        wait: Duration,
+    ) -> Result<Response<Received>, Error> {
+        let deadline = Instant::now() + wait;
+        set_host(&mut request, address);
+        loop {
+            let (connection, fresh) = match self.pool.take(address) {
+                Some(connection) => (connection, false),
+                None => match self.open(address, deadline).await {
+                    Ok(connection) => (connection, true),
+                    Err(cause) => return Err(not_sent(cause, Some(request))),
+                },
+            };
+            match self.exchange(connection, request, deadline).await {
+                // A pooled connection was closed before the request was
+                // serialized: no byte has left, so the next one is tried. A
+                // fresh one that does this has a broken server behind it.
+                Err(Error::NotSent {
+                    request: Some(unsent),
+                    ..
+                }) if !fresh => request = *unsent,
+                result => return result,
+            }
+        }
+    }
+
+    /// Returns how many connections to an address are idle in the pool.
+    #[must_use]
+    pub fn idle(&self, address: SocketAddr) -> usize {
+        self.pool.idle(address)
+    }
+
+    async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Cause> {
+        let settings = self.pool.settings();
+        let deadline = deadline.min(Instant::now() + settings.connect_timeout);
+        timeout_at(deadline, connect(address, settings))
+            .await
+            .unwrap_or(Err(Cause::ConnectTimeout))
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<Received>, Error> {
+        let sent = connection.sender.try_send_request(request);
+        // On a time-out `connection` is dropped, which closes the connection: a late
+        // answer then has no reader and can't reach another request.
+        let Ok(result) = timeout_at(deadline, sent).await else {
+            return Err(Error::Unknown(Cause::ResponseTimeout));
+        };
+        match result {
+            Ok(response) => {
+                let pool = self.pool.clone();
+                Ok(response.map(|body| Received::new(body, connection, pool)))
+            }
+            Err(mut refused) => match refused.take_message() {
+                Some(unsent) => Err(not_sent(
+                    Cause::Connection(refused.into_error()),
+                    Some(unsent),
+                )),
+                None => Err(Error::Unknown(Cause::Connection(refused.into_error()))),
+            },
+        }
+    }
+}
+
+fn not_sent(cause: Cause, request: Option<Request<Body>>) -> Error {
+    Error::NotSent {
+        cause,
+        request: request.map(Box::new),
+    }
+}
+
+fn set_host(request: &mut Request<Body>, address: SocketAddr) {
+    if request.headers().contains_key(HOST) {
+        return;
+    }
+    let host = HeaderValue::try_from(address.to_string())
+        .expect("an address has only characters that a header value may hold");
+    request.headers_mut().insert(HOST, host);
+}
+
+async fn connect(address: SocketAddr, settings: &Settings) -> Result<Connection, Cause> {
+    let stream = TcpStream::connect(address).await.map_err(Cause::Connect)?;
+    // Small frames of a token stream must not wait for an acknowledgement.
+    stream.set_nodelay(true).map_err(Cause::Connect)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(settings.buffer)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(Cause::Connection)?;
+    let driver = tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            ::log::debug!(address:% = address, error:% = error; "connection ended");
+        }
+    });
+    Ok(Connection::new(address, sender, driver.abort_handle()))
+}
--- /dev/null
+++ b/crates/platform/src/connect/pool.rs
@@ -0,0 +1,177 @@
+//! Idle connections, kept for the next request to the same address.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::client::conn::http1::SendRequest;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use super::Body;
+
+/// Limits of a [`super::Connector`].
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Connections to one address that stay open without a request.
+    pub idle_per_address: usize,
+    /// How long a connection may stay open without a request. Less than the
+    /// time after which servers close idle connections, so that few requests
+    /// meet a connection that is being closed.
+    pub idle_for: Duration,
+    /// How long opening a connection may take.
+    pub connect_timeout: Duration,
+    /// Bytes buffered for one connection in each direction; also the limit of
+    /// a response's head. hyper allows no less than 8 KiB.
+    pub buffer: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            // A router of six in front of ten runners with 16 slots each has
+            // about 27 requests on each of them.
+            idle_per_address: 32,
+            // Common servers close after 5 s to 75 s.
+            idle_for: Duration::from_secs(4),
+            // Two zones are 1.5 ms apart; a SYN that was lost is sent again
+            // after 1 s.
+            connect_timeout: Duration::from_millis(1500),
+            buffer: 64 * 1024,
+        }
+    }
+}
+
+/// One open connection.
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) address: SocketAddr,
+    pub(super) sender: SendRequest<Body>,
+    driver: AbortHandle,
+}
+
+impl Connection {
+    pub(super) fn new(address: SocketAddr, sender: SendRequest<Body>, driver: AbortHandle) -> Self {
+        Self {
+            address,
+            sender,
+            driver,
+        }
+    }
+}
+
+impl Drop for Connection {
+    // Without this hyper would read a response nobody wants until the other
+    // side ends it, and an engine would go on generating for a caller that
+    // has gone.
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    idle: BTreeMap<SocketAddr, Vec<Idle>>,
+    swept: Option<Instant>,
+}
+
+/// The idle connections of one connector.
+#[derive(Clone, Debug)]
+pub(super) struct Pool {
+    settings: Arc<Settings>,
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Pool {
+    pub(super) fn new(settings: Settings) -> Self {
+        Self {
+            settings: Arc::new(settings),
+            inner: Arc::default(),
+        }
+    }
+
+    pub(super) fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Takes the connection to an address that was used last, if one is open.
+    pub(super) fn take(&self, address: SocketAddr) -> Option<Connection> {
+        let mut inner = self.lock();
+        let idle = inner.idle.get_mut(&address)?;
+        let connection = loop {
+            let Some(last) = idle.pop() else { break None };
+            if last.since.elapsed() < self.settings.idle_for && last.connection.sender.is_ready() {
+                break Some(last.connection);
+            }
+        };
+        if idle.is_empty() {
+            inner.idle.remove(&address);
+        }
+        connection
+    }
+
+    /// Keeps a connection whose exchange is over, once hyper is ready for the
+    /// next one.
+    pub(super) fn give_back(&self, mut connection: Connection) {
+        if connection.sender.is_ready() {
+            return self.put(connection);
+        }
+        let pool = self.clone();
+        tokio::spawn(async move {
+            // A server may end its response before the request's body was
+            // sent; the time-out keeps such a connection from staying.
+            let ready =
+                tokio::time::timeout(pool.settings.idle_for, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                pool.put(connection);
+            }
+        });
+    }
+
+    pub(super) fn idle(&self, address: SocketAddr) -> usize {
+        self.lock().idle.get(&address).map_or(0, Vec::len)
+    }
+
+    fn put(&self, connection: Connection) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let idle = inner.idle.entry(connection.address).or_default();
+        if idle.len() < self.settings.idle_per_address {
+            idle.push(Idle {
+                connection,
+                since: now,
+            });
+        }
+        self.sweep(&mut inner, now);
+    }
+
+    // Addresses of endpoints that left are never asked for again, so nothing
+    // but this closes their connections on our side.
+    fn sweep(&self, inner: &mut Inner, now: Instant) {
+        let due = inner
+            .swept
+            .is_none_or(|last| now - last >= self.settings.idle_for);
+        if !due {
+            return;
+        }
+        inner.swept = Some(now);
+        inner.idle.retain(|_, idle| {
+            idle.retain(|one| {
+                now - one.since < self.settings.idle_for && !one.connection.sender.is_closed()
+            });
+            !idle.is_empty()
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // No code that holds the lock can panic half-way through a change.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/connect/received.rs
@@ -0,0 +1,75 @@
+//! The body of a response, which returns its connection when it ends.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use super::pool::{Connection, Pool};
+
+/// The body of a response.
+///
+/// Its end returns the connection to the pool. Dropping it before closes the
+/// connection, so the rest of the body can never be taken for another answer.
+#[derive(Debug)]
+pub struct Received {
+    body: Incoming,
+    connection: Option<(Connection, Pool)>,
+}
+
+impl Received {
+    pub(super) fn new(body: Incoming, connection: Connection, pool: Pool) -> Self {
+        let mut received = Self {
+            body,
+            connection: Some((connection, pool)),
+        };
+        received.release_at_end();
+        received
+    }
+
+    /// Boxes it as the body of another message, such as the caller's response.
+    #[must_use]
+    pub fn boxed(self) -> super::Body {
+        BodyExt::map_err(self, Into::into).boxed_unsync()
+    }
+
+    fn release_at_end(&mut self) {
+        if self.body.is_end_stream()
+            && let Some((connection, pool)) = self.connection.take()
+        {
+            pool.give_back(connection);
+        }
+    }
+}
+
+impl Body for Received {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) => self.release_at_end(),
+            Some(Err(_)) => self.connection = None,
+            None => {
+                if let Some((connection, pool)) = self.connection.take() {
+                    pool.give_back(connection);
+                }
+            }
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,197 @@
+//! The client of the platform's list of live and leaving instances.
+//!
+//! The list lags; what it says is evidence, not truth. An entry that can't be
+//! read is left out and named, so one bad entry never hides the others.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_types::endpoint::{Endpoint, Standing};
+use godwitpost_types::id::{self, Incarnation};
+use godwitpost_types::instance::Instance;
+use http::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::connect::{self, Connector};
+use crate::text;
+
+/// Bytes of a list that are read at most. 4,000 entries of 300 bytes take
+/// 1.2 MB.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// Makes calls to the instance list.
+#[derive(Clone, Debug)]
+pub struct Client {
+    connector: Connector,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+/// The list as one call answered it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// Routers of the fleet.
+    pub instances: Vec<Instance>,
+    /// Back ends.
+    pub endpoints: Vec<Endpoint>,
+    /// Entries left out, each as its name and what is wrong with it.
+    pub refused: Vec<String>,
+}
+
+/// One entry in the list's own form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its name.
+    pub name: String,
+    /// Its life on that name; a restart has a greater one.
+    pub incarnation: Incarnation,
+    /// What it is.
+    pub role: Role,
+    /// Whether it may get new work.
+    pub standing: Standing,
+    /// Its availability zone.
+    pub zone: String,
+    /// The region of that zone.
+    pub region: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where a router listens for operators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators_address: Option<SocketAddr>,
+    /// The service of an endpoint.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+    /// The models that an endpoint has loaded.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub models: BTreeSet<String>,
+}
+
+/// What an entry of the list is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// A router of the fleet.
+    Router,
+    /// A back end.
+    Endpoint,
+}
+
+/// Why there is no list.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// cannot reach the instance list: {0}
+    Connect(connect::Error),
+    /// the instance list answered {0}; try again after a pause
+    Status(StatusCode),
+    /// unreadable instance list ({0}); try again after a pause
+    Answer(connect::BoxError),
+}
+
+impl std::error::Error for Error {}
+
+#[derive(Deserialize)]
+struct Answer {
+    instances: Vec<serde_json::Value>,
+}
+
+impl Client {
+    /// Makes a client of the list at an address, with a time-out for a call.
+    #[must_use]
+    pub const fn new(connector: Connector, address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            connector,
+            address,
+            timeout,
+        }
+    }
+
+    /// Fetches the list.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the list can't be reached or read as a whole.
+    ///
+    /// # Panics
+    ///
+    /// Never: the path is constant.
+    pub async fn fetch(&self) -> Result<Listing, Error> {
+        let request = Request::builder()
+            .uri("/v1/instances")
+            .body(text::full(Bytes::new()))
+            .expect("a constant path is a valid URI");
+        let response = self
+            .connector
+            .send(self.address, request, self.timeout)
+            .await
+            .map_err(Error::Connect)?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            return Err(Error::Status(status));
+        }
+        let collected = text::collect(response.into_body(), ANSWER_LIMIT);
+        let body = tokio::time::timeout(self.timeout, collected)
+            .await
+            .map_err(|late| Error::Answer(late.into()))?
+            .map_err(Error::Answer)?;
+        parse(&body)
+    }
+}
+
+fn parse(body: &[u8]) -> Result<Listing, Error> {
+    let answer: Answer =
+        serde_json::from_slice(body).map_err(|error| Error::Answer(error.into()))?;
+    let mut listing = Listing::default();
+    for value in answer.instances {
+        let name = value["name"].as_str().unwrap_or("(no name)").to_owned();
+        let added = serde_json::from_value(value)
+            .map_err(|error| error.to_string())
+            .and_then(|entry| add(&mut listing, entry));
+        if let Err(reason) = added {
+            listing.refused.push(format!("{name}: {reason}"));
+        }
+    }
+    Ok(listing)
+}
+
+fn add(listing: &mut Listing, entry: Entry) -> Result<(), String> {
+    match entry.role {
+        Role::Router => listing.instances.push(instance(entry)?),
+        Role::Endpoint => listing.endpoints.push(endpoint(entry)?),
+    }
+    Ok(())
+}
+
+fn instance(entry: Entry) -> Result<Instance, String> {
+    let operators_address = entry
+        .operators_address
+        .ok_or("a router without operators_address; add it to the entry")?;
+    Ok(Instance {
+        id: id::of(&entry.name),
+        incarnation: entry.incarnation,
+        zone: id::of(&entry.zone),
+        region: id::of(&entry.region),
+        peer_address: entry.address,
+        operators_address,
+        standing: entry.standing,
+        name: entry.name,
+    })
+}
+
+fn endpoint(entry: Entry) -> Result<Endpoint, String> {
+    let service = entry
+        .service
+        .ok_or("an endpoint without service; add it to the entry")?;
+    Ok(Endpoint {
+        id: id::of(&entry.name),
+        incarnation: entry.incarnation,
+        service: id::of(&service),
+        models: entry.models.iter().map(|model| id::of(model)).collect(),
+        zone: id::of(&entry.zone),
+        region: id::of(&entry.region),
+        address: entry.address,
+        standing: entry.standing,
+        name: entry.name,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/log/append.rs
@@ -0,0 +1,63 @@
+//! Why an append failed, and whether it may have taken effect.
+
+use http::StatusCode;
+
+use crate::connect;
+
+/// Why an append has no offset.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// the stream's name is no part of a path ({0}); use letters and digits
+    Stream(http::Error),
+    /// not appended: {0}; the append may be tried again
+    NotSent(connect::Error),
+    /// not appended: over the log's rate; try again more slowly
+    Busy,
+    /// not appended: the log is down; try again after a pause
+    Down,
+    /// not appended: the log answered {0}; check the stream and the record
+    Refused(StatusCode),
+    /// fate unknown: {0}; read the stream back before another append
+    Lost(connect::Error),
+    /// fate unknown: the log answered {0}; read the stream back
+    Strange(StatusCode),
+    /// fate unknown: unreadable answer ({0}); read the stream back
+    Answer(connect::BoxError),
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Returns whether the record may be on the log, or may yet appear there.
+    #[must_use]
+    pub const fn may_have_taken_effect(&self) -> bool {
+        match self {
+            Self::Stream(_) | Self::NotSent(_) | Self::Busy | Self::Down | Self::Refused(_) => {
+                false
+            }
+            Self::Lost(_) | Self::Strange(_) | Self::Answer(_) => true,
+        }
+    }
+}
+
+pub(super) fn from_connect(error: connect::Error) -> Error {
+    if error.may_have_run() {
+        Error::Lost(error)
+    } else {
+        Error::NotSent(error)
+    }
+}
+
+// Only the answers that PLATFORM.md defines as refusals, and those by which a
+// server says that it didn't take the request, count as no effect. A 500 or a
+// 504 may come from something between us and the log after the append.
+pub(super) fn refused(status: StatusCode) -> Error {
+    match status {
+        StatusCode::TOO_MANY_REQUESTS => Error::Busy,
+        StatusCode::SERVICE_UNAVAILABLE => Error::Down,
+        status if status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT => {
+            Error::Refused(status)
+        }
+        status => Error::Strange(status),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/timer/wheel.rs
@@ -0,0 +1,94 @@
+//! What is due when, without a clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use godwitpost_types::clock::Moment;
+
+/// When something is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Schedule {
+    /// Again and again, this far apart.
+    Every(Duration),
+    /// Once.
+    At(Moment),
+}
+
+/// Entries in the order in which they are due.
+#[derive(Debug)]
+pub struct Wheel<T> {
+    now: Moment,
+    sequence: u64,
+    due: BTreeMap<(Moment, u64), (Schedule, T)>,
+}
+
+impl<T> Default for Wheel<T> {
+    fn default() -> Self {
+        Self::new(Moment::ZERO)
+    }
+}
+
+impl<T> Wheel<T> {
+    /// Makes an empty wheel at a moment.
+    #[must_use]
+    pub const fn new(now: Moment) -> Self {
+        Self {
+            now,
+            sequence: 0,
+            due: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an entry; its first period starts at the wheel's present moment.
+    pub fn insert(&mut self, schedule: Schedule, entry: T) {
+        let at = match schedule {
+            Schedule::Every(period) => self.now + period,
+            Schedule::At(moment) => moment,
+        };
+        self.put(at, schedule, entry);
+    }
+
+    /// Returns the moment at which the next entry is due.
+    #[must_use]
+    pub fn next(&self) -> Option<Moment> {
+        self.due.keys().next().map(|&(at, _)| at)
+    }
+
+    /// Moves to a moment and calls `fire` for each entry due by then, in
+    /// order. An entry for which it returns false is removed.
+    ///
+    /// A periodic entry fires once, however many periods have passed. A
+    /// moment before the wheel's own leaves the wheel where it is.
+    pub fn advance(&mut self, now: Moment, mut fire: impl FnMut(&T) -> bool) {
+        self.now = self.now.max(now);
+        let after = self.due.split_off(&(self.now, u64::MAX));
+        let due = std::mem::replace(&mut self.due, after);
+        for ((at, _), (schedule, entry)) in due {
+            if !fire(&entry) {
+                continue;
+            }
+            if let Schedule::Every(period) = schedule {
+                self.put(following(at, period, self.now), schedule, entry);
+            }
+        }
+    }
+
+    fn put(&mut self, at: Moment, schedule: Schedule, entry: T) {
+        self.sequence += 1;
+        self.due.insert((at, self.sequence), (schedule, entry));
+    }
+}
+
+// The first moment after `now` on the grid of `period` from `at`: a late
+// driver doesn't shift the grid, and missed periods are skipped.
+fn following(at: Moment, period: Duration, now: Moment) -> Moment {
+    let next = at + period;
+    if next > now {
+        return next;
+    }
+    let missed = now.saturating_sub(at).as_nanos() / period.as_nanos();
+    let skipped = u32::try_from(missed)
+        .ok()
+        .and_then(|n| period.checked_mul(n));
+    skipped.map_or(now, |skipped| at + skipped) + period
+}
--- /dev/null
+++ b/crates/platform/tests/connect.rs
@@ -0,0 +1,229 @@
+//! What a failed request says of its fate, against servers that break off.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::connect::{Cause, Connector, Error, Received, Settings};
+use http::{Request, Response};
+use http_body_util::{BodyExt as _, Full};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+const LONG: Duration = Duration::from_secs(20);
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+fn request(path: &str) -> Request<godwitpost_platform::connect::Body> {
+    let body = Full::new(Bytes::from_static(b"work"))
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    Request::post(path).body(body).expect("a constant request")
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Reads one request, head and four bytes of body; `None` at the end.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"\r\n\r\nwork") {
+        match stream.read_u8().await {
+            Ok(byte) => seen.push(byte),
+            Err(_) => return None,
+        }
+    }
+    let text = String::from_utf8(seen).expect("a head in ASCII");
+    text.split(' ').nth(1).map(str::to_owned)
+}
+
+async fn text(response: Response<Received>) -> Bytes {
+    let body = response.into_body().collect().await;
+    body.expect("a whole body").to_bytes()
+}
+
+#[tokio::test]
+async fn a_connection_serves_one_request_after_another() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        for _ in 0..3 {
+            read_request(&mut stream).await.expect("a request");
+            stream.write_all(OK).await.expect("an open connection");
+        }
+        stream
+    });
+    let connector = Connector::new(Settings::default());
+    for _ in 0..3 {
+        let response = connector.send(address, request("/"), LONG).await;
+        assert_eq!(text(response.expect("a response")).await, "ok");
+        while connector.idle(address) == 0 {
+            tokio::task::yield_now().await;
+        }
+    }
+    server.await.expect("a server without a panic");
+}
+
+// A server closes a pooled connection while it is idle, as servers do after
+// their keep-alive time. The next order meets the closed connection. If the
+// client took the failure for a lost request, the caller would be told
+// unknown for an order that nobody saw; if it repeated it blindly, an order
+// could run twice.
+#[tokio::test]
+async fn an_idle_connection_closed_by_the_server_is_replaced() {
+    let (listener, address) = listen().await;
+    let (closed, wait_closed) = tokio::sync::oneshot::channel();
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        read_request(&mut stream).await.expect("a request");
+        stream.write_all(OK).await.expect("an open connection");
+        drop(stream);
+        closed.send(()).expect("a waiting test");
+        let (mut stream, _) = listener.accept().await.expect("a new connection");
+        let path = read_request(&mut stream).await;
+        stream.write_all(OK).await.expect("an open connection");
+        path
+    });
+    let connector = Connector::new(Settings::default());
+    let first = connector.send(address, request("/first"), LONG).await;
+    text(first.expect("a response")).await;
+    wait_closed.await.expect("a running server");
+    let second = connector.send(address, request("/second"), LONG).await;
+    assert_eq!(text(second.expect("a response")).await, "ok");
+    let path = server.await.expect("a server without a panic");
+    assert_eq!(path.as_deref(), Some("/second"));
+}
+
+// The server's close and the next request cross on the wire. Whatever the
+// order, the client's word must fit what the server saw: "not sent" and seen
+// would be a lie, and seen twice would be two prints of one order.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crossing_closes_never_make_a_false_not_sent() {
+    const ROUNDS: u32 = 300;
+    let (listener, address) = listen().await;
+    let seen = Arc::new(Mutex::new(BTreeMap::<String, u32>::new()));
+    let log = Arc::clone(&seen);
+    let server = tokio::spawn(async move {
+        for turn in 0_u32.. {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            let log = Arc::clone(&log);
+            tokio::spawn(async move {
+                // Some connections end after one request, some after three,
+                // some after reading a request without an answer.
+                for _ in 0..=turn % 3 {
+                    let Some(path) = read_request(&mut stream).await else {
+                        return;
+                    };
+                    *log.lock().expect("a log").entry(path).or_default() += 1;
+                    let _gone = stream.write_all(OK).await;
+                }
+                if turn.is_multiple_of(5)
+                    && let Some(path) = read_request(&mut stream).await
+                {
+                    *log.lock().expect("a log").entry(path).or_default() += 1;
+                }
+            });
+        }
+    });
+    let connector = Connector::new(Settings::default());
+    let mut results = Vec::new();
+    for round in 0..ROUNDS {
+        let path = format!("/{round}");
+        let result = match connector.send(address, request(&path), LONG).await {
+            Ok(response) => text(response).await.len() == 2,
+            Err(Error::Unknown(_)) => true,
+            Err(Error::NotSent { .. }) => false,
+        };
+        results.push((path, result));
+    }
+    let seen = seen.lock().expect("a log");
+    for (path, may_have_run) in results {
+        let times = seen.get(&path).copied().unwrap_or(0);
+        assert!(times <= 1, "{path} was seen {times} times");
+        assert!(may_have_run || times == 0, "{path} was seen, yet not sent");
+    }
+    server.abort();
+}
+
+#[tokio::test]
+async fn a_refused_connection_gives_the_request_back() {
+    let (listener, address) = listen().await;
+    drop(listener);
+    let connector = Connector::new(Settings::default());
+    let Err(Error::NotSent {
+        cause: Cause::Connect(_),
+        request: Some(request),
+    }) = connector.send(address, request("/"), LONG).await
+    else {
+        panic!("a closed port must say not sent");
+    };
+    let body = request.into_body().collect().await.expect("a body");
+    assert_eq!(body.to_bytes(), "work");
+}
+
+// A server reads an order and dies before its answer. Only the server knew
+// whether it ran, so anything but unknown would be a guess.
+#[tokio::test]
+async fn a_connection_broken_after_the_request_is_unknown() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        read_request(&mut stream).await
+    });
+    let connector = Connector::new(Settings::default());
+    let result = connector.send(address, request("/orders"), LONG).await;
+    assert!(matches!(result, Err(Error::Unknown(Cause::Connection(_)))));
+    server.await.expect("a server without a panic");
+}
+
+// An answer comes after the time-out of its request. If the connection had
+// gone back to the pool, the next caller would get the first caller's answer.
+#[tokio::test]
+async fn a_late_answer_reaches_nobody() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut slow, _) = listener.accept().await.expect("a caller");
+        read_request(&mut slow).await.expect("a request");
+        let (mut quick, _) = listener.accept().await.expect("a new connection");
+        let _gone = slow
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate")
+            .await;
+        read_request(&mut quick).await.expect("a request");
+        quick.write_all(OK).await.expect("an open connection");
+        slow.read_u8().await.is_err()
+    });
+    let connector = Connector::new(Settings::default());
+    let short = Duration::from_millis(20);
+    let first = connector.send(address, request("/first"), short).await;
+    assert!(matches!(first, Err(Error::Unknown(Cause::ResponseTimeout))));
+    let second = connector.send(address, request("/second"), LONG).await;
+    assert_eq!(text(second.expect("a response")).await, "ok");
+    assert!(server.await.expect("a server without a panic"));
+}
+
+// A caller hangs up in the middle of a long answer. Unless the connection is
+// closed the engine goes on generating for nobody.
+#[tokio::test]
+async fn a_dropped_body_closes_the_connection() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        read_request(&mut stream).await.expect("a request");
+        stream
+            .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\npart")
+            .await
+            .expect("an open connection");
+        stream.read_u8().await.is_err()
+    });
+    let connector = Connector::new(Settings::default());
+    let response = connector.send(address, request("/"), LONG).await;
+    let mut body = response.expect("a response").into_body();
+    body.frame().await.expect("a frame").expect("a part");
+    drop(body);
+    assert!(server.await.expect("a server without a panic"));
+    assert_eq!(connector.idle(address), 0);
+}
--- /dev/null
+++ b/crates/platform/tests/timer.rs
@@ -0,0 +1,38 @@
+//! The timer under the driver that tests use.
+
+use std::time::Duration;
+
+use godwitpost_platform::timer::Timer;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[tokio::test]
+async fn a_period_ticks_on_its_grid_and_skips_what_was_missed() {
+    let timer = Timer::new(SECOND);
+    let mut ticks = timer.every(2 * SECOND);
+    timer.advance(3 * SECOND);
+    assert_eq!(ticks.next().await, Some(3 * SECOND));
+    // Ticks at 5, 7 and 9 s are missed, the next stays on the grid.
+    timer.advance(10 * SECOND);
+    assert_eq!(ticks.next().await, Some(10 * SECOND));
+    timer.advance(11 * SECOND);
+    assert_eq!(ticks.next().await, Some(11 * SECOND));
+}
+
+#[tokio::test]
+async fn a_moment_ticks_once_then_ends() {
+    let timer = Timer::new(SECOND);
+    let mut tick = timer.at(5 * SECOND);
+    timer.advance(6 * SECOND);
+    assert_eq!(tick.next().await, Some(6 * SECOND));
+    assert_eq!(tick.next().await, None);
+}
+
+#[tokio::test]
+async fn time_that_goes_back_fires_nothing() {
+    let timer = Timer::new(10 * SECOND);
+    let mut ticks = timer.every(SECOND);
+    timer.advance(2 * SECOND);
+    timer.advance(11 * SECOND);
+    assert_eq!(ticks.next().await, Some(11 * SECOND));
+}
