--- /dev/null
+++ b/crates/standin/src/list.rs
@@ -0,0 +1,200 @@
+//! The stand-in of the platform's list of instances.
+//!
+//! `PUT /v1/instances/{name}` with an entry's JSON and `DELETE` on the same
+//! path are this stand-in's own: they take the place of the platform's
+//! registration for people who run the fleet by hand.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+pub use godwitpost_platform::list::{Entry, Role};
+use godwitpost_types::endpoint::Standing;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::{Instant, sleep};
+
+use crate::answer::{self, Answer};
+use crate::faults::{Handle, lock, millis};
+use crate::serve::{Error, Server, Switch};
+
+/// What can go wrong with the list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// How much later than it happened a change shows.
+    #[serde(rename = "lag_ms", with = "millis")]
+    pub lag: Duration,
+    /// Added to the time of each call.
+    #[serde(rename = "slow_ms", with = "millis")]
+    pub slow: Duration,
+    /// Answer 503 to everything.
+    pub down: bool,
+}
+
+/// A list that listens; it stops when dropped.
+#[derive(Debug)]
+pub struct Running {
+    server: Server,
+    core: Core,
+}
+
+#[derive(Clone, Debug)]
+struct Core {
+    faults: Handle<Faults>,
+    entries: Arc<Mutex<Entries>>,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    latest: BTreeMap<String, Entry>,
+    shown: BTreeMap<String, Entry>,
+    // Changes that the lag still hides, oldest first: when, whose, what.
+    pending: Vec<(Instant, String, Option<Entry>)>,
+}
+
+/// Starts a list at an address; port 0 takes a free one.
+///
+/// # Errors
+///
+/// [`Error::Listen`] if the address can't be listened on.
+pub async fn start(address: SocketAddr, faults: Faults) -> Result<Running, Error> {
+    let core = Core {
+        faults: Handle::new(faults),
+        entries: Arc::default(),
+    };
+    let handler = core.clone();
+    let server = Server::start(address, Switch::new(), move |request| {
+        handler.clone().handle(request)
+    })
+    .await?;
+    Ok(Running { server, core })
+}
+
+impl Running {
+    /// Returns where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the handle of its faults.
+    #[must_use]
+    pub const fn faults(&self) -> &Handle<Faults> {
+        &self.core.faults
+    }
+
+    /// Adds an entry or replaces the one of its name.
+    pub fn set(&self, entry: Entry) {
+        lock(&self.core.entries).change(entry.name.clone(), Some(entry));
+    }
+
+    /// Removes an entry.
+    pub fn remove(&self, name: &str) {
+        lock(&self.core.entries).change(name.to_owned(), None);
+    }
+
+    /// Marks an entry as leaving; an unknown name changes nothing.
+    pub fn leaving(&self, name: &str) {
+        let mut entries = lock(&self.core.entries);
+        if let Some(mut entry) = entries.latest.get(name).cloned() {
+            entry.standing = Standing::Leaving;
+            entries.change(name.to_owned(), Some(entry));
+        }
+    }
+
+    /// Returns the entries as they are, without the lag.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Entry> {
+        lock(&self.core.entries).latest.values().cloned().collect()
+    }
+
+    /// Stops it and frees its port.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+impl Entries {
+    fn change(&mut self, name: String, entry: Option<Entry>) {
+        apply(&mut self.latest, &name, entry.clone());
+        self.pending.push((Instant::now(), name, entry));
+    }
+
+    fn show(&mut self, lag: Duration) -> Vec<Entry> {
+        let now = Instant::now();
+        let due = self
+            .pending
+            .partition_point(|(changed, ..)| now.saturating_duration_since(*changed) >= lag);
+        for (_, name, entry) in self.pending.drain(..due) {
+            apply(&mut self.shown, &name, entry);
+        }
+        self.shown.values().cloned().collect()
+    }
+}
+
+fn apply(entries: &mut BTreeMap<String, Entry>, name: &str, entry: Option<Entry>) {
+    match entry {
+        Some(entry) => entries.insert(name.to_owned(), entry),
+        None => entries.remove(name),
+    };
+}
+
+impl Core {
+    async fn handle(self, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        if path == "/faults" {
+            return answer::faults(&self.faults, request).await;
+        }
+        let faults = self.faults.get();
+        sleep(faults.slow).await;
+        if faults.down {
+            return Ok(answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the list is down; try again later",
+            ));
+        }
+        if path == "/v1/instances" && request.method() == Method::GET {
+            let instances = lock(&self.entries).show(faults.lag);
+            return Ok(answer::json(
+                StatusCode::OK,
+                &json!({ "instances": instances }),
+            ));
+        }
+        match path.strip_prefix("/v1/instances/") {
+            Some(name) => self.register(name, request).await,
+            None => Ok(answer::not_found()),
+        }
+    }
+
+    async fn register(&self, name: &str, request: Request<Incoming>) -> Answer {
+        match *request.method() {
+            Method::PUT => {
+                let body = answer::read(request.into_body()).await?;
+                Ok(self.put(name, &body))
+            }
+            Method::DELETE => {
+                lock(&self.entries).change(name.to_owned(), None);
+                Ok(answer::empty(StatusCode::NO_CONTENT))
+            }
+            _ => Ok(answer::not_found()),
+        }
+    }
+
+    fn put(&self, name: &str, body: &[u8]) -> http::Response<crate::serve::Body> {
+        match serde_json::from_slice::<Entry>(body) {
+            Ok(entry) if entry.name == name => {
+                lock(&self.entries).change(name.to_owned(), Some(entry));
+                answer::empty(StatusCode::NO_CONTENT)
+            }
+            Ok(_) => answer::error(
+                StatusCode::BAD_REQUEST,
+                "the entry's name differs from the path's; make them equal",
+            ),
+            Err(reason) => answer::error(StatusCode::BAD_REQUEST, &reason.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,295 @@
+//! The stand-in of the append-only log service.
+
+mod streams;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use godwitpost_platform::clock::Clock;
+use godwitpost_types::id::Offset;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+pub use self::streams::Record;
+use self::streams::{Streams, Taken};
+use crate::answer::{self, Answer};
+use crate::faults::{Handle, lock, millis};
+use crate::serve::{Broken, Error, Server, Switch};
+
+/// What can go wrong with the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Added to the time of each call.
+    #[serde(rename = "slow_ms", with = "millis")]
+    pub slow: Duration,
+    /// Answer 503 to everything.
+    pub down: bool,
+    /// Appends a second over all streams; more get 429. The platform's log
+    /// takes several hundred.
+    pub rate: f64,
+    /// Probability that an append takes effect and its answer is lost.
+    pub lose_answers: f64,
+    /// Probability that an append's connection breaks at once and the append
+    /// takes effect only after `late_by`.
+    pub late_effects: f64,
+    /// How much later a late append takes effect.
+    #[serde(rename = "late_by_ms", with = "millis")]
+    pub late_by: Duration,
+    /// Reads miss the records of this last time.
+    #[serde(rename = "stale_reads_ms", with = "millis")]
+    pub stale_reads: Duration,
+    /// Records older than this are gone.
+    #[serde(rename = "retention_ms", with = "millis")]
+    pub retention: Duration,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slow: Duration::ZERO,
+            down: false,
+            rate: 500.0,
+            lose_answers: 0.0,
+            late_effects: 0.0,
+            late_by: Duration::from_secs(1),
+            stale_reads: Duration::ZERO,
+            retention: Duration::from_hours(1),
+        }
+    }
+}
+
+/// A log that listens; it stops when dropped.
+#[derive(Debug)]
+pub struct Running {
+    server: Server,
+    core: Core,
+}
+
+#[derive(Clone, Debug)]
+struct Core {
+    clock: Clock,
+    faults: Handle<Faults>,
+    streams: Arc<Mutex<Streams>>,
+    // Wakes long polls when a record was added.
+    appended: Arc<watch::Sender<u64>>,
+}
+
+/// Starts a log at an address; port 0 takes a free one.
+///
+/// # Errors
+///
+/// [`Error::Listen`] if the address can't be listened on.
+pub async fn start(address: SocketAddr, faults: Faults) -> Result<Running, Error> {
+    let core = Core {
+        clock: Clock::start(),
+        faults: Handle::new(faults),
+        streams: Arc::default(),
+        appended: Arc::new(watch::Sender::new(0)),
+    };
+    let handler = core.clone();
+    let server = Server::start(address, Switch::new(), move |request| {
+        handler.clone().handle(request)
+    })
+    .await?;
+    Ok(Running { server, core })
+}
+
+impl Running {
+    /// Returns where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the handle of its faults.
+    #[must_use]
+    pub const fn faults(&self) -> &Handle<Faults> {
+        &self.core.faults
+    }
+
+    /// Returns the records of a stream that are still kept.
+    #[must_use]
+    pub fn records(&self, stream: &str) -> Vec<Record> {
+        lock(&self.core.streams).all(stream)
+    }
+
+    /// Drops the records of a stream below an offset.
+    pub fn truncate(&self, stream: &str, before: Offset) {
+        lock(&self.core.streams).truncate(stream, before);
+    }
+
+    /// Appends a record without going over HTTP, whatever the faults.
+    pub fn append(&self, stream: &str, body: Bytes) -> Offset {
+        self.core.take(stream, body).offset
+    }
+
+    /// Stops it and frees its port.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+#[derive(Deserialize)]
+struct Truncation {
+    stream: String,
+    before: Offset,
+}
+
+impl Core {
+    async fn handle(self, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        match (path.as_str(), request.method()) {
+            ("/faults", _) => return answer::faults(&self.faults, request).await,
+            ("/truncate", &Method::POST) => return self.truncate(request).await,
+            _ => {}
+        }
+        let faults = self.faults.get();
+        sleep(faults.slow).await;
+        if faults.down {
+            return Ok(answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the log is down; try again later",
+            ));
+        }
+        let Some(stream) = stream_of(&path) else {
+            return Ok(answer::not_found());
+        };
+        match *request.method() {
+            Method::POST => self.append(stream, request, &faults).await,
+            Method::GET => self.read(stream, request.uri().query()).await,
+            _ => Ok(answer::not_found()),
+        }
+    }
+
+    async fn append(&self, stream: &str, request: Request<Incoming>, faults: &Faults) -> Answer {
+        let body = answer::read(request.into_body()).await?;
+        let allowed = lock(&self.streams).allow(self.clock.now(), faults.rate);
+        if !allowed {
+            return Ok(answer::error(
+                StatusCode::TOO_MANY_REQUESTS,
+                "over the rate of appends; slow down",
+            ));
+        }
+        if self.faults.hits(faults.late_effects) {
+            self.take_late(stream.to_owned(), body, faults.late_by);
+            return Err(Broken);
+        }
+        let taken = self.take(stream, body);
+        if self.faults.hits(faults.lose_answers) {
+            return Err(Broken);
+        }
+        let time_ms = u64::try_from(taken.time.as_millis()).unwrap_or(u64::MAX);
+        Ok(answer::json(
+            StatusCode::CREATED,
+            &json!({ "offset": taken.offset, "time_ms": time_ms }),
+        ))
+    }
+
+    fn take(&self, stream: &str, body: Bytes) -> Taken {
+        let taken = lock(&self.streams).append(stream, self.clock.now(), body);
+        self.appended.send_modify(|count| *count += 1);
+        taken
+    }
+
+    fn take_late(&self, stream: String, body: Bytes, late_by: Duration) {
+        let core = self.clone();
+        tokio::spawn(async move {
+            sleep(late_by).await;
+            core.take(&stream, body);
+        });
+    }
+
+    async fn read(&self, stream: &str, query: Option<&str>) -> Answer {
+        let from = answer::number(query, "from").unwrap_or(0);
+        let limit = answer::number(query, "limit").unwrap_or(100);
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        let wait = Duration::from_millis(answer::number(query, "wait_ms").unwrap_or(0));
+        let deadline = Instant::now() + wait;
+        let mut appended = self.appended.subscribe();
+        loop {
+            appended.mark_unchanged();
+            let page = self.page(stream, from, limit);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !page.records.is_empty() || page.first > from || left.is_zero() {
+                return Ok(answer::json(StatusCode::OK, &page));
+            }
+            // Records that a stale read can't show yet raise no further
+            // signal when they are old enough, hence the short waits.
+            let stale = self.faults.get().stale_reads;
+            let pause = if stale.is_zero() {
+                left
+            } else {
+                left.min(stale)
+            };
+            let _either = timeout(pause, appended.changed()).await;
+        }
+    }
+
+    fn page(&self, stream: &str, from: Offset, limit: usize) -> PageAnswer {
+        let faults = self.faults.get();
+        let now = self.clock.now();
+        let mut streams = lock(&self.streams);
+        streams.expire(now.saturating_sub(faults.retention));
+        let (first, records) =
+            streams.page(stream, from, limit, now.saturating_sub(faults.stale_reads));
+        let records: Vec<_> = records.into_iter().map(RecordAnswer::from).collect();
+        let next = records
+            .last()
+            .map_or(from.max(first), |last| last.offset + 1);
+        PageAnswer {
+            first,
+            next,
+            records,
+        }
+    }
+
+    async fn truncate(&self, request: Request<Incoming>) -> Answer {
+        let body = answer::read(request.into_body()).await?;
+        match serde_json::from_slice::<Truncation>(&body) {
+            Ok(truncation) => {
+                lock(&self.streams).truncate(&truncation.stream, truncation.before);
+                Ok(answer::empty(StatusCode::NO_CONTENT))
+            }
+            Err(reason) => Ok(answer::error(StatusCode::BAD_REQUEST, &reason.to_string())),
+        }
+    }
+}
+
+fn stream_of(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/streams/")?
+        .strip_suffix("/records")
+        .filter(|stream| !stream.is_empty() && !stream.contains('/'))
+}
+
+#[derive(Serialize)]
+struct PageAnswer {
+    first: Offset,
+    next: Offset,
+    records: Vec<RecordAnswer>,
+}
+
+#[derive(Serialize)]
+struct RecordAnswer {
+    offset: Offset,
+    time_ms: u64,
+    body: String,
+}
+
+impl From<Record> for RecordAnswer {
+    fn from(record: Record) -> Self {
+        Self {
+            offset: record.offset,
+            time_ms: u64::try_from(record.time.as_millis()).unwrap_or(u64::MAX),
+            body: STANDARD.encode(&record.body),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/list.rs
@@ -0,0 +1,90 @@
+//! The list's stand-in and the platform's client of it.
+
+use std::time::Duration;
+
+use godwitpost_platform::connect::{Connector, Settings};
+use godwitpost_platform::list::{Client, Listing};
+use godwitpost_standin::list::{self, Entry, Faults, Role};
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::id;
+
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+fn endpoint(name: &str) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        incarnation: 1,
+        role: Role::Endpoint,
+        standing: Standing::Live,
+        zone: "otaru".to_owned(),
+        region: "hokkaido".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        operators_address: None,
+        service: Some("drafting".to_owned()),
+        models: ["route-writer".to_owned()].into(),
+    }
+}
+
+async fn fetch(running: &list::Running) -> Listing {
+    let connector = Connector::new(Settings::default());
+    let client = Client::new(connector, running.address(), TIMEOUT);
+    client.fetch().await.expect("a list")
+}
+
+async fn start() -> list::Running {
+    let address = "127.0.0.1:0".parse().expect("an address");
+    list::start(address, Faults::default())
+        .await
+        .expect("a free port")
+}
+
+#[tokio::test]
+async fn entries_come_through_as_endpoints() {
+    let running = start().await;
+    running.set(endpoint("runner-1"));
+    running.set(endpoint("runner-2"));
+    running.leaving("runner-2");
+    running.remove("runner-1");
+    let listing = fetch(&running).await;
+    assert_eq!(listing.endpoints.len(), 1);
+    assert_eq!(listing.endpoints[0].standing, Standing::Leaving);
+    assert!(
+        listing.endpoints[0]
+            .models
+            .contains(&id::of("route-writer"))
+    );
+}
+
+// One entry is written by a newer platform and lacks a field. The fleet must
+// not lose all its endpoints over it.
+#[tokio::test]
+async fn an_unreadable_entry_hides_no_other() {
+    let running = start().await;
+    running.set(endpoint("runner-1"));
+    running.set(Entry {
+        service: None,
+        ..endpoint("runner-2")
+    });
+    let listing = fetch(&running).await;
+    assert_eq!(listing.endpoints.len(), 1);
+    assert_eq!(
+        listing.refused,
+        ["runner-2: an endpoint without service; add it to the entry"]
+    );
+}
+
+#[tokio::test]
+async fn a_lagging_list_shows_the_past() {
+    let running = start().await;
+    running.set(endpoint("runner-1"));
+    assert_eq!(fetch(&running).await.endpoints.len(), 1);
+    running
+        .faults()
+        .change(|faults| faults.lag = Duration::from_hours(1));
+    running.remove("runner-1");
+    assert_eq!(fetch(&running).await.endpoints.len(), 1);
+    running
+        .faults()
+        .change(|faults| faults.lag = Duration::ZERO);
+    assert_eq!(fetch(&running).await.endpoints.len(), 0);
+}
