standin: model engine

The fleet's decisions turn on what engines do under load and faults. The stand-in batches over a set number of slots by priority, caches prefixes in limited memory, streams with event ids, resumes and cancels, publishes lagging reports and late cache events, takes fenced orders, and crashes on a marked request into a new incarnation. Every answer carries the digest of its own request, and each word is made from it, so that a checker can tell a truncated or crossed answer from a whole one.

--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,140 @@
+//! The prefix cache: tokens by prefix, least recently used evicted first.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use godwitpost_types::clock::Moment;
+use serde::Serialize;
+
+/// Events kept for readers that come late.
+const EVENTS_KEPT: usize = 10_000;
+
+/// A change of the cache, as engines publish it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Event {
+    pub(super) offset: u64,
+    pub(super) kind: Kind,
+    pub(super) prefix: String,
+    pub(super) tokens: u32,
+    #[serde(skip)]
+    pub(super) at: Moment,
+}
+
+/// What a change was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum Kind {
+    Stored,
+    Evicted,
+}
+
+#[derive(Debug)]
+struct Entry {
+    tokens: u32,
+    used: u64,
+}
+
+/// The cache and the events of its changes.
+#[derive(Debug)]
+pub(super) struct Cache {
+    capacity: u32,
+    size: u32,
+    uses: u64,
+    entries: BTreeMap<String, Entry>,
+    by_use: BTreeMap<u64, String>,
+    events: VecDeque<Event>,
+    next_event: u64,
+}
+
+impl Cache {
+    pub(super) const fn new(capacity: u32) -> Self {
+        Self {
+            capacity,
+            size: 0,
+            uses: 0,
+            entries: BTreeMap::new(),
+            by_use: BTreeMap::new(),
+            events: VecDeque::new(),
+            next_event: 0,
+        }
+    }
+
+    /// Returns the tokens held for a prefix, which counts as a use.
+    pub(super) fn tokens(&mut self, prefix: &str) -> Option<u32> {
+        let entry = self.entries.get_mut(prefix)?;
+        self.by_use.remove(&entry.used);
+        self.uses += 1;
+        entry.used = self.uses;
+        self.by_use.insert(self.uses, prefix.to_owned());
+        Some(entry.tokens)
+    }
+
+    /// Holds tokens for a prefix and evicts what no longer fits. Whether an
+    /// event is published is decided by `published`.
+    pub(super) fn store(
+        &mut self,
+        prefix: &str,
+        tokens: u32,
+        now: Moment,
+        mut published: impl FnMut() -> bool,
+    ) {
+        let tokens = tokens.min(self.capacity);
+        self.remove(prefix);
+        while self.size + tokens > self.capacity {
+            let Some((_, oldest)) = self.by_use.pop_first() else {
+                break;
+            };
+            let evicted = self.remove(&oldest);
+            self.publish(Kind::Evicted, &oldest, evicted, now, published());
+        }
+        self.uses += 1;
+        let used = self.uses;
+        self.entries
+            .insert(prefix.to_owned(), Entry { tokens, used });
+        self.by_use.insert(used, prefix.to_owned());
+        self.size += tokens;
+        self.publish(Kind::Stored, prefix, tokens, now, published());
+    }
+
+    /// Returns the first offset kept, the next to read from, and the events
+    /// from an offset on that happened no later than `until`.
+    pub(super) fn events(&self, from: u64, until: Moment) -> (u64, u64, Vec<Event>) {
+        let first = self.events.front().map_or(self.next_event, |e| e.offset);
+        let events: Vec<_> = self
+            .events
+            .iter()
+            .skip_while(|event| event.offset < from)
+            .take_while(|event| event.at <= until)
+            .cloned()
+            .collect();
+        let next = events.last().map_or(from, |event| event.offset + 1);
+        (first, next, events)
+    }
+
+    fn remove(&mut self, prefix: &str) -> u32 {
+        let Some(entry) = self.entries.remove(prefix) else {
+            return 0;
+        };
+        self.by_use.remove(&entry.used);
+        self.size -= entry.tokens;
+        entry.tokens
+    }
+
+    // An event that isn't published still takes an offset: that is the gap.
+    fn publish(&mut self, kind: Kind, prefix: &str, tokens: u32, at: Moment, published: bool) {
+        let offset = self.next_event;
+        self.next_event += 1;
+        if !published {
+            return;
+        }
+        self.events.push_back(Event {
+            offset,
+            kind,
+            prefix: prefix.to_owned(),
+            tokens,
+            at,
+        });
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/chat.rs
@@ -0,0 +1,204 @@
+//! Chat completions: from the request to the generated events.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::{HeaderMap, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::core::Core;
+use super::job::{Job, Reader};
+use super::{End, Run, reply};
+use crate::answer::{self, Answer};
+use crate::digest;
+use crate::faults::lock;
+use crate::plain::{leaving, marked};
+use crate::serve::Body;
+
+/// Bytes of a request's body that count as one token of prompt.
+const TOKEN_BYTES: usize = 4;
+/// The priority of a request that names none.
+const DEFAULT_PRIORITY: u8 = 100;
+
+#[derive(Deserialize)]
+struct Asked {
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+}
+
+/// What a request asks of the engine.
+struct Plan {
+    prompt_tokens: u32,
+    answer_tokens: u32,
+    priority: u8,
+    prefix: Option<String>,
+    crashes: bool,
+}
+
+impl Core {
+    pub(super) async fn chat(&self, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let id = self.request_id(&head.headers);
+        if let Some(after) = number(&head.headers, "last-event-id") {
+            return Ok(self.resume(&id, after));
+        }
+        let faults = self.faults.get();
+        if faults.leaving {
+            return Ok(leaving());
+        }
+        let body = answer::read(body).await?;
+        let asked: Asked = match serde_json::from_slice(&body) {
+            Ok(asked) => asked,
+            Err(reason) => {
+                return Ok(answer::error(StatusCode::BAD_REQUEST, &reason.to_string()));
+            }
+        };
+        if !lock(&self.state).orders.serves(&asked.model) {
+            return Ok(answer::error(
+                StatusCode::NOT_FOUND,
+                "the model isn't loaded here; use another engine",
+            ));
+        }
+        if self.faults.hits(faults.refuse) {
+            return Ok(answer::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "refused before it ran; try again",
+            ));
+        }
+        let plan = Plan {
+            prompt_tokens: u32::try_from(body.len() / TOKEN_BYTES).unwrap_or(u32::MAX),
+            answer_tokens: asked.max_tokens.unwrap_or(self.settings.answer_tokens),
+            priority: number(&head.headers, "x-priority").unwrap_or(DEFAULT_PRIORITY),
+            prefix: text(&head.headers, "x-prefix-key"),
+            crashes: marked(&body, faults.crash_marker.as_deref()),
+        };
+        let job = self.accept(id, digest::of(&body), &plan);
+        let reader = Reader::new(self.clone(), Arc::clone(&job), 0);
+        let task = tokio::spawn(self.clone().run(Arc::clone(&job), plan));
+        job.run_by(task.abort_handle());
+        self.answer(reader, asked.stream).await
+    }
+
+    fn request_id(&self, headers: &HeaderMap) -> String {
+        text(headers, "x-request-id")
+            .unwrap_or_else(|| format!("unnamed-{}", lock(&self.state).runs.len()))
+    }
+
+    fn resume(&self, id: &str, after: usize) -> Response<Body> {
+        let job = lock(&self.state).jobs.get(id).cloned();
+        match job {
+            Some(job) => self.stream(Reader::new(self.clone(), job, after)),
+            None => answer::error(
+                StatusCode::NOT_FOUND,
+                "the stream is no longer held; send the request again",
+            ),
+        }
+    }
+
+    fn accept(&self, id: String, digest: String, plan: &Plan) -> Arc<Job> {
+        let crossed = self.faults.hits(self.faults.get().cross);
+        let mut state = lock(&self.state);
+        let before = state.runs.last().filter(|_| crossed);
+        let (whose, of) = before.map_or_else(
+            || (id.clone(), digest.clone()),
+            |run| (run.request.clone(), run.digest.clone()),
+        );
+        let work = u64::from(plan.prompt_tokens) + u64::from(plan.answer_tokens);
+        let job = Arc::new(Job::new(state.runs.len(), whose, of, work));
+        state.runs.push(Run {
+            request: id.clone(),
+            digest,
+            prompt_tokens: plan.prompt_tokens,
+            cached_tokens: 0,
+            started: None,
+            ended: None,
+            end: None,
+        });
+        state.jobs.insert(id, Arc::clone(&job));
+        drop(state);
+        self.sample();
+        job
+    }
+
+    async fn run(self, job: Arc<Job>, plan: Plan) {
+        let slots = lock(&self.state).slots.clone();
+        let _slot = slots.acquire(plan.priority).await;
+        let cached = self.begin(&job, &plan);
+        if plan.crashes {
+            self.crash(self.faults.get().down_for);
+            return;
+        }
+        let prefill = f64::from(plan.prompt_tokens - cached) / self.settings.prefill;
+        sleep(self.faults.get().slow + Duration::from_secs_f64(prefill)).await;
+        job.left
+            .store(u64::from(plan.answer_tokens), Ordering::Relaxed);
+        self.generate(&job, &plan).await;
+        if let Some(prefix) = &plan.prefix {
+            self.store(prefix, plan.prompt_tokens + plan.answer_tokens);
+        }
+        job.push(reply::last_event(
+            &job,
+            plan.prompt_tokens,
+            plan.answer_tokens,
+            cached,
+        ));
+        self.end(&job, End::Finished);
+        // A caller that was cut off just before the end may still come back.
+        sleep(self.settings.hold).await;
+        self.forget(&job);
+    }
+
+    fn begin(&self, job: &Job, plan: &Plan) -> u32 {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        let cached = plan
+            .prefix
+            .as_deref()
+            .and_then(|prefix| state.cache.tokens(prefix))
+            .unwrap_or(0)
+            .min(plan.prompt_tokens);
+        let run = &mut state.runs[job.number];
+        run.started = Some(now);
+        run.cached_tokens = cached;
+        cached
+    }
+
+    async fn generate(&self, job: &Job, plan: &Plan) {
+        let step = self.settings.event_tokens.max(1);
+        let mut due = Instant::now();
+        let mut position = 0;
+        while position < plan.answer_tokens {
+            let until = plan.answer_tokens.min(position + step);
+            let tokens = until - position;
+            due += Duration::from_secs_f64(f64::from(tokens) / self.settings.decode);
+            sleep_until(due).await;
+            let words: String = (position..until)
+                .map(|position| digest::word(&job.digest, position))
+                .collect();
+            job.push(reply::event(job, &words));
+            job.left.fetch_sub(u64::from(tokens), Ordering::Relaxed);
+            position = until;
+        }
+    }
+
+    pub(super) fn forget(&self, job: &Arc<Job>) {
+        let mut state = lock(&self.state);
+        state.jobs.retain(|_, held| !Arc::ptr_eq(held, job));
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/standin/src/engine/orders.rs
@@ -0,0 +1,129 @@
+//! Orders to an engine: load or unload a model, change role.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::connect;
+use godwitpost_types::clock::Moment;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use serde::{Deserialize, Serialize};
+
+/// The pause after the weight store refused a pull.
+const PULL_PAUSE: Duration = Duration::from_millis(200);
+/// The time allowed for one pull.
+const PULL_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// One order that an engine was given.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Order {
+    /// When it came.
+    pub at: Moment,
+    /// Its fencing number.
+    pub fence: u64,
+    /// What it asked for.
+    pub wanted: Wanted,
+    /// Whether the engine took it.
+    pub taken: bool,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Wanted {
+    /// Load a version of a model.
+    Load {
+        /// The model's name.
+        model: String,
+        /// The version of its weights.
+        weights: String,
+    },
+    /// Unload a model, whatever its version.
+    Unload {
+        /// The model's name.
+        model: String,
+    },
+    /// Take a role, such as `prefill`.
+    Role(String),
+}
+
+#[derive(Deserialize)]
+pub(super) struct Given {
+    pub(super) fence: u64,
+    #[serde(flatten)]
+    pub(super) wanted: Wanted,
+}
+
+/// The engine's models, role and highest fencing number.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) models: BTreeSet<String>,
+    pub(super) role: String,
+    pub(super) fence: u64,
+    pub(super) given: Vec<Order>,
+}
+
+impl State {
+    pub(super) fn new(models: BTreeSet<String>) -> Self {
+        Self {
+            models,
+            role: "mixed".to_owned(),
+            fence: 0,
+            given: Vec::new(),
+        }
+    }
+
+    /// Returns whether a model is loaded in some version.
+    pub(super) fn serves(&self, model: &str) -> bool {
+        self.models.iter().any(|loaded| name(loaded) == model)
+    }
+
+    /// Notes an order and returns whether it is to be obeyed.
+    pub(super) fn give(&mut self, given: &Given, at: Moment, ignore_fencing: bool) -> bool {
+        let taken = ignore_fencing || given.fence >= self.fence;
+        self.fence = self.fence.max(given.fence);
+        self.given.push(Order {
+            at,
+            fence: given.fence,
+            wanted: given.wanted.clone(),
+            taken,
+        });
+        taken
+    }
+
+    /// Puts a version of a model in the place of any other.
+    pub(super) fn load(&mut self, model: &str, weights: &str) {
+        self.unload(model);
+        self.models.insert(format!("{model}@{weights}"));
+    }
+
+    pub(super) fn unload(&mut self, model: &str) {
+        self.models.retain(|loaded| name(loaded) != model);
+    }
+}
+
+fn name(version: &str) -> &str {
+    version.split_once('@').map_or(version, |(name, _)| name)
+}
+
+/// Pulls weights; tries until the store gives them or says they don't exist.
+/// Returns whether they are there.
+pub(super) async fn pull(store: SocketAddr, model: &str, weights: &str) -> bool {
+    let connector = connect::Connector::new(connect::Settings::default());
+    loop {
+        let body = Full::new(Bytes::new())
+            .map_err(|never| match never {})
+            .boxed_unsync();
+        let path = format!("/v1/weights/{model}/{weights}");
+        let Ok(request) = Request::get(path).body(body) else {
+            return false;
+        };
+        match connector.send(store, request, PULL_TIMEOUT).await {
+            Ok(response) if response.status() == StatusCode::OK => return true,
+            Ok(response) if response.status() == StatusCode::NOT_FOUND => return false,
+            Ok(_) | Err(_) => tokio::time::sleep(PULL_PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/reply.rs
@@ -0,0 +1,150 @@
+//! Answers of the engine, whole or streamed, with the faults that hit them.
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt as _, StreamBody};
+use hyper::body::Frame;
+use serde_json::{Value, json};
+
+use super::End;
+use super::core::Core;
+use super::job::{Job, Part, Reader};
+use crate::answer::{self, Answer};
+use crate::serve::{Body, Broken};
+
+impl Core {
+    pub(super) async fn answer(&self, mut reader: Reader, streamed: bool) -> Answer {
+        if streamed {
+            return Ok(self.stream(reader));
+        }
+        if reader.end().await != End::Finished {
+            return Err(Broken);
+        }
+        let whole = whole(&reader.job);
+        if !self.faults.hits(self.faults.get().truncate) {
+            return Ok(named(answer::json(StatusCode::OK, &whole), &reader));
+        }
+        let text = whole.to_string();
+        let half = Bytes::from(text[..text.len() / 2].to_owned());
+        let mut parts = vec![Ok(Frame::data(half))];
+        if !self.faults.get().truncate_cleanly {
+            parts.push(Err(Broken));
+        }
+        let body = StreamBody::new(stream::iter(parts)).boxed_unsync();
+        let mut response = Response::new(body);
+        let json = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
+        Ok(named(response, &reader))
+    }
+
+    pub(super) fn stream(&self, reader: Reader) -> Response<Body> {
+        let cut = if !self.faults.hits(self.faults.get().truncate) {
+            Cut::Never
+        } else if self.faults.get().truncate_cleanly {
+            Cut::Cleanly
+        } else {
+            Cut::Broken
+        };
+        let id = reader.job.id.clone();
+        let parts = stream::unfold(Some((reader, cut)), next_frame);
+        let mut response = Response::new(StreamBody::new(parts).boxed_unsync());
+        let events = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, events);
+        with_id(response, &id)
+    }
+}
+
+/// Where a stream is cut off after its first part.
+#[derive(Clone, Copy)]
+enum Cut {
+    Never,
+    Cleanly,
+    Broken,
+    Now,
+}
+
+type Frames = Option<(Reader, Cut)>;
+
+async fn next_frame(state: Frames) -> Option<(Result<Frame<Bytes>, Broken>, Frames)> {
+    let (mut reader, cut) = state?;
+    if matches!(cut, Cut::Now) {
+        return Some((Err(Broken), None));
+    }
+    match reader.part().await {
+        Part::Events(events) => {
+            let next = match cut {
+                Cut::Never => Some((reader, Cut::Never)),
+                Cut::Cleanly => None,
+                Cut::Broken | Cut::Now => Some((reader, Cut::Now)),
+            };
+            Some((Ok(Frame::data(events)), next))
+        }
+        Part::End(End::Finished) => {
+            let done = Bytes::from_static(b"data: [DONE]\n\n");
+            Some((Ok(Frame::data(done)), None))
+        }
+        Part::End(End::Cancelled | End::Crashed) => Some((Err(Broken), None)),
+    }
+}
+
+pub(super) fn event(job: &Job, words: &str) -> String {
+    json!({
+        "id": job.id,
+        "object": "chat.completion.chunk",
+        "digest": job.digest,
+        "choices": [{ "index": 0, "delta": { "content": words }, "finish_reason": null }],
+    })
+    .to_string()
+}
+
+pub(super) fn last_event(job: &Job, prompt: u32, answer: u32, cached: u32) -> String {
+    json!({
+        "id": job.id,
+        "object": "chat.completion.chunk",
+        "digest": job.digest,
+        "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
+        "usage": {
+            "prompt_tokens": prompt,
+            "completion_tokens": answer,
+            "prompt_tokens_details": { "cached_tokens": cached },
+        },
+    })
+    .to_string()
+}
+
+/// The answer to a request that didn't ask for a stream.
+fn whole(job: &Job) -> Value {
+    let events: Vec<Value> = job
+        .events()
+        .iter()
+        .filter_map(|event| serde_json::from_str(event).ok())
+        .collect();
+    let content: String = events
+        .iter()
+        .filter_map(|event| event["choices"][0]["delta"]["content"].as_str())
+        .collect();
+    json!({
+        "id": job.id,
+        "object": "chat.completion",
+        "digest": job.digest,
+        "choices": [{
+            "index": 0,
+            "message": { "role": "assistant", "content": content },
+            "finish_reason": "stop",
+        }],
+        "usage": events.last().map(|event| &event["usage"]),
+    })
+}
+
+fn named(response: Response<Body>, reader: &Reader) -> Response<Body> {
+    with_id(response, &reader.job.id)
+}
+
+fn with_id(mut response: Response<Body>, id: &str) -> Response<Body> {
+    if let Ok(id) = HeaderValue::from_str(id) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 //! its default.
 
 pub mod digest;
+pub mod engine;
 
 pub mod faults;
 pub mod list;
