bundle: read and check the YAML source whole

An operator who is shown one mistake at a time runs the check ten times. The source is read into a tree that knows its lines, so that unknown keys, wrong values and missing keys are all told at once, and then broken references are, each with line, key path and remedy.

--- /dev/null
+++ b/crates/bundle/src/check/tests.rs
@@ -0,0 +1,87 @@
+use crate::check;
+use crate::source;
+use crate::source::tests::WHOLE;
+
+fn found(yaml: &str) -> Vec<String> {
+    let error = source::read(yaml).expect_err("the bundle has mistakes");
+    error.0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn nobody_to_sign_the_next_version_is_refused() {
+    let yaml = WHOLE.replace(
+        "  asahikawa: { key: \"11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=\" }",
+        "  {}",
+    );
+    assert_eq!(
+        found(&yaml),
+        [
+            "line 6: operators: names nobody, so no later version could be signed; \
+          name at least one operator with its public key"
+        ]
+    );
+}
+
+// A weak public key accepts signatures that nobody made: the all-zero point
+// is of small order, so whoever sees the bundle could sign the next one.
+#[test]
+fn a_weak_key_is_refused() {
+    let yaml = WHOLE.replace(
+        "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=",
+        "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=",
+    );
+    assert_eq!(
+        found(&yaml),
+        [
+            "line 6: operators.asahikawa.key: is not an Ed25519 public key; \
+          write the public key that keygen printed, in base64"
+        ]
+    );
+}
+
+#[test]
+fn two_routes_on_one_path_must_differ_in_methods() {
+    let same = WHOLE.replace("path: /orders,", "path: /v1/chat/completions/,");
+    assert_eq!(
+        found(&same),
+        [
+            "line 19: routes[1]: takes the same path and a same method as routes[0]; \
+          part their paths or methods"
+        ]
+    );
+    let parted = same.replace(
+        "methods: [POST], service: ordering",
+        "methods: [PUT], service: ordering",
+    );
+    source::read(&parted).expect("their methods differ");
+}
+
+#[test]
+fn names_fit_headers_and_labels() {
+    assert_eq!(
+        found(&WHOLE.replace("  otaru:", "  \"otaru shop\":")).len(),
+        1
+    );
+}
+
+// A bundle may reach the fold without passing the source, signed by a tool
+// of another version; ranges are checked there too.
+#[test]
+fn ranges_are_checked_without_the_source() {
+    let mut bundle = source::read(WHOLE).expect("it is right");
+    bundle
+        .services
+        .get_mut("drafting")
+        .expect("it is there")
+        .load_bound = f64::NAN;
+    bundle
+        .workspaces
+        .get_mut("otaru")
+        .expect("it is there")
+        .weight = -1.0;
+    let paths: Vec<_> = check::bundle(&bundle).into_iter().map(|m| m.path).collect();
+    assert_eq!(
+        paths,
+        ["services.drafting.load_bound", "workspaces.otaru.weight"]
+    );
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -1,1 +1,18 @@
 //! Bundle schema, checks, signatures and the fold of the configuration stream.
+//!
+//! A *bundle* is the versioned declaration that operators sign: workspaces,
+//! services, models, classes and routes. This crate takes it from YAML
+//! ([`source`], [`check`]) to the policy that decisions are taken on
+//! ([`resolve`]).
+//!
+//! Nothing here does I/O or reads a clock: records come in as bytes with
+//! their offset and time, and functions return what to do next. The router,
+//! the operators' tool and the benches run the same code.
+
+pub mod blob;
+pub mod check;
+pub mod key;
+pub mod mistake;
+pub mod resolve;
+pub mod schema;
+pub mod source;
--- /dev/null
+++ b/crates/bundle/src/resolve/tests.rs
@@ -0,0 +1,20 @@
+use godwitpost_types::id;
+
+use crate::resolve;
+use crate::source;
+use crate::source::tests::WHOLE;
+
+#[test]
+fn names_become_ids_and_cross_references_hold() {
+    let policy = resolve::bundle(&source::read(WHOLE).expect("it is right"));
+    assert_eq!(policy.version, 2);
+    let route = policy.route("POST", "/orders/7").expect("it is routed");
+    assert_eq!(policy.services[&route.service].name, "ordering");
+    assert_eq!(policy.classes[&route.class].name, "order");
+    let otaru = &policy.workspaces[&id::of("otaru")];
+    assert!(otaru.services.contains(&route.service));
+    assert_eq!(
+        policy.models[&id::of("route-writer")].service,
+        id::of("drafting")
+    );
+}
