bundle: signed deltas and the fold that says what is in force

What is in force has to be the same on every instance without anything to agree on. It is a fold of the stream in log order: version one more, parent in force, signed by an operator of the parent, digests and checks passed. Of two with one parent the first wins, and the other is told who won.

Peers a few versions behind get the changes alone in place of the whole.

The root digest is kept in 256 buckets, so that a change of one workspace costs its own size.

--- /dev/null
+++ b/crates/bundle/src/fold.rs
@@ -0,0 +1,274 @@
+//! What is in force: a pure fold of the `bundles` stream in log order.
+//!
+//! Every instance folds the same records to the same result, so nothing has
+//! to be agreed on. A change counts if it is for this fleet, its parent is
+//! the bundle in force, its version is one more, an operator of the parent
+//! signed it, its digests match and its content passes all checks. Of two
+//! with one parent the first in the log wins, on every instance.
+//!
+//! Three things reach an instance beside the records themselves. A peer's
+//! *snapshot* or *update* brings it forward while the log is slow or down. A
+//! *checkpoint* on the stream is such a snapshot for readers that start after
+//! older records were dropped. Both name the first offset that they do not
+//! cover, and both are taken only if that lies ahead of what is folded here,
+//! so neither a peer with an old bundle nor an instance that was paused and
+//! appends an old checkpoint can turn the version back.
+
+mod assembly;
+mod gap;
+mod held;
+mod peer;
+mod refusal;
+#[cfg(test)]
+pub(crate) mod tests;
+mod times;
+
+use std::collections::VecDeque;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{Offset, Version};
+use godwitpost_types::policy::Policy;
+
+pub use self::refusal::Refusal;
+use crate::blob::{Blob, Digest};
+use crate::lineage::Signers;
+use crate::record::{Change, Record};
+use crate::root::Tree;
+use crate::snapshot::Anchor;
+use crate::statement::Statement;
+use assembly::Assembly;
+use gap::Gap;
+use held::Held;
+use times::Times;
+
+/// Changes kept for peers that are behind and to know duplicates by.
+const ACCEPTED: usize = 64;
+
+/// What came of a record or of a peer's word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// This version is in force now.
+    InForce(Version),
+    /// It does not count, for this reason.
+    Refused(Refusal),
+    /// It changes nothing: read before, a duplicate, or a checkpoint.
+    Ignored,
+    /// It is kept: records before it were dropped, and nothing covers them
+    /// yet. Ask a peer for its snapshot.
+    Waiting,
+}
+
+/// The fold and all that it remembers.
+#[derive(Clone, Debug)]
+pub struct Fold {
+    fleet: String,
+    roots: Vec<Digest>,
+    held: Option<Held>,
+    next: Offset,
+    gap: Option<Gap>,
+    assembly: Assembly,
+    times: Times,
+    accepted: VecDeque<Accepted>,
+}
+
+#[derive(Clone, Debug)]
+struct Accepted {
+    statement: Statement,
+    // Encoded, as a peer would be sent it.
+    change: Blob,
+}
+
+impl Fold {
+    /// Returns a fold with nothing in force, whose first version must be
+    /// signed by one of the root keys.
+    #[must_use]
+    pub fn new(fleet: impl Into<String>, roots: impl IntoIterator<Item = Digest>) -> Self {
+        Self {
+            fleet: fleet.into(),
+            roots: roots.into_iter().collect(),
+            held: None,
+            next: 0,
+            gap: None,
+            assembly: Assembly::default(),
+            times: Times::default(),
+            accepted: VecDeque::new(),
+        }
+    }
+
+    /// Returns the version in force; 0 for none.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.held.as_ref().map_or(0, |held| held.statement.version)
+    }
+
+    /// Returns the policy in force.
+    #[must_use]
+    pub fn policy(&self) -> Option<&Policy> {
+        self.held.as_ref().map(|held| &held.policy)
+    }
+
+    /// Returns the signed statement in force.
+    #[must_use]
+    pub fn statement(&self) -> Option<&Statement> {
+        self.held.as_ref().map(|held| &held.statement)
+    }
+
+    /// Returns the entries in force.
+    #[must_use]
+    pub fn tree(&self) -> Option<&Tree> {
+        self.held.as_ref().map(|held| &held.tree)
+    }
+
+    /// Returns the offset to read the stream from.
+    #[must_use]
+    pub fn wanted(&self) -> Offset {
+        self.gap.as_ref().map_or(self.next, |gap| gap.read)
+    }
+
+    /// Returns whether records were dropped that nothing known here covers.
+    ///
+    /// Changes are not folded meanwhile; a peer's snapshot helps.
+    #[must_use]
+    pub const fn gapped(&self) -> bool {
+        self.gap.is_some()
+    }
+
+    /// Returns the oldest record that a reader without memory needs; `None`
+    /// while this instance cannot speak for the stream.
+    #[must_use]
+    pub fn anchor(&self) -> Option<Anchor> {
+        let held = self.held.as_ref().filter(|_| self.gap.is_none())?;
+        Some(held.anchor)
+    }
+
+    /// Takes the next record of the stream.
+    pub fn apply(&mut self, offset: Offset, time: Moment, bytes: &[u8]) -> Next {
+        if offset < self.wanted() {
+            return Next::Ignored;
+        }
+        if offset > self.wanted() {
+            self.gap = Some(Gap::new(offset));
+            self.assembly = Assembly::default();
+        }
+        self.times.note(offset, time);
+        match &mut self.gap {
+            Some(gap) => gap.read = offset + 1,
+            None => self.next = offset + 1,
+        }
+        match Record::decode(bytes) {
+            Err(error) => Next::Refused(Refusal::Record(error)),
+            Ok(Record::Change(change)) => self.change_read(offset, change, bytes),
+            Ok(Record::Checkpoint(part)) => match self.assembly.add(offset, &part) {
+                Some(whole) => self.checkpoint(&whole),
+                None => Next::Ignored,
+            },
+        }
+    }
+
+    fn same_fleet(&self, statement: &Statement) -> Result<(), Refusal> {
+        if statement.fleet == self.fleet {
+            return Ok(());
+        }
+        Err(Refusal::Fleet {
+            wanted: self.fleet.clone(),
+            found: statement.fleet.clone(),
+        })
+    }
+
+    fn change_read(&mut self, offset: Offset, change: Change, bytes: &[u8]) -> Next {
+        if let Some(gap) = &mut self.gap {
+            gap.keep(offset, bytes.to_vec());
+            return Next::Waiting;
+        }
+        // Without a checkpoint a reader needs every record since the first.
+        // If its time is forgotten it counts as old, and a checkpoint is due.
+        let since = self.times.at(0).unwrap_or_default();
+        self.change(change, bytes, Anchor { from: 0, since })
+    }
+
+    // The anchor is for the first version alone; later ones keep theirs.
+    fn change(&mut self, change: Change, bytes: &[u8], anchor: Anchor) -> Next {
+        if let Err(next) = self.judge(&change) {
+            return next;
+        }
+        let statement = change.statement.clone();
+        let taken = match &mut self.held {
+            Some(held) => held.step(change),
+            None => Held::first(change, anchor).map(|held| self.held = Some(held)),
+        };
+        if let Err(refusal) = taken {
+            return Next::Refused(refusal);
+        }
+        let version = statement.version;
+        self.remember(statement, bytes);
+        Next::InForce(version)
+    }
+
+    fn judge(&self, change: &Change) -> Result<(), Next> {
+        let statement = &change.statement;
+        self.same_fleet(statement).map_err(Next::Refused)?;
+        let known = |accepted: &Accepted| accepted.statement == *statement;
+        if self.statement() == Some(statement) || self.accepted.iter().any(known) {
+            return Err(Next::Ignored);
+        }
+        self.follows(statement).map_err(Next::Refused)?;
+        if self.signers().signed(statement, &change.signature) {
+            Ok(())
+        } else {
+            let operator = statement.operator.clone();
+            Err(Next::Refused(Refusal::Signature(operator)))
+        }
+    }
+
+    fn follows(&self, statement: &Statement) -> Result<(), Refusal> {
+        let current = self.version();
+        let found = statement.version;
+        if found <= current {
+            return Err(match self.winner(found) {
+                Some(winner) => Refusal::Lost {
+                    version: found,
+                    winner,
+                },
+                None => Refusal::Old { current, found },
+            });
+        }
+        if found > current + 1 {
+            return Err(Refusal::Ahead { current, found });
+        }
+        let parent = self.tree().map_or(Digest::ZERO, Tree::root);
+        if statement.parent == parent {
+            Ok(())
+        } else {
+            Err(Refusal::Parent)
+        }
+    }
+
+    fn winner(&self, version: Version) -> Option<String> {
+        let accepted = self.accepted.iter().map(|accepted| &accepted.statement);
+        accepted
+            .chain(self.statement())
+            .find(|statement| statement.version == version)
+            .map(|statement| statement.operator.clone())
+    }
+
+    fn signers(&self) -> Signers<'_> {
+        match &self.held {
+            Some(held) => Signers::Operators(&held.operators),
+            None => Signers::Roots(&self.roots),
+        }
+    }
+
+    fn remember(&mut self, statement: Statement, bytes: &[u8]) {
+        if self.accepted.len() == ACCEPTED {
+            self.accepted.pop_front();
+        }
+        let change = Blob(bytes.to_vec());
+        self.accepted.push_back(Accepted { statement, change });
+    }
+
+    fn anchored(&mut self, anchor: Anchor) {
+        if let Some(held) = &mut self.held {
+            held.anchor = held.anchor.max(anchor);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bundle/src/fold/held.rs
@@ -0,0 +1,180 @@
+//! One bundle in force, and the step to the next version.
+
+use godwitpost_types::id;
+use godwitpost_types::policy::Policy;
+
+use super::refusal::Refusal;
+use crate::blob::{Digest, Signature};
+use crate::check;
+use crate::delta::Delta;
+use crate::entry::{self, FLEET, WORKSPACE};
+use crate::lineage::{self, Link, Operators, Signers};
+use crate::mistake::Mistakes;
+use crate::record::Change;
+use crate::resolve;
+use crate::root::Tree;
+use crate::schema::{Bundle, Workspace};
+use crate::snapshot::{Anchor, Snapshot};
+use crate::statement::Statement;
+
+/// A bundle in force.
+#[derive(Clone, Debug)]
+pub(super) struct Held {
+    pub statement: Statement,
+    pub signature: Signature,
+    pub tree: Tree,
+    pub policy: Policy,
+    pub operators: Operators,
+    pub lineage: Vec<Link>,
+    pub anchor: Anchor,
+}
+
+impl Held {
+    /// Returns the first version, which a root key signs.
+    pub fn first(change: Change, anchor: Anchor) -> Result<Self, Refusal> {
+        let tree = Tree::new(change.delta.puts);
+        let (bundle, operators) = whole(&change.statement, &tree)?;
+        let link = Link {
+            statement: change.statement.clone(),
+            signature: change.signature,
+            operators: operators.clone(),
+        };
+        Ok(Self {
+            statement: change.statement,
+            signature: change.signature,
+            tree,
+            policy: resolve::bundle(&bundle),
+            operators,
+            lineage: vec![link],
+            anchor,
+        })
+    }
+
+    /// Returns what a snapshot holds, once its proof is checked against those
+    /// who may sign after `version`.
+    pub fn adopted(
+        snapshot: Snapshot,
+        signers: Signers<'_>,
+        version: u64,
+    ) -> Result<Self, Refusal> {
+        let Snapshot {
+            statement,
+            signature,
+            lineage,
+            ..
+        } = snapshot;
+        if !lineage::leads(signers, version, &lineage, &statement, &signature) {
+            return Err(Refusal::Signature(statement.operator));
+        }
+        let tree = Tree::new(snapshot.entries);
+        let (bundle, operators) = whole(&statement, &tree)?;
+        Ok(Self {
+            statement,
+            signature,
+            tree,
+            policy: resolve::bundle(&bundle),
+            operators,
+            lineage,
+            anchor: snapshot.anchor,
+        })
+    }
+
+    /// Takes the next version, or leaves all as it was.
+    ///
+    /// The caller has checked version, parent and signature.
+    pub fn step(&mut self, change: Change) -> Result<(), Refusal> {
+        let small = only_workspaces(&change.delta);
+        let undo = self.tree.apply(change.delta.clone());
+        let taken = if small {
+            self.amend(&change)
+        } else {
+            self.replace(&change)
+        };
+        if taken.is_err() {
+            self.tree.apply(undo);
+            return taken;
+        }
+        self.policy.version = change.statement.version;
+        self.statement = change.statement;
+        self.signature = change.signature;
+        Ok(())
+    }
+
+    // Most changes are of one workspace among thousands. Checking and
+    // resolving just those keeps a change at the cost of its own size.
+    fn amend(&mut self, change: &Change) -> Result<(), Refusal> {
+        let statement = &change.statement;
+        digests(statement, self.tree.root(), &self.operators)?;
+        let mut found = Vec::new();
+        let mut resolved = Vec::new();
+        for (name, blob) in &change.delta.puts {
+            let bare = name.strip_prefix(WORKSPACE).unwrap_or(name);
+            let workspace = entry::decode::<Workspace>(name, blob).map_err(Refusal::Entry)?;
+            let known = |service: &str| self.policy.services.contains_key(&id::of(service));
+            check::name(&format!("workspaces.{bare}"), bare, &mut found);
+            check::workspace(bare, &workspace, known, &mut found);
+            let other = self.policy.workspaces.get(&id::of(bare));
+            if other.is_some_and(|other| other.name != bare) {
+                return self.replace(change);
+            }
+            resolved.push(resolve::workspace(bare, &workspace));
+        }
+        if !found.is_empty() {
+            return Err(Refusal::Content(Mistakes(found)));
+        }
+        for name in &change.delta.removes {
+            let bare = name.strip_prefix(WORKSPACE).unwrap_or(name);
+            self.policy.workspaces.remove(&id::of(bare));
+        }
+        for workspace in resolved {
+            let id = id::of(&workspace.name);
+            self.policy.workspaces.insert(id, workspace);
+        }
+        Ok(())
+    }
+
+    fn replace(&mut self, change: &Change) -> Result<(), Refusal> {
+        let (bundle, operators) = whole(&change.statement, &self.tree)?;
+        self.policy = resolve::bundle(&bundle);
+        if operators != self.operators {
+            self.lineage.push(Link {
+                statement: change.statement.clone(),
+                signature: change.signature,
+                operators: operators.clone(),
+            });
+            self.operators = operators;
+        }
+        Ok(())
+    }
+}
+
+fn only_workspaces(delta: &Delta) -> bool {
+    delta.names().all(|name| name.starts_with(WORKSPACE))
+}
+
+fn whole(statement: &Statement, tree: &Tree) -> Result<(Bundle, Operators), Refusal> {
+    let bundle = entry::join(statement.version, tree.entries()).map_err(Refusal::Entry)?;
+    let operators = Operators::of(&bundle);
+    digests(statement, tree.root(), &operators)?;
+    let mut mistakes = check::bundle(&bundle);
+    if bundle.fleet.name != statement.fleet {
+        mistakes.push(crate::mistake::Mistake::new(
+            FLEET,
+            format!(
+                "is {:?}, not the signed {:?}",
+                bundle.fleet.name, statement.fleet
+            ),
+            "sign the bundle again",
+        ));
+    }
+    if mistakes.is_empty() {
+        Ok((bundle, operators))
+    } else {
+        Err(Refusal::Content(Mistakes(mistakes)))
+    }
+}
+
+fn digests(statement: &Statement, root: Digest, operators: &Operators) -> Result<(), Refusal> {
+    let matches = statement.root == root && statement.operators == operators.digest();
+    if matches { Ok(()) } else { Err(Refusal::Root) }
+}
--- /dev/null
+++ b/crates/bundle/src/fold/tests/peers.rs
@@ -0,0 +1,185 @@
+use super::{Stream, bundle, new_fold, operator_key, root, root_key, time};
+use crate::fold::{Fold, Next, Refusal};
+use crate::record::{Change, Record};
+use crate::root::Tree;
+use crate::schema::Operator;
+use crate::snapshot::Snapshot;
+use crate::{entry, signature};
+
+fn snapshot(fold: &Fold) -> Snapshot {
+    fold.snapshot().expect("it is in force")
+}
+
+// A peer that slept hands out version 2 while 4 is in force here. Adopting it
+// would turn the fleet back one instance at a time.
+#[test]
+fn an_older_snapshot_changes_nothing() {
+    let mut stream = Stream::rolled(2);
+    let old = stream.fold().clone();
+    stream.roll(3);
+    stream.roll(4);
+    let mut fold = stream.fold().clone();
+    assert_eq!(fold.adopt(snapshot(&old)), Ok(Next::Ignored));
+    let update = old.update(1).expect("it is kept");
+    assert_eq!(fold.advance(&update), Ok(Next::Ignored));
+    assert_eq!(fold.version(), 4);
+}
+
+// The log goes down right after version 3 was accepted. Those who read it
+// bring the others forward, who skip its record once the log is back.
+#[test]
+fn peers_bring_each_other_forward_while_the_log_is_down() {
+    let mut stream = Stream::rolled(2);
+    let behind = stream.fold().clone();
+    stream.roll(3);
+    stream.roll(4);
+    let mut by_update = behind.clone();
+    let update = stream.fold().update(2).expect("it is kept");
+    assert_eq!(update.changes.len(), 2);
+    assert_eq!(by_update.advance(&update), Ok(Next::InForce(4)));
+    let mut by_snapshot = behind;
+    let taken = by_snapshot.adopt(snapshot(stream.fold()));
+    assert_eq!(taken, Ok(Next::InForce(4)));
+    stream.roll(5);
+    for fold in [&mut by_update, &mut by_snapshot] {
+        assert_eq!(fold.wanted(), 4);
+        assert_eq!(stream.read(0, fold), Next::InForce(5));
+        assert_eq!(root(fold), root(stream.fold()));
+    }
+}
+
+#[test]
+fn an_update_from_too_far_back_is_not_offered() {
+    let stream = Stream::rolled(70);
+    assert!(stream.fold().update(5).is_none());
+    assert!(stream.fold().update(71).is_none());
+    assert_eq!(stream.fold().update(6).map(|u| u.changes.len()), Some(64));
+}
+
+// A peer's second change is damaged on the way. The first is in force, but
+// where it stands on the stream is unknown: a version that came too early for
+// the fleet must not be taken from there on.
+#[test]
+fn a_broken_update_leaves_no_way_to_a_wrong_version() {
+    let mut stream = Stream::rolled(2);
+    let behind = stream.fold().clone();
+    let third = stream.change(3, 30);
+    let mut ahead = Stream::rolled(2);
+    ahead.append(&third);
+    let too_early = ahead.change(4, 41);
+    stream.append(&too_early);
+    stream.append(&third);
+    stream.roll(4);
+    let mut update = stream.fold().update(2).expect("it is kept");
+    update.changes[1].0.truncate(20);
+    let mut fold = behind;
+    assert!(matches!(fold.advance(&update), Err(Refusal::Record(_))));
+    assert_eq!(fold.version(), 3);
+    stream.read(0, &mut fold);
+    assert_eq!((fold.version(), fold.gapped()), (3, true));
+    assert_eq!(fold.adopt(snapshot(stream.fold())), Ok(Next::InForce(4)));
+    assert_eq!(root(&fold), root(stream.fold()));
+}
+
+// A key leaked, and version 2 removed its operator. Whoever holds the key
+// forges version 9 from version 1, naming himself. An instance that holds
+// version 2 must not follow.
+#[test]
+fn a_removed_operator_cannot_forge_a_snapshot() {
+    let mut stream = Stream::rolled(1);
+    let first = snapshot(stream.fold());
+    let mut second = bundle(2, 2);
+    second.operators.remove("kushiro");
+    let change = stream.sign(&second, "asahikawa");
+    assert_eq!(stream.append(&change), Next::InForce(2));
+
+    let mut forged = bundle(9, 9);
+    forged.operators.clear();
+    let key = operator_key("kushiro");
+    let operator = Operator { key: key.public() };
+    forged.operators.insert("kushiro".to_owned(), operator);
+    let parent = Tree::new(first.entries.clone());
+    let change = Change::sign(Some(&parent), &forged, "kushiro", &key);
+    let mut lineage = first.lineage.clone();
+    lineage.push(crate::lineage::Link {
+        statement: change.statement.clone(),
+        signature: change.signature,
+        operators: crate::lineage::Operators::of(&forged),
+    });
+    let forged = Snapshot {
+        next: 100,
+        statement: change.statement,
+        signature: change.signature,
+        lineage,
+        entries: entry::split(&forged),
+        ..first
+    };
+    let mut fold = stream.fold().clone();
+    let refused = Refusal::Signature("kushiro".to_owned());
+    assert_eq!(fold.adopt(forged), Err(refused));
+    assert_eq!(fold.version(), 2);
+}
+
+#[test]
+fn a_snapshot_proves_itself_through_changes_of_keys() {
+    let mut stream = Stream::rolled(1);
+    let mut second = bundle(2, 2);
+    second.operators.remove("kushiro");
+    let change = stream.sign(&second, "kushiro");
+    stream.append(&change);
+    second.version = 3;
+    second
+        .workspaces
+        .get_mut("otaru")
+        .expect("it is there")
+        .concurrency = 3;
+    let change = stream.sign(&second, "asahikawa");
+    assert_eq!(stream.append(&change), Next::InForce(3));
+    let good = snapshot(stream.fold());
+    assert_eq!(good.lineage.len(), 2);
+    assert_eq!(new_fold().adopt(good.clone()), Ok(Next::InForce(3)));
+
+    let mut cut = good.clone();
+    cut.lineage.remove(1);
+    assert!(matches!(new_fold().adopt(cut), Err(Refusal::Signature(_))));
+    let mut changed = good.clone();
+    changed.entries.remove("workspace/otaru");
+    assert_eq!(new_fold().adopt(changed), Err(Refusal::Root));
+    let mut resigned = good.clone();
+    resigned.signature = signature::sign(&resigned.statement, &operator_key("kushiro"));
+    assert!(matches!(
+        new_fold().adopt(resigned),
+        Err(Refusal::Signature(_))
+    ));
+    let mut strangers = Fold::new("kitakaze", [operator_key("zenibako").public()]);
+    assert!(matches!(strangers.adopt(good), Err(Refusal::Signature(_))));
+}
+
+// Two logs were mixed up, and a peer holds another version 3. Neither side
+// can know who is right, so the one in force stays and the operator is told.
+#[test]
+fn a_peer_that_contradicts_is_not_believed() {
+    let mut stream = Stream::rolled(2);
+    let mut other = Stream::rolled(2);
+    stream.roll(3);
+    let change = other.change(3, 99);
+    other.append(&change);
+    other.append(&change);
+    let mut fold = stream.fold().clone();
+    let taken = fold.adopt(snapshot(other.fold()));
+    assert_eq!(taken, Err(Refusal::Contradiction));
+    let update = other.fold().update(2).expect("it is kept");
+    assert_eq!(fold.advance(&update), Err(Refusal::Contradiction));
+    assert_eq!(root(&fold), root(stream.fold()));
+}
+
+#[test]
+fn junk_on_the_stream_is_refused_and_passed_over() {
+    let mut fold = new_fold();
+    let next = fold.apply(0, time(0), b"junk");
+    assert!(matches!(next, Next::Refused(Refusal::Record(_))));
+    let change = Change::sign(None, &bundle(1, 1), "asahikawa", &root_key());
+    let bytes = Record::Change(change).encode().expect("it fits");
+    assert_eq!(fold.apply(1, time(1), &bytes), Next::InForce(1));
+    assert_eq!(fold.anchor().map(|anchor| anchor.from), Some(0));
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -3,7 +3,7 @@
 //! A *bundle* is the versioned declaration that operators sign: workspaces,
 //! services, models, classes and routes. This crate takes it from YAML
 //! ([`source`], [`check`]) to the policy that decisions are taken on
-//! ([`resolve`]).
+//! ([`resolve`]), and says which version is in force ([`fold`]).
 //!
 //! Nothing here does I/O or reads a clock: records come in as bytes with
 //! their offset and time, and functions return what to do next. The router,
@@ -11,8 +11,18 @@
 
 pub mod blob;
 pub mod check;
+pub mod delta;
+pub mod entry;
+pub mod fold;
 pub mod key;
+pub mod lineage;
 pub mod mistake;
+pub mod record;
+pub mod renew;
 pub mod resolve;
+pub mod root;
 pub mod schema;
+pub mod signature;
+pub mod snapshot;
 pub mod source;
+pub mod statement;
--- /dev/null
+++ b/crates/bundle/src/record.rs
@@ -0,0 +1,147 @@
+//! What is appended to the `bundles` stream.
+
+#[cfg(test)]
+mod tests;
+
+use displaydoc::Display;
+use godwitpost_types::id::Offset;
+use serde::{Deserialize, Serialize};
+
+use crate::blob::{Blob, Digest, Signature};
+use crate::delta::Delta;
+use crate::entry;
+use crate::key::Private;
+use crate::root::Tree;
+use crate::schema::Bundle;
+use crate::signature;
+use crate::snapshot::Snapshot;
+use crate::statement::Statement;
+
+/// The stream of bundles on the log service.
+pub const STREAM: &str = "bundles";
+
+/// The most bytes of one record; larger snapshots are split. The log takes
+/// single records of this size in a round trip without holding up others.
+pub const RECORD_BYTES: usize = 256 * 1024;
+
+/// Room for the frame around a part's bytes.
+const FRAME_BYTES: usize = 256;
+
+/// One record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A new version.
+    Change(Change),
+    /// A part of a checkpoint.
+    Checkpoint(Part),
+}
+
+/// A new version: what changes, and the signed statement on the result.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The signed statement.
+    pub statement: Statement,
+    /// Its signature by an operator of the parent.
+    pub signature: Signature,
+    /// Entries put and removed.
+    pub delta: Delta,
+}
+
+/// A part of an encoded snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// The digest of the whole.
+    pub whole: Digest,
+    /// The place of this part; the first is 0.
+    pub index: u32,
+    /// How many parts there are.
+    pub count: u32,
+    /// The bytes of this part.
+    pub bytes: Blob,
+}
+
+/// Why bytes are not a record.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// the record is ill-formed; write records with godwitpost-bundle only
+    IllFormed,
+    /// the record has {0} bytes, above {1}; roll the change in several versions
+    TooLarge(usize, usize),
+}
+
+impl std::error::Error for Error {}
+
+impl Change {
+    /// Returns the signed change from the entries in force to `bundle`.
+    #[must_use]
+    pub fn sign(parent: Option<&Tree>, bundle: &Bundle, operator: &str, key: &Private) -> Self {
+        let empty = Tree::new(entry::Entries::new());
+        let entries = entry::split(bundle);
+        let delta = Delta::between(parent.unwrap_or(&empty).entries(), &entries);
+        let parent = parent.map_or(Digest::ZERO, Tree::root);
+        let root = crate::root::of(&entries);
+        let statement = Statement::new(bundle, parent, root, operator);
+        Self {
+            signature: signature::sign(&statement, key),
+            statement,
+            delta,
+        }
+    }
+}
+
+impl Record {
+    /// Returns the bytes to append.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::TooLarge`] for more than [`RECORD_BYTES`].
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        let bytes = entry::encode(self).0;
+        if bytes.len() > RECORD_BYTES {
+            return Err(Error::TooLarge(bytes.len(), RECORD_BYTES));
+        }
+        Ok(bytes)
+    }
+
+    /// Returns the record of some bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::IllFormed`] for bytes that are none, and
+    /// [`Error::TooLarge`] for more than [`RECORD_BYTES`].
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        if bytes.len() > RECORD_BYTES {
+            return Err(Error::TooLarge(bytes.len(), RECORD_BYTES));
+        }
+        rmp_serde::from_slice(bytes).map_err(|_cause| Error::IllFormed)
+    }
+}
+
+/// Returns the records of a checkpoint, to be appended in this order.
+#[must_use]
+pub fn checkpoint(snapshot: &Snapshot) -> Vec<Record> {
+    let bytes = snapshot.encode();
+    let whole = Digest::of(&bytes);
+    let chunks = bytes.chunks(RECORD_BYTES - FRAME_BYTES);
+    let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
+    (0..)
+        .zip(chunks)
+        .map(|(index, chunk)| {
+            Record::Checkpoint(Part {
+                whole,
+                index,
+                count,
+                bytes: Blob(chunk.to_vec()),
+            })
+        })
+        .collect()
+}
+
+/// A record as the log handed it out.
+#[derive(Clone, Debug)]
+pub struct Kept {
+    /// Its offset.
+    pub offset: Offset,
+    /// Its change, still encoded.
+    pub bytes: Blob,
+}
--- /dev/null
+++ b/crates/bundle/src/renew/tests.rs
@@ -0,0 +1,58 @@
+use std::time::Duration;
+
+use crate::renew::{Next, View, decide};
+use crate::snapshot::Anchor;
+
+const HOUR: Duration = Duration::from_hours(1);
+
+fn view(now: Duration, rank: u32) -> View {
+    View {
+        now,
+        retention: 24 * HOUR,
+        anchor: Some(Anchor {
+            from: 10,
+            since: 100 * HOUR,
+        }),
+        next: 20,
+        tried: None,
+        rank,
+    }
+}
+
+// All instances are replaced at once after a quiet week. If the last change
+// had been dropped from the log by then, no instance would find a bundle.
+// Even if eight writers fail one after the other, a ninth still appends while
+// a third of the retention is left.
+#[test]
+fn a_checkpoint_is_due_well_before_the_oldest_record_goes() {
+    assert_eq!(decide(&view(107 * HOUR, 0)), Next::Wait(108 * HOUR));
+    assert_eq!(decide(&view(108 * HOUR, 0)), Next::Append);
+    assert_eq!(decide(&view(108 * HOUR, 1)), Next::Wait(109 * HOUR));
+    assert_eq!(decide(&view(116 * HOUR, 319)), Next::Append);
+}
+
+#[test]
+fn many_changes_make_it_due_early() {
+    let mut view = view(101 * HOUR, 0);
+    view.next = 10 + 2_048;
+    assert_eq!(decide(&view), Next::Append);
+    view.rank = 1;
+    assert_eq!(decide(&view), Next::Wait(109 * HOUR));
+}
+
+#[test]
+fn an_append_without_effect_is_tried_again_after_a_while() {
+    let mut view = view(110 * HOUR, 0);
+    view.tried = Some(110 * HOUR);
+    let retry = 110 * HOUR + Duration::from_secs(30);
+    assert_eq!(decide(&view), Next::Wait(retry));
+    view.now = retry;
+    assert_eq!(decide(&view), Next::Append);
+}
+
+#[test]
+fn an_instance_that_cannot_speak_for_the_stream_stays_silent() {
+    let mut view = view(110 * HOUR, 0);
+    view.anchor = None;
+    assert!(matches!(decide(&view), Next::Wait(_)));
+}
--- /dev/null
+++ b/crates/bundle/src/root.rs
@@ -0,0 +1,155 @@
+//! The root digest of all entries, kept up to date at the cost of a change.
+//!
+//! Entries fall into buckets by the digest of their name. A bucket's digest
+//! is taken over the sorted digests of its entries, the root over the digests
+//! of the buckets. A change of one entry then re-hashes one bucket and the
+//! top, in place of every entry: `docs/design/bundles.md` has the figures.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeSet;
+
+use blake3::Hasher;
+
+use crate::blob::{Blob, Digest};
+use crate::delta::Delta;
+use crate::entry::Entries;
+
+/// Buckets of the tree. At 8,900 entries a bucket has 35, about a kilobyte of
+/// digests, against eight kilobytes for the top; more buckets would make the
+/// top dearer than the bucket saves, fewer the reverse.
+const BUCKETS: usize = 256;
+
+/// Entries with their root digest.
+#[derive(Clone, Debug)]
+pub struct Tree {
+    entries: Entries,
+    buckets: Vec<Bucket>,
+    root: Digest,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Bucket {
+    leaves: BTreeSet<Digest>,
+    digest: Digest,
+}
+
+impl Tree {
+    /// Returns the tree of some entries.
+    #[must_use]
+    pub fn new(entries: Entries) -> Self {
+        let mut buckets = vec![Bucket::default(); BUCKETS];
+        for (name, blob) in &entries {
+            buckets[place(name)].leaves.insert(leaf(name, blob));
+        }
+        for bucket in &mut buckets {
+            bucket.digest = bucket_digest(&bucket.leaves);
+        }
+        let root = top(&buckets);
+        Self {
+            entries,
+            buckets,
+            root,
+        }
+    }
+
+    /// Returns the entries.
+    #[must_use]
+    pub const fn entries(&self) -> &Entries {
+        &self.entries
+    }
+
+    /// Returns the root digest.
+    #[must_use]
+    pub const fn root(&self) -> Digest {
+        self.root
+    }
+
+    /// Applies a change and returns the one that takes it back.
+    pub fn apply(&mut self, delta: Delta) -> Delta {
+        let mut undo = Delta::default();
+        let mut touched = BTreeSet::new();
+        for name in delta.removes {
+            if let Some(old) = self.entries.remove(&name) {
+                touched.insert(self.drop_leaf(&name, &old));
+                undo.puts.insert(name, old);
+            }
+        }
+        for (name, blob) in delta.puts {
+            let index = place(&name);
+            self.buckets[index].leaves.insert(leaf(&name, &blob));
+            touched.insert(index);
+            match self.entries.insert(name.clone(), blob) {
+                Some(old) if self.entries[&name] != old => {
+                    self.drop_leaf(&name, &old);
+                    undo.puts.entry(name).or_insert(old);
+                }
+                Some(_same) => {}
+                None if undo.puts.contains_key(&name) => {}
+                None => {
+                    undo.removes.insert(name);
+                }
+            }
+        }
+        for index in touched {
+            let bucket = &mut self.buckets[index];
+            bucket.digest = bucket_digest(&bucket.leaves);
+        }
+        self.root = top(&self.buckets);
+        undo
+    }
+
+    fn drop_leaf(&mut self, name: &str, blob: &Blob) -> usize {
+        let index = place(name);
+        self.buckets[index].leaves.remove(&leaf(name, blob));
+        index
+    }
+}
+
+/// Returns the root digest of some entries.
+#[must_use]
+pub fn of(entries: &Entries) -> Digest {
+    let mut leaves = vec![BTreeSet::new(); BUCKETS];
+    for (name, blob) in entries {
+        leaves[place(name)].insert(leaf(name, blob));
+    }
+    let mut hasher = Hasher::new();
+    for leaves in &leaves {
+        hasher.update(&bucket_digest(leaves).0);
+    }
+    Digest(*hasher.finalize().as_bytes())
+}
+
+fn place(name: &str) -> usize {
+    usize::from(blake3::hash(name.as_bytes()).as_bytes()[0])
+}
+
+// The name's length goes first, so that no two pairs of name and bytes give
+// the same input.
+fn leaf(name: &str, blob: &Blob) -> Digest {
+    let mut hasher = Hasher::new();
+    hasher.update(&(name.len() as u64).to_le_bytes());
+    hasher.update(name.as_bytes());
+    hasher.update(&blob.0);
+    Digest(*hasher.finalize().as_bytes())
+}
+
+fn bucket_digest(leaves: &BTreeSet<Digest>) -> Digest {
+    if leaves.is_empty() {
+        return Digest::ZERO;
+    }
+    let mut hasher = Hasher::new();
+    for leaf in leaves {
+        hasher.update(&leaf.0);
+    }
+    Digest(*hasher.finalize().as_bytes())
+}
+
+fn top(buckets: &[Bucket]) -> Digest {
+    let mut hasher = Hasher::new();
+    for bucket in buckets {
+        hasher.update(&bucket.digest.0);
+    }
+    Digest(*hasher.finalize().as_bytes())
+}
