--- /dev/null
+++ b/crates/decide/src/chats.rs
@@ -0,0 +1,145 @@
+//! Where chats have their context: a bounded table from chat to endpoint.
+//!
+//! Rendezvous hashing gives a chat's home; this table remembers the chats
+//! whose context is warm elsewhere, or how much of it is warm at home. It
+//! lives with the owner of the home endpoint, is handed over on a graceful
+//! stop, and is rebuilt from the engines' cache events after a crash. An
+//! entry is a hint: a wrong one costs a prefill, never a wrong answer.
+
+use std::num::NonZeroUsize;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{ChatId, EndpointId};
+use lru::LruCache;
+use serde::{Deserialize, Serialize};
+
+use crate::view::Pool;
+
+/// Chats that one instance remembers.
+///
+/// The letter's 5.5 M chats over 320 instances are 17,200 each; twice that
+/// leaves room for uneven shares. An entry takes about 120 bytes with its
+/// index, so a full table is about 4 MB of the 64 MB allowed for control.
+pub const CAPACITY: NonZeroUsize = NonZeroUsize::new(34_400).unwrap();
+
+/// Where a chat's context is warm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Location {
+    /// The chat.
+    pub chat: ChatId,
+    /// The pool that its requests ask for.
+    pub pool: Pool,
+    /// The endpoint that last ran it.
+    pub endpoint: EndpointId,
+    /// Prompt tokens that are estimated to be cached there.
+    pub tokens: u32,
+    /// When the endpoint last ran it.
+    pub seen: Moment,
+}
+
+/// What an engine's cache event says of a chat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// The chat whose prefix it names.
+    pub chat: ChatId,
+    /// The pool of the engine's model.
+    pub pool: Pool,
+    /// What happened.
+    pub kind: Kind,
+    /// Tokens concerned.
+    pub tokens: u32,
+    /// When the engine says it happened.
+    pub at: Moment,
+}
+
+/// The two kinds of cache events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// The prefix is cached now.
+    Stored,
+    /// The prefix is gone.
+    Evicted,
+}
+
+/// A bounded table of chat locations; the least recently used goes first.
+#[derive(Debug)]
+pub struct Table {
+    rows: LruCache<(Pool, ChatId), Location>,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self::new(CAPACITY)
+    }
+}
+
+impl Table {
+    /// Returns an empty table for `capacity` chats.
+    #[must_use]
+    pub fn new(capacity: NonZeroUsize) -> Self {
+        Self {
+            rows: LruCache::sparse(capacity),
+        }
+    }
+
+    /// Returns the number of chats remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether no chat is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns a chat's location and marks it as used.
+    pub fn find(&mut self, pool: Pool, chat: ChatId) -> Option<Location> {
+        self.rows.get(&(pool, chat)).copied()
+    }
+
+    /// Remembers a location unless a later one is known.
+    pub fn put(&mut self, location: Location) {
+        let key = (location.pool, location.chat);
+        let newer = self.rows.peek(&key).is_none_or(|l| l.seen <= location.seen);
+        if newer {
+            self.rows.put(key, location);
+        }
+    }
+
+    /// Forgets a location that proved wrong.
+    pub fn forget(&mut self, pool: Pool, chat: ChatId) {
+        self.rows.pop(&(pool, chat));
+    }
+
+    /// Takes in an engine's late cache event.
+    ///
+    /// A late "stored" must not undo what happened since, so it only fills an
+    /// empty row or corrects the estimate of the same endpoint; an "evicted"
+    /// counts only if the chat has not run there after it.
+    pub fn apply(&mut self, endpoint: EndpointId, event: &Event) {
+        let key = (event.pool, event.chat);
+        match (event.kind, self.rows.peek_mut(&key)) {
+            (Kind::Stored, None) => self.put(Location {
+                chat: event.chat,
+                pool: event.pool,
+                endpoint,
+                tokens: event.tokens,
+                seen: event.at,
+            }),
+            (Kind::Stored, Some(row)) if row.endpoint == endpoint && row.seen <= event.at => {
+                row.tokens = event.tokens;
+            }
+            (Kind::Evicted, Some(row)) if row.endpoint == endpoint && row.seen <= event.at => {
+                row.tokens = 0;
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns every location, the most recently used first.
+    pub fn iter(&self) -> impl Iterator<Item = &Location> {
+        self.rows.iter().map(|(_, location)| location)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/health/memory.rs
@@ -0,0 +1,115 @@
+//! The states of an endpoint's health and what moves between them.
+
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use statig::prelude::*;
+
+use super::Event;
+
+/// Failures in a row that close an endpoint.
+///
+/// One broken connection happens on a healthy network; two without a good
+/// answer between them hardly do.
+const FAILURES: u32 = 2;
+
+/// Good answers on trial that open an endpoint again.
+const SUCCESSES: u32 = 3;
+
+/// The first pause before an endpoint is tried again.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// The longest pause.
+const LONGEST: Duration = Duration::from_mins(1);
+
+/// How long an endpoint has to stay open for its relapses to be forgotten.
+const FORGET: Duration = Duration::from_mins(5);
+
+/// What the machine keeps across its states.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    failures: u32,
+    successes: u32,
+    relapses: u32,
+    since: Moment,
+}
+
+impl Memory {
+    fn close(&mut self, now: Moment) -> Outcome<State> {
+        if since(now, self.since) > FORGET {
+            self.relapses = 0;
+        }
+        self.relapses += 1;
+        self.since = now;
+        Transition(State::closed())
+    }
+
+    fn pause(&self) -> Duration {
+        let doublings = self.relapses.saturating_sub(1).min(6);
+        (PAUSE * 2_u32.pow(doublings)).min(LONGEST)
+    }
+}
+
+#[state_machine(initial = "State::open()", state(derive(Debug, Clone, PartialEq, Eq)))]
+impl Memory {
+    #[state(superstate = "present")]
+    fn open(&mut self, event: &Event) -> Outcome<State> {
+        match event {
+            Event::Good(_) => {
+                self.failures = 0;
+                Handled
+            }
+            Event::Bad(now) => {
+                self.failures += 1;
+                if self.failures >= FAILURES {
+                    self.close(*now)
+                } else {
+                    Handled
+                }
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "present")]
+    fn closed(&mut self, event: &Event) -> Outcome<State> {
+        match event {
+            Event::Tick(now) if since(*now, self.since) >= self.pause() => {
+                self.successes = 0;
+                Transition(State::trial())
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "present")]
+    fn trial(&mut self, event: &Event) -> Outcome<State> {
+        match event {
+            Event::Good(now) => {
+                self.successes += 1;
+                if self.successes < SUCCESSES {
+                    return Handled;
+                }
+                self.failures = 0;
+                self.since = *now;
+                Transition(State::open())
+            }
+            Event::Bad(now) => self.close(*now),
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn present(event: &Event) -> Outcome<State> {
+        match event {
+            Event::Leaving => Transition(State::leaving()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn leaving(event: &Event) -> Outcome<State> {
+        let _ = event;
+        Handled
+    }
+}
--- /dev/null
+++ b/crates/decide/src/load.rs
@@ -0,0 +1,102 @@
+//! What an instance knows of the load on a pool: its own part exactly, the
+//! others' from the last summary of each.
+//!
+//! A summary is the whole state of one source for one pool, so merging is
+//! keeping the newer, and a lost or repeated one does no harm. Summaries come
+//! by gossip and on the back of every answer between instances.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use crate::view::Pool;
+
+/// How long a summary counts, in time since it was taken.
+///
+/// Longer than gossip takes to come round at the letter's size; a source that
+/// is silent for longer is treated as not heard of.
+pub const FRESH: Duration = Duration::from_secs(15);
+
+/// The load of one instance's endpoints in one pool at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The instance that owns the endpoints.
+    pub source: InstanceId,
+    /// The pool.
+    pub pool: Pool,
+    /// Endpoints of the pool that the source owns.
+    pub endpoints: u32,
+    /// Their estimated work in tokens.
+    pub work: u64,
+    /// When the source took the figures, on its clock.
+    pub taken: Moment,
+}
+
+/// The last summary of each source, by pool.
+#[derive(Clone, Debug, Default)]
+pub struct Means {
+    pools: BTreeMap<Pool, BTreeMap<InstanceId, Summary>>,
+}
+
+impl Means {
+    /// Takes in a summary unless a newer one of its source is known.
+    pub fn learn(&mut self, summary: Summary) {
+        let sources = self.pools.entry(summary.pool).or_default();
+        let known = sources.entry(summary.source).or_insert(summary);
+        if known.taken < summary.taken {
+            *known = summary;
+        }
+    }
+
+    /// Drops what is no longer fresh; called about once a second.
+    pub fn expire(&mut self, now: Moment) {
+        for sources in self.pools.values_mut() {
+            sources.retain(|_, summary| since(now, summary.taken) < FRESH);
+        }
+        self.pools.retain(|_, sources| !sources.is_empty());
+    }
+
+    /// Returns the mean estimated work of an endpoint in a pool of `size`.
+    ///
+    /// `own` is the local instance's exact summary. Endpoints that no fresh
+    /// summary covers are taken to carry `floor` at most: a lone instance
+    /// that heard from nobody would else compare its endpoints with
+    /// themselves, find each at the mean, and let them drown.
+    #[must_use]
+    pub fn mean(&self, own: &Summary, size: usize, floor: f64, now: Moment) -> f64 {
+        let mut endpoints = u64::from(own.endpoints);
+        let mut work = own.work;
+        for summary in self.fresh(own.pool, now) {
+            if summary.source != own.source {
+                endpoints += u64::from(summary.endpoints);
+                work += summary.work;
+            }
+        }
+        average(endpoints, work, size, floor)
+    }
+
+    fn fresh(&self, pool: Pool, now: Moment) -> impl Iterator<Item = &Summary> {
+        self.pools
+            .get(&pool)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+            .filter(move |summary| since(now, summary.taken) < FRESH)
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "work and counts stay far under 2^52"
+)]
+fn average(endpoints: u64, work: u64, size: usize, floor: f64) -> f64 {
+    let known = work as f64;
+    let unheard = (size as u64).saturating_sub(endpoints) as f64;
+    if endpoints == 0 {
+        return floor;
+    }
+    let mean = known / endpoints as f64;
+    (known + unheard * mean.min(floor)) / (endpoints as f64 + unheard)
+}
--- /dev/null
+++ b/crates/decide/src/owner.rs
@@ -0,0 +1,649 @@
+//! The owner of endpoints: the one instance that dispatches to them.
+//!
+//! It sees all traffic to its endpoints, so it knows their work exactly,
+//! keeps it under the bound, queues by class and workspace, and remembers
+//! where chats went. Each call is a few microseconds of table work under the
+//! caller's lock. When two instances take themselves for the owner of one
+//! endpoint, each counts its own work and adds what the endpoint's lagging
+//! report shows beyond it.
+//!
+//! *Not run* rests on [`Owner::cancel`]: it returns true only if the request
+//! was still in the queue, and then no [`Wake`] will ever dispatch it.
+
+mod book;
+mod job;
+mod room;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::endpoint::{Report, Standing};
+use godwitpost_types::id::{BodyDigest, EndpointId, InstanceId, NO_MODEL};
+use godwitpost_types::policy::Policy;
+use godwitpost_types::request::Request;
+
+use self::book::{Book, Solo};
+use self::job::Job;
+use self::room::Shares;
+use crate::chats::{self, Location};
+use crate::ending::Ending;
+use crate::health;
+use crate::hop::Hop;
+use crate::load::{Means, Summary};
+use crate::quarantine::{self, Evidence, Verdict};
+use crate::queue::{Queue, Ticket};
+use crate::refusal::{Reason, Refusal};
+use crate::view::{Pool, View};
+
+/// A number for a request that runs, unique at its owner.
+pub type Attempt = u64;
+
+/// Requests that may wait at one owner for one pool.
+///
+/// At ten requests a second an owner's queue of this length is far past any
+/// deadline; it bounds memory, at some 300 bytes each, to 300 KB a pool.
+const LONGEST: usize = 1024;
+
+/// Leave to dispatch a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Names the attempt in [`Owner::finish`], which must be called once.
+    pub attempt: Attempt,
+    /// Where to send it.
+    pub endpoint: EndpointId,
+    /// Prompt tokens estimated to be cached there.
+    pub cached: u32,
+    /// The priority to tell the engine; 0 goes first.
+    pub priority: u8,
+}
+
+/// What to do with a request that was offered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Send it to the endpoint now.
+    Dispatch(Grant),
+    /// Keep it; a [`Wake`] with this ticket follows, at `until` the latest.
+    Wait {
+        /// Its number in the queue.
+        ticket: Ticket,
+        /// When it is refused if nothing came before.
+        until: Moment,
+    },
+    /// Send it to another owner, with this hop.
+    Forward {
+        /// The owner.
+        instance: InstanceId,
+        /// What to send along; names the endpoint.
+        hop: Hop,
+    },
+    /// It was not run here and won't be.
+    Refuse(Refusal),
+}
+
+/// What to do now with a request that waited.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wake {
+    /// Its number in the queue, gone now.
+    pub ticket: Ticket,
+    /// What to do; never [`Next::Wait`].
+    pub next: Next,
+}
+
+#[derive(Debug)]
+struct Running {
+    endpoint: EndpointId,
+    job: Job,
+    work: u64,
+}
+
+/// The endpoints that the local instance dispatches to, and their queues.
+#[derive(Debug)]
+pub struct Owner {
+    view: Arc<View>,
+    policy: Arc<Policy>,
+    books: BTreeMap<EndpointId, Book>,
+    running: BTreeMap<Attempt, Running>,
+    queues: BTreeMap<Pool, Queue<Job>>,
+    tickets: BTreeMap<Ticket, Pool>,
+    shares: BTreeMap<Pool, Shares>,
+    chats: chats::Table,
+    means: Means,
+    quarantine: quarantine::Table,
+    outbox: Vec<Evidence>,
+    next: u64,
+}
+
+impl Owner {
+    /// Returns an owner with nothing running.
+    #[must_use]
+    pub fn new(view: Arc<View>, policy: Arc<Policy>) -> Self {
+        let mut owner = Self {
+            view,
+            policy,
+            books: BTreeMap::new(),
+            running: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            shares: BTreeMap::new(),
+            chats: chats::Table::default(),
+            means: Means::default(),
+            quarantine: quarantine::Table::default(),
+            outbox: Vec::new(),
+            next: 0,
+        };
+        owner.open_books();
+        owner
+    }
+
+    /// Goes over to a new view and policy.
+    ///
+    /// Running requests stay counted until they finish. Those that wait for a
+    /// pool of which nothing is owned here any more move to its owners.
+    pub fn adopt(&mut self, now: Moment, view: Arc<View>, policy: Arc<Policy>) -> Vec<Wake> {
+        self.view = view;
+        self.policy = policy;
+        self.open_books();
+        let mut wakes = self.evict(now);
+        wakes.extend(self.drain(now));
+        wakes
+    }
+
+    /// Decides on a request that arrived with its hop.
+    pub fn offer(&mut self, now: Moment, request: &Request, hop: &Hop) -> Next {
+        for evidence in &hop.evidence {
+            self.quarantine.learn(*evidence);
+        }
+        match self.admit(now, request, hop) {
+            Ok(job) => self.place(now, job, hop),
+            Err(reason) => Next::Refuse(Refusal::new(reason)),
+        }
+    }
+
+    fn admit(&mut self, now: Moment, request: &Request, hop: &Hop) -> Result<Job, Reason> {
+        let mut job = Job::new(&self.policy, request, hop)?;
+        if request.deadline <= now {
+            return Err(Reason::Deadline);
+        }
+        match self.quarantine.judge(&request.digest, now) {
+            Verdict::Convicted => return Err(Reason::Quarantined),
+            Verdict::Suspect => job.suspect = true,
+            Verdict::Clear => {}
+        }
+        if job.pool.model != NO_MODEL && !hop.spilled {
+            self.recall(&mut job, hop);
+        }
+        Ok(job)
+    }
+
+    // Where the chat is warm, if that is a place it can still go to.
+    fn recall(&mut self, job: &mut Job, hop: &Hop) {
+        let Some(known) = self.chats.find(job.pool, job.chat) else {
+            return;
+        };
+        let usable = self.view.serves(known.endpoint, job.pool)
+            && !hop.tried.contains(&known.endpoint)
+            && self.well(known.endpoint);
+        if usable {
+            job.warm = Some((known.endpoint, known.tokens));
+        }
+    }
+
+    fn well(&self, endpoint: EndpointId) -> bool {
+        let book = self.books.get(&endpoint);
+        book.is_none_or(|book| book.health.access() != health::Access::None)
+    }
+
+    /// Decides where a request goes: to the endpoint where its chat is warm,
+    /// along the chat's order while the bound forbids, then into the queue.
+    fn place(&mut self, now: Moment, job: Job, hop: &Hop) -> Next {
+        let target = job.warm.map_or(hop.endpoint, |(endpoint, _)| endpoint);
+        if target != hop.endpoint && !self.owns(target) && !hop.last() {
+            return self.forward(now, &job, hop.clone(), target);
+        }
+        let mut hop = hop.clone();
+        if self.view.serves(target, job.pool) {
+            if self.fits(now, target, &job) {
+                return self.grant(now, target, job);
+            }
+            self.note(&mut hop, target);
+        }
+        self.spill(now, job, hop)
+    }
+
+    fn owns(&self, endpoint: EndpointId) -> bool {
+        self.view.owner(endpoint) == self.view.local()
+    }
+
+    // The chat's order beyond its own endpoint: owned endpoints are tried
+    // here, the first one of somebody else's ends the search.
+    fn spill(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
+        let view = Arc::clone(&self.view);
+        hop.spilled = true;
+        for endpoint in view.ranked(job.pool, job.chat, hop.zone).take(SCANNED) {
+            if hop.tried.contains(&endpoint) {
+                continue;
+            }
+            if self.owns(endpoint) {
+                if self.fits(now, endpoint, &job) {
+                    return self.grant(now, endpoint, job);
+                }
+                self.note(&mut hop, endpoint);
+            } else if !hop.last() {
+                return self.forward(now, &job, hop, endpoint);
+            }
+        }
+        self.wait(now, job, hop)
+    }
+
+    fn note(&self, hop: &mut Hop, endpoint: EndpointId) {
+        if !hop.tried.contains(&endpoint) {
+            hop.tried.push(endpoint);
+        }
+        let load = self.books.get(&endpoint).map_or(0, Book::load);
+        if self.well(endpoint) && hop.least.is_none_or(|(_, least)| load < least) {
+            hop.least = Some((endpoint, load));
+        }
+    }
+
+    // Where to wait: at the owner of the least loaded endpoint seen.
+    fn wait(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
+        if let Some((endpoint, _)) = hop.least
+            && !self.owns(endpoint)
+            && hop.count <= crate::hop::MOST
+        {
+            hop.count = crate::hop::MOST;
+            return self.forward(now, &job, hop, endpoint);
+        }
+        if !job.queues {
+            return Next::Refuse(Refusal::new(Reason::Busy));
+        }
+        if self.view.size(job.pool) == 0 {
+            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
+        }
+        self.enqueue(now, job)
+    }
+
+    fn enqueue(&mut self, now: Moment, mut job: Job) -> Next {
+        let queue = self.queues.entry(job.pool).or_default();
+        if queue.len() >= LONGEST {
+            return Next::Refuse(Refusal::new(Reason::QueueFull));
+        }
+        let ticket = self.next;
+        self.next += 1;
+        self.tickets.insert(ticket, job.pool);
+        let until = job.rank.until;
+        job.since = now;
+        let rank = job.rank;
+        let shares = self.shares.entry(job.pool).or_default();
+        shares.arrive(now, &job);
+        queue.push(ticket, &rank, job);
+        Next::Wait { ticket, until }
+    }
+
+    fn forward(&mut self, now: Moment, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
+        hop.endpoint = endpoint;
+        hop.count += 1;
+        hop.cached = job.cached(endpoint);
+        self.remember(now, job, endpoint);
+        Next::Forward {
+            instance: self.view.owner(endpoint),
+            hop,
+        }
+    }
+
+    // A hint for the chat's next turn: after this one its context, prompt and
+    // answer, is at the endpoint.
+    fn remember(&mut self, now: Moment, job: &Job, endpoint: EndpointId) {
+        if job.pool.model == NO_MODEL {
+            return;
+        }
+        self.chats.put(Location {
+            chat: job.chat,
+            pool: job.pool,
+            endpoint,
+            tokens: job.prompt.saturating_add(job.answer),
+            seen: now,
+        });
+    }
+
+    fn grant(&mut self, now: Moment, endpoint: EndpointId, job: Job) -> Next {
+        let attempt = self.next;
+        self.next += 1;
+        let work = job.work(endpoint);
+        let cached = job.cached(endpoint);
+        self.remember(now, &job, endpoint);
+        let book = self.books.entry(endpoint).or_insert_with(|| Book::new(0));
+        book.begin(now, work);
+        if job.suspect {
+            book.solo = Solo::Running(attempt);
+        }
+        let shares = self.shares.entry(job.pool).or_default();
+        shares.begin(now, &job, work);
+        let priority = job.rank.priority;
+        let running = Running {
+            endpoint,
+            job,
+            work,
+        };
+        self.running.insert(attempt, running);
+        Next::Dispatch(Grant {
+            attempt,
+            endpoint,
+            cached,
+            priority,
+        })
+    }
+
+    /// Takes in how an attempt ended; returns who goes next.
+    pub fn finish(&mut self, now: Moment, attempt: Attempt, ending: Ending) -> Vec<Wake> {
+        let Some(running) = self.running.remove(&attempt) else {
+            return Vec::new();
+        };
+        self.settle(now, attempt, &running, ending);
+        self.judge(now, &running, ending);
+        self.drain(now)
+    }
+
+    fn settle(&mut self, now: Moment, attempt: Attempt, running: &Running, ending: Ending) {
+        if let Some(shares) = self.shares.get_mut(&running.job.pool) {
+            shares.end(&running.job);
+        }
+        let Some(book) = self.books.get_mut(&running.endpoint) else {
+            return;
+        };
+        book.end(now, running.work);
+        if book.solo == Solo::Running(attempt) {
+            book.solo = Solo::Off;
+        }
+        match ending {
+            Ending::Leaving => book.health.handle(health::Event::Leaving),
+            ending if ending.harms() => book.health.handle(health::Event::Bad(now)),
+            Ending::Done => book.health.handle(health::Event::Good(now)),
+            _ => {}
+        }
+    }
+
+    // A break is held against the request at once, since its caller may send
+    // it again within milliseconds; a later sign of life takes it back.
+    fn judge(&mut self, now: Moment, running: &Running, ending: Ending) {
+        let Some(book) = self.books.get_mut(&running.endpoint) else {
+            return;
+        };
+        let incarnation = book.health.incarnation();
+        let kind = match ending {
+            Ending::Broken => {
+                book.broke = Some(now);
+                quarantine::Kind::Crashed
+            }
+            Ending::Done if running.job.suspect => quarantine::Kind::Clean,
+            _ => return,
+        };
+        self.testify(Evidence {
+            digest: running.job.digest,
+            endpoint: running.endpoint,
+            incarnation,
+            kind,
+            at: now,
+        });
+    }
+
+    fn testify(&mut self, evidence: Evidence) {
+        if self.quarantine.learn(evidence) {
+            self.outbox.push(evidence);
+        }
+    }
+
+    /// Takes a request out of the queue.
+    ///
+    /// Returns true only if it still waited; it will never be dispatched
+    /// then, and *not run* is true as far as this instance goes.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        self.withdraw(ticket).is_some()
+    }
+
+    fn withdraw(&mut self, ticket: Ticket) -> Option<Job> {
+        let pool = self.tickets.remove(&ticket)?;
+        let job = self.queues.get_mut(&pool)?.remove(ticket)?;
+        self.left(ticket, &job);
+        Some(job)
+    }
+
+    fn left(&mut self, ticket: Ticket, job: &Job) {
+        self.tickets.remove(&ticket);
+        if let Some(shares) = self.shares.get_mut(&job.pool) {
+            shares.leave(job);
+        }
+        if job.suspect {
+            let drained = self.books.values_mut();
+            drained
+                .filter(|book| book.solo == Solo::Draining(ticket))
+                .for_each(|book| book.solo = Solo::Off);
+        }
+    }
+
+    /// Lets time pass: refuses what waited too long, tries closed endpoints
+    /// again. Called about every 100 ms.
+    pub fn tick(&mut self, now: Moment) -> Vec<Wake> {
+        self.means.expire(now);
+        self.quarantine.expire(now);
+        for book in self.books.values_mut() {
+            book.health.handle(health::Event::Tick(now));
+        }
+        let mut wakes = self.time_out(now);
+        wakes.extend(self.drain(now));
+        wakes
+    }
+
+    fn time_out(&mut self, now: Moment) -> Vec<Wake> {
+        let mut gone = Vec::new();
+        for queue in self.queues.values_mut() {
+            while let Some(expired) = queue.expired(now) {
+                gone.push(expired);
+            }
+        }
+        gone.into_iter()
+            .map(|(ticket, job)| {
+                self.left(ticket, &job);
+                Wake {
+                    ticket,
+                    next: Next::Refuse(Refusal::new(Reason::Deadline)),
+                }
+            })
+            .collect()
+    }
+
+    /// Takes in an endpoint's own lagging report.
+    pub fn observe(&mut self, endpoint: EndpointId, report: &Report) {
+        let Some(book) = self.books.get_mut(&endpoint) else {
+            return;
+        };
+        if book.health.hear(report.incarnation, report.standing) {
+            book.broke = None;
+        }
+        if report.incarnation == book.health.incarnation() {
+            book.compare(report);
+            self.acquit(endpoint, report.taken);
+        }
+    }
+
+    // The incarnation that a connection broke to was alive afterwards, so it
+    // had not crashed.
+    fn acquit(&mut self, endpoint: EndpointId, alive: Moment) {
+        let Some(book) = self.books.get_mut(&endpoint) else {
+            return;
+        };
+        if book.broke.is_none_or(|broke| alive <= broke) {
+            return;
+        }
+        book.broke = None;
+        let incarnation = book.health.incarnation();
+        for evidence in self.quarantine.acquit(endpoint, incarnation, alive) {
+            self.outbox.push(evidence);
+        }
+    }
+
+    /// Takes in an engine's cache event; `gap` says that some before it were
+    /// lost, and with them perhaps evictions.
+    pub fn cache_event(&mut self, endpoint: EndpointId, event: &chats::Event, gap: bool) {
+        let _ = gap;
+        self.chats.apply(endpoint, event);
+    }
+
+    /// Returns the load of the owned endpoints of each pool, to be told to
+    /// the others.
+    #[must_use]
+    pub fn summaries(&self, now: Moment) -> Vec<Summary> {
+        let mut pools: BTreeMap<Pool, Summary> = BTreeMap::new();
+        for endpoint in self.view.owned().filter(|e| e.standing == Standing::Live) {
+            let load = self.books.get(&endpoint.id).map_or(0, Book::load);
+            let models = endpoint.models.iter().copied();
+            let none = endpoint.models.is_empty().then_some(NO_MODEL);
+            for model in models.chain(none) {
+                let pool = Pool {
+                    service: endpoint.service,
+                    model,
+                };
+                let summary = pools.entry(pool).or_insert(Summary {
+                    source: self.view.local(),
+                    pool,
+                    endpoints: 0,
+                    work: 0,
+                    taken: now,
+                });
+                summary.endpoints += 1;
+                summary.work += load;
+            }
+        }
+        pools.into_values().collect()
+    }
+
+    /// Returns the summary of one pool, to send along with an answer.
+    #[must_use]
+    pub fn summary(&self, now: Moment, pool: Pool) -> Summary {
+        let found = self.summaries(now).into_iter().find(|s| s.pool == pool);
+        found.unwrap_or(Summary {
+            source: self.view.local(),
+            pool,
+            endpoints: 0,
+            work: 0,
+            taken: now,
+        })
+    }
+
+    /// Takes in summaries of other instances.
+    pub fn learn(&mut self, summaries: &[Summary]) {
+        for summary in summaries {
+            self.means.learn(*summary);
+        }
+    }
+
+    /// Returns what became known of requests that crash endpoints since the
+    /// last call. To be sent to every instance at once, not with the gossip:
+    /// the caller may send the request again within milliseconds.
+    pub fn evidence(&mut self) -> Vec<Evidence> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// Returns what is known of one digest, to send along with the request.
+    #[must_use]
+    pub fn evidence_on(&self, digest: &BodyDigest) -> Vec<Evidence> {
+        self.quarantine.on(digest)
+    }
+
+    /// Takes in evidence of other instances; returns what was new, to be
+    /// passed on.
+    pub fn learn_evidence(&mut self, evidence: &[Evidence]) -> Vec<Evidence> {
+        let fresh = evidence.iter().copied();
+        fresh.filter(|e| self.quarantine.learn(*e)).collect()
+    }
+
+    /// Returns the chat locations to hand over on a graceful stop.
+    ///
+    /// Each goes to the owner, in the view without this instance, of the
+    /// chat's home: [`View::ranked`], then [`View::owner`].
+    #[must_use]
+    pub fn handover(&self) -> Vec<Location> {
+        self.chats.iter().copied().collect()
+    }
+
+    /// Takes over chat locations of an instance that stops.
+    pub fn take_over(&mut self, locations: &[Location]) {
+        // The most recently used come first and have to be put last.
+        for location in locations.iter().rev() {
+            self.chats.put(*location);
+        }
+    }
+
+    /// Returns the number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Returns the work counted on an endpoint, in tokens.
+    #[must_use]
+    pub fn load(&self, endpoint: EndpointId) -> u64 {
+        self.books.get(&endpoint).map_or(0, Book::load)
+    }
+
+    // Books of endpoints that the view lost stay while something runs there.
+    fn open_books(&mut self) {
+        let view = Arc::clone(&self.view);
+        for endpoint in view.endpoints() {
+            if view.owner(endpoint.id) != view.local() && !self.books.contains_key(&endpoint.id) {
+                continue;
+            }
+            let book = self.books.entry(endpoint.id);
+            let book = book.or_insert_with(|| Book::new(endpoint.incarnation));
+            book.health.hear(endpoint.incarnation, endpoint.standing);
+        }
+        self.books.retain(|id, book| {
+            book.requests > 0 || (view.endpoint(*id).is_some() && view.owner(*id) == view.local())
+        });
+    }
+
+    // What waits for a pool with no endpoint left here moves on.
+    fn evict(&mut self, now: Moment) -> Vec<Wake> {
+        let view = Arc::clone(&self.view);
+        let here = |pool: Pool| view.owned().any(|e| view.serves(e.id, pool));
+        let pools: Vec<Pool> = self.queues.keys().copied().filter(|p| !here(*p)).collect();
+        let mut wakes = Vec::new();
+        for pool in pools {
+            let queue = self.queues.remove(&pool).unwrap_or_default();
+            for (ticket, job) in queue.iter() {
+                self.left(ticket, job);
+                let next = self.relocate(now, job);
+                wakes.push(Wake { ticket, next });
+            }
+        }
+        wakes
+    }
+
+    fn relocate(&mut self, now: Moment, job: &Job) -> Next {
+        let view = Arc::clone(&self.view);
+        let home = view.ranked(job.pool, job.chat, 0).next();
+        match home {
+            Some(endpoint) if !self.owns(endpoint) => {
+                self.forward(now, job, Hop::first(0, endpoint), endpoint)
+            }
+            _ => Next::Refuse(Refusal::new(Reason::NoEndpoint)),
+        }
+    }
+}
+
+/// Endpoints of a chat's order that a spill looks at.
+const SCANNED: usize = 16;
+
+/// The longest that one call spends on a queue, in requests looked at.
+const LOOKED_AT: usize = 64;
+
+/// How long the first in a queue may be passed by others that fit.
+const PATIENCE: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/decide/src/owner/job.rs
@@ -0,0 +1,98 @@
+//! A request as its owner keeps it while it waits or runs.
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{BodyDigest, ChatId, EndpointId};
+use godwitpost_types::policy::Policy;
+use godwitpost_types::request::Request;
+
+use crate::hop::Hop;
+use crate::queue::{Flow, Rank};
+use crate::refusal::Reason;
+use crate::view::Pool;
+
+/// A request as its owner keeps it while it waits or runs.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Endpoints that can run it.
+    pub pool: Pool,
+    /// Its chat.
+    pub chat: ChatId,
+    /// Its digest.
+    pub digest: BodyDigest,
+    /// Tokens of prompt.
+    pub prompt: u32,
+    /// Tokens of answer.
+    pub answer: u32,
+    /// Requests that one endpoint of the service runs at once.
+    pub slots: u32,
+    /// The set multiple of the mean load.
+    pub bound: f64,
+    /// The weight of reuse against skew.
+    pub reuse: f64,
+    /// Its place among those that wait.
+    pub rank: Rank,
+    /// Whether its class may wait at all.
+    pub queues: bool,
+    /// When it started to wait.
+    pub since: Moment,
+    /// Whether it runs alone.
+    pub suspect: bool,
+    /// Where the chat is warm, and the tokens estimated to be cached there.
+    pub warm: Option<(EndpointId, u32)>,
+}
+
+impl Job {
+    /// Resolves a request under a policy.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the policy lacks what the request names.
+    pub fn new(policy: &Policy, request: &Request, hop: &Hop) -> Result<Self, Reason> {
+        let service = policy.services.get(&request.service);
+        let service = service.ok_or(Reason::UnknownService)?;
+        let workspace = policy.workspaces.get(&request.workspace);
+        let workspace = workspace.ok_or(Reason::UnknownWorkspace)?;
+        let class = policy.classes.get(&request.class);
+        let class = class.ok_or(Reason::UnknownService)?;
+        let flow = Flow {
+            workspace: request.workspace,
+            class: request.class,
+        };
+        Ok(Self {
+            pool: Pool::of(request),
+            chat: request.chat,
+            digest: request.digest,
+            prompt: request.prompt_tokens,
+            answer: request.answer_tokens,
+            slots: service.slots,
+            bound: service.load_bound,
+            reuse: service.reuse,
+            rank: Rank {
+                priority: class.priority,
+                flow,
+                weight: workspace.weight * class.weight,
+                work: request.work(0),
+                until: request.deadline,
+            },
+            queues: class.queue,
+            since: Moment::ZERO,
+            suspect: false,
+            warm: (hop.cached > 0).then_some((hop.endpoint, hop.cached)),
+        })
+    }
+
+    /// Returns the prompt tokens estimated to be cached at an endpoint.
+    #[must_use]
+    pub fn cached(&self, endpoint: EndpointId) -> u32 {
+        match self.warm {
+            Some((warm, tokens)) if warm == endpoint => tokens.min(self.prompt),
+            _ => 0,
+        }
+    }
+
+    /// Returns its estimated work at an endpoint, in tokens.
+    #[must_use]
+    pub fn work(&self, endpoint: EndpointId) -> u64 {
+        u64::from(self.prompt - self.cached(endpoint)) + u64::from(self.answer)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/owner/room.rs
@@ -0,0 +1,234 @@
+//! Whether an endpoint has room for a request, and who in the queue goes next.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{EndpointId, WorkspaceId};
+
+use super::book::Solo;
+use super::job::Job;
+use super::{LOOKED_AT, Owner, PATIENCE, Wake};
+use crate::load::Summary;
+use crate::queue::Ticket;
+use crate::view::Pool;
+
+/// Part of an endpoint that a workspace over its share must leave free.
+///
+/// Others that are under theirs find room there at once, instead of after
+/// the next request of a surge ends.
+const RESERVE: f64 = 0.125;
+
+/// Requests whose mean work is the least load that the bound applies to.
+///
+/// Under it one request more or less is a large multiple of the mean, and
+/// nothing drowns.
+const FLOOR: f64 = 4.0;
+
+/// How fast the mean work of a request follows: a 64th of each new one.
+const SMOOTH: f64 = 1.0 / 64.0;
+
+/// Who uses a pool's endpoints here, and how large its requests are.
+#[derive(Clone, Debug, Default)]
+pub struct Shares {
+    users: BTreeMap<WorkspaceId, User>,
+    running: u32,
+    each: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct User {
+    weight: f64,
+    running: u32,
+    waiting: u32,
+}
+
+impl Shares {
+    /// Counts a request that starts to wait.
+    pub fn arrive(&mut self, _now: Moment, job: &Job) {
+        let user = self.users.entry(job.rank.flow.workspace).or_default();
+        user.weight = job.rank.weight;
+        user.waiting += 1;
+    }
+
+    /// Counts a request that stops waiting.
+    pub fn leave(&mut self, job: &Job) {
+        self.change(job, |user| user.waiting = user.waiting.saturating_sub(1));
+    }
+
+    /// Counts a request that starts to run.
+    pub fn begin(&mut self, _now: Moment, job: &Job, work: u64) {
+        let user = self.users.entry(job.rank.flow.workspace).or_default();
+        user.weight = job.rank.weight;
+        user.running += 1;
+        self.running += 1;
+        #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
+        let work = work as f64;
+        let first = self.each == 0.0;
+        self.each += (work - self.each) * if first { 1.0 } else { SMOOTH };
+    }
+
+    /// Counts a request that ended.
+    pub fn end(&mut self, job: &Job) {
+        self.running = self.running.saturating_sub(1);
+        self.change(job, |user| user.running = user.running.saturating_sub(1));
+    }
+
+    fn change(&mut self, job: &Job, change: impl FnOnce(&mut User)) {
+        let id = job.rank.flow.workspace;
+        if let Some(user) = self.users.get_mut(&id) {
+            change(user);
+            if user.running == 0 && user.waiting == 0 {
+                self.users.remove(&id);
+            }
+        }
+    }
+
+    // Whether one more request takes its workspace over its share of `slots`,
+    // among those that run or wait now.
+    fn over(&self, job: &Job, slots: u32) -> bool {
+        let id = job.rank.flow.workspace;
+        let others: f64 = self
+            .users
+            .iter()
+            .filter(|(other, _)| **other != id)
+            .map(|(_, user)| user.weight)
+            .sum();
+        let running = self.users.get(&id).map_or(0, |user| user.running);
+        let share = job.rank.weight / (job.rank.weight + others);
+        f64::from(running + 1) > f64::from(slots) * share
+    }
+}
+
+impl Owner {
+    /// Returns whether an endpoint has room for a request now.
+    pub(super) fn fits(&self, now: Moment, endpoint: EndpointId, job: &Job) -> bool {
+        let Some(book) = self.books.get(&endpoint) else {
+            return true;
+        };
+        if job.suspect {
+            return book.open(job.slots) && book.running() == 0;
+        }
+        let over = self.over(job);
+        let free = if over { 1.0 - RESERVE } else { 1.0 };
+        if !book.open(part(job.slots, free)) {
+            return false;
+        }
+        if book.running() == 0 {
+            return true;
+        }
+        let limit = self.limit(now, endpoint, job) * free;
+        #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
+        let after = (book.load() + job.work(endpoint)) as f64;
+        after <= limit
+    }
+
+    fn over(&self, job: &Job) -> bool {
+        let Some(shares) = self.shares.get(&job.pool) else {
+            return false;
+        };
+        let own = self.own(job.pool);
+        shares.over(job, own.endpoints * job.slots)
+    }
+
+    // The bound on one endpoint's work, in tokens.
+    fn limit(&self, now: Moment, endpoint: EndpointId, job: &Job) -> f64 {
+        let each = self.shares.get(&job.pool).map_or(0.0, |s| s.each);
+        let floor = each * FLOOR;
+        let size = self.view.size(job.pool);
+        let mean = self.means.mean(&self.own(job.pool), size, floor, now);
+        multiple(job, endpoint) * mean.max(floor)
+    }
+
+    fn own(&self, pool: Pool) -> Summary {
+        self.summary(Moment::ZERO, pool)
+    }
+
+    /// Dispatches what waits and now fits, in the order of the queues.
+    pub(super) fn drain(&mut self, now: Moment) -> Vec<Wake> {
+        let pools: Vec<Pool> = self.queues.keys().copied().collect();
+        let mut wakes = Vec::new();
+        for pool in pools {
+            while let Some(wake) = self.advance(now, pool) {
+                wakes.push(wake);
+            }
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+        wakes
+    }
+
+    fn advance(&mut self, now: Moment, pool: Pool) -> Option<Wake> {
+        let (ticket, endpoint) = self.fitting(now, pool)?;
+        let job = self.queues.get_mut(&pool)?.take(ticket)?;
+        self.left(ticket, &job);
+        let next = self.grant(now, endpoint, job);
+        Some(Wake { ticket, next })
+    }
+
+    // The first in the queue for which an owned endpoint has room.
+    fn fitting(&mut self, now: Moment, pool: Pool) -> Option<(Ticket, EndpointId)> {
+        let view = Arc::clone(&self.view);
+        let owned = view.owned().map(|e| e.id);
+        let owned: Vec<_> = owned.filter(|id| view.serves(*id, pool)).collect();
+        let mut drains = None;
+        let mut found = None;
+        for (ticket, job) in self.queues.get(&pool)?.iter().take(LOOKED_AT) {
+            let mut ranked = owned.iter().copied();
+            if let Some(endpoint) = ranked.find(|id| self.fits_waiting(now, *id, ticket, job)) {
+                found = Some((ticket, endpoint));
+                break;
+            }
+            if job.suspect && drains.is_none() {
+                drains = Some(ticket);
+            }
+            if since(now, job.since) > PATIENCE {
+                break;
+            }
+        }
+        if let Some(ticket) = drains {
+            self.set_aside(ticket, &owned);
+        }
+        found
+    }
+
+    fn fits_waiting(&self, now: Moment, id: EndpointId, ticket: Ticket, job: &Job) -> bool {
+        let book = self.books.get(&id);
+        let aside = book.is_some_and(|book| book.solo == Solo::Draining(ticket));
+        if aside {
+            return book.is_some_and(|book| book.running() == 0);
+        }
+        self.fits(now, id, job)
+    }
+
+    // One endpoint at a time takes no more until a suspect has run there.
+    fn set_aside(&mut self, ticket: Ticket, owned: &[EndpointId]) {
+        let busy = |id: &EndpointId| self.books.get(id).is_some_and(|b| b.solo != Solo::Off);
+        if owned.iter().any(busy) {
+            return;
+        }
+        let load = |id: &&EndpointId| self.load(**id);
+        if let Some(id) = owned.iter().min_by_key(load).copied()
+            && let Some(book) = self.books.get_mut(&id)
+        {
+            book.solo = Solo::Draining(ticket);
+        }
+    }
+}
+
+// The full multiple of the mean where the chat is warm. A cold request may go
+// anywhere, so the more the policy weighs skew the earlier it moves on.
+fn multiple(job: &Job, endpoint: EndpointId) -> f64 {
+    if job.cached(endpoint) > 0 {
+        return job.bound;
+    }
+    1.0 + (job.bound - 1.0) * f64::midpoint(1.0, job.reuse.clamp(0.0, 1.0))
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a count is within the count"
+)]
+fn part(slots: u32, free: f64) -> u32 {
+    ((f64::from(slots) * free) as u32).max(1)
+}
--- /dev/null
+++ b/crates/decide/src/place.rs
@@ -0,0 +1,112 @@
+//! Placement: the order in which endpoints are tried for a chat.
+//!
+//! Weighted rendezvous hashing. All endpoints of one zone have one weight,
+//! and the weighted score grows with the plain one, so the best of a zone is
+//! found by the plain integer score and only one logarithm a zone is taken:
+//! the order is exactly that of weighted rendezvous at the cost of the plain
+//! one. The order is worked out lazily, as most requests need its first alone.
+
+use godwitpost_types::hash;
+use godwitpost_types::id::{ChatId, EndpointId, RegionId, ZoneId};
+
+/// The endpoints of one pool in one zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Group {
+    /// The zone they are in.
+    pub zone: ZoneId,
+    /// The region of the zone.
+    pub region: RegionId,
+    /// Their ids.
+    pub members: Vec<EndpointId>,
+}
+
+/// The endpoints of a pool in the order of one chat, best first.
+#[derive(Clone, Debug)]
+pub struct Ranked<'a> {
+    chat: ChatId,
+    near: RegionId,
+    weights: Weights,
+    groups: &'a [Group],
+    heads: Vec<Option<Head>>,
+    started: bool,
+}
+
+/// How much zones count in the order of a chat.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// The zone that is favoured, if any.
+    pub zone: Option<ZoneId>,
+    /// The weight of the favoured zone; every other zone weighs 1.
+    pub favour: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Head {
+    near: bool,
+    weighted: f64,
+    score: (u64, EndpointId),
+}
+
+impl<'a> Ranked<'a> {
+    /// Returns the order of `chat` over `groups`, those of region `near` first.
+    #[must_use]
+    pub fn new(groups: &'a [Group], chat: ChatId, near: RegionId, weights: Weights) -> Self {
+        Self {
+            chat,
+            near,
+            weights,
+            groups,
+            heads: Vec::new(),
+            started: false,
+        }
+    }
+
+    fn start(&mut self) {
+        self.started = true;
+        self.heads = (0..self.groups.len())
+            .map(|index| self.head(index, None))
+            .collect();
+    }
+
+    // The best member of a group whose score is under `below`.
+    fn head(&self, index: usize, below: Option<(u64, EndpointId)>) -> Option<Head> {
+        let group = &self.groups[index];
+        let scores = group
+            .members
+            .iter()
+            .map(|&id| (hash::score(self.chat, id), id));
+        let score = match below {
+            None => scores.max(),
+            Some(limit) => scores.filter(|score| *score < limit).max(),
+        }?;
+        let favoured = self.weights.zone == Some(group.zone);
+        let weight = if favoured { self.weights.favour } else { 1.0 };
+        Some(Head {
+            near: group.region == self.near,
+            weighted: hash::weighted(self.chat, score.1, weight),
+            score,
+        })
+    }
+}
+
+impl Iterator for Ranked<'_> {
+    type Item = EndpointId;
+
+    fn next(&mut self) -> Option<EndpointId> {
+        if !self.started {
+            self.start();
+        }
+        let (index, head) = self
+            .heads
+            .iter()
+            .enumerate()
+            .filter_map(|(index, head)| head.map(|head| (index, head)))
+            .max_by(|(_, a), (_, b)| {
+                (a.near.cmp(&b.near))
+                    .then(a.weighted.total_cmp(&b.weighted))
+                    .then(a.score.cmp(&b.score))
+            })?;
+        self.heads[index] = self.head(index, Some(head.score));
+        Some(head.score.1)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/quarantine.rs
@@ -0,0 +1,227 @@
+//! Quarantine of requests that crash the endpoints that run them.
+//!
+//! When an endpoint crashes, every request in flight on it becomes a suspect.
+//! A suspect runs next alone on its endpoint. If that endpoint crashes too,
+//! the suspect was the only one there: it is convicted, after two endpoints.
+//! An innocent one comes through alone and is cleared. Evidence is a set of
+//! records under the request's digest, so a new key or another entry instance
+//! makes no difference, and merging is a union in any order.
+//! `docs/design/quarantine.md` says what was weighed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{BodyDigest, EndpointId, Incarnation};
+use serde::{Deserialize, Serialize};
+
+/// How long evidence counts.
+///
+/// Long enough that a caller that resends for a working day stays out, short
+/// enough that a mended engine gets another try the next day.
+pub const KEPT: Duration = Duration::from_hours(12);
+
+/// Digests that one instance holds evidence on.
+///
+/// 25 crashes a day with 64 requests in flight are 1,600 suspects a day;
+/// five times that bounds the memory at about a megabyte.
+pub const CAPACITY: usize = 8_192;
+
+/// What one crash or one clean run says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The request's digest.
+    pub digest: BodyDigest,
+    /// The endpoint that ran it.
+    pub endpoint: EndpointId,
+    /// The endpoint's incarnation at the time.
+    pub incarnation: Incarnation,
+    /// What was seen.
+    pub kind: Kind,
+    /// When it was seen.
+    pub at: Moment,
+}
+
+/// What was seen of a request on an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Kind {
+    /// The endpoint crashed while it ran this request.
+    Crashed,
+    /// The endpoint ran the request to its end.
+    Clean,
+    /// The endpoint's incarnation lived on: only a connection had broken.
+    Survived,
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing speaks against it.
+    Clear,
+    /// It may have crashed an endpoint; it runs alone.
+    Suspect,
+    /// It crashes endpoints; it does not run.
+    Convicted,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Case {
+    crashes: BTreeMap<Place, Moment>,
+    survived: BTreeMap<Place, Moment>,
+    cleared: Option<Moment>,
+    latest: Moment,
+}
+
+/// The evidence that one instance knows.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    cases: BTreeMap<BodyDigest, Case>,
+}
+
+impl Table {
+    /// Takes in evidence; returns whether it was new and worth passing on.
+    pub fn learn(&mut self, evidence: Evidence) -> bool {
+        let case = self.cases.entry(evidence.digest).or_default();
+        let fresh = case.add(&evidence);
+        self.shed();
+        fresh
+    }
+
+    /// Returns what to do with the request of a digest.
+    #[must_use]
+    pub fn judge(&self, digest: &BodyDigest, now: Moment) -> Verdict {
+        self.cases
+            .get(digest)
+            .map_or(Verdict::Clear, |case| case.verdict(now))
+    }
+
+    /// Returns all evidence, for an instance that starts with none.
+    #[must_use]
+    pub fn records(&self) -> Vec<Evidence> {
+        self.cases
+            .iter()
+            .flat_map(|(digest, case)| case.records(*digest))
+            .collect()
+    }
+
+    /// Returns all evidence on one digest.
+    #[must_use]
+    pub fn on(&self, digest: &BodyDigest) -> Vec<Evidence> {
+        let case = self.cases.get(digest);
+        case.map_or_else(Vec::new, |case| case.records(*digest).collect())
+    }
+
+    /// Takes back the crashes of an incarnation that was alive afterwards;
+    /// returns the evidence to pass on.
+    pub fn acquit(
+        &mut self,
+        endpoint: EndpointId,
+        incarnation: Incarnation,
+        alive: Moment,
+    ) -> Vec<Evidence> {
+        let place = (endpoint, incarnation);
+        let held = |case: &Case| case.crashes.get(&place).is_some_and(|at| *at < alive);
+        let accused = self.cases.iter().filter(|(_, case)| held(case));
+        let acquitted: Vec<Evidence> = accused
+            .map(|(digest, _)| Evidence {
+                digest: *digest,
+                endpoint,
+                incarnation,
+                kind: Kind::Survived,
+                at: alive,
+            })
+            .collect();
+        let fresh = acquitted.into_iter();
+        fresh.filter(|evidence| self.learn(*evidence)).collect()
+    }
+
+    /// Drops evidence that no longer counts.
+    pub fn expire(&mut self, now: Moment) {
+        self.cases.retain(|_, case| since(now, case.latest) < KEPT);
+    }
+
+    /// Returns the number of digests with evidence.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.cases.len()
+    }
+
+    /// Returns whether there is no evidence.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.cases.is_empty()
+    }
+
+    // Over capacity the case that was quiet longest goes, as it is the least
+    // likely to be sent again.
+    fn shed(&mut self) {
+        if self.cases.len() <= CAPACITY {
+            return;
+        }
+        let oldest = self.cases.iter().min_by_key(|(_, case)| case.latest);
+        if let Some(digest) = oldest.map(|(digest, _)| *digest) {
+            self.cases.remove(&digest);
+        }
+    }
+}
+
+impl Case {
+    fn add(&mut self, evidence: &Evidence) -> bool {
+        self.latest = self.latest.max(evidence.at);
+        let place = (evidence.endpoint, evidence.incarnation);
+        match evidence.kind {
+            Kind::Clean => {
+                let newer = self.cleared < Some(evidence.at);
+                self.cleared = self.cleared.max(Some(evidence.at));
+                newer
+            }
+            Kind::Crashed => raise(&mut self.crashes, place, evidence.at),
+            Kind::Survived => raise(&mut self.survived, place, evidence.at),
+        }
+    }
+
+    // A clean run clears what came before it, whatever order the records
+    // arrive in. Two crashes that nothing cleared convict: the second run was
+    // alone wherever the first was known, so it points at this request only.
+    fn verdict(&self, now: Moment) -> Verdict {
+        let counted = self
+            .crashes
+            .iter()
+            .filter(|(place, at)| self.survived.get(place) < Some(at))
+            .filter(|(_, at)| Some(**at) > self.cleared && since(now, **at) < KEPT);
+        match counted.count() {
+            0 => Verdict::Clear,
+            1 => Verdict::Suspect,
+            _ => Verdict::Convicted,
+        }
+    }
+
+    fn records(&self, digest: BodyDigest) -> impl Iterator<Item = Evidence> {
+        let crashed = self.crashes.iter().map(|(p, at)| (*p, Kind::Crashed, *at));
+        let survived = self.survived.iter();
+        let survived = survived.map(|(p, at)| (*p, Kind::Survived, *at));
+        let cleared = self.cleared.map(|at| ((0, 0), Kind::Clean, at));
+        crashed
+            .chain(survived)
+            .chain(cleared)
+            .map(move |((endpoint, incarnation), kind, at)| Evidence {
+                digest,
+                endpoint,
+                incarnation,
+                kind,
+                at,
+            })
+    }
+}
+
+type Place = (EndpointId, Incarnation);
+
+// Keeps the latest moment of each place; returns whether it moved.
+fn raise(moments: &mut BTreeMap<Place, Moment>, place: Place, at: Moment) -> bool {
+    let known = moments.get(&place).copied();
+    if known >= Some(at) {
+        return false;
+    }
+    moments.insert(place, at);
+    true
+}
--- /dev/null
+++ b/crates/decide/src/view.rs
@@ -0,0 +1,224 @@
+//! The snapshot of instances and endpoints that decisions are taken on.
+//!
+//! The control thread builds a [`View`] whenever its picture of the fleet
+//! changes and publishes it; traffic threads only read. Views of two
+//! instances may differ for seconds, and nothing here relies on their being
+//! the same: a request that reaches the wrong owner is served all the same.
+
+use std::collections::BTreeMap;
+
+use godwitpost_types::endpoint::{Endpoint, Standing};
+use godwitpost_types::id::{
+    ChatId, EndpointId, InstanceId, ModelId, NO_MODEL, RegionId, ServiceId, ZoneId,
+};
+use godwitpost_types::instance::Instance;
+use godwitpost_types::request::Request;
+use serde::{Deserialize, Serialize};
+
+use crate::place::{Group, Ranked, Weights};
+
+/// Favour of the entry's own zone for plain services, against 1 for others.
+///
+/// A plain call keeps no context, so a short way is worth taking: with four
+/// zones, 4 keeps about 57% of the calls at home and still uses the rest.
+/// Engines get 1: a home that depends on where the caller came in would lose
+/// the chat's context at each change of zone, for a millisecond's gain.
+pub const PLAIN_FAVOUR: f64 = 4.0;
+
+/// Favour of an endpoint's own zone when its owner is chosen.
+///
+/// Near owners save a crossing on each request. Greater values let one
+/// instance own most of a zone when its neighbours are gone.
+pub const OWNER_FAVOUR: f64 = 4.0;
+
+/// Endpoints that can stand in for each other: one model of one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Pool {
+    /// The service.
+    pub service: ServiceId,
+    /// The model, or [`NO_MODEL`] for plain services.
+    pub model: ModelId,
+}
+
+impl Pool {
+    /// Returns the pool that a request asks for.
+    #[must_use]
+    pub const fn of(request: &Request) -> Self {
+        Self {
+            service: request.service,
+            model: request.model,
+        }
+    }
+}
+
+/// An immutable picture of the fleet as one instance sees it.
+#[derive(Clone, Debug)]
+pub struct View {
+    local: InstanceId,
+    region: RegionId,
+    instances: BTreeMap<InstanceId, Instance>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    owners: BTreeMap<EndpointId, InstanceId>,
+    pools: BTreeMap<Pool, Vec<Group>>,
+}
+
+impl View {
+    /// Builds the view of instance `local`, which must be among `instances`
+    /// to have a region of its own.
+    #[must_use]
+    pub fn new(
+        local: InstanceId,
+        instances: impl IntoIterator<Item = Instance>,
+        endpoints: impl IntoIterator<Item = Endpoint>,
+    ) -> Self {
+        let instances: BTreeMap<_, _> = instances.into_iter().map(|i| (i.id, i)).collect();
+        let endpoints: BTreeMap<_, _> = endpoints.into_iter().map(|e| (e.id, e)).collect();
+        let region = instances.get(&local).map_or(0, |instance| instance.region);
+        let owners = owners(local, &instances, &endpoints);
+        let pools = pools(endpoints.values());
+        Self {
+            local,
+            region,
+            instances,
+            endpoints,
+            owners,
+            pools,
+        }
+    }
+
+    /// Returns the instance whose view this is.
+    #[must_use]
+    pub const fn local(&self) -> InstanceId {
+        self.local
+    }
+
+    /// Returns an instance by its id.
+    #[must_use]
+    pub fn instance(&self, id: InstanceId) -> Option<&Instance> {
+        self.instances.get(&id)
+    }
+
+    /// Returns every instance, in the order of ids.
+    pub fn instances(&self) -> impl Iterator<Item = &Instance> {
+        self.instances.values()
+    }
+
+    /// Returns an endpoint by its id.
+    #[must_use]
+    pub fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(&id)
+    }
+
+    /// Returns every endpoint, in the order of ids.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns the endpoints that the local instance owns.
+    pub fn owned(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints
+            .values()
+            .filter(|endpoint| self.owner(endpoint.id) == self.local)
+    }
+
+    /// Returns the instance that dispatches to an endpoint.
+    ///
+    /// An endpoint that the view does not know is the local instance's.
+    #[must_use]
+    pub fn owner(&self, endpoint: EndpointId) -> InstanceId {
+        self.owners.get(&endpoint).copied().unwrap_or(self.local)
+    }
+
+    /// Returns the number of live endpoints of a pool.
+    #[must_use]
+    pub fn size(&self, pool: Pool) -> usize {
+        self.pools
+            .get(&pool)
+            .map_or(0, |groups| groups.iter().map(|g| g.members.len()).sum())
+    }
+
+    /// Returns the live endpoints of a pool in a chat's order, lazily.
+    ///
+    /// `zone` is where the request came in. The local region goes first.
+    #[must_use]
+    pub fn ranked(&self, pool: Pool, chat: ChatId, zone: ZoneId) -> Ranked<'_> {
+        let groups = self.pools.get(&pool).map_or(&[][..], Vec::as_slice);
+        let plain = pool.model == NO_MODEL;
+        let weights = Weights {
+            zone: plain.then_some(zone),
+            favour: if plain { PLAIN_FAVOUR } else { 1.0 },
+        };
+        Ranked::new(groups, chat, self.region, weights)
+    }
+
+    /// Returns whether an endpoint is known, live and of `pool`.
+    #[must_use]
+    pub fn serves(&self, endpoint: EndpointId, pool: Pool) -> bool {
+        self.endpoints.get(&endpoint).is_some_and(|endpoint| {
+            endpoint.standing == Standing::Live
+                && endpoint.service == pool.service
+                && (pool.model == NO_MODEL || endpoint.models.contains(&pool.model))
+        })
+    }
+}
+
+fn owners(
+    local: InstanceId,
+    instances: &BTreeMap<InstanceId, Instance>,
+    endpoints: &BTreeMap<EndpointId, Endpoint>,
+) -> BTreeMap<EndpointId, InstanceId> {
+    let mut groups: BTreeMap<(RegionId, ZoneId), Vec<u64>> = BTreeMap::new();
+    for instance in instances.values() {
+        if instance.standing == Standing::Live {
+            let group = groups.entry((instance.region, instance.zone)).or_default();
+            group.push(instance.id);
+        }
+    }
+    let groups: Vec<Group> = groups
+        .into_iter()
+        .map(|((region, zone), members)| Group {
+            zone,
+            region,
+            members,
+        })
+        .collect();
+    endpoints
+        .values()
+        .map(|endpoint| {
+            let weights = Weights {
+                zone: Some(endpoint.zone),
+                favour: OWNER_FAVOUR,
+            };
+            let mut ranked = Ranked::new(&groups, endpoint.id, endpoint.region, weights);
+            (endpoint.id, ranked.next().unwrap_or(local))
+        })
+        .collect()
+}
+
+fn pools<'a>(endpoints: impl Iterator<Item = &'a Endpoint>) -> BTreeMap<Pool, Vec<Group>> {
+    let mut pools: BTreeMap<Pool, BTreeMap<(RegionId, ZoneId), Vec<u64>>> = BTreeMap::new();
+    for endpoint in endpoints.filter(|e| e.standing == Standing::Live) {
+        let models = endpoint.models.iter().copied();
+        let none = endpoint.models.is_empty().then_some(NO_MODEL);
+        for model in models.chain(none) {
+            let pool = Pool {
+                service: endpoint.service,
+                model,
+            };
+            let zones = pools.entry(pool).or_default();
+            let group = zones.entry((endpoint.region, endpoint.zone)).or_default();
+            group.push(endpoint.id);
+        }
+    }
+    pools
+        .into_iter()
+        .map(|(pool, zones)| {
+            let groups = zones.into_iter().map(|((region, zone), members)| Group {
+                zone,
+                region,
+                members,
+            });
+            (pool, groups.collect())
+        })
+        .collect()
+}
