state: claims of idempotency keys through the log

An unrepeatable request may run at most once, whichever instance it comes through. Keys carry their time of issue, so that a reader of a truncated stream knows which keys it can vouch for.

--- /dev/null
+++ b/crates/state/src/claim/holder.rs
@@ -0,0 +1,319 @@
+//! The dispatcher's side of a claim: it alone decides whether a request starts.
+//!
+//! A claim in the log permits its holder to start the request; it does not
+//! oblige it. When the caller's deadline passes, or the caller goes away, the
+//! holder gives the claim up in its own memory. From then on
+//! [`Holder::start`] refuses, so *not run* is true whatever the log still
+//! does with the record. A holder that was paused asks [`Holder::start`] with
+//! the moment it woke at and is refused in the same way.
+
+use std::collections::BTreeMap;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{BodyDigest, Incarnation, InstanceId};
+use godwitpost_types::outcome::Outcome;
+
+use super::key::Key;
+use super::{Id, Item, Record, Verdict};
+
+// Claims given up without a verdict that are remembered, so that a late
+// *claimed* can still be marked as not run in the log. A hundred seconds of a
+// dispatcher's share of claims at 5 a second; forgetting one only means that a
+// resend of its key is told *unknown*.
+const REMEMBERED: usize = 512;
+
+/// The claims of one dispatcher in one incarnation.
+#[derive(Debug)]
+pub struct Holder {
+    own: InstanceId,
+    incarnation: Incarnation,
+    sequence: u64,
+    claims: BTreeMap<u64, Claim>,
+    given_up: BTreeMap<u64, Record>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Claim {
+    record: Record,
+    deadline: Moment,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Asked,
+    Claimed,
+    Started,
+}
+
+/// What to do with a request after a verdict.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The request may go on; [`Holder::start`] decides just before its first
+    /// byte leaves.
+    Claimed,
+    /// The caller is refused.
+    Refuse {
+        /// Why, and the outcome to tell.
+        refusal: Refusal,
+        /// A fate to send to the batcher, if the claim had won.
+        fate: Option<Item>,
+    },
+    /// The claim was given up before, and won: send this fate to the batcher,
+    /// so that a resend of the key hears that it never ran.
+    Spent(Item),
+    /// The claim was settled before; nothing is to be done.
+    Ignore,
+}
+
+/// What giving up came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Abandon {
+    /// The request never starts; *not run* may be told. A fate is to be sent
+    /// to the batcher if the claim had won.
+    NotRun(Option<Item>),
+    /// It has started, or was never held here: its fate is unknown.
+    TooLate,
+}
+
+/// Whom a refusal's outcome speaks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// This attempt alone; an earlier one with the same key keeps its own
+    /// outcome.
+    Attempt,
+    /// Every attempt with the key, whichever instance it went through.
+    Key,
+}
+
+/// Why an unrepeatable request is refused, and the way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Refusal {
+    /// a request with this key already ran; do not send it again, its answer is no longer held
+    Ran,
+    /// a request with this key was accepted and may be running; send the same key again later to learn its outcome
+    Running,
+    /// this key was given up before its request ran; send the request again with a new key
+    Spent,
+    /// this key was used with another method, path or body; send this request with a new key
+    OtherBody,
+    /// this key is older than the claim window; find out whether it ran before you send the request with a new key
+    Expired,
+    /// this key's time of issue lies ahead of the log's clock; set the caller's clock and send a new key
+    Early,
+    /// the log gave no verdict, so the request was not started; send it again with the same key
+    Unavailable,
+    /// the deadline passed before the request could start; send it again with a new key
+    Deadline,
+}
+
+impl std::error::Error for Refusal {}
+
+impl Refusal {
+    /// Returns the outcome to tell the caller.
+    #[must_use]
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            Self::Ran => Outcome::Ran,
+            Self::Running => Outcome::Unknown,
+            Self::Spent
+            | Self::OtherBody
+            | Self::Expired
+            | Self::Early
+            | Self::Unavailable
+            | Self::Deadline => Outcome::NotRun,
+        }
+    }
+
+    /// Returns whether the outcome speaks for the attempt or for the key.
+    #[must_use]
+    pub const fn scope(self) -> Scope {
+        match self {
+            Self::Ran | Self::Running | Self::Spent => Scope::Key,
+            Self::OtherBody | Self::Expired | Self::Early | Self::Unavailable | Self::Deadline => {
+                Scope::Attempt
+            }
+        }
+    }
+}
+
+impl Holder {
+    /// Returns a holder without claims.
+    #[must_use]
+    pub const fn new(own: InstanceId, incarnation: Incarnation) -> Self {
+        Self {
+            own,
+            incarnation,
+            sequence: 0,
+            claims: BTreeMap::new(),
+            given_up: BTreeMap::new(),
+        }
+    }
+
+    /// Opens a claim and returns the record to send to the batcher.
+    pub fn open(&mut self, key: &Key, body: BodyDigest, deadline: Moment) -> Record {
+        self.sequence += 1;
+        let record = Record {
+            id: self.id(self.sequence),
+            key: key.digest,
+            body,
+            issued: key.issued,
+        };
+        let claim = Claim {
+            record,
+            deadline,
+            stage: Stage::Asked,
+        };
+        self.claims.insert(self.sequence, claim);
+        record
+    }
+
+    /// Takes the batcher's verdict on a claim.
+    pub fn verdict(&mut self, now: Moment, id: Id, verdict: Verdict) -> Step {
+        if !self.owns(id) {
+            return Step::Ignore;
+        }
+        match self.claims.get_mut(&id.sequence) {
+            None => self.late(id, verdict),
+            Some(claim) if claim.stage != Stage::Asked => Step::Ignore,
+            Some(claim) if verdict == Verdict::Claimed && now < claim.deadline => {
+                claim.stage = Stage::Claimed;
+                Step::Claimed
+            }
+            Some(_) => self.refuse(id, verdict),
+        }
+    }
+
+    /// Returns whether the request may start, and counts it as started.
+    ///
+    /// To be asked once, right before the first byte leaves for an endpoint.
+    #[must_use]
+    pub fn start(&mut self, now: Moment, id: Id) -> bool {
+        if !self.owns(id) {
+            return false;
+        }
+        match self.claims.get_mut(&id.sequence) {
+            Some(claim) if claim.stage == Stage::Claimed && now < claim.deadline => {
+                claim.stage = Stage::Started;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Gives a claim up because its caller's deadline passed or it went away.
+    pub fn abandon(&mut self, id: Id) -> Abandon {
+        if !self.owns(id) {
+            return Abandon::TooLate;
+        }
+        match self.claims.get(&id.sequence) {
+            None => Abandon::TooLate,
+            Some(claim) if claim.stage == Stage::Started => Abandon::TooLate,
+            Some(_) => Abandon::NotRun(self.give_up(id)),
+        }
+    }
+
+    /// Forgets a claim whose request ended and returns the fate to record, if
+    /// it is known.
+    pub fn finish(&mut self, id: Id, outcome: Outcome) -> Option<Item> {
+        if !self.owns(id) {
+            return None;
+        }
+        let claim = self.claims.remove(&id.sequence)?;
+        let known = outcome != Outcome::Unknown;
+        known.then(|| fate(&claim.record, outcome))
+    }
+
+    /// Returns claims that have passed their deadline without starting.
+    pub fn overdue(&self, now: Moment) -> impl Iterator<Item = Id> + '_ {
+        self.claims
+            .values()
+            .filter(move |claim| claim.stage != Stage::Started && claim.deadline <= now)
+            .map(|claim| claim.record.id)
+    }
+
+    /// Returns the number of claims that are neither finished nor given up.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether no claim is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    const fn id(&self, sequence: u64) -> Id {
+        Id {
+            holder: self.own,
+            incarnation: self.incarnation,
+            sequence,
+        }
+    }
+
+    const fn owns(&self, id: Id) -> bool {
+        id.holder == self.own && id.incarnation == self.incarnation
+    }
+
+    fn refuse(&mut self, id: Id, verdict: Verdict) -> Step {
+        let refusal = match verdict {
+            // It won, after the caller's deadline.
+            Verdict::Claimed => Refusal::Deadline,
+            Verdict::Taken { fate, .. } => match fate {
+                Some(Outcome::Ran) => Refusal::Ran,
+                Some(Outcome::NotRun) => Refusal::Spent,
+                Some(Outcome::Unknown) | None => Refusal::Running,
+            },
+            Verdict::OtherBody => Refusal::OtherBody,
+            Verdict::Expired => Refusal::Expired,
+            Verdict::Early => Refusal::Early,
+            Verdict::Unavailable => Refusal::Unavailable,
+        };
+        let claim = self.claims.remove(&id.sequence);
+        let record = claim.map(|claim| claim.record);
+        if verdict == Verdict::Unavailable
+            && let Some(record) = record
+        {
+            self.remember(record);
+        }
+        let won = record.filter(|_| verdict == Verdict::Claimed);
+        Step::Refuse {
+            refusal,
+            fate: won.map(|record| fate(&record, Outcome::NotRun)),
+        }
+    }
+
+    fn late(&mut self, id: Id, verdict: Verdict) -> Step {
+        match self.given_up.remove(&id.sequence) {
+            Some(record) if verdict == Verdict::Claimed => {
+                Step::Spent(fate(&record, Outcome::NotRun))
+            }
+            _ => Step::Ignore,
+        }
+    }
+
+    fn give_up(&mut self, id: Id) -> Option<Item> {
+        let claim = self.claims.remove(&id.sequence)?;
+        if claim.stage == Stage::Claimed {
+            return Some(fate(&claim.record, Outcome::NotRun));
+        }
+        self.remember(claim.record);
+        None
+    }
+
+    fn remember(&mut self, record: Record) {
+        self.given_up.insert(record.id.sequence, record);
+        if self.given_up.len() > REMEMBERED {
+            self.given_up.pop_first();
+        }
+    }
+}
+
+const fn fate(record: &Record, outcome: Outcome) -> Item {
+    Item::Fate {
+        key: record.key,
+        id: record.id,
+        outcome,
+    }
+}
--- /dev/null
+++ b/crates/state/src/claim/key.rs
@@ -0,0 +1,131 @@
+//! Idempotency keys and their time of issue.
+//!
+//! The log keeps records for a limited time, so a key must say how old it is:
+//! otherwise one that the log has forgotten would look new and its request
+//! would run again. A version 7 UUID carries its time; any other key needs
+//! the header [`ISSUED_HEADER`]. The time is part of the key's identity: the
+//! same text with another time is another key.
+
+use std::time::Duration;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{KeyDigest, WorkspaceId};
+
+use super::SKEW;
+
+/// The header that dates a key which is not a version 7 UUID.
+pub const ISSUED_HEADER: &str = "Godwitpost-Key-Issued";
+
+/// The longest key taken, in bytes; keeps heads and memory small.
+pub const LONGEST: usize = 255;
+
+/// A key as its caller identified it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// The digest of the workspace, the text and the time of issue.
+    pub digest: KeyDigest,
+    /// When the caller issued it, in whole milliseconds.
+    pub issued: Moment,
+}
+
+/// Why a key is refused before it is claimed.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// the Idempotency-Key is empty; send a version 7 UUID
+    Empty,
+    /// the Idempotency-Key is longer than 255 bytes; send a version 7 UUID
+    Long,
+    /// the Idempotency-Key does not say when it was issued; send a version 7 UUID, or add Godwitpost-Key-Issued with unix seconds
+    Undated,
+    /// Godwitpost-Key-Issued is not a number of unix seconds; send digits only
+    Date,
+    /// the key is older than the claim window; find out whether it ran before you send the request with a new key
+    Expired,
+    /// the key's time of issue lies in the future; set the caller's clock and send a new key
+    Future,
+}
+
+impl std::error::Error for Error {}
+
+impl Key {
+    /// Reads a key from its header and the optional header that dates it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] for a key that is empty, too long or undated.
+    pub fn read(workspace: WorkspaceId, text: &str, issued: Option<&str>) -> Result<Self, Error> {
+        if text.is_empty() {
+            return Err(Error::Empty);
+        }
+        if text.len() > LONGEST {
+            return Err(Error::Long);
+        }
+        let issued = issue_time(text, issued)?;
+        Ok(Self {
+            digest: digest(workspace, text, issued),
+            issued,
+        })
+    }
+
+    /// Checks on the instance's own clock that the key is not plainly too old
+    /// or too new; the log's clock decides in the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Expired`] or [`Error::Future`].
+    pub fn check(&self, now: Moment, window: Duration) -> Result<(), Error> {
+        if self.issued + window < now {
+            return Err(Error::Expired);
+        }
+        if self.issued > now + SKEW {
+            return Err(Error::Future);
+        }
+        Ok(())
+    }
+}
+
+fn issue_time(text: &str, issued: Option<&str>) -> Result<Moment, Error> {
+    match issued {
+        Some(seconds) => unix_seconds(seconds),
+        None => uuid_time(text).ok_or(Error::Undated),
+    }
+}
+
+fn unix_seconds(text: &str) -> Result<Moment, Error> {
+    // Twelve digits reach the year 33,658 and can't overflow milliseconds.
+    if text.is_empty() || text.len() > 12 || !text.bytes().all(|b| b.is_ascii_digit()) {
+        return Err(Error::Date);
+    }
+    text.parse()
+        .map(Duration::from_secs)
+        .map_err(|_not_a_number| Error::Date)
+}
+
+// The first 48 bits of a version 7 UUID are its unix time in milliseconds
+// (RFC 9562, section 5.7).
+fn uuid_time(text: &str) -> Option<Moment> {
+    let bytes = text.as_bytes();
+    if bytes.len() != 36 || bytes[14] != b'7' {
+        return None;
+    }
+    let well_formed = bytes.iter().enumerate().all(|(i, b)| match i {
+        8 | 13 | 18 | 23 => *b == b'-',
+        _ => b.is_ascii_hexdigit(),
+    });
+    if !well_formed {
+        return None;
+    }
+    let high = u64::from_str_radix(&text[..8], 16).ok()?;
+    let low = u64::from_str_radix(&text[9..13], 16).ok()?;
+    Some(Duration::from_millis(high << 16 | low))
+}
+
+fn digest(workspace: WorkspaceId, text: &str, issued: Moment) -> KeyDigest {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&workspace.to_le_bytes());
+    hasher.update(&issued.as_millis().to_le_bytes());
+    hasher.update(text.as_bytes());
+    let mut digest = KeyDigest::default();
+    hasher.finalize_xof().fill(&mut digest);
+    digest
+}
