state: membership, gossip, leases, orders and drain

Pure machines and folds for the router to be wired to. Membership follows SWIM: an accusation spreads until its subject answers with a greater beat, and homes move only after a state has lasted.

--- /dev/null
+++ b/crates/state/src/drain/machine.rs
@@ -0,0 +1,99 @@
+//! The states of a shutdown.
+
+use godwitpost_types::clock::Moment;
+use statig::prelude::*;
+
+use super::Limits;
+
+/// What happens to a shutdown.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Event {
+    /// A termination signal.
+    Signal { now: Moment },
+    /// Owned state has moved.
+    HandedOver,
+    /// Time passes.
+    Tick { now: Moment, in_flight: usize },
+}
+
+/// Shared storage of the machine.
+#[derive(Debug)]
+pub(super) struct Shutdown {
+    pub(super) limits: Limits,
+    /// Requests in flight when the end came.
+    pub(super) cut: usize,
+}
+
+pub(super) type Machine = StateMachine<Shutdown>;
+
+#[state_machine(
+    initial = "Phase::serving()",
+    state(name = "Phase", derive(Debug, Clone, Copy, PartialEq, Eq)),
+    visibility = "pub(super)"
+)]
+impl Shutdown {
+    #[state]
+    fn serving(&mut self, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Signal { now } => {
+                let until = now + self.limits.lag;
+                Transition(Phase::announced(until, now + self.limits.hard))
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn announced(&mut self, until: &Moment, limit: &mut Moment, event: &Event) -> Outcome<Phase> {
+        match *event {
+            // An instance without requests may still be sent one: it waits
+            // out the balancer's lag whatever is in flight.
+            Event::Tick { now, .. } if now >= *until => Transition(Phase::closing(*limit)),
+            Event::Signal { now } => {
+                let limit = self.hurried(*limit, now);
+                Transition(Phase::closing(limit))
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn closing(&mut self, limit: &mut Moment, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::HandedOver => Transition(Phase::waiting(*limit)),
+            Event::Tick { now, in_flight } if now >= *limit => self.end(in_flight),
+            Event::Signal { now } => self.hurry(limit, now),
+            Event::Tick { .. } => Handled,
+        }
+    }
+
+    #[state]
+    fn waiting(&mut self, limit: &mut Moment, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Tick { in_flight: 0, .. } => self.end(0),
+            Event::Tick { now, in_flight } if now >= *limit => self.end(in_flight),
+            Event::Signal { now } => self.hurry(limit, now),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn done() -> Outcome<Phase> {
+        Handled
+    }
+
+    fn end(&mut self, cut: usize) -> Outcome<Phase> {
+        self.cut = cut;
+        Transition(Phase::done())
+    }
+
+    // Each further signal only brings the limit closer.
+    fn hurry(&self, limit: &mut Moment, now: Moment) -> Outcome<Phase> {
+        *limit = self.hurried(*limit, now);
+        Handled
+    }
+
+    fn hurried(&self, limit: Moment, now: Moment) -> Moment {
+        limit.min(now + self.limits.second)
+    }
+}
--- /dev/null
+++ b/crates/state/src/drain/tests.rs
@@ -0,0 +1,97 @@
+//! Shutdowns cut nothing within their limits and end at them.
+
+use proptest::prelude::*;
+
+use super::*;
+
+const LIMITS: Limits = Limits {
+    lag: Duration::from_secs(5),
+    hard: Duration::from_mins(1),
+    second: Duration::from_secs(2),
+};
+
+const fn at(seconds: u64) -> Moment {
+    Duration::from_secs(seconds)
+}
+
+/// A caller's request is refused by an instance that is being replaced. The
+/// operator stops the instance; the balancer's list lags and still sends the
+/// request there; the instance had closed its listener at once, because
+/// nothing was in flight.
+#[test]
+fn an_idle_instance_serves_while_the_balancer_lags() {
+    let mut drain = Drain::new(LIMITS);
+    drain.signal(at(10));
+    assert_eq!(drain.tick(at(10), 0), Next::Announce { until: at(15) });
+    assert_eq!(drain.tick(at(14), 0), Next::Announce { until: at(15) });
+    assert_eq!(drain.tick(at(15), 1), Next::Close { limit: at(70) });
+    drain.handed_over();
+    assert_eq!(drain.tick(at(16), 1), Next::Wait { limit: at(70) });
+    assert_eq!(drain.tick(at(17), 0), Next::Exit { cut: 0 });
+}
+
+/// An editor's streamed draft stops in mid-sentence. The operator stops the
+/// instance twice, impatient; the second signal ends it at once instead of
+/// after the short limit that is documented.
+#[test]
+fn a_second_signal_shortens_the_wait_and_a_third_does_not_lengthen_it() {
+    let mut drain = Drain::new(LIMITS);
+    drain.signal(at(10));
+    drain.signal(at(20));
+    assert_eq!(drain.tick(at(20), 1), Next::Close { limit: at(22) });
+    drain.handed_over();
+    drain.signal(at(21));
+    assert_eq!(drain.tick(at(21), 1), Next::Wait { limit: at(22) });
+    assert_eq!(drain.tick(at(22), 1), Next::Exit { cut: 1 });
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Signal,
+    HandedOver,
+    Tick(u64, usize),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => Just(Step::Signal),
+        2 => Just(Step::HandedOver),
+        6 => (1..20_u64, 0..3_usize).prop_map(|(seconds, n)| Step::Tick(seconds, n)),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn nothing_is_cut_before_a_limit_and_none_outlives_it(
+        steps in prop::collection::vec(any_step(), 1..40),
+    ) {
+        let mut drain = Drain::new(LIMITS);
+        let mut now = at(0);
+        let mut signals: Vec<Moment> = Vec::new();
+        for step in steps {
+            match step {
+                Step::Signal => {
+                    drain.signal(now);
+                    signals.push(now);
+                }
+                Step::HandedOver => drain.handed_over(),
+                Step::Tick(seconds, in_flight) => {
+                    now += at(seconds);
+                    let hard = signals.first().map(|first| *first + LIMITS.hard);
+                    let second = signals.get(1).map(|second| *second + LIMITS.second);
+                    let limit = [hard, second].into_iter().flatten().min();
+                    let next = drain.tick(now, in_flight);
+                    if let Next::Exit { cut } = next {
+                        prop_assert!(cut == 0 || limit.is_some_and(|limit| now >= limit));
+                        return Ok(());
+                    }
+                    // A limit that passed while announced is seen one tick
+                    // later, after the close.
+                    let late = limit.is_some_and(|limit| now >= limit);
+                    let closing = matches!(next, Next::Close { .. });
+                    prop_assert!(!late || closing);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/gossip/message.rs
@@ -0,0 +1,249 @@
+//! The message that instances exchange, and its bytes.
+//!
+//! Its visitors are written by hand: it is the message that the control budget
+//! is spent on. All parts are arrays in a fixed order, without field names.
+
+use std::fmt;
+use std::time::Duration;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::id::Version;
+use serde::de::{self, Deserialize, Deserializer, SeqAccess, Visitor};
+use serde::ser::{Serialize, SerializeTuple, Serializer};
+
+use crate::membership::endpoints::Leaving;
+use crate::membership::{Heartbeat, Rumour, State};
+
+/// The size of one piece of quarantine evidence in bytes.
+///
+/// A request's digest, the endpoint with its incarnation, the instance that
+/// saw it, and the time.
+pub const EVIDENCE: usize = 48;
+
+/// Quarantine evidence; only the quarantine reads it.
+pub type Evidence = [u8; EVIDENCE];
+
+/// A sender's sums over the endpoints of one pool that it is home to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// The pool: a service, or a model of it.
+    pub pool: u64,
+    /// Endpoints summed over.
+    pub endpoints: u32,
+    /// Their estimated work, in tokens still to be computed.
+    pub work: u64,
+    /// When the sums were taken, in whole milliseconds.
+    pub taken: Moment,
+}
+
+/// What one instance tells another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Message {
+    /// The sender, alive at this beat.
+    pub from: Heartbeat,
+    /// The bundle version in force at the sender; 0 for none.
+    pub version: Version,
+    /// What is said of instances.
+    pub rumours: Vec<Rumour>,
+    /// Endpoints that leave.
+    pub leaving: Vec<Leaving>,
+    /// The sender's load sums.
+    pub loads: Vec<Load>,
+    /// Quarantine evidence.
+    pub evidence: Vec<Evidence>,
+}
+
+/// Why bytes are no message.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum Error {
+    /// the bytes are no gossip message ({0}); check that all instances run the same release
+    Malformed(String),
+}
+
+impl std::error::Error for Error {}
+
+impl Message {
+    /// Encodes the message.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the encoder fails, which writing to memory never does.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        rmp_serde::to_vec(self).expect("a message encodes into memory")
+    }
+
+    /// Decodes a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Malformed`] for anything that [`Message::encode`] did
+    /// not write.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        rmp_serde::from_slice(bytes).map_err(|cause| Error::Malformed(cause.to_string()))
+    }
+}
+
+const ELEMENTS: usize = 9;
+
+impl Serialize for Message {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(ELEMENTS)?;
+        tuple.serialize_element(&self.from.id)?;
+        tuple.serialize_element(&self.from.incarnation)?;
+        tuple.serialize_element(&self.from.beat)?;
+        tuple.serialize_element(&(self.from.standing == Standing::Leaving))?;
+        tuple.serialize_element(&self.version)?;
+        tuple.serialize_element(&self.rumours)?;
+        tuple.serialize_element(&self.leaving)?;
+        tuple.serialize_element(&self.loads)?;
+        tuple.serialize_element(&Flat(&self.evidence))?;
+        tuple.end()
+    }
+}
+
+impl<'de> Deserialize<'de> for Message {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(ELEMENTS, MessageVisitor)
+    }
+}
+
+struct MessageVisitor;
+
+impl<'de> Visitor<'de> for MessageVisitor {
+    type Value = Message;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("an array of nine: id, incarnation, beat, leaving, version, lists")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Message, A::Error> {
+        Ok(Message {
+            from: Heartbeat {
+                id: element(&mut seq)?,
+                incarnation: element(&mut seq)?,
+                beat: element(&mut seq)?,
+                standing: standing(element(&mut seq)?),
+            },
+            version: element(&mut seq)?,
+            rumours: element(&mut seq)?,
+            leaving: element(&mut seq)?,
+            loads: element(&mut seq)?,
+            evidence: element::<A, Pieces>(&mut seq)?.0,
+        })
+    }
+}
+
+const fn standing(leaving: bool) -> Standing {
+    if leaving {
+        Standing::Leaving
+    } else {
+        Standing::Live
+    }
+}
+
+fn element<'de, A: SeqAccess<'de>, T: Deserialize<'de>>(seq: &mut A) -> Result<T, A::Error> {
+    seq.next_element()?
+        .ok_or_else(|| de::Error::custom("a message has too few elements"))
+}
+
+impl Serialize for Rumour {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let state = match self.state {
+            State::Live => 0_u8,
+            State::Suspect => 1,
+            State::Leaving => 2,
+            State::Returning => 3,
+            State::Gone => 4,
+        };
+        (self.id, self.incarnation, self.beat, state).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Rumour {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (id, incarnation, beat, state) = Deserialize::deserialize(deserializer)?;
+        let state = match state {
+            0_u8 => State::Live,
+            1 => State::Suspect,
+            2 => State::Leaving,
+            3 => State::Returning,
+            4 => State::Gone,
+            _ => return Err(de::Error::custom("unknown state of an instance")),
+        };
+        Ok(Self {
+            id,
+            incarnation,
+            beat,
+            state,
+        })
+    }
+}
+
+impl Serialize for Leaving {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (self.id, self.incarnation).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Leaving {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (id, incarnation) = Deserialize::deserialize(deserializer)?;
+        Ok(Self { id, incarnation })
+    }
+}
+
+impl Serialize for Load {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let taken = u64::try_from(self.taken.as_millis()).unwrap_or(u64::MAX);
+        (self.pool, self.endpoints, self.work, taken).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Load {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (pool, endpoints, work, taken) = Deserialize::deserialize(deserializer)?;
+        Ok(Self {
+            pool,
+            endpoints,
+            work,
+            taken: Duration::from_millis(taken),
+        })
+    }
+}
+
+// Evidence as one byte string, so that a piece costs its 48 bytes alone.
+struct Flat<'a>(&'a [Evidence]);
+
+impl Serialize for Flat<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(self.0.as_flattened())
+    }
+}
+
+struct Pieces(Vec<Evidence>);
+
+impl<'de> Deserialize<'de> for Pieces {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_bytes(PiecesVisitor)
+    }
+}
+
+struct PiecesVisitor;
+
+impl Visitor<'_> for PiecesVisitor {
+    type Value = Pieces;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("pieces of evidence, 48 bytes each")
+    }
+
+    fn visit_bytes<E: de::Error>(self, v: &[u8]) -> Result<Pieces, E> {
+        let (pieces, rest) = v.as_chunks::<EVIDENCE>();
+        if !rest.is_empty() {
+            return Err(E::invalid_length(v.len(), &self));
+        }
+        Ok(Pieces(pieces.to_vec()))
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,3 +6,8 @@
 //! carries the messages; tests and benches drive the same code directly.
 
 pub mod claim;
+pub mod drain;
+pub mod gossip;
+pub mod lease;
+pub mod membership;
+pub mod order;
--- /dev/null
+++ b/crates/state/src/membership/member.rs
@@ -0,0 +1,182 @@
+//! The state machine of one instance in one incarnation, as a peer sees it.
+//!
+//! ```text
+//!            accused            SUSPECT passed
+//!   live ------------> suspect ----------------> gone
+//!    ^ <------------------'                       |
+//!    |   answered with a greater beat             | a greater beat
+//!    |                                            v
+//!    '------------------------------------- returning
+//!                  PROBATION passed
+//!
+//!   any of them -- leaving sign --> leaving (sticky) -- silent --> gone
+//! ```
+
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use serde::{Deserialize, Serialize};
+use statig::prelude::*;
+
+/// How long an accused instance has to answer before it is gone.
+///
+/// A rumour reaches all of 320 instances within about 3 s, and the answer
+/// takes as long; less would drop instances that are merely slow to hear of
+/// the accusation. More leaves a dead instance's work on the fallback path.
+pub const SUSPECT: Duration = Duration::from_secs(6);
+
+/// How long an instance that came back must stay before it gets homes again.
+///
+/// Long against the seconds for which views differ, so that an instance that
+/// flaps moves its homes away once and not to and fro.
+pub const PROBATION: Duration = Duration::from_secs(8);
+
+// How long a leaving instance may be silent before it is forgotten; it answers
+// gossip until its last stream ends.
+const LEAVING_SILENCE: Duration = Duration::from_secs(30);
+
+/// How an instance stands, for rumours and for whoever asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum State {
+    /// It gets work.
+    Live,
+    /// Someone could not reach it; it keeps its homes for now.
+    Suspect,
+    /// It finishes what it has and gets no homes.
+    Leaving,
+    /// It came back and gets homes after its probation.
+    Returning,
+    /// It is taken for dead or cut off.
+    Gone,
+}
+
+/// What can happen to a member.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Event {
+    /// The instance itself, directly or through peers, showed this beat.
+    Alive { beat: u64, now: Moment },
+    /// Someone could not reach the instance at this beat.
+    Accused { beat: u64, now: Moment },
+    /// Someone gave the instance up at this beat.
+    Lost { beat: u64 },
+    /// The instance is leaving.
+    Leave { now: Moment },
+    /// The instance is new here and starts with its probation.
+    Probation { now: Moment },
+    /// Time passes.
+    Tick { now: Moment },
+}
+
+/// Shared storage of the machine.
+#[derive(Debug, Default)]
+pub(super) struct Member {
+    /// The greatest beat seen; only the subject raises it.
+    pub(super) beat: u64,
+    /// The last sign of life.
+    pub(super) heard: Moment,
+}
+
+/// One member's machine.
+pub(super) type Machine = StateMachine<Member>;
+
+#[state_machine(
+    initial = "Phase::live()",
+    state(name = "Phase", derive(Debug, Clone, Copy, PartialEq, Eq)),
+    visibility = "pub(super)"
+)]
+impl Member {
+    #[state]
+    fn live(&mut self, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Alive { beat, now } => self.alive(beat, now),
+            Event::Accused { beat, now } if beat >= self.beat => {
+                Transition(Phase::suspect(beat, now))
+            }
+            Event::Lost { beat } if beat >= self.beat => Transition(Phase::gone(beat)),
+            Event::Leave { now } => self.leave(now),
+            Event::Probation { now } => Transition(Phase::returning(now)),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn suspect(&mut self, at: &mut u64, from: &Moment, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Alive { beat, now } if beat > *at => {
+                self.sign(beat, now);
+                Transition(Phase::live())
+            }
+            Event::Lost { beat } if beat >= *at => Transition(Phase::gone(beat)),
+            Event::Leave { now } => self.leave(now),
+            Event::Tick { now } if since(now, *from) >= SUSPECT => Transition(Phase::gone(*at)),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn leaving(&mut self, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Alive { beat, now } => self.alive(beat, now),
+            Event::Tick { now } if since(now, self.heard) >= LEAVING_SILENCE => {
+                Transition(Phase::gone(self.beat))
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn returning(&mut self, from: &Moment, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Alive { beat, now } => self.alive(beat, now),
+            Event::Accused { beat, .. } | Event::Lost { beat } if beat >= self.beat => {
+                Transition(Phase::gone(beat))
+            }
+            Event::Leave { now } => self.leave(now),
+            Event::Tick { now } if since(now, *from) >= PROBATION => Transition(Phase::live()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn gone(&mut self, at: &mut u64, event: &Event) -> Outcome<Phase> {
+        match *event {
+            Event::Alive { beat, now } if beat > *at => {
+                self.sign(beat, now);
+                Transition(Phase::returning(now))
+            }
+            Event::Lost { beat } | Event::Accused { beat, .. } => {
+                *at = beat.max(*at);
+                Handled
+            }
+            _ => Handled,
+        }
+    }
+
+    fn alive(&mut self, beat: u64, now: Moment) -> Outcome<Phase> {
+        self.sign(beat, now);
+        Handled
+    }
+
+    fn leave(&mut self, now: Moment) -> Outcome<Phase> {
+        self.heard = now;
+        Transition(Phase::leaving())
+    }
+
+    fn sign(&mut self, beat: u64, now: Moment) {
+        self.beat = beat.max(self.beat);
+        self.heard = now;
+    }
+}
+
+impl Phase {
+    /// Returns the state without its storage.
+    pub(super) const fn state(&self) -> State {
+        match self {
+            Self::Live {} => State::Live,
+            Self::Suspect { .. } => State::Suspect,
+            Self::Leaving {} => State::Leaving,
+            Self::Returning { .. } => State::Returning,
+            Self::Gone { .. } => State::Gone,
+        }
+    }
+}
