history: recorder, files and a check for each promise

The programs are to be proved by histories of concurrent runs. Events get one total order from a recorder that all threads share; a cause is recorded before it is done and an effect once seen, so a verdict reads order and never the speed of the machine.

--- /dev/null
+++ b/crates/history/src/check/graceful.rs
@@ -0,0 +1,111 @@
+//! A graceful stop cuts no request in flight.
+//!
+//! A call is the stop's to keep if it passed the stopping instance, as its
+//! entry or on its way to an endpoint, and lasted into the stop. A broken
+//! answer is excused only by a fault on the same way: an instance killed, an
+//! endpoint lost, a run that the endpoint itself cut. A call that found no
+//! listener any more was never in flight.
+
+use displaydoc::Display;
+
+use super::{Violation, whole};
+use crate::event::{CallId, End, Event, Name, What};
+use crate::history::{Call, History};
+
+#[cfg(test)]
+mod tests;
+
+/// How the promise of a graceful stop was broken.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Breach {
+    /// the graceful stop of {instance} cut call {call}
+    Cut {
+        /// The instance.
+        instance: Name,
+        /// The call.
+        call: CallId,
+    },
+    /// the graceful stop of {instance} never ended
+    Endless {
+        /// The instance.
+        instance: Name,
+    },
+}
+
+struct Stop<'a> {
+    instance: &'a Name,
+    begun: &'a Event,
+    ended: Option<&'a Event>,
+}
+
+/// Returns the calls that graceful stops cut, and the stops without an end.
+#[must_use]
+pub fn check(history: &History<'_>) -> Vec<Violation<Breach>> {
+    let stops = stops(history);
+    let mut found: Vec<_> = stops
+        .iter()
+        .filter(|stop| stop.ended.is_none())
+        .map(endless)
+        .collect();
+    for call in history.calls() {
+        found.extend(judge(history, call, &stops));
+    }
+    found
+}
+
+fn stops<'a>(history: &History<'a>) -> Vec<Stop<'a>> {
+    let mut stops: Vec<Stop<'a>> = Vec::new();
+    for event in history.events() {
+        match &event.what {
+            What::StopBegun { instance } => stops.push(Stop {
+                instance,
+                begun: event,
+                ended: None,
+            }),
+            // A kill ends a stop too; what it cuts is the kill's doing.
+            What::StopEnded { instance } | What::InstanceKilled { instance } => {
+                let open = stops
+                    .iter_mut()
+                    .find(|stop| stop.instance == instance && stop.ended.is_none());
+                if let Some(stop) = open {
+                    stop.ended = Some(event);
+                }
+            }
+            _ => {}
+        }
+    }
+    stops
+}
+
+fn endless(stop: &Stop<'_>) -> Violation<Breach> {
+    let breach = Breach::Endless {
+        instance: stop.instance.clone(),
+    };
+    Violation::new(breach, [stop.begun])
+}
+
+fn judge(history: &History<'_>, call: &Call<'_>, stops: &[Stop<'_>]) -> Option<Violation<Breach>> {
+    let (got_event, _) = call.got.filter(|(_, got)| got.end == End::Cut)?;
+    let path = history.path(call);
+    let stop = stops
+        .iter()
+        .find(|stop| path.contains(&stop.instance) && overlaps(call, got_event, stop))?;
+    if whole::fault(history, call, got_event).is_some() {
+        return None;
+    }
+    let breach = Breach::Cut {
+        instance: stop.instance.clone(),
+        call: call.sent.call,
+    };
+    Some(Violation::new(
+        breach,
+        [call.sent_event, stop.begun, got_event],
+    ))
+}
+
+fn overlaps(call: &Call<'_>, got_event: &Event, stop: &Stop<'_>) -> bool {
+    let sent_before_end = stop
+        .ended
+        .is_none_or(|ended| call.sent_event.order < ended.order);
+    sent_before_end && got_event.order > stop.begun.order
+}
--- /dev/null
+++ b/crates/history/src/check/graceful/tests.rs
@@ -0,0 +1,57 @@
+use super::{Breach, check};
+use crate::history::History;
+use crate::script::Script;
+
+fn breaches(script: &Script) -> Vec<Breach> {
+    let history = History::new(&script.events).unwrap();
+    check(&history)
+        .into_iter()
+        .map(|violation| violation.breach)
+        .collect()
+}
+
+fn cut(call: u64) -> Breach {
+    Breach::Cut {
+        instance: "a".into(),
+        call,
+    }
+}
+
+/// A router is stopped during a long draft; it closes its listeners and exits
+/// while the stream still runs, and the editor's captions vanish.
+#[test]
+fn a_stream_cut_by_a_stop_is_found() {
+    let script = Script::new().draft(1, "a").run(1, 1, "e1");
+    let script = script.stop("a").cut(1).stopped("a");
+    assert_eq!(breaches(&script), [cut(1)]);
+}
+
+/// The stopping instance is not the caller's entry but the one that holds the
+/// connection to the engine.
+#[test]
+fn a_forwarded_stream_cut_by_a_stop_is_found() {
+    let script = Script::new().draft(1, "b").dispatch(1, "a", 1);
+    let script = script.stop("a").stopped("a").cut(1);
+    assert_eq!(breaches(&script), [cut(1)]);
+}
+
+#[test]
+fn a_stop_without_an_end_is_found() {
+    let endless = Breach::Endless {
+        instance: "a".into(),
+    };
+    assert_eq!(breaches(&Script::new().stop("a")), [endless]);
+}
+
+/// Near misses: a stream that an endpoint's loss cut during the stop, one
+/// that a kill during the stop cut, and a call sent after the stop had ended.
+#[test]
+fn cuts_that_are_not_the_stops_are_allowed() {
+    let lost = Script::new().draft(1, "a").run(1, 1, "e1").stop("a");
+    let lost = lost.lose("e1").cut(1).stopped("a");
+    assert_eq!(breaches(&lost), []);
+    let killed = Script::new().draft(1, "a").stop("a").kill("a").cut(1);
+    assert_eq!(breaches(&killed), []);
+    let after = Script::new().stop("a").stopped("a").draft(1, "a").cut(1);
+    assert_eq!(breaches(&after), []);
+}
--- /dev/null
+++ b/crates/history/src/check/load.rs
@@ -0,0 +1,179 @@
+//! No endpoint carries more than a set multiple of the mean load.
+//!
+//! The load of an endpoint is the estimated work of its runs in flight. The
+//! bound is judged at each event that raises a load, which is enough for
+//! every instant: between two such events loads only fall. That a mean falls
+//! because others finish gives no endpoint new work, so it is no breach; the
+//! next admission is judged under the new mean.
+//!
+//! A mean of a few requests can't be a bound: with one request on ten
+//! endpoints the mean is a tenth. Below the floor a load passes whatever the
+//! mean is.
+
+use std::collections::BTreeMap;
+
+use displaydoc::Display;
+
+use super::Violation;
+use crate::event::{Event, Name, Run, RunId, Sample, What};
+use crate::history::History;
+
+#[cfg(test)]
+mod tests;
+
+/// What the endpoints of one service are held to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    /// The service.
+    pub service: Name,
+    /// The multiple of the mean that no endpoint may exceed.
+    pub factor: f64,
+    /// The work that an endpoint may carry whatever the mean is.
+    pub floor: u64,
+}
+
+impl Limit {
+    fn allows(&self, work: u64, total: u64, endpoints: usize) -> bool {
+        if work <= self.floor {
+            return true;
+        }
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "sums of work stay far below 2^53 tokens"
+        )]
+        let (work, mean) = (work as f64, total as f64 / endpoints.max(1) as f64);
+        work <= self.factor * mean
+    }
+}
+
+/// How the load bound was broken.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Breach {
+    /// endpoint {endpoint} carried {work} of {total} on {endpoints} endpoints
+    Above {
+        /// The endpoint.
+        endpoint: Name,
+        /// Its work.
+        work: u64,
+        /// The work on all endpoints of the service.
+        total: u64,
+        /// How many endpoints the service had.
+        endpoints: usize,
+    },
+}
+
+/// Returns the instants at which an endpoint was put above the bound.
+#[must_use]
+pub fn check(history: &History<'_>, limit: &Limit) -> Vec<Violation<Breach>> {
+    let mut view = View::default();
+    let mut found = Vec::new();
+    for event in history.events() {
+        match view.take(&limit.service, event) {
+            Next::Judge(endpoint) => found.extend(view.judge(limit, endpoint, event)),
+            Next::JudgeSample(sample) => found.extend(judge_sample(limit, sample, event)),
+            Next::Nothing => {}
+        }
+    }
+    found
+}
+
+enum Next<'a> {
+    Judge(&'a str),
+    JudgeSample(&'a Sample),
+    Nothing,
+}
+
+#[derive(Default)]
+struct View<'a> {
+    work: BTreeMap<&'a str, u64>,
+    runs: BTreeMap<RunId, &'a Run>,
+}
+
+impl<'a> View<'a> {
+    fn take(&mut self, service: &str, event: &'a Event) -> Next<'a> {
+        match &event.what {
+            What::EndpointJoined {
+                endpoint,
+                service: served,
+                ..
+            } if served == service => {
+                // What an earlier life ran ended with it.
+                self.forget(endpoint);
+                self.work.insert(endpoint, 0);
+                Next::Nothing
+            }
+            What::EndpointLost { endpoint, .. } => {
+                self.forget(endpoint);
+                Next::Nothing
+            }
+            What::RunStarted(run) => self.start(run),
+            What::RunEnded(end) => {
+                self.end(end.run);
+                Next::Nothing
+            }
+            What::LoadSampled(sample) if sample.service == service => Next::JudgeSample(sample),
+            _ => Next::Nothing,
+        }
+    }
+
+    fn forget(&mut self, endpoint: &str) {
+        self.work.remove(endpoint);
+        self.runs.retain(|_, run| run.endpoint != endpoint);
+    }
+
+    fn start(&mut self, run: &'a Run) -> Next<'a> {
+        let Some(work) = self.work.get_mut(run.endpoint.as_str()) else {
+            return Next::Nothing;
+        };
+        *work += run.work;
+        self.runs.insert(run.run, run);
+        Next::Judge(&run.endpoint)
+    }
+
+    fn end(&mut self, run: RunId) {
+        let Some(run) = self.runs.remove(&run) else {
+            return;
+        };
+        if let Some(work) = self.work.get_mut(run.endpoint.as_str()) {
+            *work -= run.work;
+        }
+    }
+
+    // A leaving endpoint still carries what it has, so it stays in the mean
+    // until it is lost: leaving it out would blame the others for its work.
+    fn judge(&self, limit: &Limit, endpoint: &str, event: &Event) -> Option<Violation<Breach>> {
+        let work = self.work.get(endpoint).copied().unwrap_or(0);
+        let total = self.work.values().sum();
+        if limit.allows(work, total, self.work.len()) {
+            return None;
+        }
+        Some(above(endpoint, work, total, self.work.len(), event))
+    }
+}
+
+fn judge_sample(limit: &Limit, sample: &Sample, event: &Event) -> Vec<Violation<Breach>> {
+    let total = sample.work.values().sum();
+    let endpoints = sample.work.len();
+    sample
+        .work
+        .iter()
+        .filter(|(_, work)| !limit.allows(**work, total, endpoints))
+        .map(|(endpoint, work)| above(endpoint, *work, total, endpoints, event))
+        .collect()
+}
+
+fn above(
+    endpoint: &str,
+    work: u64,
+    total: u64,
+    endpoints: usize,
+    event: &Event,
+) -> Violation<Breach> {
+    let breach = Breach::Above {
+        endpoint: endpoint.to_owned(),
+        work,
+        total,
+        endpoints,
+    };
+    Violation::new(breach, [event])
+}
--- /dev/null
+++ b/crates/history/src/check/load/tests.rs
@@ -0,0 +1,68 @@
+use super::{Breach, Limit, check};
+use crate::event::{Sample, What};
+use crate::history::History;
+use crate::script::Script;
+
+fn breaches(script: &Script) -> Vec<Breach> {
+    let limit = Limit {
+        service: "drafting".into(),
+        factor: 1.5,
+        floor: 100,
+    };
+    let history = History::new(&script.events).unwrap();
+    check(&history, &limit)
+        .into_iter()
+        .map(|violation| violation.breach)
+        .collect()
+}
+
+fn above(work: u64, total: u64) -> Breach {
+    Breach::Above {
+        endpoint: "e1".into(),
+        work,
+        total,
+        endpoints: 2,
+    }
+}
+
+fn two() -> Script {
+    Script::new().join("e1", 1).join("e2", 1).draft(1, "a")
+}
+
+/// A fete's chats all have their context on one engine; it is given them all
+/// and drowns while its neighbour idles.
+#[test]
+fn work_above_the_bound_is_found() {
+    let script = two().weighed(1, 1, "e1", 100).weighed(2, 1, "e2", 20);
+    let script = script.weighed(3, 1, "e1", 80);
+    assert_eq!(breaches(&script), [above(180, 200)]);
+}
+
+/// An engine whose earlier life ended starts from nothing, so its old runs
+/// neither count nor free anything when they end.
+#[test]
+fn an_earlier_life_does_not_count() {
+    let script = two().weighed(1, 1, "e1", 100).join("e1", 2);
+    let script = script.weighed(2, 1, "e2", 40).weighed(3, 1, "e1", 110);
+    let script = script.ran(1, 1).weighed(4, 1, "e1", 30);
+    assert_eq!(breaches(&script), [above(140, 180)]);
+}
+
+#[test]
+fn a_sample_above_the_bound_is_found() {
+    let work = [("e1".to_owned(), 180), ("e2".to_owned(), 20)];
+    let script = two().then(What::LoadSampled(Sample {
+        service: "drafting".into(),
+        work: work.into(),
+    }));
+    assert_eq!(breaches(&script), [above(180, 200)]);
+}
+
+/// Near misses: exactly at the bound, below the floor under a tiny mean, and
+/// above a mean that fell because the neighbour finished.
+#[test]
+fn work_at_the_bound_or_floor_is_allowed() {
+    let at_bound = two().weighed(1, 1, "e2", 50).weighed(2, 1, "e1", 150);
+    assert_eq!(breaches(&at_bound.ran(1, 1)), []);
+    assert_eq!(breaches(&two().weighed(1, 1, "e1", 100)), []);
+}
--- /dev/null
+++ b/crates/history/src/check/not_run/tests.rs
@@ -0,0 +1,60 @@
+use super::{Breach, check};
+use crate::history::History;
+use crate::script::Script;
+
+use godwitpost_types::outcome::Outcome;
+
+fn breaches(script: &Script) -> Vec<Breach> {
+    let history = History::new(&script.events).unwrap();
+    check(&history)
+        .into_iter()
+        .map(|violation| violation.breach)
+        .collect()
+}
+
+/// A shop is told that its print order was not run though it had been.
+#[test]
+fn a_run_before_the_word_is_found() {
+    let script = Script::new().order(1, "print", "a").run(5, 1, "e1");
+    let script = script.told(1, Outcome::NotRun);
+    assert_eq!(breaches(&script), [Breach::RanBefore { call: 1, run: 5 }]);
+}
+
+/// A caller's time runs out in a queue and it is told *not run*; the entry is
+/// still queued and runs a moment later.
+#[test]
+fn a_run_after_the_word_is_found() {
+    let script = Script::new().draft(1, "a").told(1, Outcome::NotRun);
+    let script = script.run(5, 1, "e1");
+    assert_eq!(breaches(&script), [Breach::RanAfter { call: 1, run: 5 }]);
+}
+
+/// A shop resends its order through another instance, which tells it *not
+/// run*; the first call was paused with its claim held, wakes and runs.
+#[test]
+fn a_run_of_an_earlier_call_of_the_job_is_found() {
+    let script = Script::new().order(1, "print", "a").order(2, "print", "b");
+    let script = script.told(2, Outcome::NotRun).run(5, 1, "e1");
+    assert_eq!(breaches(&script), [Breach::RanAfter { call: 2, run: 5 }]);
+}
+
+/// Near miss: the caller is told *not run* and places the order again.
+#[test]
+fn a_run_of_a_later_call_is_allowed() {
+    let script = Script::new()
+        .order(1, "print", "a")
+        .told(1, Outcome::NotRun);
+    let script = script.order(2, "print", "a").run(5, 2, "e1");
+    assert_eq!(breaches(&script), []);
+}
+
+/// Near miss: another workspace has an order under the same key.
+#[test]
+fn the_same_job_name_elsewhere_is_allowed() {
+    let mut script = Script::new().order(1, "print", "a").order(2, "print", "a");
+    if let crate::event::What::CallerSent(sent) = &mut script.events[1].what {
+        sent.workspace = "kushiro".into();
+    }
+    let script = script.run(5, 1, "e1").told(2, Outcome::NotRun);
+    assert_eq!(breaches(&script), []);
+}
--- /dev/null
+++ b/crates/history/src/check/whole.rs
@@ -0,0 +1,159 @@
+//! Every caller gets the whole answer to its own request and nobody else's.
+//!
+//! An answer that a caller took for whole must be one that an endpoint ended
+//! as whole for that same request. A broken answer is no lie, for the caller
+//! sees it broken; but without a fault on its way it is a broken promise, and
+//! so is a call that never comes to an end.
+
+use displaydoc::Display;
+use godwitpost_types::outcome::Outcome;
+
+use super::Violation;
+use crate::event::{CallId, Digest, End, Event, Got};
+use crate::history::{Call, Execution, History};
+
+#[cfg(test)]
+mod tests;
+
+/// How the promise of a whole answer of one's own was broken.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Breach {
+    /// call {call} got the answer to call {other}
+    Crossed {
+        /// The call.
+        call: CallId,
+        /// The call whose answer it got.
+        other: CallId,
+    },
+    /// call {call} took for whole an answer that no endpoint ended as whole
+    Altered {
+        /// The call.
+        call: CallId,
+    },
+    /// call {call} was told that it ran, and no endpoint ran it
+    NeverRan {
+        /// The call.
+        call: CallId,
+    },
+    /// call {call} got a whole answer that doesn't tell the request's fate
+    Untold {
+        /// The call.
+        call: CallId,
+    },
+    /// call {call} was cut with no fault on its way
+    Cut {
+        /// The call.
+        call: CallId,
+    },
+    /// call {call} never came to an end
+    Unanswered {
+        /// The call.
+        call: CallId,
+    },
+}
+
+/// Returns the calls whose callers did not get their own whole answer.
+#[must_use]
+pub fn check(history: &History<'_>) -> Vec<Violation<Breach>> {
+    history
+        .calls()
+        .filter_map(|call| judge(history, call))
+        .collect()
+}
+
+fn judge(history: &History<'_>, call: &Call<'_>) -> Option<Violation<Breach>> {
+    let id = call.sent.call;
+    let Some((got_event, got)) = call.got else {
+        let breach = Breach::Unanswered { call: id };
+        return Some(Violation::new(breach, [call.sent_event]));
+    };
+    let breach = match got.end {
+        End::Whole => return judge_whole(history, call, got_event, got),
+        End::Cut if fault(history, call, got_event).is_none() => Breach::Cut { call: id },
+        End::Cut | End::Abandoned | End::Unreached => return None,
+    };
+    Some(Violation::new(breach, [call.sent_event, got_event]))
+}
+
+fn judge_whole(
+    history: &History<'_>,
+    call: &Call<'_>,
+    got_event: &Event,
+    got: &Got,
+) -> Option<Violation<Breach>> {
+    let shown = [call.sent_event, got_event];
+    let id = call.sent.call;
+    match (got.outcome, &got.answer) {
+        (None, _) => Some(Violation::new(Breach::Untold { call: id }, shown)),
+        (Some(Outcome::Ran), None) if history.runs_for(call.sent).is_empty() => {
+            Some(Violation::new(Breach::NeverRan { call: id }, shown))
+        }
+        (Some(Outcome::Ran), Some(answer)) => judge_answer(history, call, got_event, answer),
+        _ => None,
+    }
+}
+
+fn judge_answer(
+    history: &History<'_>,
+    call: &Call<'_>,
+    got_event: &Event,
+    answer: &Digest,
+) -> Option<Violation<Breach>> {
+    let id = call.sent.call;
+    let runs = history.runs_for(call.sent);
+    if runs.iter().any(|run| gave(run, answer, got_event)) {
+        return None;
+    }
+    if let Some(run) = history.runs().find(|run| gave(run, answer, got_event)) {
+        let other = run.started.call;
+        let shown = [call.sent_event, run.started_event, got_event];
+        return Some(Violation::new(Breach::Crossed { call: id, other }, shown));
+    }
+    if runs.is_empty() {
+        let shown = [call.sent_event, got_event];
+        return Some(Violation::new(Breach::NeverRan { call: id }, shown));
+    }
+    let ends = runs
+        .iter()
+        .map(|run| run.ended.map_or(run.started_event, |(event, _)| event));
+    let shown = ends.chain([call.sent_event, got_event]);
+    Some(Violation::new(Breach::Altered { call: id }, shown))
+}
+
+// An endpoint records the end of its answer before it sends the last byte,
+// so a caller that has the whole answer stands after it in the history.
+fn gave(run: &Execution<'_>, answer: &Digest, got_event: &Event) -> bool {
+    run.ended.is_some_and(|(event, end)| {
+        event.order < got_event.order
+            && end.end == End::Whole
+            && end.answer.as_ref() == Some(answer)
+    })
+}
+
+/// Returns a fault on the way of a call that excuses its broken answer.
+pub(super) fn fault<'a>(
+    history: &History<'a>,
+    call: &Call<'a>,
+    got_event: &Event,
+) -> Option<&'a Event> {
+    let (from, to) = (call.sent_event.order, got_event.order);
+    let killed = history
+        .path(call)
+        .into_iter()
+        .find_map(|instance| history.killed(instance, from, to));
+    let failed = || {
+        history
+            .runs_for(call.sent)
+            .into_iter()
+            .find_map(|run| failure(history, run, to))
+    };
+    killed.or_else(failed)
+}
+
+fn failure<'a>(history: &History<'a>, run: &Execution<'a>, to: u64) -> Option<&'a Event> {
+    let cut = run
+        .ended
+        .filter(|(event, end)| end.end == End::Cut && event.order < to)
+        .map(|(event, _)| event);
+    cut.or_else(|| history.lost(&run.started.endpoint, run.started_event.order, to))
+}
--- /dev/null
+++ b/crates/history/src/history.rs
@@ -0,0 +1,297 @@
+//! A well-formed history with the indexes that the checks read.
+//!
+//! A checker that skips what it does not understand would pass a broken
+//! recording, so a history is refused as a whole when its events contradict
+//! each other: the fault then lies with who recorded it.
+
+use std::collections::BTreeMap;
+
+use displaydoc::Display;
+
+use crate::event::{CallId, Dispatch, Event, Got, Name, Run, RunEnd, RunId, Sent, What};
+
+#[cfg(test)]
+mod tests;
+
+/// Why events are no history.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// event {order} follows {before}: sort the events by order number and drop copies
+    Unordered {
+        /// The event's order number.
+        order: u64,
+        /// The order number before it.
+        before: u64,
+    },
+    /// event {order} tells of call {call} a second time: give each call its own id
+    CallTwice {
+        /// The event's order number.
+        order: u64,
+        /// The call.
+        call: CallId,
+    },
+    /// event {order} ends call {call}, which nobody sent: record a call before sending it
+    CallUnsent {
+        /// The event's order number.
+        order: u64,
+        /// The call.
+        call: CallId,
+    },
+    /// event {order} tells of run {run} a second time: give each run its own id
+    RunTwice {
+        /// The event's order number.
+        order: u64,
+        /// The run.
+        run: RunId,
+    },
+    /// event {order} ends run {run}, which never started: record a run before it starts
+    RunUnstarted {
+        /// The event's order number.
+        order: u64,
+        /// The run.
+        run: RunId,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// A call with its beginning and, unless it is open, its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// The event in which it was sent.
+    pub sent_event: &'a Event,
+    /// What was sent.
+    pub sent: &'a Sent,
+    /// The event in which it ended, and how.
+    pub got: Option<(&'a Event, &'a Got)>,
+}
+
+/// A run with its beginning and, unless it still runs, its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Execution<'a> {
+    /// The event in which it started.
+    pub started_event: &'a Event,
+    /// What started.
+    pub started: &'a Run,
+    /// The event in which it ended, and how.
+    pub ended: Option<(&'a Event, &'a RunEnd)>,
+}
+
+/// A well-formed history.
+#[derive(Clone, Debug)]
+pub struct History<'a> {
+    events: &'a [Event],
+    calls: BTreeMap<CallId, Call<'a>>,
+    runs: BTreeMap<RunId, Execution<'a>>,
+    runs_by_call: BTreeMap<CallId, Vec<RunId>>,
+    calls_by_job: BTreeMap<(&'a str, &'a str), Vec<CallId>>,
+    dispatches_by_call: BTreeMap<CallId, Vec<&'a Dispatch>>,
+}
+
+impl<'a> History<'a> {
+    /// Indexes events.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error`] for the first event that contradicts those before.
+    pub fn new(events: &'a [Event]) -> Result<Self, Error> {
+        ordered(events)?;
+        let mut history = Self {
+            events,
+            calls: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            runs_by_call: BTreeMap::new(),
+            calls_by_job: BTreeMap::new(),
+            dispatches_by_call: BTreeMap::new(),
+        };
+        for event in events {
+            history.index(event)?;
+        }
+        Ok(history)
+    }
+
+    /// Returns all events in their order.
+    #[must_use]
+    pub const fn events(&self) -> &'a [Event] {
+        self.events
+    }
+
+    /// Returns all calls by their ids.
+    pub fn calls(&self) -> impl Iterator<Item = &Call<'a>> {
+        self.calls.values()
+    }
+
+    /// Returns a call, unless nobody sent it.
+    #[must_use]
+    pub fn call(&self, call: CallId) -> Option<&Call<'a>> {
+        self.calls.get(&call)
+    }
+
+    /// Returns all runs by their ids.
+    pub fn runs(&self) -> impl Iterator<Item = &Execution<'a>> {
+        self.runs.values()
+    }
+
+    /// Returns a run, unless it never started.
+    #[must_use]
+    pub fn run(&self, run: RunId) -> Option<&Execution<'a>> {
+        self.runs.get(&run)
+    }
+
+    /// Returns the runs of one call's request.
+    pub fn runs_of(&self, call: CallId) -> impl Iterator<Item = &Execution<'a>> {
+        let ids = self.runs_by_call.get(&call).into_iter().flatten();
+        ids.filter_map(|id| self.runs.get(id))
+    }
+
+    /// Returns the calls that asked for the same job as `sent`, itself too.
+    #[must_use]
+    pub fn calls_alike(&self, sent: &Sent) -> Vec<&Call<'a>> {
+        let job = (sent.workspace.as_str(), sent.job.as_str());
+        let ids = self.calls_by_job.get(&job).into_iter().flatten();
+        ids.filter_map(|id| self.calls.get(id)).collect()
+    }
+
+    /// Returns the runs that count as runs of `sent`.
+    ///
+    /// A job that may run at most once is one thing however often it is sent,
+    /// so the runs of all its calls count; else a call counts for itself.
+    #[must_use]
+    pub fn runs_for(&self, sent: &Sent) -> Vec<&Execution<'a>> {
+        if !sent.unrepeatable {
+            return self.runs_of(sent.call).collect();
+        }
+        self.calls_alike(sent)
+            .into_iter()
+            .flat_map(|call| self.runs_of(call.sent.call))
+            .collect()
+    }
+
+    /// Returns the event that took `instance` down for a call that lasted
+    /// from `from` to `to` (order numbers), if one did.
+    #[must_use]
+    pub fn killed(&self, instance: &str, from: u64, to: u64) -> Option<&'a Event> {
+        let mut down = None;
+        for event in self.until(to) {
+            match &event.what {
+                What::InstanceKilled { instance: name } if name == instance => down = Some(event),
+                What::InstanceStarted { instance: name }
+                    if name == instance && event.order < from =>
+                {
+                    down = None;
+                }
+                _ => {}
+            }
+        }
+        down
+    }
+
+    /// Returns the event in which `endpoint` was lost between two order
+    /// numbers, if it was.
+    #[must_use]
+    pub fn lost(&self, endpoint: &str, from: u64, to: u64) -> Option<&'a Event> {
+        self.until(to).find(|event| {
+            let lost = matches!(&event.what, What::EndpointLost { endpoint: name, .. } if name == endpoint);
+            lost && event.order > from
+        })
+    }
+
+    /// Returns the instances that a call passed, its entry instance first.
+    #[must_use]
+    pub fn path(&self, call: &Call<'a>) -> Vec<&'a Name> {
+        let dispatches = self.dispatches_by_call.get(&call.sent.call);
+        let dispatches = dispatches.into_iter().flatten();
+        let mut path = vec![&call.sent.instance];
+        path.extend(dispatches.map(|dispatch| &dispatch.instance));
+        path
+    }
+
+    fn until(&self, order: u64) -> impl Iterator<Item = &'a Event> {
+        self.events
+            .iter()
+            .take_while(move |event| event.order <= order)
+    }
+
+    fn index(&mut self, event: &'a Event) -> Result<(), Error> {
+        match &event.what {
+            What::CallerSent(sent) => self.sent(event, sent),
+            What::CallerGot(got) => self.got(event, got),
+            What::RunStarted(run) => self.started(event, run),
+            What::RunEnded(end) => self.ended(event, end),
+            What::Dispatched(dispatch) => {
+                let dispatches = self.dispatches_by_call.entry(dispatch.call);
+                dispatches.or_default().push(dispatch);
+                Ok(())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn sent(&mut self, event: &'a Event, sent: &'a Sent) -> Result<(), Error> {
+        let call = Call {
+            sent_event: event,
+            sent,
+            got: None,
+        };
+        if self.calls.insert(sent.call, call).is_some() {
+            return Err(Error::CallTwice {
+                order: event.order,
+                call: sent.call,
+            });
+        }
+        let job = (sent.workspace.as_str(), sent.job.as_str());
+        self.calls_by_job.entry(job).or_default().push(sent.call);
+        Ok(())
+    }
+
+    fn got(&mut self, event: &'a Event, got: &'a Got) -> Result<(), Error> {
+        let (order, call) = (event.order, got.call);
+        let open = self
+            .calls
+            .get_mut(&call)
+            .ok_or(Error::CallUnsent { order, call })?;
+        if open.got.replace((event, got)).is_some() {
+            return Err(Error::CallTwice { order, call });
+        }
+        Ok(())
+    }
+
+    fn started(&mut self, event: &'a Event, started: &'a Run) -> Result<(), Error> {
+        let run = started.run;
+        let execution = Execution {
+            started_event: event,
+            started,
+            ended: None,
+        };
+        if self.runs.insert(run, execution).is_some() {
+            return Err(Error::RunTwice {
+                order: event.order,
+                run,
+            });
+        }
+        self.runs_by_call.entry(started.call).or_default().push(run);
+        Ok(())
+    }
+
+    fn ended(&mut self, event: &'a Event, end: &'a RunEnd) -> Result<(), Error> {
+        let (order, run) = (event.order, end.run);
+        let open = self
+            .runs
+            .get_mut(&run)
+            .ok_or(Error::RunUnstarted { order, run })?;
+        if open.ended.replace((event, end)).is_some() {
+            return Err(Error::RunTwice { order, run });
+        }
+        Ok(())
+    }
+}
+
+fn ordered(events: &[Event]) -> Result<(), Error> {
+    for pair in events.windows(2) {
+        let (before, order) = (pair[0].order, pair[1].order);
+        if order <= before {
+            return Err(Error::Unordered { order, before });
+        }
+    }
+    Ok(())
+}
