demo: a seeded plan of sessions and the callers that hold them

One seed gives one list of chats, orders and lookups. Callers resend as the callers' page tells them to: what was not run or broke is sent again, an order always under its key.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -5,7 +5,10 @@
 //! that resend as `docs/CALLERS.md` tells them to, and a history of all they
 //! did that [`godwitpost_history`] judges.
 
+pub mod balancer;
 pub mod caller;
 pub mod cli;
 pub mod deployment;
+pub mod load;
+pub mod plan;
 pub mod report;
--- /dev/null
+++ b/crates/demo/src/load.rs
@@ -0,0 +1,213 @@
+//! Callers that hold the planned sessions, as `docs/CALLERS.md` tells them to.
+//!
+//! A call that was not run is sent again, and so is one whose answer broke.
+//! An order is always sent again under its key: the key makes a resend a
+//! question about the first, and never a second order.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_history::event::{CallId, End};
+use godwitpost_history::recorder::Recorder;
+use godwitpost_types::outcome::Outcome;
+use http::Method;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::balancer::Balancer;
+use crate::caller::{self, Ask, Seen};
+use crate::deployment::Deployment;
+use crate::plan::{Chat, Lookup, Order, Session};
+use crate::report::Report;
+
+mod stream;
+
+/// Sends of one request at most. Six outlast a hard kill and a short outage
+/// with the pauses between them.
+const SENDS: u64 = 6;
+
+/// The pause before the first resend; it doubles with each.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// How long a person takes to read an answer and write on, in milliseconds.
+const THINK_MILLIS: std::ops::RangeInclusive<u64> = 5..=60;
+
+/// Callers of one deployment with what they share.
+#[derive(Debug)]
+pub struct Load {
+    deployment: Deployment,
+    recorder: Recorder,
+    balancer: Arc<Balancer>,
+    seed: u64,
+    next_call: AtomicU64,
+    done: watch::Sender<u64>,
+    report: Mutex<Report>,
+}
+
+impl Load {
+    /// Makes callers that record what they do and reach the fleet through a
+    /// balancer.
+    #[must_use]
+    pub fn new(
+        deployment: Deployment,
+        recorder: Recorder,
+        balancer: Arc<Balancer>,
+        seed: u64,
+    ) -> Self {
+        let report = Report {
+            fleet: deployment.fleet.to_owned(),
+            ..Report::default()
+        };
+        Self {
+            deployment,
+            recorder,
+            balancer,
+            seed,
+            // A trace id of zero is invalid.
+            next_call: AtomicU64::new(1),
+            done: watch::Sender::new(0),
+            report: Mutex::new(report),
+        }
+    }
+
+    /// Returns how many requests have come to their end, as it grows.
+    #[must_use]
+    pub fn done(&self) -> watch::Receiver<u64> {
+        self.done.subscribe()
+    }
+
+    /// Returns the figures so far.
+    pub fn report(&self) -> MutexGuard<'_, Report> {
+        self.report.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Holds sessions side by side, `width` at once.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a session did, which is a bug of the demo.
+    pub async fn run(self: &Arc<Self>, sessions: Vec<Session>, width: usize) {
+        let mut waiting = sessions.into_iter().zip(0_u64..);
+        let mut held = JoinSet::new();
+        loop {
+            while held.len() < width
+                && let Some((session, number)) = waiting.next()
+            {
+                let load = Arc::clone(self);
+                held.spawn(async move { load.hold(session, number).await });
+            }
+            match held.join_next().await {
+                Some(ended) => ended.expect("a session doesn't panic"),
+                None => return,
+            }
+        }
+    }
+
+    async fn hold(&self, session: Session, number: u64) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
+        rng.set_stream(number + 1);
+        match session {
+            Session::Chat(chat) => self.chat(chat, &mut rng).await,
+            Session::Order(order) => drop(self.order(&order, &mut rng).await),
+            Session::Lookup(lookup) => drop(self.lookup(&lookup, &mut rng).await),
+        }
+    }
+
+    async fn chat(&self, chat: Chat, rng: &mut ChaCha8Rng) {
+        let mut messages = Vec::new();
+        for (number, turn) in (1..).zip(&chat.turns) {
+            messages.push(json!({ "role": "user", "content": turn.text }));
+            let body = json!({
+                "model": self.deployment.model,
+                "stream": true,
+                "max_tokens": turn.tokens,
+                "messages": messages,
+            });
+            let ask = Ask {
+                job: format!("{}-{number}", chat.id),
+                workspace: chat.workspace.clone(),
+                chat: Some(chat.id.clone()),
+                key: None,
+                method: Method::POST,
+                path: "/v1/chat/completions".to_owned(),
+                body: Bytes::from(body.to_string()),
+            };
+            let seen = self.settle(0, &ask, rng).await;
+            let said = stream::text(&seen.body);
+            messages.push(json!({ "role": "assistant", "content": said }));
+            let think = rng.random_range(THINK_MILLIS);
+            tokio::time::sleep(Duration::from_millis(think)).await;
+        }
+    }
+
+    /// Places an order and returns the last answer to it.
+    pub async fn order(&self, order: &Order, rng: &mut ChaCha8Rng) -> Seen {
+        let body = json!({ "order": order.key, "copies": order.copies });
+        let ask = Ask {
+            job: order.key.clone(),
+            workspace: order.workspace.clone(),
+            chat: None,
+            key: Some(order.key.clone()),
+            method: Method::POST,
+            path: self.deployment.order_path.to_owned(),
+            body: Bytes::from(body.to_string()),
+        };
+        self.settle(1, &ask, rng).await
+    }
+
+    async fn lookup(&self, lookup: &Lookup, rng: &mut ChaCha8Rng) -> Seen {
+        let ask = Ask {
+            job: format!("lookup-{}", lookup.item),
+            workspace: lookup.workspace.clone(),
+            chat: None,
+            key: None,
+            method: Method::GET,
+            path: format!("{}/{}", self.deployment.lookup_path, lookup.item),
+            body: Bytes::new(),
+        };
+        self.settle(2, &ask, rng).await
+    }
+
+    /// Sends a request until its fate is settled or patience ends.
+    pub async fn settle(&self, class: usize, ask: &Ask, rng: &mut ChaCha8Rng) -> Seen {
+        let class = self.deployment.classes[class];
+        let mut sends = 0;
+        let seen = loop {
+            let seen = self.send(class, ask, rng).await;
+            sends += 1;
+            if sends == SENDS || settled(&seen) {
+                break seen;
+            }
+            tokio::time::sleep(PAUSE * (1 << (sends - 1))).await;
+        };
+        self.done.send_modify(|done| *done += 1);
+        seen
+    }
+
+    async fn send(&self, class: &str, ask: &Ask, rng: &mut ChaCha8Rng) -> Seen {
+        let call: CallId = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let to = self
+            .balancer
+            .pick(rng)
+            .expect("the demo leaves instances up");
+        let seen = caller::call(&self.recorder, call, &to, ask).await;
+        let whole = seen.end == End::Whole;
+        let mut report = self.report();
+        report.count(class, seen.outcome, whole);
+        if whole && seen.outcome == Some(Outcome::Ran) {
+            report.time(class, seen.first.unwrap_or(seen.total), seen.total);
+        }
+        seen
+    }
+}
+
+// A whole answer that says *ran* is the end, whatever the endpoint said in it.
+// An unknown fate stays unknown: asking again tells no more.
+fn settled(seen: &Seen) -> bool {
+    seen.end == End::Whole && matches!(seen.outcome, Some(Outcome::Ran | Outcome::Unknown))
+}
