platform: log writer and follower, timers that leave nothing behind

An append to the log can be refused, delayed, or take effect without an answer. The writer sees one through: refusals are tried again after growing, random pauses within a budget of appends, a lost answer is settled by reading the stream back, and only then is the same record appended again. After one lost answer no later refusal counts as "not appended". Memory is bounded by refusing the newest record.

The follower long-polls a stream and reports expired records before those that are left.

A subscription that is dropped now leaves the timer's wheel, and periods start at the driver's clock instead of the wheel's last tick.

--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -1,9 +1,16 @@
 //! The client of the platform's append-only log service.
 //!
 //! [`Client`] makes single calls and reports what is known of their effect.
+//! [`writer::Writer`] sees an append through refusals, outages and lost
+//! answers, within a budget of appends. [`follower::Follower`] reads a stream
+//! as it grows and says when records were lost to it.
 
 pub mod append;
+pub mod backoff;
+pub mod budget;
+pub mod follower;
 pub mod read;
+pub mod writer;
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- /dev/null
+++ b/crates/platform/src/log/budget/tests.rs
@@ -0,0 +1,39 @@
+use std::time::Duration;
+
+use proptest::prelude::*;
+
+use super::Budget;
+
+proptest! {
+    // Whatever the order of calls, a second never has more turns than the
+    // rate and the burst allow: the log's 429 would hit other instances too.
+    #[test]
+    fn no_second_has_more_turns_than_rate_and_burst(
+        gaps in prop::collection::vec(0_u64..400, 1..200),
+        rate in 1_u32..50,
+        burst in 1_u32..10,
+    ) {
+        let mut budget = Budget::new(f64::from(rate), burst);
+        let mut now = Duration::from_secs(1000);
+        let mut turns = Vec::new();
+        for gap in gaps {
+            now += Duration::from_millis(gap);
+            turns.extend(budget.take(now, now + Duration::from_secs(30)));
+        }
+        for (index, turn) in turns.iter().enumerate() {
+            let end = *turn + Duration::from_secs(1);
+            let count = turns[index..].iter().take_while(|&&other| other < end).count();
+            prop_assert!(count <= (rate + burst) as usize);
+        }
+    }
+}
+
+#[test]
+fn a_turn_past_the_deadline_is_not_taken() {
+    let mut budget = Budget::new(1.0, 1);
+    let now = Duration::from_secs(10);
+    assert_eq!(budget.take(now, now), Some(now));
+    assert_eq!(budget.take(now, now), None);
+    let second = Duration::from_secs(1);
+    assert_eq!(budget.take(now, now + second), Some(now + second));
+}
--- /dev/null
+++ b/crates/platform/src/log/follower.rs
@@ -0,0 +1,141 @@
+//! Reads a stream as it grows, through outages and truncation.
+
+use std::time::Duration;
+
+use godwitpost_types::id::Offset;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use super::backoff::Backoff;
+use super::{Client, Page, Record, read};
+use crate::timer::Timer;
+
+/// The shortest pause after a read that failed.
+const LEAST_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause. Configuration is to be in force everywhere within 6 s,
+/// so a log that is back must be noticed well before that.
+const MOST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Limits of a [`Follower`].
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Records read at once.
+    pub limit: usize,
+    /// How long a long poll waits for the next record. It must be shorter
+    /// than what the path to the log takes for idle.
+    pub wait: Duration,
+    /// The seed of the pauses; each instance has its own.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            limit: 1000,
+            wait: Duration::from_secs(5),
+            seed: 0,
+        }
+    }
+}
+
+/// What a follower met.
+#[derive(Debug)]
+pub enum Event {
+    /// Records, without a gap between them or after the last event.
+    Records(Vec<Record>),
+    /// Records from `asked` up to before `first` have expired unread. What is
+    /// read next starts at `first`.
+    Gap {
+        /// The offset that was to be read.
+        asked: Offset,
+        /// The first offset that is still kept.
+        first: Offset,
+    },
+    /// No record came within the long poll's wait: the reader is up to date.
+    Idle,
+    /// The log can't be read; the next call waits before it tries again.
+    Down(read::Error),
+}
+
+/// Follows one stream.
+#[derive(Debug)]
+pub struct Follower {
+    client: Client,
+    timer: Timer,
+    settings: Settings,
+    stream: String,
+    next: Offset,
+    // Records read along with a gap that has to be reported first.
+    held: Vec<Record>,
+    backoff: Backoff,
+    random: StdRng,
+    pause: Option<Duration>,
+}
+
+impl Follower {
+    /// Makes a follower of a stream from an offset on.
+    #[must_use]
+    pub fn new(
+        client: Client,
+        timer: Timer,
+        settings: Settings,
+        stream: &str,
+        from: Offset,
+    ) -> Self {
+        Self {
+            client,
+            timer,
+            stream: stream.to_owned(),
+            next: from,
+            held: Vec::new(),
+            backoff: Backoff::new(LEAST_PAUSE, MOST_PAUSE),
+            random: StdRng::seed_from_u64(settings.seed),
+            pause: None,
+            settings,
+        }
+    }
+
+    /// Returns the offset that is read next.
+    #[must_use]
+    pub fn position(&self) -> Offset {
+        self.held.first().map_or(self.next, |record| record.offset)
+    }
+
+    /// Waits for the next event.
+    ///
+    /// A future that is dropped loses no record: what it would have brought
+    /// is read again.
+    pub async fn next(&mut self) -> Event {
+        if !self.held.is_empty() {
+            return Event::Records(std::mem::take(&mut self.held));
+        }
+        if let Some(pause) = self.pause {
+            self.timer.until(self.timer.now() + pause).await;
+            self.pause = None;
+        }
+        let Settings { limit, wait, .. } = self.settings;
+        match self.client.read(&self.stream, self.next, limit, wait).await {
+            Ok(page) => self.take(page),
+            Err(error) => {
+                self.pause = Some(self.backoff.pause(&mut self.random));
+                Event::Down(error)
+            }
+        }
+    }
+
+    fn take(&mut self, page: Page) -> Event {
+        self.backoff.reset();
+        let asked = std::mem::replace(&mut self.next, page.next);
+        if page.first > asked {
+            self.held = page.records;
+            return Event::Gap {
+                asked,
+                first: page.first,
+            };
+        }
+        if page.records.is_empty() {
+            return Event::Idle;
+        }
+        Event::Records(page.records)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/log/writer.rs
@@ -0,0 +1,252 @@
+//! Sees appends through refusals, outages and lost answers.
+//!
+//! Each record must hold a unique id of its own, so that two records of equal
+//! bytes are the same record. That makes two things possible: an append whose
+//! answer was lost is settled by reading the stream back and comparing bytes,
+//! and one that is not found there is appended again, for if the first took
+//! effect late after all, every reader's fold treats the second as the same.
+//!
+//! Memory is bounded by refusal: what is accepted is never dropped, and what
+//! would exceed the bound is refused at once as not appended, the newest
+//! first, because its caller has waited least and can still do something else.
+
+mod attempt;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::Offset;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+use self::attempt::{Attempt, Found, Next};
+use super::backoff::Backoff;
+use super::budget::Budget;
+use super::{Appended, Client, append, read};
+use crate::timer::Timer;
+
+/// Records asked for in one read.
+const PAGE: usize = 1000;
+
+/// Limits of a [`Writer`].
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Appends a second; several hundred shared by the fleet's instances.
+    pub rate: f64,
+    /// Appends that may go at once after a quiet time.
+    pub burst: u32,
+    /// Records that wait or are under way at most.
+    pub records: usize,
+    /// Bytes of these records at most.
+    pub bytes: usize,
+    /// The shortest pause between tries.
+    pub least_pause: Duration,
+    /// The longest pause between tries.
+    pub most_pause: Duration,
+    /// The seed of the pauses; each instance has its own.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            // Six instances together stay under a hundred of the several
+            // hundred that the log takes.
+            rate: 15.0,
+            burst: 15,
+            records: 1024,
+            bytes: 16 * 1024 * 1024,
+            least_pause: Duration::from_millis(50),
+            most_pause: Duration::from_secs(5),
+            seed: 0,
+        }
+    }
+}
+
+/// Why an append has no offset.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// not appended: too many records wait for the log; try again later
+    Full,
+    /// not appended: no turn within the time allowed; allow more, or raise the budget
+    NoTurn,
+    /// not appended within the time allowed; the last try: {0}
+    NotAppended(append::Error),
+    /// may have been appended: {0}; look for the record's id in the stream
+    Unknown(append::Error),
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Returns whether the record may be on the log, or may yet appear there.
+    #[must_use]
+    pub const fn may_have_taken_effect(&self) -> bool {
+        matches!(self, Self::Unknown(_))
+    }
+}
+
+/// Appends to the log within a budget; its clones share it.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    client: Client,
+    timer: Timer,
+    settings: Arc<Settings>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    budget: Budget,
+    random: StdRng,
+    records: usize,
+    bytes: usize,
+    // By stream, an offset below which no record of a later append can be.
+    seen: BTreeMap<String, Offset>,
+}
+
+impl Writer {
+    /// Makes a writer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the settings' rate or burst isn't above zero.
+    #[must_use]
+    pub fn new(client: Client, timer: Timer, settings: Settings) -> Self {
+        let state = State {
+            budget: Budget::new(settings.rate, settings.burst),
+            random: StdRng::seed_from_u64(settings.seed),
+            records: 0,
+            bytes: 0,
+            seen: BTreeMap::new(),
+        };
+        Self {
+            client,
+            timer,
+            settings: Arc::new(settings),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Appends a record that holds its own unique id.
+    ///
+    /// Tries until `deadline`, and a little longer for a call that is under
+    /// way then. The offset is that of a record with these bytes; after a
+    /// lost answer it need not be the first of them.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`]; only [`Error::Unknown`] leaves open whether the record is on
+    /// the log.
+    pub async fn append(
+        &self,
+        stream: &str,
+        body: Bytes,
+        deadline: Moment,
+    ) -> Result<Appended, Error> {
+        let _place = Place::take(self, body.len())?;
+        let from = self.lock().seen.get(stream).copied().unwrap_or(0);
+        let pauses = Backoff::new(self.settings.least_pause, self.settings.most_pause);
+        let mut attempt = Attempt::new(deadline, pauses);
+        let mut next = Next::Append(self.timer.now());
+        loop {
+            next = match next {
+                Next::Append(at) => {
+                    self.timer.until(at).await;
+                    self.try_append(stream, &body, &mut attempt).await
+                }
+                Next::ReadBack(at) => {
+                    self.timer.until(at).await;
+                    let found = self.find(stream, &body, from).await;
+                    let now = self.timer.now();
+                    attempt.read_back(now, found, &mut self.lock().random)
+                }
+                Next::Done(appended) => return Ok(appended),
+                Next::Failed(error) => return Err(error),
+            };
+        }
+    }
+
+    /// Tells the writer that a stream has been read up to `next`, so that
+    /// reading back after a lost answer need not start at the stream's start.
+    pub fn seen(&self, stream: &str, next: Offset) {
+        let mut state = self.lock();
+        let seen = state.seen.entry(stream.to_owned()).or_default();
+        *seen = next.max(*seen);
+    }
+
+    async fn try_append(&self, stream: &str, body: &Bytes, attempt: &mut Attempt) -> Next {
+        let now = self.timer.now();
+        let turn = self.lock().budget.take(now, attempt.deadline());
+        let Some(turn) = turn else {
+            return attempt.no_turn();
+        };
+        self.timer.until(turn).await;
+        match self.client.append(stream, body.clone()).await {
+            Ok(appended) => {
+                self.seen(stream, appended.offset + 1);
+                Next::Done(appended)
+            }
+            Err(error) => {
+                let now = self.timer.now();
+                attempt.failed(now, error, &mut self.lock().random)
+            }
+        }
+    }
+
+    /// Looks for a record of these bytes from an offset to the stream's end.
+    async fn find(&self, stream: &str, body: &Bytes, from: Offset) -> Result<Found, read::Error> {
+        let mut next = from;
+        loop {
+            let page = self.client.read(stream, next, PAGE, Duration::ZERO).await?;
+            if let Some(record) = page.records.iter().find(|record| record.body == *body) {
+                return Ok(Found::There(Appended {
+                    offset: record.offset,
+                    time: record.time,
+                }));
+            }
+            if page.records.is_empty() {
+                return Ok(Found::Missing);
+            }
+            next = page.next;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // No code that holds the lock can panic half-way through a change.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A record's place within the writer's bounds, free again when dropped.
+struct Place {
+    writer: Writer,
+    bytes: usize,
+}
+
+impl Place {
+    fn take(writer: &Writer, bytes: usize) -> Result<Self, Error> {
+        let mut state = writer.lock();
+        let settings = &writer.settings;
+        if state.records >= settings.records || state.bytes + bytes > settings.bytes {
+            return Err(Error::Full);
+        }
+        state.records += 1;
+        state.bytes += bytes;
+        Ok(Self {
+            writer: writer.clone(),
+            bytes,
+        })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.writer.lock();
+        state.records -= 1;
+        state.bytes -= self.bytes;
+    }
+}
--- /dev/null
+++ b/crates/platform/src/log/writer/attempt.rs
@@ -0,0 +1,121 @@
+//! What to do next about one append, without I/O.
+
+#[cfg(test)]
+mod tests;
+
+use godwitpost_types::clock::Moment;
+use rand::Rng;
+
+use super::Error;
+use crate::log::backoff::Backoff;
+use crate::log::{Appended, append, read};
+
+/// What the writer does next.
+#[derive(Debug)]
+pub(super) enum Next {
+    /// Append the record at a moment.
+    Append(Moment),
+    /// Look for the record in the stream at a moment.
+    ReadBack(Moment),
+    /// Report where the record is.
+    Done(Appended),
+    /// Give up.
+    Failed(Error),
+}
+
+/// What reading back brought.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Found {
+    /// The record is on the log.
+    There(Appended),
+    /// It isn't, though it may still come.
+    Missing,
+}
+
+/// One append until it is settled.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    deadline: Moment,
+    pauses: Backoff,
+    // The last failure, and one that left the append's fate open. Once there
+    // was such a one no later refusal makes the append certain not to be.
+    refused: Option<append::Error>,
+    lost: Option<append::Error>,
+}
+
+impl Attempt {
+    pub(super) const fn new(deadline: Moment, pauses: Backoff) -> Self {
+        Self {
+            deadline,
+            pauses,
+            refused: None,
+            lost: None,
+        }
+    }
+
+    pub(super) const fn deadline(&self) -> Moment {
+        self.deadline
+    }
+
+    /// An append failed.
+    pub(super) fn failed(
+        &mut self,
+        now: Moment,
+        error: append::Error,
+        random: &mut impl Rng,
+    ) -> Next {
+        if error.may_have_taken_effect() {
+            self.lost = Some(error);
+            return Next::ReadBack(now);
+        }
+        let permanent = matches!(error, append::Error::Stream(_) | append::Error::Refused(_));
+        self.refused = Some(error);
+        if permanent {
+            return self.give_up();
+        }
+        self.after_pause(now, random, Next::Append)
+    }
+
+    /// The stream was read back, or could not be.
+    pub(super) fn read_back(
+        &mut self,
+        now: Moment,
+        found: Result<Found, read::Error>,
+        random: &mut impl Rng,
+    ) -> Next {
+        match found {
+            Ok(Found::There(appended)) => Next::Done(appended),
+            Ok(Found::Missing) => self.after_pause(now, random, Next::Append),
+            Err(error) => {
+                ::log::debug!(error:% = error; "reading back failed");
+                self.after_pause(now, random, Next::ReadBack)
+            }
+        }
+    }
+
+    /// The budget has no turn before the deadline.
+    pub(super) fn no_turn(&mut self) -> Next {
+        self.give_up()
+    }
+
+    fn after_pause(
+        &mut self,
+        now: Moment,
+        random: &mut impl Rng,
+        next: fn(Moment) -> Next,
+    ) -> Next {
+        let at = now + self.pauses.pause(random);
+        if at > self.deadline {
+            return self.give_up();
+        }
+        next(at)
+    }
+
+    fn give_up(&mut self) -> Next {
+        Next::Failed(match (self.lost.take(), self.refused.take()) {
+            (Some(lost), _) => Error::Unknown(lost),
+            (None, Some(refused)) => Error::NotAppended(refused),
+            (None, None) => Error::NoTurn,
+        })
+    }
+}
--- a/crates/platform/src/timer.rs
+++ b/crates/platform/src/timer.rs
@@ -11,13 +11,13 @@
 
 pub mod wheel;
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::time::Duration;
 
 use godwitpost_types::clock::Moment;
 use tokio::sync::{Notify, watch};
 
-use self::wheel::{Schedule, Wheel};
+use self::wheel::{Key, Schedule, Wheel};
 use crate::clock::Clock;
 
 /// A shared timer; its clones are one timer.
@@ -31,14 +31,37 @@
     wheel: Mutex<Wheel<watch::Sender<Moment>>>,
     // Wakes the driver when something earlier was subscribed.
     changed: Notify,
+    // The driver's clock. A wheel moves only when something is due, so
+    // between two ticks it may be far behind.
+    clock: OnceLock<Clock>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Wheel<watch::Sender<Moment>>> {
+        // No code that holds the lock can panic half-way through a change.
+        self.wheel.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// What a part holds to be told when it is due.
 ///
-/// Dropping it ends the subscription at its next tick.
+/// Dropping it ends the subscription.
 #[derive(Debug)]
 pub struct Subscription {
     ticks: watch::Receiver<Moment>,
+    key: Key,
+    // Weak, so that a subscription doesn't keep a timer that is gone.
+    shared: Weak<Shared>,
+}
+
+impl Drop for Subscription {
+    // Parts that wait for "this or a time-out" drop far more subscriptions
+    // than fire; left in the wheel they would pile up until due.
+    fn drop(&mut self) {
+        if let Some(shared) = self.shared.upgrade() {
+            shared.lock().remove(self.key);
+        }
+    }
 }
 
 impl Subscription {
@@ -60,10 +83,28 @@
             shared: Arc::new(Shared {
                 wheel: Mutex::new(Wheel::new(now)),
                 changed: Notify::new(),
+                clock: OnceLock::new(),
             }),
         }
     }
 
+    /// Returns the present moment: the driver's, or the last advance's.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        match self.shared.clock.get() {
+            Some(clock) => clock.now(),
+            None => self.shared.lock().now(),
+        }
+    }
+
+    /// Waits until a moment has come.
+    pub async fn until(&self, moment: Moment) {
+        if moment > self.now() {
+            // `None` would mean that the timer is gone, yet it is held here.
+            let _tick = self.at(moment).next().await;
+        }
+    }
+
     /// Subscribes to every `period` from now on.
     ///
     /// # Panics
@@ -83,15 +124,18 @@
 
     /// Moves time on and wakes who is due. Tests drive the timer by this.
     pub fn advance(&self, now: Moment) {
-        let mut wheel = self.lock();
+        let mut wheel = self.shared.lock();
         wheel.advance(now, |sender| sender.send(now).is_ok());
     }
 
     /// Drives the timer by the runtime's clock; it never returns.
+    ///
+    /// A second driver changes nothing but the time at which ticks come.
     pub async fn drive(self, clock: Clock) {
+        let clock = *self.shared.clock.get_or_init(|| clock);
         loop {
             self.advance(clock.now());
-            let next = self.lock().next();
+            let next = self.shared.lock().next();
             let changed = self.shared.changed.notified();
             match next {
                 Some(next) => {
@@ -107,16 +151,19 @@
 
     fn subscribe(&self, schedule: Schedule) -> Subscription {
         let (sender, ticks) = watch::channel(Moment::ZERO);
-        self.lock().insert(schedule, sender);
+        let now = self.now();
+        let key = self.shared.lock().insert(now, schedule, sender);
         self.shared.changed.notify_one();
-        Subscription { ticks }
+        Subscription {
+            ticks,
+            key,
+            shared: Arc::downgrade(&self.shared),
+        }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Wheel<watch::Sender<Moment>>> {
-        // No code that holds the lock can panic half-way through a change.
-        self.shared
-            .wheel
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Returns how many subscriptions wait to be due.
+    #[must_use]
+    pub fn subscriptions(&self) -> usize {
+        self.shared.lock().len()
     }
 }
--- a/crates/platform/src/timer/wheel.rs
+++ b/crates/platform/src/timer/wheel.rs
@@ -18,10 +18,15 @@
 #[derive(Debug)]
 pub struct Wheel<T> {
     now: Moment,
-    sequence: u64,
-    due: BTreeMap<(Moment, u64), (Schedule, T)>,
+    keys: Key,
+    due: BTreeMap<(Moment, Key), (Schedule, T)>,
+    // When each entry is due next, to find it by its key.
+    moments: BTreeMap<Key, Moment>,
 }
 
+/// Names an entry of a wheel.
+pub type Key = u64;
+
 impl<T> Default for Wheel<T> {
     fn default() -> Self {
         Self::new(Moment::ZERO)
@@ -34,18 +39,46 @@
     pub const fn new(now: Moment) -> Self {
         Self {
             now,
-            sequence: 0,
+            keys: 0,
             due: BTreeMap::new(),
+            moments: BTreeMap::new(),
         }
     }
 
-    /// Adds an entry; its first period starts at the wheel's present moment.
-    pub fn insert(&mut self, schedule: Schedule, entry: T) {
+    /// Adds an entry and returns its key; its first period starts at `now`.
+    pub fn insert(&mut self, now: Moment, schedule: Schedule, entry: T) -> Key {
         let at = match schedule {
-            Schedule::Every(period) => self.now + period,
+            Schedule::Every(period) => now + period,
             Schedule::At(moment) => moment,
         };
-        self.put(at, schedule, entry);
+        self.keys += 1;
+        self.put(at, self.keys, schedule, entry);
+        self.keys
+    }
+
+    /// Removes an entry; one that is gone already changes nothing.
+    pub fn remove(&mut self, key: Key) {
+        if let Some(at) = self.moments.remove(&key) {
+            self.due.remove(&(at, key));
+        }
+    }
+
+    /// Returns how many entries are due some time.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.due.len()
+    }
+
+    /// Returns whether nothing is due ever.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
+    /// Returns the moment to which it was moved last.
+    #[must_use]
+    pub const fn now(&self) -> Moment {
+        self.now
     }
 
     /// Returns the moment at which the next entry is due.
@@ -63,19 +96,20 @@
         self.now = self.now.max(now);
         let after = self.due.split_off(&(self.now, u64::MAX));
         let due = std::mem::replace(&mut self.due, after);
-        for ((at, _), (schedule, entry)) in due {
+        for ((at, key), (schedule, entry)) in due {
+            self.moments.remove(&key);
             if !fire(&entry) {
                 continue;
             }
             if let Schedule::Every(period) = schedule {
-                self.put(following(at, period, self.now), schedule, entry);
+                self.put(following(at, period, self.now), key, schedule, entry);
             }
         }
     }
 
-    fn put(&mut self, at: Moment, schedule: Schedule, entry: T) {
-        self.sequence += 1;
-        self.due.insert((at, self.sequence), (schedule, entry));
+    fn put(&mut self, at: Moment, key: Key, schedule: Schedule, entry: T) {
+        self.moments.insert(key, at);
+        self.due.insert((at, key), (schedule, entry));
     }
 }
 
--- a/crates/platform/tests/timer.rs
+++ b/crates/platform/tests/timer.rs
@@ -36,3 +36,18 @@
     timer.advance(11 * SECOND);
     assert_eq!(ticks.next().await, Some(11 * SECOND));
 }
+
+// A part waits for an answer or a time-out, ten thousand times an hour, and
+// nearly always the answer comes first. Time-outs that stayed in the wheel
+// would fill the memory of a router that does nothing wrong.
+#[tokio::test]
+async fn a_dropped_subscription_leaves_nothing_behind() {
+    let timer = Timer::new(SECOND);
+    drop(timer.at(1000 * SECOND));
+    drop(timer.every(SECOND));
+    let kept = timer.at(5 * SECOND);
+    assert_eq!(timer.subscriptions(), 1);
+    timer.advance(6 * SECOND);
+    assert_eq!(timer.subscriptions(), 0);
+    drop(kept);
+}
--- /dev/null
+++ b/crates/standin/tests/log_client.rs
@@ -0,0 +1,186 @@
+//! The platform's log writer and follower under the log's faults.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::clock::Clock;
+use godwitpost_platform::connect::{Connector, Settings as Pool};
+use godwitpost_platform::log::Client;
+use godwitpost_platform::log::follower::{self, Event, Follower};
+use godwitpost_platform::log::writer::{Error, Settings, Writer};
+use godwitpost_platform::timer::Timer;
+use godwitpost_standin::log::{self, Faults, Running};
+
+const MS: Duration = Duration::from_millis(1);
+const LONG: Duration = Duration::from_secs(20);
+const CLAIM: Bytes = Bytes::from_static(b"claim 17 of order k1");
+
+struct Fixture {
+    log: Running,
+    client: Client,
+    timer: Timer,
+}
+
+impl Fixture {
+    async fn start(faults: Faults) -> Self {
+        let address = "127.0.0.1:0".parse().expect("an address");
+        let log = log::start(address, faults).await.expect("a free port");
+        let connector = Connector::new(Pool::default());
+        let client = Client::new(connector, log.address(), LONG);
+        let clock = Clock::start();
+        let timer = Timer::new(clock.now());
+        tokio::spawn(timer.clone().drive(clock));
+        Self { log, client, timer }
+    }
+
+    fn writer(&self, records: usize) -> Writer {
+        let settings = Settings {
+            rate: 1000.0,
+            burst: 100,
+            records,
+            least_pause: 5 * MS,
+            most_pause: 20 * MS,
+            ..Settings::default()
+        };
+        Writer::new(self.client.clone(), self.timer.clone(), settings)
+    }
+
+    fn follower(&self) -> Follower {
+        let settings = follower::Settings {
+            wait: Duration::ZERO,
+            ..follower::Settings::default()
+        };
+        let (client, timer) = (self.client.clone(), self.timer.clone());
+        Follower::new(client, timer, settings, "claims", 0)
+    }
+}
+
+// The log takes a claim and the answer is lost. The writer must neither
+// report a failure, for the claim stands, nor leave a second record.
+#[tokio::test]
+async fn a_lost_answer_is_settled_by_reading_back() {
+    let fixture = Fixture::start(Faults {
+        lose_answers: 1.0,
+        ..Faults::default()
+    })
+    .await;
+    fixture.log.append("claims", Bytes::from_static(b"another"));
+    let deadline = fixture.timer.now() + LONG;
+    let appended = fixture.writer(10).append("claims", CLAIM, deadline).await;
+    assert_eq!(appended.expect("a settled append").offset, 1);
+    assert_eq!(fixture.log.records("claims").len(), 2);
+}
+
+// The connection breaks and the append takes effect later, after the writer
+// has looked in vain and tried again. Every record of it that shows up must
+// be the same, so that a fold can count it once.
+#[tokio::test]
+async fn a_late_effect_leaves_only_equal_records() {
+    let fixture = Fixture::start(Faults {
+        late_effects: 1.0,
+        late_by: 40 * MS,
+        ..Faults::default()
+    })
+    .await;
+    let deadline = fixture.timer.now() + LONG;
+    let appended = fixture.writer(10).append("claims", CLAIM, deadline).await;
+    appended.expect("a settled append");
+    let records = fixture.log.records("claims");
+    assert!(!records.is_empty());
+    assert!(records.iter().all(|record| record.body == CLAIM));
+}
+
+// Reads lag behind, so reading back shows nothing of an append that took
+// effect. "Not appended" would be a lie; only unknown is true.
+#[tokio::test]
+async fn a_stale_read_never_turns_a_lost_answer_into_a_no() {
+    let fixture = Fixture::start(Faults {
+        lose_answers: 1.0,
+        stale_reads: Duration::from_hours(1),
+        ..Faults::default()
+    })
+    .await;
+    let deadline = fixture.timer.now() + 50 * MS;
+    let result = fixture.writer(10).append("claims", CLAIM, deadline).await;
+    assert!(result.expect_err("no answer").may_have_taken_effect());
+    assert!(!fixture.log.records("claims").is_empty());
+}
+
+#[tokio::test]
+async fn an_append_outlasts_an_outage_within_its_deadline() {
+    let fixture = Fixture::start(Faults {
+        down: true,
+        ..Faults::default()
+    })
+    .await;
+    let writer = fixture.writer(10);
+    let soon = fixture.timer.now() + 30 * MS;
+    let given_up = writer.append("claims", CLAIM, soon).await;
+    assert!(matches!(given_up, Err(Error::NotAppended(_))));
+    let later = fixture.timer.now() + LONG;
+    let waiting = tokio::spawn(async move { writer.append("claims", CLAIM, later).await });
+    tokio::time::sleep(30 * MS).await;
+    fixture.log.faults().change(|faults| faults.down = false);
+    let appended = waiting.await.expect("no panic").expect("an append");
+    assert_eq!(appended.offset, 0);
+    assert_eq!(fixture.log.records("claims").len(), 1);
+}
+
+// The log is down for minutes under a stream of claims. Without a bound they
+// would pile up until the router is out of memory.
+#[tokio::test]
+async fn a_full_writer_refuses_the_newest_at_once() {
+    let fixture = Fixture::start(Faults {
+        down: true,
+        ..Faults::default()
+    })
+    .await;
+    let writer = fixture.writer(1);
+    let first = writer.clone();
+    let deadline = fixture.timer.now() + LONG;
+    let waiting = tokio::spawn(async move { first.append("claims", CLAIM, deadline).await });
+    tokio::task::yield_now().await;
+    let second = writer.append("claims", CLAIM, deadline).await;
+    assert!(matches!(second, Err(Error::Full)));
+    fixture.log.faults().change(|faults| faults.down = false);
+    waiting.await.expect("no panic").expect("an append");
+    let third = writer.append("claims", CLAIM, deadline).await;
+    third.expect("room again");
+}
+
+// An instance was paused for longer than the log keeps records. What it lost
+// must show, or it would take a stream without its winner for the truth.
+#[tokio::test]
+async fn a_follower_reports_what_expired_before_what_is_left() {
+    let fixture = Fixture::start(Faults::default()).await;
+    for _ in 0..5 {
+        fixture.log.append("claims", CLAIM);
+    }
+    fixture.log.truncate("claims", 3);
+    let mut follower = fixture.follower();
+    let gap = follower.next().await;
+    assert!(matches!(gap, Event::Gap { asked: 0, first: 3 }));
+    assert_eq!(follower.position(), 3);
+    let Event::Records(records) = follower.next().await else {
+        panic!("records must follow the gap");
+    };
+    let offsets: Vec<_> = records.iter().map(|record| record.offset).collect();
+    assert_eq!(offsets, [3, 4]);
+    assert!(matches!(follower.next().await, Event::Idle));
+}
+
+#[tokio::test]
+async fn a_follower_goes_on_after_an_outage_where_it_was() {
+    let fixture = Fixture::start(Faults::default()).await;
+    let mut follower = fixture.follower();
+    fixture.log.append("claims", CLAIM);
+    assert!(matches!(follower.next().await, Event::Records(_)));
+    fixture.log.faults().change(|faults| faults.down = true);
+    assert!(matches!(follower.next().await, Event::Down(_)));
+    fixture.log.append("claims", CLAIM);
+    fixture.log.faults().change(|faults| faults.down = false);
+    let Event::Records(records) = follower.next().await else {
+        panic!("the record of the outage must come");
+    };
+    assert_eq!(records[0].offset, 1);
+}
