--- a/crates/state/src/claim/answers.rs
+++ b/crates/state/src/claim/answers.rs
@@ -107,3 +107,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/claim/batcher.rs
+++ b/crates/state/src/claim/batcher.rs
@@ -390,3 +390,6 @@
         [patience, append, read].into_iter().flatten().min()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/state/src/claim/batcher/tests.rs
@@ -0,0 +1,188 @@
+//! A batcher answers from the fold alone, and gives up in time.
+
+use super::*;
+
+const WINDOW: Duration = Duration::from_mins(15);
+
+const fn at(millis: u64) -> Moment {
+    Duration::from_millis(1_000_000 + millis)
+}
+
+const fn claim(holder: u64, key: u8) -> Record {
+    Record {
+        id: Id {
+            holder,
+            incarnation: 1,
+            sequence: 1,
+        },
+        key: [key; 16],
+        body: [0; 16],
+        issued: Duration::from_secs(1000),
+    }
+}
+
+fn page(first: Offset, next: Offset, records: Vec<(Offset, Vec<Item>)>) -> Page {
+    let stored = records.into_iter().map(|(offset, items)| Stored {
+        offset,
+        time: at(0),
+        body: batch::encode(&items),
+    });
+    Page {
+        first,
+        next,
+        records: stored.collect(),
+    }
+}
+
+/// A batcher that has read an empty stream and waits to append one claim.
+fn ready(record: Record) -> Batcher {
+    let mut batcher = Batcher::new(WINDOW);
+    assert!(matches!(batcher.next(at(0)), Next::Read { from: 0, .. }));
+    batcher.page(at(0), &Page::default());
+    batcher.submit(at(0), Item::Claim(record));
+    batcher
+}
+
+fn ticket(next: &Next) -> u64 {
+    match next {
+        Next::Append { ticket, .. } => *ticket,
+        other => panic!("expected an append, got {other:?}"),
+    }
+}
+
+const fn answer(record: &Record, verdict: Verdict) -> Next {
+    Next::Answer {
+        id: record.id,
+        verdict,
+    }
+}
+
+#[test]
+fn a_claim_is_appended_and_answered() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    let ticket = ticket(&batcher.next(at(0)));
+    assert!(matches!(batcher.next(at(1)), Next::Wait(_)));
+    batcher.appended(at(5), ticket, 0, at(4));
+    assert_eq!(batcher.next(at(5)), answer(&record, Verdict::Claimed));
+}
+
+/// A booking is confirmed twice. Another batcher appended first; this one's
+/// append came back with a later offset and it answered at once.
+#[test]
+fn records_in_between_are_read_before_the_answer() {
+    let mine = claim(1, 7);
+    let other = claim(2, 7);
+    let mut batcher = ready(mine);
+    let ticket = ticket(&batcher.next(at(0)));
+    batcher.appended(at(5), ticket, 1, at(4));
+    assert!(matches!(batcher.next(at(5)), Next::Read { from: 0, .. }));
+    let records = vec![(0, vec![Item::Claim(other)]), (1, vec![Item::Claim(mine)])];
+    batcher.page(at(6), &page(0, 2, records));
+    let taken = Verdict::Taken {
+        by: other.id,
+        fate: None,
+    };
+    assert_eq!(batcher.next(at(6)), answer(&mine, taken));
+}
+
+/// A shop waits and is refused though its claim stands. The answer to the
+/// append was lost; reading back finds the record.
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    let ticket = ticket(&batcher.next(at(0)));
+    batcher.append_failed(at(500), ticket, Failure::Unknown);
+    assert!(matches!(batcher.next(at(500)), Next::Read { from: 0, .. }));
+    batcher.page(at(501), &page(0, 1, vec![(0, vec![Item::Claim(record)])]));
+    assert_eq!(batcher.next(at(501)), answer(&record, Verdict::Claimed));
+}
+
+/// An order runs twice: the append was lost, did not show when read back, was
+/// made again, and the first one took effect late.
+#[test]
+fn an_append_that_takes_effect_late_changes_nothing() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    let first = ticket(&batcher.next(at(0)));
+    batcher.append_failed(at(500), first, Failure::Unknown);
+    batcher.next(at(500));
+    batcher.page(at(501), &Page::default());
+    let second = ticket(&batcher.next(at(501)));
+    batcher.appended(at(510), second, 1, at(505));
+    batcher.next(at(510));
+    let twice = vec![
+        (0, vec![Item::Claim(record)]),
+        (1, vec![Item::Claim(record)]),
+    ];
+    batcher.page(at(511), &page(0, 2, twice));
+    assert_eq!(batcher.next(at(511)), answer(&record, Verdict::Claimed));
+    assert!(matches!(batcher.next(at(511)), Next::Wait(_)));
+}
+
+/// A shop waits for its whole deadline while the log is down. The batcher
+/// should say so at once, and at once again to those that come after.
+#[test]
+fn a_log_that_is_down_is_told_at_once() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    let first = ticket(&batcher.next(at(0)));
+    batcher.append_failed(at(2), first, Failure::NotDone);
+    let second = ticket(&batcher.next(at(50)));
+    batcher.append_failed(at(52), second, Failure::NotDone);
+    assert_eq!(batcher.next(at(52)), answer(&record, Verdict::Unavailable));
+    let later = claim(2, 8);
+    batcher.submit(at(60), Item::Claim(later));
+    assert_eq!(batcher.next(at(60)), answer(&later, Verdict::Unavailable));
+    let recovered = claim(3, 9);
+    batcher.submit(at(600), Item::Claim(recovered));
+    assert!(matches!(batcher.next(at(600)), Next::Append { .. }));
+}
+
+/// A batcher whose append never returns at all must not hold callers beyond
+/// the time in which *not run* can still be told.
+#[test]
+fn a_silent_log_exhausts_its_patience() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    ticket(&batcher.next(at(0)));
+    assert!(matches!(batcher.next(at(999)), Next::Wait(Some(_))));
+    assert_eq!(
+        batcher.next(at(1000)),
+        answer(&record, Verdict::Unavailable)
+    );
+}
+
+/// A stranger's record in the stream must not stop the fold.
+#[test]
+fn a_malformed_record_claims_nothing() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    let ticket = ticket(&batcher.next(at(0)));
+    batcher.appended(at(5), ticket, 1, at(4));
+    batcher.next(at(5));
+    let mut page = page(0, 2, vec![(0, vec![]), (1, vec![Item::Claim(record)])]);
+    page.records[0].body = b"not a batch".to_vec();
+    batcher.page(at(6), &page);
+    assert_eq!(batcher.next(at(6)), answer(&record, Verdict::Claimed));
+}
+
+#[test]
+fn batches_keep_their_period_and_size() {
+    let mut batcher = ready(claim(0, 0));
+    for holder in 1..=300 {
+        batcher.submit(at(0), Item::Claim(claim(holder, 1)));
+    }
+    let Next::Append { ticket, body } = batcher.next(at(0)) else {
+        panic!("an append is due");
+    };
+    assert_eq!(
+        batch::decode(&body).map(|items| items.len()),
+        Ok(LARGEST_BATCH)
+    );
+    batcher.appended(at(1), ticket, 0, at(1));
+    while matches!(batcher.next(at(1)), Next::Answer { .. }) {}
+    assert_eq!(batcher.next(at(1)), Next::Wait(Some(at(50))));
+    assert!(matches!(batcher.next(at(50)), Next::Append { .. }));
+}
--- a/crates/state/src/claim/holder.rs
+++ b/crates/state/src/claim/holder.rs
@@ -317,3 +317,6 @@
         outcome,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/claim/key.rs
+++ b/crates/state/src/claim/key.rs
@@ -129,3 +129,6 @@
     hasher.finalize_xof().fill(&mut digest);
     digest
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/claim/table.rs
+++ b/crates/state/src/claim/table.rs
@@ -195,3 +195,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
