--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,76 @@
+//! The body of a message between instances: a head and raw bytes.
+//!
+//! Layout: the head's length as four bytes, big-endian; the head in
+//! MessagePack; the rest is the raw body, untouched.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use displaydoc::Display;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Bytes of the length before the head.
+const LENGTH: usize = 4;
+
+/// A message: a typed head and the bytes that follow it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Frame<H> {
+    /// What the message says.
+    pub head: H,
+    /// Bytes that travel with it, such as a request's body.
+    pub body: Bytes,
+}
+
+/// Why bytes are no frame.
+#[derive(Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// the message ends within its head: the sender broke off; send it again
+    Short,
+    /// the head can't be read ({0}): run one version of the router on both instances
+    Head(String),
+}
+
+impl std::error::Error for Error {}
+
+impl<H: Serialize> Frame<H> {
+    /// Returns the frame's bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the head can't be written as MessagePack, which is a bug in
+    /// its type: heads are plain structs.
+    pub fn encode(&self) -> Bytes {
+        let head = rmp_serde::to_vec(&self.head).expect("a plain struct is always encodable");
+        let length = u32::try_from(head.len()).expect("a head is far below 4 GiB");
+        let mut bytes = BytesMut::with_capacity(LENGTH + head.len() + self.body.len());
+        bytes.put_u32(length);
+        bytes.put_slice(&head);
+        bytes.put_slice(&self.body);
+        bytes.freeze()
+    }
+}
+
+impl<H: DeserializeOwned> Frame<H> {
+    /// Reads a frame; the body shares the memory of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes end within the head or the head is of
+    /// another type.
+    pub fn decode(bytes: &Bytes) -> Result<Self, Error> {
+        let length: [u8; LENGTH] = bytes
+            .get(..LENGTH)
+            .and_then(|length| length.try_into().ok())
+            .ok_or(Error::Short)?;
+        let length = u32::from_be_bytes(length) as usize;
+        let end = LENGTH.checked_add(length).ok_or(Error::Short)?;
+        let head = bytes.get(LENGTH..end).ok_or(Error::Short)?;
+        let head = rmp_serde::from_slice(head).map_err(|error| Error::Head(error.to_string()))?;
+        Ok(Self {
+            head,
+            body: bytes.slice(end..),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
