--- /dev/null
+++ b/crates/router/src/cli.rs
@@ -0,0 +1,138 @@
+//! The command line: one definition for each flag, and what they mean together.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Run the router with these settings.
+    Run(PathBuf),
+    /// Check these settings and end.
+    Check(PathBuf),
+    /// Print these settings with all defaults and end.
+    Print(PathBuf),
+    /// Print this text and end with this exit code.
+    Say(String, u8),
+}
+
+/// Exit code after a graceful shutdown, or a check without mistakes.
+pub const EXIT_DONE: u8 = 0;
+/// Exit code when the router can't start: a port is taken, say.
+pub const EXIT_START: u8 = 1;
+/// Exit code for a wrong command line or settings with mistakes.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code when the drain limit passed with requests still in flight.
+pub const EXIT_DRAIN: u8 = 3;
+/// Exit code when a second signal cut the graceful shutdown short.
+pub const EXIT_CUT: u8 = 4;
+
+const ABOUT: &str = "Routes requests of many workspaces to model engines and plain services";
+
+const LONG_ABOUT: &str = "\
+Routes requests of many workspaces to model engines and plain services.
+
+A router is one instance of a fleet. It takes requests from callers behind a
+balancer, places each on an endpoint, and relays the answer. Which workspaces,
+services and models exist is said by the fleet's signed bundle, which operators
+roll with `godwitpost-bundle`; the settings say only where this instance is and
+whom it talks to.
+
+SIGTERM or SIGINT begins a graceful shutdown: /readyz fails, keep-alive
+connections are told to close, requests in flight are finished, then the process
+ends. A second signal ends it at once.";
+
+const AFTER: &str = "\
+Exit codes:
+  0  ended by a graceful shutdown; or --check found no mistake
+  1  could not start: a port is taken, or a file can't be read
+  2  wrong command line, or settings with mistakes (all are listed)
+  3  the drain limit passed with requests still in flight; they were cut
+  4  a second signal ended the graceful shutdown early
+
+Settings (YAML):
+  name: otaru-1                    # as on the platform's list
+  zone: otaru                      # availability zone
+  region: hokkaido
+  fleet: kitakaze                  # must equal the bundle's
+  listen:
+    callers: 10.0.0.5:8080
+    peers: 10.0.0.5:8081
+    operators: 10.0.0.5:8082
+  platform:
+    log: 10.0.1.1:7001
+    list: 10.0.1.2:7002
+    weights: 10.0.1.3:7003         # optional
+  root_keys: [<base64 Ed25519>]    # may sign the first bundle
+  fleet_key_file: /run/fleet.key   # or fleet_key: <32 bytes in base64>
+  limits: { head_bytes: 16384, body_bytes: 4194304, streams: 4096 }
+  drain: 90s                       # longest wait of a graceful shutdown
+  log_level: info
+  threads: 2                       # that carry traffic";
+
+/// Reads a command line.
+#[must_use]
+pub fn parse(args: impl IntoIterator<Item = OsString>) -> Next {
+    let matches = match command().try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            let code = if error.use_stderr() {
+                EXIT_USAGE
+            } else {
+                EXIT_DONE
+            };
+            return Next::Say(error.render().to_string(), code);
+        }
+    };
+    let settings = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
+    if matches.get_flag("check") {
+        Next::Check(settings)
+    } else if matches.get_flag("print") {
+        Next::Print(settings)
+    } else {
+        Next::Run(settings)
+    }
+}
+
+fn command() -> Command {
+    Command::new("godwitpost-router")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about(ABOUT)
+        .long_about(LONG_ABOUT)
+        .after_long_help(AFTER)
+        .arg(settings())
+        .arg(check())
+        .arg(print())
+}
+
+fn settings() -> Arg {
+    Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help("Reads the settings from this YAML file")
+}
+
+fn check() -> Arg {
+    Arg::new("check")
+        .long("check")
+        .action(ArgAction::SetTrue)
+        .conflicts_with("print")
+        .help("Checks the settings, lists every mistake, and ends")
+}
+
+fn print() -> Arg {
+    Arg::new("print")
+        .long("print-settings")
+        .action(ArgAction::SetTrue)
+        .help("Prints the settings with all defaults, secrets hidden, and ends")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,241 @@
+//! What one router is told at its start, in YAML.
+//!
+//! Settings say where a router is and whom it talks to. What it does with
+//! requests is the bundle's to say. The file is checked as a whole before
+//! anything starts: each mistake is reported with its line, key and remedy,
+//! and a [`Settings`] can't be invalid.
+
+use std::fmt::{self, Write as _};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use godwitpost_types::id::{self, Incarnation, InstanceId, RegionId, ZoneId};
+use godwitpost_wire::auth;
+use log::LevelFilter;
+
+mod low;
+mod node;
+mod read;
+
+use low::Level;
+pub use low::Mistake;
+use node::Node;
+
+/// Bytes of an Ed25519 public key.
+const PUBLIC_KEY_BYTES: usize = 32;
+
+/// The settings of one router, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The instance's name, as on the platform's list.
+    pub name: String,
+    /// This life of the instance; by default its start in milliseconds.
+    pub incarnation: Incarnation,
+    /// The name of its availability zone.
+    pub zone: String,
+    /// The name of the region that its zone is in.
+    pub region: String,
+    /// The fleet whose bundles it follows.
+    pub fleet: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where the platform's services are.
+    pub platform: Platform,
+    /// Public keys that may sign the fleet's first bundle.
+    pub root_keys: Vec<[u8; PUBLIC_KEY_BYTES]>,
+    /// The key that instances of the fleet know each other by.
+    pub fleet_key: auth::Key,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
+    /// How long a graceful shutdown waits for requests in flight.
+    pub drain: Duration,
+    /// How much is logged.
+    pub log_level: LevelFilter,
+    /// Threads that carry traffic, beside the one of control state.
+    pub threads: usize,
+}
+
+/// Where a router listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers, behind the platform's balancer.
+    pub callers: SocketAddr,
+    /// For the fleet's other instances.
+    pub peers: SocketAddr,
+    /// For operators and their Prometheus.
+    pub operators: SocketAddr,
+}
+
+/// Addresses of the platform's services.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Platform {
+    /// The append-only log service.
+    pub log: SocketAddr,
+    /// The list of instances.
+    pub list: SocketAddr,
+    /// The weight store.
+    pub weights: Option<SocketAddr>,
+}
+
+/// Bounds on what callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Requests in flight on this instance.
+    pub streams: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            // Stock clients send heads of a few hundred bytes; 16 KiB leaves
+            // room for proxies' additions and bounds memory at 10,000 idle
+            // connections to 160 MB.
+            head_bytes: 16 << 10,
+            // A prompt of 250,000 tokens is about a megabyte of JSON.
+            body_bytes: 4 << 20,
+            // 17,000 requests a second over 320 instances, each open for up
+            // to 20 s, are about 1,100; this leaves four times that.
+            streams: 4096,
+        }
+    }
+}
+
+/// Why there are no settings.
+#[derive(Debug)]
+pub enum Error {
+    /// The file can't be read.
+    Read(PathBuf, std::io::Error),
+    /// The file is no YAML, or has a key twice.
+    Yaml(String),
+    /// Values are wrong: all of them.
+    Mistakes(Vec<Mistake>),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, error) => write!(
+                f,
+                "can't read {}: {error}; name a readable file with --settings",
+                path.display()
+            ),
+            Self::Yaml(text) => write!(f, "the settings are not well-formed YAML: {text}"),
+            Self::Mistakes(mistakes) => {
+                write!(f, "the settings have {} mistake(s):", mistakes.len())?;
+                mistakes
+                    .iter()
+                    .try_for_each(|mistake| write!(f, "\n  {mistake}"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or has mistakes; of these it
+    /// names all.
+    pub fn load(path: &std::path::Path) -> Result<Self, Error> {
+        let text =
+            std::fs::read_to_string(path).map_err(|error| Error::Read(path.into(), error))?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings from YAML.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names all mistakes.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        // A snippet of the source would put the fleet key into the log.
+        let options = serde_saphyr::options! { with_snippet: false };
+        let node = serde_saphyr::from_str_with_options(text, options)
+            .map_err(|error| Error::Yaml(error.to_string()))?;
+        let Node::Map(map) = node else {
+            return Err(Error::Yaml("the top level wants keys with values".into()));
+        };
+        let mut mistakes = Vec::new();
+        match read::settings(Level::top(map), &mut mistakes) {
+            Some(settings) if mistakes.is_empty() => Ok(settings),
+            _ => {
+                mistakes.sort_by_key(|mistake| mistake.line);
+                Err(Error::Mistakes(mistakes))
+            }
+        }
+    }
+
+    /// Returns the id of the instance.
+    #[must_use]
+    pub fn id(&self) -> InstanceId {
+        id::of(&self.name)
+    }
+
+    /// Returns the id of its availability zone.
+    #[must_use]
+    pub fn zone_id(&self) -> ZoneId {
+        id::of(&self.zone)
+    }
+
+    /// Returns the id of its region.
+    #[must_use]
+    pub fn region_id(&self) -> RegionId {
+        id::of(&self.region)
+    }
+
+    /// Returns all values as YAML, with secrets hidden.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to a string can't fail.
+    #[must_use]
+    pub fn print(&self) -> String {
+        let mut text = String::new();
+        self.write(&mut text)
+            .expect("writing to a string never fails");
+        text
+    }
+
+    fn write(&self, to: &mut String) -> fmt::Result {
+        writeln!(to, "name: {}", self.name)?;
+        writeln!(to, "incarnation: {}", self.incarnation)?;
+        writeln!(to, "zone: {}", self.zone)?;
+        writeln!(to, "region: {}", self.region)?;
+        writeln!(to, "fleet: {}", self.fleet)?;
+        writeln!(to, "listen:")?;
+        writeln!(to, "  callers: {}", self.listen.callers)?;
+        writeln!(to, "  peers: {}", self.listen.peers)?;
+        writeln!(to, "  operators: {}", self.listen.operators)?;
+        writeln!(to, "platform:")?;
+        writeln!(to, "  log: {}", self.platform.log)?;
+        writeln!(to, "  list: {}", self.platform.list)?;
+        if let Some(weights) = self.platform.weights {
+            writeln!(to, "  weights: {weights}")?;
+        }
+        writeln!(to, "root_keys:")?;
+        for key in &self.root_keys {
+            writeln!(to, "  - {}", STANDARD.encode(key))?;
+        }
+        writeln!(to, "fleet_key: hidden")?;
+        writeln!(to, "limits:")?;
+        writeln!(to, "  head_bytes: {}", self.limits.head_bytes)?;
+        writeln!(to, "  body_bytes: {}", self.limits.body_bytes)?;
+        writeln!(to, "  streams: {}", self.limits.streams)?;
+        writeln!(to, "drain: {}ms", self.drain.as_millis())?;
+        writeln!(to, "log_level: {}", self.log_level.as_str().to_lowercase())?;
+        writeln!(to, "threads: {}", self.threads)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/settings/read.rs
@@ -0,0 +1,194 @@
+//! Reads each key of a settings file into its checked value.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use godwitpost_types::id::Incarnation;
+use godwitpost_wire::auth;
+use log::LevelFilter;
+
+use super::low::{Level, Mistake, duration};
+use super::{Limits, Listen, PUBLIC_KEY_BYTES, Platform, Settings};
+
+/// Waits at a graceful shutdown unless the settings say otherwise: longer
+/// than the longest deadline of the example bundles, 60 s.
+const DRAIN: Duration = Duration::from_secs(90);
+
+/// Traffic threads unless the settings say otherwise; instances are small.
+const THREADS: usize = 2;
+
+/// The keys of each level, in the order that `--print-settings` gives them.
+const TOP: [&str; 14] = [
+    "name",
+    "incarnation",
+    "zone",
+    "region",
+    "fleet",
+    "listen",
+    "platform",
+    "root_keys",
+    "fleet_key",
+    "fleet_key_file",
+    "limits",
+    "drain",
+    "log_level",
+    "threads",
+];
+const LISTEN: [&str; 3] = ["callers", "peers", "operators"];
+const PLATFORM: [&str; 3] = ["log", "list", "weights"];
+const LIMITS: [&str; 3] = ["head_bytes", "body_bytes", "streams"];
+
+const NAME: &str = "a name of letters, digits, `-`, `_` and `.`, such as otaru-1";
+const ADDRESS: &str = "an IP number and a port, such as 10.0.0.5:8080";
+const DURATION: &str = "a number with ms, s, m or h, such as 90s";
+const PUBLIC_KEY: &str = "a base64 Ed25519 public key, as `godwitpost-bundle` prints it";
+const FLEET_KEY: &str = "32 random bytes in base64, the same on all instances";
+
+pub(super) fn settings(mut top: Level, mistakes: &mut Vec<Mistake>) -> Option<Settings> {
+    let name = top.required("name", NAME, name, mistakes);
+    let incarnation = top.optional(
+        "incarnation",
+        "a whole number",
+        |t| t.parse().ok(),
+        mistakes,
+    );
+    let zone = top.required("zone", NAME, self::name, mistakes);
+    let region = top.required("region", NAME, self::name, mistakes);
+    let fleet = top.required("fleet", NAME, self::name, mistakes);
+    let listen = read_listen(top.level("listen", mistakes), mistakes);
+    let platform = read_platform(top.level("platform", mistakes), mistakes);
+    let root_keys = read_root_keys(&mut top, mistakes);
+    let fleet_key = read_fleet_key(&mut top, mistakes);
+    let limits = read_limits(top.level("limits", mistakes), mistakes);
+    let drain = top.optional("drain", DURATION, duration, mistakes);
+    let level = "off, error, warn, info, debug or trace";
+    let log_level = top.optional("log_level", level, |t| t.parse().ok(), mistakes);
+    let threads = top.optional("threads", "a number from 1 to 64", threads, mistakes);
+    top.finish(&TOP, mistakes);
+    Some(Settings {
+        name: name?.value,
+        incarnation: incarnation.map_or_else(start_millis, |taken| taken.value),
+        zone: zone?.value,
+        region: region?.value,
+        fleet: fleet?.value,
+        listen: listen?,
+        platform: platform?,
+        root_keys,
+        fleet_key: fleet_key?,
+        limits,
+        drain: drain.map_or(DRAIN, |taken| taken.value),
+        log_level: log_level.map_or(LevelFilter::Info, |taken| taken.value),
+        threads: threads.map_or(THREADS, |taken| taken.value),
+    })
+}
+
+fn read_listen(mut level: Level, mistakes: &mut Vec<Mistake>) -> Option<Listen> {
+    let callers = level.required("callers", ADDRESS, address, mistakes);
+    let peers = level.required("peers", ADDRESS, address, mistakes);
+    let operators = level.required("operators", ADDRESS, address, mistakes);
+    level.finish(&LISTEN, mistakes);
+    let (callers, peers, operators) = (callers?, peers?, operators?);
+    let shared = |a: SocketAddr, b: SocketAddr| a == b && a.port() != 0;
+    if shared(peers.value, callers.value) {
+        mistakes.push(peers.mistake("is also that of callers; give each its own port"));
+    }
+    if shared(operators.value, callers.value) || shared(operators.value, peers.value) {
+        mistakes.push(operators.mistake("is also that of others; give each its own port"));
+    }
+    Some(Listen {
+        callers: callers.value,
+        peers: peers.value,
+        operators: operators.value,
+    })
+}
+
+fn read_platform(mut level: Level, mistakes: &mut Vec<Mistake>) -> Option<Platform> {
+    let log = level.required("log", ADDRESS, address, mistakes);
+    let list = level.required("list", ADDRESS, address, mistakes);
+    let weights = level.optional("weights", ADDRESS, address, mistakes);
+    level.finish(&PLATFORM, mistakes);
+    Some(Platform {
+        log: log?.value,
+        list: list?.value,
+        weights: weights.map(|taken| taken.value),
+    })
+}
+
+fn read_root_keys(top: &mut Level, mistakes: &mut Vec<Mistake>) -> Vec<[u8; PUBLIC_KEY_BYTES]> {
+    let before = mistakes.len();
+    let keys = top.list("root_keys", PUBLIC_KEY, public_key, mistakes);
+    if keys.is_empty() && mistakes.len() == before {
+        mistakes.push(Mistake {
+            line: 0,
+            key: "root_keys".to_owned(),
+            text: format!("is missing or empty; list at least one: {PUBLIC_KEY}"),
+        });
+    }
+    keys
+}
+
+fn read_fleet_key(top: &mut Level, mistakes: &mut Vec<Mistake>) -> Option<auth::Key> {
+    let file = top.optional("fleet_key_file", "a path", |t| Some(t.to_owned()), mistakes);
+    let Some(file) = file else {
+        let key = top.required("fleet_key", FLEET_KEY, auth::Key::parse, mistakes);
+        return key.map(|taken| taken.value);
+    };
+    if let Some(key) = top.optional("fleet_key", FLEET_KEY, auth::Key::parse, mistakes) {
+        mistakes.push(key.mistake("stands beside `fleet_key_file`; keep one of them"));
+    }
+    match std::fs::read_to_string(&file.value) {
+        Err(error) => mistakes.push(file.mistake(&format!(
+            "can't be read ({error}); name a file that this user may read"
+        ))),
+        Ok(text) => match auth::Key::parse(&text) {
+            Some(key) => return Some(key),
+            None => mistakes.push(file.mistake(&format!("names a file that wants {FLEET_KEY}"))),
+        },
+    }
+    None
+}
+
+fn read_limits(mut level: Level, mistakes: &mut Vec<Mistake>) -> Limits {
+    let mut limits = Limits::default();
+    // Below 8 KiB hyper refuses to set its buffer; above 1 MiB a few hundred
+    // connections would fill a small instance.
+    let head = "bytes from 8192 to 1048576";
+    let read_head = |t: &str| t.parse().ok().filter(|n| (8192..=1 << 20).contains(n));
+    if let Some(taken) = level.optional("head_bytes", head, read_head, mistakes) {
+        limits.head_bytes = taken.value;
+    }
+    let positive = |t: &str| t.parse().ok().filter(|&n: &usize| n > 0);
+    if let Some(taken) = level.optional("body_bytes", "bytes above 0", positive, mistakes) {
+        limits.body_bytes = taken.value;
+    }
+    if let Some(taken) = level.optional("streams", "a number above 0", positive, mistakes) {
+        limits.streams = taken.value;
+    }
+    level.finish(&LIMITS, mistakes);
+    limits
+}
+
+fn name(text: &str) -> Option<String> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (!text.is_empty() && text.chars().all(fits)).then(|| text.to_owned())
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+fn public_key(text: &str) -> Option<[u8; PUBLIC_KEY_BYTES]> {
+    STANDARD.decode(text).ok()?.try_into().ok()
+}
+
+fn threads(text: &str) -> Option<usize> {
+    text.parse().ok().filter(|n| (1..=64).contains(n))
+}
+
+fn start_millis() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
