--- a/crates/router/src/logging.rs
+++ b/crates/router/src/logging.rs
@@ -1,7 +1,7 @@
 //! Logs with named fields, through simplelog.
 //!
-//! simplelog writes only a record's message, so [`Fields`] stands in front of
-//! it and appends the record's key-value pairs as `name=value`.
+//! simplelog writes only a record's message, so a logger of
+//! our own stands in front of it and appends the record's key-value pairs as `name=value`.
 //!
 //! Levels: `error` for what an operator must mend, `warn` for what the router
 //! worked around, `info` for changes of state, `debug` for single requests
