--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -552,6 +552,12 @@
         self.quarantine.on(digest)
     }
 
+    /// Returns the quarantine, for operators to look at.
+    #[must_use]
+    pub const fn quarantine(&self) -> &quarantine::Table {
+        &self.quarantine
+    }
+
     /// Takes in evidence of other instances; returns what was new, to be
     /// passed on.
     pub fn learn_evidence(&mut self, evidence: &[Evidence]) -> Vec<Evidence> {
--- /dev/null
+++ b/crates/router/src/claims.rs
@@ -0,0 +1,145 @@
+//! The dispatcher's claims and the answers it keeps.
+//!
+//! Asks the batcher of a key's partition for a verdict. A batcher that can't
+//! be reached is replaced by the one on this instance: verdicts come from the
+//! log's order alone, so any number of batchers gives the same ones.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_state::claim::{self, Answers, Holder, Item, Record, Verdict};
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::id::{Incarnation, InstanceId, KeyDigest};
+use godwitpost_types::instance::Instance;
+use http::{HeaderMap, Method, StatusCode};
+use tokio::sync::oneshot;
+
+use crate::body;
+use crate::control::Event;
+use crate::relay::peer;
+use crate::shared::Shared;
+
+/// The path that batchers take items on.
+pub(crate) const PATH: &str = "/peer/v1/claim";
+
+/// Bytes of kept answers. Confirmations of orders have about a kilobyte, so
+/// this holds some 8,000; a lost replay costs the caller no second run.
+const KEPT_BYTES: usize = 8 << 20;
+
+/// How long answers are kept: callers resend within minutes.
+const KEPT_FOR: Duration = Duration::from_mins(15);
+
+/// How long a verdict is waited for: twice the batcher's patience, so that
+/// its own word comes first.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Bytes of an encoded verdict, by far.
+const VERDICT_BYTES: usize = 1 << 10;
+
+/// A finished answer kept for a caller that sends its key again.
+#[derive(Clone, Debug)]
+pub(crate) struct Kept {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// The claims and kept answers of one dispatcher.
+#[derive(Debug)]
+pub(crate) struct Claims {
+    inner: Mutex<Inner>,
+}
+
+/// What [`Claims`] holds under its lock.
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) holder: Holder,
+    pub(crate) answers: Answers<Kept>,
+}
+
+impl Claims {
+    pub(crate) fn new(own: InstanceId, incarnation: Incarnation) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                holder: Holder::new(own, incarnation),
+                answers: Answers::new(KEPT_BYTES, KEPT_FOR),
+            }),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
+        // No code that holds the lock can panic half-way through a change.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Asks for the verdict on a claim.
+pub(crate) async fn ask(shared: &Shared, record: Record) -> Verdict {
+    let item = Item::Claim(record);
+    let verdict = async {
+        match batcher(shared, &record.key) {
+            Some(instance) => match remote(shared, &instance, item).await {
+                Some(verdict) => verdict,
+                None => local(shared, item).await,
+            },
+            None => local(shared, item).await,
+        }
+    };
+    // No verdict in time is none: the holder then gives the claim up.
+    tokio::time::timeout(WAIT, verdict)
+        .await
+        .unwrap_or(Verdict::Unavailable)
+}
+
+/// Tells the batcher how a claimed request ended, as best effort.
+pub(crate) async fn tell(shared: &Shared, fate: Item) {
+    match batcher(shared, fate.key()) {
+        Some(instance) => {
+            remote(shared, &instance, fate).await;
+        }
+        None => {
+            local(shared, fate).await;
+        }
+    }
+}
+
+// The batcher of a key's partition, if that is another instance.
+fn batcher(shared: &Shared, key: &KeyDigest) -> Option<Instance> {
+    let snapshot = shared.snapshot();
+    let live = snapshot.view.instances();
+    let live = live.filter(|instance| instance.standing == Standing::Live);
+    let id = claim::batcher(claim::partition(key), live.map(|instance| instance.id))?;
+    if id == shared.local() {
+        return None;
+    }
+    snapshot.view.instance(id).cloned()
+}
+
+async fn remote(shared: &Shared, instance: &Instance, item: Item) -> Option<Verdict> {
+    let bytes = Bytes::from(claim::batch::encode(&[item]));
+    let request = peer::sealed(shared, instance, Method::POST, PATH, &bytes);
+    let sent = shared.connector.send(instance.peer_address, request, WAIT);
+    let response = match sent.await {
+        Ok(response) if response.status() == StatusCode::OK => response,
+        Ok(response) => {
+            log::debug!(instance:% = instance.name, status:% = response.status(); "claim refused");
+            return None;
+        }
+        Err(error) => {
+            log::debug!(instance:% = instance.name, error:% = error; "claim not answered");
+            return None;
+        }
+    };
+    let bytes = body::collect(response.into_body(), VERDICT_BYTES).await;
+    rmp_serde::from_slice(&bytes.ok()?).ok()
+}
+
+async fn local(shared: &Shared, item: Item) -> Verdict {
+    let (reply, verdict) = oneshot::channel();
+    let event = Event::Claim { item, reply };
+    if shared.control.send(event).await.is_err() {
+        return Verdict::Unavailable;
+    }
+    verdict.await.unwrap_or(Verdict::Unavailable)
+}
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -68,7 +68,8 @@
   root_keys: [<base64 Ed25519>]    # may sign the first bundle
   fleet_key_file: /run/fleet.key   # or fleet_key: <32 bytes in base64>
   limits: { head_bytes: 16384, body_bytes: 4194304, streams: 4096 }
-  drain: 90s                       # longest wait of a graceful shutdown
+  balancer_lag: 5s                 # callers still come for so long
+  drain: 90s                       # longest graceful shutdown
   log_level: info
   threads: 2                       # that carry traffic";
 
--- /dev/null
+++ b/crates/router/src/control.rs
@@ -0,0 +1,250 @@
+//! Control state: one thread that knows bundles, instances and endpoints.
+//!
+//! Everything that changes the picture of the fleet comes in as an [`Event`]
+//! through one channel and is folded in on one thread; calls to the platform,
+//! to peers and to endpoints run as tasks of the same thread and send their
+//! results back as events. Traffic threads never wait for it: they read the
+//! last published snapshot.
+
+mod batchers;
+pub(crate) mod bundles;
+pub(crate) mod gossip;
+mod probe;
+mod publish;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_bundle::blob::Digest;
+use godwitpost_bundle::fold::Fold;
+use godwitpost_platform::connect::Connector;
+use godwitpost_platform::list::{self, Listing};
+use godwitpost_platform::log;
+use godwitpost_platform::timer::Timer;
+use godwitpost_state::claim::{Item, Verdict};
+use godwitpost_state::gossip::{Budget, Message, Pump};
+use godwitpost_state::membership::Roster;
+use godwitpost_state::membership::endpoints::{Endpoints, Leaving};
+use godwitpost_types::clock::Moment;
+use godwitpost_types::endpoint::{Endpoint, Report};
+use godwitpost_types::id::{EndpointId, InstanceId, Offset, Version};
+use rand::rngs::StdRng;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::metrics::Traffic;
+use crate::random;
+use crate::shared::Shared;
+use batchers::Batchers;
+use probe::CachePage;
+
+/// Events that may wait for the control thread. Far above what comes in a
+/// second; a full channel makes traffic wait rather than grow memory.
+pub(crate) const EVENTS: usize = 4096;
+
+/// How often time passes: waits in queues end, suspicions ripen.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time-out of one call to the platform.
+const PLATFORM: Duration = Duration::from_secs(2);
+
+/// Control bytes that an instance may spend on gossip each second. The letter
+/// allows 6 KB in all; the rest is for reports, the list and the log.
+const GOSSIP_RATE: u64 = 3_000;
+
+/// Bytes of a gossip message beside its body: its HTTP head with the seal is
+/// about 330 bytes, TCP/IP headers with the acknowledgement 120.
+const GOSSIP_HEADERS: u64 = 450;
+
+/// Something that control has to know.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// An answer of the platform's list.
+    Listing(Listing),
+    /// Records of the bundles' stream; answered by the next offset wanted.
+    Bundles(log::Page, oneshot::Sender<Offset>),
+    /// An instance said that it holds this bundle version.
+    Heard(InstanceId, Version),
+    /// What an instance answered when asked for its bundle.
+    Fetched(Option<Bytes>),
+    /// A peer asks for the bundle, given the version that it holds.
+    Bundle(Version, oneshot::Sender<Option<Bytes>>),
+    /// A peer's gossip, answered by ours unless the budget forbids.
+    Gossip(Message, usize, oneshot::Sender<Option<Bytes>>),
+    /// What a peer answered to our gossip, with its size.
+    Answered(InstanceId, Option<(Message, usize)>),
+    /// An endpoint's report.
+    Report(EndpointId, Report),
+    /// An engine's cache events.
+    Cache(EndpointId, CachePage),
+    /// An endpoint's answer said that it is leaving.
+    Leaving(Leaving),
+    /// A claim or fate for the local batcher.
+    Claim {
+        /// What to append.
+        item: Item,
+        /// Who waits for the verdict.
+        reply: oneshot::Sender<Verdict>,
+    },
+    /// The log's answer to a batcher's call.
+    Batch(batchers::Result),
+    /// This instance begins to leave; answered when that is published.
+    Leave(oneshot::Sender<()>),
+}
+
+/// The control state of one router.
+pub(crate) struct Control {
+    shared: Arc<Shared>,
+    io: Io,
+    fold: Fold,
+    roster: Roster,
+    endpoints: Endpoints,
+    pump: Pump,
+    batchers: Batchers,
+    fetching: bool,
+    published: publish::Published,
+    probes: probe::Probes,
+    rng: StdRng,
+}
+
+/// What control's tasks need for their calls.
+#[derive(Clone)]
+pub(crate) struct Io {
+    connector: Connector,
+    log: log::Client,
+    events: mpsc::Sender<Event>,
+    timer: Timer,
+    shared: Arc<Shared>,
+}
+
+impl Io {
+    fn now(&self) -> Moment {
+        self.shared.now()
+    }
+
+    fn count(&self, traffic: Traffic, bytes: usize) {
+        self.shared.metrics.control(traffic, bytes);
+    }
+}
+
+impl Control {
+    pub(crate) fn new(shared: Arc<Shared>, own: godwitpost_types::instance::Instance) -> Self {
+        let settings = &shared.settings;
+        let connector = Connector::new(godwitpost_platform::connect::Settings::default());
+        let now = shared.now();
+        let roots = settings.root_keys.iter().copied().map(Digest);
+        Self {
+            fold: Fold::new(settings.fleet.clone(), roots),
+            roster: Roster::new(own.clone()),
+            endpoints: Endpoints::new(),
+            pump: Pump::new(Budget::new(now, GOSSIP_RATE, GOSSIP_HEADERS)),
+            batchers: Batchers::default(),
+            fetching: false,
+            published: publish::Published::new(own),
+            probes: probe::Probes::default(),
+            rng: random::generator(),
+            io: Io {
+                log: log::Client::new(connector.clone(), settings.platform.log, PLATFORM),
+                events: shared.control.clone(),
+                timer: Timer::new(now),
+                connector,
+                shared: Arc::clone(&shared),
+            },
+            shared,
+        }
+    }
+
+    /// Runs until the router ends.
+    pub(crate) async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        tokio::spawn(self.io.timer.clone().drive(self.shared.clock));
+        let settings = &self.shared.settings;
+        let list = list::Client::new(self.io.connector.clone(), settings.platform.list, PLATFORM);
+        tokio::spawn(probe::list(self.io.clone(), list));
+        tokio::spawn(bundles::follow(self.io.clone()));
+        let mut ticks = self.io.timer.every(TICK);
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                _ = ticks.next() => self.tick(),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.shared.now();
+        match event {
+            Event::Listing(listing) => self.listed(now, &listing),
+            Event::Bundles(page, wanted) => self.records(&page, wanted),
+            Event::Heard(instance, version) => self.heard(instance, version),
+            Event::Fetched(bytes) => self.fetched(bytes),
+            Event::Bundle(version, reply) => answer(reply, self.bundle(version)),
+            Event::Gossip(message, bytes, reply) => {
+                let said = self.asked(now, &message, bytes);
+                answer(reply, said);
+            }
+            Event::Answered(instance, said) => self.answered(now, instance, said),
+            Event::Report(endpoint, report) => self.reported(now, endpoint, &report),
+            Event::Cache(endpoint, page) => self.cached(endpoint, &page),
+            Event::Leaving(leaving) => self.endpoints.sign(leaving),
+            Event::Claim { item, reply } => self.claim(now, item, reply),
+            Event::Batch(result) => self.batched(now, result),
+            Event::Leave(done) => {
+                self.roster.leave();
+                self.publish();
+                answer(done, ());
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        let changes = self.roster.tick(now);
+        self.pump.rumours(&changes);
+        for change in self.endpoints.tick(now) {
+            if let godwitpost_state::membership::endpoints::Change::Left(leaving) = change {
+                self.pump.leaving(leaving);
+            }
+        }
+        self.publish();
+        self.shared.desk.tick(now);
+        self.gossip(now);
+        self.probe(now);
+        self.pump_batchers(now);
+    }
+
+    fn listed(&mut self, now: Moment, listing: &Listing) {
+        for refused in &listing.refused {
+            ::log::warn!(entry:% = refused; "an entry of the instance list can't be read");
+        }
+        self.roster.list(now, &listing.instances);
+        self.endpoints.list(now, &listing.endpoints);
+        self.publish();
+    }
+}
+
+/// Notes the bundle version that an instance says it holds.
+///
+/// Never waits: a note lost to a full channel comes again with the next
+/// message.
+pub(crate) fn heard(shared: &Shared, instance: InstanceId, version: Version) {
+    if version > shared.version() {
+        drop(shared.control.try_send(Event::Heard(instance, version)));
+    }
+}
+
+/// Notes that an endpoint's answer said that it is leaving.
+pub(crate) fn leaving(shared: &Shared, endpoint: &Endpoint) {
+    let leaving = Leaving {
+        id: endpoint.id,
+        incarnation: endpoint.incarnation,
+    };
+    drop(shared.control.try_send(Event::Leaving(leaving)));
+}
+
+// Whoever asked may be gone; then nobody needs the answer.
+fn answer<T>(to: oneshot::Sender<T>, value: T) {
+    drop(to.send(value));
+}
--- /dev/null
+++ b/crates/router/src/control/batchers.rs
@@ -0,0 +1,180 @@
+//! Runs the batchers of `godwitpost_state::claim` against the log.
+//!
+//! Any instance may be asked to batch any partition, when instances disagree
+//! on who is live; a partition that nobody asks about any more is dropped.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::log::{Appended, Client, append, read};
+use godwitpost_state::claim::{self, Batcher, Failure, Id, Item, Next, Stored, Verdict};
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::policy::Policy;
+use tokio::sync::oneshot;
+
+use super::{Control, Event};
+
+/// How long a partition is kept without a claim.
+const IDLE: Duration = Duration::from_mins(10);
+
+/// The claim window before a bundle is known; no claim comes then.
+const WINDOW: Duration = Duration::from_mins(15);
+
+/// The batchers of this instance.
+#[derive(Debug, Default)]
+pub(super) struct Batchers {
+    parts: BTreeMap<u16, Part>,
+    window: Option<Duration>,
+}
+
+#[derive(Debug)]
+struct Part {
+    batcher: Batcher,
+    waiting: BTreeMap<Id, Vec<oneshot::Sender<Verdict>>>,
+    used: Moment,
+}
+
+/// The log's answer to a batcher's call.
+#[derive(Debug)]
+pub(crate) struct Result {
+    partition: u16,
+    call: Call,
+}
+
+#[derive(Debug)]
+enum Call {
+    Appended(u64, std::result::Result<Appended, append::Error>),
+    Read(
+        u32,
+        std::result::Result<godwitpost_platform::log::Page, read::Error>,
+    ),
+}
+
+impl Batchers {
+    pub(super) fn set_window(&mut self, policy: Option<&Policy>) {
+        self.window = policy.map(|policy| policy.claim_window);
+        for part in self.parts.values_mut() {
+            part.batcher.set_window(self.window.unwrap_or(WINDOW));
+        }
+    }
+
+    fn part(&mut self, partition: u16, now: Moment) -> &mut Part {
+        let window = self.window.unwrap_or(WINDOW);
+        let part = self.parts.entry(partition).or_insert_with(|| Part {
+            batcher: Batcher::new(window),
+            waiting: BTreeMap::new(),
+            used: now,
+        });
+        part.used = now;
+        part
+    }
+}
+
+impl Control {
+    pub(super) fn claim(&mut self, now: Moment, item: Item, reply: oneshot::Sender<Verdict>) {
+        let partition = claim::partition(item.key());
+        let part = self.batchers.part(partition, now);
+        if let Item::Claim(record) = &item {
+            part.waiting.entry(record.id).or_default().push(reply);
+        }
+        part.batcher.submit(now, item);
+        self.pump_batcher(now, partition);
+    }
+
+    pub(super) fn batched(&mut self, now: Moment, result: Result) {
+        let part = self.batchers.part(result.partition, now);
+        match result.call {
+            Call::Appended(ticket, Ok(at)) => {
+                part.batcher.appended(now, ticket, at.offset, at.time);
+            }
+            Call::Appended(ticket, Err(error)) => {
+                log::debug!(error:% = error; "claims not appended");
+                let failure = if error.may_have_taken_effect() {
+                    Failure::Unknown
+                } else {
+                    Failure::NotDone
+                };
+                part.batcher.append_failed(now, ticket, failure);
+            }
+            Call::Read(limit, Ok(page)) => part.batcher.page(now, &page_of(page, limit)),
+            Call::Read(_, Err(error)) => {
+                log::debug!(error:% = error; "claims not read");
+                part.batcher.read_failed(now);
+            }
+        }
+        self.pump_batcher(now, result.partition);
+    }
+
+    pub(super) fn pump_batchers(&mut self, now: Moment) {
+        let idle = |part: &Part| since(now, part.used) > IDLE && part.waiting.is_empty();
+        self.batchers.parts.retain(|_, part| !idle(part));
+        let partitions: Vec<u16> = self.batchers.parts.keys().copied().collect();
+        for partition in partitions {
+            self.pump_batcher(now, partition);
+        }
+    }
+
+    fn pump_batcher(&mut self, now: Moment, partition: u16) {
+        let Some(part) = self.batchers.parts.get_mut(&partition) else {
+            return;
+        };
+        loop {
+            match part.batcher.next(now) {
+                Next::Append { ticket, body } => {
+                    let (log, events) = (self.io.log.clone(), self.io.events.clone());
+                    tokio::spawn(async move {
+                        let call = append(&log, partition, ticket, body).await;
+                        let result = Result { partition, call };
+                        drop(events.send(Event::Batch(result)).await);
+                    });
+                }
+                Next::Read { from, limit } => {
+                    let (log, events) = (self.io.log.clone(), self.io.events.clone());
+                    tokio::spawn(async move {
+                        let call = read(&log, partition, from, limit).await;
+                        let result = Result { partition, call };
+                        drop(events.send(Event::Batch(result)).await);
+                    });
+                }
+                Next::Answer { id, verdict } => {
+                    for reply in part.waiting.remove(&id).unwrap_or_default() {
+                        super::answer(reply, verdict);
+                    }
+                }
+                // The control thread's tick comes soon enough: its period is
+                // that of the batches.
+                Next::Wait(_) => return,
+            }
+        }
+    }
+}
+
+async fn append(log: &Client, partition: u16, ticket: u64, body: Vec<u8>) -> Call {
+    let stream = claim::stream(partition);
+    Call::Appended(ticket, log.append(&stream, Bytes::from(body)).await)
+}
+
+async fn read(log: &Client, partition: u16, from: u64, limit: u32) -> Call {
+    let stream = claim::stream(partition);
+    let page = log
+        .read(&stream, from, limit as usize, Duration::ZERO)
+        .await;
+    Call::Read(limit, page)
+}
+
+// The client's `next` is where to read on; the batcher's is the stream's end.
+// They are the same unless the page is full, when there may be more.
+fn page_of(page: godwitpost_platform::log::Page, limit: u32) -> claim::Page {
+    let full = page.records.len() >= limit as usize;
+    let records = page.records.into_iter().map(|record| Stored {
+        offset: record.offset,
+        time: record.time,
+        body: record.body.to_vec(),
+    });
+    claim::Page {
+        first: page.first,
+        next: page.next + u64::from(full),
+        records: records.collect(),
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/bundles.rs
@@ -0,0 +1,164 @@
+//! Follows the stream of bundles, and fetches them from peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_bundle::fold::Next;
+use godwitpost_bundle::record::STREAM;
+use godwitpost_bundle::snapshot::{Snapshot, Update};
+use godwitpost_platform::connect::Connector;
+use godwitpost_platform::log::Page;
+use godwitpost_types::id::{InstanceId, Offset, Version};
+use godwitpost_types::instance::Instance;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use super::{Control, Event, Io, PLATFORM};
+use crate::body;
+use crate::metrics::Traffic;
+use crate::relay::peer;
+use crate::shared::Shared;
+
+/// The path that bundles are fetched from peers on; `?since=` names the
+/// version held.
+pub(crate) const PATH: &str = "/peer/v1/bundle";
+
+/// Bytes of a bundle that are taken from a peer. 8,900 workspaces of 100
+/// bytes each are under a megabyte.
+const BUNDLE_BYTES: usize = 64 << 20;
+
+/// Records asked for at once.
+const PAGE: usize = 100;
+
+/// How long the log holds a read that has nothing new.
+const POLL: Duration = Duration::from_secs(5);
+
+/// The pause after a read that failed.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// What a peer hands over.
+#[derive(Debug, Serialize, Deserialize)]
+enum Handed {
+    /// The latest changes, for one a few versions behind.
+    Update(Update),
+    /// Everything.
+    Snapshot(Box<Snapshot>),
+}
+
+/// Reads the stream for ever.
+///
+/// The long poll brings a new bundle within a round trip of its append. A log
+/// that is down is asked again after a pause; peers hand the bundle over
+/// meanwhile.
+pub(super) async fn follow(io: Io) {
+    let mut from = 0;
+    loop {
+        let wanted = match io.log.read(STREAM, from, PAGE, POLL).await {
+            Ok(page) => taken(&io, page).await,
+            Err(error) => {
+                log::debug!(error:% = error; "bundles not read");
+                let mut pause = io.timer.at(io.now() + PAUSE);
+                pause.next().await;
+                Some(from)
+            }
+        };
+        match wanted {
+            Some(wanted) => from = wanted,
+            None => return,
+        }
+    }
+}
+
+// Returns the next offset to read; `None` when the router ends.
+async fn taken(io: &Io, page: Page) -> Option<Offset> {
+    let (reply, wanted) = oneshot::channel();
+    io.events.send(Event::Bundles(page, reply)).await.ok()?;
+    wanted.await.ok()
+}
+
+impl Control {
+    pub(super) fn records(&mut self, page: &Page, wanted: oneshot::Sender<Offset>) {
+        for record in &page.records {
+            let next = self.fold.apply(record.offset, record.time, &record.body);
+            self.folded(&next);
+        }
+        // A page may be empty though older records were dropped.
+        super::answer(wanted, self.fold.wanted().max(page.next));
+        self.publish();
+    }
+
+    /// Fetches the bundle of an instance that holds a newer one.
+    pub(super) fn heard(&mut self, instance: InstanceId, version: Version) {
+        if self.fetching || version <= self.fold.version() {
+            return;
+        }
+        let Some(instance) = self.shared.snapshot().view.instance(instance).cloned() else {
+            return;
+        };
+        self.fetching = true;
+        let (shared, io) = (Arc::clone(&self.shared), self.io.clone());
+        let version = self.fold.version();
+        tokio::spawn(async move {
+            let bytes = fetch(&shared, &io.connector, &instance, version).await;
+            drop(io.events.send(Event::Fetched(bytes)).await);
+        });
+    }
+
+    pub(super) fn fetched(&mut self, bytes: Option<Bytes>) {
+        self.fetching = false;
+        let Some(bytes) = bytes else { return };
+        let next = match rmp_serde::from_slice(&bytes) {
+            Ok(Handed::Update(update)) => self.fold.advance(&update),
+            Ok(Handed::Snapshot(snapshot)) => self.fold.adopt(*snapshot),
+            Err(error) => {
+                log::warn!(error:% = error; "a peer's bundle can't be read");
+                return;
+            }
+        };
+        self.folded(&next.unwrap_or_else(Next::Refused));
+        self.publish();
+    }
+
+    /// Returns what a peer needs that holds `version`.
+    pub(super) fn bundle(&self, version: Version) -> Option<Bytes> {
+        let update = self.fold.update(version).filter(|_| version > 0);
+        let handed = match update {
+            Some(update) => Handed::Update(update),
+            None => Handed::Snapshot(Box::new(self.fold.snapshot()?)),
+        };
+        rmp_serde::to_vec(&handed).ok().map(Bytes::from)
+    }
+
+    fn folded(&mut self, next: &Next) {
+        match next {
+            Next::InForce(version) => {
+                log::info!(version = version; "bundle in force");
+                self.pump.set_version(*version);
+            }
+            Next::Refused(refusal) => log::warn!(reason:% = refusal; "bundle refused"),
+            Next::Waiting => log::warn!("bundle records were dropped; asking peers"),
+            Next::Ignored => {}
+        }
+    }
+}
+
+async fn fetch(
+    shared: &Shared,
+    connector: &Connector,
+    instance: &Instance,
+    version: Version,
+) -> Option<Bytes> {
+    let path = format!("{PATH}?since={version}");
+    let request = peer::sealed(shared, instance, Method::GET, &path, &Bytes::new());
+    let sent = connector.send(instance.peer_address, request, PLATFORM);
+    let response = sent.await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let read = body::collect(response.into_body(), BUNDLE_BYTES);
+    let bytes = tokio::time::timeout(PLATFORM, read).await.ok()?.ok()?;
+    shared.metrics.control(Traffic::Peers, bytes.len());
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/router/src/control/gossip.rs
@@ -0,0 +1,182 @@
+//! Carries the gossip of `godwitpost_state::gossip` to peers and back.
+
+mod pack;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_decide::load::Summary;
+use godwitpost_decide::owner::Owner;
+use godwitpost_decide::quarantine::Evidence;
+use godwitpost_decide::view::Pool;
+use godwitpost_platform::connect::Connector;
+use godwitpost_state::gossip::{Load, Message, News};
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{InstanceId, NO_MODEL};
+use godwitpost_types::instance::Instance;
+use http::{Method, StatusCode};
+
+use super::{Control, Event};
+use crate::body;
+use crate::metrics::Traffic;
+use crate::relay::peer;
+use crate::shared::Shared;
+
+/// The path that gossip is taken on.
+pub(crate) const PATH: &str = "/peer/v1/gossip";
+
+/// Bytes of one message that are read; the pump keeps to about 1,000.
+pub(crate) const MESSAGE_BYTES: usize = 4 << 10;
+
+/// How long an answer may take. Under the pump's period, so that a silent
+/// peer is accused before its next turn.
+const WAIT: Duration = Duration::from_millis(800);
+
+/// What came of one exchange.
+enum Exchange {
+    Answered(Message, usize),
+    /// The peer is there, but its budget forbids an answer.
+    Deferred,
+    Unreachable,
+}
+
+impl Control {
+    /// Sends the messages that are due.
+    pub(super) fn gossip(&mut self, now: Moment) {
+        for evidence in self.shared.desk.with(Owner::evidence) {
+            self.pump.evidence(pack::evidence(&evidence));
+        }
+        let peers = self.pump.tick(now, &self.roster, &mut self.rng);
+        for peer in peers {
+            let known = self.roster.others().find(|(i, _)| i.id == peer);
+            let Some(instance) = known.map(|(instance, _)| instance.clone()) else {
+                continue;
+            };
+            let bytes = self.message(now, peer);
+            let (shared, io) = (Arc::clone(&self.shared), self.io.clone());
+            tokio::spawn(async move {
+                let said = match exchange(&shared, &io.connector, &instance, bytes).await {
+                    Exchange::Answered(message, bytes) => Some((message, bytes)),
+                    Exchange::Deferred => return,
+                    Exchange::Unreachable => None,
+                };
+                drop(io.events.send(Event::Answered(peer, said)).await);
+            });
+        }
+    }
+
+    /// Takes a peer's message; returns ours unless the budget forbids.
+    pub(super) fn asked(&mut self, now: Moment, message: &Message, bytes: usize) -> Option<Bytes> {
+        self.shared.metrics.control(Traffic::Peers, bytes);
+        let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
+        let news = self.pump.asked(now, bytes, message, roster, endpoints)?;
+        self.learn(message.from.id, &news);
+        Some(self.message(now, message.from.id))
+    }
+
+    /// Takes what a peer answered, or that it didn't.
+    pub(super) fn answered(
+        &mut self,
+        now: Moment,
+        peer: InstanceId,
+        said: Option<(Message, usize)>,
+    ) {
+        let Some((message, bytes)) = said else {
+            self.roster.unreachable(now, peer);
+            return;
+        };
+        self.shared.metrics.control(Traffic::Peers, bytes);
+        let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
+        let news = self.pump.answered(now, bytes, &message, roster, endpoints);
+        self.learn(peer, &news);
+    }
+
+    fn message(&mut self, now: Moment, to: InstanceId) -> Bytes {
+        let summaries = self.shared.desk.with(|owner| owner.summaries(now));
+        let loads: Vec<Load> = summaries.iter().map(load).collect();
+        let bytes = self.pump.message(to, &self.roster, &loads).encode();
+        self.pump.sent(bytes.len());
+        self.shared.metrics.control(Traffic::Peers, bytes.len());
+        Bytes::from(bytes)
+    }
+
+    fn learn(&mut self, peer: InstanceId, news: &News) {
+        if let Some(version) = news.version {
+            self.heard(peer, version);
+        }
+        let loads = news.loads.iter();
+        let summaries: Vec<Summary> = loads.filter_map(|load| self.summary(peer, load)).collect();
+        let evidence: Vec<Evidence> = news.evidence.iter().map(pack::read).collect();
+        self.shared.desk.with(|owner| {
+            owner.learn(&summaries);
+            owner.learn_evidence(&evidence);
+        });
+    }
+
+    // Gossip names a pool by one number; the endpoints known here say which.
+    fn summary(&self, source: InstanceId, load: &Load) -> Option<Summary> {
+        let mut pools = self.endpoints.endpoints().flat_map(|endpoint| {
+            let models = endpoint.models.iter().copied();
+            let none = endpoint.models.is_empty().then_some(NO_MODEL);
+            models.chain(none).map(|model| Pool {
+                service: endpoint.service,
+                model,
+            })
+        });
+        let pool = pools.find(|pool| number(*pool) == load.pool)?;
+        Some(Summary {
+            source,
+            pool,
+            endpoints: load.endpoints,
+            work: load.work,
+            taken: load.taken,
+        })
+    }
+}
+
+async fn exchange(
+    shared: &Shared,
+    connector: &Connector,
+    instance: &Instance,
+    bytes: Bytes,
+) -> Exchange {
+    let request = peer::sealed(shared, instance, Method::POST, PATH, &bytes);
+    let sent = connector.send(instance.peer_address, request, WAIT);
+    let response = match sent.await {
+        Ok(response) => response,
+        Err(error) => {
+            log::debug!(instance:% = instance.name, error:% = error; "no gossip");
+            return Exchange::Unreachable;
+        }
+    };
+    if response.status() != StatusCode::OK {
+        return Exchange::Deferred;
+    }
+    let read = body::collect(response.into_body(), MESSAGE_BYTES);
+    let Ok(Ok(bytes)) = tokio::time::timeout(WAIT, read).await else {
+        return Exchange::Unreachable;
+    };
+    match Message::decode(&bytes) {
+        Ok(message) => Exchange::Answered(message, bytes.len()),
+        Err(error) => {
+            log::warn!(instance:% = instance.name, error:% = error; "gossip can't be read");
+            Exchange::Deferred
+        }
+    }
+}
+
+const fn load(summary: &Summary) -> Load {
+    Load {
+        pool: number(summary.pool),
+        endpoints: summary.endpoints,
+        work: summary.work,
+        taken: summary.taken,
+    }
+}
+
+// Service and model ids are hashes already; the rotation keeps a pool apart
+// from the one with the two exchanged.
+const fn number(pool: Pool) -> u64 {
+    pool.service ^ pool.model.rotate_left(1)
+}
--- /dev/null
+++ b/crates/router/src/control/gossip/pack/tests.rs
@@ -0,0 +1,17 @@
+use std::time::Duration;
+
+use godwitpost_decide::quarantine::{Evidence, Kind};
+
+#[test]
+fn evidence_survives_the_packing() {
+    for kind in [Kind::Crashed, Kind::Clean, Kind::Survived] {
+        let evidence = Evidence {
+            digest: *b"0123456789abcdef",
+            endpoint: 7,
+            incarnation: u64::MAX,
+            kind,
+            at: Duration::from_millis(1_764_712_800_123),
+        };
+        assert_eq!(super::read(&super::evidence(&evidence)), evidence);
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/probe.rs
@@ -0,0 +1,215 @@
+//! Asks the list and the owned endpoints how they are.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use godwitpost_decide::chats;
+use godwitpost_decide::view::Pool;
+use godwitpost_platform::list;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::{Endpoint, Report, Standing};
+use godwitpost_types::id::{EndpointId, Incarnation, Offset};
+use http::{Request, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::{Control, Event, Io};
+use crate::body;
+use crate::metrics::Traffic;
+
+/// The time between two readings of the list.
+const LIST: Duration = Duration::from_secs(1);
+
+/// The time between two reports of one owned endpoint. An instance owns about
+/// ten endpoints at the letter's size; at 400 bytes an exchange with headers,
+/// ten a second would be 4 KB/s, so each is asked every two seconds.
+const REPORT: Duration = Duration::from_secs(2);
+
+/// How long an endpoint may take to answer a probe.
+const WAIT: Duration = Duration::from_secs(1);
+
+/// Bytes of a probe's answer that are read.
+const PROBE_BYTES: usize = 256 << 10;
+
+/// When each owned endpoint was last asked, and how far its events were read.
+#[derive(Debug, Default)]
+pub(super) struct Probes {
+    asked: BTreeMap<EndpointId, Moment>,
+    events: BTreeMap<EndpointId, (Incarnation, Offset)>,
+}
+
+/// An engine's cache events from an offset on.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct CachePage {
+    first: Offset,
+    next: Offset,
+    events: Vec<CacheEvent>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct CacheEvent {
+    kind: CacheKind,
+    prefix: String,
+    #[serde(default)]
+    tokens: u32,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum CacheKind {
+    Stored,
+    Evicted,
+}
+
+#[derive(Deserialize)]
+struct ReportAnswer {
+    taken_ms: u64,
+    incarnation: Incarnation,
+    standing: Standing,
+    requests: u32,
+    work: u64,
+}
+
+/// Reads the list for ever.
+pub(super) async fn list(io: Io, client: list::Client) {
+    let mut due = io.timer.every(LIST);
+    loop {
+        match client.fetch().await {
+            Ok(listing) => {
+                if io.events.send(Event::Listing(listing)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::debug!(error:% = error; "instance list not read"),
+        }
+        due.next().await;
+    }
+}
+
+impl Control {
+    /// Asks the owned endpoints that are due.
+    pub(super) fn probe(&mut self, now: Moment) {
+        let view = std::sync::Arc::clone(&self.shared.snapshot().view);
+        for endpoint in view.owned() {
+            let asked = self.probes.asked.get(&endpoint.id);
+            if asked.is_some_and(|at| since(now, *at) < REPORT) {
+                continue;
+            }
+            self.probes.asked.insert(endpoint.id, now);
+            let from = self.probes.from(endpoint);
+            tokio::spawn(ask(self.io.clone(), endpoint.clone(), from));
+        }
+        self.probes
+            .asked
+            .retain(|id, _| view.endpoint(*id).is_some());
+        self.probes
+            .events
+            .retain(|id, _| view.endpoint(*id).is_some());
+    }
+
+    pub(super) fn reported(&mut self, now: Moment, endpoint: EndpointId, report: &Report) {
+        self.endpoints.report(now, endpoint, report);
+        self.shared
+            .desk
+            .with(|owner| owner.observe(endpoint, report));
+        self.publish();
+    }
+
+    /// Takes in cache events, for each model that the engine has: they name a
+    /// prefix and no model, and a chat stays with one model.
+    pub(super) fn cached(&mut self, id: EndpointId, page: &CachePage) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let now = self.shared.now();
+        let gap = self.probes.read(endpoint, page);
+        let events: Vec<chats::Event> = page
+            .events
+            .iter()
+            .flat_map(|event| {
+                let models = endpoint.models.iter();
+                models.filter_map(|model| event.read(endpoint, *model, now))
+            })
+            .collect();
+        self.shared.desk.with(|owner| {
+            for (index, event) in events.iter().enumerate() {
+                owner.cache_event(id, event, gap && index == 0);
+            }
+        });
+    }
+}
+
+impl Probes {
+    // A new incarnation counts its events from the start.
+    fn from(&self, endpoint: &Endpoint) -> Option<Offset> {
+        if endpoint.models.is_empty() {
+            return None;
+        }
+        match self.events.get(&endpoint.id) {
+            Some((incarnation, next)) if *incarnation == endpoint.incarnation => Some(*next),
+            _ => Some(0),
+        }
+    }
+
+    // Returns whether events were lost before this page.
+    fn read(&mut self, endpoint: &Endpoint, page: &CachePage) -> bool {
+        let before = self.from(endpoint).unwrap_or(0);
+        let place = (endpoint.incarnation, page.next.max(before));
+        self.events.insert(endpoint.id, place);
+        page.first > before
+    }
+}
+
+impl CacheEvent {
+    fn read(&self, endpoint: &Endpoint, model: u64, at: Moment) -> Option<chats::Event> {
+        let chat = u64::from_str_radix(&self.prefix, 16).ok()?;
+        Some(chats::Event {
+            chat,
+            pool: Pool {
+                service: endpoint.service,
+                model,
+            },
+            kind: match self.kind {
+                CacheKind::Stored => chats::Kind::Stored,
+                CacheKind::Evicted => chats::Kind::Evicted,
+            },
+            tokens: self.tokens,
+            at,
+        })
+    }
+}
+
+async fn ask(io: Io, endpoint: Endpoint, from: Option<Offset>) {
+    if let Some(report) = get::<ReportAnswer>(&io, &endpoint, "/v1/report").await {
+        let report = Report {
+            taken: Duration::from_millis(report.taken_ms),
+            incarnation: report.incarnation,
+            standing: report.standing,
+            requests: report.requests,
+            work: report.work,
+        };
+        drop(io.events.send(Event::Report(endpoint.id, report)).await);
+    }
+    let Some(from) = from else { return };
+    let path = format!("/v1/cache-events?from={from}");
+    if let Some(page) = get::<CachePage>(&io, &endpoint, &path).await {
+        drop(io.events.send(Event::Cache(endpoint.id, page)).await);
+    }
+}
+
+async fn get<T: DeserializeOwned>(io: &Io, endpoint: &Endpoint, path: &str) -> Option<T> {
+    let request = Request::get(path).body(body::full(bytes::Bytes::new()));
+    let sent = io.connector.send(endpoint.address, request.ok()?, WAIT);
+    let response = sent.await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let read = body::collect(response.into_body(), PROBE_BYTES);
+    let bytes = tokio::time::timeout(WAIT, read).await.ok()?.ok()?;
+    io.count(Traffic::Probes, path.len() + bytes.len());
+    serde_json::from_slice::<T>(&bytes)
+        .inspect_err(|error| {
+            log::debug!(endpoint:% = endpoint.name, error:% = error; "probe can't be read");
+        })
+        .ok()
+}
--- /dev/null
+++ b/crates/router/src/control/publish.rs
@@ -0,0 +1,81 @@
+//! Publishes a new picture when something in it changed, and only then.
+
+use std::sync::Arc;
+
+use godwitpost_decide::view::View;
+use godwitpost_types::endpoint::{Endpoint, Standing};
+use godwitpost_types::id::Version;
+use godwitpost_types::instance::Instance;
+
+use super::Control;
+use crate::shared::{Bundle, Snapshot};
+
+/// What was published last.
+pub(super) struct Published {
+    own: Instance,
+    instances: Vec<Instance>,
+    endpoints: Vec<Endpoint>,
+    version: Version,
+    bundle: Option<Bundle>,
+}
+
+impl Published {
+    pub(super) const fn new(own: Instance) -> Self {
+        Self {
+            own,
+            instances: Vec::new(),
+            endpoints: Vec::new(),
+            version: 0,
+            bundle: None,
+        }
+    }
+}
+
+impl Control {
+    pub(super) fn publish(&mut self) {
+        let instances = self.instances();
+        let endpoints: Vec<Endpoint> = self.endpoints.endpoints().cloned().collect();
+        let version = self.fold.version();
+        let last = &self.published;
+        if last.version == version && last.instances == instances && last.endpoints == endpoints {
+            return;
+        }
+        if self.published.version != version {
+            self.published.bundle = self.resolved();
+            self.batchers.set_window(self.fold.policy());
+        }
+        let view = View::new(
+            self.shared.local(),
+            instances.iter().cloned(),
+            endpoints.iter().cloned(),
+        );
+        self.shared.publish(Snapshot {
+            view: Arc::new(view),
+            bundle: self.published.bundle.clone(),
+        });
+        self.published.instances = instances;
+        self.published.endpoints = endpoints;
+        self.published.version = version;
+    }
+
+    // The own instance stays in its view while it leaves, so that the view
+    // knows its region; a leaving instance owns nothing.
+    fn instances(&self) -> Vec<Instance> {
+        let mut instances: Vec<Instance> = self.roster.instances().cloned().collect();
+        if !instances.iter().any(|i| i.id == self.published.own.id) {
+            instances.push(Instance {
+                standing: Standing::Leaving,
+                ..self.published.own.clone()
+            });
+        }
+        instances
+    }
+
+    fn resolved(&self) -> Option<Bundle> {
+        let policy = self.fold.policy()?.clone();
+        Some(Bundle {
+            policy: Arc::new(policy),
+            root: self.fold.tree()?.root(),
+        })
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,2 +1,96 @@
-//! Binary.
-fn main() {}
+//! The router's binary: reads settings, runs, and ends on a signal.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use godwitpost_router::cli::{
+    EXIT_CUT, EXIT_DONE, EXIT_DRAIN, EXIT_START, EXIT_USAGE, Next, parse,
+};
+use godwitpost_router::settings::Settings;
+use godwitpost_router::{Stopped, logging, start};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    let code = match parse(std::env::args_os()) {
+        Next::Run(path) => with(&path, run),
+        Next::Check(path) => with(&path, |_| EXIT_DONE),
+        Next::Print(path) => with(&path, |settings| {
+            print!("{}", settings.print());
+            EXIT_DONE
+        }),
+        Next::Say(text, EXIT_DONE) => {
+            print!("{text}");
+            EXIT_DONE
+        }
+        Next::Say(text, code) => {
+            eprint!("{text}");
+            code
+        }
+    };
+    ExitCode::from(code)
+}
+
+fn with(path: &Path, call: impl FnOnce(Settings) -> u8) -> u8 {
+    match Settings::load(path) {
+        Ok(settings) => call(settings),
+        Err(error) => {
+            eprintln!("{error}");
+            EXIT_USAGE
+        }
+    }
+}
+
+fn run(settings: Settings) -> u8 {
+    if let Err(error) = logging::start(settings.log_level) {
+        eprintln!("no log: {error}");
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = runtime.and_then(|runtime| runtime.block_on(until_signal(settings)));
+    result.unwrap_or_else(|error| {
+        eprintln!("can't start: {error}");
+        EXIT_START
+    })
+}
+
+async fn until_signal(settings: Settings) -> std::io::Result<u8> {
+    // Before anything listens, so that no signal is lost.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let running = start(settings).map_err(std::io::Error::other)?;
+    log::info!(
+        callers:% = running.callers_address(),
+        peers:% = running.peers_address(),
+        operators:% = running.operators_address();
+        "listening"
+    );
+    either(&mut terminate, &mut interrupt).await;
+    let hurry = running.hurry();
+    let stopping = running.stop_gracefully();
+    tokio::pin!(stopping);
+    let (stopped, hurried) = tokio::select! {
+        stopped = &mut stopping => (stopped, false),
+        () = either(&mut terminate, &mut interrupt) => {
+            hurry.now();
+            (stopping.await, true)
+        }
+    };
+    Ok(match stopped {
+        Stopped::Whole => EXIT_DONE,
+        Stopped::Cut { requests } => {
+            log::warn!(requests = requests; "requests in flight were cut");
+            if hurried { EXIT_CUT } else { EXIT_DRAIN }
+        }
+    })
+}
+
+async fn either(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics/tests.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use godwitpost_types::outcome::Outcome;
+
+use super::{LABELLED, Metrics};
+
+// With 8,900 workspaces a label set each would outgrow the memory allowed.
+#[test]
+fn workspaces_beyond_the_limit_share_a_label() {
+    let metrics = Metrics::new("otaru-1");
+    for n in 0..LABELLED + 5 {
+        let labels = metrics.labels(&format!("w{n}"), "draft");
+        metrics.head(&labels, Outcome::Ran, 200, Duration::from_millis(3));
+    }
+    let text = metrics.text();
+    let last = format!("workspace=\"w{}\"", LABELLED - 1);
+    assert!(text.contains(&last), "{text}");
+    assert!(!text.contains(&format!("workspace=\"w{LABELLED}\"")));
+    let others = text
+        .lines()
+        .find(|line| line.starts_with("godwitpost_requests_total") && line.contains("(others)"));
+    assert!(others.is_some_and(|line| line.ends_with(" 5")), "{text}");
+}
+
+#[test]
+fn latencies_are_histograms_of_workspace_and_class() {
+    let metrics = Metrics::new("otaru-1");
+    let labels = metrics.labels("otaru", "order");
+    metrics.head(&labels, Outcome::Ran, 200, Duration::from_millis(700));
+    let text = metrics.text();
+    let bucket = |le: &str| {
+        let line = text.lines().find(|line| {
+            line.starts_with("godwitpost_first_byte_seconds_bucket")
+                && line.contains("workspace=\"otaru\"")
+                && line.contains("class=\"order\"")
+                && line.contains(&format!("le=\"{le}\""))
+        });
+        line.unwrap_or_else(|| panic!("no bucket {le} in {text}"))
+            .ends_with(" 1")
+    };
+    assert!(!bucket("0.4"));
+    assert!(bucket("0.8"));
+}
--- /dev/null
+++ b/crates/router/src/relay/desk.rs
@@ -0,0 +1,205 @@
+//! The local owner under its lock, and the requests that wait for it.
+//!
+//! Each call holds the lock for microseconds and never over an await. A
+//! request that waits gets its decision through a channel. Two races need
+//! care, both when a caller goes away: a request that still waits is taken
+//! out of the queue, and one that was granted at that very moment gives its
+//! grant back, or the endpoint's slot would be lost for ever.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use godwitpost_decide::ending::Ending;
+use godwitpost_decide::hop::Hop;
+use godwitpost_decide::owner::{Grant, Next, Owner, Wake};
+use godwitpost_decide::queue::Ticket;
+use godwitpost_decide::refusal::{Reason, Refusal};
+use godwitpost_decide::view::View;
+use godwitpost_types::clock::Moment;
+use godwitpost_types::policy::Policy;
+use godwitpost_types::request::Request;
+use tokio::sync::oneshot;
+
+use crate::shared::Shared;
+
+/// The local owner and who waits for it.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    owner: Owner,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Next>>,
+}
+
+/// What to do with a request; waiting is over.
+#[derive(Debug)]
+pub(crate) enum Decision {
+    /// Send it to the endpoint now.
+    Dispatch(Leave),
+    /// Send it to another owner.
+    Forward(godwitpost_types::id::InstanceId, Hop),
+    /// It was not run here and won't be.
+    Refuse(Refusal),
+}
+
+impl Desk {
+    pub(crate) fn new(view: Arc<View>) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                owner: Owner::new(view, Arc::new(Policy::default())),
+                waiting: BTreeMap::new(),
+            }),
+        }
+    }
+
+    /// Goes over to a new view and policy.
+    pub(crate) fn adopt(&self, now: Moment, view: Arc<View>, policy: Arc<Policy>) {
+        self.wake(now, |owner| owner.adopt(now, view, policy));
+    }
+
+    /// Lets time pass; called about every 100 ms.
+    pub(crate) fn tick(&self, now: Moment) {
+        self.wake(now, |owner| owner.tick(now));
+    }
+
+    /// Runs `call` on the owner.
+    pub(crate) fn with<T>(&self, call: impl FnOnce(&mut Owner) -> T) -> T {
+        call(&mut self.lock().owner)
+    }
+
+    /// Runs `call` on the owner and hands out the decisions it returns.
+    fn wake(&self, now: Moment, call: impl FnOnce(&mut Owner) -> Vec<Wake>) {
+        let mut inner = self.lock();
+        let wakes = call(&mut inner.owner);
+        inner.deliver(now, wakes);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // A panic under the lock is a bug in the owner; its tables are still
+        // sound enough to serve the requests that run.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn deliver(&mut self, now: Moment, mut wakes: Vec<Wake>) {
+        while let Some(wake) = wakes.pop() {
+            let unheard = match self.waiting.remove(&wake.ticket) {
+                Some(sender) => sender.send(wake.next).err(),
+                None => Some(wake.next),
+            };
+            if let Some(Next::Dispatch(grant)) = unheard {
+                wakes.extend(self.owner.finish(now, grant.attempt, Ending::Abandoned));
+            }
+        }
+    }
+}
+
+/// Offers a request to the local owner and waits for its decision.
+pub(crate) async fn offer(shared: &Arc<Shared>, request: &Request, hop: &Hop) -> Decision {
+    let now = shared.now();
+    let waiting = {
+        let mut inner = shared.desk.lock();
+        match inner.owner.offer(now, request, hop) {
+            Next::Wait { ticket, .. } => {
+                let (sender, receiver) = oneshot::channel();
+                inner.waiting.insert(ticket, sender);
+                Waiting {
+                    shared: Arc::clone(shared),
+                    ticket,
+                    receiver,
+                }
+            }
+            next => return decision(shared, next),
+        }
+    };
+    waiting.decided().await
+}
+
+fn decision(shared: &Arc<Shared>, next: Next) -> Decision {
+    match next {
+        Next::Dispatch(grant) => Decision::Dispatch(Leave {
+            shared: Arc::clone(shared),
+            grant,
+            finished: false,
+        }),
+        Next::Forward { instance, hop } => Decision::Forward(instance, hop),
+        Next::Refuse(refusal) => Decision::Refuse(refusal),
+        // A wake never says wait; should it, refusing is the safe reading.
+        Next::Wait { .. } => Decision::Refuse(Refusal::new(Reason::Busy)),
+    }
+}
+
+/// A request in the local owner's queue; dropping it takes it out.
+#[derive(Debug)]
+struct Waiting {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Next>,
+}
+
+impl Waiting {
+    async fn decided(mut self) -> Decision {
+        match (&mut self.receiver).await {
+            Ok(next) => decision(&self.shared, next),
+            // The sender is only dropped with the router.
+            Err(_gone) => Decision::Refuse(Refusal::new(Reason::Leaving)),
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut inner = self.shared.desk.lock();
+        inner.waiting.remove(&self.ticket);
+        if inner.owner.cancel(self.ticket) {
+            return;
+        }
+        // Granted, but the caller went away before it read that.
+        if let Ok(Next::Dispatch(grant)) = self.receiver.try_recv() {
+            let wakes = inner.owner.finish(now, grant.attempt, Ending::Abandoned);
+            inner.deliver(now, wakes);
+        }
+    }
+}
+
+/// Leave to dispatch one request; tells the owner exactly once how it ended.
+#[derive(Debug)]
+pub(crate) struct Leave {
+    shared: Arc<Shared>,
+    grant: Grant,
+    finished: bool,
+}
+
+impl Leave {
+    pub(crate) const fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// Tells how the attempt ended.
+    pub(crate) fn finish(mut self, ending: Ending) {
+        self.end(ending);
+    }
+
+    fn end(&mut self, ending: Ending) {
+        if self.finished {
+            return;
+        }
+        self.finished = true;
+        let now = self.shared.now();
+        let attempt = self.grant.attempt;
+        self.shared
+            .desk
+            .wake(now, |owner| owner.finish(now, attempt, ending));
+    }
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        self.end(Ending::Abandoned);
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/entry.rs
@@ -0,0 +1,211 @@
+//! The entry's part: one caller's request until it has its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitpost_decide::ending::Ending;
+use godwitpost_decide::entry::{self, Attempts, Next, Retry};
+use godwitpost_decide::hop::Hop;
+use godwitpost_decide::refusal::{Reason, Refusal};
+use godwitpost_platform::connect::Body;
+use godwitpost_types::id::{EndpointId, InstanceId};
+use godwitpost_types::instance::Instance;
+use godwitpost_types::outcome::Outcome;
+use godwitpost_wire::dispatch::{Head, Reply, pack};
+use http::{Response, StatusCode};
+use rand::RngExt as _;
+
+use super::peer::Failure;
+use super::{Attempt, Job, owner, peer};
+use crate::problem::Problem;
+use crate::resolve::Resolved;
+use crate::shared::{Bundle, Shared, Snapshot};
+
+/// Forwards that an entry follows for one attempt, by far more than the
+/// owners' own bound; it only guards against a loop by a bug.
+const FORWARDS: u32 = 16;
+
+/// Runs a request to its answer.
+///
+/// # Errors
+///
+/// Returns the problem to tell the caller, with the request's true outcome.
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    snapshot: &Arc<Snapshot>,
+    bundle: &Bundle,
+    resolved: Resolved,
+) -> Result<Response<Body>, Problem> {
+    let zone = shared.settings.zone_id();
+    let mut next = entry::start(&snapshot.view, &bundle.policy, &resolved.request, zone);
+    shared
+        .gate()
+        .budgets
+        .earn(resolved.request.workspace, resolved.request.service);
+    let mut run = Run {
+        shared,
+        snapshot,
+        attempts: Attempts::default(),
+        job: job(zone, resolved),
+    };
+    loop {
+        let (instance, endpoint) = match next {
+            Next::Refuse(refusal) => return Err(refusal.into()),
+            Next::Local { endpoint } => (shared.local(), endpoint),
+            Next::Forward { instance, endpoint } => (instance, endpoint),
+        };
+        let (at, ending) = match run.attempt(instance, endpoint).await {
+            Step::Answered(response) => return Ok(response),
+            Step::Told(problem) => return Err(problem),
+            Step::Failed(at, ending) => (at, ending),
+        };
+        next = run.again(at, ending).await?;
+    }
+}
+
+struct Run<'a> {
+    shared: &'a Arc<Shared>,
+    snapshot: &'a Arc<Snapshot>,
+    attempts: Attempts,
+    job: Job,
+}
+
+enum Step {
+    Answered(Response<Body>),
+    Told(Problem),
+    Failed(Option<EndpointId>, Ending),
+}
+
+impl Run<'_> {
+    /// Makes one attempt, following owners' forwards.
+    async fn attempt(&mut self, instance: InstanceId, endpoint: EndpointId) -> Step {
+        let digest = self.job.head.request.digest;
+        let evidence = self.shared.desk.with(|owner| owner.evidence_on(&digest));
+        let zone = self.shared.settings.zone_id();
+        self.job.head.hop = self.attempts.hop(zone, endpoint, evidence);
+        let mut instance = instance;
+        for _ in 0..FORWARDS {
+            self.job.head.attempt = self.shared.gate().rng.random();
+            let attempt = match self.send(instance).await {
+                Ok(attempt) => attempt,
+                Err(ending) => return Step::Failed(None, ending),
+            };
+            match attempt {
+                Attempt::Answered(response) => return Step::Answered(response),
+                Attempt::Reply(Reply::Forward { instance: to, hop }) => {
+                    instance = to;
+                    self.job.head.hop = hop;
+                }
+                Attempt::Reply(Reply::Refused(refusal)) => return step(refusal),
+                Attempt::Reply(Reply::Failed { endpoint, ending }) => {
+                    return Step::Failed(Some(endpoint), ending);
+                }
+                Attempt::Reply(Reply::Told(told)) => return Step::Told(told.into()),
+            }
+        }
+        Step::Failed(None, Ending::Refused)
+    }
+
+    /// Sends the request to its owner, or serves it here if that is this
+    /// instance or can't be reached.
+    ///
+    /// The failure: an owner crashes, and the platform's list names it for
+    /// seconds more. As no byte has reached it, the local desk may serve the
+    /// request; it counts the endpoint's work by its own share and reports.
+    async fn send(&self, instance: InstanceId) -> Result<Attempt, Ending> {
+        let Some(remote) = self.remote(instance) else {
+            return Ok(owner::serve(self.shared, self.job.clone()).await);
+        };
+        match peer::dispatch(self.shared, remote, &self.job).await {
+            Ok(attempt) => Ok(attempt),
+            Err(Failure::NotSent) => {
+                log::debug!(instance:% = remote.name; "owner unreachable, served here");
+                Ok(owner::serve(self.shared, self.job.clone()).await)
+            }
+            Err(Failure::Unknown(ending)) => Err(ending),
+        }
+    }
+
+    fn remote(&self, instance: InstanceId) -> Option<&Instance> {
+        if instance == self.shared.local() {
+            return None;
+        }
+        self.snapshot.view.instance(instance)
+    }
+
+    fn failed(&mut self, at: Option<EndpointId>, ending: Ending) -> Retry {
+        let view = Arc::clone(&self.shared.snapshot().view);
+        let gate = &mut *self.shared.gate();
+        self.attempts.failed(
+            self.shared.now(),
+            &view,
+            self.shared.settings.zone_id(),
+            &self.job.head.request,
+            at,
+            ending,
+            &mut gate.budgets,
+            &mut gate.rng,
+        )
+    }
+
+    /// Returns where the request goes after a failed attempt.
+    async fn again(&mut self, at: Option<EndpointId>, ending: Ending) -> Result<Next, Problem> {
+        let retry = self.failed(at, ending);
+        match retry {
+            Retry::Again { after, to } => {
+                tokio::time::sleep(after).await;
+                Ok(to)
+            }
+            Retry::GiveUp {
+                outcome,
+                retry_after,
+            } => Err(given_up(ending, outcome, retry_after)),
+        }
+    }
+}
+
+// Another instance serves what this owner refuses because it leaves.
+fn step(refusal: Refusal) -> Step {
+    match refusal.reason {
+        Reason::Leaving => Step::Failed(None, Ending::Refused),
+        _ => Step::Told(refusal.into()),
+    }
+}
+
+fn given_up(ending: Ending, outcome: Outcome, retry_after: Duration) -> Problem {
+    let (status, reason, detail) = match (ending, outcome) {
+        (Ending::Timeout, _) => (
+            StatusCode::GATEWAY_TIMEOUT,
+            "timeout",
+            "no answer came before the deadline; it may have run, so repeat only what may run twice",
+        ),
+        (_, Outcome::NotRun) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "unreachable",
+            "no endpoint took the request and nothing was run; send it again later",
+        ),
+        _ => (
+            StatusCode::BAD_GATEWAY,
+            "broken",
+            "the endpoint broke off; it may have run, so repeat only what may run twice",
+        ),
+    };
+    Problem::not_run(status, reason, detail)
+        .with_outcome(outcome)
+        .after(retry_after)
+}
+
+fn job(zone: u64, resolved: Resolved) -> Job {
+    Job {
+        head: Head {
+            request: resolved.request,
+            hop: Hop::first(zone, 0),
+            attempt: 0,
+            method: resolved.method,
+            path: resolved.path,
+            headers: pack(&resolved.headers),
+            issued: resolved.key.map(|key| key.issued),
+        },
+        body: resolved.body,
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/once.rs
@@ -0,0 +1,263 @@
+//! Unrepeatable requests: nothing leaves for an endpoint without a claim.
+//!
+//! The claim is held from before the first byte leaves, and never given to
+//! another instance. An endpoint that provably ran nothing (it could not be
+//! reached, or said that it is leaving) may be replaced by another under the
+//! same claim, by this instance alone. After a byte has left, whatever goes
+//! wrong leaves the fate unknown, and the caller is told just that.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitpost_decide::ending::Ending;
+use godwitpost_platform::connect::Received;
+use godwitpost_state::claim::key::Key;
+use godwitpost_state::claim::{Abandon, Found, Id, Item, Refusal, Step};
+use godwitpost_types::outcome::Outcome;
+use godwitpost_wire::dispatch::Reply;
+use godwitpost_wire::header;
+use http::{HeaderValue, Response, StatusCode};
+
+use super::desk::{self, Decision, Leave};
+use super::endpoint::{self, Target};
+use super::{Attempt, Job};
+use crate::body;
+use crate::claims::{self, Kept};
+use crate::problem::Problem;
+use crate::shared::Shared;
+
+/// Bytes of an unrepeatable request's answer. Answers are read whole, so that
+/// they can be kept; confirmations have about a kilobyte.
+const ANSWER_BYTES: usize = 4 << 20;
+
+/// How long an answer's body may take after its head.
+const ANSWER_WAIT: Duration = Duration::from_secs(30);
+
+/// Endpoints that are tried under one claim.
+const TRIES: usize = 3;
+
+/// Runs an unrepeatable request that has leave to be dispatched.
+pub(crate) async fn run(shared: &Arc<Shared>, leave: Leave, job: &Job) -> Attempt {
+    match claimed(shared, job).await {
+        Ok(id) => started(shared, leave, job, id).await,
+        Err(problem) => told(problem),
+    }
+}
+
+/// Returns the kept answer of a key that was sent again.
+///
+/// # Errors
+///
+/// Returns the problem if the key came with another body.
+pub(crate) fn replay(shared: &Shared, job: &Job) -> Result<Option<Attempt>, Problem> {
+    let request = &job.head.request;
+    let Some(key) = &request.key else {
+        return Ok(None);
+    };
+    let mut claims = shared.claims.lock();
+    match claims.answers.find(shared.now(), key, &request.digest) {
+        Found::Answer(kept) => Ok(Some(answered(kept.clone(), true))),
+        Found::OtherBody => Err(problem(Refusal::OtherBody)),
+        Found::Nothing => Ok(None),
+    }
+}
+
+/// Returns the problem of a request whose fate isn't known.
+pub(crate) fn unknown() -> Problem {
+    Problem::unknown(
+        StatusCode::BAD_GATEWAY,
+        "broken",
+        "the endpoint broke off after it had the request; it may have run, so find out before you send it with a new key",
+    )
+}
+
+async fn claimed(shared: &Arc<Shared>, job: &Job) -> Result<Id, Problem> {
+    let request = &job.head.request;
+    let (Some(digest), Some(issued)) = (request.key, job.head.issued) else {
+        return Err(problem(Refusal::Unavailable));
+    };
+    let key = Key { digest, issued };
+    let record = shared
+        .claims
+        .lock()
+        .holder
+        .open(&key, request.digest, request.deadline);
+    let verdict = claims::ask(shared, record).await;
+    let now = shared.now();
+    let step = shared.claims.lock().holder.verdict(now, record.id, verdict);
+    match step {
+        Step::Claimed => Ok(record.id),
+        Step::Refuse { refusal, fate } => {
+            if let Some(fate) = fate {
+                tell(shared, fate);
+            }
+            Err(problem(refusal))
+        }
+        Step::Spent(fate) => {
+            tell(shared, fate);
+            Err(problem(Refusal::Unavailable))
+        }
+        Step::Ignore => Err(problem(Refusal::Unavailable)),
+    }
+}
+
+async fn started(shared: &Arc<Shared>, leave: Leave, job: &Job, id: Id) -> Attempt {
+    // A pause of this process between the verdict and here may have lasted
+    // past the deadline, when the caller was told *not run*.
+    if !shared.claims.lock().holder.start(shared.now(), id) {
+        return given_up(shared, id);
+    }
+    let mut job = job.clone();
+    let mut leave = leave;
+    for _ in 0..TRIES {
+        let Some(target) = Target::find(shared, &leave, &job) else {
+            return not_run(shared, id, leave, Ending::Leaving);
+        };
+        let ending = match exchange(shared, &target, &leave, &job).await {
+            Ok(kept) => {
+                leave.finish(Ending::Done);
+                return ran(shared, id, &job, kept);
+            }
+            Err(ending) if ending.proves_not_run() => ending,
+            Err(ending) => {
+                leave.finish(ending);
+                finish(shared, id, Outcome::Unknown);
+                return told(unknown());
+            }
+        };
+        leave.finish(ending);
+        job.head.hop.tried.push(target.endpoint.id);
+        leave = match desk::offer(shared, &job.head.request, &job.head.hop).await {
+            Decision::Dispatch(leave) => leave,
+            Decision::Forward(..) | Decision::Refuse(_) => {
+                finish(shared, id, Outcome::NotRun);
+                return told(spent());
+            }
+        };
+    }
+    not_run(shared, id, leave, Ending::Abandoned)
+}
+
+async fn exchange(
+    shared: &Arc<Shared>,
+    target: &Target,
+    leave: &Leave,
+    job: &Job,
+) -> Result<Kept, Ending> {
+    let response = endpoint::send(shared, target, leave.grant(), job).await?;
+    if let Some(ending) = endpoint::refused(shared, target, &response) {
+        return Err(ending);
+    }
+    whole(response).await.ok_or(Ending::Broken)
+}
+
+async fn whole(response: Response<Received>) -> Option<Kept> {
+    let (mut parts, received) = response.into_parts();
+    endpoint::clean(&mut parts.headers);
+    let read = body::collect(received, ANSWER_BYTES);
+    let body = tokio::time::timeout(ANSWER_WAIT, read).await.ok()?.ok()?;
+    Some(Kept {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
+
+fn ran(shared: &Arc<Shared>, id: Id, job: &Job, kept: Kept) -> Attempt {
+    // A service that failed may have done half of it or nothing. Its answer is
+    // passed on, but says nothing to a caller that comes again.
+    if kept.status.is_server_error() {
+        finish(shared, id, Outcome::Unknown);
+        return answered(kept, false);
+    }
+    finish(shared, id, Outcome::Ran);
+    let request = &job.head.request;
+    if let Some(key) = request.key {
+        let size = kept.body.len() + KEPT_HEAD;
+        let now = shared.now();
+        let mut claims = shared.claims.lock();
+        claims
+            .answers
+            .hold(now, key, request.digest, kept.clone(), size);
+    }
+    answered(kept, false)
+}
+
+/// Bytes that the head of a kept answer is counted as.
+const KEPT_HEAD: usize = 512;
+
+fn answered(kept: Kept, replayed: bool) -> Attempt {
+    let mut response = Response::new(body::full(kept.body));
+    *response.status_mut() = kept.status;
+    *response.headers_mut() = kept.headers;
+    if replayed {
+        let yes = HeaderValue::from_static("true");
+        response.headers_mut().insert(header::REPLAYED, yes);
+    }
+    Attempt::Answered(response)
+}
+
+fn given_up(shared: &Arc<Shared>, id: Id) -> Attempt {
+    let abandoned = shared.claims.lock().holder.abandon(id);
+    match abandoned {
+        Abandon::NotRun(fate) => {
+            if let Some(fate) = fate {
+                tell(shared, fate);
+            }
+            told(problem(Refusal::Deadline))
+        }
+        Abandon::TooLate => told(unknown()),
+    }
+}
+
+fn not_run(shared: &Arc<Shared>, id: Id, leave: Leave, ending: Ending) -> Attempt {
+    leave.finish(ending);
+    finish(shared, id, Outcome::NotRun);
+    told(spent())
+}
+
+fn finish(shared: &Arc<Shared>, id: Id, outcome: Outcome) {
+    let fate = shared.claims.lock().holder.finish(id, outcome);
+    if let Some(fate) = fate {
+        tell(shared, fate);
+    }
+}
+
+// Best effort, so the caller does not wait for it.
+fn tell(shared: &Arc<Shared>, fate: Item) {
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move { claims::tell(&shared, fate).await });
+}
+
+fn told(problem: Problem) -> Attempt {
+    Attempt::Reply(Reply::Told(problem.into()))
+}
+
+// The claim is spent, so the same key can't be used again.
+fn spent() -> Problem {
+    Problem::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "unreachable",
+        "no endpoint took the request and nothing was run; send it again with a new key",
+    )
+    .after(Duration::from_secs(1))
+}
+
+fn problem(refusal: Refusal) -> Problem {
+    let (status, reason) = match refusal {
+        Refusal::Ran => (StatusCode::CONFLICT, "key-ran"),
+        Refusal::Running => (StatusCode::CONFLICT, "key-running"),
+        Refusal::Spent => (StatusCode::CONFLICT, "key-spent"),
+        Refusal::OtherBody => (StatusCode::UNPROCESSABLE_ENTITY, "key-other-body"),
+        Refusal::Expired => (StatusCode::BAD_REQUEST, "key-expired"),
+        Refusal::Early => (StatusCode::BAD_REQUEST, "key-early"),
+        Refusal::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "claims-unavailable"),
+        Refusal::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+    };
+    let problem =
+        Problem::not_run(status, reason, refusal.to_string()).with_outcome(refusal.outcome());
+    match refusal {
+        Refusal::Unavailable | Refusal::Running => problem.after(Duration::from_secs(2)),
+        _ => problem,
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/owner.rs
@@ -0,0 +1,46 @@
+//! The owner's part: asks the desk, then dispatches.
+
+use std::sync::Arc;
+
+use godwitpost_wire::dispatch::Reply;
+
+use super::desk::{self, Decision};
+use super::{Attempt, Job, endpoint, once};
+use crate::shared::Shared;
+
+/// Serves one attempt at this instance.
+///
+/// An unrepeatable request runs apart from its caller: once it has started,
+/// its caller's going away must not break it off half-way, and its answer is
+/// kept for the caller's return.
+pub(crate) async fn serve(shared: &Arc<Shared>, job: Job) -> Attempt {
+    if job.head.request.repeatable() {
+        return run(shared, &job).await;
+    }
+    let shared = Arc::clone(shared);
+    let apart = tokio::spawn(async move {
+        let _in_flight = shared.enter();
+        run(&shared, &job).await
+    });
+    match apart.await {
+        Ok(attempt) => attempt,
+        // Only a bug panics there; what the endpoint got is not known.
+        Err(_panicked) => Attempt::Reply(Reply::Told(once::unknown().into())),
+    }
+}
+
+async fn run(shared: &Arc<Shared>, job: &Job) -> Attempt {
+    match once::replay(shared, job) {
+        Ok(None) => {}
+        Ok(Some(attempt)) => return attempt,
+        Err(problem) => return Attempt::Reply(Reply::Told(problem.into())),
+    }
+    match desk::offer(shared, &job.head.request, &job.head.hop).await {
+        Decision::Dispatch(leave) if job.head.request.repeatable() => {
+            endpoint::relay(shared, leave, job).await
+        }
+        Decision::Dispatch(leave) => once::run(shared, leave, job).await,
+        Decision::Forward(instance, hop) => Attempt::Reply(Reply::Forward { instance, hop }),
+        Decision::Refuse(refusal) => Attempt::Reply(Reply::Refused(refusal)),
+    }
+}
--- /dev/null
+++ b/crates/router/src/relay/peer.rs
@@ -0,0 +1,134 @@
+//! Messages to other instances, sealed, and their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_decide::ending::Ending;
+use godwitpost_platform::connect::{self, Cause, Received};
+use godwitpost_types::clock::since;
+use godwitpost_types::instance::Instance;
+use godwitpost_wire::auth::Message;
+use godwitpost_wire::dispatch::{self, Kind, Reply};
+use godwitpost_wire::frame::Frame;
+use godwitpost_wire::header;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+
+use super::{Attempt, Job};
+use crate::body;
+use crate::shared::Shared;
+
+/// Bytes of a reply that is no endpoint's answer; a hop with its evidence is
+/// a few kilobytes.
+const REPLY_BYTES: usize = 256 << 10;
+
+/// How an exchange with another instance failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Failure {
+    /// Nothing reached it.
+    NotSent,
+    /// It may have taken the message.
+    Unknown(Ending),
+}
+
+/// Sends a request to the instance that owns the endpoint in its hop.
+///
+/// # Errors
+///
+/// Returns how it failed if the instance gave no answer.
+pub(crate) async fn dispatch(
+    shared: &Arc<Shared>,
+    instance: &Instance,
+    job: &Job,
+) -> Result<Attempt, Failure> {
+    let bytes = Frame {
+        head: &job.head,
+        body: job.body.clone(),
+    }
+    .encode();
+    let wait = since(job.head.request.deadline, shared.now());
+    let request = sealed(shared, instance, Method::POST, dispatch::PATH, &bytes);
+    let response = shared
+        .connector
+        .send(instance.peer_address, request, wait)
+        .await
+        .map_err(|error| failure(&error))?;
+    hear(shared, instance, &response);
+    answer(job, response).await
+}
+
+/// Returns a sealed message.
+pub(crate) fn sealed(
+    shared: &Shared,
+    instance: &Instance,
+    method: Method,
+    path: &str,
+    bytes: &Bytes,
+) -> Request<connect::Body> {
+    let message = Message {
+        method: method.as_str(),
+        path,
+        sender: &shared.settings.name,
+        receiver: &instance.name,
+        body: bytes,
+    };
+    let mut request = Request::new(body::full(bytes.clone()));
+    let headers = request.headers_mut();
+    let key = &shared.settings.fleet_key;
+    key.seal(&message, shared.now(), headers);
+    headers.insert(header::BUNDLE, HeaderValue::from(shared.version()));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("paths between instances are ASCII");
+    request
+}
+
+/// Notes the bundle version that an instance says it holds.
+pub(crate) fn hear<B>(shared: &Shared, instance: &Instance, response: &Response<B>) {
+    let version = response
+        .headers()
+        .get(header::BUNDLE)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(version) = version {
+        crate::control::heard(shared, instance.id, version);
+    }
+}
+
+pub(crate) fn failure(error: &connect::Error) -> Failure {
+    match error {
+        connect::Error::NotSent { .. } => Failure::NotSent,
+        connect::Error::Unknown(Cause::ResponseTimeout) => Failure::Unknown(Ending::Timeout),
+        connect::Error::Unknown(_) => Failure::Unknown(Ending::Broken),
+    }
+}
+
+async fn answer(job: &Job, response: Response<Received>) -> Result<Attempt, Failure> {
+    let broken = Failure::Unknown(Ending::Broken);
+    let headers = response.headers();
+    let text = |name: HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    // An answer that isn't this attempt's is nobody's: late answers of another
+    // request must never reach this caller.
+    let attempt = text(header::ATTEMPT).and_then(|text| u64::from_str_radix(text, 16).ok());
+    let kind = text(header::KIND).and_then(Kind::parse);
+    match kind {
+        _ if response.status() == StatusCode::UNAUTHORIZED => Err(Failure::NotSent),
+        _ if attempt != Some(job.head.attempt) => Err(broken),
+        Some(Kind::Relayed) => {
+            let (mut parts, received) = response.into_parts();
+            header::strip(&mut parts.headers);
+            header::strip_connection(&mut parts.headers);
+            let body = received.boxed();
+            Ok(Attempt::Answered(Response::from_parts(parts, body)))
+        }
+        Some(Kind::Reply) => reply(response).await.map(Attempt::Reply).ok_or(broken),
+        None => Err(broken),
+    }
+}
+
+async fn reply(response: Response<Received>) -> Option<Reply> {
+    let read = body::collect(response.into_body(), REPLY_BYTES);
+    let bytes = tokio::time::timeout(REPLY_WAIT, read).await.ok()?.ok()?;
+    rmp_serde::from_slice(&bytes).ok()
+}
+
+/// How long the body of a reply may take after its head.
+const REPLY_WAIT: Duration = Duration::from_secs(2);
--- /dev/null
+++ b/crates/router/src/resolve/prompt.rs
@@ -0,0 +1,171 @@
+//! The little of a prompt that routing needs, without keeping the rest.
+//!
+//! A body is parsed once and nothing of it is rewritten. Of the messages only
+//! those up to the first of the user are kept: they stay the same over all
+//! turns of a chat, so they name it where the caller gives no id.
+
+use std::borrow::Cow;
+use std::fmt::{self, Write as _};
+
+use godwitpost_types::id::{self, ModelId, ServiceId};
+use godwitpost_types::policy::Policy;
+use http::StatusCode;
+use serde::Deserialize;
+use serde::de::{Deserializer, IgnoredAny, SeqAccess, Visitor};
+
+use crate::problem::Problem;
+
+/// What routing needs of a prompt.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// The model's name, perhaps with `@` and the version of its weights.
+    pub named: Option<String>,
+    /// The messages up to the first of the user, or the plain prompt's start.
+    pub opening: String,
+    limit: Option<u32>,
+}
+
+/// Why a body is no prompt.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// the body is no chat completion in JSON ({0}); see the engines' documentation
+    Json(serde_json::Error),
+    /// the body is no JSON object; see the engines' documentation
+    Shape,
+}
+
+impl std::error::Error for Error {}
+
+#[derive(Deserialize)]
+struct Shape<'b> {
+    #[serde(borrow, default)]
+    model: Option<Cow<'b, str>>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    messages: Opening,
+    #[serde(borrow, default)]
+    prompt: Option<Cow<'b, str>>,
+}
+
+#[derive(Default)]
+struct Opening(String);
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    role: String,
+    #[serde(default)]
+    content: serde_json::Value,
+}
+
+/// Bytes of a plain prompt that name its chat. A chat's first turn is often
+/// shorter, but then so is the prefix that a cache could reuse.
+const PLAIN_PREFIX: usize = 256;
+
+impl Prompt {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is no JSON object of that shape.
+    pub fn read(body: &[u8]) -> Result<Self, Error> {
+        // A derived struct would take a JSON array for its fields in order.
+        if body.trim_ascii_start().first() != Some(&b'{') {
+            return Err(Error::Shape);
+        }
+        let shape: Shape<'_> = serde_json::from_slice(body).map_err(Error::Json)?;
+        let mut opening = shape.messages.0;
+        if let (true, Some(prompt)) = (opening.is_empty(), &shape.prompt) {
+            opening.extend(prompt.chars().take(PLAIN_PREFIX));
+        }
+        Ok(Self {
+            named: shape.model.map(Cow::into_owned),
+            opening,
+            limit: shape.max_completion_tokens.or(shape.max_tokens),
+        })
+    }
+
+    /// Returns the caller's limit of answer tokens.
+    #[must_use]
+    pub const fn answer_tokens(&self) -> Option<u32> {
+        self.limit
+    }
+
+    /// Returns the model and its usual answer tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem if there is no such model or version of weights.
+    pub fn model(&self, policy: &Policy, service: ServiceId) -> Result<(ModelId, u32), Problem> {
+        let Some(named) = &self.named else {
+            return Err(Problem::not_run(
+                StatusCode::BAD_REQUEST,
+                "missing-model",
+                "the body names no model; add \"model\"",
+            ));
+        };
+        let (name, weights) = match named.split_once('@') {
+            Some((name, weights)) => (name, Some(weights)),
+            None => (named.as_str(), None),
+        };
+        let id = id::of(name);
+        let model = policy
+            .models
+            .get(&id)
+            .filter(|model| model.service == service)
+            .ok_or_else(|| {
+                Problem::not_run(
+                    StatusCode::NOT_FOUND,
+                    "unknown-model",
+                    "this service has no such model in the bundle; check \"model\"",
+                )
+            })?;
+        if weights.is_some_and(|weights| weights != model.weights) {
+            return Err(Problem::not_run(
+                StatusCode::NOT_FOUND,
+                "unknown-version",
+                format!(
+                    "the bundle has weights {} of this model; leave the version out for these",
+                    model.weights
+                ),
+            ));
+        }
+        Ok((id, model.answer_tokens))
+    }
+}
+
+impl<'de> Deserialize<'de> for Opening {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_seq(OpeningVisitor)
+    }
+}
+
+struct OpeningVisitor;
+
+impl<'de> Visitor<'de> for OpeningVisitor {
+    type Value = Opening;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list of messages")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Opening, A::Error> {
+        let mut opening = String::new();
+        while let Some(message) = seq.next_element::<Message>()? {
+            // JSON text of the content ends each message without doubt.
+            write!(opening, "{}:{};", message.role, message.content)
+                .map_err(serde::de::Error::custom)?;
+            if message.role == "user" {
+                break;
+            }
+        }
+        while seq.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(Opening(opening))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/running.rs
@@ -0,0 +1,249 @@
+//! One router, from its start to its end.
+//!
+//! Control state has one thread with a current-thread runtime, traffic the
+//! threads that the settings ask for. Several routers may run in one process;
+//! they share nothing.
+
+use std::fmt;
+use std::future::ready;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use godwitpost_decide::view::View;
+use godwitpost_platform::clock::Clock;
+use godwitpost_platform::connect::{self, Connector};
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::instance::Instance;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::control::{self, Control, Event};
+use crate::serve::{self, Port, callers, operators, peers};
+use crate::settings::Settings;
+use crate::shared::{Shared, Snapshot};
+use crate::shutdown::{self, Stopped};
+
+/// Why a router could not start.
+#[derive(Debug, displaydoc::Display)]
+pub enum Error {
+    /// can't listen on {0} ({1}); name another port or end who holds it
+    Listen(SocketAddr, std::io::Error),
+    /// can't start threads ({0}); allow this process more
+    Threads(std::io::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// A router that runs.
+pub struct Running {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    closing: watch::Sender<bool>,
+    hurry: watch::Sender<bool>,
+    // Dropping it ends the control thread.
+    control: Option<oneshot::Sender<()>>,
+    traffic: Option<Runtime>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Addresses {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    operators: SocketAddr,
+}
+
+/// Starts a router and returns when it listens.
+///
+/// # Errors
+///
+/// Returns an error if a port can't be bound or threads can't be started.
+pub fn start(settings: Settings) -> Result<Running, Error> {
+    let bind = |address| Port::bind(address).map_err(|error| Error::Listen(address, error));
+    let callers_port = bind(settings.listen.callers)?;
+    let peers_port = bind(settings.listen.peers)?;
+    let operators_port = bind(settings.listen.operators)?;
+    let addresses = Addresses {
+        callers: callers_port.address,
+        peers: peers_port.address,
+        operators: operators_port.address,
+    };
+    let traffic = traffic(&settings).map_err(Error::Threads)?;
+    let own = own(&settings, addresses);
+    let (sender, events) = mpsc::channel(control::EVENTS);
+    let shared = Arc::new(shared(settings, &own, sender));
+    let control = control(Arc::clone(&shared), own, events).map_err(Error::Threads)?;
+    let (closing, _) = watch::channel(false);
+    let ports = [callers_port, peers_port, operators_port];
+    listen(&traffic, &shared, ports, &closing);
+    Ok(Running {
+        shared,
+        addresses,
+        closing,
+        hurry: watch::channel(false).0,
+        control: Some(control),
+        traffic: Some(traffic),
+    })
+}
+
+fn traffic(settings: &Settings) -> std::io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+}
+
+fn own(settings: &Settings, addresses: Addresses) -> Instance {
+    Instance {
+        id: settings.id(),
+        name: settings.name.clone(),
+        incarnation: settings.incarnation,
+        zone: settings.zone_id(),
+        region: settings.region_id(),
+        peer_address: addresses.peers,
+        operators_address: addresses.operators,
+        standing: Standing::Live,
+    }
+}
+
+fn shared(settings: Settings, own: &Instance, events: mpsc::Sender<Event>) -> Shared {
+    let snapshot = Snapshot {
+        view: Arc::new(View::new(own.id, [own.clone()], [])),
+        bundle: None,
+    };
+    let connector = Connector::new(connect::Settings::default());
+    Shared::new(settings, Clock::start(), connector, snapshot, events)
+}
+
+fn control(
+    shared: Arc<Shared>,
+    own: Instance,
+    events: mpsc::Receiver<Event>,
+) -> std::io::Result<oneshot::Sender<()>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let (alive, ended) = oneshot::channel();
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                let control = Control::new(shared, own);
+                tokio::select! {
+                    () = control.run(events) => {}
+                    _ = ended => {}
+                }
+            });
+        })?;
+    Ok(alive)
+}
+
+fn listen(
+    traffic: &Runtime,
+    shared: &Arc<Shared>,
+    [callers_port, peers_port, operators_port]: [Port; 3],
+    closing: &watch::Sender<bool>,
+) {
+    let head = shared.settings.limits.head_bytes;
+    let of = Arc::clone(shared);
+    let answer = move |request| callers::answer(Arc::clone(&of), request);
+    traffic.spawn(serve::run(callers_port, head, closing.subscribe(), answer));
+    // Peers and operators are answered to the very end: other instances still
+    // relay streams through here, and gossip says that this one is leaving.
+    let of = Arc::clone(shared);
+    let answer = move |request| peers::answer(Arc::clone(&of), request);
+    traffic.spawn(serve::run(peers_port, head, never(), answer));
+    let of = Arc::clone(shared);
+    let answer = move |request| ready(operators::answer(&of, &request));
+    traffic.spawn(serve::run(operators_port, head, never(), answer));
+}
+
+// A closed channel would read as closing.
+fn never() -> watch::Receiver<bool> {
+    let (sender, receiver) = watch::channel(false);
+    std::mem::forget(sender);
+    receiver
+}
+
+impl Running {
+    /// Returns where callers are answered.
+    #[must_use]
+    pub const fn callers_address(&self) -> SocketAddr {
+        self.addresses.callers
+    }
+
+    /// Returns where other instances are answered.
+    #[must_use]
+    pub const fn peers_address(&self) -> SocketAddr {
+        self.addresses.peers
+    }
+
+    /// Returns where operators are answered.
+    #[must_use]
+    pub const fn operators_address(&self) -> SocketAddr {
+        self.addresses.operators
+    }
+
+    /// Returns a handle that cuts a graceful shutdown short.
+    #[must_use]
+    pub fn hurry(&self) -> Hurry {
+        Hurry {
+            sender: self.hurry.clone(),
+        }
+    }
+
+    /// Shuts down gracefully: serves until the balancer knows, finishes what
+    /// is in flight, hands chats over, and ends.
+    pub async fn stop_gracefully(mut self) -> Stopped {
+        let shutdown = shutdown::run(
+            Arc::clone(&self.shared),
+            self.closing.clone(),
+            self.hurry.subscribe(),
+        );
+        // On the router's own threads, since its connections live there.
+        let stopped = match &self.traffic {
+            Some(traffic) => traffic.spawn(shutdown).await,
+            None => Ok(Stopped::Whole),
+        };
+        self.end();
+        stopped.unwrap_or(Stopped::Cut { requests: 0 })
+    }
+
+    /// Ends at once, as a crash would: connections break.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        drop(self.control.take());
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+impl fmt::Debug for Running {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Running")
+            .field("name", &self.shared.settings.name)
+            .field("addresses", &self.addresses)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Cuts a graceful shutdown short.
+#[derive(Clone, Debug)]
+pub struct Hurry {
+    sender: watch::Sender<bool>,
+}
+
+impl Hurry {
+    /// Ends the shutdown now, with requests in flight cut.
+    pub fn now(&self) {
+        self.sender.send_replace(true);
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/callers.rs
@@ -0,0 +1,253 @@
+//! The callers' port: checks what comes in and sees it answered.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::connect::Body;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{RequestId, WorkspaceId};
+use godwitpost_types::outcome::Outcome;
+use godwitpost_wire::header;
+use http::header::{CONNECTION, CONTENT_LENGTH};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Version};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use rand::RngExt as _;
+
+use crate::body;
+use crate::body::relay::Relay;
+use crate::metrics::Labels;
+use crate::problem::Problem;
+use crate::relay::{endpoint, entry};
+use crate::resolve;
+use crate::shared::{Bundle, InFlight, Shared};
+
+/// How long a caller may take to send a body.
+const BODY_TIME: Duration = Duration::from_mins(1);
+
+/// Answers one request.
+pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let version = request.version();
+    let mut response = match request.uri().path() {
+        "/healthz" => probe(StatusCode::OK, "alive\n"),
+        "/readyz" => ready(&shared),
+        _ => place(&shared, request).await,
+    };
+    // The balancer's list lags; connections that stay open would bring more.
+    if shared.leaving() && version < Version::HTTP_2 {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+fn ready(shared: &Shared) -> Response<Body> {
+    match (shared.leaving(), shared.ready()) {
+        (true, _) => probe(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        (false, true) => probe(StatusCode::OK, "ready\n"),
+        (false, false) => probe(StatusCode::SERVICE_UNAVAILABLE, "no bundle yet\n"),
+    }
+}
+
+fn probe(status: StatusCode, text: &'static str) -> Response<Body> {
+    let mut response = Response::new(body::full(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+async fn place(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let began = shared.now();
+    let id: RequestId = shared.gate().rng.random();
+    let in_flight = shared.enter();
+    let mut labels = Labels::nobody();
+    let placed = try_place(shared, request, id, &in_flight, &mut labels).await;
+    let mut response = match placed {
+        Ok((response, permit)) => finish(shared, response, in_flight, permit, labels, began),
+        Err(problem) => {
+            let took = since(shared.now(), began);
+            let status = problem.status.as_u16();
+            shared.metrics.head(&labels, problem.outcome, status, took);
+            problem.response()
+        }
+    };
+    let id = HeaderValue::from_str(&endpoint::request_text(id)).expect("hexadecimal digits");
+    response.headers_mut().insert(header::REQUEST, id);
+    response
+}
+
+async fn try_place(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    id: RequestId,
+    in_flight: &InFlight,
+    labels: &mut Labels,
+) -> Result<(Response<Body>, Permit), Problem> {
+    if in_flight.before() >= shared.settings.limits.streams {
+        return Err(full());
+    }
+    let snapshot = shared.snapshot();
+    let bundle = snapshot.bundle.as_ref().ok_or_else(no_bundle)?;
+    let (mut parts, incoming) = request.into_parts();
+    check_head(shared, &mut parts)?;
+    let head = resolve::head(&bundle.policy, &parts, shared.now())?;
+    *labels = label(shared, bundle, &head);
+    let instances = snapshot.view.instances().count();
+    let permit = Permit::admit(shared, bundle, head.workspace, instances)?;
+    let whole = read(shared, &parts, incoming).await?;
+    let resolved = resolve::whole(&bundle.policy, &head, &parts, whole, id)?;
+    let version = bundle.policy.version;
+    let mut response = entry::run(shared, &snapshot, bundle, resolved).await?;
+    let status = response.status();
+    let headers = response.headers_mut();
+    headers.insert(header::VERSION, HeaderValue::from(version));
+    let outcome = outcome(status);
+    headers.insert(header::OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    Ok((response, permit))
+}
+
+// An endpoint that failed may have done half of it or nothing.
+fn outcome(status: StatusCode) -> Outcome {
+    if status.is_server_error() {
+        Outcome::Unknown
+    } else {
+        Outcome::Ran
+    }
+}
+
+/// Keeps the counts of a request until its answer's last byte.
+fn finish(
+    shared: &Arc<Shared>,
+    response: Response<Body>,
+    in_flight: InFlight,
+    permit: Permit,
+    labels: Labels,
+    began: Moment,
+) -> Response<Body> {
+    let status = response.status();
+    let took = since(shared.now(), began);
+    let outcome = outcome(status);
+    shared.metrics.head(&labels, outcome, status.as_u16(), took);
+    let shared = Arc::clone(shared);
+    let ended = move |_end| {
+        shared.metrics.end(&labels, since(shared.now(), began));
+        drop((in_flight, permit));
+    };
+    response.map(|body| Relay::new(body, false, ended).boxed_unsync())
+}
+
+fn label(shared: &Shared, bundle: &Bundle, head: &resolve::Head<'_>) -> Labels {
+    let workspace = bundle.policy.workspaces.get(&head.workspace);
+    let class = bundle.policy.classes.get(&head.class);
+    shared.metrics.labels(
+        workspace.map_or("", |workspace| &workspace.name),
+        class.map_or("", |class| &class.name),
+    )
+}
+
+fn check_head(shared: &Shared, parts: &mut Parts) -> Result<(), Problem> {
+    let bytes = parts.uri.to_string().len() + head_bytes(&parts.headers);
+    if bytes > shared.settings.limits.head_bytes {
+        return Err(Problem::not_run(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "large-head",
+            format!(
+                "the head has {bytes} bytes, above {}; send fewer or shorter headers",
+                shared.settings.limits.head_bytes
+            ),
+        ));
+    }
+    let stripped = header::strip(&mut parts.headers);
+    if stripped > 0 {
+        shared.metrics.stripped(stripped);
+    }
+    Ok(())
+}
+
+fn head_bytes(headers: &HeaderMap) -> usize {
+    // A colon, a space and a line end for each.
+    const FRAMING: usize = 4;
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + FRAMING)
+        .sum()
+}
+
+async fn read(shared: &Shared, parts: &Parts, incoming: Incoming) -> Result<Bytes, Problem> {
+    let limit = shared.settings.limits.body_bytes;
+    let length = parts.headers.get(CONTENT_LENGTH);
+    let length: Option<usize> = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    // Said beforehand, it need not be read first.
+    if length.is_some_and(|length| length > limit) {
+        return Err(unread(&body::Error::TooLarge(limit)));
+    }
+    match tokio::time::timeout(BODY_TIME, body::collect(incoming, limit)).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(error)) => Err(unread(&error)),
+        Err(_elapsed) => Err(Problem::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow-body",
+            "the body took longer than 60 seconds; send it faster",
+        )),
+    }
+}
+
+fn unread(error: &body::Error) -> Problem {
+    let (status, reason) = match error {
+        body::Error::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "large-body"),
+        body::Error::Broken(_) => (StatusCode::BAD_REQUEST, "bad-framing"),
+    };
+    Problem::not_run(status, reason, error.to_string())
+}
+
+fn full() -> Problem {
+    Problem::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "full",
+        "this instance has as many requests as it takes; send it again later",
+    )
+    .after(Duration::from_secs(1))
+}
+
+fn no_bundle() -> Problem {
+    Problem::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no-bundle",
+        "this instance has no bundle yet; send it again in a few seconds",
+    )
+    .after(Duration::from_secs(2))
+}
+
+/// A workspace's leave to have one more request; given back when dropped.
+#[derive(Debug)]
+struct Permit {
+    shared: Arc<Shared>,
+    workspace: WorkspaceId,
+}
+
+impl Permit {
+    fn admit(
+        shared: &Arc<Shared>,
+        bundle: &Bundle,
+        id: WorkspaceId,
+        instances: usize,
+    ) -> Result<Self, Problem> {
+        let Some(workspace) = bundle.policy.workspaces.get(&id) else {
+            return Err(no_bundle());
+        };
+        let now = shared.now();
+        let mut gate = shared.gate();
+        gate.limits.admit(now, id, workspace, instances)?;
+        Ok(Self {
+            shared: Arc::clone(shared),
+            workspace: id,
+        })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.shared.gate().limits.done(self.workspace);
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve/peers.rs
@@ -0,0 +1,179 @@
+//! The peers' port: only sealed messages of the fleet's instances count.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::connect::Body;
+use godwitpost_state::claim::{Item, Verdict, batch};
+use godwitpost_state::gossip::Message;
+use godwitpost_types::id;
+use godwitpost_wire::dispatch::{self, Head, Kind};
+use godwitpost_wire::frame::Frame;
+use godwitpost_wire::header;
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+
+use crate::body;
+use crate::body::relay::Relay;
+use crate::claims;
+use crate::control::{Event, bundles, gossip};
+use crate::relay::{Attempt, Job, owner};
+use crate::shared::Shared;
+use crate::shutdown;
+
+/// Bytes of a message beside the caller's body: its head in the frame.
+const BEYOND: usize = 256 << 10;
+
+/// How long a peer may take to send its message.
+const BODY_TIME: Duration = Duration::from_secs(30);
+
+/// Answers one message.
+pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, incoming) = request.into_parts();
+    let limit = shared.settings.limits.body_bytes + BEYOND;
+    let read = tokio::time::timeout(BODY_TIME, body::collect(incoming, limit)).await;
+    let Ok(Ok(bytes)) = read else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let mut response = match known(&shared, &parts, &bytes) {
+        Ok(()) => route(&shared, &parts, bytes).await,
+        Err(refusal) => refusal,
+    };
+    let version = HeaderValue::from(shared.version());
+    response.headers_mut().insert(header::BUNDLE, version);
+    response
+}
+
+// Strangers are refused and counted, and learn nothing but that.
+#[expect(clippy::result_large_err, reason = "the refusal is the answer itself")]
+fn known(shared: &Shared, parts: &Parts, bytes: &Bytes) -> Result<(), Response<Body>> {
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str);
+    let place = (parts.method.as_str(), path, shared.settings.name.as_str());
+    let key = &shared.settings.fleet_key;
+    match key.check(place, bytes, shared.now(), &parts.headers) {
+        Ok(sender) => {
+            hear(shared, sender, parts);
+            Ok(())
+        }
+        Err(error) => {
+            shared.metrics.stranger();
+            log::warn!(path:% = parts.uri.path(), error:% = error; "peer message refused");
+            Err(status(StatusCode::UNAUTHORIZED))
+        }
+    }
+}
+
+fn hear(shared: &Shared, sender: &str, parts: &Parts) {
+    let version = parts.headers.get(header::BUNDLE);
+    let version = version.and_then(|value| value.to_str().ok()?.parse().ok());
+    if let Some(version) = version {
+        crate::control::heard(shared, id::of(sender), version);
+    }
+}
+
+async fn route(shared: &Arc<Shared>, parts: &Parts, bytes: Bytes) -> Response<Body> {
+    match (&parts.method, parts.uri.path()) {
+        (&Method::POST, dispatch::PATH) => dispatched(shared, &bytes).await,
+        (&Method::POST, claims::PATH) => claim(shared, &bytes).await,
+        (&Method::POST, gossip::PATH) => gossiped(shared, &bytes).await,
+        (&Method::POST, shutdown::PATH) => taken_over(shared, &bytes),
+        (&Method::GET, bundles::PATH) => bundle(shared, parts).await,
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn dispatched(shared: &Arc<Shared>, bytes: &Bytes) -> Response<Body> {
+    let in_flight = shared.enter();
+    let Ok(Frame { head, body }) = Frame::<Head>::decode(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let attempt = head.attempt;
+    let (kind, mut response) = match owner::serve(shared, Job { head, body }).await {
+        Attempt::Answered(response) => (Kind::Relayed, response),
+        Attempt::Reply(reply) => {
+            let bytes = rmp_serde::to_vec(&reply).unwrap_or_default();
+            (Kind::Reply, Response::new(body::full(Bytes::from(bytes))))
+        }
+    };
+    let headers = response.headers_mut();
+    headers.insert(header::KIND, HeaderValue::from_static(kind.as_str()));
+    if let Ok(attempt) = HeaderValue::from_str(&format!("{attempt:x}")) {
+        headers.insert(header::ATTEMPT, attempt);
+    }
+    // A stream that is relayed here is in flight here until its end.
+    response.map(|body| Relay::new(body, false, move |_end| drop(in_flight)).boxed_unsync())
+}
+
+async fn claim(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok(items) = batch::decode(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let mut verdict = Verdict::Unavailable;
+    for item in items {
+        let asked = matches!(item, Item::Claim(_));
+        let (reply, answer) = oneshot::channel();
+        let event = Event::Claim { item, reply };
+        if shared.control.send(event).await.is_err() {
+            break;
+        }
+        if asked {
+            verdict = answer.await.unwrap_or(Verdict::Unavailable);
+        }
+    }
+    let bytes = rmp_serde::to_vec(&verdict).unwrap_or_default();
+    Response::new(body::full(Bytes::from(bytes)))
+}
+
+async fn gossiped(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok(message) = Message::decode(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let (reply, answer) = oneshot::channel();
+    let event = Event::Gossip(message, bytes.len(), reply);
+    if shared.control.send(event).await.is_err() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    match answer.await {
+        Ok(Some(bytes)) => Response::new(body::full(bytes)),
+        Ok(None) => status(StatusCode::TOO_MANY_REQUESTS),
+        Err(_gone) => status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn taken_over(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok(locations) = rmp_serde::from_slice::<Vec<_>>(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    shared.desk.with(|owner| owner.take_over(&locations));
+    status(StatusCode::OK)
+}
+
+async fn bundle(shared: &Shared, parts: &Parts) -> Response<Body> {
+    let since = parts
+        .uri
+        .query()
+        .and_then(|query| query.strip_prefix("since=")?.parse().ok())
+        .unwrap_or(0);
+    let (reply, answer) = oneshot::channel();
+    let event = Event::Bundle(since, reply);
+    if shared.control.send(event).await.is_err() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    match answer.await {
+        Ok(Some(bytes)) => Response::new(body::full(bytes)),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(body::full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -50,7 +50,10 @@
     pub fleet_key: auth::Key,
     /// Bounds on what callers may send.
     pub limits: Limits,
-    /// How long a graceful shutdown waits for requests in flight.
+    /// How long the balancer may go on sending callers to an instance whose
+    /// `/readyz` fails.
+    pub balancer_lag: Duration,
+    /// How long a graceful shutdown may take in all.
     pub drain: Duration,
     /// How much is logged.
     pub log_level: LevelFilter,
@@ -231,6 +234,7 @@
         writeln!(to, "  head_bytes: {}", self.limits.head_bytes)?;
         writeln!(to, "  body_bytes: {}", self.limits.body_bytes)?;
         writeln!(to, "  streams: {}", self.limits.streams)?;
+        writeln!(to, "balancer_lag: {}ms", self.balancer_lag.as_millis())?;
         writeln!(to, "drain: {}ms", self.drain.as_millis())?;
         writeln!(to, "log_level: {}", self.log_level.as_str().to_lowercase())?;
         writeln!(to, "threads: {}", self.threads)
--- a/crates/router/src/settings/read.rs
+++ b/crates/router/src/settings/read.rs
@@ -12,6 +12,10 @@
 use super::low::{Level, Mistake, duration};
 use super::{Limits, Listen, PUBLIC_KEY_BYTES, Platform, Settings};
 
+/// The balancer's lag unless the settings say otherwise: a probe every few
+/// seconds that has to fail twice.
+const BALANCER_LAG: Duration = Duration::from_secs(5);
+
 /// Waits at a graceful shutdown unless the settings say otherwise: longer
 /// than the longest deadline of the example bundles, 60 s.
 const DRAIN: Duration = Duration::from_secs(90);
@@ -20,7 +24,7 @@
 const THREADS: usize = 2;
 
 /// The keys of each level, in the order that `--print-settings` gives them.
-const TOP: [&str; 14] = [
+const TOP: [&str; 15] = [
     "name",
     "incarnation",
     "zone",
@@ -32,6 +36,7 @@
     "fleet_key",
     "fleet_key_file",
     "limits",
+    "balancer_lag",
     "drain",
     "log_level",
     "threads",
@@ -62,6 +67,7 @@
     let root_keys = read_root_keys(&mut top, mistakes);
     let fleet_key = read_fleet_key(&mut top, mistakes);
     let limits = read_limits(top.level("limits", mistakes), mistakes);
+    let lag = top.optional("balancer_lag", DURATION, duration, mistakes);
     let drain = top.optional("drain", DURATION, duration, mistakes);
     let level = "off, error, warn, info, debug or trace";
     let log_level = top.optional("log_level", level, |t| t.parse().ok(), mistakes);
@@ -78,6 +84,7 @@
         root_keys,
         fleet_key: fleet_key?,
         limits,
+        balancer_lag: lag.map_or(BALANCER_LAG, |taken| taken.value),
         drain: drain.map_or(DRAIN, |taken| taken.value),
         log_level: log_level.map_or(LevelFilter::Info, |taken| taken.value),
         threads: threads.map_or(THREADS, |taken| taken.value),
--- a/crates/router/src/settings/tests.rs
+++ b/crates/router/src/settings/tests.rs
@@ -55,8 +55,8 @@
         [
             "line 1: `name` wants a name of letters, digits, `-`, `_` and `.`, such as otaru-1",
             "line 5: `colour` is unknown; the keys here are name, incarnation, zone, region, \
-             fleet, listen, platform, root_keys, fleet_key, fleet_key_file, limits, drain, \
-             log_level, threads",
+             fleet, listen, platform, root_keys, fleet_key, fleet_key_file, limits, \
+             balancer_lag, drain, log_level, threads",
             "line 8: `listen.peers` wants an IP number and a port, such as 10.0.0.5:8080",
             "line 11: `platform.list` is missing; add it with an IP number and a port, such as \
              10.0.0.5:8080",
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,188 @@
+//! What the control thread and the traffic threads of one router share.
+//!
+//! The control thread publishes a [`Snapshot`]; traffic threads load it
+//! without a lock and keep it for the whole of a request, so a request is
+//! handled under one picture of the fleet and one bundle version.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use godwitpost_bundle::blob::Digest;
+use godwitpost_decide::entry::Budgets;
+use godwitpost_decide::limit::Limits;
+use godwitpost_decide::view::View;
+use godwitpost_platform::clock::Clock;
+use godwitpost_platform::connect::Connector;
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{InstanceId, Version};
+use godwitpost_types::policy::Policy;
+use rand::rngs::StdRng;
+use tokio::sync::mpsc;
+
+use crate::claims::Claims;
+use crate::control;
+use crate::metrics::Metrics;
+use crate::random;
+use crate::relay::desk::Desk;
+use crate::settings::Settings;
+
+/// The picture that requests are handled under.
+#[derive(Clone, Debug)]
+pub(crate) struct Snapshot {
+    /// The fleet's instances and endpoints.
+    pub(crate) view: Arc<View>,
+    /// The bundle in force; `None` until one is known.
+    pub(crate) bundle: Option<Bundle>,
+}
+
+/// The bundle in force.
+#[derive(Clone, Debug)]
+pub(crate) struct Bundle {
+    /// Resolved for decisions.
+    pub(crate) policy: Arc<Policy>,
+    /// The root digest of its entries.
+    pub(crate) root: Digest,
+}
+
+/// What the threads of one router share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    /// For traffic; control has one of its own on its own thread.
+    pub(crate) connector: Connector,
+    pub(crate) metrics: Metrics,
+    pub(crate) desk: Desk,
+    pub(crate) claims: Claims,
+    pub(crate) control: mpsc::Sender<control::Event>,
+    snapshot: ArcSwap<Snapshot>,
+    gate: Mutex<Gate>,
+    leaving: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+/// What the entry side of requests keeps.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    /// Budgets of retries.
+    pub(crate) budgets: Budgets,
+    /// Limits of workspaces.
+    pub(crate) limits: Limits,
+    /// Draws ids and the jitter of retries.
+    pub(crate) rng: StdRng,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        clock: Clock,
+        connector: Connector,
+        snapshot: Snapshot,
+        control: mpsc::Sender<control::Event>,
+    ) -> Self {
+        let metrics = Metrics::new(&settings.name);
+        Self {
+            desk: Desk::new(Arc::clone(&snapshot.view)),
+            claims: Claims::new(settings.id(), settings.incarnation),
+            settings,
+            clock,
+            connector,
+            metrics,
+            control,
+            snapshot: ArcSwap::from_pointee(snapshot),
+            gate: Mutex::new(Gate {
+                budgets: Budgets::default(),
+                limits: Limits::default(),
+                rng: random::generator(),
+            }),
+            leaving: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(crate) fn local(&self) -> InstanceId {
+        self.settings.id()
+    }
+
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Publishes a new picture, and moves the owner over to it.
+    pub(crate) fn publish(&self, snapshot: Snapshot) {
+        let view = Arc::clone(&snapshot.view);
+        let bundle = snapshot.bundle.clone();
+        self.snapshot.store(Arc::new(snapshot));
+        if let Some(bundle) = bundle {
+            self.metrics.version(bundle.policy.version);
+            self.desk.adopt(self.now(), view, bundle.policy);
+        }
+    }
+
+    /// Returns the bundle version in force; 0 for none.
+    pub(crate) fn version(&self) -> Version {
+        let snapshot = self.snapshot.load();
+        let bundle = snapshot.bundle.as_ref();
+        bundle.map_or(0, |bundle| bundle.policy.version)
+    }
+
+    pub(crate) fn gate(&self) -> MutexGuard<'_, Gate> {
+        // No code that holds the lock can panic half-way through a change.
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins to leave: readiness fails from now on.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Returns whether the balancer should send callers here.
+    pub(crate) fn ready(&self) -> bool {
+        !self.leaving() && self.snapshot.load().bundle.is_some()
+    }
+
+    /// Returns the requests in flight: callers' and peers'.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Counts a request in flight until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        let before = self.in_flight.fetch_add(1, Ordering::AcqRel);
+        self.metrics.in_flight(1);
+        InFlight {
+            shared: Arc::clone(self),
+            before,
+        }
+    }
+}
+
+/// Counts one request in flight.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    shared: Arc<Shared>,
+    before: usize,
+}
+
+impl InFlight {
+    /// Returns how many were in flight before this one.
+    pub(crate) const fn before(&self) -> usize {
+        self.before
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.shared.metrics.in_flight(-1);
+    }
+}
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -33,7 +33,7 @@
 mod holder;
 mod table;
 
-pub use answers::Answers;
+pub use answers::{Answers, Found};
 pub use batcher::{Batcher, Failure, Next, Page, Stored};
 pub use holder::{Abandon, Holder, Refusal, Scope, Step};
 pub use table::Table;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -1,5 +1,15 @@
 //! A request on its way from its entry instance to an endpoint's owner.
+//!
+//! The owner's answer is either the endpoint's own, relayed as it comes, or a
+//! [`Reply`] that says why there is none. Each carries the attempt's number,
+//! so an answer can't be taken for that of another request.
 
+use std::time::Duration;
+
+use godwitpost_decide::ending::Ending;
+use godwitpost_decide::hop::Hop;
+use godwitpost_decide::refusal::Refusal;
+use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{EndpointId, InstanceId};
 use godwitpost_types::outcome::Outcome;
 use godwitpost_types::request::Request;
@@ -14,8 +24,8 @@
 pub struct Head {
     /// The facts that decisions are taken on.
     pub request: Request,
-    /// The endpoint that the entry chose.
-    pub endpoint: EndpointId,
+    /// Where it is meant to go, and where it has been.
+    pub hop: Hop,
     /// This attempt; its answer must carry the same.
     pub attempt: u64,
     /// The caller's method.
@@ -24,6 +34,8 @@
     pub path: String,
     /// The caller's headers that endpoints may see.
     pub headers: Vec<(String, Vec<u8>)>,
+    /// When the key of an unrepeatable request was issued.
+    pub issued: Option<Moment>,
 }
 
 /// What kind of answer an owner gives, in the header `header::KIND`.
@@ -31,36 +43,46 @@
 pub enum Kind {
     /// The endpoint's own answer follows.
     Relayed,
-    /// A [`Refusal`] follows.
-    Refused,
-    /// A [`Forward`] follows.
-    Forwarded,
+    /// A [`Reply`] follows.
+    Reply,
 }
 
-/// An owner's refusal of one attempt.
+/// Why an owner has no answer of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
-    /// The fate of the request as far as this owner knows.
-    pub outcome: Outcome,
-    /// The HTTP status that fits.
+pub enum Reply {
+    /// Another instance should take the request.
+    Forward {
+        /// The owner of the endpoint in `hop`.
+        instance: InstanceId,
+        /// What to send along.
+        hop: Hop,
+    },
+    /// The request was not run here and won't be.
+    Refused(Refusal),
+    /// The attempt failed at an endpoint.
+    Failed {
+        /// Where.
+        endpoint: EndpointId,
+        /// How.
+        ending: Ending,
+    },
+    /// The caller is to be told this.
+    Told(Told),
+}
+
+/// What a caller is to be told in place of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The HTTP status.
     pub status: u16,
-    /// A short stable name of the reason.
+    /// A short stable name for programs.
     pub reason: String,
-    /// What happened, and the remedy.
+    /// What happened and the remedy.
     pub detail: String,
-    /// Whether the entry may try again elsewhere.
-    pub again: bool,
-    /// When the caller may try again, in seconds; 0 if that doesn't help.
-    pub retry_after: u32,
-}
-
-/// Another instance and endpoint that should take the request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Forward {
-    /// The owner of that endpoint.
-    pub instance: InstanceId,
-    /// The endpoint.
-    pub endpoint: EndpointId,
+    /// The fate of the request.
+    pub outcome: Outcome,
+    /// When sending it again may help.
+    pub retry_after: Option<Duration>,
 }
 
 impl Kind {
@@ -69,15 +91,14 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Relayed => "relayed",
-            Self::Refused => "refused",
-            Self::Forwarded => "forwarded",
+            Self::Reply => "reply",
         }
     }
 
     /// Returns the kind that a header value names.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
-        [Self::Relayed, Self::Refused, Self::Forwarded]
+        [Self::Relayed, Self::Reply]
             .into_iter()
             .find(|kind| kind.as_str() == text)
     }
@@ -95,11 +116,13 @@
 /// Returns the headers of pairs, without those that aren't well formed.
 #[must_use]
 pub fn unpack(pairs: &[(String, Vec<u8>)]) -> HeaderMap {
-    pairs
-        .iter()
-        .filter_map(|(name, value)| {
-            let name = HeaderName::try_from(name.as_str()).ok()?;
-            Some((name, HeaderValue::from_bytes(value).ok()?))
-        })
-        .collect()
+    let mut headers = HeaderMap::with_capacity(pairs.len());
+    for (name, value) in pairs {
+        let name = HeaderName::try_from(name.as_str());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
 }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -41,7 +41,7 @@
 pub const SEAL: HeaderName = HeaderName::from_static("godwitpost-internal-seal");
 /// The bundle version that the sender holds.
 pub const BUNDLE: HeaderName = HeaderName::from_static("godwitpost-internal-bundle");
-/// What kind of answer an instance gives: see `dispatch::Kind`.
+/// What kind of answer an instance gives: see [`crate::dispatch::Kind`].
 pub const KIND: HeaderName = HeaderName::from_static("godwitpost-internal-kind");
 /// The attempt that an answer belongs to, in hexadecimal.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("godwitpost-internal-attempt");
