standin: endpoints tell an observer what they do, where they do it

A run log has moments, which don't say what came before what on another machine. A history needs the order, so engines and plain services call an observer at the very place: a start before anything of the request is done, an end before the last byte is sent, a crash before a connection breaks. The observer is also told the right answer, so that a crossed one is seen.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -34,6 +34,7 @@
 use self::core::Core;
 pub use self::orders::{Order, Wanted};
 use crate::faults::{Handle, millis};
+use crate::observe::Event;
 use crate::serve::{Error, Server};
 
 /// How an engine works when nothing is wrong.
@@ -233,6 +234,11 @@
         self.core.orders()
     }
 
+    /// Tells `told` what it does from now on; the first observer stays.
+    pub fn observe(&self, told: impl Fn(Event) + Send + Sync + 'static) {
+        self.core.observer.set(told);
+    }
+
     /// Breaks all connections off and refuses new ones for a time; then it is
     /// back in a new life with an empty cache.
     pub fn crash(&self, down_for: Duration) {
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -9,13 +9,14 @@
 use serde::Deserialize;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::core::Core;
+use super::core::{Core, State};
 use super::job::{Job, Reader};
 use super::{End, Run, reply};
 use crate::answer::{self, Answer};
 use crate::digest;
 use crate::faults::lock;
-use crate::plain::{leaving, marked};
+use crate::observe::Event;
+use crate::plain::{leaving, marked, trace};
 use crate::serve::Body;
 
 /// Bytes of a request's body that count as one token of prompt.
@@ -39,6 +40,7 @@
     answer_tokens: u32,
     priority: u8,
     prefix: Option<String>,
+    trace: Option<String>,
     crashes: bool,
 }
 
@@ -51,6 +53,8 @@
         }
         let faults = self.faults.get();
         if faults.leaving {
+            let trace = trace(&head.headers);
+            self.observer.tell(Event::Refused { trace });
             return Ok(leaving());
         }
         let body = answer::read(body).await?;
@@ -77,9 +81,10 @@
             answer_tokens: asked.max_tokens.unwrap_or(self.settings.answer_tokens),
             priority: number(&head.headers, "x-priority").unwrap_or(DEFAULT_PRIORITY),
             prefix: text(&head.headers, "x-prefix-key"),
+            trace: trace(&head.headers),
             crashes: marked(&body, faults.crash_marker.as_deref()),
         };
-        let job = self.accept(id, digest::of(&body), &plan);
+        let job = self.accept(id, &digest::of(&body), &plan);
         let reader = Reader::new(self.clone(), Arc::clone(&job), 0);
         let task = tokio::spawn(self.clone().run(Arc::clone(&job), plan));
         job.run_by(task.abort_handle());
@@ -102,19 +107,19 @@
         }
     }
 
-    fn accept(&self, id: String, digest: String, plan: &Plan) -> Arc<Job> {
+    fn accept(&self, id: String, digest: &str, plan: &Plan) -> Arc<Job> {
         let crossed = self.faults.hits(self.faults.get().cross);
         let mut state = lock(&self.state);
         let before = state.runs.last().filter(|_| crossed);
         let (whose, of) = before.map_or_else(
-            || (id.clone(), digest.clone()),
+            || (id.clone(), digest.to_owned()),
             |run| (run.request.clone(), run.digest.clone()),
         );
         let work = u64::from(plan.prompt_tokens) + u64::from(plan.answer_tokens);
         let job = Arc::new(Job::new(state.runs.len(), whose, of, work));
         state.runs.push(Run {
             request: id.clone(),
-            digest,
+            digest: digest.to_owned(),
             prompt_tokens: plan.prompt_tokens,
             cached_tokens: 0,
             started: None,
@@ -122,7 +127,14 @@
             end: None,
         });
         state.jobs.insert(id, Arc::clone(&job));
+        let cached = state.cached(plan);
         drop(state);
+        self.observer.tell(Event::Started {
+            run: job.number as u64,
+            trace: plan.trace.clone(),
+            work: work.saturating_sub(u64::from(cached)),
+            answer: words(digest, 0, plan.answer_tokens),
+        });
         self.sample();
         job
     }
@@ -158,12 +170,7 @@
     fn begin(&self, job: &Job, plan: &Plan) -> u32 {
         let now = self.clock.now();
         let mut state = lock(&self.state);
-        let cached = plan
-            .prefix
-            .as_deref()
-            .and_then(|prefix| state.cache.tokens(prefix))
-            .unwrap_or(0)
-            .min(plan.prompt_tokens);
+        let cached = state.cached(plan);
         let run = &mut state.runs[job.number];
         run.started = Some(now);
         run.cached_tokens = cached;
@@ -179,9 +186,7 @@
             let tokens = until - position;
             due += Duration::from_secs_f64(f64::from(tokens) / self.settings.decode);
             sleep_until(due).await;
-            let words: String = (position..until)
-                .map(|position| digest::word(&job.digest, position))
-                .collect();
+            let words = words(&job.digest, position, until);
             job.push(reply::event(job, &words));
             job.left.fetch_sub(u64::from(tokens), Ordering::Relaxed);
             position = until;
@@ -194,6 +199,22 @@
     }
 }
 
+impl State {
+    /// Returns the prompt tokens that the prefix cache takes off.
+    fn cached(&mut self, plan: &Plan) -> u32 {
+        let prefix = plan.prefix.as_deref();
+        let tokens = prefix.and_then(|prefix| self.cache.tokens(prefix));
+        tokens.unwrap_or(0).min(plan.prompt_tokens)
+    }
+}
+
+/// Returns the words that an engine generates from one position to another.
+fn words(digest: &str, from: u32, until: u32) -> String {
+    (from..until)
+        .map(|position| digest::word(digest, position))
+        .collect()
+}
+
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?.to_str().ok()?;
     Some(value.to_owned())
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -21,6 +21,7 @@
 use super::{End, Faults, Run, Settings};
 use crate::answer::{self, Answer};
 use crate::faults::{Handle, lock};
+use crate::observe::{self, Event, Place};
 use crate::serve::{Body, Switch};
 
 /// One engine; its clones are the same engine.
@@ -30,6 +31,7 @@
     pub(super) settings: Arc<Settings>,
     pub(super) faults: Handle<Faults>,
     pub(super) state: Arc<Mutex<State>>,
+    pub(super) observer: Place,
     switch: Switch,
 }
 
@@ -81,6 +83,7 @@
             settings: Arc::new(settings),
             faults: Handle::new(faults),
             state: Arc::new(Mutex::new(state)),
+            observer: Place::default(),
             switch: Switch::new(),
         }
     }
@@ -127,7 +130,16 @@
 
     /// Ends a job and notes it in the run log.
     pub(super) fn end(&self, job: &Job, end: End) {
-        if !job.end(end) {
+        let told = || {
+            let run = job.number as u64;
+            let end = match end {
+                End::Finished => observe::End::Whole,
+                End::Cancelled => observe::End::Abandoned,
+                End::Crashed => observe::End::Cut,
+            };
+            self.observer.tell(Event::Ended { run, end });
+        };
+        if !job.end(end, told) {
             return;
         }
         let now = self.clock.now();
@@ -153,18 +165,22 @@
     }
 
     pub(super) fn crash(&self, down_for: Duration) {
-        let jobs = {
+        let (jobs, next) = {
             let mut state = lock(&self.state);
+            let incarnation = state.incarnation;
+            self.observer.tell(Event::Lost { incarnation });
             state.incarnation += 1;
             state.cache = Cache::new(self.settings.cache_tokens);
             state.slots = Slots::new(self.settings.slots);
             state.reports.clear();
-            std::mem::take(&mut state.jobs)
+            (std::mem::take(&mut state.jobs), state.incarnation)
         };
         self.switch.down();
         let switch = self.switch.clone();
+        let observer = self.observer.clone();
         tokio::spawn(async move {
             sleep(down_for).await;
+            observer.tell(Event::Joined { incarnation: next });
             switch.up();
         });
         // The task that crashes the engine may be among those that are
--- a/crates/standin/src/engine/job.rs
+++ b/crates/standin/src/engine/job.rs
@@ -10,6 +10,7 @@
 use super::End;
 use super::core::Core;
 use crate::faults::lock;
+use crate::observe::Event;
 
 /// A request that was accepted.
 #[derive(Debug)]
@@ -56,10 +57,13 @@
     }
 
     /// Ends it, if nothing else did before, and stops its task. Returns
-    /// whether this was the end.
-    pub(super) fn end(&self, end: End) -> bool {
+    /// whether this was the end; if so, `told` runs before any reader sees it.
+    pub(super) fn end(&self, end: End, told: impl FnOnce()) -> bool {
         let ended = self.progress.send_if_modified(|progress| {
             let first = progress.end.is_none();
+            if first {
+                told();
+            }
             progress.end.get_or_insert(end);
             first
         });
@@ -127,6 +131,12 @@
         }
     }
 
+    /// Tells the observer that the answer is about to be broken off.
+    pub(super) fn cut(&self) {
+        let run = self.job.number as u64;
+        self.core.observer.tell(Event::Cut { run });
+    }
+
     /// Waits for the end.
     pub(super) async fn end(&mut self) -> End {
         loop {
--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -26,6 +26,7 @@
         if !self.faults.hits(self.faults.get().truncate) {
             return Ok(named(answer::json(StatusCode::OK, &whole), &reader));
         }
+        reader.cut();
         let text = whole.to_string();
         let half = Bytes::from(text[..text.len() / 2].to_owned());
         let mut parts = vec![Ok(Frame::data(half))];
@@ -74,6 +75,9 @@
     }
     match reader.part().await {
         Part::Events(events) => {
+            if !matches!(cut, Cut::Never) {
+                reader.cut();
+            }
             let next = match cut {
                 Cut::Never => Some((reader, Cut::Never)),
                 Cut::Cleanly => None,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod faults;
 pub mod list;
 pub mod log;
+pub mod observe;
 pub mod plain;
 pub mod weights;
 
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -11,7 +11,7 @@
 
 use godwitpost_platform::clock::Clock;
 use godwitpost_types::clock::Moment;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -20,6 +20,7 @@
 use crate::answer::{self, Answer};
 use crate::digest;
 use crate::faults::{Handle, lock, millis};
+use crate::observe::{End, Event, Place};
 use crate::serve::{Body, Broken, Error, Server, Switch};
 
 /// What can go wrong with a plain service.
@@ -83,6 +84,7 @@
     faults: Handle<Faults>,
     switch: Switch,
     state: Arc<Mutex<State>>,
+    observer: Place,
 }
 
 #[derive(Debug)]
@@ -107,6 +109,7 @@
             running: 0,
             executions: Vec::new(),
         })),
+        observer: Place::default(),
     };
     let handler = core.clone();
     let server = Server::start(address, core.switch.clone(), move |request| {
@@ -147,6 +150,11 @@
         lock(&self.core.state).runs(call, Some(key))
     }
 
+    /// Tells `told` what it does from now on; the first observer stays.
+    pub fn observe(&self, told: impl Fn(Event) + Send + Sync + 'static) {
+        self.core.observer.set(told);
+    }
+
     /// Breaks all connections off and refuses new ones for a time; then it is
     /// back in a new life.
     pub fn crash(&self, down_for: Duration) {
@@ -160,6 +168,17 @@
 }
 
 impl State {
+    fn last_answer(&self) -> String {
+        let Some(last) = self.executions.last() else {
+            return String::new();
+        };
+        let Execution {
+            call, key, digest, ..
+        } = last;
+        let times = self.runs(call, key.as_deref());
+        json!({ "call": call, "key": key, "digest": digest, "executions": times }).to_string()
+    }
+
     fn runs(&self, call: &str, key: Option<&str>) -> usize {
         self.executions
             .iter()
@@ -203,6 +222,8 @@
     async fn call(self, request: Request<Incoming>) -> Answer {
         let faults = self.faults.get();
         if faults.leaving {
+            let trace = trace(request.headers());
+            self.observer.tell(Event::Refused { trace });
             return Ok(leaving());
         }
         let (head, body) = request.into_parts();
@@ -217,41 +238,63 @@
         let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
         let key = header("idempotency-key").map(str::to_owned);
         let request = header("x-request-id").map(str::to_owned);
-        let digest = digest::of(&body);
-        let times = self.begin(Execution {
-            call: call.clone(),
-            key: key.clone(),
+        let execution = Execution {
+            call,
+            key,
             request,
-            digest: digest.clone(),
+            digest: digest::of(&body),
             started: self.clock.now(),
-        });
-        let _running = Executing::new(&self);
+        };
+        let (run, right) = self.begin(trace(&head.headers), execution);
+        let mut running = Executing::new(&self, run);
         if marked(&body, faults.crash_marker.as_deref()) {
+            running.end = End::Cut;
             self.crash(faults.down_for);
             return Err(Broken);
         }
         sleep(faults.slow).await;
         if self.faults.hits(faults.lose_answers) {
+            running.end = End::Cut;
             return Err(Broken);
         }
-        let body = json!({ "call": call, "key": key, "digest": digest, "executions": times });
-        Ok(answer::json(StatusCode::OK, &body))
+        running.end = End::Whole;
+        drop(running);
+        Ok(answer::bytes(
+            StatusCode::OK,
+            "application/json",
+            right.into(),
+        ))
     }
 
-    fn begin(&self, execution: Execution) -> usize {
+    /// Notes an execution; returns its number and its right answer.
+    fn begin(&self, trace: Option<String>, execution: Execution) -> (u64, String) {
         let mut state = lock(&self.state);
-        let call = execution.call.clone();
-        let key = execution.key.clone();
         state.executions.push(execution);
-        state.runs(&call, key.as_deref())
+        let run = state.executions.len() as u64;
+        let answer = state.last_answer();
+        self.observer.tell(Event::Started {
+            run,
+            trace,
+            work: 1,
+            answer: answer.clone(),
+        });
+        (run, answer)
     }
 
     fn crash(&self, down_for: Duration) {
-        lock(&self.state).incarnation += 1;
+        let incarnation = {
+            let mut state = lock(&self.state);
+            let incarnation = state.incarnation;
+            self.observer.tell(Event::Lost { incarnation });
+            state.incarnation += 1;
+            state.incarnation
+        };
         self.switch.down();
         let switch = self.switch.clone();
+        let observer = self.observer.clone();
         tokio::spawn(async move {
             sleep(down_for).await;
+            observer.tell(Event::Joined { incarnation });
             switch.up();
         });
     }
@@ -260,22 +303,38 @@
 /// Counts an execution as running until it is dropped.
 struct Executing {
     state: Arc<Mutex<State>>,
+    observer: Place,
+    run: u64,
+    end: End,
 }
 
 impl Executing {
-    fn new(core: &Core) -> Self {
+    fn new(core: &Core, run: u64) -> Self {
         let state = Arc::clone(&core.state);
         lock(&state).running += 1;
-        Self { state }
+        Self {
+            state,
+            observer: core.observer.clone(),
+            run,
+            end: End::Abandoned,
+        }
     }
 }
 
 impl Drop for Executing {
     fn drop(&mut self) {
         lock(&self.state).running -= 1;
+        let (run, end) = (self.run, self.end);
+        self.observer.tell(Event::Ended { run, end });
     }
 }
 
+/// Returns the trace that a request belongs to.
+pub(crate) fn trace(headers: &HeaderMap) -> Option<String> {
+    let value = headers.get("traceparent")?;
+    value.to_str().ok().map(str::to_owned)
+}
+
 /// The answer of a leaving endpoint to new work.
 pub(crate) fn leaving() -> Response<Body> {
     let mut response = answer::error(
