history: answers that a fault at the endpoint broke off

An engine may break off an answer and compute on, so the run ends as whole and the caller's cut had no fault on its way. The event names it. A run that ended since its reader went away is not such a fault.

--- a/crates/history/src/event.rs
+++ b/crates/history/src/event.rs
@@ -42,6 +42,11 @@
     Dispatched(Dispatch),
     /// An endpoint starts to run a request.
     RunStarted(Run),
+    /// A fault at an endpoint is about to break off the answer of a run.
+    AnswerCut {
+        /// The run, which may go on and end as whole.
+        run: RunId,
+    },
     /// An endpoint stopped running a request.
     RunEnded(RunEnd),
     /// An endpoint was given a request and refused to run it.
--- a/crates/history/src/history.rs
+++ b/crates/history/src/history.rs
@@ -84,6 +84,7 @@
     calls: BTreeMap<CallId, Call<'a>>,
     runs: BTreeMap<RunId, Execution<'a>>,
     runs_by_call: BTreeMap<CallId, Vec<RunId>>,
+    cuts: BTreeMap<RunId, &'a Event>,
     calls_by_job: BTreeMap<(&'a str, &'a str), Vec<CallId>>,
     dispatches_by_call: BTreeMap<CallId, Vec<&'a Dispatch>>,
 }
@@ -101,6 +102,7 @@
             calls: BTreeMap::new(),
             runs: BTreeMap::new(),
             runs_by_call: BTreeMap::new(),
+            cuts: BTreeMap::new(),
             calls_by_job: BTreeMap::new(),
             dispatches_by_call: BTreeMap::new(),
         };
@@ -186,6 +188,13 @@
         down
     }
 
+    /// Returns the event in which a fault at the endpoint broke off the answer
+    /// of `run`, if one did.
+    #[must_use]
+    pub fn answer_cut(&self, run: RunId) -> Option<&'a Event> {
+        self.cuts.get(&run).copied()
+    }
+
     /// Returns the event in which `endpoint` was lost between two order
     /// numbers, if it was.
     #[must_use]
@@ -218,6 +227,10 @@
             What::CallerGot(got) => self.got(event, got),
             What::RunStarted(run) => self.started(event, run),
             What::RunEnded(end) => self.ended(event, end),
+            What::AnswerCut { run } => {
+                self.cuts.entry(*run).or_insert(event);
+                Ok(())
+            }
             What::Dispatched(dispatch) => {
                 let dispatches = self.dispatches_by_call.entry(dispatch.call);
                 dispatches.or_default().push(dispatch);
