--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,4 +5,6 @@
 //! by the crate's tests; those that depend on the machine never decide a
 //! verdict there.
 
+pub mod bundles;
 pub mod figure;
+pub mod rolls;
--- /dev/null
+++ b/crates/bench/src/rolls/instance.rs
@@ -0,0 +1,134 @@
+//! One instance: its fold, its pauses, and the checkpoint in its hand.
+
+use std::time::Duration;
+
+use godwitpost_bundle::fold::Fold;
+use godwitpost_bundle::record;
+use godwitpost_bundle::renew::{self, Next, View};
+use godwitpost_bundle::snapshot::Snapshot;
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::Version;
+
+use super::Weakness;
+use super::operators::new_fold;
+use super::stream::Stream;
+
+#[derive(Clone, Debug)]
+pub(super) struct Instance {
+    pub fold: Fold,
+    ready: bool,
+    paused: u32,
+    tried: Option<Moment>,
+    in_hand: Option<Snapshot>,
+    // Records that a fold which ignores gaps has skipped.
+    skipped: u64,
+}
+
+impl Instance {
+    pub fn new() -> Self {
+        Self {
+            fold: new_fold(),
+            ready: false,
+            paused: 0,
+            tried: None,
+            in_hand: None,
+            skipped: 0,
+        }
+    }
+
+    pub fn pause(&mut self, steps: u32) {
+        self.paused = self.paused.max(steps);
+    }
+
+    pub const fn awake(&self) -> bool {
+        self.paused == 0
+    }
+
+    /// Lets a pause come nearer to its end; returns whether it is over.
+    pub const fn wake(&mut self) -> bool {
+        self.paused = self.paused.saturating_sub(1);
+        self.awake()
+    }
+
+    /// Returns whether it handles requests: a bundle is in force, and it has
+    /// read the stream to its end or heard from a peer that serves.
+    pub fn serves(&self) -> bool {
+        self.ready && self.fold.version() > 0
+    }
+
+    pub fn version(&self) -> Option<Version> {
+        self.serves().then(|| self.fold.version())
+    }
+
+    /// Returns whether its place on the stream can be held against a reader
+    /// of every record.
+    pub const fn placed(&self) -> bool {
+        !self.fold.gapped() && self.skipped == 0
+    }
+
+    pub fn read(&mut self, stream: &Stream, most: usize, weakness: Weakness) {
+        if !self.awake() || !stream.up() {
+            return;
+        }
+        let wanted = self.fold.wanted() + self.skipped;
+        for (offset, time, bytes) in stream.read(wanted, most) {
+            if weakness == Weakness::IgnoresGaps && self.fold.version() > 0 {
+                self.skipped = self.skipped.max(offset - self.fold.wanted());
+            }
+            self.fold.apply(offset - self.skipped, time, bytes);
+        }
+        if self.fold.wanted() + self.skipped >= stream.next() {
+            // The end of a stream without a bundle does not count: the first
+            // versions would be served one by one, behind the others.
+            let found = self.fold.version() > 0 || weakness == Weakness::ReadyOnEmpty;
+            self.ready |= !self.fold.gapped() && found;
+        }
+        self.ready |= weakness == Weakness::ServesEarly;
+    }
+
+    pub fn hear(&mut self, peer: &Self, whole: bool, weakness: Weakness) {
+        let snapshot = peer.fold.snapshot();
+        if weakness == Weakness::AdoptsAny && snapshot.is_some() {
+            self.fold = new_fold();
+        }
+        let update = peer.fold.update(self.fold.version());
+        let taken = match (update, snapshot) {
+            (Some(update), _) if !whole => self.fold.advance(&update),
+            (_, Some(snapshot)) => self.fold.adopt(snapshot),
+            (_, None) => return,
+        };
+        self.ready |= taken.is_ok();
+    }
+
+    /// Composes a checkpoint if one is due; returns whether it did.
+    pub fn renew(&mut self, now: Moment, retention: Duration, rank: u32) -> bool {
+        let view = View {
+            now,
+            retention,
+            anchor: self.fold.anchor().filter(|_| self.ready),
+            next: self.fold.wanted(),
+            tried: self.tried,
+            rank,
+        };
+        let due = renew::decide(&view) == Next::Append;
+        if due {
+            self.tried = Some(now);
+            self.in_hand = self.fold.snapshot();
+        }
+        due
+    }
+
+    pub fn append_in_hand(&mut self, stream: &mut Stream, weakness: Weakness) {
+        let Some(mut snapshot) = self.in_hand.take() else {
+            return;
+        };
+        if weakness == Weakness::ClaimsAll {
+            snapshot.next = stream.next();
+        }
+        for part in record::checkpoint(&snapshot) {
+            if let Ok(bytes) = part.encode() {
+                stream.append(bytes);
+            }
+        }
+    }
+}
