--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,5 +6,7 @@
 //! verdict there.
 
 pub mod bundles;
+pub mod claims;
 pub mod figure;
 pub mod rolls;
+pub mod state;
