router: whole path tested with the stand-ins in one process

A chat streams whole through each router, an order runs at most once under lost answers of the service and of the log, a truncated stream breaks the caller's, a stop cuts nothing, and strangers are refused.

Two faults showed. A key sent again through another zone was placed with another owner and told *unknown*, though the first dispatcher held the answer: it is now fetched from there. And a refusal sent before a large body was read was lost to a reset: the rest is now read and dropped within bounds.

--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -10,8 +10,10 @@
 use bytes::Bytes;
 use godwitpost_state::claim::{self, Answers, Holder, Item, Record, Verdict};
 use godwitpost_types::endpoint::Standing;
-use godwitpost_types::id::{Incarnation, InstanceId, KeyDigest};
+use godwitpost_types::id::{BodyDigest, Incarnation, InstanceId, KeyDigest};
 use godwitpost_types::instance::Instance;
+use godwitpost_wire::dispatch;
+use godwitpost_wire::frame::Frame;
 use http::{HeaderMap, Method, StatusCode};
 use tokio::sync::oneshot;
 
@@ -37,8 +39,11 @@
 /// Bytes of an encoded verdict, by far.
 const VERDICT_BYTES: usize = 1 << 10;
 
+/// The path that kept answers are asked for on.
+pub(crate) const ANSWER_PATH: &str = "/peer/v1/answer";
+
 /// A finished answer kept for a caller that sends its key again.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Kept {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
@@ -92,6 +97,49 @@
         .unwrap_or(Verdict::Unavailable)
 }
 
+/// Asks the instance that ran a key for the answer that it keeps.
+///
+/// A key that is sent again may come in anywhere and be placed elsewhere; only
+/// the first one's dispatcher saw the answer.
+pub(crate) async fn fetch(
+    shared: &Shared,
+    holder: InstanceId,
+    key: &KeyDigest,
+    body: &BodyDigest,
+) -> Option<Kept> {
+    let snapshot = shared.snapshot();
+    let instance = snapshot.view.instance(holder)?;
+    let bytes = Bytes::from(rmp_serde::to_vec(&(key, body)).ok()?);
+    let request = peer::sealed(shared, instance, Method::POST, ANSWER_PATH, &bytes);
+    let sent = shared.connector.send(instance.peer_address, request, WAIT);
+    let response = sent.await.ok()?;
+    if response.status() != StatusCode::OK {
+        return None;
+    }
+    let read = body::collect(response.into_body(), KEPT_BYTES);
+    let bytes = tokio::time::timeout(WAIT, read).await.ok()?.ok()?;
+    Kept::decode(&bytes)
+}
+
+impl Kept {
+    /// Returns its bytes, for another instance.
+    pub(crate) fn encode(&self) -> Bytes {
+        let head = (self.status.as_u16(), dispatch::pack(&self.headers));
+        let body = self.body.clone();
+        Frame { head, body }.encode()
+    }
+
+    fn decode(bytes: &Bytes) -> Option<Self> {
+        type Head = (u16, Vec<(String, Vec<u8>)>);
+        let Frame { head, body } = Frame::<Head>::decode(bytes).ok()?;
+        Some(Self {
+            status: StatusCode::from_u16(head.0).ok()?,
+            headers: dispatch::unpack(&head.1),
+            body,
+        })
+    }
+}
+
 /// Tells the batcher how a claimed request ended, as best effort.
 pub(crate) async fn tell(shared: &Shared, fate: Item) {
     match batcher(shared, fate.key()) {
--- a/crates/router/src/relay/once.rs
+++ b/crates/router/src/relay/once.rs
@@ -12,7 +12,7 @@
 use godwitpost_decide::ending::Ending;
 use godwitpost_platform::connect::Received;
 use godwitpost_state::claim::key::Key;
-use godwitpost_state::claim::{Abandon, Found, Id, Item, Refusal, Step};
+use godwitpost_state::claim::{Abandon, Found, Id, Item, Refusal, Step, Verdict};
 use godwitpost_types::outcome::Outcome;
 use godwitpost_wire::dispatch::Reply;
 use godwitpost_wire::header;
@@ -39,8 +39,9 @@
 /// Runs an unrepeatable request that has leave to be dispatched.
 pub(crate) async fn run(shared: &Arc<Shared>, leave: Leave, job: &Job) -> Attempt {
     match claimed(shared, job).await {
-        Ok(id) => started(shared, leave, job, id).await,
-        Err(problem) => told(problem),
+        Claimed::Here(id) => started(shared, leave, job, id).await,
+        Claimed::Kept(kept) => answered(kept, true),
+        Claimed::Not(problem) => told(problem),
     }
 }
 
@@ -71,10 +72,20 @@
     )
 }
 
-async fn claimed(shared: &Arc<Shared>, job: &Job) -> Result<Id, Problem> {
+/// What came of asking for a claim.
+enum Claimed {
+    /// This instance holds it.
+    Here(Id),
+    /// Another one holds it, and has this answer.
+    Kept(Kept),
+    /// The request is refused.
+    Not(Problem),
+}
+
+async fn claimed(shared: &Arc<Shared>, job: &Job) -> Claimed {
     let request = &job.head.request;
     let (Some(digest), Some(issued)) = (request.key, job.head.issued) else {
-        return Err(problem(Refusal::Unavailable));
+        return Claimed::Not(problem(Refusal::Unavailable));
     };
     let key = Key { digest, issued };
     let record = shared
@@ -83,21 +94,32 @@
         .holder
         .open(&key, request.digest, request.deadline);
     let verdict = claims::ask(shared, record).await;
+    if let Verdict::Taken { by, .. } = verdict
+        && by.holder != shared.local()
+        && let Some(kept) = claims::fetch(shared, by.holder, &digest, &request.digest).await
+    {
+        shared
+            .claims
+            .lock()
+            .holder
+            .verdict(shared.now(), record.id, verdict);
+        return Claimed::Kept(kept);
+    }
     let now = shared.now();
     let step = shared.claims.lock().holder.verdict(now, record.id, verdict);
     match step {
-        Step::Claimed => Ok(record.id),
+        Step::Claimed => Claimed::Here(record.id),
         Step::Refuse { refusal, fate } => {
             if let Some(fate) = fate {
                 tell(shared, fate);
             }
-            Err(problem(refusal))
+            Claimed::Not(problem(refusal))
         }
         Step::Spent(fate) => {
             tell(shared, fate);
-            Err(problem(Refusal::Unavailable))
+            Claimed::Not(problem(Refusal::Unavailable))
         }
-        Step::Ignore => Err(problem(Refusal::Unavailable)),
+        Step::Ignore => Claimed::Not(problem(Refusal::Unavailable)),
     }
 }
 
--- a/crates/router/src/running.rs
+++ b/crates/router/src/running.rs
@@ -39,6 +39,8 @@
     shared: Arc<Shared>,
     addresses: Addresses,
     closing: watch::Sender<bool>,
+    // The peers' and operators' ports stay open until it is dropped.
+    _ending: watch::Sender<bool>,
     hurry: watch::Sender<bool>,
     // Dropping it ends the control thread.
     control: Option<oneshot::Sender<()>>,
@@ -74,11 +76,13 @@
     let control = control(Arc::clone(&shared), own, events).map_err(Error::Threads)?;
     let (closing, _) = watch::channel(false);
     let ports = [callers_port, peers_port, operators_port];
-    listen(&traffic, &shared, ports, &closing);
+    let (ending, _) = watch::channel(false);
+    listen(&traffic, &shared, ports, &closing, &ending);
     Ok(Running {
         shared,
         addresses,
         closing,
+        _ending: ending,
         hurry: watch::channel(false).0,
         control: Some(control),
         traffic: Some(traffic),
@@ -141,6 +145,7 @@
     shared: &Arc<Shared>,
     [callers_port, peers_port, operators_port]: [Port; 3],
     closing: &watch::Sender<bool>,
+    ending: &watch::Sender<bool>,
 ) {
     let head = shared.settings.limits.head_bytes;
     let of = Arc::clone(shared);
@@ -150,17 +155,10 @@
     // relay streams through here, and gossip says that this one is leaving.
     let of = Arc::clone(shared);
     let answer = move |request| peers::answer(Arc::clone(&of), request);
-    traffic.spawn(serve::run(peers_port, head, never(), answer));
+    traffic.spawn(serve::run(peers_port, head, ending.subscribe(), answer));
     let of = Arc::clone(shared);
     let answer = move |request| ready(operators::answer(&of, &request));
-    traffic.spawn(serve::run(operators_port, head, never(), answer));
-}
-
-// A closed channel would read as closing.
-fn never() -> watch::Receiver<bool> {
-    let (sender, receiver) = watch::channel(false);
-    std::mem::forget(sender);
-    receiver
+    traffic.spawn(serve::run(operators_port, head, ending.subscribe(), answer));
 }
 
 impl Running {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -65,7 +65,8 @@
 /// Connections that wait to be accepted; the default limit of Linux.
 const BACKLOG: i32 = 4096;
 
-/// Accepts connections until `closing` says so, then ends them in order.
+/// Accepts connections until `closing` says so or is dropped, then ends them
+/// in order.
 ///
 /// Returns when the last connection has ended.
 pub(crate) async fn run<H, F>(
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -62,13 +62,15 @@
     let id: RequestId = shared.gate().rng.random();
     let in_flight = shared.enter();
     let mut labels = Labels::nobody();
-    let placed = try_place(shared, request, id, &in_flight, &mut labels).await;
+    let (parts, mut incoming) = request.into_parts();
+    let placed = try_place(shared, parts, &mut incoming, id, &in_flight, &mut labels).await;
     let mut response = match placed {
         Ok((response, permit)) => finish(shared, response, in_flight, permit, labels, began),
         Err(problem) => {
             let took = since(shared.now(), began);
             let status = problem.status.as_u16();
             shared.metrics.head(&labels, problem.outcome, status, took);
+            body::discard(incoming).await;
             problem.response()
         }
     };
@@ -79,7 +81,8 @@
 
 async fn try_place(
     shared: &Arc<Shared>,
-    request: Request<Incoming>,
+    mut parts: Parts,
+    incoming: &mut Incoming,
     id: RequestId,
     in_flight: &InFlight,
     labels: &mut Labels,
@@ -89,7 +92,6 @@
     }
     let snapshot = shared.snapshot();
     let bundle = snapshot.bundle.as_ref().ok_or_else(no_bundle)?;
-    let (mut parts, incoming) = request.into_parts();
     check_head(shared, &mut parts)?;
     let head = resolve::head(&bundle.policy, &parts, shared.now())?;
     *labels = label(shared, bundle, &head);
@@ -174,7 +176,7 @@
         .sum()
 }
 
-async fn read(shared: &Shared, parts: &Parts, incoming: Incoming) -> Result<Bytes, Problem> {
+async fn read(shared: &Shared, parts: &Parts, incoming: &mut Incoming) -> Result<Bytes, Problem> {
     let limit = shared.settings.limits.body_bytes;
     let length = parts.headers.get(CONTENT_LENGTH);
     let length: Option<usize> = length.and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use godwitpost_platform::connect::Body;
-use godwitpost_state::claim::{Item, Verdict, batch};
+use godwitpost_state::claim::{Found, Item, Verdict, batch};
 use godwitpost_state::gossip::Message;
-use godwitpost_types::id;
+use godwitpost_types::id::{self, BodyDigest, KeyDigest};
 use godwitpost_wire::dispatch::{self, Head, Kind};
 use godwitpost_wire::frame::Frame;
 use godwitpost_wire::header;
@@ -82,6 +82,7 @@
     match (&parts.method, parts.uri.path()) {
         (&Method::POST, dispatch::PATH) => dispatched(shared, &bytes).await,
         (&Method::POST, claims::PATH) => claim(shared, &bytes).await,
+        (&Method::POST, claims::ANSWER_PATH) => kept(shared, &bytes),
         (&Method::POST, gossip::PATH) => gossiped(shared, &bytes).await,
         (&Method::POST, shutdown::PATH) => taken_over(shared, &bytes),
         (&Method::GET, bundles::PATH) => bundle(shared, parts).await,
@@ -131,6 +132,17 @@
     Response::new(body::full(Bytes::from(bytes)))
 }
 
+fn kept(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok((key, digest)) = rmp_serde::from_slice::<(KeyDigest, BodyDigest)>(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let mut claims = shared.claims.lock();
+    match claims.answers.find(shared.now(), &key, &digest) {
+        Found::Answer(kept) => Response::new(body::full(kept.encode())),
+        Found::OtherBody | Found::Nothing => status(StatusCode::NOT_FOUND),
+    }
+}
+
 async fn gossiped(shared: &Shared, bytes: &Bytes) -> Response<Body> {
     let Ok(message) = Message::decode(bytes) else {
         return status(StatusCode::BAD_REQUEST);
--- /dev/null
+++ b/crates/router/tests/router/fleet.rs
@@ -0,0 +1,282 @@
+//! A small fleet: a log, a list, endpoints and routers under a signed bundle.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_bundle::key::Private;
+use godwitpost_bundle::record::{Change, Record, STREAM};
+use godwitpost_bundle::source;
+use godwitpost_platform::connect::{self, Body, Connector, Received};
+use godwitpost_platform::list::{Entry, Role};
+use godwitpost_router::settings::Settings;
+use godwitpost_router::{Running, start};
+use godwitpost_standin::{engine, list, log, plain};
+use godwitpost_types::endpoint::Standing;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+
+/// The fleet's key in base64.
+pub(crate) const FLEET_KEY: &str = "AAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=";
+
+/// The bound on all waiting; only a fault comes near it.
+const LONG: Duration = Duration::from_secs(20);
+
+const ZONES: [&str; 4] = ["sapporo", "asahikawa", "otaru", "kushiro"];
+
+/// How many of each a fleet has.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) routers: usize,
+    pub(crate) engines: usize,
+    pub(crate) plains: usize,
+}
+
+/// A fleet that is ready.
+pub(crate) struct Fleet {
+    pub(crate) log: log::Running,
+    pub(crate) list: list::Running,
+    pub(crate) engines: Vec<engine::Running>,
+    pub(crate) plains: Vec<plain::Running>,
+    pub(crate) routers: Vec<Running>,
+    pub(crate) client: Connector,
+}
+
+impl Fleet {
+    /// Starts a fleet and returns when each router is ready.
+    pub(crate) async fn start(size: Size) -> Self {
+        let key = Private::from_seed(&[3; 32]);
+        let log = log::start(any(), log::Faults::default()).await.unwrap();
+        let list = list::start(any(), list::Faults::default()).await.unwrap();
+        // Nobody may read half of the list: who joins later is on probation.
+        list.faults().change(|faults| faults.down = true);
+        let mut fleet = Self {
+            engines: Vec::new(),
+            plains: Vec::new(),
+            routers: Vec::new(),
+            client: Connector::new(connect::Settings::default()),
+            log,
+            list,
+        };
+        for n in 0..size.engines {
+            fleet.add_engine(n).await;
+        }
+        for n in 0..size.plains {
+            fleet.add_plain(n).await;
+        }
+        fleet.roll(&key);
+        for n in 0..size.routers {
+            fleet.add_router(n, &key);
+        }
+        fleet.list.faults().change(|faults| faults.down = false);
+        fleet.ready(size).await;
+        fleet
+    }
+
+    async fn add_engine(&mut self, n: usize) {
+        let settings = engine::Settings {
+            models: BTreeSet::from(["writer@7".to_owned()]),
+            ..engine::Settings::default()
+        };
+        let engine = engine::start(any(), settings, engine::Faults::default()).await;
+        let engine = engine.unwrap();
+        let mut entry = entry(&format!("runner-{n}"), Role::Endpoint, n, engine.address());
+        entry.service = Some("drafting".to_owned());
+        entry.models = BTreeSet::from(["writer".to_owned()]);
+        self.list.set(entry);
+        self.engines.push(engine);
+    }
+
+    async fn add_plain(&mut self, n: usize) {
+        let plain = plain::start(any(), plain::Faults::default()).await.unwrap();
+        let mut entry = entry(&format!("orders-{n}"), Role::Endpoint, n, plain.address());
+        entry.service = Some("ordering".to_owned());
+        self.list.set(entry);
+        self.plains.push(plain);
+    }
+
+    fn add_router(&mut self, n: usize, key: &Private) {
+        let router = start(self.settings(n, key)).unwrap();
+        let name = format!("router-{n}");
+        let mut entry = entry(&name, Role::Router, n, router.peers_address());
+        entry.operators_address = Some(router.operators_address());
+        self.list.set(entry);
+        self.routers.push(router);
+    }
+
+    fn settings(&self, n: usize, key: &Private) -> Settings {
+        use base64::Engine as _;
+        let root = base64::engine::general_purpose::STANDARD.encode(key.public().0);
+        Settings::parse(&format!(
+            "name: router-{n}
+incarnation: 1
+zone: {}
+region: hokkaido
+fleet: kitakaze
+listen: {{ callers: '127.0.0.1:0', peers: '127.0.0.1:0', operators: '127.0.0.1:0' }}
+platform: {{ log: '{}', list: '{}' }}
+root_keys: ['{root}']
+fleet_key: {FLEET_KEY}
+limits: {{ body_bytes: 100000 }}
+balancer_lag: 200ms
+drain: 20s
+",
+            ZONES[n % ZONES.len()],
+            self.log.address(),
+            self.list.address(),
+        ))
+        .unwrap()
+    }
+
+    fn roll(&self, key: &Private) {
+        use base64::Engine as _;
+        let public = base64::engine::general_purpose::STANDARD.encode(key.public().0);
+        let yaml = include_str!("bundle.yaml").replace("<key>", &public);
+        let bundle = source::read(&yaml).unwrap();
+        let change = Change::sign(None, &bundle, "asahikawa", key);
+        let bytes = Record::Change(change).encode().unwrap();
+        self.log.append(STREAM, Bytes::from(bytes));
+    }
+
+    async fn ready(&self, size: Size) {
+        let endpoints = size.engines + size.plains;
+        for router in &self.routers {
+            until("a router is ready", async || {
+                let (ready, _, _) = self.get(router.callers_address(), "/readyz").await;
+                let (_, _, known) = self.get(router.operators_address(), "/endpoints").await;
+                let known: Vec<serde_json::Value> = serde_json::from_slice(&known).unwrap();
+                let owners: BTreeSet<&str> =
+                    known.iter().filter_map(|e| e["owner"].as_str()).collect();
+                ready == StatusCode::OK && known.len() == endpoints && !owners.is_empty()
+            })
+            .await;
+        }
+    }
+
+    /// Sends a request to a router's callers and returns the answer's head.
+    pub(crate) async fn send(
+        &self,
+        router: usize,
+        request: Request<Body>,
+    ) -> Result<Response<Received>, connect::Error> {
+        let address = self.routers[router].callers_address();
+        self.client.send(address, request, LONG).await
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn ask(
+        &self,
+        router: usize,
+        request: Request<Body>,
+    ) -> (StatusCode, HeaderMap, Bytes) {
+        whole(self.send(router, request).await.unwrap()).await
+    }
+
+    pub(crate) async fn get(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> (StatusCode, HeaderMap, Bytes) {
+        let request = Request::get(path).body(full("")).unwrap();
+        whole(self.client.send(address, request, LONG).await.unwrap()).await
+    }
+}
+
+/// Returns a streamed chat request.
+pub(crate) fn chat(prompt: &str, tokens: u32) -> Request<Body> {
+    let body = serde_json::json!({
+        "model": "writer",
+        "stream": true,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    });
+    Request::post("/v1/chat/completions")
+        .header("godwitpost-workspace", "otaru")
+        .header("content-type", "application/json")
+        .body(full(&body.to_string()))
+        .unwrap()
+}
+
+/// Returns an order under a key.
+pub(crate) fn order(key: &str, body: &str) -> Request<Body> {
+    Request::post("/orders")
+        .header("godwitpost-workspace", "otaru")
+        .header("idempotency-key", key)
+        .body(full(body))
+        .unwrap()
+}
+
+/// Returns a key that is dated now.
+pub(crate) fn key(last: u16) -> String {
+    let now = std::time::SystemTime::now();
+    let millis = now
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap()
+        .as_millis();
+    format!(
+        "{:08x}-{:04x}-7000-8000-00000000{last:04x}",
+        millis >> 16,
+        millis & 0xffff
+    )
+}
+
+/// Returns the outcome that a head tells.
+pub(crate) fn outcome(headers: &HeaderMap) -> &str {
+    headers["godwitpost-outcome"].to_str().unwrap()
+}
+
+/// Returns the words of an event stream, in order.
+pub(crate) fn words(stream: &[u8]) -> Vec<String> {
+    let text = String::from_utf8(stream.to_vec()).unwrap();
+    text.lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .map(|data| serde_json::from_str::<serde_json::Value>(data).unwrap())
+        .filter_map(|event| {
+            let content = &event["choices"][0]["delta"]["content"];
+            content.as_str().map(str::to_owned)
+        })
+        .filter(|word| !word.is_empty())
+        .collect()
+}
+
+pub(crate) async fn whole(response: Response<Received>) -> (StatusCode, HeaderMap, Bytes) {
+    let (parts, body) = response.into_parts();
+    let bytes = body.collect().await.unwrap().to_bytes();
+    (parts.status, parts.headers, bytes)
+}
+
+/// Waits until something holds; the bound is far above what it takes.
+pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let start = tokio::time::Instant::now();
+    while !holds().await {
+        assert!(start.elapsed() < LONG, "waited in vain until {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+pub(crate) fn full(text: &str) -> Body {
+    Full::new(Bytes::from(text.to_owned()))
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn entry(name: &str, role: Role, n: usize, address: SocketAddr) -> Entry {
+    Entry {
+        name: name.to_owned(),
+        incarnation: 1,
+        role,
+        standing: Standing::Live,
+        zone: ZONES[n % ZONES.len()].to_owned(),
+        region: "hokkaido".to_owned(),
+        address,
+        operators_address: None,
+        service: None,
+        models: BTreeSet::new(),
+    }
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/crates/router/tests/router/main.rs
@@ -0,0 +1,8 @@
+//! Whole routers against the stand-ins, in one process on loopback.
+
+mod callers;
+mod chats;
+mod fleet;
+mod orders;
+mod peers;
+mod shutdown;
