--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -29,7 +29,7 @@
 #[test]
 #[should_panic(expected = "two different sizes")]
 fn one_size_gives_no_line() {
-    drop(Line::fit(&[(1.0, 5.0), (1.0, 7.0)]));
+    let _line = Line::fit(&[(1.0, 5.0), (1.0, 7.0)]);
 }
 
 #[test]
