--- a/crates/bundle/src/source.rs
+++ b/crates/bundle/src/source.rs
@@ -4,6 +4,7 @@
 mod reader;
 #[cfg(test)]
 pub(crate) mod tests;
+mod write;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use crate::schema::{Bundle, Class, Fleet, Kind, Model, Operator, Route, Service, Workspace};
 use node::Node;
 use reader::{Map, Notes};
+pub use write::write;
 
 /// The window of a bundle that states none: well above a caller's resends,
 /// which come within minutes, and well below the log's retention.
--- a/crates/bundle/src/source/tests.rs
+++ b/crates/bundle/src/source/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::read;
+use super::{read, write};
 use crate::schema::Kind;
 
 /// A bundle with every section.
@@ -112,3 +112,11 @@
     let bundle = read(&WHOLE.replace("workspaces:\n", &workspaces)).expect("it is right");
     assert_eq!(bundle.workspaces.len(), 8_901);
 }
+
+#[test]
+fn what_is_written_reads_the_same() {
+    let mut bundle = read(WHOLE).expect("it is right");
+    let draft = bundle.classes.get_mut("draft").expect("it is there");
+    draft.deadline = Duration::from_millis(1_500);
+    assert_eq!(read(&write(&bundle)), Ok(bundle));
+}
--- /dev/null
+++ b/crates/bundle/src/source/write.rs
@@ -0,0 +1,88 @@
+//! A bundle as YAML again, for an operator to edit.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Serialize;
+
+use crate::schema::{Bundle, Class, Model, Operator, Route, Service, Workspace};
+
+/// Returns the YAML that reads as `bundle`, with every default written out.
+///
+/// # Panics
+///
+/// Panics if the bundle cannot be written, which is a bug: it holds plain
+/// values only.
+#[must_use]
+pub fn write(bundle: &Bundle) -> String {
+    let yaml = Yaml {
+        fleet: &bundle.fleet.name,
+        version: bundle.version,
+        claim_window: duration(bundle.fleet.claim_window),
+        operators: map(&bundle.operators, operator),
+        classes: map(&bundle.classes, class),
+        services: &bundle.services,
+        models: &bundle.models,
+        workspaces: &bundle.workspaces,
+        routes: &bundle.routes,
+    };
+    serde_saphyr::to_string(&yaml).expect("a bundle holds plain values only")
+}
+
+#[derive(Serialize)]
+struct Yaml<'a> {
+    fleet: &'a str,
+    version: u64,
+    claim_window: String,
+    operators: BTreeMap<&'a str, Key>,
+    classes: BTreeMap<&'a str, Timed>,
+    services: &'a BTreeMap<String, Service>,
+    models: &'a BTreeMap<String, Model>,
+    workspaces: &'a BTreeMap<String, Workspace>,
+    routes: &'a [Route],
+}
+
+#[derive(Serialize)]
+struct Key {
+    key: String,
+}
+
+#[derive(Serialize)]
+struct Timed {
+    priority: u8,
+    weight: f64,
+    deadline: String,
+    queue: bool,
+}
+
+fn map<T, U>(parts: &BTreeMap<String, T>, write: fn(&T) -> U) -> BTreeMap<&str, U> {
+    let parts = parts.iter();
+    parts
+        .map(|(name, part)| (name.as_str(), write(part)))
+        .collect()
+}
+
+fn operator(operator: &Operator) -> Key {
+    Key {
+        key: STANDARD.encode(operator.key.0),
+    }
+}
+
+fn class(class: &Class) -> Timed {
+    Timed {
+        priority: class.priority,
+        weight: class.weight,
+        deadline: duration(class.deadline),
+        queue: class.queue,
+    }
+}
+
+fn duration(duration: Duration) -> String {
+    if duration.subsec_millis() == 0 {
+        format!("{}s", duration.as_secs())
+    } else {
+        format!("{}ms", duration.as_millis())
+    }
+}
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -1,2 +1,39 @@
-//! Binary.
-fn main() {}
+//! The operators' tool: reads the command line, runs it, prints.
+
+use std::process::ExitCode;
+
+use godwitpost_operator::cli;
+use godwitpost_operator::error::{EXIT_FAILED, EXIT_USAGE};
+use godwitpost_operator::run::{Done, run};
+
+fn main() -> ExitCode {
+    let next = cli::parse(std::env::args_os());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let code = match runtime {
+        Ok(runtime) => print(runtime.block_on(run(next))),
+        Err(error) => {
+            eprintln!("can't start: {error}");
+            EXIT_FAILED
+        }
+    };
+    ExitCode::from(code)
+}
+
+fn print(result: Result<Done, godwitpost_operator::error::Error>) -> u8 {
+    match result {
+        Ok(Done { text, code }) if code == EXIT_USAGE => {
+            eprint!("{text}");
+            code
+        }
+        Ok(Done { text, code }) => {
+            print!("{text}");
+            code
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            error.code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/plan.rs
@@ -0,0 +1,143 @@
+//! The signed records that lead from what is in force to a bundle.
+//!
+//! Nearly always that is one record. A first bundle of thousands of
+//! workspaces does not fit one, and is rolled in several versions, each of
+//! which is a whole bundle of its own: first what workspaces refer to, then
+//! workspaces, and last what is gone.
+
+use std::time::Duration;
+
+use godwitpost_bundle::blob::Digest;
+use godwitpost_bundle::delta::Delta;
+use godwitpost_bundle::entry::{self, Entries, WORKSPACE};
+use godwitpost_bundle::fold::{Fold, Next};
+use godwitpost_bundle::key::Private;
+use godwitpost_bundle::record::{self, Change, RECORD_BYTES, Record};
+use godwitpost_bundle::root::Tree;
+use godwitpost_bundle::schema::Bundle;
+use godwitpost_types::id::Version;
+
+use crate::error::Error;
+
+/// Entries' bytes in one record of several; the rest is for their frames.
+const CHUNK_BYTES: usize = RECORD_BYTES / 2;
+
+/// One signed version, ready to append.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Signed {
+    /// Its version.
+    pub version: Version,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// Who signs.
+#[derive(Clone, Debug)]
+pub struct Signer {
+    /// The operator's name in the bundle in force.
+    pub operator: String,
+    /// The private key.
+    pub key: Private,
+}
+
+/// Returns the signed records that lead from `fold` to `bundle`; none if it
+/// is in force already.
+///
+/// # Errors
+///
+/// Returns an error if the version does not follow, if nothing changes, or if
+/// routers would refuse the result.
+pub fn sign(fold: &Fold, bundle: &Bundle, signer: &Signer) -> Result<Vec<Signed>, Error> {
+    let current = fold.version();
+    let target = entry::split(bundle);
+    let held = fold
+        .tree()
+        .map_or_else(Entries::new, |tree| tree.entries().clone());
+    let same = held == target;
+    if same && bundle.version <= current {
+        // The command was run before and its fate was unknown.
+        return Ok(Vec::new());
+    }
+    if bundle.version != current + 1 {
+        return Err(Error::Version {
+            current,
+            found: bundle.version,
+            next: current + 1,
+        });
+    }
+    if same {
+        return Err(Error::Same(current));
+    }
+    let mut fold = fold.clone();
+    let mut versions = Vec::new();
+    for entries in steps(held, target)? {
+        let version = fold.version() + 1;
+        let bundle = entry::join(version, &entries).map_err(Error::Entry)?;
+        let bytes = change(fold.tree(), &bundle, signer)?;
+        rehearse(&mut fold, &bytes)?;
+        versions.push(Signed { version, bytes });
+    }
+    Ok(versions)
+}
+
+fn change(parent: Option<&Tree>, bundle: &Bundle, signer: &Signer) -> Result<Vec<u8>, Error> {
+    let change = Change::sign(parent, bundle, &signer.operator, &signer.key);
+    Record::Change(change).encode().map_err(Error::Record)
+}
+
+// What routers will say is known before anything is appended.
+fn rehearse(fold: &mut Fold, bytes: &[u8]) -> Result<(), Error> {
+    match fold.apply(fold.wanted(), Duration::ZERO, bytes) {
+        Next::Refused(refusal) => Err(Error::Refused(refusal)),
+        Next::InForce(_) | Next::Ignored | Next::Waiting => Ok(()),
+    }
+}
+
+// The entries after each step.
+fn steps(held: Entries, target: Entries) -> Result<Vec<Entries>, Error> {
+    let delta = Delta::between(&held, &target);
+    if size(&delta) <= CHUNK_BYTES {
+        return Ok(vec![target]);
+    }
+    let (workspaces, others): (Entries, Entries) = delta
+        .puts
+        .into_iter()
+        .partition(|(name, _)| name.starts_with(WORKSPACE));
+    let mut tree = Tree::new(held);
+    let mut steps = Vec::new();
+    let mut chunk = Delta::default();
+    for (name, blob) in others.into_iter().chain(workspaces) {
+        let bytes = name.len() + blob.0.len();
+        if bytes > CHUNK_BYTES {
+            return Err(Error::TooLarge);
+        }
+        if size(&chunk) + bytes > CHUNK_BYTES {
+            tree.apply(std::mem::take(&mut chunk));
+            steps.push(tree.entries().clone());
+        }
+        chunk.puts.insert(name, blob);
+    }
+    tree.apply(chunk);
+    steps.push(tree.entries().clone());
+    if tree.root() != Tree::new(target.clone()).root() {
+        steps.push(target);
+    }
+    Ok(steps)
+}
+
+fn size(delta: &Delta) -> usize {
+    let puts = delta.puts.iter();
+    let puts = puts.map(|(name, blob)| name.len() + blob.0.len());
+    puts.chain(delta.removes.iter().map(String::len)).sum()
+}
+
+/// Returns the statement's version and digest of a signed record's bytes.
+#[must_use]
+pub fn statement(bytes: &[u8]) -> Option<(Version, Digest)> {
+    match Record::decode(bytes) {
+        Ok(Record::Change(change)) => Some((change.statement.version, change.statement.digest())),
+        Ok(Record::Checkpoint(_)) | Err(record::Error::IllFormed | record::Error::TooLarge(..)) => {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/roll.rs
@@ -0,0 +1,114 @@
+//! Appends signed versions and settles what became of them.
+//!
+//! An append whose answer is lost may have taken effect, or may still. The
+//! tool reads the stream back, and appends the very same record again if it
+//! is not there: the fold counts a statement once, so the second does no
+//! harm, and a record that lands late is the same as one that landed twice.
+
+use std::time::Duration;
+
+use godwitpost_bundle::blob::Digest;
+use godwitpost_bundle::fold::{Fold, Next, Refusal};
+use godwitpost_bundle::statement::Statement;
+use godwitpost_types::id::Version;
+use tokio::time::{Instant, sleep};
+
+use crate::error::Error;
+use crate::fleet::{Fleet, Read};
+use crate::plan::{self, Signed};
+
+/// The first pause after an append that failed; it doubles each time.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause: outages are told from slips within a few tries.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Appends each version in its order and returns the last one in force.
+///
+/// # Errors
+///
+/// Returns [`Error::Lost`] or [`Error::Refused`] if one is not in force for
+/// good, [`Error::Append`] if nothing of it can have been appended, and
+/// [`Error::Unknown`] if its fate was not settled in time.
+pub async fn roll(fleet: &mut Fleet, versions: &[Signed]) -> Result<Version, Error> {
+    for version in versions {
+        one(fleet, version).await?;
+    }
+    Ok(fleet.fold().version())
+}
+
+async fn one(fleet: &mut Fleet, signed: &Signed) -> Result<(), Error> {
+    let (version, digest) = plan::statement(&signed.bytes).ok_or_else(|| {
+        Error::Refused(Refusal::Record(godwitpost_bundle::record::Error::IllFormed))
+    })?;
+    let deadline = Instant::now() + fleet.patience();
+    let mut pause = PAUSE;
+    let mut sent = false;
+    loop {
+        let why = match fleet.append(&signed.bytes).await {
+            Ok(()) => {
+                sent = true;
+                "it does not show on the log yet".to_owned()
+            }
+            Err(error) => {
+                sent |= error.may_have_taken_effect();
+                error.to_string()
+            }
+        };
+        match settled(fleet, version, digest).await {
+            Ok(Some(result)) => return result,
+            Ok(None) => {}
+            Err(error) if Instant::now() >= deadline => {
+                return Err(unsettled(sent, version, &error.to_string()));
+            }
+            Err(_down) => {}
+        }
+        if Instant::now() >= deadline {
+            return Err(unsettled(sent, version, &why));
+        }
+        sleep(pause).await;
+        pause = LONGEST_PAUSE.min(pause * 2);
+    }
+}
+
+fn unsettled(sent: bool, version: Version, why: &str) -> Error {
+    if sent {
+        Error::Unknown(version, why.to_owned())
+    } else {
+        Error::Append(why.to_owned())
+    }
+}
+
+// Reads on, and returns the fate of a statement if the stream tells it.
+async fn settled(
+    fleet: &mut Fleet,
+    version: Version,
+    digest: Digest,
+) -> Result<Option<Result<(), Error>>, godwitpost_platform::log::read::Error> {
+    let mut fate = None;
+    let see = |fold: &Fold, read: &Read| {
+        if fate.is_none() {
+            fate = judge(fold, read, version, digest);
+        }
+    };
+    fleet.read(see).await?;
+    Ok(fate)
+}
+
+fn judge(fold: &Fold, read: &Read, version: Version, digest: Digest) -> Option<Result<(), Error>> {
+    let ours = plan::statement(&read.body) == Some((version, digest));
+    match &read.next {
+        Next::InForce(_) if ours => Some(Ok(())),
+        Next::InForce(found) if *found == version => Some(Err(lost(version, fold.statement()))),
+        Next::Refused(refusal) if ours => Some(Err(Error::Refused(refusal.clone()))),
+        Next::InForce(_) | Next::Refused(_) | Next::Ignored | Next::Waiting => None,
+    }
+}
+
+fn lost(version: Version, winner: Option<&Statement>) -> Error {
+    Error::Lost {
+        version,
+        winner: winner.map_or_else(String::new, |statement| statement.operator.clone()),
+        next: version + 1,
+    }
+}
