router: crashes, crossed answers and poison prompts

The head of an answer is held back until its first token, so that a crash before it is repeated elsewhere and the deadline is about the token. Answers in one piece are checked for whole JSON. An engine's answer that names another request is given up.

A refusal after an attempt that broke off was told as *not run*; the outcome now speaks for the whole request. A router that was gone made each request wait for its connection; it is now avoided for two seconds.

--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies: whole ones, bounded reads, and the guard of a relayed stream.
 
+pub mod peeked;
 pub mod relay;
 
 use std::time::Duration;
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -71,7 +71,8 @@
     Bundle(Version, oneshot::Sender<Option<Bytes>>),
     /// A peer's gossip, answered by ours unless the budget forbids.
     Gossip(Message, usize, oneshot::Sender<Option<Bytes>>),
-    /// What a peer answered to our gossip, with its size.
+    /// What a peer answered to our gossip, with its size; `None` if it could
+    /// not be reached.
     Answered(InstanceId, Option<(Message, usize)>),
     /// An endpoint's report.
     Report(EndpointId, Report),
@@ -235,6 +236,11 @@
     }
 }
 
+/// Notes that an instance could not be reached.
+pub(crate) fn unreachable(shared: &Shared, instance: InstanceId) {
+    drop(shared.control.try_send(Event::Answered(instance, None)));
+}
+
 /// Notes that an endpoint's answer said that it is leaving.
 pub(crate) fn leaving(shared: &Shared, endpoint: &Endpoint) {
     let leaving = Leaving {
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -4,8 +4,11 @@
 //! the request there (over [`peer`], or to [`owner`] if that is this
 //! instance), and decides on another attempt if one failed. [`owner`] offers
 //! the request to the [`desk`] and, with its leave, sends it on by
-//! [`endpoint`]; unrepeatable requests pass [`once`] between the two.
+//! [`endpoint`], whose [`answer`] it relays; unrepeatable requests pass
+//! [`once`] between the two. [`cancel`] ends what nobody waits for.
 
+pub(crate) mod answer;
+pub(crate) mod cancel;
 pub(crate) mod desk;
 pub(crate) mod endpoint;
 pub(crate) mod entry;
--- a/crates/router/src/relay/entry.rs
+++ b/crates/router/src/relay/entry.rs
@@ -7,6 +7,7 @@
 use godwitpost_decide::entry::{self, Attempts, Next, Retry};
 use godwitpost_decide::hop::Hop;
 use godwitpost_decide::refusal::{Reason, Refusal};
+use godwitpost_decide::view::Pool;
 use godwitpost_platform::connect::Body;
 use godwitpost_types::id::{EndpointId, InstanceId};
 use godwitpost_types::instance::Instance;
@@ -17,6 +18,7 @@
 
 use super::peer::Failure;
 use super::{Attempt, Job, owner, peer};
+use crate::control;
 use crate::problem::Problem;
 use crate::resolve::Resolved;
 use crate::shared::{Bundle, Shared, Snapshot};
@@ -37,36 +39,27 @@
     resolved: Resolved,
 ) -> Result<Response<Body>, Problem> {
     let zone = shared.settings.zone_id();
-    let mut next = entry::start(&snapshot.view, &bundle.policy, &resolved.request, zone);
+    let next = entry::start(&snapshot.view, &bundle.policy, &resolved.request, zone);
     shared
         .gate()
         .budgets
         .earn(resolved.request.workspace, resolved.request.service);
-    let mut run = Run {
+    let run = Run {
         shared,
         snapshot,
         attempts: Attempts::default(),
+        unknown: false,
         job: job(zone, resolved),
     };
-    loop {
-        let (instance, endpoint) = match next {
-            Next::Refuse(refusal) => return Err(refusal.into()),
-            Next::Local { endpoint } => (shared.local(), endpoint),
-            Next::Forward { instance, endpoint } => (instance, endpoint),
-        };
-        let (at, ending) = match run.attempt(instance, endpoint).await {
-            Step::Answered(response) => return Ok(response),
-            Step::Told(problem) => return Err(problem),
-            Step::Failed(at, ending) => (at, ending),
-        };
-        next = run.again(at, ending).await?;
-    }
+    run.finish(next).await
 }
 
 struct Run<'a> {
     shared: &'a Arc<Shared>,
     snapshot: &'a Arc<Snapshot>,
     attempts: Attempts,
+    /// Whether an attempt so far may have run.
+    unknown: bool,
     job: Job,
 }
 
@@ -77,6 +70,68 @@
 }
 
 impl Run<'_> {
+    async fn finish(mut self, next: Next) -> Result<Response<Body>, Problem> {
+        let result = self.attempts(next).await;
+        if result.is_err() && self.unknown {
+            self.tell_home().await;
+        }
+        result.map_err(|problem| self.truthful(problem))
+    }
+
+    async fn attempts(&mut self, mut next: Next) -> Result<Response<Body>, Problem> {
+        loop {
+            let (instance, endpoint) = match next {
+                Next::Refuse(refusal) => return Err(refusal.into()),
+                Next::Local { endpoint } => (self.shared.local(), endpoint),
+                Next::Forward { instance, endpoint } => (instance, endpoint),
+            };
+            let (at, ending) = match self.attempt(instance, endpoint).await {
+                Step::Answered(response) => return Ok(response),
+                Step::Told(problem) => return Err(problem),
+                Step::Failed(at, ending) => (at, ending),
+            };
+            self.unknown |= !ending.proves_not_run();
+            next = self.again(at, ending).await?;
+        }
+    }
+
+    /// Tells the owner of the chat's home what is known against the request.
+    ///
+    /// The failure: a prompt crashed two engines, and its caller sends it again
+    /// at once through another router, which gossip has not reached. All
+    /// routers ask the home's owner first, so it has to know before the caller
+    /// hears that the request failed.
+    async fn tell_home(&self) {
+        let request = &self.job.head.request;
+        let evidence = self
+            .shared
+            .desk
+            .with(|owner| owner.evidence_on(&request.digest));
+        let view = &self.snapshot.view;
+        let zone = self.shared.settings.zone_id();
+        let home = view.ranked(Pool::of(request), request.chat, zone).next();
+        let owner = home.map(|home| view.owner(home));
+        if evidence.is_empty() {
+            return;
+        }
+        if let Some(owner) = owner.and_then(|owner| self.remote(owner)) {
+            peer::testify(self.shared, owner, &evidence).await;
+        }
+    }
+
+    /// Returns the problem with the outcome of the request as a whole.
+    ///
+    /// A refusal speaks for the attempt that was refused. If an earlier one
+    /// broke off, as when a request crashed two engines and is quarantined,
+    /// *not run* would be a lie about the whole.
+    fn truthful(&self, problem: Problem) -> Problem {
+        if self.unknown && problem.outcome == Outcome::NotRun {
+            problem.with_outcome(Outcome::Unknown)
+        } else {
+            problem
+        }
+    }
+
     /// Makes one attempt, following owners' forwards.
     async fn attempt(&mut self, instance: InstanceId, endpoint: EndpointId) -> Step {
         let digest = self.job.head.request.digest;
@@ -97,7 +152,14 @@
                     self.job.head.hop = hop;
                 }
                 Attempt::Reply(Reply::Refused(refusal)) => return step(refusal),
-                Attempt::Reply(Reply::Failed { endpoint, ending }) => {
+                Attempt::Reply(Reply::Failed {
+                    endpoint,
+                    ending,
+                    evidence,
+                }) => {
+                    self.shared
+                        .desk
+                        .with(|owner| owner.learn_evidence(&evidence));
                     return Step::Failed(Some(endpoint), ending);
                 }
                 Attempt::Reply(Reply::Told(told)) => return Step::Told(told.into()),
@@ -120,14 +182,29 @@
             Ok(attempt) => Ok(attempt),
             Err(Failure::NotSent) => {
                 log::debug!(instance:% = remote.name; "owner unreachable, served here");
+                self.avoid(instance);
                 Ok(owner::serve(self.shared, self.job.clone()).await)
             }
-            Err(Failure::Unknown(ending)) => Err(ending),
+            Err(Failure::Unknown(ending)) => {
+                // A late answer says that the endpoint is slow; only a broken
+                // connection says something of the instance.
+                if ending == Ending::Broken {
+                    self.avoid(instance);
+                }
+                Err(ending)
+            }
         }
     }
 
+    fn avoid(&self, instance: InstanceId) {
+        let now = self.shared.now();
+        self.shared.gate().avoid(now, instance);
+        control::unreachable(self.shared, instance);
+    }
+
     fn remote(&self, instance: InstanceId) -> Option<&Instance> {
-        if instance == self.shared.local() {
+        let now = self.shared.now();
+        if instance == self.shared.local() || self.shared.gate().avoids(now, instance) {
             return None;
         }
         self.snapshot.view.instance(instance)
--- a/crates/router/src/relay/peer.rs
+++ b/crates/router/src/relay/peer.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use godwitpost_decide::ending::Ending;
+use godwitpost_decide::quarantine::Evidence;
 use godwitpost_platform::connect::{self, Cause, Received};
 use godwitpost_types::clock::since;
 use godwitpost_types::instance::Instance;
@@ -22,6 +23,10 @@
 /// a few kilobytes.
 const REPLY_BYTES: usize = 256 << 10;
 
+/// How much longer than the caller an owner is waited for: it stops at the same
+/// deadline, and its word on what was run has to come back first.
+const GRACE: Duration = Duration::from_millis(300);
+
 /// How an exchange with another instance failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -46,7 +51,7 @@
         body: job.body.clone(),
     }
     .encode();
-    let wait = since(job.head.request.deadline, shared.now());
+    let wait = since(job.head.request.deadline, shared.now()) + GRACE;
     let request = sealed(shared, instance, Method::POST, dispatch::PATH, &bytes);
     let response = shared
         .connector
@@ -57,6 +62,24 @@
     answer(job, response).await
 }
 
+/// The path that evidence against requests is taken on.
+pub(crate) const EVIDENCE: &str = "/peer/v1/evidence";
+
+/// How long a caller may wait for its failed request's evidence to be told.
+const TESTIFY: Duration = Duration::from_millis(500);
+
+/// Tells an instance what is known against a request.
+pub(crate) async fn testify(shared: &Shared, instance: &Instance, evidence: &[Evidence]) {
+    let bytes = Bytes::from(rmp_serde::to_vec(evidence).unwrap_or_default());
+    let request = sealed(shared, instance, Method::POST, EVIDENCE, &bytes);
+    let sent = shared
+        .connector
+        .send(instance.peer_address, request, TESTIFY);
+    if let Err(error) = sent.await {
+        log::debug!(instance:% = instance.name, error:% = error; "evidence not told");
+    }
+}
+
 /// Returns a sealed message.
 pub(crate) fn sealed(
     shared: &Shared,
--- a/crates/router/src/running.rs
+++ b/crates/router/src/running.rs
@@ -8,6 +8,7 @@
 use std::future::ready;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use godwitpost_decide::view::View;
 use godwitpost_platform::clock::Clock;
@@ -16,6 +17,7 @@
 use godwitpost_types::instance::Instance;
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
 
 use crate::control::{self, Control, Event};
 use crate::serve::{self, Port, callers, operators, peers};
@@ -39,8 +41,9 @@
     shared: Arc<Shared>,
     addresses: Addresses,
     closing: watch::Sender<bool>,
-    // The peers' and operators' ports stay open until it is dropped.
-    _ending: watch::Sender<bool>,
+    // Closes the peers' and operators' ports.
+    ending: watch::Sender<bool>,
+    ports: Vec<JoinHandle<()>>,
     hurry: watch::Sender<bool>,
     // Dropping it ends the control thread.
     control: Option<oneshot::Sender<()>>,
@@ -54,6 +57,9 @@
     operators: SocketAddr,
 }
 
+/// How long each port may take to close its idle connections.
+const CLOSE: Duration = Duration::from_secs(1);
+
 /// Starts a router and returns when it listens.
 ///
 /// # Errors
@@ -77,12 +83,13 @@
     let (closing, _) = watch::channel(false);
     let ports = [callers_port, peers_port, operators_port];
     let (ending, _) = watch::channel(false);
-    listen(&traffic, &shared, ports, &closing, &ending);
+    let ports = listen(&traffic, &shared, ports, &closing, &ending);
     Ok(Running {
         shared,
         addresses,
         closing,
-        _ending: ending,
+        ending,
+        ports,
         hurry: watch::channel(false).0,
         control: Some(control),
         traffic: Some(traffic),
@@ -146,19 +153,20 @@
     [callers_port, peers_port, operators_port]: [Port; 3],
     closing: &watch::Sender<bool>,
     ending: &watch::Sender<bool>,
-) {
+) -> Vec<JoinHandle<()>> {
     let head = shared.settings.limits.head_bytes;
     let of = Arc::clone(shared);
     let answer = move |request| callers::answer(Arc::clone(&of), request);
-    traffic.spawn(serve::run(callers_port, head, closing.subscribe(), answer));
+    let callers_port = traffic.spawn(serve::run(callers_port, head, closing.subscribe(), answer));
     // Peers and operators are answered to the very end: other instances still
     // relay streams through here, and gossip says that this one is leaving.
     let of = Arc::clone(shared);
     let answer = move |request| peers::answer(Arc::clone(&of), request);
-    traffic.spawn(serve::run(peers_port, head, ending.subscribe(), answer));
+    let peers_port = traffic.spawn(serve::run(peers_port, head, ending.subscribe(), answer));
     let of = Arc::clone(shared);
     let answer = move |request| ready(operators::answer(&of, &request));
-    traffic.spawn(serve::run(operators_port, head, ending.subscribe(), answer));
+    let operators_port = serve::run(operators_port, head, ending.subscribe(), answer);
+    vec![callers_port, peers_port, traffic.spawn(operators_port)]
 }
 
 impl Running {
@@ -201,10 +209,22 @@
             Some(traffic) => traffic.spawn(shutdown).await,
             None => Ok(Stopped::Whole),
         };
+        self.close().await;
         self.end();
         stopped.unwrap_or(Stopped::Cut { requests: 0 })
     }
 
+    // Nothing is in flight, but a peer may be sending: connections are closed
+    // between two messages, or the peer could not tell whether it was taken.
+    async fn close(&mut self) {
+        self.ending.send_replace(true);
+        for port in self.ports.drain(..) {
+            if tokio::time::timeout(CLOSE, port).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Ends at once, as a crash would: connections break.
     pub fn kill(mut self) {
         self.end();
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -21,7 +21,7 @@
 use crate::body::relay::Relay;
 use crate::claims;
 use crate::control::{Event, bundles, gossip};
-use crate::relay::{Attempt, Job, owner};
+use crate::relay::{Attempt, Job, owner, peer};
 use crate::shared::Shared;
 use crate::shutdown;
 
@@ -83,6 +83,7 @@
         (&Method::POST, dispatch::PATH) => dispatched(shared, &bytes).await,
         (&Method::POST, claims::PATH) => claim(shared, &bytes).await,
         (&Method::POST, claims::ANSWER_PATH) => kept(shared, &bytes),
+        (&Method::POST, peer::EVIDENCE) => testified(shared, &bytes),
         (&Method::POST, gossip::PATH) => gossiped(shared, &bytes).await,
         (&Method::POST, shutdown::PATH) => taken_over(shared, &bytes),
         (&Method::GET, bundles::PATH) => bundle(shared, parts).await,
@@ -159,6 +160,14 @@
     }
 }
 
+fn testified(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok(evidence) = rmp_serde::from_slice::<Vec<_>>(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    shared.desk.with(|owner| owner.learn_evidence(&evidence));
+    status(StatusCode::OK)
+}
+
 fn taken_over(shared: &Shared, bytes: &Bytes) -> Response<Body> {
     let Ok(locations) = rmp_serde::from_slice::<Vec<_>>(bytes) else {
         return status(StatusCode::BAD_REQUEST);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -4,8 +4,10 @@
 //! without a lock and keep it for the whole of a request, so a request is
 //! handled under one picture of the fleet and one bundle version.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use godwitpost_bundle::blob::Digest;
@@ -69,10 +71,34 @@
     pub(crate) budgets: Budgets,
     /// Limits of workspaces.
     pub(crate) limits: Limits,
+    /// Instances that could not be reached, and until when they are avoided.
+    avoided: BTreeMap<InstanceId, Moment>,
     /// Draws ids and the jitter of retries.
     pub(crate) rng: StdRng,
 }
 
+/// How long an instance that could not be reached is avoided.
+///
+/// The failure: a machine that is gone answers nothing at all, so each request
+/// to it would wait out the connector's time. Views drop the instance after
+/// some seconds; until then one request in this time pays for the trial.
+const AVOIDED: Duration = Duration::from_secs(2);
+
+impl Gate {
+    /// Notes that an instance could not be reached.
+    pub(crate) fn avoid(&mut self, now: Moment, instance: InstanceId) {
+        self.avoided.retain(|_, until| *until > now);
+        self.avoided.insert(instance, now + AVOIDED);
+    }
+
+    /// Returns whether an instance could not be reached a moment ago.
+    pub(crate) fn avoids(&self, now: Moment, instance: InstanceId) -> bool {
+        self.avoided
+            .get(&instance)
+            .is_some_and(|until| *until > now)
+    }
+}
+
 impl Shared {
     pub(crate) fn new(
         settings: Settings,
@@ -94,6 +120,7 @@
             gate: Mutex::new(Gate {
                 budgets: Budgets::default(),
                 limits: Limits::default(),
+                avoided: BTreeMap::new(),
                 rng: random::generator(),
             }),
             leaving: AtomicBool::new(false),
--- /dev/null
+++ b/crates/router/tests/router/faults.rs
@@ -0,0 +1,246 @@
+//! Instances and endpoints that go, with and without a word.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_bundle::key::Private;
+use godwitpost_standin::digest;
+use http_body_util::BodyExt as _;
+
+use crate::fleet::{Fleet, Size, chat, key, order, outcome, until, words};
+
+const SIZE: Size = Size {
+    routers: 3,
+    engines: 3,
+    plains: 2,
+};
+
+// A router crashes, and the platform's list names it for seconds more. Chats
+// and orders whose owner or batcher it was still come in at the others, and
+// each of them has to be answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashed_router_costs_the_others_no_request() {
+    let mut fleet = Fleet::start(SIZE).await;
+    fleet.routers.remove(0).kill();
+    for n in 0..16 {
+        let router = n % 2;
+        let (status, headers, body) = fleet.ask(router, chat(&format!("draft {n}"), 2)).await;
+        let text = String::from_utf8_lossy(&body);
+        assert_eq!((status.as_u16(), outcome(&headers)), (200, "ran"), "{text}");
+        let key = key(100 + u16::try_from(n).unwrap());
+        let (status, headers, body) = fleet.ask(router, order(&key, "guides")).await;
+        let text = String::from_utf8_lossy(&body);
+        assert_eq!((status.as_u16(), outcome(&headers)), (200, "ran"), "{text}");
+        let runs = fleet.plains.iter().map(|p| p.runs("POST /orders", &key));
+        assert_eq!(runs.sum::<usize>(), 1);
+    }
+}
+
+// An engine says that it is leaving before the list does. Its chats go
+// elsewhere at once, and no caller notices.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_gets_no_new_work_and_callers_notice_nothing() {
+    let fleet = Fleet::start(SIZE).await;
+    fleet.engines[0]
+        .faults()
+        .change(|faults| faults.leaving = true);
+    for n in 0..12 {
+        let request = chat(&format!("draft {n}"), 2);
+        let (status, headers, body) = fleet.ask(n % SIZE.routers, request).await;
+        let text = String::from_utf8_lossy(&body);
+        assert_eq!((status.as_u16(), outcome(&headers)), (200, "ran"), "{text}");
+    }
+    assert!(fleet.engines[0].runs().is_empty());
+}
+
+// An engine mixes up two answers. A draft of another workspace on an editor's
+// page would be worse than none.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_to_another_request_never_reaches_a_caller() {
+    let fleet = Fleet::start(Size { engines: 1, ..SIZE }).await;
+    fleet.ask(0, chat("first", 4)).await;
+    fleet.engines[0]
+        .faults()
+        .change(|faults| faults.cross = 1.0);
+    // The first attempt gets the answer to `first` and is given up; the
+    // second one repeats the first's own.
+    let (status, _, body) = fleet.ask(1, chat("second", 4)).await;
+    let text = String::from_utf8_lossy(&body);
+    assert_eq!(status, 200, "{text}");
+    let sent = chat("second", 4).into_body().collect().await.unwrap();
+    let digest = digest::of(&sent.to_bytes());
+    let wanted: Vec<String> = (0..4).map(|n| digest::word(&digest, n)).collect();
+    assert_eq!(words(&body), wanted);
+    assert_eq!(fleet.engines[0].runs().len(), 3);
+}
+
+// A request's deadline passes while the engine works on it. Nobody can say
+// that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_deadline_that_passes_at_the_engine_leaves_the_fate_unknown() {
+    let fleet = Fleet::start(Size { engines: 1, ..SIZE }).await;
+    fleet.engines[0]
+        .faults()
+        .change(|faults| faults.slow = Duration::from_mins(1));
+    // A third would find the engine closed for its two failures, and wait.
+    for router in 0..2 {
+        let mut request = chat(&format!("slow {router}"), 4);
+        request
+            .headers_mut()
+            .insert("prefer", "wait=1".parse().unwrap());
+        let (status, headers, _) = fleet.ask(router, request).await;
+        assert_eq!((status.as_u16(), outcome(&headers)), (504, "unknown"));
+    }
+}
+
+// A shop's terminal loses its connection while its order runs. The order runs
+// to its end, once, and the shop gets the answer when it sends the key again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_whose_caller_goes_away_runs_once_and_its_answer_is_kept() {
+    let fleet = Fleet::start(SIZE).await;
+    for plain in &fleet.plains {
+        plain
+            .faults()
+            .change(|faults| faults.slow = Duration::from_millis(500));
+    }
+    let key = key(7);
+    let runs = || {
+        let runs = fleet.plains.iter().map(|p| p.runs("POST /orders", &key));
+        runs.sum::<usize>()
+    };
+    let address = fleet.routers[0].callers_address();
+    let client = fleet.client.clone();
+    let request = order(&key, "guides");
+    let asking =
+        tokio::spawn(async move { client.send(address, request, Duration::from_secs(20)).await });
+    until("the order runs", async || runs() == 1).await;
+    asking.abort();
+    until("its answer is kept", async || {
+        let (_, headers, _) = fleet.ask(1, order(&key, "guides")).await;
+        outcome(&headers) == "ran" && headers.contains_key("godwitpost-replayed")
+    })
+    .await;
+    assert_eq!(runs(), 1);
+}
+
+// The log is down when a second version is handed about: an operator reached
+// one router's log before, and the others have to get it from that router.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_starts_with_the_log_down_gets_the_bundle_from_a_peer() {
+    let mut fleet = Fleet::start(SIZE).await;
+    fleet.log.faults().change(|faults| faults.down = true);
+    fleet.add_router(3, &Private::from_seed(&[3; 32]));
+    let late = fleet.routers[3].callers_address();
+    until("the late router is ready", async || {
+        fleet.get(late, "/readyz").await.0 == 200
+    })
+    .await;
+    let (status, _, _) = fleet.ask(3, chat("ice lines", 2)).await;
+    assert_eq!(status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_version_is_in_force_on_each_router_and_the_first_never_again() {
+    let fleet = Fleet::start(SIZE).await;
+    let first = fleet.log.records("bundles")[0].clone();
+    fleet.roll_second();
+    for router in &fleet.routers {
+        let operators = router.operators_address();
+        until("the second version is in force", async || {
+            let (_, _, bundle) = fleet.get(operators, "/bundle").await;
+            let bundle: serde_json::Value = serde_json::from_slice(&bundle).unwrap();
+            bundle["version"] == 2
+        })
+        .await;
+    }
+    fleet
+        .log
+        .append("bundles", Bytes::from(first.body.to_vec()));
+    let response = fleet.send(2, chat("ice lines", 50)).await.unwrap();
+    assert_eq!(response.headers()["godwitpost-version"], "2");
+    response.into_body().collect().await.unwrap();
+    for router in &fleet.routers {
+        let (_, _, bundle) = fleet.get(router.operators_address(), "/bundle").await;
+        let bundle: serde_json::Value = serde_json::from_slice(&bundle).unwrap();
+        assert_eq!(bundle["version"], 2);
+    }
+}
+
+// An engine crashes while it computes the prompt, before the first token. The
+// editor waits a little longer and gets the draft from another engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_before_the_first_token_is_repeated_elsewhere() {
+    let fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines {
+        engine
+            .faults()
+            .change(|faults| faults.slow = Duration::from_millis(300));
+    }
+    let asking = fleet.ask(0, chat("ice lines", 4));
+    let crashing = async {
+        let running = || {
+            fleet
+                .engines
+                .iter()
+                .find(|engine| !engine.runs().is_empty())
+        };
+        until("the draft runs", async || running().is_some()).await;
+        running().unwrap().crash(Duration::from_secs(1));
+    };
+    let ((status, headers, body), ()) = tokio::join!(asking, crashing);
+    let text = String::from_utf8_lossy(&body);
+    assert_eq!((status.as_u16(), outcome(&headers)), (200, "ran"), "{text}");
+    assert_eq!(words(&body).len(), 4);
+}
+
+// An answer in one piece is cut off, and its engine ends it as if it were
+// whole. Only its syntax shows that; the caller gets another engine's.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_answer_in_one_piece_is_not_passed_on() {
+    let fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines[..2] {
+        engine.faults().change(|faults| {
+            faults.truncate = 1.0;
+            faults.truncate_cleanly = true;
+        });
+    }
+    for n in 0..4 {
+        let request = chat(&format!("draft {n}"), 4);
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.unwrap().to_bytes();
+        let text = String::from_utf8(body.to_vec()).unwrap();
+        let text = text.replace("\"stream\":true", "\"stream\":false");
+        let request = http::Request::from_parts(parts, crate::fleet::full(&text));
+        let (status, _, body) = fleet.ask(n % SIZE.routers, request).await;
+        let answer = serde_json::from_slice::<serde_json::Value>(&body).unwrap();
+        if status == 200 {
+            assert_eq!(answer["digest"], digest::of(text.as_bytes()));
+        } else {
+            assert_eq!(answer["outcome"], "unknown");
+        }
+    }
+}
+
+// One prompt crashes each engine that runs it, and its caller sends it again
+// through another router. Two engines are lost to it and no third; and while
+// it may have run, the caller is not told that it wasn't.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_that_crashes_engines_costs_two_of_them() {
+    let fleet = Fleet::start(Size { engines: 4, ..SIZE }).await;
+    for engine in &fleet.engines {
+        engine.faults().change(|faults| {
+            faults.crash_marker = Some("poison".to_owned());
+            faults.down_for = Duration::from_millis(100);
+        });
+    }
+    let (_, headers, _) = fleet.ask(0, chat("poison", 4)).await;
+    assert_eq!(outcome(&headers), "unknown");
+    for _ in 0..3 {
+        for router in 0..SIZE.routers {
+            let (status, _, _) = fleet.ask(router, chat("poison", 4)).await;
+            assert!(!status.is_success());
+        }
+    }
+    let crashes: u64 = fleet.engines.iter().map(|e| e.incarnation() - 1).sum();
+    assert_eq!(crashes, 2);
+}
--- a/crates/router/tests/router/main.rs
+++ b/crates/router/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod chats;
+mod faults;
 mod fleet;
 mod orders;
 mod peers;
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -8,6 +8,7 @@
 
 use godwitpost_decide::ending::Ending;
 use godwitpost_decide::hop::Hop;
+use godwitpost_decide::quarantine::Evidence;
 use godwitpost_decide::refusal::Refusal;
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{EndpointId, InstanceId};
@@ -65,6 +66,8 @@
         endpoint: EndpointId,
         /// How.
         ending: Ending,
+        /// What the owner knows against the request, for the next attempt.
+        evidence: Vec<Evidence>,
     },
     /// The caller is to be told this.
     Told(Told),
