--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,8 @@
 //! by the crate's tests; those that depend on the machine never decide a
 //! verdict there.
 
+pub mod bundles;
 pub mod claims;
 pub mod figure;
+pub mod rolls;
 pub mod state;
