platform: list followed by its changes, and bytes counted on the wire

Cause: at 320 routers and 3,300 runners the whole list has some 700 KB, read by each router each second; and control bytes were summed from bodies, without heads and packets, so the budget could be kept on paper alone.

Change: the list's protocol gets revisions; a watch reads everything once and then what changed, waiting at the list. A connector counts what passes its sockets and estimates packet headers.

--- a/crates/platform/src/connect.rs
+++ b/crates/platform/src/connect.rs
@@ -20,6 +20,7 @@
 //! A response body that is dropped before its end closes the connection at
 //! once, which is how an endpoint learns that the caller went away.
 
+mod meter;
 mod pool;
 mod received;
 
@@ -35,6 +36,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
+use self::meter::{Metered, Wire};
 pub use self::pool::Settings;
 use self::pool::{Connection, Pool};
 pub use self::received::Received;
@@ -87,6 +89,7 @@
 #[derive(Clone, Debug)]
 pub struct Connector {
     pool: Pool,
+    wire: Wire,
 }
 
 impl Connector {
@@ -95,9 +98,18 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             pool: Pool::new(settings),
+            wire: Wire::default(),
         }
     }
 
+    /// Returns the bytes that its connections have cost so far, both ways:
+    /// payload as counted, and the TCP and IP headers of its packets and
+    /// their acknowledgements as estimated from reads, writes and opens.
+    #[must_use]
+    pub fn wire_bytes(&self) -> u64 {
+        self.wire.bytes()
+    }
+
     /// Sends a request to an address and returns the response's head.
     ///
     /// The request's URI is in origin form (`/path?query`). A missing `Host`
@@ -148,7 +160,7 @@
     async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Cause> {
         let settings = self.pool.settings();
         let deadline = deadline.min(Instant::now() + settings.connect_timeout);
-        timeout_at(deadline, connect(address, settings))
+        timeout_at(deadline, connect(address, settings, &self.wire))
             .await
             .unwrap_or(Err(Cause::ConnectTimeout))
     }
@@ -197,13 +209,18 @@
     request.headers_mut().insert(HOST, host);
 }
 
-async fn connect(address: SocketAddr, settings: &Settings) -> Result<Connection, Cause> {
+async fn connect(
+    address: SocketAddr,
+    settings: &Settings,
+    wire: &Wire,
+) -> Result<Connection, Cause> {
     let stream = TcpStream::connect(address).await.map_err(Cause::Connect)?;
+    wire.opened();
     // Small frames of a token stream must not wait for an acknowledgement.
     stream.set_nodelay(true).map_err(Cause::Connect)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(settings.buffer)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(Metered::new(stream, wire.clone())))
         .await
         .map_err(Cause::Connection)?;
     let driver = tokio::spawn(async move {
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -17,6 +17,10 @@
 use crate::connect::{self, Connector};
 use crate::text;
 
+mod watch;
+
+pub use watch::Watch;
+
 /// Bytes of a list that are read at most. 4,000 entries of 300 bytes take
 /// 1.2 MB.
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
@@ -91,9 +95,17 @@
 
 impl std::error::Error for Error {}
 
-#[derive(Deserialize)]
+/// What the list answers: everything, or what changed after a revision.
+#[derive(Debug, Deserialize)]
 struct Answer {
-    instances: Vec<serde_json::Value>,
+    #[serde(default)]
+    revision: Option<u64>,
+    #[serde(default)]
+    instances: Option<Vec<serde_json::Value>>,
+    #[serde(default)]
+    changed: Vec<serde_json::Value>,
+    #[serde(default)]
+    removed: Vec<String>,
 }
 
 impl Client {
@@ -112,18 +124,19 @@
     /// # Errors
     ///
     /// [`Error`] if the list can't be reached or read as a whole.
-    ///
-    /// # Panics
-    ///
-    /// Never: the path is constant.
     pub async fn fetch(&self) -> Result<Listing, Error> {
-        let request = Request::builder()
-            .uri("/v1/instances")
+        let answer = self.get("/v1/instances", self.timeout).await?;
+        let instances = answer.instances.unwrap_or_default();
+        Ok(read(instances.iter()))
+    }
+
+    async fn get(&self, path: &str, wait: Duration) -> Result<Answer, Error> {
+        let request = Request::get(path)
             .body(text::full(Bytes::new()))
-            .expect("a constant path is a valid URI");
+            .map_err(|error| Error::Answer(error.into()))?;
         let response = self
             .connector
-            .send(self.address, request, self.timeout)
+            .send(self.address, request, wait)
             .await
             .map_err(Error::Connect)?;
         let status = response.status();
@@ -135,24 +148,22 @@
             .await
             .map_err(|late| Error::Answer(late.into()))?
             .map_err(Error::Answer)?;
-        parse(&body)
+        serde_json::from_slice(&body).map_err(|error| Error::Answer(error.into()))
     }
 }
 
-fn parse(body: &[u8]) -> Result<Listing, Error> {
-    let answer: Answer =
-        serde_json::from_slice(body).map_err(|error| Error::Answer(error.into()))?;
+fn read<'v>(values: impl Iterator<Item = &'v serde_json::Value>) -> Listing {
     let mut listing = Listing::default();
-    for value in answer.instances {
-        let name = value["name"].as_str().unwrap_or("(no name)").to_owned();
-        let added = serde_json::from_value(value)
+    for value in values {
+        let name = value["name"].as_str().unwrap_or("(no name)");
+        let added = Entry::deserialize(value)
             .map_err(|error| error.to_string())
             .and_then(|entry| add(&mut listing, entry));
         if let Err(reason) = added {
             listing.refused.push(format!("{name}: {reason}"));
         }
     }
-    Ok(listing)
+    listing
 }
 
 fn add(listing: &mut Listing, entry: Entry) -> Result<(), String> {
--- a/crates/platform/tests/connect.rs
+++ b/crates/platform/tests/connect.rs
@@ -227,3 +227,31 @@
     assert!(server.await.expect("a server without a panic"));
     assert_eq!(connector.idle(address), 0);
 }
+
+// The control budget is kept by this counter. Bodies alone would show a
+// quarter of what a small exchange costs.
+#[tokio::test]
+async fn the_wire_counter_holds_heads_and_packet_headers() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        read_request(&mut stream).await.expect("a request");
+        stream.write_all(OK).await.expect("an open connection");
+        stream
+    });
+    let connector = Connector::new(Settings::default());
+    let response = connector.send(address, request("/"), LONG).await;
+    assert_eq!(text(response.expect("a response")).await, "ok");
+    server.await.expect("a server without a panic");
+
+    let head = format!("POST / HTTP/1.1\r\ncontent-length: 4\r\nhost: {address}\r\n\r\n");
+    let payload = head.len() + "work".len() + OK.len();
+    // Seven packets to open and close, one each way with acknowledgements.
+    let least = payload as u64 + 7 * 52 + 2 * 104;
+    let counted = connector.wire_bytes();
+    // The body may go in a packet of its own.
+    assert!(
+        (least..=least + 104).contains(&counted),
+        "{counted}, {least}"
+    );
+}
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub use godwitpost_platform::list::{Entry, Role};
 use godwitpost_types::endpoint::Standing;
@@ -19,7 +19,7 @@
 
 use crate::answer::{self, Answer};
 use crate::faults::{Handle, lock, millis};
-use crate::serve::{Error, Server, Switch};
+use crate::serve::{Body, Error, Server, Switch};
 
 /// What can go wrong with the list.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +35,12 @@
     pub down: bool,
 }
 
+/// The longest that a call waits for a change.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// How often a waiting call looks for one.
+const LOOK: Duration = Duration::from_millis(10);
+
 /// A list that listens; it stops when dropped.
 #[derive(Debug)]
 pub struct Running {
@@ -48,12 +54,33 @@
     entries: Arc<Mutex<Entries>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Entries {
     latest: BTreeMap<String, Entry>,
-    shown: BTreeMap<String, Entry>,
+    // What the lag lets through: each name's last change and its revision.
+    shown: BTreeMap<String, (u64, Option<Entry>)>,
     // Changes that the lag still hides, oldest first: when, whose, what.
     pending: Vec<(Instant, String, Option<Entry>)>,
+    // The revision before the first change of this life of the list.
+    start: u64,
+    revision: u64,
+}
+
+impl Default for Entries {
+    fn default() -> Self {
+        // A list that restarts must not go on with numbers that its readers
+        // hold from its earlier life.
+        let start = SystemTime::now().duration_since(UNIX_EPOCH);
+        let start = start.map_or(0, |since| since.as_millis());
+        let start = u64::try_from(start).unwrap_or(0);
+        Self {
+            latest: BTreeMap::new(),
+            shown: BTreeMap::new(),
+            pending: Vec::new(),
+            start,
+            revision: start,
+        }
+    }
 }
 
 /// Starts a list at an address; port 0 takes a free one.
@@ -120,27 +147,45 @@
 
 impl Entries {
     fn change(&mut self, name: String, entry: Option<Entry>) {
-        apply(&mut self.latest, &name, entry.clone());
+        match entry.clone() {
+            Some(entry) => self.latest.insert(name.clone(), entry),
+            None => self.latest.remove(&name),
+        };
         self.pending.push((Instant::now(), name, entry));
     }
 
-    fn show(&mut self, lag: Duration) -> Vec<Entry> {
+    fn show(&mut self, lag: Duration) {
         let now = Instant::now();
         let due = self
             .pending
             .partition_point(|(changed, ..)| now.saturating_duration_since(*changed) >= lag);
         for (_, name, entry) in self.pending.drain(..due) {
-            apply(&mut self.shown, &name, entry);
+            self.revision += 1;
+            self.shown.insert(name, (self.revision, entry));
         }
-        self.shown.values().cloned().collect()
     }
-}
 
-fn apply(entries: &mut BTreeMap<String, Entry>, name: &str, entry: Option<Entry>) {
-    match entry {
-        Some(entry) => entries.insert(name.to_owned(), entry),
-        None => entries.remove(name),
-    };
+    fn whole(&self) -> serde_json::Value {
+        let entries = self.shown.values().filter_map(|(_, entry)| entry.as_ref());
+        json!({ "revision": self.revision, "instances": entries.collect::<Vec<_>>() })
+    }
+
+    /// Returns what changed after a revision, or everything if that revision
+    /// is none of this list's.
+    fn after(&self, revision: u64) -> serde_json::Value {
+        if revision < self.start || revision > self.revision {
+            return self.whole();
+        }
+        let later = self.shown.iter().filter(|(_, (at, _))| *at > revision);
+        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        for (name, (_, entry)) in later {
+            match entry {
+                Some(entry) => changed.push(entry),
+                None => removed.push(name),
+            }
+        }
+        json!({ "revision": self.revision, "changed": changed, "removed": removed })
+    }
 }
 
 impl Core {
@@ -158,11 +203,7 @@
             ));
         }
         if path == "/v1/instances" && request.method() == Method::GET {
-            let instances = lock(&self.entries).show(faults.lag);
-            return Ok(answer::json(
-                StatusCode::OK,
-                &json!({ "instances": instances }),
-            ));
+            return Ok(self.read(&request, faults.lag).await);
         }
         match path.strip_prefix("/v1/instances/") {
             Some(name) => self.register(name, request).await,
@@ -170,6 +211,27 @@
         }
     }
 
+    async fn read(&self, request: &Request<Incoming>, lag: Duration) -> http::Response<Body> {
+        let query = request.uri().query();
+        let Some(after) = answer::number(query, "after") else {
+            let mut entries = lock(&self.entries);
+            entries.show(lag);
+            return answer::json(StatusCode::OK, &entries.whole());
+        };
+        let wait = Duration::from_millis(answer::number(query, "wait_ms").unwrap_or(0));
+        let until = Instant::now() + wait.min(LONGEST_WAIT);
+        while !self.passed(after, lag) && Instant::now() < until {
+            sleep(LOOK).await;
+        }
+        answer::json(StatusCode::OK, &lock(&self.entries).after(after))
+    }
+
+    fn passed(&self, revision: u64, lag: Duration) -> bool {
+        let mut entries = lock(&self.entries);
+        entries.show(lag);
+        entries.revision != revision
+    }
+
     async fn register(&self, name: &str, request: Request<Incoming>) -> Answer {
         match *request.method() {
             Method::PUT => {
@@ -184,7 +246,7 @@
         }
     }
 
-    fn put(&self, name: &str, body: &[u8]) -> http::Response<crate::serve::Body> {
+    fn put(&self, name: &str, body: &[u8]) -> http::Response<Body> {
         match serde_json::from_slice::<Entry>(body) {
             Ok(entry) if entry.name == name => {
                 lock(&self.entries).change(name.to_owned(), Some(entry));
--- a/crates/standin/tests/list.rs
+++ b/crates/standin/tests/list.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use godwitpost_platform::connect::{Connector, Settings};
-use godwitpost_platform::list::{Client, Listing};
+use godwitpost_platform::list::{Client, Listing, Watch};
 use godwitpost_standin::list::{self, Entry, Faults, Role};
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id;
@@ -88,3 +88,52 @@
         .change(|faults| faults.lag = Duration::ZERO);
     assert_eq!(fetch(&running).await.endpoints.len(), 0);
 }
+
+fn watch(running: &list::Running) -> Watch {
+    let connector = Connector::new(Settings::default());
+    Watch::new(Client::new(connector, running.address(), TIMEOUT))
+}
+
+fn names(listing: &Listing) -> Vec<&str> {
+    let endpoints = listing.endpoints.iter();
+    endpoints.map(|endpoint| endpoint.name.as_str()).collect()
+}
+
+#[tokio::test]
+async fn a_watch_follows_entries_that_come_change_and_go() {
+    let running = start().await;
+    running.set(endpoint("runner-1"));
+    running.set(endpoint("runner-2"));
+    let mut watch = watch(&running);
+    let listing = watch.next(TIMEOUT).await.expect("the whole list");
+    assert_eq!(names(&listing), ["runner-1", "runner-2"]);
+
+    running.remove("runner-1");
+    running.leaving("runner-2");
+    running.set(endpoint("runner-3"));
+    let listing = watch.next(TIMEOUT).await.expect("what changed");
+    assert_eq!(names(&listing), ["runner-2", "runner-3"]);
+    assert_eq!(listing.endpoints[0].standing, Standing::Leaving);
+}
+
+// The list is restarted and has forgotten everything. A router that held on
+// to its old revision would show endpoints that have gone, for ever.
+#[tokio::test]
+async fn a_watch_begins_again_after_the_list_was_restarted() {
+    let first = start().await;
+    first.set(endpoint("runner-1"));
+    let mut follower = watch(&first);
+    follower.next(TIMEOUT).await.expect("the whole list");
+    let address = first.address();
+    first.stop().await;
+
+    let second = list::start(address, Faults::default()).await;
+    let second = second.expect("the port is free again");
+    second.set(endpoint("runner-9"));
+    // The connection of before is gone, which the first call may meet.
+    let listing = match follower.next(TIMEOUT).await {
+        Ok(listing) => listing,
+        Err(_broken) => follower.next(TIMEOUT).await.expect("a new connection"),
+    };
+    assert_eq!(names(&listing), ["runner-9"]);
+}
