bundle: when an instance may serve under what it holds

The schedules of rolls found that an instance which serves while it reads the stream, or counts as ready at the end of a stream without a bundle, serves old versions. The rule now has one place, which the schedules use and the router can.

--- a/crates/bench/src/rolls/instance.rs
+++ b/crates/bench/src/rolls/instance.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use godwitpost_bundle::fold::Fold;
+use godwitpost_bundle::ready::Ready;
 use godwitpost_bundle::record;
 use godwitpost_bundle::renew::{self, Next, View};
 use godwitpost_bundle::snapshot::Snapshot;
@@ -16,7 +17,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct Instance {
     pub fold: Fold,
-    ready: bool,
+    ready: Ready,
+    // It counts as ready although the rules say no.
+    careless: bool,
     paused: u32,
     tried: Option<Moment>,
     in_hand: Option<Snapshot>,
@@ -28,7 +31,8 @@
     pub fn new() -> Self {
         Self {
             fold: new_fold(),
-            ready: false,
+            ready: Ready::default(),
+            careless: false,
             paused: 0,
             tried: None,
             in_hand: None,
@@ -50,10 +54,9 @@
         self.awake()
     }
 
-    /// Returns whether it handles requests: a bundle is in force, and it has
-    /// read the stream to its end or heard from a peer that serves.
+    /// Returns whether it handles requests.
     pub fn serves(&self) -> bool {
-        self.ready && self.fold.version() > 0
+        self.fold.version() > 0 && (self.ready.get() || self.careless)
     }
 
     pub fn version(&self) -> Option<Version> {
@@ -77,13 +80,13 @@
             }
             self.fold.apply(offset - self.skipped, time, bytes);
         }
-        if self.fold.wanted() + self.skipped >= stream.next() {
-            // The end of a stream without a bundle does not count: the first
-            // versions would be served one by one, behind the others.
-            let found = self.fold.version() > 0 || weakness == Weakness::ReadyOnEmpty;
-            self.ready |= !self.fold.gapped() && found;
-        }
-        self.ready |= weakness == Weakness::ServesEarly;
+        let end = self.fold.wanted() + self.skipped >= stream.next();
+        self.ready.read(&self.fold, end);
+        self.careless |= match weakness {
+            Weakness::ServesEarly => true,
+            Weakness::ReadyOnEmpty => end && !self.fold.gapped(),
+            _ => false,
+        };
     }
 
     pub fn hear(&mut self, peer: &Self, whole: bool, weakness: Weakness) {
@@ -97,7 +100,9 @@
             (_, Some(snapshot)) => self.fold.adopt(snapshot),
             (_, None) => return,
         };
-        self.ready |= taken.is_ok();
+        if taken.is_ok() {
+            self.ready.heard(&self.fold);
+        }
     }
 
     /// Composes a checkpoint if one is due; returns whether it did.
@@ -105,7 +110,7 @@
         let view = View {
             now,
             retention,
-            anchor: self.fold.anchor().filter(|_| self.ready),
+            anchor: self.fold.anchor().filter(|_| self.ready.get()),
             next: self.fold.wanted(),
             tried: self.tried,
             rank,
--- a/crates/bundle/src/fold.rs
+++ b/crates/bundle/src/fold.rs
@@ -97,8 +97,11 @@
 
     /// Returns the version in force; 0 for none.
     #[must_use]
-    pub fn version(&self) -> Version {
-        self.held.as_ref().map_or(0, |held| held.statement.version)
+    pub const fn version(&self) -> Version {
+        match &self.held {
+            Some(held) => held.statement.version,
+            None => 0,
+        }
     }
 
     /// Returns the policy in force.
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod key;
 pub mod lineage;
 pub mod mistake;
+pub mod ready;
 pub mod record;
 pub mod renew;
 pub mod resolve;
