operator: start a fleet anew whose log has lost its bundle

If no instance ran for longer than the log keeps records, a roll would wait for a checkpoint for ever. The command appends the operators' file as a checkpoint that a root key signed, and refuses while the log still tells what is in force. A change that fails after some of its versions now says which is in force.

--- a/crates/operator/src/cli.rs
+++ b/crates/operator/src/cli.rs
@@ -5,14 +5,14 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::ArgMatches;
 use godwitpost_bundle::blob::Digest;
 use godwitpost_types::id::Version;
 
 use crate::error::{EXIT_DONE, EXIT_USAGE};
 use crate::fleet::Settings;
-use crate::keyfile;
 
+mod flags;
 #[cfg(test)]
 mod tests;
 
@@ -43,6 +43,15 @@
         /// Who signs.
         signer: Signer,
     },
+    /// Start a fleet whose log has lost its bundle.
+    Anew {
+        /// The bundle.
+        bundle: PathBuf,
+        /// The fleet's log.
+        log: Log,
+        /// Who signs, with a root key.
+        signer: Signer,
+    },
     /// Roll a record that `sign` wrote.
     RollSigned {
         /// The record.
@@ -108,33 +117,10 @@
     File(PathBuf),
 }
 
-const ABOUT: &str = "Checks, signs and rolls the bundles of a router fleet";
-
-const AFTER: &str = "\
-Exit codes:
-  0  done
-  1  a file, the log or the list failed; nothing was rolled
-  2  wrong command line, or a bundle with mistakes (all are listed)
-  3  the bundle was refused or lost a race; nothing was rolled
-  4  the fate of a roll is unknown; run the same command again, it counts once
-  5  show: a live instance does not hold the bundle in force
-
-A first roll:
-  godwitpost-bundle keygen --out asahikawa.key      # prints the public key
-  godwitpost-bundle check kitakaze.yaml
-  godwitpost-bundle roll kitakaze.yaml --operator asahikawa --key asahikawa.key \\
-      --fleet kitakaze --log 10.0.1.1:7001 --root-key <public key>
-  godwitpost-bundle show --fleet kitakaze --log 10.0.1.1:7001 \\
-      --root-key <public key> --list 10.0.1.2:7002
-
-A later change: take the bundle with `show --yaml`, change it, count its version
-up by one, and roll it. Root keys are those in the routers' settings; they sign
-the first version, and the operators that a bundle names sign the next.";
-
 /// Reads a command line.
 #[must_use]
 pub fn parse(args: impl IntoIterator<Item = OsString>) -> Next {
-    match command().try_get_matches_from(args) {
+    match flags::command().try_get_matches_from(args) {
         Ok(matches) => next(&matches),
         Err(error) => {
             let code = if error.use_stderr() {
@@ -147,192 +133,6 @@
     }
 }
 
-fn command() -> Command {
-    Command::new("godwitpost-bundle")
-        .version(env!("CARGO_PKG_VERSION"))
-        .about(ABOUT)
-        .after_long_help(AFTER)
-        .subcommand_required(true)
-        .arg_required_else_help(true)
-        .subcommand(
-            Command::new("keygen")
-                .about("Writes a new private key to a file and prints the public key")
-                .arg(out("Writes the key to this new file, with mode 0600")),
-        )
-        .subcommand(
-            Command::new("check")
-                .about("Checks a bundle and lists every mistake")
-                .arg(bundle().required(true)),
-        )
-        .subcommand(signing(
-            Command::new("sign")
-                .about("Signs a bundle against what is in force, without rolling it")
-                .arg(bundle().required(true))
-                .arg(out("Writes the signed record to this file")),
-            true,
-        ))
-        .subcommand(signing(
-            Command::new("roll")
-                .about("Signs a bundle, appends it to the log and settles its fate")
-                .arg(bundle().required_unless_present("signed"))
-                .arg(signed()),
-            false,
-        ))
-        .subcommand(on_log(
-            Command::new("show")
-                .about("Shows what is in force and which instances hold it")
-                .arg(list())
-                .arg(yaml()),
-            true,
-        ))
-        .subcommand(on_log(
-            Command::new("diff")
-                .about("Shows what differs between two versions or files")
-                .arg(side("old"))
-                .arg(side("new")),
-            false,
-        ))
-        .subcommand(signing(
-            Command::new("rollback")
-                .about("Rolls the content of an older version, with today's operators")
-                .arg(to()),
-            true,
-        ))
-}
-
-fn signing(command: Command, required: bool) -> Command {
-    let command = command.arg(operator(required)).arg(key(required));
-    on_log(command, true)
-}
-
-fn on_log(command: Command, required: bool) -> Command {
-    command
-        .arg(log(required))
-        .arg(fleet(required))
-        .arg(root_key(required))
-        .arg(patience())
-}
-
-fn bundle() -> Arg {
-    Arg::new("bundle")
-        .value_name("BUNDLE")
-        .value_parser(value_parser!(PathBuf))
-        .help("The bundle in YAML")
-}
-
-fn out(help: &'static str) -> Arg {
-    Arg::new("out")
-        .long("out")
-        .value_name("FILE")
-        .value_parser(value_parser!(PathBuf))
-        .required(true)
-        .help(help)
-}
-
-fn signed() -> Arg {
-    Arg::new("signed")
-        .long("signed")
-        .value_name("FILE")
-        .value_parser(value_parser!(PathBuf))
-        .conflicts_with_all(["bundle", "operator", "key"])
-        .help("Rolls the record that sign wrote, in place of a bundle")
-}
-
-fn operator(required: bool) -> Arg {
-    let arg = Arg::new("operator")
-        .long("operator")
-        .value_name("NAME")
-        .help("The operator's name in the bundle in force");
-    or_signed(arg, required)
-}
-
-fn key(required: bool) -> Arg {
-    let arg = Arg::new("key")
-        .long("key")
-        .value_name("FILE")
-        .value_parser(value_parser!(PathBuf))
-        .help("The file with the operator's private key, of mode 0600");
-    or_signed(arg, required)
-}
-
-fn or_signed(arg: Arg, required: bool) -> Arg {
-    if required {
-        arg.required(true)
-    } else {
-        arg.required_unless_present("signed")
-    }
-}
-
-fn log(required: bool) -> Arg {
-    Arg::new("log")
-        .long("log")
-        .value_name("ADDRESS")
-        .value_parser(value_parser!(SocketAddr))
-        .required(required)
-        .help("Where the log service listens")
-}
-
-fn fleet(required: bool) -> Arg {
-    Arg::new("fleet")
-        .long("fleet")
-        .value_name("NAME")
-        .required(required)
-        .requires("log")
-        .help("The fleet's name, as in the routers' settings")
-}
-
-fn root_key(required: bool) -> Arg {
-    Arg::new("root-key")
-        .long("root-key")
-        .value_name("BASE64")
-        .value_parser(|text: &str| keyfile::digest(text).ok_or("write 32 bytes in base64"))
-        .action(ArgAction::Append)
-        .required(required)
-        .requires("log")
-        .help("A public key that may sign version 1; may be given more than once")
-}
-
-fn patience() -> Arg {
-    Arg::new("patience")
-        .long("patience")
-        .value_name("SECONDS")
-        .value_parser(value_parser!(u32).range(1..=3600))
-        .default_value("15")
-        .help("How long a roll may take until its fate is called unknown")
-}
-
-fn list() -> Arg {
-    Arg::new("list")
-        .long("list")
-        .value_name("ADDRESS")
-        .value_parser(value_parser!(SocketAddr))
-        .help("Where the instance list listens; instances are then asked too")
-}
-
-fn yaml() -> Arg {
-    Arg::new("yaml")
-        .long("yaml")
-        .action(ArgAction::SetTrue)
-        .conflicts_with("list")
-        .help("Prints the bundle in force, to be edited")
-}
-
-fn side(id: &'static str) -> Arg {
-    Arg::new(id)
-        .value_name(if id == "old" { "OLD" } else { "NEW" })
-        .required(true)
-        .help("A file, or the number of a version that is on the log")
-}
-
-fn to() -> Arg {
-    Arg::new("to")
-        .long("to")
-        .value_name("VERSION")
-        .value_parser(value_parser!(u64).range(1..))
-        .required(true)
-        .help("The version whose content is rolled again")
-}
-
 fn next(matches: &ArgMatches) -> Next {
     match matches.subcommand() {
         Some(("keygen", m)) => Next::Keygen(path(m, "out")),
@@ -354,6 +154,11 @@
                 signer: signer(m),
             },
         }),
+        Some(("anew", m)) => with_log(m, |log| Next::Anew {
+            bundle: path(m, "bundle"),
+            log,
+            signer: signer(m),
+        }),
         Some(("show", m)) => with_log(m, |log| Next::Show {
             log,
             list: m.get_one("list").copied(),
@@ -365,7 +170,7 @@
             signer: signer(m),
         }),
         Some(("diff", m)) => diff(m),
-        _ => Next::Say(command().render_help().to_string(), EXIT_USAGE),
+        _ => Next::Say(flags::command().render_help().to_string(), EXIT_USAGE),
     }
 }
 
--- a/crates/operator/src/cli/tests.rs
+++ b/crates/operator/src/cli/tests.rs
@@ -1,4 +1,5 @@
-use super::{Next, Side, command, parse};
+use super::flags::command;
+use super::{Next, Side, parse};
 
 const KEY: &str = "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=";
 
--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -42,8 +42,10 @@
     Read(read::Error),
     /// nothing was appended ({0}); try again when the log is up
     Append(String),
-    /// the log no longer keeps what leads to the bundle in force, and no checkpoint covers it; wait until an instance appends one, or start the fleet anew with version 1
+    /// the log no longer keeps what leads to the bundle in force, and no checkpoint covers it; wait until an instance appends one, or if none holds a bundle any more use `anew`
     Gap,
+    /// the log tells what is in force, version {0}; use roll
+    NotLost(Version),
     /// nothing is in force yet; roll version 1 with a root key
     Empty,
     /// version {found} does not follow {current}, which is in force; make the change in the output of `show --yaml`, with `version: {next}`
@@ -76,6 +78,8 @@
     },
     /// the fate of version {0} is unknown ({1}); run the same command again, it counts once
     Unknown(Version, String),
+    /// version {0} is in force with a part of the change ({1}); roll the file again as version {2}
+    Partial(Version, Box<Self>, Version),
     /// version {0} is not on the log any more; roll its file with the next version number
     Forgotten(Version),
     /// {0} is no signed record; write one with sign
@@ -91,6 +95,7 @@
     #[must_use]
     pub const fn code(&self) -> u8 {
         match self {
+            Self::Partial(_, cause, _) => cause.code(),
             Self::File(..)
             | Self::KeyMode(..)
             | Self::Key(_)
@@ -105,6 +110,7 @@
             Self::Mistakes(..) => EXIT_USAGE,
             Self::Version { .. }
             | Self::Same(_)
+            | Self::NotLost(_)
             | Self::Entry(_)
             | Self::Record(_)
             | Self::TooLarge
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -9,7 +9,7 @@
 use godwitpost_bundle::record::STREAM;
 use godwitpost_bundle::schema::Bundle;
 use godwitpost_platform::log::{Client, append, read};
-use godwitpost_types::id::Version;
+use godwitpost_types::id::{Offset, Version};
 
 use crate::error::Error;
 
@@ -32,6 +32,7 @@
 pub struct Fleet {
     log: Client,
     fold: Fold,
+    end: Offset,
     patience: Duration,
 }
 
@@ -51,6 +52,7 @@
         Self {
             log,
             fold: Fold::new(settings.fleet, settings.roots),
+            end: 0,
             patience: settings.patience,
         }
     }
@@ -76,6 +78,7 @@
         loop {
             let wanted = self.fold.wanted();
             let page = self.log.read(STREAM, wanted, PAGE, Duration::ZERO).await?;
+            self.end = self.end.max(page.next);
             if page.records.is_empty() {
                 return Ok(());
             }
@@ -95,12 +98,25 @@
     /// if it no longer says what is in force.
     pub async fn catch_up(&mut self) -> Result<(), Error> {
         self.read(|_, _| ()).await.map_err(Error::Read)?;
-        if self.fold.gapped() {
+        if self.lost() {
             return Err(Error::Gap);
         }
         Ok(())
     }
 
+    /// Returns whether records that lead to what is in force were dropped,
+    /// even if no record follows them yet.
+    #[must_use]
+    pub fn lost(&self) -> bool {
+        self.fold.gapped() || self.fold.wanted() < self.end
+    }
+
+    /// Returns the end of the stream as last read.
+    #[must_use]
+    pub const fn end(&self) -> Offset {
+        self.end
+    }
+
     /// Appends a record's bytes.
     ///
     /// # Errors
--- a/crates/operator/src/plan.rs
+++ b/crates/operator/src/plan.rs
@@ -12,10 +12,14 @@
 use godwitpost_bundle::entry::{self, Entries, WORKSPACE};
 use godwitpost_bundle::fold::{Fold, Next};
 use godwitpost_bundle::key::Private;
+use godwitpost_bundle::lineage::{Link, Operators};
 use godwitpost_bundle::record::{self, Change, RECORD_BYTES, Record};
-use godwitpost_bundle::root::Tree;
+use godwitpost_bundle::root::{self, Tree};
 use godwitpost_bundle::schema::Bundle;
-use godwitpost_types::id::Version;
+use godwitpost_bundle::signature;
+use godwitpost_bundle::snapshot::{Anchor, Snapshot};
+use godwitpost_bundle::statement::Statement;
+use godwitpost_types::id::{Offset, Version};
 
 use crate::error::Error;
 
@@ -80,6 +84,47 @@
     Ok(versions)
 }
 
+/// Returns the records of a checkpoint that starts a fleet whose stream has
+/// lost its bundle, and covers all up to `next`.
+///
+/// # Errors
+///
+/// Returns an error if routers would refuse it.
+pub fn anew(
+    bundle: &Bundle,
+    signer: &Signer,
+    roots: Vec<Digest>,
+    next: Offset,
+) -> Result<Vec<Vec<u8>>, Error> {
+    let entries = entry::split(bundle);
+    let root = root::of(&entries);
+    let statement = Statement::new(bundle, Digest::ZERO, root, &signer.operator);
+    let signature = signature::sign(&statement, &signer.key);
+    let snapshot = Snapshot {
+        next,
+        // Readers take the time of the checkpoint itself.
+        anchor: Anchor {
+            from: next,
+            since: Duration::ZERO,
+        },
+        lineage: vec![Link {
+            statement: statement.clone(),
+            signature,
+            operators: Operators::of(bundle),
+        }],
+        statement,
+        signature,
+        entries,
+    };
+    let mut fold = Fold::new(bundle.fleet.name.clone(), roots);
+    fold.adopt(snapshot.clone()).map_err(Error::Refused)?;
+    let parts = record::checkpoint(&snapshot);
+    parts
+        .iter()
+        .map(|part| part.encode().map_err(Error::Record))
+        .collect()
+}
+
 fn change(parent: Option<&Tree>, bundle: &Bundle, signer: &Signer) -> Result<Vec<u8>, Error> {
     let change = Change::sign(parent, bundle, &signer.operator, &signer.key);
     Record::Change(change).encode().map_err(Error::Record)
--- a/crates/operator/src/roll.rs
+++ b/crates/operator/src/roll.rs
@@ -31,12 +31,25 @@
 /// good, [`Error::Append`] if nothing of it can have been appended, and
 /// [`Error::Unknown`] if its fate was not settled in time.
 pub async fn roll(fleet: &mut Fleet, versions: &[Signed]) -> Result<Version, Error> {
+    let start = fleet.fold().version();
     for version in versions {
-        one(fleet, version).await?;
+        if let Err(error) = one(fleet, version).await {
+            return Err(partial(start, fleet.fold().version(), version, error));
+        }
     }
     Ok(fleet.fold().version())
 }
 
+// A change above a record's size may fail after some of its versions.
+fn partial(start: Version, reached: Version, failed: &Signed, error: Error) -> Error {
+    let some = failed.version > start + 1;
+    if some {
+        Error::Partial(reached, Box::new(error), reached + 1)
+    } else {
+        error
+    }
+}
+
 async fn one(fleet: &mut Fleet, signed: &Signed) -> Result<(), Error> {
     let (version, digest) = plan::statement(&signed.bytes).ok_or_else(|| {
         Error::Refused(Refusal::Record(godwitpost_bundle::record::Error::IllFormed))
@@ -71,6 +84,40 @@
     }
 }
 
+/// Appends a checkpoint until its version is in force.
+///
+/// A part that stands there twice does no harm, so the parts are appended
+/// again from the first after a failure.
+///
+/// # Errors
+///
+/// Returns [`Error::Unknown`] if that does not show in time.
+pub async fn anew(
+    fleet: &mut Fleet,
+    parts: &[Vec<u8>],
+    version: Version,
+) -> Result<Version, Error> {
+    let deadline = Instant::now() + fleet.patience();
+    let mut pause = PAUSE;
+    loop {
+        for part in parts {
+            if fleet.append(part).await.is_err() {
+                break;
+            }
+        }
+        let why = match fleet.read(|_, _| ()).await {
+            Ok(()) if fleet.fold().version() == version => return Ok(version),
+            Ok(()) => "it does not show on the log yet".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        if Instant::now() >= deadline {
+            return Err(Error::Unknown(version, why));
+        }
+        sleep(pause).await;
+        pause = LONGEST_PAUSE.min(pause * 2);
+    }
+}
+
 fn unsettled(sent: bool, version: Version, why: &str) -> Error {
     if sent {
         Error::Unknown(version, why.to_owned())
--- a/crates/operator/src/run.rs
+++ b/crates/operator/src/run.rs
@@ -59,6 +59,14 @@
             let mut fleet = caught_up(log).await?;
             roll_bundle(&mut fleet, &bundle, signer).await
         }
+        Next::Anew {
+            bundle,
+            log,
+            signer,
+        } => {
+            let bundle = load(&bundle)?;
+            anew(log, &bundle, signer).await
+        }
         Next::RollSigned { record, log } => roll_signed(&record, log).await,
         Next::Show { log, list, yaml } => show(log, list, yaml).await,
         Next::Diff { old, new, log } => {
@@ -106,13 +114,17 @@
 }
 
 async fn caught_up(log: Log) -> Result<Fleet, Error> {
-    let connector = Connector::new(Settings::default());
-    let client = log::Client::new(connector, log.address, TIMEOUT);
-    let mut fleet = Fleet::new(client, log.settings);
+    let mut fleet = unread(log);
     fleet.catch_up().await?;
     Ok(fleet)
 }
 
+fn unread(log: Log) -> Fleet {
+    let connector = Connector::new(Settings::default());
+    let client = log::Client::new(connector, log.address, TIMEOUT);
+    Fleet::new(client, log.settings)
+}
+
 fn with_key(signer: Signer) -> Result<plan::Signer, Error> {
     Ok(plan::Signer {
         operator: signer.operator,
@@ -146,6 +158,20 @@
     rolled(fleet, &versions).await
 }
 
+async fn anew(log: Log, bundle: &Bundle, signer: Signer) -> Result<Done, Error> {
+    let signer = with_key(signer)?;
+    let roots = log.settings.roots.clone();
+    let mut fleet = unread(log);
+    match fleet.catch_up().await {
+        Err(Error::Gap) => {}
+        Err(error) => return Err(error),
+        Ok(()) => return Err(Error::NotLost(fleet.fold().version())),
+    }
+    let parts = plan::anew(bundle, &signer, roots, fleet.end())?;
+    let version = roll::anew(&mut fleet, &parts, bundle.version).await?;
+    Ok(Done::new(format!("version {version} is in force\n")))
+}
+
 async fn roll_signed(path: &Path, log: Log) -> Result<Done, Error> {
     let bytes = fs::read(path).map_err(|error| Error::File(path.to_owned(), error))?;
     let (version, _) = plan::statement(&bytes).ok_or_else(|| Error::Unsigned(path.to_owned()))?;
@@ -163,9 +189,7 @@
 }
 
 async fn rollback(to: Version, log: Log, signer: Signer) -> Result<Done, Error> {
-    let connector = Connector::new(Settings::default());
-    let client = log::Client::new(connector, log.address, TIMEOUT);
-    let mut fleet = Fleet::new(client, log.settings);
+    let mut fleet = unread(log);
     let mut bundle = fleet.bundle_at(to).await?;
     fleet.catch_up().await?;
     // A key that was removed since, because it leaked, must not come back.
@@ -177,12 +201,7 @@
 async fn side(side: Side, log: Option<&Log>) -> Result<Bundle, Error> {
     match (side, log) {
         (Side::File(path), _) => load(&path),
-        (Side::Version(version), Some(log)) => {
-            let connector = Connector::new(Settings::default());
-            let client = log::Client::new(connector, log.address, TIMEOUT);
-            let mut fleet = Fleet::new(client, log.settings.clone());
-            fleet.bundle_at(version).await
-        }
+        (Side::Version(version), Some(log)) => unread(log.clone()).bundle_at(version).await,
         (Side::Version(version), None) => Err(Error::Forgotten(version)),
     }
 }
--- a/crates/operator/tests/rolls.rs
+++ b/crates/operator/tests/rolls.rs
@@ -308,3 +308,24 @@
     assert!(lines[2].ends_with(" ok"));
     assert!(lines[3].starts_with("c ") && lines[3].contains("no answer"));
 }
+
+// No instance ran for longer than the log keeps records, and everything that
+// leads to the bundle is gone. A roll would wait for a checkpoint for ever.
+#[tokio::test]
+async fn a_fleet_whose_log_lost_its_bundle_starts_anew() {
+    let desk = Desk::new("anew", log::Faults::default()).await;
+    text(desk.roll("bundle.yaml", "kushiro").await);
+    let anew = "anew later.yaml --operator kushiro --key kushiro.key";
+    desk.edit("later.yaml", 7, 75.0);
+    let (code, told) = refused(desk.on_log(anew).await);
+    assert_eq!((code, told.contains("use roll")), (3, true), "{told}");
+    desk.log.truncate("bundles", 1);
+    let (code, told) = refused(desk.roll("later.yaml", "kushiro").await);
+    assert_eq!((code, told.contains("use `anew`")), (1, true), "{told}");
+    let wrong = "anew later.yaml --operator asahikawa --key asahikawa.key";
+    assert_eq!(refused(desk.on_log(wrong).await).0, 3);
+    let started = text(desk.on_log(anew).await);
+    assert_eq!(started, "version 7 is in force\n");
+    desk.edit("next.yaml", 8, 80.0);
+    text(desk.roll("next.yaml", "asahikawa").await);
+}
