--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use godwitpost_platform::connect::Body;
-use godwitpost_state::claim::{Item, Verdict, batch};
+use godwitpost_state::claim::{Found, Item, Verdict, batch};
 use godwitpost_state::gossip::Message;
-use godwitpost_types::id;
+use godwitpost_types::id::{self, BodyDigest, KeyDigest};
 use godwitpost_wire::dispatch::{self, Head, Kind};
 use godwitpost_wire::frame::Frame;
 use godwitpost_wire::header;
@@ -21,7 +21,7 @@
 use crate::body::relay::Relay;
 use crate::claims;
 use crate::control::{Event, bundles, gossip};
-use crate::relay::{Attempt, Job, owner};
+use crate::relay::{Attempt, Job, owner, peer};
 use crate::shared::Shared;
 use crate::shutdown;
 
@@ -82,6 +82,8 @@
     match (&parts.method, parts.uri.path()) {
         (&Method::POST, dispatch::PATH) => dispatched(shared, &bytes).await,
         (&Method::POST, claims::PATH) => claim(shared, &bytes).await,
+        (&Method::POST, claims::ANSWER_PATH) => kept(shared, &bytes),
+        (&Method::POST, peer::EVIDENCE) => testified(shared, &bytes),
         (&Method::POST, gossip::PATH) => gossiped(shared, &bytes).await,
         (&Method::POST, shutdown::PATH) => taken_over(shared, &bytes),
         (&Method::GET, bundles::PATH) => bundle(shared, parts).await,
@@ -131,6 +133,17 @@
     Response::new(body::full(Bytes::from(bytes)))
 }
 
+fn kept(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok((key, digest)) = rmp_serde::from_slice::<(KeyDigest, BodyDigest)>(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let mut claims = shared.claims.lock();
+    match claims.answers.find(shared.now(), &key, &digest) {
+        Found::Answer(kept) => Response::new(body::full(kept.encode())),
+        Found::OtherBody | Found::Nothing => status(StatusCode::NOT_FOUND),
+    }
+}
+
 async fn gossiped(shared: &Shared, bytes: &Bytes) -> Response<Body> {
     let Ok(message) = Message::decode(bytes) else {
         return status(StatusCode::BAD_REQUEST);
@@ -147,6 +160,14 @@
     }
 }
 
+fn testified(shared: &Shared, bytes: &Bytes) -> Response<Body> {
+    let Ok(evidence) = rmp_serde::from_slice::<Vec<_>>(bytes) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    shared.desk.with(|owner| owner.learn_evidence(&evidence));
+    status(StatusCode::OK)
+}
+
 fn taken_over(shared: &Shared, bytes: &Bytes) -> Response<Body> {
     let Ok(locations) = rmp_serde::from_slice::<Vec<_>>(bytes) else {
         return status(StatusCode::BAD_REQUEST);
