state: leaving outlives being taken for gone

A property test found that an instance which was leaving, silent for half a minute and then heard again came back as returning, and got homes in the same incarnation. The member now remembers that it has left. Tests of membership, endpoints, budget, messages and pump come with it.

--- a/crates/state/src/gossip/budget.rs
+++ b/crates/state/src/gossip/budget.rs
@@ -111,3 +111,6 @@
         self.filled = now;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/gossip/message.rs
+++ b/crates/state/src/gossip/message.rs
@@ -247,3 +247,6 @@
         Ok(Pieces(pieces.to_vec()))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/state/src/gossip/message/tests.rs
@@ -0,0 +1,66 @@
+//! Messages survive their encoding and stay within their size.
+
+use proptest::prelude::*;
+
+use super::*;
+
+fn any_message() -> impl Strategy<Value = Message> {
+    let ids = (any::<u64>(), any::<u64>(), any::<u64>(), any::<bool>());
+    let rumour = (any::<u64>(), any::<u64>(), any::<u64>(), 0..5_usize);
+    let rumour = rumour.prop_map(|(id, incarnation, beat, state)| Rumour {
+        id,
+        incarnation,
+        beat,
+        state: [
+            State::Live,
+            State::Suspect,
+            State::Leaving,
+            State::Returning,
+            State::Gone,
+        ][state],
+    });
+    let sign = any::<(u64, u64)>().prop_map(|(id, incarnation)| Leaving { id, incarnation });
+    let load = any::<(u64, u32, u64, u32)>().prop_map(|(pool, endpoints, work, taken)| Load {
+        pool,
+        endpoints,
+        work,
+        taken: Duration::from_millis(u64::from(taken)),
+    });
+    let piece = prop::collection::vec(any::<u8>(), EVIDENCE)
+        .prop_map(|bytes| Evidence::try_from(bytes).expect("the length is fixed"));
+    (
+        ids,
+        any::<u64>(),
+        prop::collection::vec(rumour, 0..5),
+        prop::collection::vec(sign, 0..5),
+        prop::collection::vec(load, 0..5),
+        prop::collection::vec(piece, 0..5),
+    )
+        .prop_map(
+            |(ids, version, rumours, leaving, loads, evidence)| Message {
+                from: Heartbeat {
+                    id: ids.0,
+                    incarnation: ids.1,
+                    beat: ids.2,
+                    standing: standing(ids.3),
+                },
+                version,
+                rumours,
+                leaving,
+                loads,
+                evidence,
+            },
+        )
+}
+
+proptest! {
+    #[test]
+    fn a_message_survives_its_encoding(message in any_message()) {
+        prop_assert_eq!(Message::decode(&message.encode()), Ok(message));
+    }
+
+    #[test]
+    fn strange_bytes_never_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Message::decode(&bytes).map(|message| message.encode());
+    }
+}
--- a/crates/state/src/gossip/pump.rs
+++ b/crates/state/src/gossip/pump.rs
@@ -362,3 +362,6 @@
         .collect();
     gone.choose(rng).copied()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/state/src/gossip/pump/tests.rs
@@ -0,0 +1,137 @@
+//! News is deferred by an empty bucket, never dropped, and fits its message.
+
+use std::net::SocketAddr;
+
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::instance::Instance;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::super::EVIDENCE;
+use super::*;
+
+const fn at(millis: u64) -> Moment {
+    Duration::from_millis(1_000_000 + millis)
+}
+
+fn instance(id: InstanceId) -> Instance {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Instance {
+        id,
+        name: format!("router-{id}"),
+        incarnation: u64::MAX,
+        zone: 0,
+        region: 0,
+        peer_address: address,
+        operators_address: address,
+        standing: Standing::Live,
+    }
+}
+
+fn roster(size: u64) -> Roster {
+    let mut roster = Roster::new(instance(1));
+    let listed: Vec<Instance> = (1..=size).map(instance).collect();
+    roster.list(at(0), &listed);
+    roster
+}
+
+fn pump(rate: u64) -> Pump {
+    Pump::new(Budget::new(at(0), rate, 330))
+}
+
+/// A rolled bundle is not in force on a router for minutes. Its bucket was
+/// empty when the version came, and the push was dropped.
+#[test]
+fn a_version_waits_for_the_bucket_and_is_told_then() {
+    let roster = roster(20);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut pump = pump(2000);
+    while !pump.tick(at(0), &roster, &mut rng).is_empty() {
+        pump.evidence([0; EVIDENCE]);
+        pump.set_version(pump.version + 1);
+    }
+    pump.set_version(99);
+    assert_eq!(pump.tick(at(1), &roster, &mut rng), []);
+    let mut told = Vec::new();
+    for second in 1..9 {
+        told.extend(pump.tick(at(second * 1000), &roster, &mut rng));
+    }
+    assert!(told.len() >= HOT_PEERS, "told {told:?}");
+    let message = pump.message(told[0], &roster, &[]);
+    assert_eq!(message.version, 99);
+}
+
+/// The sum that the budget takes beforehand must cover the largest message.
+#[test]
+fn the_largest_message_fits() {
+    let roster = roster(2);
+    let mut pump = pump(6000);
+    pump.set_version(u64::MAX);
+    for n in 0..64_u8 {
+        let id = u64::MAX - u64::from(n);
+        pump.rumours(&[Rumour {
+            id,
+            incarnation: u64::MAX,
+            beat: u64::MAX,
+            state: State::Gone,
+        }]);
+        pump.leaving(Leaving {
+            id,
+            incarnation: u64::MAX,
+        });
+        pump.evidence([n; EVIDENCE]);
+    }
+    let load = Load {
+        pool: u64::MAX,
+        endpoints: u32::MAX,
+        work: u64::MAX,
+        taken: Duration::from_millis(u64::MAX),
+    };
+    let message = pump.message(2, &roster, &[load; 20]);
+    assert_eq!(message.rumours.len(), RUMOURS);
+    assert!(
+        message.encode().len() <= LARGEST,
+        "{}",
+        message.encode().len()
+    );
+}
+
+/// A dead instance is noticed late, or never, because chance leaves it out.
+#[test]
+fn each_peer_is_met_once_a_round() {
+    let roster = roster(20);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut pump = pump(6000);
+    let mut met = Vec::new();
+    for second in 0..19 {
+        met.extend(pump.tick(at(second * 1000), &roster, &mut rng));
+    }
+    met.sort_unstable();
+    let all: Vec<InstanceId> = (2..=20).collect();
+    assert_eq!(met, all);
+}
+
+/// An accused instance must hear of it to answer.
+#[test]
+fn the_accused_is_told() {
+    let mut roster = roster(3);
+    roster.unreachable(at(0), 2);
+    let mut pump = pump(6000);
+    let message = pump.message(2, &roster, &[]);
+    assert_eq!(message.rumours.len(), 1);
+    assert_eq!(message.rumours[0].state, State::Suspect);
+}
+
+#[test]
+fn news_is_told_a_limited_number_of_times() {
+    let roster = roster(20);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut pump = pump(6000);
+    pump.tick(at(0), &roster, &mut rng);
+    pump.leaving(Leaving {
+        id: 7,
+        incarnation: 1,
+    });
+    let told = (0..100).filter(|_| !pump.message(2, &roster, &[]).leaving.is_empty());
+    assert_eq!(told.count(), times(19) as usize);
+}
--- a/crates/state/src/membership/endpoints.rs
+++ b/crates/state/src/membership/endpoints.rs
@@ -198,3 +198,6 @@
         unlisted && silent
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/membership/member.rs
+++ b/crates/state/src/membership/member.rs
@@ -75,6 +75,9 @@
     pub(super) beat: u64,
     /// The last sign of life.
     pub(super) heard: Moment,
+    /// Whether this incarnation has shown that it leaves; it may be taken for
+    /// gone since, and must not come back as anything but leaving.
+    pub(super) left: bool,
 }
 
 /// One member's machine.
@@ -143,12 +146,16 @@
         match *event {
             Event::Alive { beat, now } if beat > *at => {
                 self.sign(beat, now);
-                Transition(Phase::returning(now))
+                Transition(self.back(now))
             }
             Event::Accused { beat, .. } => {
                 *at = beat.max(*at);
                 Handled
             }
+            Event::Leave { .. } => {
+                self.left = true;
+                Handled
+            }
             _ => Handled,
         }
     }
@@ -158,8 +165,17 @@
         Handled
     }
 
+    fn back(&self, now: Moment) -> Phase {
+        if self.left {
+            Phase::leaving()
+        } else {
+            Phase::returning(now)
+        }
+    }
+
     fn leave(&mut self, now: Moment) -> Outcome<Phase> {
         self.heard = now;
+        self.left = true;
         Transition(Phase::leaving())
     }
 
--- a/crates/state/src/membership/roster.rs
+++ b/crates/state/src/membership/roster.rs
@@ -308,6 +308,7 @@
         let member = Member {
             beat: 0,
             heard: now,
+            left: false,
         };
         let mut machine = member.state_machine();
         machine.init();
@@ -321,7 +322,11 @@
     fn restart(&mut self, now: Moment, incarnation: Incarnation, beat: u64) {
         self.instance.incarnation = incarnation;
         self.instance.standing = Standing::Live;
-        let member = Member { beat, heard: now };
+        let member = Member {
+            beat,
+            heard: now,
+            left: false,
+        };
         self.machine = member.state_machine();
         self.machine.init();
         self.handle(Event::Probation { now });
@@ -377,3 +382,6 @@
             .finish_non_exhaustive()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/state/src/membership/roster/tests.rs
@@ -0,0 +1,238 @@
+//! Views change by incarnation and beat, and homes only after a while.
+
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+
+use super::super::{PROBATION, SUSPECT};
+use super::*;
+
+const fn at(millis: u64) -> Moment {
+    Duration::from_millis(1_000_000 + millis)
+}
+
+fn instance(id: InstanceId, incarnation: Incarnation, standing: Standing) -> Instance {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Instance {
+        id,
+        name: format!("router-{id}"),
+        incarnation,
+        zone: id % 2,
+        region: 0,
+        peer_address: address,
+        operators_address: address,
+        standing,
+    }
+}
+
+fn live(id: InstanceId) -> Instance {
+    instance(id, 1, Standing::Live)
+}
+
+/// A roster of instance 1 that knows 2 and 3 as live.
+fn three() -> Roster {
+    let mut roster = Roster::new(live(1));
+    roster.list(at(0), &[live(1), live(2), live(3)]);
+    roster
+}
+
+fn homes(roster: &Roster) -> Vec<InstanceId> {
+    let mut ids: Vec<InstanceId> = roster.instances().map(|instance| instance.id).collect();
+    ids.sort_unstable();
+    ids
+}
+
+const fn beat(id: InstanceId, incarnation: Incarnation, beat: u64) -> Heartbeat {
+    Heartbeat {
+        id,
+        incarnation,
+        beat,
+        standing: Standing::Live,
+    }
+}
+
+/// Chats lose their warm context for nothing. One path between two instances
+/// breaks, and the accused instance's homes move at once.
+#[test]
+fn an_accused_instance_keeps_its_homes_and_may_answer() {
+    let mut roster = three();
+    roster.unreachable(at(1000), 2);
+    assert_eq!(roster.state(2), Some(State::Suspect));
+    assert_eq!(homes(&roster), [1, 2, 3]);
+    roster.heard(at(2000), &beat(2, 1, 0));
+    assert_eq!(
+        roster.state(2),
+        Some(State::Suspect),
+        "an old beat is no answer"
+    );
+    roster.heard(at(3000), &beat(2, 1, 1));
+    assert_eq!(roster.state(2), Some(State::Live));
+}
+
+/// Requests go to a dead instance for as long as the list lags.
+#[test]
+fn an_accused_instance_that_is_silent_is_gone_though_it_is_listed() {
+    let mut roster = three();
+    roster.unreachable(at(0), 2);
+    let end = at(0) + SUSPECT;
+    roster.tick(end.saturating_sub(Duration::from_millis(1)));
+    assert_eq!(homes(&roster), [1, 2, 3]);
+    roster.tick(end);
+    assert_eq!(homes(&roster), [1, 3]);
+    roster.list(end, &[live(1), live(2), live(3)]);
+    assert_eq!(homes(&roster), [1, 3]);
+}
+
+/// Homes move to and fro with an instance that flaps: it must stay for a while
+/// before it gets them back.
+#[test]
+fn an_instance_that_comes_back_waits_out_its_probation() {
+    let mut roster = three();
+    roster.unreachable(at(0), 2);
+    roster.tick(at(0) + SUSPECT);
+    let back = at(20_000);
+    roster.heard(back, &beat(2, 1, 1));
+    assert_eq!(roster.state(2), Some(State::Returning));
+    roster.unreachable(at(21_000), 2);
+    assert_eq!(roster.state(2), Some(State::Gone));
+    let again = at(22_000);
+    roster.heard(again, &beat(2, 1, 2));
+    roster.tick(again + PROBATION);
+    assert_eq!(homes(&roster), [1, 2, 3]);
+}
+
+/// A leaving instance gets homes again. The list still says live, and a peer
+/// that has not heard says so as well.
+#[test]
+fn leaving_is_sticky_until_the_next_incarnation() {
+    let mut roster = three();
+    let mut leaving = beat(2, 1, 0);
+    leaving.standing = Standing::Leaving;
+    roster.heard(at(0), &leaving);
+    roster.list(at(1), &[live(1), live(2), live(3)]);
+    roster.rumour(
+        at(2),
+        &Rumour {
+            id: 2,
+            incarnation: 1,
+            beat: 5,
+            state: State::Live,
+        },
+    );
+    assert_eq!(homes(&roster), [1, 3]);
+    roster.list(at(3), &[live(1), instance(2, 2, Standing::Live), live(3)]);
+    assert_eq!(roster.state(2), Some(State::Returning));
+    roster.tick(at(3) + PROBATION);
+    assert_eq!(homes(&roster), [1, 2, 3]);
+    roster.heard(at(9000), &leaving);
+    assert_eq!(homes(&roster), [1, 2, 3], "a former life's word came late");
+}
+
+/// A leaving instance gets homes again: silent while its last stream ran, it
+/// was taken for gone, and its next sign of life looked like a return.
+#[test]
+fn leaving_outlives_being_taken_for_gone() {
+    let mut roster = three();
+    let mut leaving = beat(2, 1, 0);
+    leaving.standing = Standing::Leaving;
+    roster.heard(at(0), &leaving);
+    roster.tick(at(60_000));
+    assert_eq!(roster.state(2), Some(State::Gone));
+    roster.heard(at(60_000), &beat(2, 1, 1));
+    assert_eq!(roster.state(2), Some(State::Leaving));
+}
+
+/// The fleet empties itself because the list answers with nothing for a
+/// moment, or leaves an instance out by mistake.
+#[test]
+fn a_list_that_leaves_out_the_living_is_not_enough() {
+    let mut roster = three();
+    roster.list(at(0), &[]);
+    assert_eq!(homes(&roster), [1, 2, 3]);
+    roster.list(at(0), &[live(1), live(3)]);
+    roster.tick(at(0) + ABSENT);
+    assert_eq!(roster.state(2), Some(State::Suspect));
+    roster.heard(at(0) + ABSENT, &beat(2, 1, 1));
+    assert_eq!(homes(&roster), [1, 2, 3]);
+}
+
+/// An instance is accused while it is fine: it must hear of it and answer.
+#[test]
+fn an_accusation_against_oneself_is_answered() {
+    let mut roster = three();
+    let mut accused = Rumour {
+        id: 1,
+        incarnation: 1,
+        beat: 4,
+        state: State::Suspect,
+    };
+    roster.rumour(at(0), &accused);
+    assert_eq!(roster.heartbeat().beat, 5);
+    let answer = roster.tick(at(0));
+    assert_eq!(answer.len(), 1);
+    assert_eq!((answer[0].beat, answer[0].state), (5, State::Live));
+    accused.incarnation = 0;
+    roster.rumour(at(0), &accused);
+    assert_eq!(roster.heartbeat().beat, 5, "a former life was accused");
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Sign {
+    Heard(InstanceId, Incarnation, u64, bool),
+    Rumour(InstanceId, Incarnation, u64, u8),
+    Unreachable(InstanceId),
+    Tick(u64),
+}
+
+fn any_sign() -> impl Strategy<Value = Sign> {
+    let id = 2..4_u64;
+    prop_oneof![
+        (id.clone(), 1..4_u64, 0..4_u64, any::<bool>())
+            .prop_map(|(id, life, beat, leaving)| Sign::Heard(id, life, beat, leaving)),
+        (1..4_u64, 1..4_u64, 0..4_u64, 0..5_u8)
+            .prop_map(|(id, life, beat, state)| Sign::Rumour(id, life, beat, state)),
+        id.prop_map(Sign::Unreachable),
+        (0..9000_u64).prop_map(Sign::Tick),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn leaving_never_ends_within_an_incarnation(
+        signs in prop::collection::vec(any_sign(), 1..60),
+    ) {
+        let states = [State::Live, State::Suspect, State::Leaving, State::Returning, State::Gone];
+        let mut roster = three();
+        let mut now = at(0);
+        let mut left: BTreeMap<InstanceId, Incarnation> = BTreeMap::new();
+        let mut lives: BTreeMap<InstanceId, Incarnation> = [(2, 1), (3, 1)].into();
+        for sign in signs {
+            match sign {
+                Sign::Heard(id, incarnation, beat, leaving) => {
+                    let standing = if leaving { Standing::Leaving } else { Standing::Live };
+                    roster.heard(now, &Heartbeat { id, incarnation, beat, standing });
+                }
+                Sign::Rumour(id, incarnation, beat, state) => {
+                    let state = states[usize::from(state)];
+                    roster.rumour(now, &Rumour { id, incarnation, beat, state });
+                }
+                Sign::Unreachable(id) => roster.unreachable(now, id),
+                Sign::Tick(millis) => {
+                    now += Duration::from_millis(millis);
+                    roster.tick(now);
+                }
+            }
+            for (instance, state) in roster.others() {
+                let life = lives.entry(instance.id).or_default();
+                prop_assert!(instance.incarnation >= *life, "an incarnation went back");
+                *life = instance.incarnation;
+                if state == State::Leaving {
+                    left.insert(instance.id, instance.incarnation);
+                }
+                let sticky = left.get(&instance.id) == Some(&instance.incarnation);
+                let homed = matches!(state, State::Live | State::Suspect);
+                prop_assert!(!(sticky && homed), "{} serves again", instance.id);
+            }
+        }
+    }
+}
