--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -65,6 +65,7 @@
     log: 10.0.1.1:7001
     list: 10.0.1.2:7002
     weights: 10.0.1.3:7003         # optional
+    retention: 1h                  # how long the log keeps records
   root_keys: [<base64 Ed25519>]    # may sign the first bundle
   fleet_key_file: /run/fleet.key   # or fleet_key: <32 bytes in base64>
   limits: { head_bytes: 16384, body_bytes: 4194304, streams: 4096 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -11,6 +11,7 @@
 pub(crate) mod gossip;
 mod probe;
 mod publish;
+mod renew;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,10 +26,10 @@
 use godwitpost_state::claim::{Item, Verdict};
 use godwitpost_state::gossip::{Budget, Message, Pump};
 use godwitpost_state::membership::Roster;
-use godwitpost_state::membership::endpoints::{Endpoints, Leaving};
+use godwitpost_state::membership::endpoints::{Change, Endpoints, Leaving};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::endpoint::{Endpoint, Report};
-use godwitpost_types::id::{EndpointId, InstanceId, Offset, Version};
+use godwitpost_types::id::{EndpointId, InstanceId, Version};
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot};
 
@@ -61,8 +62,10 @@
 pub(crate) enum Event {
     /// An answer of the platform's list.
     Listing(Listing),
-    /// Records of the bundles' stream; answered by the next offset wanted.
-    Bundles(log::Page, oneshot::Sender<Offset>),
+    /// Records of the bundles' stream.
+    Bundles(Vec<log::Record>),
+    /// A checkpoint was appended, or could not be.
+    Renewed,
     /// An instance said that it holds this bundle version.
     Heard(InstanceId, Version),
     /// What an instance answered when asked for its bundle.
@@ -76,8 +79,8 @@
     Answered(InstanceId, Option<(Message, usize)>),
     /// An endpoint's report.
     Report(EndpointId, Report),
-    /// An engine's cache events.
-    Cache(EndpointId, CachePage),
+    /// An engine's cache events, with their size.
+    Cache(EndpointId, CachePage, usize),
     /// An endpoint's answer said that it is leaving.
     Leaving(Leaving),
     /// A claim or fate for the local batcher.
@@ -103,6 +106,8 @@
     pump: Pump,
     batchers: Batchers,
     fetching: bool,
+    renewing: bool,
+    renewed: Option<Moment>,
     published: publish::Published,
     probes: probe::Probes,
     rng: StdRng,
@@ -141,6 +146,8 @@
             pump: Pump::new(Budget::new(now, GOSSIP_RATE, GOSSIP_HEADERS)),
             batchers: Batchers::default(),
             fetching: false,
+            renewing: false,
+            renewed: None,
             published: publish::Published::new(own),
             probes: probe::Probes::default(),
             rng: random::generator(),
@@ -178,7 +185,8 @@
         let now = self.shared.now();
         match event {
             Event::Listing(listing) => self.listed(now, &listing),
-            Event::Bundles(page, wanted) => self.records(&page, wanted),
+            Event::Bundles(records) => self.records(&records),
+            Event::Renewed => self.renewing = false,
             Event::Heard(instance, version) => self.heard(instance, version),
             Event::Fetched(bytes) => self.fetched(bytes),
             Event::Bundle(version, reply) => answer(reply, self.bundle(version)),
@@ -188,7 +196,7 @@
             }
             Event::Answered(instance, said) => self.answered(now, instance, said),
             Event::Report(endpoint, report) => self.reported(now, endpoint, &report),
-            Event::Cache(endpoint, page) => self.cached(endpoint, &page),
+            Event::Cache(endpoint, page, bytes) => self.cached(endpoint, &page, bytes),
             Event::Leaving(leaving) => self.endpoints.sign(leaving),
             Event::Claim { item, reply } => self.claim(now, item, reply),
             Event::Batch(result) => self.batched(now, result),
@@ -202,20 +210,30 @@
 
     fn tick(&mut self) {
         let now = self.shared.now();
-        let changes = self.roster.tick(now);
-        self.pump.rumours(&changes);
-        for change in self.endpoints.tick(now) {
-            if let godwitpost_state::membership::endpoints::Change::Left(leaving) = change {
-                self.pump.leaving(leaving);
-            }
-        }
-        self.publish();
+        self.changes(now);
         self.shared.desk.tick(now);
         self.gossip(now);
         self.probe(now);
+        self.renew(now);
         self.pump_batchers(now);
     }
 
+    // At the letter's size a picture takes a millisecond to compare, so it is
+    // only built anew when something changed.
+    fn changes(&mut self, now: Moment) {
+        let rumours = self.roster.tick(now);
+        let changes = self.endpoints.tick(now);
+        self.pump.rumours(&rumours);
+        for change in &changes {
+            if let Change::Left(leaving) = change {
+                self.pump.leaving(*leaving);
+            }
+        }
+        if !rumours.is_empty() || !changes.is_empty() {
+            self.publish();
+        }
+    }
+
     fn listed(&mut self, now: Moment, listing: &Listing) {
         for refused in &listing.refused {
             ::log::warn!(entry:% = refused; "an entry of the instance list can't be read");
--- a/crates/router/src/control/bundles.rs
+++ b/crates/router/src/control/bundles.rs
@@ -1,19 +1,18 @@
 //! Follows the stream of bundles, and fetches them from peers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use godwitpost_bundle::fold::Next;
 use godwitpost_bundle::record::STREAM;
 use godwitpost_bundle::snapshot::{Snapshot, Update};
 use godwitpost_platform::connect::Connector;
-use godwitpost_platform::log::Page;
-use godwitpost_types::id::{InstanceId, Offset, Version};
+use godwitpost_platform::log::Record;
+use godwitpost_platform::log::follower::{self, Follower};
+use godwitpost_types::id::{InstanceId, Version};
 use godwitpost_types::instance::Instance;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
 
 use super::{Control, Event, Io, PLATFORM};
 use crate::body;
@@ -29,15 +28,6 @@
 /// bytes each are under a megabyte.
 const BUNDLE_BYTES: usize = 64 << 20;
 
-/// Records asked for at once.
-const PAGE: usize = 100;
-
-/// How long the log holds a read that has nothing new.
-const POLL: Duration = Duration::from_secs(5);
-
-/// The pause after a read that failed.
-const PAUSE: Duration = Duration::from_millis(500);
-
 /// What a peer hands over.
 #[derive(Debug, Serialize, Deserialize)]
 enum Handed {
@@ -49,43 +39,36 @@
 
 /// Reads the stream for ever.
 ///
-/// The long poll brings a new bundle within a round trip of its append. A log
-/// that is down is asked again after a pause; peers hand the bundle over
-/// meanwhile.
+/// The long poll brings a new bundle within a round trip of its append. While
+/// the log is down, peers hand the bundle over.
 pub(super) async fn follow(io: Io) {
-    let mut from = 0;
+    let settings = follower::Settings {
+        seed: io.shared.local(),
+        ..follower::Settings::default()
+    };
+    let mut follower = Follower::new(io.log.clone(), io.timer.clone(), settings, STREAM, 0);
     loop {
-        let wanted = match io.log.read(STREAM, from, PAGE, POLL).await {
-            Ok(page) => taken(&io, page).await,
-            Err(error) => {
+        let records = match follower.next().await {
+            follower::Event::Records(records) => records,
+            // The fold sees a gap by the offset that follows it.
+            follower::Event::Gap { .. } | follower::Event::Idle => continue,
+            follower::Event::Down(error) => {
                 log::debug!(error:% = error; "bundles not read");
-                let mut pause = io.timer.at(io.now() + PAUSE);
-                pause.next().await;
-                Some(from)
+                continue;
             }
         };
-        match wanted {
-            Some(wanted) => from = wanted,
-            None => return,
+        if io.events.send(Event::Bundles(records)).await.is_err() {
+            return;
         }
     }
 }
 
-// Returns the next offset to read; `None` when the router ends.
-async fn taken(io: &Io, page: Page) -> Option<Offset> {
-    let (reply, wanted) = oneshot::channel();
-    io.events.send(Event::Bundles(page, reply)).await.ok()?;
-    wanted.await.ok()
-}
-
 impl Control {
-    pub(super) fn records(&mut self, page: &Page, wanted: oneshot::Sender<Offset>) {
-        for record in &page.records {
+    pub(super) fn records(&mut self, records: &[Record]) {
+        for record in records {
             let next = self.fold.apply(record.offset, record.time, &record.body);
             self.folded(&next);
         }
-        // A page may be empty though older records were dropped.
-        super::answer(wanted, self.fold.wanted().max(page.next));
         self.publish();
     }
 
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -68,7 +68,7 @@
 
     /// Takes a peer's message; returns ours unless the budget forbids.
     pub(super) fn asked(&mut self, now: Moment, message: &Message, bytes: usize) -> Option<Bytes> {
-        self.shared.metrics.control(Traffic::Peers, bytes);
+        self.count(bytes);
         let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
         let news = self.pump.asked(now, bytes, message, roster, endpoints)?;
         self.learn(message.from.id, &news);
@@ -86,7 +86,7 @@
             self.roster.unreachable(now, peer);
             return;
         };
-        self.shared.metrics.control(Traffic::Peers, bytes);
+        self.count(bytes);
         let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
         let news = self.pump.answered(now, bytes, &message, roster, endpoints);
         self.learn(peer, &news);
@@ -97,10 +97,16 @@
         let loads: Vec<Load> = summaries.iter().map(load).collect();
         let bytes = self.pump.message(to, &self.roster, &loads).encode();
         self.pump.sent(bytes.len());
-        self.shared.metrics.control(Traffic::Peers, bytes.len());
+        self.count(bytes.len());
         Bytes::from(bytes)
     }
 
+    // Counts one message, sent or received, with its headers.
+    fn count(&self, bytes: usize) {
+        let headers = usize::try_from(super::GOSSIP_HEADERS).unwrap_or(0);
+        self.shared.metrics.control(Traffic::Peers, bytes + headers);
+    }
+
     fn learn(&mut self, peer: InstanceId, news: &News) {
         if let Some(version) = news.version {
             self.heard(peer, version);
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -17,9 +17,25 @@
 use crate::body;
 use crate::metrics::Traffic;
 
-/// The time between two readings of the list.
+/// The least time between two readings of the list.
 const LIST: Duration = Duration::from_secs(1);
 
+/// The longest time between two readings of the list, whatever its size.
+const LIST_MOST: Duration = Duration::from_secs(30);
+
+/// Bytes a second that reading the list may cost; a quarter of the letter's 6
+/// KB. At 21 entries it is read each four seconds.
+const LIST_RATE: usize = 1_500;
+
+/// Bytes of one entry of the list, by measure of the stand-in's.
+const LIST_ENTRY: usize = 260;
+
+/// Bytes a second that cache events of all owned engines may cost.
+const CACHE_RATE: usize = 1_000;
+
+/// How often is looked for probes that are due.
+const LOOK: Duration = Duration::from_millis(500);
+
 /// The time between two reports of one owned endpoint. An instance owns about
 /// ten endpoints at the letter's size; at 400 bytes an exchange with headers,
 /// ten a second would be 4 KB/s, so each is asked every two seconds.
@@ -34,7 +50,10 @@
 /// When each owned endpoint was last asked, and how far its events were read.
 #[derive(Debug, Default)]
 pub(super) struct Probes {
+    looked: Moment,
     asked: BTreeMap<EndpointId, Moment>,
+    // When an engine's cache events are next asked for.
+    due: BTreeMap<EndpointId, Moment>,
     events: BTreeMap<EndpointId, (Incarnation, Offset)>,
 }
 
@@ -72,23 +91,30 @@
 
 /// Reads the list for ever.
 pub(super) async fn list(io: Io, client: list::Client) {
-    let mut due = io.timer.every(LIST);
     loop {
+        let mut pause = LIST;
         match client.fetch().await {
             Ok(listing) => {
+                let entries = listing.instances.len() + listing.endpoints.len();
+                io.count(Traffic::Platform, entries * LIST_ENTRY);
+                pause = spread(entries * LIST_ENTRY, LIST_RATE).clamp(LIST, LIST_MOST);
                 if io.events.send(Event::Listing(listing)).await.is_err() {
                     return;
                 }
             }
             Err(error) => log::debug!(error:% = error; "instance list not read"),
         }
-        due.next().await;
+        io.timer.until(io.now() + pause).await;
     }
 }
 
 impl Control {
     /// Asks the owned endpoints that are due.
     pub(super) fn probe(&mut self, now: Moment) {
+        if since(now, self.probes.looked) < LOOK {
+            return;
+        }
+        self.probes.looked = now;
         let view = std::sync::Arc::clone(&self.shared.snapshot().view);
         for endpoint in view.owned() {
             let asked = self.probes.asked.get(&endpoint.id);
@@ -96,12 +122,15 @@
                 continue;
             }
             self.probes.asked.insert(endpoint.id, now);
-            let from = self.probes.from(endpoint);
+            let due = self.probes.due.get(&endpoint.id);
+            let due = due.is_none_or(|due| *due <= now);
+            let from = self.probes.from(endpoint).filter(|_| due);
             tokio::spawn(ask(self.io.clone(), endpoint.clone(), from));
         }
         self.probes
             .asked
             .retain(|id, _| view.endpoint(*id).is_some());
+        self.probes.due.retain(|id, _| view.endpoint(*id).is_some());
         self.probes
             .events
             .retain(|id, _| view.endpoint(*id).is_some());
@@ -112,16 +141,18 @@
         self.shared
             .desk
             .with(|owner| owner.observe(endpoint, report));
-        self.publish();
     }
 
     /// Takes in cache events, for each model that the engine has: they name a
     /// prefix and no model, and a chat stays with one model.
-    pub(super) fn cached(&mut self, id: EndpointId, page: &CachePage) {
+    pub(super) fn cached(&mut self, id: EndpointId, page: &CachePage, bytes: usize) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
         let now = self.shared.now();
+        let owned = self.probes.asked.len();
+        let due = now + spread(bytes * owned, CACHE_RATE);
+        self.probes.due.insert(id, due);
         let gap = self.probes.read(endpoint, page);
         let events: Vec<chats::Event> = page
             .events
@@ -180,7 +211,7 @@
 }
 
 async fn ask(io: Io, endpoint: Endpoint, from: Option<Offset>) {
-    if let Some(report) = get::<ReportAnswer>(&io, &endpoint, "/v1/report").await {
+    if let Some((report, _)) = get::<ReportAnswer>(&io, &endpoint, "/v1/report").await {
         let report = Report {
             taken: Duration::from_millis(report.taken_ms),
             incarnation: report.incarnation,
@@ -192,12 +223,22 @@
     }
     let Some(from) = from else { return };
     let path = format!("/v1/cache-events?from={from}");
-    if let Some(page) = get::<CachePage>(&io, &endpoint, &path).await {
-        drop(io.events.send(Event::Cache(endpoint.id, page)).await);
+    if let Some((page, bytes)) = get::<CachePage>(&io, &endpoint, &path).await {
+        let event = Event::Cache(endpoint.id, page, bytes);
+        drop(io.events.send(event).await);
     }
 }
 
-async fn get<T: DeserializeOwned>(io: &Io, endpoint: &Endpoint, path: &str) -> Option<T> {
+/// Bytes of a probe beside its answer's body: two HTTP heads of about 120, and
+/// TCP/IP headers with the acknowledgements.
+const HEADS: usize = 400;
+
+// Returns how long `bytes` last at a rate.
+fn spread(bytes: usize, rate: usize) -> Duration {
+    Duration::from_millis((bytes * 1000 / rate) as u64)
+}
+
+async fn get<T: DeserializeOwned>(io: &Io, endpoint: &Endpoint, path: &str) -> Option<(T, usize)> {
     let request = Request::get(path).body(body::full(bytes::Bytes::new()));
     let sent = io.connector.send(endpoint.address, request.ok()?, WAIT);
     let response = sent.await.ok()?;
@@ -206,10 +247,12 @@
     }
     let read = body::collect(response.into_body(), PROBE_BYTES);
     let bytes = tokio::time::timeout(WAIT, read).await.ok()?.ok()?;
-    io.count(Traffic::Probes, path.len() + bytes.len());
+    let size = HEADS + path.len() + bytes.len();
+    io.count(Traffic::Probes, size);
     serde_json::from_slice::<T>(&bytes)
         .inspect_err(|error| {
             log::debug!(endpoint:% = endpoint.name, error:% = error; "probe can't be read");
         })
         .ok()
+        .map(|value| (value, size))
 }
--- /dev/null
+++ b/crates/router/src/control/renew.rs
@@ -0,0 +1,53 @@
+//! Appends the bundle in force again before the log drops its record.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use godwitpost_bundle::record::{self, STREAM};
+use godwitpost_bundle::renew::{self, Next, View};
+use godwitpost_types::clock::Moment;
+
+use super::{Control, Event};
+
+impl Control {
+    /// Appends a checkpoint if one is due and this instance's turn.
+    pub(super) fn renew(&mut self, now: Moment) {
+        if self.renewing || renew::decide(&self.renewal(now)) != Next::Append {
+            return;
+        }
+        let Some(snapshot) = self.fold.snapshot() else {
+            return;
+        };
+        self.renewing = true;
+        self.renewed = Some(now);
+        let io = self.io.clone();
+        let records = record::checkpoint(&snapshot);
+        log::info!(version = snapshot.version(), records = records.len(); "renewing the bundle");
+        tokio::spawn(async move {
+            for record in records {
+                let Ok(bytes) = record.encode() else { break };
+                // A part that may be missing leaves the checkpoint incomplete;
+                // another try follows when no whole one shows.
+                if let Err(error) = io.log.append(STREAM, Bytes::from(bytes)).await {
+                    log::warn!(error:% = error; "bundle not renewed");
+                    break;
+                }
+            }
+            drop(io.events.send(Event::Renewed).await);
+        });
+    }
+
+    fn renewal(&self, now: Moment) -> View {
+        let snapshot = Arc::clone(&self.shared.snapshot().view);
+        let own = self.shared.local();
+        let before = snapshot.instances().take_while(|i| i.id != own).count();
+        View {
+            now,
+            retention: self.shared.settings.platform.retention,
+            anchor: self.fold.anchor(),
+            next: self.fold.wanted(),
+            tried: self.renewed,
+            rank: u32::try_from(before).unwrap_or(u32::MAX),
+        }
+    }
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -81,6 +81,8 @@
     pub list: SocketAddr,
     /// The weight store.
     pub weights: Option<SocketAddr>,
+    /// How long the log keeps records; the bundle is renewed well before.
+    pub retention: Duration,
 }
 
 /// Bounds on what callers may send.
@@ -225,6 +227,7 @@
         if let Some(weights) = self.platform.weights {
             writeln!(to, "  weights: {weights}")?;
         }
+        writeln!(to, "  retention: {}ms", self.platform.retention.as_millis())?;
         writeln!(to, "root_keys:")?;
         for key in &self.root_keys {
             writeln!(to, "  - {}", STANDARD.encode(key))?;
--- a/crates/router/src/settings/read.rs
+++ b/crates/router/src/settings/read.rs
@@ -12,6 +12,10 @@
 use super::low::{Level, Mistake, duration};
 use super::{Limits, Listen, PUBLIC_KEY_BYTES, Platform, Settings};
 
+/// The log's retention unless the settings say otherwise: the shortest that
+/// still leaves its outages of half an hour room.
+const RETENTION: Duration = Duration::from_hours(1);
+
 /// The balancer's lag unless the settings say otherwise: a probe every few
 /// seconds that has to fail twice.
 const BALANCER_LAG: Duration = Duration::from_secs(5);
@@ -42,7 +46,7 @@
     "threads",
 ];
 const LISTEN: [&str; 3] = ["callers", "peers", "operators"];
-const PLATFORM: [&str; 3] = ["log", "list", "weights"];
+const PLATFORM: [&str; 4] = ["log", "list", "weights", "retention"];
 const LIMITS: [&str; 3] = ["head_bytes", "body_bytes", "streams"];
 
 const NAME: &str = "a name of letters, digits, `-`, `_` and `.`, such as otaru-1";
@@ -115,11 +119,13 @@
     let log = level.required("log", ADDRESS, address, mistakes);
     let list = level.required("list", ADDRESS, address, mistakes);
     let weights = level.optional("weights", ADDRESS, address, mistakes);
+    let retention = level.optional("retention", DURATION, duration, mistakes);
     level.finish(&PLATFORM, mistakes);
     Some(Platform {
         log: log?.value,
         list: list?.value,
         weights: weights.map(|taken| taken.value),
+        retention: retention.map_or(RETENTION, |taken| taken.value),
     })
 }
 
--- a/crates/router/tests/router/callers.rs
+++ b/crates/router/tests/router/callers.rs
@@ -2,8 +2,10 @@
 
 use godwitpost_platform::connect::Body;
 use http::Request;
+use http_body_util::BodyExt as _;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 
-use crate::fleet::{Fleet, Size, chat, full, outcome};
+use crate::fleet::{Fleet, Size, chat, full, outcome, words};
 
 const SIZE: Size = Size {
     routers: 1,
@@ -125,3 +127,23 @@
     assert_eq!(bundle["version"], 1);
     assert_eq!(bundle["root"].as_str().map(str::len), Some(64));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn http2_callers_are_served_too() {
+    let fleet = Fleet::start(SIZE).await;
+    let address = fleet.routers[0].callers_address();
+    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+            .await
+            .unwrap();
+    tokio::spawn(connection);
+    let (parts, body) = chat("ice lines", 4).into_parts();
+    let uri = format!("http://{address}{}", parts.uri);
+    let mut request = Request::post(uri).body(body).unwrap();
+    *request.headers_mut() = parts.headers;
+    let response = sender.send_request(request).await.unwrap();
+    assert_eq!(response.status(), 200);
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(words(&body).len(), 4);
+}
--- a/crates/router/tests/router/faults.rs
+++ b/crates/router/tests/router/faults.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use godwitpost_bundle::key::Private;
-use godwitpost_standin::digest;
+use godwitpost_router::Running;
+use godwitpost_standin::{digest, log};
 use http_body_util::BodyExt as _;
 
 use crate::fleet::{Fleet, Size, chat, key, order, outcome, until, words};
@@ -244,3 +245,26 @@
     let crashes: u64 = fleet.engines.iter().map(|e| e.incarnation() - 1).sum();
     assert_eq!(crashes, 2);
 }
+
+// The log drops records after a while. All routers are replaced at once, and
+// none has kept anything: the bundle must still be there to be found.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bundle_outlives_its_record_and_all_routers() {
+    let faults = log::Faults {
+        retention: Duration::from_secs(3),
+        ..log::Faults::default()
+    };
+    let mut fleet = Fleet::start_with(SIZE, faults).await;
+    until("the first record has expired", async || {
+        let records = fleet.log.records("bundles");
+        records.first().is_some_and(|record| record.offset > 0)
+    })
+    .await;
+    fleet.routers.drain(..).for_each(Running::kill);
+    fleet.add_router(4, &Private::from_seed(&[3; 32]));
+    let late = fleet.routers[0].callers_address();
+    until("a router without memory is ready", async || {
+        fleet.get(late, "/readyz").await.0 == 200
+    })
+    .await;
+}
--- a/crates/router/tests/router/fleet.rs
+++ b/crates/router/tests/router/fleet.rs
@@ -51,8 +51,13 @@
 impl Fleet {
     /// Starts a fleet and returns when each router is ready.
     pub(crate) async fn start(size: Size) -> Self {
+        Self::start_with(size, log::Faults::default()).await
+    }
+
+    /// Starts a fleet with a log that has faults.
+    pub(crate) async fn start_with(size: Size, faults: log::Faults) -> Self {
         let key = Private::from_seed(&[3; 32]);
-        let log = log::start(any(), log::Faults::default()).await.unwrap();
+        let log = log::start(any(), faults).await.unwrap();
         let list = list::start(any(), list::Faults::default()).await.unwrap();
         // Nobody may read half of the list: who joins later is on probation.
         list.faults().change(|faults| faults.down = true);
@@ -119,7 +124,7 @@
 region: hokkaido
 fleet: kitakaze
 listen: {{ callers: '127.0.0.1:0', peers: '127.0.0.1:0', operators: '127.0.0.1:0' }}
-platform: {{ log: '{}', list: '{}' }}
+platform: {{ log: '{}', list: '{}', retention: {}ms }}
 root_keys: ['{root}']
 fleet_key: {FLEET_KEY}
 limits: {{ body_bytes: 100000 }}
@@ -129,6 +134,7 @@
             ZONES[n % ZONES.len()],
             self.log.address(),
             self.list.address(),
+            self.log.faults().get().retention.as_millis(),
         ))
         .unwrap()
     }
