standin: a stream held for its caller leaves its slot

An engine kept the slot of a finished request for the two seconds in which its caller may resume the stream. Sixteen slots then ran eight requests a second and whole fleets stood still for up to 1.7 s with every engine idle. The slot is given back at the end; the test needs two held streams on one slot and failed before.

--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -141,7 +141,7 @@
 
     async fn run(self, job: Arc<Job>, plan: Plan) {
         let slots = lock(&self.state).slots.clone();
-        let _slot = slots.acquire(plan.priority).await;
+        let slot = slots.acquire(plan.priority).await;
         let cached = self.begin(&job, &plan);
         if plan.crashes {
             self.crash(self.faults.get().down_for);
@@ -162,6 +162,7 @@
             cached,
         ));
         self.end(&job, End::Finished);
+        drop(slot);
         // A caller that was cut off just before the end may still come back.
         sleep(self.settings.hold).await;
         self.forget(&job);
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -245,3 +245,20 @@
     ];
     assert_eq!(kinds, all);
 }
+
+/// An engine that keeps a finished stream for its caller to resume must not
+/// keep the slot as well: the next request would wait for the whole hold, and
+/// an engine of 16 slots would run eight requests a second at most.
+#[tokio::test]
+async fn a_finished_stream_that_is_held_leaves_its_slot() {
+    let settings = Settings {
+        slots: 1,
+        hold: 2 * TIMEOUT,
+        ..quick()
+    };
+    let running = start(settings, Faults::default()).await;
+    for id in ["first", "second"] {
+        let response = chat(&running, id, WHOLE).await;
+        assert_eq!(response.expect("an answer").status(), StatusCode::OK);
+    }
+}
