demo: brings a whole fleet up, loads it and judges its history

For each of the two deployments: log, list, ten engines, five back ends and six routers over four zones in one process; a signed first bundle, a mixed load, a second version mid-way, a graceful stop and a kill, then the table and the verdict of the history checker.

--- a/crates/demo/src/balancer.rs
+++ b/crates/demo/src/balancer.rs
@@ -27,6 +27,11 @@
         self.lock().choose(rng).cloned()
     }
 
+    /// Learns of an instance.
+    pub fn learn(&self, target: Target) {
+        self.lock().push(target);
+    }
+
     /// Forgets an instance that left.
     pub fn forget(&self, name: &str) {
         self.lock().retain(|target| target.name != name);
--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use godwitpost_history::event::{CallId, Dispatch, End, Got, Sent, What};
 use godwitpost_history::recorder::Recorder;
-use godwitpost_types::id;
 use godwitpost_types::outcome::Outcome;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
@@ -22,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::answer;
+
 /// Longest head and body of an answer that a caller waits for. Streams of the
 /// demo last a second or two; the rest is a machine under load.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -103,17 +104,11 @@
     seen
 }
 
-/// Returns what tells an answer apart: the hash of its bytes in hexadecimal.
-#[must_use]
-pub fn digest(body: &[u8]) -> String {
-    format!("{:016x}", id::of(&String::from_utf8_lossy(body)))
-}
-
 // A router's own answers are errors in JSON; what an endpoint answers has the
 // outcome *ran* and is relayed with its status.
 fn answer(seen: &Seen) -> Option<String> {
     let from_endpoint = seen.outcome == Some(Outcome::Ran) && seen.status == Some(200);
-    from_endpoint.then(|| digest(&seen.body))
+    from_endpoint.then(|| answer::of_body(&seen.body))
 }
 
 async fn exchange(
--- /dev/null
+++ b/crates/demo/src/fleet/watch.rs
@@ -0,0 +1,106 @@
+//! What a router says of itself on its operators' port.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_history::event::{InForce, What};
+use godwitpost_history::recorder::Recorder;
+use godwitpost_platform::connect::{self, Connector};
+use godwitpost_types::id::Version;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use serde::Deserialize;
+use serde_json::Value;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// How often the version in force is asked for.
+pub(super) const PAUSE: Duration = Duration::from_millis(20);
+
+/// How long an answer on the operators' port may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Follows the version in force at one router until it is dropped.
+#[derive(Debug)]
+pub(super) struct Watch {
+    version: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Deserialize, PartialEq, Eq)]
+struct Held {
+    version: Version,
+    root: String,
+}
+
+impl Watch {
+    pub(super) fn start(recorder: Recorder, instance: String, address: SocketAddr) -> Self {
+        let version = Arc::new(AtomicU64::new(0));
+        let seen = Arc::clone(&version);
+        let task = tokio::spawn(async move {
+            let connector = Connector::new(connect::Settings::default());
+            let mut last = None;
+            loop {
+                let held = held(&connector, address).await;
+                if let Some(now) = held.filter(|now| now.version > 0 && last.as_ref() != Some(now))
+                {
+                    recorder.record(What::BundleInForce(InForce {
+                        instance: instance.clone(),
+                        version: now.version,
+                        root: now.root.clone(),
+                    }));
+                    seen.store(now.version, Ordering::Release);
+                    last = Some(now);
+                }
+                sleep(PAUSE).await;
+            }
+        });
+        Self { version, task }
+    }
+
+    /// Returns the version last seen in force; 0 for none.
+    pub(super) fn version(&self) -> Version {
+        self.version.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Returns how many endpoints a router knows.
+pub(super) async fn endpoints(address: SocketAddr) -> usize {
+    let connector = Connector::new(connect::Settings::default());
+    let answer = get(&connector, address, "/endpoints").await;
+    let answer = answer.and_then(|bytes| serde_json::from_slice::<Vec<Value>>(&bytes).ok());
+    answer.map_or(0, |endpoints| endpoints.len())
+}
+
+/// Returns the control bytes that a router has counted since its start.
+pub(super) async fn control_bytes(address: SocketAddr) -> f64 {
+    let connector = Connector::new(connect::Settings::default());
+    let text = get(&connector, address, "/metrics").await;
+    let text = String::from_utf8_lossy(&text.unwrap_or_default()).into_owned();
+    text.lines()
+        .filter(|line| line.starts_with("godwitpost_control_bytes"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+async fn held(connector: &Connector, address: SocketAddr) -> Option<Held> {
+    let answer = get(connector, address, "/bundle").await?;
+    serde_json::from_slice(&answer).ok()
+}
+
+async fn get(connector: &Connector, address: SocketAddr, path: &str) -> Option<Bytes> {
+    let body = Full::new(Bytes::new()).map_err(Into::into).boxed_unsync();
+    let request = Request::get(path).body(body).ok()?;
+    let response = connector.send(address, request, TIMEOUT).await.ok()?;
+    let collected = response.into_body().collect().await.ok()?;
+    Some(collected.to_bytes())
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -5,10 +5,15 @@
 //! that resend as `docs/CALLERS.md` tells them to, and a history of all they
 //! did that [`godwitpost_history`] judges.
 
+pub mod answer;
 pub mod balancer;
 pub mod caller;
 pub mod cli;
 pub mod deployment;
+pub mod error;
+pub mod fleet;
+pub mod key;
 pub mod load;
 pub mod plan;
 pub mod report;
+pub mod run;
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -1,8 +1,8 @@
 //! Callers that hold the planned sessions, as `docs/CALLERS.md` tells them to.
 //!
 //! A call that was not run is sent again, and so is one whose answer broke.
-//! An order is always sent again under its key: the key makes a resend a
-//! question about the first, and never a second order.
+//! An order whose fate is not known is sent again under its key: the key makes
+//! a resend a question about the first, and never a second order.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -11,22 +11,23 @@
 use bytes::Bytes;
 use godwitpost_history::event::{CallId, End};
 use godwitpost_history::recorder::Recorder;
+use godwitpost_platform::clock::Clock;
 use godwitpost_types::outcome::Outcome;
 use http::Method;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::answer;
 use crate::balancer::Balancer;
 use crate::caller::{self, Ask, Seen};
 use crate::deployment::Deployment;
+use crate::key;
 use crate::plan::{Chat, Lookup, Order, Session};
 use crate::report::Report;
 
-mod stream;
-
 /// Sends of one request at most. Six outlast a hard kill and a short outage
 /// with the pauses between them.
 const SENDS: u64 = 6;
@@ -43,6 +44,7 @@
     deployment: Deployment,
     recorder: Recorder,
     balancer: Arc<Balancer>,
+    clock: Clock,
     seed: u64,
     next_call: AtomicU64,
     done: watch::Sender<u64>,
@@ -67,6 +69,7 @@
             deployment,
             recorder,
             balancer,
+            clock: Clock::start(),
             seed,
             // A trace id of zero is invalid.
             next_call: AtomicU64::new(1),
@@ -137,8 +140,8 @@
                 path: "/v1/chat/completions".to_owned(),
                 body: Bytes::from(body.to_string()),
             };
-            let seen = self.settle(0, &ask, rng).await;
-            let said = stream::text(&seen.body);
+            let seen = self.settle(0, ask, rng).await;
+            let said = answer::streamed(&String::from_utf8_lossy(&seen.body));
             messages.push(json!({ "role": "assistant", "content": said }));
             let think = rng.random_range(THINK_MILLIS);
             tokio::time::sleep(Duration::from_millis(think)).await;
@@ -152,12 +155,12 @@
             job: order.key.clone(),
             workspace: order.workspace.clone(),
             chat: None,
-            key: Some(order.key.clone()),
+            key: Some(self.key(rng)),
             method: Method::POST,
             path: self.deployment.order_path.to_owned(),
             body: Bytes::from(body.to_string()),
         };
-        self.settle(1, &ask, rng).await
+        self.settle(1, ask, rng).await
     }
 
     async fn lookup(&self, lookup: &Lookup, rng: &mut ChaCha8Rng) -> Seen {
@@ -170,25 +173,39 @@
             path: format!("{}/{}", self.deployment.lookup_path, lookup.item),
             body: Bytes::new(),
         };
-        self.settle(2, &ask, rng).await
+        self.settle(2, ask, rng).await
     }
 
     /// Sends a request until its fate is settled or patience ends.
-    pub async fn settle(&self, class: usize, ask: &Ask, rng: &mut ChaCha8Rng) -> Seen {
+    pub async fn settle(&self, class: usize, mut ask: Ask, rng: &mut ChaCha8Rng) -> Seen {
         let class = self.deployment.classes[class];
         let mut sends = 0;
         let seen = loop {
-            let seen = self.send(class, ask, rng).await;
+            let seen = self.send(class, &ask, rng).await;
             sends += 1;
             if sends == SENDS || settled(&seen) {
                 break seen;
             }
+            self.rekey(&mut ask, &seen, rng);
             tokio::time::sleep(PAUSE * (1 << (sends - 1))).await;
         };
         self.done.send_modify(|done| *done += 1);
         seen
     }
 
+    // *Not run* is a promise, so the order may be placed anew under another
+    // key; the old key is as good unless it was spent. Callers do either.
+    fn rekey(&self, ask: &mut Ask, seen: &Seen, rng: &mut ChaCha8Rng) {
+        let told = seen.end == End::Whole && seen.outcome == Some(Outcome::NotRun);
+        if told && ask.key.is_some() && rng.random_bool(0.5) {
+            ask.key = Some(self.key(rng));
+        }
+    }
+
+    fn key(&self, rng: &mut ChaCha8Rng) -> String {
+        key::draw(self.clock.now(), rng)
+    }
+
     async fn send(&self, class: &str, ask: &Ask, rng: &mut ChaCha8Rng) -> Seen {
         let call: CallId = self.next_call.fetch_add(1, Ordering::Relaxed);
         let to = self
@@ -199,6 +216,7 @@
         let whole = seen.end == End::Whole;
         let mut report = self.report();
         report.count(class, seen.outcome, whole);
+        report.refused(reason(&seen));
         if whole && seen.outcome == Some(Outcome::Ran) {
             report.time(class, seen.first.unwrap_or(seen.total), seen.total);
         }
@@ -206,6 +224,16 @@
     }
 }
 
+// Routers' own answers (RFC 9457) name their reason for programs as a type.
+fn reason(seen: &Seen) -> Option<String> {
+    if !matches!(seen.outcome, Some(Outcome::NotRun | Outcome::Unknown)) {
+        return None;
+    }
+    let problem: Value = serde_json::from_slice(&seen.body).ok()?;
+    let kind = problem.get("type")?.as_str()?;
+    kind.strip_prefix("urn:godwitpost:").map(str::to_owned)
+}
+
 // A whole answer that says *ran* is the end, whatever the endpoint said in it.
 // An unknown fate stays unknown: asking again tells no more.
 fn settled(seen: &Seen) -> bool {
--- a/crates/demo/src/report.rs
+++ b/crates/demo/src/report.rs
@@ -25,6 +25,8 @@
     pub fleet: String,
     /// Calls of each class by how they ended.
     pub calls: BTreeMap<String, Counts>,
+    /// Requests that were refused or lost, by the routers' reason.
+    pub reasons: BTreeMap<String, u64>,
     /// Time to the first byte and to the last, by class.
     pub latency: BTreeMap<String, Latency>,
     /// Prompt tokens that engines found in their caches, and all they got.
@@ -115,6 +117,13 @@
         }
     }
 
+    /// Counts a request that routers answered with a reason of their own.
+    pub fn refused(&mut self, reason: Option<String>) {
+        if let Some(reason) = reason {
+            *self.reasons.entry(reason).or_default() += 1;
+        }
+    }
+
     /// Takes down how long a call that ran took.
     pub fn time(&mut self, class: &str, first: Duration, last: Duration) {
         let latency = self
@@ -141,6 +150,7 @@
                 counts.ran, counts.not_run, counts.unknown, counts.broken
             )?;
         }
+        reasons(f, &self.reasons)?;
         writeln!(f, "  latency, ms      p50      p95      p99      max")?;
         for (class, latency) in &self.latency {
             row(f, class, "first byte", &latency.first)?;
@@ -170,6 +180,17 @@
     }
 }
 
+fn reasons(f: &mut fmt::Formatter<'_>, reasons: &BTreeMap<String, u64>) -> fmt::Result {
+    if reasons.is_empty() {
+        return Ok(());
+    }
+    write!(f, "  reasons      ")?;
+    for (reason, count) in reasons {
+        write!(f, " {reason} {count}")?;
+    }
+    writeln!(f)
+}
+
 fn row(f: &mut fmt::Formatter<'_>, class: &str, part: &str, times: &Histogram<u64>) -> fmt::Result {
     write!(f, "    {:<21}", format!("{class}, {part}"))?;
     let values = [0.5, 0.95, 0.99].map(|quantile| times.value_at_quantile(quantile));
