wire, router: answers name the instances that relayed them in Via

A stream that breaks has to be laid at the door of an instance on its way: its entry or its endpoint's owner. Each that relays an answer adds itself to the Via header, as RFC 9110 asks of proxies anyway, and the demo's callers write it into the history. A draft cut by the death of its owner was taken for one cut without a fault before.

--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -178,7 +178,8 @@
     Outcome::parse(value.to_str().ok()?)
 }
 
-// The caller learns from the head under which version its request went out.
+// The caller learns from the head under which version and which way its
+// request went out.
 fn dispatched(recorder: &Recorder, call: CallId, to: &Target, headers: &HeaderMap) {
     if outcome(headers) != Some(Outcome::Ran) {
         return;
@@ -186,12 +187,25 @@
     let version = headers
         .get("godwitpost-version")
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    if let Some(version) = version {
+    let Some(version) = version else {
+        return;
+    };
+    for instance in way(headers, to) {
         recorder.record(What::Dispatched(Dispatch {
             call,
-            instance: to.name.clone(),
-            endpoint: String::new(),
+            instance,
             version,
         }));
     }
 }
+
+// The instances that relayed an answer name themselves in its `Via`.
+fn way(headers: &HeaderMap, to: &Target) -> Vec<String> {
+    let via = headers.get_all("via").iter();
+    let names = via.filter_map(|value| value.to_str().ok()?.strip_prefix("1.1 "));
+    let way: Vec<String> = names.map(str::to_owned).collect();
+    if way.is_empty() {
+        return vec![to.name.clone()];
+    }
+    way
+}
--- a/crates/history/src/event.rs
+++ b/crates/history/src/event.rs
@@ -38,7 +38,7 @@
     CallerSent(Sent),
     /// A caller's request came to its end.
     CallerGot(Got),
-    /// A router is about to send a request to an endpoint.
+    /// An instance had a part in sending a request to an endpoint.
     Dispatched(Dispatch),
     /// An endpoint starts to run a request.
     RunStarted(Run),
@@ -158,15 +158,13 @@
     Unreached,
 }
 
-/// A router's dispatch of a request to an endpoint.
+/// An instance's part in sending a request to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
     /// The call.
     pub call: CallId,
-    /// The instance that dispatches it.
+    /// The instance, which took the request in or owns the endpoint.
     pub instance: Name,
-    /// The endpoint it goes to.
-    pub endpoint: Name,
     /// The bundle version it is handled under.
     pub version: Version,
 }
--- a/crates/history/src/script.rs
+++ b/crates/history/src/script.rs
@@ -50,7 +50,6 @@
         self.then(What::Dispatched(Dispatch {
             call,
             instance: instance.into(),
-            endpoint: "e1".into(),
             version,
         }))
     }
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -106,6 +106,7 @@
     headers.insert(header::VERSION, HeaderValue::from(version));
     let outcome = outcome(status);
     headers.insert(header::OUTCOME, HeaderValue::from_static(outcome.as_str()));
+    header::add_via(headers, &shared.settings.name);
     Ok((response, permit))
 }
 
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -98,7 +98,10 @@
     };
     let attempt = head.attempt;
     let (kind, mut response) = match owner::serve(shared, Job { head, body }).await {
-        Attempt::Answered(response) => (Kind::Relayed, response),
+        Attempt::Answered(mut response) => {
+            header::add_via(response.headers_mut(), &shared.settings.name);
+            (Kind::Relayed, response)
+        }
         Attempt::Reply(reply) => {
             let bytes = rmp_serde::to_vec(&reply).unwrap_or_default();
             (Kind::Reply, Response::new(body::full(Bytes::from(bytes))))
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -4,7 +4,8 @@
 //! A caller that sends one is not refused, but the header is taken off before
 //! anything reads it, so it can't be mistaken for an instance.
 
-use http::{HeaderMap, HeaderName};
+use http::header::VIA;
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// The workspace that a request is for. Required.
 pub const WORKSPACE: HeaderName = HeaderName::from_static("godwitpost-workspace");
@@ -59,6 +60,15 @@
     internal.len()
 }
 
+/// Adds an instance to the `Via` header of an answer that it relays (RFC 9110,
+/// section 7.6.3), so that a caller can say which way its request went.
+pub fn add_via(headers: &mut HeaderMap, instance: &str) {
+    // A name that is no header value has nobody to tell; settings allow none.
+    if let Ok(value) = HeaderValue::try_from(format!("1.1 {instance}")) {
+        headers.append(VIA, value);
+    }
+}
+
 /// Headers that belong to one connection and are never relayed (RFC 9110,
 /// section 7.6.1).
 const CONNECTION_BOUND: [&str; 9] = [
