decide: what waits where nothing is owned moves on at the next tick

A request with its forwards used up, sent by an instance whose list lags, was queued at a leaving owner after that had given its endpoints up. Only a change of view moved such requests, and no end of another ever woke them: in the demo's graceful stop up to six drafts waited 20 s with engines idle, until their deadline or the process's end cut them.

--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -423,8 +423,8 @@
         }
     }
 
-    /// Lets time pass: refuses what waited too long, tries closed endpoints
-    /// again. Called about every 100 ms.
+    /// Lets time pass: refuses what waited too long, moves on what came here
+    /// by mistake, tries closed endpoints again. Called about every 100 ms.
     pub fn tick(&mut self, now: Moment) -> Vec<Wake> {
         self.means.expire(now);
         self.quarantine.expire(now);
@@ -432,6 +432,10 @@
             book.health.handle(health::Event::Tick(now));
         }
         let mut wakes = self.time_out(now);
+        // An instance that lags may still send here what this one no longer
+        // owns. With its forwards used up such a request waits here, where no
+        // end of another would ever wake it.
+        wakes.extend(self.evict(now));
         wakes.extend(self.drain(now));
         wakes
     }
--- a/crates/decide/tests/owner.rs
+++ b/crates/decide/tests/owner.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use godwitpost_decide::ending::Ending;
-use godwitpost_decide::hop::Hop;
+use godwitpost_decide::hop::{Hop, MOST};
 use godwitpost_decide::owner::{Grant, Next, Owner};
+use godwitpost_decide::view::View;
 use godwitpost_types::clock::Moment;
+use godwitpost_types::endpoint::Standing;
 use godwitpost_types::request::Request;
 
 const NOW: Moment = Duration::from_secs(100);
@@ -66,3 +68,34 @@
     assert!(matches!(wakes[0].next, Next::Dispatch(_)));
     assert!(!owner.cancel(ticket));
 }
+
+// A caption brief is not begun for twenty seconds though engines idle. A
+// router is stopped while its endpoint is full; another whose list lags still
+// takes it for the owner of the least loaded endpoint and sends it a request
+// with its forwards used up. The request waits there, and since nothing there
+// is owned any more, no end of another ever wakes it.
+#[test]
+fn request_that_waits_where_nothing_is_owned_moves_on() {
+    let mut owner = lone_owner(1);
+    for chat in 0..4 {
+        grant(&offer(&mut owner, &fleet::request(chat)));
+    }
+    let mut leaving = fleet::instance(0);
+    leaving.standing = Standing::Leaving;
+    let instances = [leaving, fleet::instance(1)];
+    let view = View::new(fleet::instance(0).id, instances, [fleet::runner(0)]);
+    let request = fleet::request(9);
+    let (endpoint, successor) = fleet::home(&view, &request);
+    owner.adopt(NOW, view.into(), fleet::policy());
+    let mut hop = Hop::first(0, endpoint);
+    hop.count = MOST + 1;
+    let Next::Wait { ticket, .. } = owner.offer(NOW, &request, &hop) else {
+        panic!("on a full endpoint with its forwards used up it has to wait");
+    };
+    let wakes = owner.tick(NOW + Duration::from_millis(50));
+    let next = wakes.iter().find(|wake| wake.ticket == ticket);
+    let Some(Next::Forward { instance, .. }) = next.map(|wake| &wake.next) else {
+        panic!("not moved on: {wakes:?}");
+    };
+    assert_eq!(*instance, successor);
+}
