--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -19,6 +19,7 @@
         }
     };
     part("claims", &claims::figures);
+    part("leases", &state::lease::figures);
     for size in state::membership::SIZES {
         part(&format!("membership.{size}"), &|| {
             state::membership::figures(size)
--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -5,5 +5,6 @@
 //! that its machines exchange, with the faults they are meant to bear.
 
 pub mod fleet;
+pub mod lease;
 pub mod log;
 pub mod membership;
--- a/crates/state/src/lease/holder.rs
+++ b/crates/state/src/lease/holder.rs
@@ -165,7 +165,7 @@
     pub fn page(&mut self, now: Moment, page: &Page) {
         self.reading = false;
         self.table.skip_to(page.first);
-        let before = self.table.current(self.pool).copied();
+        let before = self.table.busy_until(self.pool);
         for stored in &page.records {
             let record = Record::decode(&stored.body);
             self.table
@@ -174,7 +174,7 @@
                 self.met(now, stored.offset, &record);
             }
         }
-        if self.table.current(self.pool).copied() != before {
+        if self.table.busy_until(self.pool) != before {
             self.quiet_since = now;
         }
         let behind = self.table.next() < page.next;
@@ -201,12 +201,14 @@
         wanted.max(self.append_at)
     }
 
-    // When the lease that another holds has ended at the latest: its record is
-    // older than the moment it was first read at.
+    // When the lease that another holds, or may hold, has ended at the latest:
+    // its record is older than the moment it was first read at. Asking earlier
+    // would keep unsure readers unsure for ever, this one among them.
     fn free_at(&self) -> Moment {
-        match self.table.current(self.pool) {
-            Some(current) if current.until > self.table.time() => self.quiet_since + TERM,
-            _ => Moment::ZERO,
+        if self.table.busy_until(self.pool) > self.table.time() {
+            self.quiet_since + TERM
+        } else {
+            Moment::ZERO
         }
     }
 
--- a/crates/state/src/lease/table.rs
+++ b/crates/state/src/lease/table.rs
@@ -63,6 +63,16 @@
         self.current.get(&pool)
     }
 
+    /// Returns until when, on the log's clock, a lease of the pool runs or may
+    /// run unseen.
+    #[must_use]
+    pub fn busy_until(&self, pool: Pool) -> Moment {
+        match self.current.get(&pool) {
+            Some(current) => current.until,
+            None => self.unsure_until(pool),
+        }
+    }
+
     /// Goes on at `offset` because the records before it are gone.
     pub fn skip_to(&mut self, offset: Offset) {
         if offset > self.next {
@@ -166,7 +176,11 @@
         if self.current.contains_key(&pool) {
             return false;
         }
+        self.time < self.unsure_until(pool)
+    }
+
+    fn unsure_until(&self, pool: Pool) -> Moment {
         let until = self.unsure.get(&pool).copied();
-        self.time < until.unwrap_or(self.blind_until)
+        until.unwrap_or(self.blind_until)
     }
 }
