state: a claim that is given up always leaves its fate

A caller that sent its key again was often told *unknown* although its first attempt had been given up: the fate was written only when the claim was known to have won, and a claim still in flight won unseen. The holder now always tells the batcher, the fold takes the fate only from a winner, a batcher drops a claim that has not reached the log, and a holder answers for claims that it gave up itself.

--- a/crates/bench/src/claims.rs
+++ b/crates/bench/src/claims.rs
@@ -13,6 +13,8 @@
 pub mod weak;
 pub mod world;
 
+use godwitpost_types::outcome::Outcome;
+
 use crate::figure::{Bound, Figure};
 
 /// Schedules behind the figures.
@@ -33,6 +35,8 @@
     pub other: u64,
     /// Attempts told *not run*.
     pub told_not_run: u64,
+    /// Attempts told *unknown*.
+    pub told_unknown: u64,
 }
 
 impl Tally {
@@ -56,7 +60,8 @@
         let falsehoods = count(|fault| matches!(fault, history::Fault::FalseNotRun { .. }));
         self.attempts += history.attempts() as u64;
         self.runs += history.runs() as u64;
-        self.told_not_run += history.told_not_run() as u64;
+        self.told_not_run += history.told(Outcome::NotRun) as u64;
+        self.told_unknown += history.told(Outcome::Unknown) as u64;
         self.duplicated_runs += duplicated;
         self.false_not_run += falsehoods;
         self.other += faults.len() as u64 - duplicated - falsehoods;
@@ -86,6 +91,12 @@
             "attempts",
             Bound::Free,
         ),
+        Figure::new(
+            "claims.told_unknown",
+            count(tally.told_unknown),
+            "attempts",
+            Bound::Free,
+        ),
     ];
     figures.extend(weak::Weakness::all().map(|weakness| {
         let name = format!("claims.weak.{}.faulty_schedules", weakness.name());
--- a/crates/bench/src/claims/history.rs
+++ b/crates/bench/src/claims/history.rs
@@ -93,18 +93,14 @@
         self.count(|event| matches!(event, Event::Ran { .. }))
     }
 
-    /// Returns the number of attempts told *not run*.
+    /// Returns the number of attempts told an outcome.
     #[must_use]
-    pub fn told_not_run(&self) -> usize {
-        self.count(|event| {
-            matches!(
-                event,
-                Event::Told {
-                    outcome: Outcome::NotRun,
-                    ..
-                }
-            )
-        })
+    pub fn told(&self, wanted: Outcome) -> usize {
+        let told = self
+            .events
+            .iter()
+            .filter(|event| matches!(event, Event::Told { outcome, .. } if *outcome == wanted));
+        told.count()
     }
 
     /// Returns the broken promises.
--- a/crates/bench/src/claims/tests.rs
+++ b/crates/bench/src/claims/tests.rs
@@ -1,7 +1,9 @@
 //! The design keeps its promises, and each guard that it has is needed.
 //!
 //! The seeds below are schedules in which a version without one guard breaks a
-//! promise. The design itself has to pass the same schedules.
+//! promise: the first four of a thousand. The design itself has to pass the
+//! same schedules. A change of which messages the design sends changes every
+//! schedule after the first difference, so the seeds are then looked up again.
 
 use super::history::Fault;
 use super::weak::Weakness;
@@ -44,7 +46,7 @@
 /// claim there, while another batcher read the first one and let it run.
 #[test]
 fn a_batcher_without_read_back_of_lost_answers_is_caught() {
-    for seed in [9, 14, 17, 20] {
+    for seed in [8, 9, 14, 19] {
         broken(seed, Weakness::OwnMemory, duplicated);
     }
 }
@@ -54,7 +56,7 @@
 /// that another batcher wrote runs as well.
 #[test]
 fn a_lost_answer_taken_for_success_is_caught() {
-    for seed in [15, 19, 20, 22] {
+    for seed in [8, 15, 19, 20] {
         broken(seed, Weakness::LostMeansDone, duplicated);
     }
 }
@@ -63,7 +65,7 @@
 /// read what the old one appended and lets the resent booking run again.
 #[test]
 fn a_new_batcher_that_does_not_read_is_caught() {
-    for seed in [0, 9, 14, 17] {
+    for seed in [0, 8, 9, 14] {
         broken(seed, Weakness::NoReadBack, duplicated);
     }
 }
@@ -73,7 +75,7 @@
 /// request that it had given up.
 #[test]
 fn a_start_after_giving_up_is_caught() {
-    for seed in [3, 5, 7, 12] {
+    for seed in [0, 2, 3, 5] {
         broken(seed, Weakness::StartsAfterGivingUp, false_not_run);
     }
 }
@@ -83,7 +85,7 @@
 /// dead process's claim for its own.
 #[test]
 fn a_restart_in_the_same_incarnation_is_caught() {
-    for seed in [115, 164, 230, 315] {
+    for seed in [107, 115, 230, 276] {
         broken(seed, Weakness::SameIncarnation, duplicated);
     }
 }
@@ -92,7 +94,7 @@
 /// the window ended, and a new batcher takes the lost records for empty ones.
 #[test]
 fn truncation_that_goes_unseen_is_caught() {
-    for seed in [46, 139, 145, 154] {
+    for seed in [24, 46, 124, 136] {
         broken(seed, Weakness::TruncationUnseen, duplicated);
     }
 }
@@ -101,7 +103,7 @@
 /// dropped its claim, and nothing says how old its key is.
 #[test]
 fn a_key_without_its_time_of_issue_is_caught() {
-    for seed in [3, 28, 36, 47] {
+    for seed in [3, 5, 28, 36] {
         broken(seed, Weakness::Undated, duplicated);
     }
 }
--- a/crates/bench/src/claims/world/dispatch.rs
+++ b/crates/bench/src/claims/world/dispatch.rs
@@ -67,7 +67,7 @@
         match self.instances[node].holder.abandon(id) {
             Abandon::NotRun(fate) => {
                 self.forget(node, attempt);
-                self.fate(node, fate);
+                self.fate(node, Some(fate));
                 self.tell(attempt, Outcome::NotRun, Scope::Attempt);
             }
             Abandon::TooLate => self.tell(attempt, Outcome::Unknown, Scope::Attempt),
--- a/crates/router/src/relay/once.rs
+++ b/crates/router/src/relay/once.rs
@@ -223,9 +223,7 @@
     let abandoned = shared.claims.lock().holder.abandon(id);
     match abandoned {
         Abandon::NotRun(fate) => {
-            if let Some(fate) = fate {
-                tell(shared, fate);
-            }
+            tell(shared, fate);
             told(problem(Refusal::Deadline))
         }
         Abandon::TooLate => told(unknown()),
--- a/crates/state/src/claim/batcher.rs
+++ b/crates/state/src/claim/batcher.rs
@@ -173,8 +173,7 @@
     pub fn submit(&mut self, now: Moment, item: Item) {
         match item {
             Item::Claim(record) => self.submit_claim(now, record),
-            Item::Fate { .. } if self.queue.len() < LONGEST_QUEUE => self.queue.push_back(item),
-            Item::Fate { .. } => {}
+            Item::Fate { id, .. } => self.submit_fate(id, item),
         }
     }
 
@@ -267,6 +266,15 @@
         }
     }
 
+    fn submit_fate(&mut self, id: Id, item: Item) {
+        // Its holder has given the claim up: nobody waits for the verdict, and
+        // a claim that is not in the log yet need not get there.
+        self.asked.remove(&id);
+        if self.queue.len() < LONGEST_QUEUE {
+            self.queue.push_back(item);
+        }
+    }
+
     fn submit_claim(&mut self, now: Moment, record: Record) {
         if self.asked.contains_key(&record.id) {
             return;
--- a/crates/state/src/claim/batcher/tests.rs
+++ b/crates/state/src/claim/batcher/tests.rs
@@ -186,3 +186,23 @@
     assert_eq!(batcher.next(at(1)), Next::Wait(Some(at(50))));
     assert!(matches!(batcher.next(at(50)), Next::Append { .. }));
 }
+
+/// A caller gives up while its claim waits for a batch. Appending it all the
+/// same would only spend the key.
+#[test]
+fn a_claim_that_was_given_up_is_not_appended() {
+    let mut batcher = ready(claim(1, 7));
+    let gone = claim(2, 8);
+    batcher.submit(at(0), Item::Claim(gone));
+    let fate = Item::Fate {
+        key: gone.key,
+        id: gone.id,
+        outcome: godwitpost_types::outcome::Outcome::NotRun,
+    };
+    batcher.submit(at(0), fate);
+    let Next::Append { body, .. } = batcher.next(at(0)) else {
+        panic!("an append is due");
+    };
+    let items = vec![Item::Claim(claim(1, 7)), fate];
+    assert_eq!(batch::decode(&body), Ok(items));
+}
--- a/crates/state/src/claim/holder.rs
+++ b/crates/state/src/claim/holder.rs
@@ -16,10 +16,10 @@
 use super::key::Key;
 use super::{Id, Item, Record, Verdict};
 
-// Claims given up without a verdict that are remembered, so that a late
-// *claimed* can still be marked as not run in the log. A hundred seconds of a
-// dispatcher's share of claims at 5 a second; forgetting one only means that a
-// resend of its key is told *unknown*.
+// Claims given up that are remembered, so that a resend of their key is told
+// that it never ran though the log may not have heard. A hundred seconds of a
+// dispatcher's share of claims at 5 a second; forgetting one only means that
+// the resend is told *unknown*.
 const REMEMBERED: usize = 512;
 
 /// The claims of one dispatcher in one incarnation.
@@ -56,7 +56,7 @@
     Refuse {
         /// Why, and the outcome to tell.
         refusal: Refusal,
-        /// A fate to send to the batcher, if the claim had won.
+        /// A fate to send to the batcher, if the claim may be in the log.
         fate: Option<Item>,
     },
     /// The claim was given up before, and won: send this fate to the batcher,
@@ -69,9 +69,9 @@
 /// What giving up came to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Abandon {
-    /// The request never starts; *not run* may be told. A fate is to be sent
-    /// to the batcher if the claim had won.
-    NotRun(Option<Item>),
+    /// The request never starts; *not run* may be told. The fate is to be
+    /// sent to the batcher, for whoever comes with the key again.
+    NotRun(Item),
     /// It has started, or was never held here: its fate is unknown.
     TooLate,
 }
@@ -209,10 +209,17 @@
         match self.claims.get(&id.sequence) {
             None => Abandon::TooLate,
             Some(claim) if claim.stage == Stage::Started => Abandon::TooLate,
-            Some(_) => Abandon::NotRun(self.give_up(id)),
+            Some(_) => self.give_up(id).map_or(Abandon::TooLate, Abandon::NotRun),
         }
     }
 
+    /// Returns whether a claim was given up here, so that its request never
+    /// starts; for instances that met the claim as their key's winner.
+    #[must_use]
+    pub fn gave_up(&self, id: Id) -> bool {
+        self.owns(id) && self.given_up.contains_key(&id.sequence)
+    }
+
     /// Forgets a claim whose request ended and returns the fate to record, if
     /// it is known.
     pub fn finish(&mut self, id: Id, outcome: Outcome) -> Option<Item> {
@@ -260,46 +267,50 @@
         let refusal = match verdict {
             // It won, after the caller's deadline.
             Verdict::Claimed => Refusal::Deadline,
-            Verdict::Taken { fate, .. } => match fate {
-                Some(Outcome::Ran) => Refusal::Ran,
-                Some(Outcome::NotRun) => Refusal::Spent,
-                Some(Outcome::Unknown) | None => Refusal::Running,
-            },
+            Verdict::Taken { by, fate } => self.taken(by, fate),
             Verdict::OtherBody => Refusal::OtherBody,
             Verdict::Expired => Refusal::Expired,
             Verdict::Early => Refusal::Early,
             Verdict::Unavailable => Refusal::Unavailable,
         };
-        let claim = self.claims.remove(&id.sequence);
-        let record = claim.map(|claim| claim.record);
-        if verdict == Verdict::Unavailable
-            && let Some(record) = record
-        {
-            self.remember(record);
-        }
-        let won = record.filter(|_| verdict == Verdict::Claimed);
+        // What may be in the log without a fate: a claim that won too late, or
+        // that nobody could tell about.
+        let spent = match verdict {
+            Verdict::Claimed | Verdict::Unavailable => self.give_up(id),
+            _ => None,
+        };
+        self.claims.remove(&id.sequence);
         Step::Refuse {
             refusal,
-            fate: won.map(|record| fate(&record, Outcome::NotRun)),
+            fate: spent,
+        }
+    }
+
+    fn taken(&self, by: Id, fate: Option<Outcome>) -> Refusal {
+        match fate {
+            Some(Outcome::Ran) => Refusal::Ran,
+            Some(Outcome::NotRun) => Refusal::Spent,
+            // The log has not heard, but it was this holder's own claim.
+            None if self.gave_up(by) => Refusal::Spent,
+            Some(Outcome::Unknown) | None => Refusal::Running,
         }
     }
 
     fn late(&mut self, id: Id, verdict: Verdict) -> Step {
-        match self.given_up.remove(&id.sequence) {
+        match self.given_up.get(&id.sequence) {
             Some(record) if verdict == Verdict::Claimed => {
-                Step::Spent(fate(&record, Outcome::NotRun))
+                Step::Spent(fate(record, Outcome::NotRun))
             }
             _ => Step::Ignore,
         }
     }
 
+    // The claim may be in the log by now or later, so its fate is always told:
+    // the fold takes it only if the claim has won.
     fn give_up(&mut self, id: Id) -> Option<Item> {
         let claim = self.claims.remove(&id.sequence)?;
-        if claim.stage == Stage::Claimed {
-            return Some(fate(&claim.record, Outcome::NotRun));
-        }
         self.remember(claim.record);
-        None
+        Some(fate(&claim.record, Outcome::NotRun))
     }
 
     fn remember(&mut self, record: Record) {
--- a/crates/state/src/claim/holder/tests.rs
+++ b/crates/state/src/claim/holder/tests.rs
@@ -32,7 +32,7 @@
     let id = holder.open(&KEY, [0; 16], at(110)).id;
     assert_eq!(holder.verdict(at(101), id, Verdict::Claimed), Step::Claimed);
     assert!(!holder.start(at(110), id));
-    assert_eq!(holder.abandon(id), Abandon::NotRun(Some(not_run(id))));
+    assert_eq!(holder.abandon(id), Abandon::NotRun(not_run(id)));
     assert!(!holder.start(at(105), id));
 }
 
@@ -43,11 +43,33 @@
 fn a_verdict_after_giving_up_spends_the_key() {
     let mut holder = Holder::new(1, 1);
     let id = holder.open(&KEY, [0; 16], at(110)).id;
-    assert_eq!(holder.abandon(id), Abandon::NotRun(None));
+    assert_eq!(holder.abandon(id), Abandon::NotRun(not_run(id)));
     let step = holder.verdict(at(104), id, Verdict::Claimed);
     assert_eq!(step, Step::Spent(not_run(id)));
     assert!(!holder.start(at(104), id));
-    assert_eq!(holder.verdict(at(104), id, Verdict::Claimed), Step::Ignore);
+}
+
+/// A caller sends its key again and hears *unknown*, though the instance that
+/// it asks gave the key's winner up itself: the fate was lost on its way.
+#[test]
+fn a_holder_knows_what_it_gave_up_itself() {
+    let mut holder = Holder::new(1, 1);
+    let first = holder.open(&KEY, [0; 16], at(110)).id;
+    holder.abandon(first);
+    let second = holder.open(&KEY, [0; 16], at(120)).id;
+    let taken = Verdict::Taken {
+        by: first,
+        fate: None,
+    };
+    let step = holder.verdict(at(112), second, taken);
+    let refusal = Refusal::Spent;
+    assert_eq!(
+        step,
+        Step::Refuse {
+            refusal,
+            fate: None
+        }
+    );
 }
 
 /// An order runs twice after its dispatcher restarted: a verdict for the dead
