router: the list by its changes, and control bytes as they pass

The list was read whole each few seconds and control bytes were summed from bodies. Now the list is followed by its changes, and each kind of control traffic has a connector of its own whose bytes are counted on the wire.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -8,6 +8,7 @@
 
 mod batchers;
 pub(crate) mod bundles;
+mod cost;
 pub(crate) mod gossip;
 mod probe;
 mod publish;
@@ -19,7 +20,7 @@
 use bytes::Bytes;
 use godwitpost_bundle::blob::Digest;
 use godwitpost_bundle::fold::Fold;
-use godwitpost_platform::connect::Connector;
+use godwitpost_platform::connect::{self, Connector};
 use godwitpost_platform::list::{self, Listing};
 use godwitpost_platform::log;
 use godwitpost_platform::timer::Timer;
@@ -33,7 +34,6 @@
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::metrics::Traffic;
 use crate::random;
 use crate::shared::Shared;
 use batchers::Batchers;
@@ -110,13 +110,16 @@
     renewed: Option<Moment>,
     published: publish::Published,
     probes: probe::Probes,
+    costs: cost::Costs,
     rng: StdRng,
 }
 
 /// What control's tasks need for their calls.
 #[derive(Clone)]
 pub(crate) struct Io {
-    connector: Connector,
+    peers: Connector,
+    probes: Connector,
+    platform: Connector,
     log: log::Client,
     events: mpsc::Sender<Event>,
     timer: Timer,
@@ -127,16 +130,14 @@
     fn now(&self) -> Moment {
         self.shared.now()
     }
-
-    fn count(&self, traffic: Traffic, bytes: usize) {
-        self.shared.metrics.control(traffic, bytes);
-    }
 }
 
 impl Control {
     pub(crate) fn new(shared: Arc<Shared>, own: godwitpost_types::instance::Instance) -> Self {
         let settings = &shared.settings;
-        let connector = Connector::new(godwitpost_platform::connect::Settings::default());
+        // One for each kind of control traffic, since each counts its bytes.
+        let connector = || Connector::new(connect::Settings::default());
+        let platform = connector();
         let now = shared.now();
         let roots = settings.root_keys.iter().copied().map(Digest);
         Self {
@@ -150,12 +151,15 @@
             renewed: None,
             published: publish::Published::new(own),
             probes: probe::Probes::default(),
+            costs: cost::Costs::default(),
             rng: random::generator(),
             io: Io {
-                log: log::Client::new(connector.clone(), settings.platform.log, PLATFORM),
+                log: log::Client::new(platform.clone(), settings.platform.log, PLATFORM),
                 events: shared.control.clone(),
                 timer: Timer::new(now),
-                connector,
+                peers: connector(),
+                probes: connector(),
+                platform,
                 shared: Arc::clone(&shared),
             },
             shared,
@@ -166,7 +170,7 @@
     pub(crate) async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         tokio::spawn(self.io.timer.clone().drive(self.shared.clock));
         let settings = &self.shared.settings;
-        let list = list::Client::new(self.io.connector.clone(), settings.platform.list, PLATFORM);
+        let list = list::Client::new(self.io.platform.clone(), settings.platform.list, PLATFORM);
         tokio::spawn(probe::list(self.io.clone(), list));
         tokio::spawn(bundles::follow(self.io.clone()));
         let mut ticks = self.io.timer.every(TICK);
@@ -216,6 +220,7 @@
         self.probe(now);
         self.renew(now);
         self.pump_batchers(now);
+        self.count();
     }
 
     // At the letter's size a picture takes a millisecond to compare, so it is
--- a/crates/router/src/control/bundles.rs
+++ b/crates/router/src/control/bundles.rs
@@ -16,7 +16,6 @@
 
 use super::{Control, Event, Io, PLATFORM};
 use crate::body;
-use crate::metrics::Traffic;
 use crate::relay::peer;
 use crate::shared::Shared;
 
@@ -84,7 +83,7 @@
         let (shared, io) = (Arc::clone(&self.shared), self.io.clone());
         let version = self.fold.version();
         tokio::spawn(async move {
-            let bytes = fetch(&shared, &io.connector, &instance, version).await;
+            let bytes = fetch(&shared, &io.peers, &instance, version).await;
             drop(io.events.send(Event::Fetched(bytes)).await);
         });
     }
@@ -142,6 +141,5 @@
     }
     let read = body::collect(response.into_body(), BUNDLE_BYTES);
     let bytes = tokio::time::timeout(PLATFORM, read).await.ok()?.ok()?;
-    shared.metrics.control(Traffic::Peers, bytes.len());
     Some(bytes)
 }
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -56,7 +56,7 @@
             let bytes = self.message(now, peer);
             let (shared, io) = (Arc::clone(&self.shared), self.io.clone());
             tokio::spawn(async move {
-                let said = match exchange(&shared, &io.connector, &instance, bytes).await {
+                let said = match exchange(&shared, &io.peers, &instance, bytes).await {
                     Exchange::Answered(message, bytes) => Some((message, bytes)),
                     Exchange::Deferred => return,
                     Exchange::Unreachable => None,
@@ -68,11 +68,13 @@
 
     /// Takes a peer's message; returns ours unless the budget forbids.
     pub(super) fn asked(&mut self, now: Moment, message: &Message, bytes: usize) -> Option<Bytes> {
-        self.count(bytes);
         let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
         let news = self.pump.asked(now, bytes, message, roster, endpoints)?;
         self.learn(message.from.id, &news);
-        Some(self.message(now, message.from.id))
+        let said = self.message(now, message.from.id);
+        let cost = (bytes + said.len()) as u64 + 2 * super::GOSSIP_HEADERS;
+        self.shared.metrics.control(Traffic::Peers, cost);
+        Some(said)
     }
 
     /// Takes what a peer answered, or that it didn't.
@@ -86,7 +88,6 @@
             self.roster.unreachable(now, peer);
             return;
         };
-        self.count(bytes);
         let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
         let news = self.pump.answered(now, bytes, &message, roster, endpoints);
         self.learn(peer, &news);
@@ -97,16 +98,9 @@
         let loads: Vec<Load> = summaries.iter().map(load).collect();
         let bytes = self.pump.message(to, &self.roster, &loads).encode();
         self.pump.sent(bytes.len());
-        self.count(bytes.len());
         Bytes::from(bytes)
     }
 
-    // Counts one message, sent or received, with its headers.
-    fn count(&self, bytes: usize) {
-        let headers = usize::try_from(super::GOSSIP_HEADERS).unwrap_or(0);
-        self.shared.metrics.control(Traffic::Peers, bytes + headers);
-    }
-
     fn learn(&mut self, peer: InstanceId, news: &News) {
         if let Some(version) = news.version {
             self.heard(peer, version);
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -5,7 +5,7 @@
 
 use godwitpost_decide::chats;
 use godwitpost_decide::view::Pool;
-use godwitpost_platform::list;
+use godwitpost_platform::list::{self, Watch};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Report, Standing};
 use godwitpost_types::id::{EndpointId, Incarnation, Offset};
@@ -15,20 +15,13 @@
 
 use super::{Control, Event, Io};
 use crate::body;
-use crate::metrics::Traffic;
 
-/// The least time between two readings of the list.
-const LIST: Duration = Duration::from_secs(1);
+/// How long the list holds a call while nothing in it changes.
+const LIST_WAIT: Duration = Duration::from_secs(5);
 
-/// The longest time between two readings of the list, whatever its size.
-const LIST_MOST: Duration = Duration::from_secs(30);
-
-/// Bytes a second that reading the list may cost; a quarter of the letter's 6
-/// KB. At 21 entries it is read each four seconds.
-const LIST_RATE: usize = 1_500;
-
-/// Bytes of one entry of the list, by measure of the stand-in's.
-const LIST_ENTRY: usize = 260;
+/// The pause after a call that failed, and between calls to a list that knows
+/// no revisions and so answers at once.
+const LIST_PAUSE: Duration = Duration::from_secs(1);
 
 /// Bytes a second that cache events of all owned engines may cost.
 const CACHE_RATE: usize = 1_000;
@@ -89,22 +82,23 @@
     work: u64,
 }
 
-/// Reads the list for ever.
+/// Follows the list for ever.
 pub(super) async fn list(io: Io, client: list::Client) {
+    let mut watch = Watch::new(client);
     loop {
-        let mut pause = LIST;
-        match client.fetch().await {
+        let listed = watch.next(LIST_WAIT).await;
+        let pause = listed.is_err() || !watch.waits();
+        match listed {
             Ok(listing) => {
-                let entries = listing.instances.len() + listing.endpoints.len();
-                io.count(Traffic::Platform, entries * LIST_ENTRY);
-                pause = spread(entries * LIST_ENTRY, LIST_RATE).clamp(LIST, LIST_MOST);
                 if io.events.send(Event::Listing(listing)).await.is_err() {
                     return;
                 }
             }
             Err(error) => log::debug!(error:% = error; "instance list not read"),
         }
-        io.timer.until(io.now() + pause).await;
+        if pause {
+            io.timer.until(io.now() + LIST_PAUSE).await;
+        }
     }
 }
 
@@ -240,7 +234,7 @@
 
 async fn get<T: DeserializeOwned>(io: &Io, endpoint: &Endpoint, path: &str) -> Option<(T, usize)> {
     let request = Request::get(path).body(body::full(bytes::Bytes::new()));
-    let sent = io.connector.send(endpoint.address, request.ok()?, WAIT);
+    let sent = io.probes.send(endpoint.address, request.ok()?, WAIT);
     let response = sent.await.ok()?;
     if response.status() != StatusCode::OK {
         return None;
@@ -248,7 +242,6 @@
     let read = body::collect(response.into_body(), PROBE_BYTES);
     let bytes = tokio::time::timeout(WAIT, read).await.ok()?.ok()?;
     let size = HEADS + path.len() + bytes.len();
-    io.count(Traffic::Probes, size);
     serde_json::from_slice::<T>(&bytes)
         .inspect_err(|error| {
             log::debug!(endpoint:% = endpoint.name, error:% = error; "probe can't be read");
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -143,13 +143,13 @@
     }
 
     /// Counts control bytes, sent and received.
-    pub fn control(&self, traffic: Traffic, bytes: usize) {
+    pub fn control(&self, traffic: Traffic, bytes: u64) {
         let to = match traffic {
             Traffic::Peers => "peers",
             Traffic::Platform => "platform",
             Traffic::Probes => "probes",
         };
-        self.control.add(bytes as u64, &[KeyValue::new("to", to)]);
+        self.control.add(bytes, &[KeyValue::new("to", to)]);
     }
 
     /// Moves the number of requests in flight.
--- a/crates/router/src/relay/peer.rs
+++ b/crates/router/src/relay/peer.rs
@@ -72,9 +72,7 @@
 pub(crate) async fn testify(shared: &Shared, instance: &Instance, evidence: &[Evidence]) {
     let bytes = Bytes::from(rmp_serde::to_vec(evidence).unwrap_or_default());
     let request = sealed(shared, instance, Method::POST, EVIDENCE, &bytes);
-    let sent = shared
-        .connector
-        .send(instance.peer_address, request, TESTIFY);
+    let sent = shared.side.send(instance.peer_address, request, TESTIFY);
     if let Err(error) = sent.await {
         log::debug!(instance:% = instance.name, error:% = error; "evidence not told");
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -15,7 +15,7 @@
 use godwitpost_decide::limit::Limits;
 use godwitpost_decide::view::View;
 use godwitpost_platform::clock::Clock;
-use godwitpost_platform::connect::Connector;
+use godwitpost_platform::connect::{self, Connector};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{InstanceId, Version};
 use godwitpost_types::policy::Policy;
@@ -52,8 +52,10 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
-    /// For traffic; control has one of its own on its own thread.
+    /// For requests on their way; its bytes are no control traffic.
     pub(crate) connector: Connector,
+    /// For control messages that traffic threads send, such as claims.
+    pub(crate) side: Connector,
     pub(crate) metrics: Metrics,
     pub(crate) desk: Desk,
     pub(crate) claims: Claims,
@@ -114,6 +116,7 @@
             settings,
             clock,
             connector,
+            side: Connector::new(connect::Settings::default()),
             metrics,
             control,
             snapshot: ArcSwap::from_pointee(snapshot),
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -118,7 +118,7 @@
     for chunk in locations.chunks(CHUNK) {
         let bytes = Bytes::from(rmp_serde::to_vec(chunk).unwrap_or_default());
         let request = peer::sealed(shared, instance, Method::POST, PATH, &bytes);
-        let sent = shared.connector.send(instance.peer_address, request, WAIT);
+        let sent = shared.side.send(instance.peer_address, request, WAIT);
         if let Err(error) = sent.await {
             log::warn!(instance:% = instance.name, error:% = error; "chats not handed over");
             return;
