state: a newcomer keeps peers whose earlier lives the list shows

Cause: six routers started as separate processes, with a list that named other incarnations than theirs. Each took its peers' first heartbeats for restarts and put them on probation, so for eight seconds a fresh router took itself for the owner of every endpoint. An order sent again through it met no kept answer and was told that it already ran. Ruled out: the peers' port and the batchers, which answered throughout.

Change: a greater incarnation ends in a restart only if the earlier one was seen alive by someone; until then the list was merely behind. A listed life that was leaving does not bind the next.

--- a/crates/state/src/membership/roster.rs
+++ b/crates/state/src/membership/roster.rs
@@ -65,6 +65,8 @@
     instance: Instance,
     machine: Machine,
     unlisted: Option<Moment>,
+    // Whether anyone but the list has shown this incarnation.
+    confirmed: bool,
 }
 
 impl Roster {
@@ -110,8 +112,9 @@
         }
         if heartbeat.incarnation > entry.instance.incarnation {
             // A restart that the list does not show yet.
-            entry.restart(now, heartbeat.incarnation, heartbeat.beat);
+            entry.succeed(now, heartbeat.incarnation, heartbeat.beat);
         }
+        entry.confirmed = true;
         let before = entry.state();
         entry.handle(Event::Alive {
             beat: heartbeat.beat,
@@ -137,8 +140,9 @@
         }
         let before = entry.state();
         if rumour.incarnation > entry.instance.incarnation {
-            entry.restart(now, rumour.incarnation, rumour.beat);
+            entry.succeed(now, rumour.incarnation, rumour.beat);
         }
+        entry.confirmed = true;
         entry.handle(told(rumour, now));
         self.note(rumour.id, before);
     }
@@ -229,7 +233,7 @@
         }
         let before = entry.state();
         if instance.incarnation > entry.instance.incarnation {
-            entry.restart(now, instance.incarnation, 0);
+            entry.succeed(now, instance.incarnation, 0);
         }
         entry.instance = instance.clone();
         if instance.standing == Standing::Leaving {
@@ -316,6 +320,22 @@
             instance,
             machine,
             unlisted: None,
+            confirmed: false,
+        }
+    }
+
+    /// Goes over to a greater incarnation.
+    ///
+    /// The failure: a router starts and takes the list as it is; the list lags
+    /// and shows earlier lives of its peers. Taking each first contact for a
+    /// restart would put every peer on probation, and the newcomer alone would
+    /// own all endpoints for that time. Only a life that was seen can end in a
+    /// restart; until then the list was merely behind.
+    fn succeed(&mut self, now: Moment, incarnation: Incarnation, beat: u64) {
+        if self.confirmed || self.state() != State::Live {
+            self.restart(now, incarnation, beat);
+        } else {
+            self.instance.incarnation = incarnation;
         }
     }
 
--- a/crates/state/src/membership/roster/tests.rs
+++ b/crates/state/src/membership/roster/tests.rs
@@ -236,3 +236,36 @@
         }
     }
 }
+
+/// A key that was sent again is told *already ran* and gets no replay. Its
+/// router has just started; the list shows earlier lives of all its peers.
+/// It takes their first heartbeats for restarts, puts every peer on probation
+/// and for eight seconds takes itself for the owner of all endpoints.
+#[test]
+fn a_list_that_shows_earlier_lives_leaves_no_newcomer_alone() {
+    let mut roster = three();
+    roster.heard(at(100), &beat(2, 7, 0));
+    let rumour = Rumour {
+        id: 3,
+        incarnation: 9,
+        beat: 0,
+        state: State::Live,
+    };
+    roster.rumour(at(100), &rumour);
+    assert_eq!(homes(&roster), [1, 2, 3]);
+
+    // A restart of a life that was seen still goes through its probation.
+    roster.heard(at(200), &beat(2, 8, 0));
+    assert_eq!(homes(&roster), [1, 3]);
+}
+
+/// A restarted instance never gets homes again: the list still shows its
+/// earlier life, which was leaving, and that sign is taken for the new life.
+#[test]
+fn an_earlier_life_that_was_leaving_does_not_bind_the_next() {
+    let mut roster = Roster::new(live(1));
+    let listed = [live(1), instance(2, 1, Standing::Leaving)];
+    roster.list(at(0), &listed);
+    roster.heard(at(100), &beat(2, 7, 0));
+    assert_eq!(roster.state(2), Some(State::Returning));
+}
