platform: one record tries for all while the log fails

Each waiting record paused and tried for itself, so an outage under many records cost the log as many tries a pause. A gate now lets one call through for each pause and opens for all when it works.

--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -9,6 +9,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod follower;
+pub mod gate;
 pub mod read;
 pub mod writer;
 
--- a/crates/platform/src/log/append.rs
+++ b/crates/platform/src/log/append.rs
@@ -38,6 +38,12 @@
             Self::Lost(_) | Self::Strange(_) | Self::Answer(_) => true,
         }
     }
+
+    /// Returns whether another try of the same record must fail as well.
+    #[must_use]
+    pub const fn is_permanent(&self) -> bool {
+        matches!(self, Self::Stream(_) | Self::Refused(_))
+    }
 }
 
 pub(super) fn from_connect(error: connect::Error) -> Error {
--- a/crates/platform/src/log/writer.rs
+++ b/crates/platform/src/log/writer.rs
@@ -6,6 +6,8 @@
 //! and one that is not found there is appended again, for if the first took
 //! effect late after all, every reader's fold treats the second as the same.
 //!
+//! While the log fails, one record at a time tries for all of them.
+//!
 //! Memory is bounded by refusal: what is accepted is never dropped, and what
 //! would exceed the bound is refused at once as not appended, the newest
 //! first, because its caller has waited least and can still do something else.
@@ -21,10 +23,12 @@
 use godwitpost_types::id::Offset;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
+use tokio::sync::Notify;
 
 use self::attempt::{Attempt, Found, Next};
 use super::backoff::Backoff;
 use super::budget::Budget;
+use super::gate::{Gate, Pass};
 use super::{Appended, Client, append, read};
 use crate::timer::Timer;
 
@@ -96,11 +100,14 @@
     timer: Timer,
     settings: Arc<Settings>,
     state: Arc<Mutex<State>>,
+    // Wakes those that the gate holds back when the log has worked again.
+    opened: Arc<Notify>,
 }
 
 #[derive(Debug)]
 struct State {
     budget: Budget,
+    gate: Gate,
     random: StdRng,
     records: usize,
     bytes: usize,
@@ -118,6 +125,7 @@
     pub fn new(client: Client, timer: Timer, settings: Settings) -> Self {
         let state = State {
             budget: Budget::new(settings.rate, settings.burst),
+            gate: Gate::new(Backoff::new(settings.least_pause, settings.most_pause)),
             random: StdRng::seed_from_u64(settings.seed),
             records: 0,
             bytes: 0,
@@ -128,6 +136,7 @@
             timer,
             settings: Arc::new(settings),
             state: Arc::new(Mutex::new(state)),
+            opened: Arc::default(),
         }
     }
 
@@ -158,12 +167,7 @@
                     self.timer.until(at).await;
                     self.try_append(stream, &body, &mut attempt).await
                 }
-                Next::ReadBack(at) => {
-                    self.timer.until(at).await;
-                    let found = self.find(stream, &body, from).await;
-                    let now = self.timer.now();
-                    attempt.read_back(now, found, &mut self.lock().random)
-                }
+                Next::ReadBack => self.try_read_back(stream, &body, from, &mut attempt).await,
                 Next::Done(appended) => return Ok(appended),
                 Next::Failed(error) => return Err(error),
             };
@@ -179,24 +183,103 @@
     }
 
     async fn try_append(&self, stream: &str, body: &Bytes, attempt: &mut Attempt) -> Next {
-        let now = self.timer.now();
-        let turn = self.lock().budget.take(now, attempt.deadline());
-        let Some(turn) = turn else {
+        if !self.turn(attempt.deadline()).await {
             return attempt.no_turn();
-        };
-        self.timer.until(turn).await;
+        }
         match self.client.append(stream, body.clone()).await {
             Ok(appended) => {
+                self.worked();
                 self.seen(stream, appended.offset + 1);
                 Next::Done(appended)
             }
             Err(error) => {
-                let now = self.timer.now();
-                attempt.failed(now, error, &mut self.lock().random)
+                if !error.is_permanent() {
+                    self.failed();
+                }
+                attempt.failed(self.timer.now(), error)
+            }
+        }
+    }
+
+    async fn try_read_back(
+        &self,
+        stream: &str,
+        body: &Bytes,
+        from: Offset,
+        attempt: &mut Attempt,
+    ) -> Next {
+        if !self.pass(attempt.deadline()).await {
+            return attempt.no_turn();
+        }
+        let found = self.find(stream, body, from).await;
+        match &found {
+            Ok(_) => self.worked(),
+            Err(error) => {
+                ::log::debug!(error:% = error; "reading back failed");
+                self.failed();
+            }
+        }
+        let now = self.timer.now();
+        attempt.read_back(now, found.ok(), &mut self.lock().random)
+    }
+
+    /// Waits for a turn within the budget at an open gate.
+    async fn turn(&self, deadline: Moment) -> bool {
+        loop {
+            if !self.pass(deadline).await {
+                return false;
+            }
+            let now = self.timer.now();
+            let Some(turn) = self.lock().budget.take(now, deadline) else {
+                return false;
+            };
+            if turn <= now {
+                return true;
+            }
+            // The log may fail before the turn has come; the turn is lost
+            // then, which costs nothing while there is an outage.
+            self.timer.until(turn).await;
+            if self.lock().gate.is_open() {
+                return true;
             }
         }
     }
 
+    /// Waits until the gate lets a call go; false if that is too late.
+    async fn pass(&self, deadline: Moment) -> bool {
+        loop {
+            // Made before the gate is asked, so that no opening is missed.
+            let opened = self.opened.notified();
+            let now = self.timer.now();
+            let pass = {
+                let state = &mut *self.lock();
+                state.gate.pass(now, &mut state.random)
+            };
+            match pass {
+                Pass::Go => return true,
+                Pass::At(at) if at > deadline => return false,
+                Pass::At(at) => {
+                    tokio::select! {
+                        () = self.timer.until(at) => {}
+                        () = opened => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn worked(&self) {
+        if self.lock().gate.worked() {
+            self.opened.notify_waiters();
+        }
+    }
+
+    fn failed(&self) {
+        let now = self.timer.now();
+        let state = &mut *self.lock();
+        state.gate.failed(now, &mut state.random);
+    }
+
     /// Looks for a record of these bytes from an offset to the stream's end.
     async fn find(&self, stream: &str, body: &Bytes, from: Offset) -> Result<Found, read::Error> {
         let mut next = from;
--- a/crates/platform/src/log/writer/attempt.rs
+++ b/crates/platform/src/log/writer/attempt.rs
@@ -8,15 +8,15 @@
 
 use super::Error;
 use crate::log::backoff::Backoff;
-use crate::log::{Appended, append, read};
+use crate::log::{Appended, append};
 
 /// What the writer does next.
 #[derive(Debug)]
 pub(super) enum Next {
     /// Append the record at a moment.
     Append(Moment),
-    /// Look for the record in the stream at a moment.
-    ReadBack(Moment),
+    /// Look for the record in the stream.
+    ReadBack,
     /// Report where the record is.
     Done(Appended),
     /// Give up.
@@ -58,59 +58,48 @@
     }
 
     /// An append failed.
-    pub(super) fn failed(
-        &mut self,
-        now: Moment,
-        error: append::Error,
-        random: &mut impl Rng,
-    ) -> Next {
+    pub(super) fn failed(&mut self, now: Moment, error: append::Error) -> Next {
         if error.may_have_taken_effect() {
             self.lost = Some(error);
-            return Next::ReadBack(now);
+            return Next::ReadBack;
         }
-        let permanent = matches!(error, append::Error::Stream(_) | append::Error::Refused(_));
+        let permanent = error.is_permanent();
         self.refused = Some(error);
-        if permanent {
+        if permanent || now > self.deadline {
             return self.give_up();
         }
-        self.after_pause(now, random, Next::Append)
+        Next::Append(now)
     }
 
     /// The stream was read back, or could not be.
+    ///
+    /// A record that isn't there is appended again after a pause, in which a
+    /// late effect may still show.
     pub(super) fn read_back(
         &mut self,
         now: Moment,
-        found: Result<Found, read::Error>,
+        found: Option<Found>,
         random: &mut impl Rng,
     ) -> Next {
         match found {
-            Ok(Found::There(appended)) => Next::Done(appended),
-            Ok(Found::Missing) => self.after_pause(now, random, Next::Append),
-            Err(error) => {
-                ::log::debug!(error:% = error; "reading back failed");
-                self.after_pause(now, random, Next::ReadBack)
+            Some(Found::There(appended)) => Next::Done(appended),
+            Some(Found::Missing) => {
+                let at = now + self.pauses.pause(random);
+                if at > self.deadline {
+                    return self.give_up();
+                }
+                Next::Append(at)
             }
+            None if now > self.deadline => self.give_up(),
+            None => Next::ReadBack,
         }
     }
 
-    /// The budget has no turn before the deadline.
+    /// No turn comes before the deadline.
     pub(super) fn no_turn(&mut self) -> Next {
         self.give_up()
     }
 
-    fn after_pause(
-        &mut self,
-        now: Moment,
-        random: &mut impl Rng,
-        next: fn(Moment) -> Next,
-    ) -> Next {
-        let at = now + self.pauses.pause(random);
-        if at > self.deadline {
-            return self.give_up();
-        }
-        next(at)
-    }
-
     fn give_up(&mut self) -> Next {
         Next::Failed(match (self.lost.take(), self.refused.take()) {
             (Some(lost), _) => Error::Unknown(lost),
--- a/crates/standin/tests/log_client.rs
+++ b/crates/standin/tests/log_client.rs
@@ -184,3 +184,53 @@
     };
     assert_eq!(records[0].offset, 1);
 }
+
+// Everything at once: answers lost, effects late, appends over the rate. Each
+// record that the writer calls appended must be there, and each that it calls
+// not appended must not be, now or once the late effects are in.
+#[tokio::test]
+async fn every_verdict_holds_on_a_log_with_all_its_faults() {
+    const RECORDS: usize = 300;
+    let fixture = Fixture::start(Faults {
+        lose_answers: 0.2,
+        late_effects: 0.1,
+        late_by: 30 * MS,
+        rate: 100.0,
+        ..Faults::default()
+    })
+    .await;
+    let writer = fixture.writer(RECORDS);
+    let deadline = fixture.timer.now() + 300 * MS;
+    let mut appends = Vec::new();
+    for number in 0..RECORDS {
+        let writer = writer.clone();
+        appends.push(tokio::spawn(async move {
+            let body = Bytes::from(format!("record {number}"));
+            let verdict = writer.append("claims", body.clone(), deadline).await;
+            (body, verdict)
+        }));
+    }
+    let mut verdicts = Vec::new();
+    for append in appends {
+        verdicts.push(append.await.expect("no panic"));
+    }
+    tokio::time::sleep(2 * 30 * MS).await;
+    let records = fixture.log.records("claims");
+    let mut refused = 0;
+    for (body, verdict) in verdicts {
+        match verdict {
+            Ok(appended) => assert_eq!(records[to_index(appended.offset)].body, body),
+            Err(Error::Unknown(_)) => {}
+            Err(error) => {
+                refused += 1;
+                assert!(records.iter().all(|record| record.body != body), "{error}");
+            }
+        }
+    }
+    // 300 records don't fit into 300 ms of 100 a second.
+    assert!(refused > 0 && records.len() > 50);
+}
+
+fn to_index(offset: u64) -> usize {
+    usize::try_from(offset).expect("a small offset")
+}
