platform: connections for what may run once, bounded, and probed

A server that is leaving closes idle connections while requests still come.

Idle connections were bounded for each address only; before 3,300 runners that is no bound.

TCP keepalive has the system notice a machine that vanished in the middle of a stream, which else stays silent for ever.

--- a/crates/platform/src/connect.rs
+++ b/crates/platform/src/connect.rs
@@ -33,6 +33,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
@@ -41,6 +42,10 @@
 use self::pool::{Connection, Pool};
 pub use self::received::Received;
 
+/// Probes without an answer after which a peer counts as gone: a single lost
+/// packet must not cut a stream.
+const PROBES: u32 = 3;
+
 /// An error of a body or a connection below this module.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 /// The body of a request, streamed or whole.
@@ -151,6 +156,33 @@
         }
     }
 
+    /// Sends a request over a connection opened for it; else as
+    /// [`Connector::send`].
+    ///
+    /// This is for requests that may run at most once. A server that closes
+    /// its idle connections, as one that is leaving does, may do so in the
+    /// very moment at which a request is written to one; the request's fate is
+    /// then unknown though nobody ever saw it. A new connection is accepted,
+    /// or the request is certainly not sent. It costs a round trip; afterwards
+    /// the connection goes to the pool like any other.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connector::send`].
+    pub async fn send_on_new(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+        wait: Duration,
+    ) -> Result<Response<Received>, Error> {
+        let deadline = Instant::now() + wait;
+        set_host(&mut request, address);
+        match self.open(address, deadline).await {
+            Ok(connection) => self.exchange(connection, request, deadline).await,
+            Err(cause) => Err(not_sent(cause, Some(request))),
+        }
+    }
+
     /// Returns how many connections to an address are idle in the pool.
     #[must_use]
     pub fn idle(&self, address: SocketAddr) -> usize {
@@ -172,8 +204,8 @@
         deadline: Instant,
     ) -> Result<Response<Received>, Error> {
         let sent = connection.sender.try_send_request(request);
-        // On a time-out `connection` is dropped, which closes the connection: a late
-        // answer then has no reader and can't reach another request.
+        // On a time-out the connection is dropped and closed: a late answer
+        // then has no reader and can't reach another request.
         let Ok(result) = timeout_at(deadline, sent).await else {
             return Err(Error::Unknown(Cause::ResponseTimeout));
         };
@@ -209,6 +241,20 @@
     request.headers_mut().insert(HOST, host);
 }
 
+/// Has the system notice a peer whose machine is gone.
+///
+/// A machine that loses power or network closes nothing: without probes a
+/// stream from it stays silent for ever, as a long prefill does. A live machine
+/// answers probes however busy its process is, so this never cuts a slow one.
+fn probe(stream: &TcpStream, dead_after: Duration) -> std::io::Result<()> {
+    let interval = (dead_after / (PROBES + 1)).max(Duration::from_secs(1));
+    let keepalive = TcpKeepalive::new()
+        .with_time(interval)
+        .with_interval(interval)
+        .with_retries(PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
 async fn connect(
     address: SocketAddr,
     settings: &Settings,
@@ -218,6 +264,7 @@
     wire.opened();
     // Small frames of a token stream must not wait for an acknowledgement.
     stream.set_nodelay(true).map_err(Cause::Connect)?;
+    probe(&stream, settings.dead_after).map_err(Cause::Connect)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(settings.buffer)
         .handshake(TokioIo::new(Metered::new(stream, wire.clone())))
--- a/crates/platform/src/connect/pool.rs
+++ b/crates/platform/src/connect/pool.rs
@@ -16,12 +16,17 @@
 pub struct Settings {
     /// Connections to one address that stay open without a request.
     pub idle_per_address: usize,
+    /// Connections to all addresses together that stay open without a request.
+    pub idle: usize,
     /// How long a connection may stay open without a request. Less than the
     /// time after which servers close idle connections, so that few requests
     /// meet a connection that is being closed.
     pub idle_for: Duration,
     /// How long opening a connection may take.
     pub connect_timeout: Duration,
+    /// How long after its last sign a machine counts as gone, in seconds of
+    /// four at least. It bounds how long a stream from it stays silent.
+    pub dead_after: Duration,
     /// Bytes buffered for one connection in each direction; also the limit of
     /// a response's head. hyper allows no less than 8 KiB.
     pub buffer: usize,
@@ -33,11 +38,17 @@
             // A router of six in front of ten runners with 16 slots each has
             // about 27 requests on each of them.
             idle_per_address: 32,
+            // At 53 requests a second and instance 212 connections at most were
+            // used in the last 4 s. One takes about 22 KB; see the design
+            // note on the log's client.
+            idle: 512,
             // Common servers close after 5 s to 75 s.
             idle_for: Duration::from_secs(4),
             // Two zones are 1.5 ms apart; a SYN that was lost is sent again
             // after 1 s.
             connect_timeout: Duration::from_millis(1500),
+            // Twice what a switch takes to converge on another path.
+            dead_after: Duration::from_secs(8),
             buffer: 64 * 1024,
         }
     }
@@ -79,6 +90,8 @@
 #[derive(Debug, Default)]
 struct Inner {
     idle: BTreeMap<SocketAddr, Vec<Idle>>,
+    // Idle connections to all addresses.
+    count: usize,
     swept: Option<Instant>,
 }
 
@@ -103,10 +116,11 @@
 
     /// Takes the connection to an address that was used last, if one is open.
     pub(super) fn take(&self, address: SocketAddr) -> Option<Connection> {
-        let mut inner = self.lock();
+        let inner = &mut *self.lock();
         let idle = inner.idle.get_mut(&address)?;
         let connection = loop {
             let Some(last) = idle.pop() else { break None };
+            inner.count -= 1;
             if last.since.elapsed() < self.settings.idle_for && last.connection.sender.is_ready() {
                 break Some(last.connection);
             }
@@ -141,15 +155,17 @@
 
     fn put(&self, connection: Connection) {
         let now = Instant::now();
-        let mut inner = self.lock();
+        let inner = &mut *self.lock();
+        self.sweep(inner, now);
         let idle = inner.idle.entry(connection.address).or_default();
-        if idle.len() < self.settings.idle_per_address {
+        let room = inner.count < self.settings.idle;
+        if room && idle.len() < self.settings.idle_per_address {
             idle.push(Idle {
                 connection,
                 since: now,
             });
+            inner.count += 1;
         }
-        self.sweep(&mut inner, now);
     }
 
     // Addresses of endpoints that left are never asked for again, so nothing
@@ -168,6 +184,7 @@
             });
             !idle.is_empty()
         });
+        inner.count = inner.idle.values().map(Vec::len).sum();
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/platform/tests/connect.rs
+++ b/crates/platform/tests/connect.rs
@@ -255,3 +255,65 @@
         "{counted}, {least}"
     );
 }
+
+// An endpoint that is leaving closes its idle connections while orders still
+// come. An order written to one of them in that moment has an unknown fate,
+// though nobody saw it, and its caller is told to go and ask. An order on a
+// connection of its own is answered, or certainly wasn't sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_on_a_new_connection_never_meets_an_idle_close() {
+    const ROUNDS: u32 = 300;
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            tokio::spawn(async move {
+                read_request(&mut stream).await.expect("a request");
+                let _gone = stream.write_all(OK).await;
+            });
+        }
+    });
+    let connector = Connector::new(Settings::default());
+    for _ in 0..ROUNDS {
+        let sent = connector.send_on_new(address, request("/orders"), LONG);
+        let response = sent.await.expect("an answer on a new connection");
+        assert_eq!(text(response).await, "ok");
+    }
+    server.abort();
+}
+
+// A burst over many endpoints leaves a connection to each. Without a bound
+// over all of them, an instance before 3,300 runners could keep a hundred
+// thousand open and run out of memory or file descriptors.
+#[tokio::test]
+async fn idle_connections_are_bounded_over_all_addresses() {
+    let connector = Connector::new(Settings {
+        idle: 2,
+        ..Settings::default()
+    });
+    let mut servers = Vec::new();
+    for _ in 0..4 {
+        let (listener, address) = listen().await;
+        let (done, wait_done) = tokio::sync::oneshot::channel::<()>();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            read_request(&mut stream).await.expect("a request");
+            stream.write_all(OK).await.expect("an open connection");
+            // Either the client closes it, or the test ends.
+            let closed = stream.read_u8().await;
+            drop((closed, done));
+        });
+        let response = connector.send(address, request("/"), LONG).await;
+        text(response.expect("a response")).await;
+        servers.push((address, wait_done));
+    }
+    // The third and fourth are closed instead of kept.
+    for (_, wait_done) in servers.split_off(2) {
+        wait_done.await.expect_err("a closed connection");
+    }
+    let idle: usize = servers
+        .iter()
+        .map(|(address, _)| connector.idle(*address))
+        .sum();
+    assert_eq!(idle, 2);
+}
