standin: smaller modules, and a log that crashes

Reports, the prefix cache over HTTP, orders and the log's pages are modules of their own now; what endpoints answer alike is in one place, and the switch takes a server down for a time.

The log can crash in the middle of an append. A test has it come back without the record: the writer settles that by reading back and leaves one record.

--- a/crates/platform/src/log/writer.rs
+++ b/crates/platform/src/log/writer.rs
@@ -13,6 +13,8 @@
 //! first, because its caller has waited least and can still do something else.
 
 mod attempt;
+mod error;
+mod place;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -26,10 +28,12 @@
 use tokio::sync::Notify;
 
 use self::attempt::{Attempt, Found, Next};
+pub use self::error::Error;
+use self::place::Place;
 use super::backoff::Backoff;
 use super::budget::Budget;
 use super::gate::{Gate, Pass};
-use super::{Appended, Client, append, read};
+use super::{Appended, Client, read};
 use crate::timer::Timer;
 
 /// Records asked for in one read.
@@ -70,29 +74,6 @@
     }
 }
 
-/// Why an append has no offset.
-#[derive(Debug, displaydoc::Display)]
-pub enum Error {
-    /// not appended: too many records wait for the log; try again later
-    Full,
-    /// not appended: no turn within the time allowed; allow more, or raise the budget
-    NoTurn,
-    /// not appended within the time allowed; the last try: {0}
-    NotAppended(append::Error),
-    /// may have been appended: {0}; look for the record's id in the stream
-    Unknown(append::Error),
-}
-
-impl std::error::Error for Error {}
-
-impl Error {
-    /// Returns whether the record may be on the log, or may yet appear there.
-    #[must_use]
-    pub const fn may_have_taken_effect(&self) -> bool {
-        matches!(self, Self::Unknown(_))
-    }
-}
-
 /// Appends to the log within a budget; its clones share it.
 #[derive(Clone, Debug)]
 pub struct Writer {
@@ -303,33 +284,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A record's place within the writer's bounds, free again when dropped.
-struct Place {
-    writer: Writer,
-    bytes: usize,
-}
-
-impl Place {
-    fn take(writer: &Writer, bytes: usize) -> Result<Self, Error> {
-        let mut state = writer.lock();
-        let settings = &writer.settings;
-        if state.records >= settings.records || state.bytes + bytes > settings.bytes {
-            return Err(Error::Full);
-        }
-        state.records += 1;
-        state.bytes += bytes;
-        Ok(Self {
-            writer: writer.clone(),
-            bytes,
-        })
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let mut state = self.writer.lock();
-        state.records -= 1;
-        state.bytes -= self.bytes;
-    }
-}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -20,6 +20,8 @@
 mod chat;
 mod core;
 mod job;
+mod kv;
+mod load;
 mod orders;
 mod reply;
 mod slots;
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -14,9 +14,9 @@
 use super::{End, Run, reply};
 use crate::answer::{self, Answer};
 use crate::digest;
+use crate::endpoint::{leaving, marked, trace};
 use crate::faults::lock;
 use crate::observe::Event;
-use crate::plain::{leaving, marked, trace};
 use crate::serve::Body;
 
 /// Bytes of a request's body that count as one token of prompt.
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -1,22 +1,18 @@
 //! What the calls to one engine share.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
 use godwitpost_platform::clock::Clock;
-use godwitpost_types::clock::Moment;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use serde::{Deserialize, Serialize};
-use serde_json::json;
 use tokio::time::sleep;
 
 use super::cache::Cache;
 use super::job::Job;
-use super::orders::{self, Given, Order, Wanted};
+use super::load::Report;
+use super::orders::{self, Order};
 use super::slots::Slots;
 use super::{End, Faults, Run, Settings};
 use crate::answer::{self, Answer};
@@ -44,27 +40,7 @@
     pub(super) slots: Slots,
     pub(super) orders: orders::State,
     // Reports of the recent past, oldest first, for the lag.
-    reports: VecDeque<Report>,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct Report {
-    #[serde(skip)]
-    taken: Moment,
-    taken_ms: u64,
-    incarnation: u64,
-    standing: &'static str,
-    requests: usize,
-    work: u64,
-    models: BTreeSet<String>,
-    role: String,
-}
-
-#[derive(Deserialize, Serialize)]
-struct Context {
-    prefix: String,
-    #[serde(default)]
-    tokens: u32,
+    pub(super) reports: VecDeque<Report>,
 }
 
 impl Core {
@@ -175,14 +151,10 @@
             state.reports.clear();
             (std::mem::take(&mut state.jobs), state.incarnation)
         };
-        self.switch.down();
-        let switch = self.switch.clone();
         let observer = self.observer.clone();
-        tokio::spawn(async move {
-            sleep(down_for).await;
-            observer.tell(Event::Joined { incarnation: next });
-            switch.up();
-        });
+        let joined = Event::Joined { incarnation: next };
+        self.switch
+            .down_for(down_for, move || observer.tell(joined));
         // The task that crashes the engine may be among those that are
         // stopped here, so nothing may follow that has to be done.
         for job in jobs.values() {
@@ -190,36 +162,6 @@
         }
     }
 
-    /// Notes the present load for reports that lag.
-    pub(super) fn sample(&self) {
-        let faults = self.faults.get();
-        let now = self.clock.now();
-        let mut state = lock(&self.state);
-        let report = state.report(now, faults.leaving);
-        state.reports.push_back(report);
-        // The newest of those that are old enough is the one to answer.
-        let until = now.saturating_sub(faults.report_lag);
-        while state.reports.get(1).is_some_and(|next| next.taken <= until) {
-            state.reports.pop_front();
-        }
-    }
-
-    fn report(&self) -> Response<Body> {
-        self.sample();
-        let state = lock(&self.state);
-        answer::json(StatusCode::OK, &state.reports.front())
-    }
-
-    fn cache_events(&self, query: Option<&str>) -> Response<Body> {
-        let from = answer::number(query, "from").unwrap_or(0);
-        let until = self.clock.now().saturating_sub(self.faults.get().event_lag);
-        let (first, next, events) = lock(&self.state).cache.events(from, until);
-        answer::json(
-            StatusCode::OK,
-            &json!({ "first": first, "next": next.max(first), "events": events }),
-        )
-    }
-
     fn cancel(&self, path: &str) -> Response<Body> {
         let Some(id) = path.strip_prefix("/v1/requests/") else {
             return answer::not_found();
@@ -230,96 +172,4 @@
         }
         answer::empty(StatusCode::NO_CONTENT)
     }
-
-    async fn order(&self, request: Request<Incoming>) -> Answer {
-        let body = answer::read(request.into_body()).await?;
-        let given: Given = match serde_json::from_slice(&body) {
-            Ok(given) => given,
-            Err(reason) => {
-                return Ok(answer::error(StatusCode::BAD_REQUEST, &reason.to_string()));
-            }
-        };
-        let ignore = self.faults.get().ignore_fencing;
-        let mut state = lock(&self.state);
-        if !state.orders.give(&given, self.clock.now(), ignore) {
-            let highest = json!({ "fence": state.orders.fence });
-            return Ok(answer::json(StatusCode::CONFLICT, &highest));
-        }
-        match given.wanted {
-            Wanted::Unload { model } => state.orders.unload(&model),
-            Wanted::Role(role) => state.orders.role = role,
-            Wanted::Load { model, weights } => {
-                tokio::spawn(self.clone().load(model, weights));
-            }
-        }
-        Ok(answer::json(StatusCode::ACCEPTED, &json!({})))
-    }
-
-    async fn load(self, model: String, weights: String) {
-        if let Some(store) = self.settings.weights
-            && !orders::pull(store, &model, &weights).await
-        {
-            return;
-        }
-        sleep(self.settings.load_time).await;
-        lock(&self.state).orders.load(&model, &weights);
-    }
-
-    async fn export(&self, request: Request<Incoming>) -> Answer {
-        let body = answer::read(request.into_body()).await?;
-        let Ok(mut context) = serde_json::from_slice::<Context>(&body) else {
-            return Ok(answer::error(StatusCode::BAD_REQUEST, "name a prefix"));
-        };
-        match lock(&self.state).cache.tokens(&context.prefix) {
-            Some(tokens) => {
-                context.tokens = tokens;
-                let bytes = serde_json::to_vec(&context).expect("plain data");
-                let content_type = "application/octet-stream";
-                let bytes = Bytes::from(bytes);
-                Ok(answer::bytes(StatusCode::OK, content_type, bytes))
-            }
-            None => Ok(answer::error(
-                StatusCode::NOT_FOUND,
-                "the context is gone; send the whole prompt",
-            )),
-        }
-    }
-
-    async fn import(&self, request: Request<Incoming>) -> Answer {
-        let body = answer::read(request.into_body()).await?;
-        let Ok(context) = serde_json::from_slice::<Context>(&body) else {
-            return Ok(answer::error(
-                StatusCode::BAD_REQUEST,
-                "send what an export gave",
-            ));
-        };
-        self.store(&context.prefix, context.tokens);
-        Ok(answer::empty(StatusCode::NO_CONTENT))
-    }
-
-    /// Puts a context into the prefix cache.
-    pub(super) fn store(&self, prefix: &str, tokens: u32) {
-        let gaps = self.faults.get().event_gaps;
-        let now = self.clock.now();
-        let published = || !self.faults.hits(gaps);
-        lock(&self.state)
-            .cache
-            .store(prefix, tokens, now, published);
-    }
-}
-
-impl State {
-    fn report(&self, taken: Moment, leaving: bool) -> Report {
-        let running = self.jobs.values().filter(|job| !job.ended());
-        Report {
-            taken,
-            taken_ms: u64::try_from(taken.as_millis()).unwrap_or(u64::MAX),
-            incarnation: self.incarnation,
-            standing: if leaving { "leaving" } else { "live" },
-            requests: running.clone().count(),
-            work: running.map(|job| job.left.load(Ordering::Relaxed)).sum(),
-            models: self.orders.models.clone(),
-            role: self.orders.role.clone(),
-        }
-    }
 }
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -9,7 +9,14 @@
 use godwitpost_types::clock::Moment;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::core::Core;
+use crate::answer::{self, Answer};
+use crate::faults::lock;
 
 /// The pause after the weight store refused a pull.
 const PULL_PAUSE: Duration = Duration::from_millis(200);
@@ -50,10 +57,10 @@
 }
 
 #[derive(Deserialize)]
-pub(super) struct Given {
-    pub(super) fence: u64,
+struct Given {
+    fence: u64,
     #[serde(flatten)]
-    pub(super) wanted: Wanted,
+    wanted: Wanted,
 }
 
 /// The engine's models, role and highest fencing number.
@@ -65,6 +72,42 @@
     pub(super) given: Vec<Order>,
 }
 
+impl Core {
+    pub(super) async fn order(&self, request: Request<Incoming>) -> Answer {
+        let body = answer::read(request.into_body()).await?;
+        let given: Given = match serde_json::from_slice(&body) {
+            Ok(given) => given,
+            Err(reason) => {
+                return Ok(answer::error(StatusCode::BAD_REQUEST, &reason.to_string()));
+            }
+        };
+        let ignore = self.faults.get().ignore_fencing;
+        let mut state = lock(&self.state);
+        if !state.orders.give(&given, self.clock.now(), ignore) {
+            let highest = json!({ "fence": state.orders.fence });
+            return Ok(answer::json(StatusCode::CONFLICT, &highest));
+        }
+        match given.wanted {
+            Wanted::Unload { model } => state.orders.unload(&model),
+            Wanted::Role(role) => state.orders.role = role,
+            Wanted::Load { model, weights } => {
+                tokio::spawn(self.clone().load(model, weights));
+            }
+        }
+        Ok(answer::json(StatusCode::ACCEPTED, &json!({})))
+    }
+
+    async fn load(self, model: String, weights: String) {
+        if let Some(store) = self.settings.weights
+            && !pull(store, &model, &weights).await
+        {
+            return;
+        }
+        sleep(self.settings.load_time).await;
+        lock(&self.state).orders.load(&model, &weights);
+    }
+}
+
 impl State {
     pub(super) fn new(models: BTreeSet<String>) -> Self {
         Self {
@@ -81,7 +124,7 @@
     }
 
     /// Notes an order and returns whether it is to be obeyed.
-    pub(super) fn give(&mut self, given: &Given, at: Moment, ignore_fencing: bool) -> bool {
+    fn give(&mut self, given: &Given, at: Moment, ignore_fencing: bool) -> bool {
         let taken = ignore_fencing || given.fence >= self.fence;
         self.fence = self.fence.max(given.fence);
         self.given.push(Order {
@@ -94,12 +137,12 @@
     }
 
     /// Puts a version of a model in the place of any other.
-    pub(super) fn load(&mut self, model: &str, weights: &str) {
+    fn load(&mut self, model: &str, weights: &str) {
         self.unload(model);
         self.models.insert(format!("{model}@{weights}"));
     }
 
-    pub(super) fn unload(&mut self, model: &str) {
+    fn unload(&mut self, model: &str) {
         self.models.retain(|loaded| name(loaded) != model);
     }
 }
@@ -110,7 +153,7 @@
 
 /// Pulls weights; tries until the store gives them or says they don't exist.
 /// Returns whether they are there.
-pub(super) async fn pull(store: SocketAddr, model: &str, weights: &str) -> bool {
+async fn pull(store: SocketAddr, model: &str, weights: &str) -> bool {
     let connector = connect::Connector::new(connect::Settings::default());
     loop {
         let body = Full::new(Bytes::new())
@@ -123,7 +166,7 @@
         match connector.send(store, request, PULL_TIMEOUT).await {
             Ok(response) if response.status() == StatusCode::OK => return true,
             Ok(response) if response.status() == StatusCode::NOT_FOUND => return false,
-            Ok(_) | Err(_) => tokio::time::sleep(PULL_PAUSE).await,
+            Ok(_) | Err(_) => sleep(PULL_PAUSE).await,
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod weights;
 
 mod answer;
+mod endpoint;
 mod serve;
 
 pub use self::serve::Error;
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -1,13 +1,12 @@
 //! The stand-in of the append-only log service.
 
+mod page;
 mod streams;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use godwitpost_platform::clock::Clock;
 use godwitpost_types::id::Offset;
@@ -18,6 +17,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use self::page::Page;
 pub use self::streams::Record;
 use self::streams::{Streams, Taken};
 use crate::answer::{self, Answer};
@@ -78,6 +78,7 @@
 struct Core {
     clock: Clock,
     faults: Handle<Faults>,
+    switch: Switch,
     streams: Arc<Mutex<Streams>>,
     // Wakes long polls when a record was added.
     appended: Arc<watch::Sender<u64>>,
@@ -92,11 +93,12 @@
     let core = Core {
         clock: Clock::start(),
         faults: Handle::new(faults),
+        switch: Switch::new(),
         streams: Arc::default(),
         appended: Arc::new(watch::Sender::new(0)),
     };
     let handler = core.clone();
-    let server = Server::start(address, Switch::new(), move |request| {
+    let server = Server::start(address, core.switch.clone(), move |request| {
         handler.clone().handle(request)
     })
     .await?;
@@ -132,6 +134,12 @@
         self.core.take(stream, body).offset
     }
 
+    /// Breaks all connections off and refuses new ones for a time. Records
+    /// stay; an append that had not taken effect yet never does.
+    pub fn crash(&self, down_for: Duration) {
+        self.core.switch.down_for(down_for, || {});
+    }
+
     /// Stops it and frees its port.
     pub async fn stop(self) {
         self.server.stop().await;
@@ -219,7 +227,7 @@
             appended.mark_unchanged();
             let page = self.page(stream, from, limit);
             let left = deadline.saturating_duration_since(Instant::now());
-            if !page.records.is_empty() || page.first > from || left.is_zero() {
+            if !page.is_empty() || page.first() > from || left.is_zero() {
                 return Ok(answer::json(StatusCode::OK, &page));
             }
             // Records that a stale read can't show yet raise no further
@@ -234,22 +242,14 @@
         }
     }
 
-    fn page(&self, stream: &str, from: Offset, limit: usize) -> PageAnswer {
+    fn page(&self, stream: &str, from: Offset, limit: usize) -> Page {
         let faults = self.faults.get();
         let now = self.clock.now();
         let mut streams = lock(&self.streams);
         streams.expire(now.saturating_sub(faults.retention));
         let (first, records) =
             streams.page(stream, from, limit, now.saturating_sub(faults.stale_reads));
-        let records: Vec<_> = records.into_iter().map(RecordAnswer::from).collect();
-        let next = records
-            .last()
-            .map_or(from.max(first), |last| last.offset + 1);
-        PageAnswer {
-            first,
-            next,
-            records,
-        }
+        Page::new(first, from, &records)
     }
 
     async fn truncate(&self, request: Request<Incoming>) -> Answer {
@@ -269,27 +269,3 @@
         .strip_suffix("/records")
         .filter(|stream| !stream.is_empty() && !stream.contains('/'))
 }
-
-#[derive(Serialize)]
-struct PageAnswer {
-    first: Offset,
-    next: Offset,
-    records: Vec<RecordAnswer>,
-}
-
-#[derive(Serialize)]
-struct RecordAnswer {
-    offset: Offset,
-    time_ms: u64,
-    body: String,
-}
-
-impl From<Record> for RecordAnswer {
-    fn from(record: Record) -> Self {
-        Self {
-            offset: record.offset,
-            time_ms: u64::try_from(record.time.as_millis()).unwrap_or(u64::MAX),
-            body: STANDARD.encode(&record.body),
-        }
-    }
-}
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -66,14 +66,16 @@
         }
     }
 
-    /// Breaks all connections off and refuses new ones.
-    pub(crate) fn down(&self) {
+    /// Breaks all connections off and refuses new ones for a time. Calls `up`
+    /// right before it listens again.
+    pub(crate) fn down_for(&self, time: Duration, up: impl FnOnce() + Send + 'static) {
         self.state.send_replace(State::Down);
-    }
-
-    /// Listens again.
-    pub(crate) fn up(&self) {
-        self.state.send_replace(State::Up);
+        let state = Arc::clone(&self.state);
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            up();
+            state.send_replace(State::Up);
+        });
     }
 }
 
--- a/crates/standin/tests/log_client.rs
+++ b/crates/standin/tests/log_client.rs
@@ -106,6 +106,28 @@
     assert!(!fixture.log.records("claims").is_empty());
 }
 
+// The log dies while an append is under way and comes back without it. The
+// broken connection says nothing; only the stream, read after the log is back,
+// tells that the record has to be appended again.
+#[tokio::test]
+async fn an_append_cut_off_by_a_crash_is_settled_once_the_log_is_back() {
+    let fixture = Fixture::start(Faults {
+        slow: LONG,
+        ..Faults::default()
+    })
+    .await;
+    let writer = fixture.writer(10);
+    let deadline = fixture.timer.now() + LONG;
+    let waiting = tokio::spawn(async move { writer.append("claims", CLAIM, deadline).await });
+    // Long enough for the append to have reached the slow log.
+    tokio::time::sleep(50 * MS).await;
+    fixture.log.faults().set(Faults::default());
+    fixture.log.crash(50 * MS);
+    let appended = waiting.await.expect("no panic").expect("an append");
+    assert_eq!(appended.offset, 0);
+    assert_eq!(fixture.log.records("claims").len(), 1);
+}
+
 #[tokio::test]
 async fn an_append_outlasts_an_outage_within_its_deadline() {
     let fixture = Fixture::start(Faults {
