standin: readers dropped with their runtime start nothing

A reader that is dropped spawns the task which cancels its job later. While a runtime is being dropped there may be none to spawn on, and the test or demo that ends with streams open would panic in a destructor.

--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -7,6 +7,7 @@
 use godwitpost_platform::clock::Clock;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use tokio::runtime::Handle;
 use tokio::time::sleep;
 
 use super::cache::Cache;
@@ -16,7 +17,7 @@
 use super::slots::Slots;
 use super::{End, Faults, Run, Settings};
 use crate::answer::{self, Answer};
-use crate::faults::{Handle, lock};
+use crate::faults::{self, lock};
 use crate::observe::{self, Event, Place};
 use crate::serve::{Body, Switch};
 
@@ -25,7 +26,7 @@
 pub(super) struct Core {
     pub(super) clock: Clock,
     pub(super) settings: Arc<Settings>,
-    pub(super) faults: Handle<Faults>,
+    pub(super) faults: faults::Handle<Faults>,
     pub(super) state: Arc<Mutex<State>>,
     pub(super) observer: Place,
     switch: Switch,
@@ -57,7 +58,7 @@
         Self {
             clock: Clock::start(),
             settings: Arc::new(settings),
-            faults: Handle::new(faults),
+            faults: faults::Handle::new(faults),
             state: Arc::new(Mutex::new(state)),
             observer: Place::default(),
             switch: Switch::new(),
@@ -68,7 +69,7 @@
         self.switch.clone()
     }
 
-    pub(super) const fn faults(&self) -> &Handle<Faults> {
+    pub(super) const fn faults(&self) -> &faults::Handle<Faults> {
         &self.faults
     }
 
@@ -129,9 +130,14 @@
 
     /// Cancels a job whose readers went away, unless one comes back in time.
     pub(super) fn let_go(&self, job: &Arc<Job>) {
+        // A runtime that is being dropped drops readers outside itself; there
+        // is nothing left to cancel then.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
         let core = self.clone();
         let job = Arc::clone(job);
-        tokio::spawn(async move {
+        runtime.spawn(async move {
             sleep(core.settings.hold).await;
             if job.unread() {
                 core.forget(&job);
