--- a/crates/demo/src/caller.rs
+++ b/crates/demo/src/caller.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use godwitpost_history::event::{CallId, Dispatch, End, Got, Sent, What};
 use godwitpost_history::recorder::Recorder;
-use godwitpost_types::id;
 use godwitpost_types::outcome::Outcome;
 use http::{HeaderMap, Method, Request};
 use http_body_util::{BodyExt, Full};
@@ -22,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::answer;
+
 /// Longest head and body of an answer that a caller waits for. Streams of the
 /// demo last a second or two; the rest is a machine under load.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -103,17 +104,11 @@
     seen
 }
 
-/// Returns what tells an answer apart: the hash of its bytes in hexadecimal.
-#[must_use]
-pub fn digest(body: &[u8]) -> String {
-    format!("{:016x}", id::of(&String::from_utf8_lossy(body)))
-}
-
 // A router's own answers are errors in JSON; what an endpoint answers has the
 // outcome *ran* and is relayed with its status.
 fn answer(seen: &Seen) -> Option<String> {
     let from_endpoint = seen.outcome == Some(Outcome::Ran) && seen.status == Some(200);
-    from_endpoint.then(|| digest(&seen.body))
+    from_endpoint.then(|| answer::of_body(&seen.body))
 }
 
 async fn exchange(
@@ -183,7 +178,8 @@
     Outcome::parse(value.to_str().ok()?)
 }
 
-// The caller learns from the head under which version its request went out.
+// The caller learns from the head under which version and which way its
+// request went out.
 fn dispatched(recorder: &Recorder, call: CallId, to: &Target, headers: &HeaderMap) {
     if outcome(headers) != Some(Outcome::Ran) {
         return;
@@ -191,12 +187,25 @@
     let version = headers
         .get("godwitpost-version")
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    if let Some(version) = version {
+    let Some(version) = version else {
+        return;
+    };
+    for instance in way(headers, to) {
         recorder.record(What::Dispatched(Dispatch {
             call,
-            instance: to.name.clone(),
-            endpoint: String::new(),
+            instance,
             version,
         }));
     }
 }
+
+// The instances that relayed an answer name themselves in its `Via`.
+fn way(headers: &HeaderMap, to: &Target) -> Vec<String> {
+    let via = headers.get_all("via").iter();
+    let names = via.filter_map(|value| value.to_str().ok()?.strip_prefix("1.1 "));
+    let way: Vec<String> = names.map(str::to_owned).collect();
+    if way.is_empty() {
+        return vec![to.name.clone()];
+    }
+    way
+}
