operator: one record where the log's reads lag

An append that the log has given an offset is not made again while reads do not show it yet; the tool only reads on. With reads 500 ms behind, a roll left several copies of its record; now one.

--- a/crates/operator/src/roll.rs
+++ b/crates/operator/src/roll.rs
@@ -56,18 +56,9 @@
     })?;
     let deadline = Instant::now() + fleet.patience();
     let mut pause = PAUSE;
-    let mut sent = false;
+    let mut sent = Sent::No;
     loop {
-        let why = match fleet.append(&signed.bytes).await {
-            Ok(()) => {
-                sent = true;
-                "it does not show on the log yet".to_owned()
-            }
-            Err(error) => {
-                sent |= error.may_have_taken_effect();
-                error.to_string()
-            }
-        };
+        let why = append(fleet, &signed.bytes, &mut sent).await;
         match settled(fleet, version, digest).await {
             Ok(Some(result)) => return result,
             Ok(None) => {}
@@ -118,11 +109,40 @@
     }
 }
 
-fn unsettled(sent: bool, version: Version, why: &str) -> Error {
-    if sent {
-        Error::Unknown(version, why.to_owned())
-    } else {
-        Error::Append(why.to_owned())
+// What is known of a record's way to the log.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    No,
+    Maybe,
+    // The log gave it an offset; reads may lag behind that.
+    Yes,
+}
+
+// Appends unless the log has the record for sure, and returns what to say if
+// its fate is not settled.
+async fn append(fleet: &Fleet, bytes: &[u8], sent: &mut Sent) -> String {
+    let error = match *sent {
+        Sent::Yes => None,
+        Sent::No | Sent::Maybe => fleet.append(bytes).await.err(),
+    };
+    match error {
+        None => {
+            *sent = Sent::Yes;
+            "it does not show on the log yet".to_owned()
+        }
+        Some(error) => {
+            if error.may_have_taken_effect() {
+                *sent = Sent::Maybe;
+            }
+            error.to_string()
+        }
+    }
+}
+
+fn unsettled(sent: Sent, version: Version, why: &str) -> Error {
+    match sent {
+        Sent::No => Error::Append(why.to_owned()),
+        Sent::Maybe | Sent::Yes => Error::Unknown(version, why.to_owned()),
     }
 }
 
--- a/crates/operator/tests/rolls.rs
+++ b/crates/operator/tests/rolls.rs
@@ -202,6 +202,20 @@
     text(desk.roll("second.yaml", "kushiro").await);
 }
 
+// The log takes the append, but its reads lag. The tool waits for its record
+// to show and does not append it again.
+#[tokio::test]
+async fn a_log_whose_reads_lag_gets_one_record() {
+    let faults = log::Faults {
+        stale_reads: Duration::from_millis(500),
+        ..log::Faults::default()
+    };
+    let desk = Desk::new("stale", faults).await;
+    let rolled = text(desk.roll("bundle.yaml", "kushiro").await);
+    assert!(rolled.starts_with("version 1 is in force"), "{rolled}");
+    assert_eq!(desk.log.records("bundles").len(), 1);
+}
+
 #[tokio::test]
 async fn a_log_that_is_down_means_nothing_was_rolled() {
     let faults = log::Faults {
