--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -4,7 +4,11 @@
 //! it: `cargo bench --bench state -- claims`.
 
 use godwitpost_bench::figure::Figure;
-use godwitpost_bench::{claims, state};
+use godwitpost_bench::{claims, rolls, state};
+
+/// The seed of the first schedule of rolls, and how many follow.
+const ROLL_SEED: u64 = 1;
+const ROLL_SCHEDULES: u32 = 10_000;
 
 fn main() {
     let wanted = std::env::args().skip(1).find(|arg| !arg.starts_with('-'));
@@ -18,6 +22,7 @@
             }
         }
     };
+    part("rolls", &|| rolls::figures(ROLL_SEED, ROLL_SCHEDULES));
     part("claims", &claims::figures);
     part("leases", &state::lease::figures);
     for size in state::membership::SIZES {
--- a/crates/bench/src/claims/weak.rs
+++ b/crates/bench/src/claims/weak.rs
@@ -65,7 +65,7 @@
 #[derive(Debug)]
 pub enum Seat {
     /// As designed.
-    Real(Batcher),
+    Real(Box<Batcher>),
     /// Without one guard.
     Naive(Naive),
 }
@@ -89,7 +89,7 @@
     pub fn new(weakness: Weakness, window: std::time::Duration) -> Self {
         match weakness {
             Weakness::OwnMemory | Weakness::NoReadBack => Self::Naive(Naive::new(weakness)),
-            _ => Self::Real(Batcher::new(window)),
+            _ => Self::Real(Box::new(Batcher::new(window))),
         }
     }
 
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -31,6 +31,7 @@
 mod answers;
 mod batcher;
 mod holder;
+mod seek;
 mod table;
 
 pub use answers::{Answers, Found};
--- a/crates/state/src/claim/batcher.rs
+++ b/crates/state/src/claim/batcher.rs
@@ -21,7 +21,8 @@
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::Offset;
 
-use super::{BATCH_PERIOD, Id, Item, Record, Table, Verdict, batch};
+use super::seek::Seek;
+use super::{BATCH_PERIOD, Id, Item, Record, SKEW, Table, Verdict, batch};
 
 /// Items of one append at most; at 80 bytes each that is 20 KB a record.
 pub const LARGEST_BATCH: usize = 256;
@@ -56,8 +57,8 @@
         /// The record's bytes.
         body: Vec<u8>,
     },
-    /// Read the stream, without waiting for new records; answer with
-    /// [`Batcher::page`] or [`Batcher::read_failed`].
+    /// Read the stream, without waiting for new records and up to exactly
+    /// `limit` of them; answer with [`Batcher::page`] or [`Batcher::read_failed`].
     Read {
         /// The first offset wanted.
         from: Offset,
@@ -110,12 +111,14 @@
 #[derive(Debug)]
 pub struct Batcher {
     table: Table,
+    seek: Option<Seek>,
     asked: BTreeMap<Id, Asked>,
     order: VecDeque<(Moment, Id)>,
     queue: VecDeque<Item>,
     flight: Option<Flight>,
     doubtful: Vec<Record>,
     answers: VecDeque<(Id, Verdict)>,
+    started: bool,
     reading: bool,
     behind: bool,
     tickets: u64,
@@ -137,17 +140,19 @@
 }
 
 impl Batcher {
-    /// Returns a batcher that first reads the partition from its start.
+    /// Returns a batcher that first reads the partition's last `window`.
     #[must_use]
     pub fn new(window: Duration) -> Self {
         Self {
             table: Table::new(window),
+            seek: None,
             asked: BTreeMap::new(),
             order: VecDeque::new(),
             queue: VecDeque::new(),
             flight: None,
             doubtful: Vec::new(),
             answers: VecDeque::new(),
+            started: false,
             reading: false,
             behind: true,
             tickets: 0,
@@ -185,10 +190,7 @@
         }
         if self.behind && !self.reading && now >= self.read_at {
             self.reading = true;
-            return Next::Read {
-                from: self.table.next(),
-                limit: PAGE,
-            };
+            return self.read(now);
         }
         if now >= self.append_at
             && let Some(flight) = self.board(now)
@@ -244,6 +246,9 @@
     /// Takes the log's answer to a read.
     pub fn page(&mut self, now: Moment, page: &Page) {
         self.reading = false;
+        if !self.found(page) {
+            return;
+        }
         self.table.skip_to(page.first);
         for stored in &page.records {
             // A record that is no batch claims nothing.
@@ -266,6 +271,37 @@
         }
     }
 
+    fn read(&mut self, now: Moment) -> Next {
+        if !self.started {
+            // The log's clock may be behind by as much as keys may be ahead.
+            let wanted = now.saturating_sub(self.table.window() + SKEW * 2);
+            let seek = self.seek.get_or_insert_with(|| Seek::new(wanted));
+            return Next::Read {
+                from: seek.probe(),
+                limit: 1,
+            };
+        }
+        Next::Read {
+            from: self.table.next(),
+            limit: PAGE,
+        }
+    }
+
+    // Returns whether the page is to be folded, and not a probe for the place
+    // where the window begins.
+    fn found(&mut self, page: &Page) -> bool {
+        let Some(mut seek) = self.seek.take() else {
+            return true;
+        };
+        let Some(start) = seek.page(page) else {
+            self.seek = Some(seek);
+            return false;
+        };
+        self.started = true;
+        self.table.skip_to(start);
+        page.records.first().is_none_or(|r| r.offset <= start)
+    }
+
     fn submit_fate(&mut self, id: Id, item: Item) {
         // Its holder has given the claim up: nobody waits for the verdict, and
         // a claim that is not in the log yet need not get there.
--- a/crates/state/src/claim/batcher/tests.rs
+++ b/crates/state/src/claim/batcher/tests.rs
@@ -206,3 +206,35 @@
     let items = vec![Item::Claim(claim(1, 7)), fate];
     assert_eq!(batch::decode(&body), Ok(items));
 }
+
+/// Orders are refused for minutes after an instance was replaced. Its
+/// successor reads a day of claims to learn the last quarter of an hour.
+#[test]
+fn a_new_batcher_reads_its_window_only() {
+    let day = 86_400 * 20;
+    // A batch each 50 ms, the last one now.
+    let time = |offset: Offset| at(offset * 50);
+    let mut batcher = Batcher::new(WINDOW);
+    let now = at(day * 50);
+    let mut reads = 0;
+    while let Next::Read { from, limit } = batcher.next(now) {
+        reads += 1;
+        let records = (from..day.min(from + u64::from(limit))).map(|offset| Stored {
+            offset,
+            time: time(offset),
+            body: batch::encode(&[]),
+        });
+        let page = Page {
+            first: 0,
+            next: day,
+            records: records.collect(),
+        };
+        batcher.page(now, &page);
+    }
+    assert_eq!(batcher.table().next(), day);
+    assert!(
+        reads < 50,
+        "{reads} reads; from the start it would be 1,728"
+    );
+    assert!(batcher.table().floor() < now.saturating_sub(WINDOW));
+}
--- a/crates/state/src/claim/table.rs
+++ b/crates/state/src/claim/table.rs
@@ -55,6 +55,12 @@
         self.window = window;
     }
 
+    /// Returns the claim window.
+    #[must_use]
+    pub const fn window(&self) -> Duration {
+        self.window
+    }
+
     /// Returns the offset of the next record to apply.
     #[must_use]
     pub const fn next(&self) -> Offset {
