--- a/crates/demo/src/deployment.rs
+++ b/crates/demo/src/deployment.rs
@@ -7,7 +7,7 @@
 const KEY_MARK: &str = "OPERATOR_KEY";
 
 /// A deployment: what the platform has, and the text of its first bundle.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct Deployment {
     /// The fleet's name in bundles and settings.
     pub fleet: &'static str,
@@ -89,7 +89,7 @@
 }
 
 /// The Kitakaze Route Books Franchise Office.
-pub const KITAKAZE: Deployment = Deployment {
+pub static KITAKAZE: Deployment = Deployment {
     fleet: "kitakaze",
     region: "hokkaido",
     zones: ["sapporo", "asahikawa", "otaru", "kushiro"],
@@ -120,7 +120,7 @@
 };
 
 /// The Port of Spain Municipal Caricature Service.
-pub const PORT_OF_SPAIN: Deployment = Deployment {
+pub static PORT_OF_SPAIN: Deployment = Deployment {
     fleet: "port-of-spain",
     region: "trinidad",
     zones: ["port-of-spain", "san-juan", "arima", "diego-martin"],
--- a/crates/demo/src/error.rs
+++ b/crates/demo/src/error.rs
@@ -26,6 +26,8 @@
     Unknown(String),
     /// instance {0} did not learn of all endpoints in time; look at its log
     NoEndpoints(String),
+    /// not every instance learned in time that endpoint {0} leaves; look at their logs
+    NotLeft(String),
     /// version {0} was not in force everywhere in time; look at the routers' logs
     NotInForce(u64),
     /// the history can't be written ({0}); name a file that can be
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     /// What it was brought up from.
-    pub deployment: Deployment,
+    pub deployment: &'static Deployment,
     /// The log service.
     pub log: log::Running,
     /// The instance list.
@@ -71,6 +71,7 @@
     routers: BTreeMap<String, Router>,
     recorder: Recorder,
     operator: Operator,
+    rolls: Vec<Duration>,
     started: Instant,
 }
 
@@ -88,7 +89,7 @@
     /// Returns [`Error`] if something can't start or the bundle does not come
     /// into force.
     pub async fn start(
-        deployment: Deployment,
+        deployment: &'static Deployment,
         recorder: Recorder,
         settings: &engine::Settings,
     ) -> Result<Self, Error> {
@@ -101,9 +102,9 @@
         let list = list::start(ANY, faults).await.map_err(Error::Standin)?;
         let list = Arc::new(list);
         let tap = Tap::new(recorder.clone(), Arc::clone(&list), deployment.region);
-        let engines = endpoints::engines(&deployment, &tap, settings).await?;
-        let plain = endpoints::plain(&deployment, &tap).await?;
-        let operator = Operator::new(&deployment, log.address());
+        let engines = endpoints::engines(deployment, &tap, settings).await?;
+        let plain = endpoints::plain(deployment, &tap).await?;
+        let operator = Operator::new(deployment, log.address());
         let mut fleet = Self {
             deployment,
             log,
@@ -114,6 +115,7 @@
             routers: BTreeMap::new(),
             recorder,
             operator,
+            rolls: Vec::new(),
             started: Instant::now(),
         };
         for index in 0..deployment.instances {
@@ -138,17 +140,17 @@
     /// Returns [`Error`] if the log does not take it or an instance does not
     /// hold it in time.
     pub async fn roll(&mut self) -> Result<Duration, Error> {
-        let accepted = self.operator.roll(&self.deployment).await?;
+        let accepted = self.operator.roll(self.deployment).await?;
         let version = accepted.version;
         let since = Instant::now();
         self.recorder.record(What::BundleAccepted(accepted));
         let held = self.wait_for(version).await;
         self.recorder.record(What::RollSettled { version });
-        if held {
-            Ok(since.elapsed())
-        } else {
-            Err(Error::NotInForce(version))
+        if !held {
+            return Err(Error::NotInForce(version));
         }
+        self.rolls.push(since.elapsed());
+        Ok(since.elapsed())
     }
 
     // The list shows endpoints a little after they joined.
@@ -157,7 +159,7 @@
         let until = Instant::now() + LONGEST;
         for (name, router) in &self.routers {
             let address = router.running.operators_address();
-            while watch::endpoints(address).await < all {
+            while watch::endpoints(address).await.len() < all {
                 if Instant::now() > until {
                     return Err(Error::NoEndpoints(name.clone()));
                 }
@@ -167,6 +169,44 @@
         Ok(())
     }
 
+    /// Has the first engine announce that it leaves, and returns when every
+    /// router knows; from there the history wants nothing new at it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotLeft`] if a router does not learn of it in time.
+    pub async fn leave(&self) -> Result<String, Error> {
+        let Some(engine) = self.engines.first() else {
+            return Err(Error::NotLeft(String::new()));
+        };
+        let endpoint = engine.name.clone();
+        let incarnation = engine.running.incarnation();
+        self.recorder.record(What::EndpointLeaving {
+            endpoint: endpoint.clone(),
+            incarnation,
+        });
+        engine
+            .running
+            .faults()
+            .change(|faults| faults.leaving = true);
+        self.list.leaving(&endpoint);
+        let until = Instant::now() + LONGEST;
+        for router in self.routers.values() {
+            let address = router.running.operators_address();
+            while watch::live(&watch::endpoints(address).await, &endpoint) {
+                if Instant::now() > until {
+                    return Err(Error::NotLeft(endpoint));
+                }
+                sleep(watch::PAUSE).await;
+            }
+        }
+        self.recorder.record(What::LeavingSettled {
+            endpoint: endpoint.clone(),
+            incarnation,
+        });
+        Ok(endpoint)
+    }
+
     async fn wait_for(&self, version: u64) -> bool {
         let until = Instant::now() + LONGEST;
         while Instant::now() < until {
@@ -178,6 +218,12 @@
         false
     }
 
+    /// Returns how long each version took to be in force everywhere.
+    #[must_use]
+    pub fn rolls(&self) -> &[Duration] {
+        &self.rolls
+    }
+
     /// Returns the names of the instances that run.
     #[must_use]
     pub fn instances(&self) -> Vec<String> {
--- a/crates/demo/src/fleet/watch.rs
+++ b/crates/demo/src/fleet/watch.rs
@@ -9,11 +9,11 @@
 use godwitpost_history::event::{InForce, What};
 use godwitpost_history::recorder::Recorder;
 use godwitpost_platform::connect::{self, Connector};
+use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::Version;
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use serde::Deserialize;
-use serde_json::Value;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -73,12 +73,26 @@
     }
 }
 
-/// Returns how many endpoints a router knows.
-pub(super) async fn endpoints(address: SocketAddr) -> usize {
+/// An endpoint as a router knows it.
+#[derive(Deserialize)]
+pub(super) struct Known {
+    name: String,
+    standing: Standing,
+}
+
+/// Returns the endpoints that a router knows.
+pub(super) async fn endpoints(address: SocketAddr) -> Vec<Known> {
     let connector = Connector::new(connect::Settings::default());
     let answer = get(&connector, address, "/endpoints").await;
-    let answer = answer.and_then(|bytes| serde_json::from_slice::<Vec<Value>>(&bytes).ok());
-    answer.map_or(0, |endpoints| endpoints.len())
+    let endpoints = answer.and_then(|bytes| serde_json::from_slice(&bytes).ok());
+    endpoints.unwrap_or_default()
+}
+
+/// Returns whether a router takes an endpoint for live.
+pub(super) fn live(known: &[Known], name: &str) -> bool {
+    known
+        .iter()
+        .any(|one| one.name == name && one.standing == Standing::Live)
 }
 
 /// Returns the control bytes that a router has counted since its start.
--- /dev/null
+++ b/crates/demo/src/hold.rs
@@ -0,0 +1,58 @@
+//! What a held fleet offers to people: addresses and lines to try.
+
+use std::fmt::Write as _;
+
+use crate::fleet::Fleet;
+
+/// Returns the addresses of a fleet and calls to try, ready to be pasted.
+///
+/// # Panics
+///
+/// Never: writing to a string can't fail.
+#[must_use]
+pub fn text(fleet: &Fleet) -> String {
+    let mut text = String::new();
+    write(fleet, &mut text).expect("writing to a string never fails");
+    text
+}
+
+fn write(fleet: &Fleet, to: &mut String) -> std::fmt::Result {
+    let deployment = fleet.deployment;
+    writeln!(to, "{}", deployment.fleet)?;
+    writeln!(to, "  log service   http://{}", fleet.log.address())?;
+    writeln!(to, "  instance list http://{}", fleet.list.address())?;
+    let targets = fleet.balancer.targets();
+    for target in &targets {
+        let operators = fleet.operators_address(&target.name);
+        let operators = operators.map_or_else(String::new, |address| format!("http://{address}"));
+        let (name, callers) = (&target.name, target.address);
+        writeln!(
+            to,
+            "  {name}: callers http://{callers} operators {operators}"
+        )?;
+    }
+    let Some(target) = targets.first() else {
+        return Ok(());
+    };
+    let (callers, workspace) = (target.address, deployment.workspaces[0]);
+    let model = deployment.model;
+    writeln!(to, "  a streamed chat:")?;
+    writeln!(
+        to,
+        "    curl -N http://{callers}/v1/chat/completions \
+         -H 'Godwitpost-Workspace: {workspace}' -H 'Content-Type: application/json' \
+         -d '{{\"model\":\"{model}\",\"stream\":true,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"a line on the north face\"}}]}}'"
+    )?;
+    let path = deployment.order_path;
+    writeln!(
+        to,
+        "  an order; the same line sent again gets the same answer:"
+    )?;
+    writeln!(
+        to,
+        "    curl -i http://{callers}{path} -H 'Godwitpost-Workspace: {workspace}' \
+         -H 'Idempotency-Key: my-first' -H \"Godwitpost-Key-Issued: $(date +%s)\" \
+         -d '{{\"copies\":3}}'"
+    )
+}
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -36,12 +36,12 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// How long a person takes to read an answer and write on, in milliseconds.
-const THINK_MILLIS: std::ops::RangeInclusive<u64> = 5..=60;
+const THINK_MILLIS: std::ops::RangeInclusive<u64> = 20..=300;
 
 /// Callers of one deployment with what they share.
 #[derive(Debug)]
 pub struct Load {
-    deployment: Deployment,
+    deployment: &'static Deployment,
     recorder: Recorder,
     balancer: Arc<Balancer>,
     clock: Clock,
@@ -56,7 +56,7 @@
     /// balancer.
     #[must_use]
     pub fn new(
-        deployment: Deployment,
+        deployment: &'static Deployment,
         recorder: Recorder,
         balancer: Arc<Balancer>,
         seed: u64,
@@ -206,7 +206,12 @@
         key::draw(self.clock.now(), rng)
     }
 
-    async fn send(&self, class: &str, ask: &Ask, rng: &mut ChaCha8Rng) -> Seen {
+    /// Sends one call to an instance that the balancer picks.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the balancer knows no instance; the demo leaves some up.
+    pub async fn send(&self, class: &str, ask: &Ask, rng: &mut ChaCha8Rng) -> Seen {
         let call: CallId = self.next_call.fetch_add(1, Ordering::Relaxed);
         let to = self
             .balancer
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -3,9 +3,12 @@
 use std::process::ExitCode;
 
 use godwitpost_demo::cli::{self, EXIT_BROKEN, EXIT_KEPT, EXIT_START, Next, Options};
-use godwitpost_demo::deployment::{KITAKAZE, PORT_OF_SPAIN};
+use godwitpost_demo::deployment::{Deployment, KITAKAZE, PORT_OF_SPAIN};
 use godwitpost_demo::error::Error;
-use godwitpost_demo::run;
+use godwitpost_demo::fleet::Fleet;
+use godwitpost_demo::hold;
+use godwitpost_demo::run::{self, Outcome};
+use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     let code = match cli::parse(std::env::args_os()) {
@@ -37,18 +40,58 @@
 }
 
 async fn both(options: &Options) -> Result<u8, Error> {
+    let (one, other) = tokio::join!(one(&KITAKAZE, options), one(&PORT_OF_SPAIN, options));
+    let runs = [one?, other?];
     let mut code = EXIT_KEPT;
-    for deployment in [KITAKAZE, PORT_OF_SPAIN] {
-        let say = |text| println!("{}: {text}", deployment.fleet);
-        let (_fleet, outcome) = run::run(deployment, options, say).await?;
-        print!("{}", outcome.report);
-        if let Some(path) = &options.history {
-            run::keep(&outcome.events, path, deployment.fleet)?;
-        }
-        for violation in &outcome.violations {
-            println!("{violation}");
+    for (fleet, outcome) in &runs {
+        if !show(fleet, outcome, options)? {
             code = EXIT_BROKEN;
         }
     }
+    if options.hold {
+        for (fleet, _) in &runs {
+            println!("\n{}", hold::text(fleet));
+        }
+        println!("held until a signal, such as Ctrl-C");
+        ended().await;
+    }
     Ok(code)
 }
+
+async fn one(
+    deployment: &'static Deployment,
+    options: &Options,
+) -> Result<(Fleet, Outcome), Error> {
+    let say = move |text| println!("{}: {text}", deployment.fleet);
+    run::run(deployment, options, say).await
+}
+
+// Returns whether every promise was kept.
+fn show(fleet: &Fleet, outcome: &Outcome, options: &Options) -> Result<bool, Error> {
+    println!("\n{}", outcome.report);
+    if let Some(path) = &options.history {
+        run::keep(&outcome.events, path, fleet.deployment.fleet)?;
+    }
+    let events = outcome.events.len();
+    match outcome.violations.len() {
+        0 => println!("  promises      all kept, judged over {events} events"),
+        broken => println!("  promises      {broken} BROKEN, judged over {events} events"),
+    }
+    for violation in &outcome.violations {
+        println!("{violation}");
+    }
+    Ok(outcome.violations.is_empty())
+}
+
+async fn ended() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/crates/history/src/check/leaving.rs
+++ b/crates/history/src/check/leaving.rs
@@ -57,7 +57,10 @@
                     Bound::Within(grace) => announced
                         .get(&life)
                         .filter(|leaving| clock::since(event.at, leaving.at) > grace),
-                    Bound::ByMark => settled.get(&life),
+                    // One sent before the mark may have been on its way.
+                    Bound::ByMark => settled
+                        .get(&life)
+                        .filter(|mark| sent_after(history, run.call, mark)),
                 };
                 found.extend(since.map(|leaving| late(run, leaving, event)));
             }
@@ -67,6 +70,12 @@
     found
 }
 
+fn sent_after(history: &History<'_>, call: CallId, mark: &Event) -> bool {
+    history
+        .call(call)
+        .is_none_or(|call| call.sent_event.order > mark.order)
+}
+
 fn late(run: &Run, leaving: &Event, event: &Event) -> Violation<Breach> {
     let breach = Breach::NewWork {
         endpoint: run.endpoint.clone(),
