demo: concurrent history tests of real routers, and the load bound judged

Orders and lookups are spread over the run, since all of them were placed before the log went down. The bound on an engine's work is judged with the routers' own floor, twice, as the next owner learns what the last one left running only from the engine's report.

--- a/crates/demo/src/figures.rs
+++ b/crates/demo/src/figures.rs
@@ -40,6 +40,21 @@
     }
 }
 
+/// Returns the mean work of a run at the endpoints of a service.
+#[must_use]
+#[expect(clippy::cast_precision_loss, reason = "sums stay far below 2^53")]
+pub fn mean_work(events: &[Event], service: &str) -> f64 {
+    let mut view = View::default();
+    let mut runs = 0_u32;
+    for event in events {
+        let before = view.running.len();
+        view.take(service, &event.what);
+        runs += u32::from(view.running.len() > before);
+    }
+    let work: u64 = view.all.values().sum();
+    work as f64 / f64::from(runs.max(1))
+}
+
 #[derive(Default)]
 struct View<'a> {
     /// Work at each endpoint over the whole run.
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -218,6 +218,12 @@
         false
     }
 
+    /// Returns the multiple of the mean load that the bundle sets for drafts.
+    #[must_use]
+    pub const fn load_bound(&self) -> f64 {
+        self.operator.load_bound()
+    }
+
     /// Returns how long each version took to be in force everywhere.
     #[must_use]
     pub fn rolls(&self) -> &[Duration] {
--- a/crates/demo/src/fleet/operator.rs
+++ b/crates/demo/src/fleet/operator.rs
@@ -34,6 +34,7 @@
     log: Client,
     tree: Option<Tree>,
     version: u64,
+    load_bound: f64,
 }
 
 impl Operator {
@@ -45,6 +46,7 @@
             log: Client::new(connector, log, TIMEOUT),
             tree: None,
             version: 0,
+            load_bound: 0.0,
         }
     }
 
@@ -52,6 +54,10 @@
         STANDARD.encode(self.key.public().0)
     }
 
+    pub(super) const fn load_bound(&self) -> f64 {
+        self.load_bound
+    }
+
     pub(super) fn fleet_key(&self) -> String {
         STANDARD.encode(seed(self.fleet))
     }
@@ -68,6 +74,8 @@
         let root = tree.root().to_string();
         self.version = version;
         self.tree = Some(tree);
+        let drafting = bundle.services.get("drafting");
+        self.load_bound = drafting.map_or(0.0, |service| service.load_bound);
         Ok(Accepted {
             version,
             root,
--- a/crates/demo/src/hold.rs
+++ b/crates/demo/src/hold.rs
@@ -6,17 +6,19 @@
 
 /// Returns the addresses of a fleet and calls to try, ready to be pasted.
 ///
+/// `key` names the order; it has to be as new as the fleet's claim window.
+///
 /// # Panics
 ///
 /// Never: writing to a string can't fail.
 #[must_use]
-pub fn text(fleet: &Fleet) -> String {
+pub fn text(fleet: &Fleet, key: &str) -> String {
     let mut text = String::new();
-    write(fleet, &mut text).expect("writing to a string never fails");
+    write(fleet, key, &mut text).expect("writing to a string never fails");
     text
 }
 
-fn write(fleet: &Fleet, to: &mut String) -> std::fmt::Result {
+fn write(fleet: &Fleet, key: &str, to: &mut String) -> std::fmt::Result {
     let deployment = fleet.deployment;
     writeln!(to, "{}", deployment.fleet)?;
     writeln!(to, "  log service   http://{}", fleet.log.address())?;
@@ -52,7 +54,6 @@
     writeln!(
         to,
         "    curl -i http://{callers}{path} -H 'Godwitpost-Workspace: {workspace}' \
-         -H 'Idempotency-Key: my-first' -H \"Godwitpost-Key-Issued: $(date +%s)\" \
-         -d '{{\"copies\":3}}'"
+         -H 'Idempotency-Key: {key}' -d '{{\"copies\":3}}'"
     )
 }
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod figures;
 pub mod fleet;
 pub mod hold;
+pub mod judge;
 pub mod key;
 pub mod load;
 pub mod plan;
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -4,6 +4,7 @@
 //! An order whose fate is not known is sent again under its key: the key makes
 //! a resend a question about the first, and never a second order.
 
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -36,7 +37,11 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// How long a person takes to read an answer and write on, in milliseconds.
-const THINK_MILLIS: std::ops::RangeInclusive<u64> = 20..=300;
+const THINK_MILLIS: RangeInclusive<u64> = 20..=300;
+
+/// How long a person at a counter takes to ask, in milliseconds. It spreads
+/// orders and lookups over the run, through every fault of it.
+const COUNTER_MILLIS: RangeInclusive<u64> = 0..=1500;
 
 /// Callers of one deployment with what they share.
 #[derive(Debug)]
@@ -116,8 +121,14 @@
         rng.set_stream(number + 1);
         match session {
             Session::Chat(chat) => self.chat(chat, &mut rng).await,
-            Session::Order(order) => drop(self.order(&order, &mut rng).await),
-            Session::Lookup(lookup) => drop(self.lookup(&lookup, &mut rng).await),
+            Session::Order(order) => {
+                pause(COUNTER_MILLIS, &mut rng).await;
+                self.order(&order, &mut rng).await;
+            }
+            Session::Lookup(lookup) => {
+                pause(COUNTER_MILLIS, &mut rng).await;
+                self.lookup(&lookup, &mut rng).await;
+            }
         }
     }
 
@@ -143,8 +154,7 @@
             let seen = self.settle(0, ask, rng).await;
             let said = answer::streamed(&String::from_utf8_lossy(&seen.body));
             messages.push(json!({ "role": "assistant", "content": said }));
-            let think = rng.random_range(THINK_MILLIS);
-            tokio::time::sleep(Duration::from_millis(think)).await;
+            pause(THINK_MILLIS, rng).await;
         }
     }
 
@@ -229,6 +239,11 @@
     }
 }
 
+async fn pause(millis: RangeInclusive<u64>, rng: &mut ChaCha8Rng) {
+    let millis = rng.random_range(millis);
+    tokio::time::sleep(Duration::from_millis(millis)).await;
+}
+
 // Routers' own answers (RFC 9457) name their reason for programs as a type.
 fn reason(seen: &Seen) -> Option<String> {
     if !matches!(seen.outcome, Some(Outcome::NotRun | Outcome::Unknown)) {
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -6,8 +6,11 @@
 use godwitpost_demo::deployment::{Deployment, KITAKAZE, PORT_OF_SPAIN};
 use godwitpost_demo::error::Error;
 use godwitpost_demo::fleet::Fleet;
-use godwitpost_demo::hold;
 use godwitpost_demo::run::{self, Outcome};
+use godwitpost_demo::{hold, key};
+use godwitpost_platform::clock::Clock;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
@@ -50,7 +53,7 @@
     }
     if options.hold {
         for (fleet, _) in &runs {
-            println!("\n{}", hold::text(fleet));
+            println!("\n{}", hold::text(fleet, &key()));
         }
         println!("held until a signal, such as Ctrl-C");
         ended().await;
@@ -83,6 +86,12 @@
     Ok(outcome.violations.is_empty())
 }
 
+fn key() -> String {
+    let now = Clock::start().now();
+    let mut rng = ChaCha8Rng::seed_from_u64(now.as_secs());
+    key::draw(now, &mut rng)
+}
+
 async fn ended() {
     let (Ok(mut terminate), Ok(mut interrupt)) = (
         signal(SignalKind::terminate()),
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -8,10 +8,8 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use godwitpost_history::check::{self, Breach, Limits, Violation};
-use godwitpost_history::event::{Event, What};
+use godwitpost_history::event::Event;
 use godwitpost_history::file;
-use godwitpost_history::history::{self, History};
 use godwitpost_history::recorder::Recorder;
 use godwitpost_platform::clock::Clock;
 use godwitpost_standin::engine;
@@ -27,7 +25,7 @@
 use crate::fleet::Fleet;
 use crate::load::Load;
 use crate::report::Report;
-use crate::{faults, figures, plan};
+use crate::{faults, figures, judge, plan};
 
 /// Sessions held side by side: a few requests on each engine.
 const WIDTH: usize = 40;
@@ -85,7 +83,10 @@
 
     let report = report(&fleet, &load, &recorder).await;
     let events = recorder.events();
-    let violations = judge(&events, options).expect("the demo records a well-formed history");
+    let limit = judge::bound(fleet.load_bound(), &events);
+    let poisoned = options.faults.contains(&Fault::Poison);
+    let violations = judge::violations(&events, limit, poisoned)
+        .expect("the demo records a well-formed history");
     let outcome = Outcome {
         report,
         events,
@@ -176,29 +177,6 @@
     report
 }
 
-/// Judges a history of a live run.
-///
-/// # Errors
-///
-/// Returns [`history::Error`] if the history contradicts itself.
-pub fn judge(events: &[Event], options: &Options) -> Result<Vec<String>, history::Error> {
-    let history = History::new(events)?;
-    let found = check::all(&history, &Limits::live(Vec::new()));
-    let mut violations: Vec<String> = found.iter().map(Violation::<Breach>::to_string).collect();
-    if options.faults.contains(&Fault::Poison) {
-        violations.extend(poisoned(events));
-    }
-    Ok(violations)
-}
-
-// Nothing else takes engines down in the demo.
-fn poisoned(events: &[Event]) -> Option<String> {
-    let lost = |event: &&Event| matches!(event.what, What::EndpointLost { .. });
-    let lost = events.iter().filter(lost).count();
-    let most = faults::MOST_LOST;
-    (lost > most).then(|| format!("poison: one request took {lost} engines down, above {most}"))
-}
-
 /// Writes a history beside others: `h.jsonl` becomes `h.kitakaze.jsonl`.
 ///
 /// # Errors
