capacity: relay and control measured on running routers

Cause: slopes of the decision structs do not show what the running program adds: sockets, heads, metrics, the control thread.

Change: two benches start real routers in one process and take processor time by thread name. 'relay' holds the router against a bare pass-through relay on the same runtime and connector; 'control' runs one router among stub instances and endpoints at three sizes and reads its own counters.

--- /dev/null
+++ b/crates/capacity/benches/relay.rs
@@ -0,0 +1,23 @@
+//! Prints what relaying costs; fails if the router falls behind its ratio.
+
+use std::process::ExitCode;
+
+use godwitpost_bench::figure::Figure;
+use godwitpost_capacity::live::relay;
+
+fn main() -> ExitCode {
+    // The test command builds benches and runs them with this argument; wall
+    // and processor time decide no verdict there.
+    if std::env::args().any(|argument| argument == "--test") {
+        return ExitCode::SUCCESS;
+    }
+    let figures = relay::figures();
+    for figure in &figures {
+        println!("{figure}");
+    }
+    if figures.iter().all(Figure::holds) {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod fleet;
 pub mod letter;
+pub mod live;
 pub mod meter;
 pub mod page;
 pub mod role;
