state: a lone model rolls over to a spare endpoint

A property test found that a model with one replica never got new weights though a second endpoint stood idle: the one that serves it must not stop, and nobody else was asked. The planner now loads the new weights on a spare endpoint and frees the old one once that serves. Without a spare it says so.

--- a/crates/bench/src/state.rs
+++ b/crates/bench/src/state.rs
@@ -8,3 +8,4 @@
 pub mod lease;
 pub mod log;
 pub mod membership;
+pub mod order;
--- a/crates/state/src/lease/holder.rs
+++ b/crates/state/src/lease/holder.rs
@@ -297,3 +297,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/lease/table.rs
+++ b/crates/state/src/lease/table.rs
@@ -184,3 +184,6 @@
         until.unwrap_or(self.blind_until)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/order/planner.rs
+++ b/crates/state/src/order/planner.rs
@@ -189,12 +189,33 @@
         for view in stale {
             if self.serving(id, views) > least_serving(model) {
                 self.load(now, id, model, view, plan);
-            } else if views.iter().filter(|view| usable(view)).count() == 1 {
-                plan.blocked.push(Blocked::Alone(id));
+            } else if !self.loading(id) {
+                self.load_spare(now, id, model, views, plan);
             }
         }
     }
 
+    // Loads a model beside the endpoint that alone serves it; that one is
+    // freed once the other serves.
+    fn load_spare(
+        &mut self,
+        now: Moment,
+        id: ModelId,
+        model: &Model,
+        views: &[View],
+        plan: &mut Plan,
+    ) {
+        let spare = views
+            .iter()
+            .filter(|view| usable(view) && !view.loaded.contains_key(&id))
+            .filter(|view| !self.under_way.contains_key(&view.id))
+            .max_by_key(|view| hash::score(id, view.id));
+        match spare {
+            Some(view) => self.load(now, id, model, view, plan),
+            None => plan.blocked.push(Blocked::Alone(id)),
+        }
+    }
+
     fn load(&mut self, now: Moment, id: ModelId, model: &Model, view: &View, plan: &mut Plan) {
         let loads = self.under_way.values().filter(|u| u.loads()).count();
         if loads >= self.limits.loads_at_once || now < self.load_at {
@@ -251,6 +272,11 @@
             .count()
     }
 
+    fn loading(&self, id: ModelId) -> bool {
+        let mut under_way = self.under_way.values();
+        under_way.any(|u| matches!(&u.action, Action::Load { model, .. } if *model == id))
+    }
+
     fn serving_wanted(&self, id: ModelId, model: &Model, views: &[View]) -> usize {
         views
             .iter()
@@ -278,12 +304,13 @@
 }
 
 // Endpoints that should have a model: its rendezvous winners, so that a change
-// of one endpoint moves one replica. Those that have it go first: a replica
-// isn't moved only because an endpoint joined.
+// of one endpoint moves one replica. Those that have it go first, the wanted
+// weights before others: a replica isn't moved only because an endpoint joined.
 fn homes<'a>(id: ModelId, model: &Model, views: &'a [View]) -> Vec<&'a View> {
     let mut ranked: Vec<&View> = views.iter().filter(|view| usable(view)).collect();
     ranked.sort_by_key(|view| {
-        let has = view.loaded.contains_key(&id);
+        let loaded = view.loaded.get(&id);
+        let has = (loaded == Some(&model.weights), loaded.is_some());
         std::cmp::Reverse((has, hash::score(id, view.id), view.id))
     });
     ranked.truncate(model.replicas as usize);
@@ -296,3 +323,6 @@
     let replicas = model.replicas as usize;
     (replicas - replicas.div_ceil(4)).max(1)
 }
+
+#[cfg(test)]
+mod tests;
