--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -24,6 +24,7 @@
     };
     part("rolls", &|| rolls::figures(ROLL_SEED, ROLL_SCHEDULES));
     part("claims", &claims::figures);
+    part("claims.load", &claims::load::figures);
     part("leases", &state::lease::figures);
     part("orders", &state::order::figures);
     for size in state::membership::SIZES {
--- a/crates/bench/src/claims.rs
+++ b/crates/bench/src/claims.rs
@@ -9,6 +9,7 @@
 
 pub mod caller;
 pub mod history;
+pub mod load;
 pub mod plan;
 pub mod weak;
 pub mod world;
--- a/crates/bench/src/claims/tests.rs
+++ b/crates/bench/src/claims/tests.rs
@@ -107,3 +107,10 @@
         broken(seed, Weakness::Undated, duplicated);
     }
 }
+
+#[test]
+fn appends_and_verdicts_keep_their_bounds() {
+    for figure in load::figures() {
+        assert!(figure.holds(), "{figure}");
+    }
+}
