router: serves only when the stream is read, vouches only for framed bodies

A router with empty memory served under each old version on its way through the stream: with 1,050 versions and a slow log it was in force with version 1,000 in between. It now waits for the end of the stream or a serving peer's word, and hands nothing on before.

An answer that ends with its connection may be half of one. It is passed on and broken at its end; an order's is *unknown*.

--- a/crates/router/src/body/relay.rs
+++ b/crates/router/src/body/relay.rs
@@ -30,26 +30,39 @@
     Dropped,
 }
 
+/// What shows that a body is whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ends {
+    /// Its length or last chunk.
+    Framed,
+    /// The end mark of an event stream.
+    Marked,
+    /// Nothing: it ends with its connection, whole or not.
+    Unknown,
+}
+
 /// A relayed body that tells how it ended.
 pub struct Relay<B, F: FnOnce(End)> {
     body: B,
     events: Option<Tail>,
+    ends: Ends,
     told: Option<F>,
 }
 
-/// An event stream that ended without its end mark.
+/// A body that ended without a sign that it is whole.
 #[derive(Debug, displaydoc::Display)]
-#[displaydoc("the endpoint's event stream ended without `data: [DONE]`")]
+#[displaydoc("the endpoint's answer ended without its end mark, length or last chunk")]
 pub struct Truncated;
 
 impl std::error::Error for Truncated {}
 
 impl<B, F: FnOnce(End)> Relay<B, F> {
-    /// Guards a body; `events` says whether it is an engine's event stream.
-    pub fn new(body: B, events: bool, told: F) -> Self {
+    /// Guards a body.
+    pub fn new(body: B, ends: Ends, told: F) -> Self {
         Self {
             body,
-            events: events.then(Tail::default),
+            events: (ends == Ends::Marked).then(Tail::default),
+            ends,
             told: Some(told),
         }
     }
@@ -61,7 +74,11 @@
     }
 
     fn end(&mut self) -> Option<Result<Frame<Bytes>, BoxError>> {
-        if self.events.as_ref().is_some_and(|tail| !tail.done()) {
+        let whole = match &self.events {
+            Some(tail) => tail.done(),
+            None => self.ends == Ends::Framed,
+        };
+        if !whole {
             self.tell(End::Broken);
             return Some(Err(Box::new(Truncated)));
         }
@@ -97,7 +114,7 @@
                 }
                 // A body with a length is never polled past its last byte, so
                 // its end has to be told here.
-                if this.events.is_none() && this.body.is_end_stream() {
+                if this.ends == Ends::Framed && this.body.is_end_stream() {
                     this.tell(End::Whole);
                 }
                 Poll::Ready(Some(Ok(frame)))
@@ -106,7 +123,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.events.is_none() && self.body.is_end_stream()
+        self.ends == Ends::Framed && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -117,7 +134,7 @@
 impl<B, F: FnOnce(End)> fmt::Debug for Relay<B, F> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Relay")
-            .field("events", &self.events.is_some())
+            .field("ends", &self.ends)
             .finish_non_exhaustive()
     }
 }
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use godwitpost_bundle::blob::Digest;
 use godwitpost_bundle::fold::Fold;
+use godwitpost_bundle::ready::Ready;
 use godwitpost_platform::connect::{self, Connector};
 use godwitpost_platform::list::{self, Listing};
 use godwitpost_platform::log;
@@ -62,7 +63,7 @@
 pub(crate) enum Event {
     /// An answer of the platform's list.
     Listing(Listing),
-    /// Records of the bundles' stream.
+    /// Records of the bundles' stream; none if there is nothing new.
     Bundles(Vec<log::Record>),
     /// A checkpoint was appended, or could not be.
     Renewed,
@@ -101,6 +102,7 @@
     shared: Arc<Shared>,
     io: Io,
     fold: Fold,
+    ready: Ready,
     roster: Roster,
     endpoints: Endpoints,
     pump: Pump,
@@ -141,6 +143,7 @@
         let now = shared.now();
         let roots = settings.root_keys.iter().copied().map(Digest);
         Self {
+            ready: Ready::default(),
             fold: Fold::new(settings.fleet.clone(), roots),
             roster: Roster::new(own.clone()),
             endpoints: Endpoints::new(),
--- a/crates/router/src/control/bundles.rs
+++ b/crates/router/src/control/bundles.rs
@@ -27,6 +27,9 @@
 /// bytes each are under a megabyte.
 const BUNDLE_BYTES: usize = 64 << 20;
 
+/// Records asked for at once; fewer in an answer are the end of the stream.
+const PAGE: usize = 1000;
+
 /// What a peer hands over.
 #[derive(Debug, Serialize, Deserialize)]
 enum Handed {
@@ -42,6 +45,7 @@
 /// the log is down, peers hand the bundle over.
 pub(super) async fn follow(io: Io) {
     let settings = follower::Settings {
+        limit: PAGE,
         seed: io.shared.local(),
         ..follower::Settings::default()
     };
@@ -49,8 +53,9 @@
     loop {
         let records = match follower.next().await {
             follower::Event::Records(records) => records,
+            follower::Event::Idle => Vec::new(),
             // The fold sees a gap by the offset that follows it.
-            follower::Event::Gap { .. } | follower::Event::Idle => continue,
+            follower::Event::Gap { .. } => continue,
             follower::Event::Down(error) => {
                 log::debug!(error:% = error; "bundles not read");
                 continue;
@@ -66,8 +71,9 @@
     pub(super) fn records(&mut self, records: &[Record]) {
         for record in records {
             let next = self.fold.apply(record.offset, record.time, &record.body);
-            self.folded(&next);
+            Self::folded(&next);
         }
+        self.ready.read(&self.fold, records.len() < PAGE);
         self.publish();
     }
 
@@ -99,12 +105,24 @@
                 return;
             }
         };
-        self.folded(&next.unwrap_or_else(Next::Refused));
+        match next {
+            Ok(next) => {
+                Self::folded(&next);
+                self.ready.heard(&self.fold);
+            }
+            Err(refusal) => Self::folded(&Next::Refused(refusal)),
+        }
         self.publish();
     }
 
     /// Returns what a peer needs that holds `version`.
+    ///
+    /// An instance that still reads the stream has passed old versions only,
+    /// and hands none of them on.
     pub(super) fn bundle(&self, version: Version) -> Option<Bytes> {
+        if !self.ready.get() {
+            return None;
+        }
         let update = self.fold.update(version).filter(|_| version > 0);
         let handed = match update {
             Some(update) => Handed::Update(update),
@@ -113,12 +131,9 @@
         rmp_serde::to_vec(&handed).ok().map(Bytes::from)
     }
 
-    fn folded(&mut self, next: &Next) {
+    fn folded(next: &Next) {
         match next {
-            Next::InForce(version) => {
-                log::info!(version = version; "bundle in force");
-                self.pump.set_version(*version);
-            }
+            Next::InForce(version) => log::info!(version = version; "bundle folded"),
             Next::Refused(refusal) => log::warn!(reason:% = refusal; "bundle refused"),
             Next::Waiting => log::warn!("bundle records were dropped; asking peers"),
             Next::Ignored => {}
--- a/crates/router/src/control/publish.rs
+++ b/crates/router/src/control/publish.rs
@@ -35,7 +35,7 @@
     pub(super) fn publish(&mut self) {
         let instances = self.instances();
         let endpoints: Vec<Endpoint> = self.endpoints.endpoints().cloned().collect();
-        let version = self.fold.version();
+        let version = self.serves();
         let last = &self.published;
         if last.version == version && last.instances == instances && last.endpoints == endpoints {
             return;
@@ -43,6 +43,8 @@
         if self.published.version != version {
             self.published.bundle = self.resolved();
             self.batchers.set_window(self.fold.policy());
+            self.pump.set_version(version);
+            log::info!(version = version; "bundle in force");
         }
         let view = View::new(
             self.shared.local(),
@@ -58,6 +60,15 @@
         self.published.version = version;
     }
 
+    // The version to serve under: none while the stream is still being read.
+    fn serves(&self) -> Version {
+        if self.ready.get() {
+            self.fold.version()
+        } else {
+            0
+        }
+    }
+
     // The own instance stays in its view while it leaves, so that the view
     // knows its region; a leaving instance owns nothing.
     fn instances(&self) -> Vec<Instance> {
--- a/crates/router/src/control/renew.rs
+++ b/crates/router/src/control/renew.rs
@@ -44,7 +44,7 @@
         View {
             now,
             retention: self.shared.settings.platform.retention,
-            anchor: self.fold.anchor(),
+            anchor: self.fold.anchor().filter(|_| self.ready.get()),
             next: self.fold.wanted(),
             tried: self.renewed,
             rank: u32::try_from(before).unwrap_or(u32::MAX),
--- a/crates/router/src/relay/answer.rs
+++ b/crates/router/src/relay/answer.rs
@@ -24,7 +24,7 @@
 use super::endpoint;
 use crate::body;
 use crate::body::peeked::Peeked;
-use crate::body::relay::{End, Relay};
+use crate::body::relay::{End, Ends, Relay};
 
 /// Bytes of an answer in one piece; 100,000 tokens are about half of it.
 const JSON_BYTES: usize = 1 << 20;
@@ -34,7 +34,7 @@
 pub(crate) struct Begun {
     parts: Parts,
     body: Body,
-    events: bool,
+    ends: Ends,
 }
 
 enum Shape {
@@ -56,16 +56,13 @@
     ) -> Result<Self, Ending> {
         let (mut parts, received) = response.into_parts();
         endpoint::clean(&mut parts.headers);
-        let (body, events) = match shape(kind, &parts.headers) {
-            Shape::Events => (first(received, wait).await?, true),
-            Shape::Json => (json(received, wait).await?, false),
-            Shape::Other => (received.boxed(), false),
+        let (body, ends) = match shape(kind, &parts.headers) {
+            Shape::Events => (first(received, wait).await?, Ends::Marked),
+            Shape::Json => (json(received, wait).await?, Ends::Framed),
+            Shape::Other if received.is_framed() => (received.boxed(), Ends::Framed),
+            Shape::Other => (received.boxed(), Ends::Unknown),
         };
-        Ok(Self {
-            parts,
-            body,
-            events,
-        })
+        Ok(Self { parts, body, ends })
     }
 
     /// Returns the answer, which tells the owner how it ends.
@@ -80,7 +77,7 @@
                 End::Dropped => Ending::Abandoned,
             });
         };
-        let body = Relay::new(self.body, self.events, told).boxed_unsync();
+        let body = Relay::new(self.body, self.ends, told).boxed_unsync();
         Response::from_parts(self.parts, body)
     }
 }
--- a/crates/router/src/relay/once.rs
+++ b/crates/router/src/relay/once.rs
@@ -176,6 +176,10 @@
 async fn whole(response: Response<Received>) -> Option<Kept> {
     let (mut parts, received) = response.into_parts();
     endpoint::clean(&mut parts.headers);
+    // An answer that ends with its connection may be half of one.
+    if !received.is_framed() {
+        return None;
+    }
     let read = body::collect(received, ANSWER_BYTES);
     let body = tokio::time::timeout(ANSWER_WAIT, read).await.ok()?.ok()?;
     Some(Kept {
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -17,7 +17,7 @@
 use rand::RngExt as _;
 
 use crate::body;
-use crate::body::relay::Relay;
+use crate::body::relay::{Ends, Relay};
 use crate::metrics::Labels;
 use crate::problem::Problem;
 use crate::relay::{endpoint, entry};
@@ -137,7 +137,7 @@
         shared.metrics.end(&labels, since(shared.now(), began));
         drop((in_flight, permit));
     };
-    response.map(|body| Relay::new(body, false, ended).boxed_unsync())
+    response.map(|body| Relay::new(body, Ends::Framed, ended).boxed_unsync())
 }
 
 fn label(shared: &Shared, bundle: &Bundle, head: &resolve::Head<'_>) -> Labels {
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -19,7 +19,7 @@
 use tokio::sync::oneshot;
 
 use crate::body;
-use crate::body::relay::Relay;
+use crate::body::relay::{Ends, Relay};
 use crate::claims;
 use crate::control::{Event, bundles, gossip};
 use crate::relay::{Attempt, Job, owner, peer};
@@ -120,7 +120,7 @@
         headers.insert(header::LOAD, load);
     }
     // A stream that is relayed here is in flight here until its end.
-    response.map(|body| Relay::new(body, false, move |_end| drop(in_flight)).boxed_unsync())
+    response.map(|body| Relay::new(body, Ends::Framed, move |_end| drop(in_flight)).boxed_unsync())
 }
 
 async fn claim(shared: &Shared, bytes: &Bytes) -> Response<Body> {
--- a/crates/router/tests/router/faults.rs
+++ b/crates/router/tests/router/faults.rs
@@ -7,6 +7,7 @@
 use godwitpost_router::Running;
 use godwitpost_standin::digest;
 use http_body_util::BodyExt as _;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 use crate::fleet::{Fleet, Size, chat, key, order, outcome, until, words};
 
@@ -144,7 +145,7 @@
 async fn a_second_version_is_in_force_on_each_router_and_the_first_never_again() {
     let fleet = Fleet::start(SIZE).await;
     let first = fleet.log.records("bundles")[0].clone();
-    fleet.roll_second();
+    fleet.roll_after(1);
     for router in &fleet.routers {
         let operators = router.operators_address();
         until("the second version is in force", async || {
@@ -266,3 +267,63 @@
     })
     .await;
 }
+
+// A router starts with empty memory and reads weeks of versions. Serving on
+// its way, it would show callers bundles that the fleet left long ago.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_still_reads_the_stream_serves_under_no_old_version() {
+    // More than are read at once.
+    const LAST: u64 = 1050;
+    let mut fleet = Fleet::start(Size { routers: 0, ..SIZE }).await;
+    (1..LAST).for_each(|version| fleet.roll_after(version));
+    // Between two pages is time enough to look.
+    let slow = Duration::from_millis(200);
+    fleet.log.faults().change(|faults| faults.slow = slow);
+    fleet.add_router(0, &Private::from_seed(&[3; 32]));
+    let operators = fleet.routers[0].operators_address();
+    until("the last version is in force", async || {
+        let (_, _, bundle) = fleet.get(operators, "/bundle").await;
+        let bundle: serde_json::Value = serde_json::from_slice(&bundle).unwrap();
+        let version = bundle["version"].as_u64().unwrap();
+        assert!(version == 0 || version == LAST, "{version}");
+        version == LAST
+    })
+    .await;
+}
+
+// A service ends its answer by closing the connection, and nothing says
+// whether that is the whole of it. A stock list must not be taken for whole,
+// and an order's confirmation not for one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_ends_with_its_connection_is_not_vouched_for() {
+    let fleet = Fleet::start(Size { plains: 0, ..SIZE }).await;
+    let service = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    fleet.list_plain("unframed", service.local_addr().unwrap());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = service.accept().await {
+            let mut head = [0; 4096];
+            assert!(stream.read(&mut head).await.unwrap() > 0);
+            let answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf";
+            stream.write_all(answer).await.unwrap();
+        }
+    });
+    let stock = || {
+        http::Request::post("/stock")
+            .header("godwitpost-workspace", "otaru")
+            .body(crate::fleet::full(""))
+            .unwrap()
+    };
+    until(
+        "the service is known and its answer breaks off",
+        async || {
+            let response = fleet.send(0, stock()).await.unwrap();
+            let status = response.status();
+            let whole = response.into_body().collect().await;
+            assert!(status == 503 || whole.is_err(), "{status}");
+            status == 200
+        },
+    )
+    .await;
+    let (_, headers, _) = fleet.ask(0, order(&key(8), "guides")).await;
+    assert_eq!(outcome(&headers), "unknown");
+}
--- a/crates/router/tests/router/fleet.rs
+++ b/crates/router/tests/router/fleet.rs
@@ -103,9 +103,7 @@
 
     async fn add_plain(&mut self, n: usize) {
         let plain = plain::start(any(), plain::Faults::default()).await.unwrap();
-        let mut entry = listed(&format!("orders-{n}"), Role::Endpoint, n, plain.address());
-        entry.service = Some("ordering".to_owned());
-        self.list.set(entry);
+        self.list_plain(&format!("orders-{n}"), plain.address());
         self.plains.push(plain);
     }
 
@@ -146,14 +144,25 @@
         self.append(&Change::sign(None, &bundle(key), "asahikawa", key));
     }
 
-    /// Rolls a second version, which differs in its claim window.
-    pub(crate) fn roll_second(&self) {
+    /// Rolls the version after `version`, which differs in its claim window.
+    pub(crate) fn roll_after(&self, version: u64) {
         let key = Private::from_seed(&[3; 32]);
-        let mut second = bundle(&key);
-        let first = Tree::new(entry::split(&second));
-        second.version = 2;
-        second.fleet.claim_window = Duration::from_mins(20);
-        self.append(&Change::sign(Some(&first), &second, "asahikawa", &key));
+        let at = |version: u64| {
+            let mut bundle = bundle(&key);
+            bundle.version = version;
+            bundle.fleet.claim_window += Duration::from_secs(version - 1);
+            bundle
+        };
+        let before = Tree::new(entry::split(&at(version)));
+        let next = at(version + 1);
+        self.append(&Change::sign(Some(&before), &next, "asahikawa", &key));
+    }
+
+    /// Adds a plain endpoint that listens at `address`.
+    pub(crate) fn list_plain(&self, name: &str, address: SocketAddr) {
+        let mut entry = listed(name, Role::Endpoint, 0, address);
+        entry.service = Some("ordering".to_owned());
+        self.list.set(entry);
     }
 
     fn append(&self, change: &Change) {
