--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,4 +5,5 @@
 //! by the crate's tests; those that depend on the machine never decide a
 //! verdict there.
 
+pub mod decisions;
 pub mod figure;
--- a/crates/decide/src/chats.rs
+++ b/crates/decide/src/chats.rs
@@ -9,7 +9,7 @@
 use std::num::NonZeroUsize;
 
 use godwitpost_types::clock::Moment;
-use godwitpost_types::id::{ChatId, EndpointId};
+use godwitpost_types::id::{ChatId, EndpointId, Incarnation};
 use lru::LruCache;
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +31,8 @@
     pub pool: Pool,
     /// The endpoint that last ran it.
     pub endpoint: EndpointId,
+    /// The endpoint's incarnation, as a restart empties its cache.
+    pub incarnation: Incarnation,
     /// Prompt tokens that are estimated to be cached there.
     pub tokens: u32,
     /// When the endpoint last ran it.
@@ -48,6 +50,8 @@
     pub kind: Kind,
     /// Tokens concerned.
     pub tokens: u32,
+    /// The engine's incarnation.
+    pub incarnation: Incarnation,
     /// When the engine says it happened.
     pub at: Moment,
 }
@@ -125,6 +129,7 @@
                 chat: event.chat,
                 pool: event.pool,
                 endpoint,
+                incarnation: event.incarnation,
                 tokens: event.tokens,
                 seen: event.at,
             }),
@@ -138,6 +143,12 @@
         }
     }
 
+    /// Returns a chat's location without marking it as used.
+    #[must_use]
+    pub fn peek(&self, pool: Pool, chat: ChatId) -> Option<&Location> {
+        self.rows.peek(&(pool, chat))
+    }
+
     /// Returns every location, the most recently used first.
     pub fn iter(&self) -> impl Iterator<Item = &Location> {
         self.rows.iter().map(|(_, location)| location)
--- a/crates/decide/src/hop.rs
+++ b/crates/decide/src/hop.rs
@@ -1,6 +1,6 @@
 //! What travels with a request from one instance to the next.
 
-use godwitpost_types::id::{EndpointId, ZoneId};
+use godwitpost_types::id::{EndpointId, InstanceId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::Evidence;
@@ -24,6 +24,8 @@
     pub spilled: bool,
     /// Prompt tokens that the sender takes to be cached at `endpoint`.
     pub cached: u32,
+    /// The owner of the chat's home, to be told where the chat went.
+    pub home: Option<InstanceId>,
     /// Endpoints that failed the request or had no room for it.
     pub tried: Vec<EndpointId>,
     /// The least loaded endpoint without room so far, and its work.
@@ -42,6 +44,7 @@
             count: 0,
             spilled: false,
             cached: 0,
+            home: None,
             tried: Vec::new(),
             least: None,
             evidence: Vec::new(),
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -14,13 +14,13 @@
 mod job;
 mod room;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use godwitpost_types::clock::Moment;
-use godwitpost_types::endpoint::{Report, Standing};
-use godwitpost_types::id::{BodyDigest, EndpointId, InstanceId, NO_MODEL};
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::Report;
+use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, InstanceId, NO_MODEL};
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
@@ -57,6 +57,9 @@
     pub cached: u32,
     /// The priority to tell the engine; 0 goes first.
     pub priority: u8,
+    /// The owner of the chat's home, if it is another instance: it has to be
+    /// told of the location with [`Owner::located`].
+    pub tell: Option<(InstanceId, Location)>,
 }
 
 /// What to do with a request that was offered.
@@ -113,6 +116,9 @@
     quarantine: quarantine::Table,
     outbox: Vec<Evidence>,
     next: u64,
+    tidied: Moment,
+    strays: VecDeque<(Pool, ChatId)>,
+    lost: BTreeSet<EndpointId>,
 }
 
 impl Owner {
@@ -132,6 +138,9 @@
             quarantine: quarantine::Table::default(),
             outbox: Vec::new(),
             next: 0,
+            tidied: Moment::ZERO,
+            strays: VecDeque::new(),
+            lost: BTreeSet::new(),
         };
         owner.open_books();
         owner
@@ -142,14 +151,35 @@
     /// Running requests stay counted until they finish. Those that wait for a
     /// pool of which nothing is owned here any more move to its owners.
     pub fn adopt(&mut self, now: Moment, view: Arc<View>, policy: Arc<Policy>) -> Vec<Wake> {
+        self.lose(&view);
         self.view = view;
         self.policy = policy;
         self.open_books();
-        let mut wakes = self.evict(now);
+        let mut wakes = self.evict();
         wakes.extend(self.drain(now));
         wakes
     }
 
+    // Notes the endpoints that go to other owners in the next view; the chats
+    // that have their home or context there are to be handed over.
+    fn lose(&mut self, next: &View) {
+        let owned = self.view.owned().values().flatten();
+        let lost = owned.filter(|id| next.owner(**id) != next.local());
+        let lost: BTreeSet<EndpointId> = lost.copied().collect();
+        if lost.is_empty() {
+            return;
+        }
+        // What the view before lost is in the queue still, if anything.
+        if self.strays.is_empty() {
+            self.lost.clear();
+        }
+        self.lost.extend(lost);
+        let rows = self.chats.iter();
+        self.strays = rows
+            .map(|location| (location.pool, location.chat))
+            .collect();
+    }
+
     /// Decides on a request that arrived with its hop.
     pub fn offer(&mut self, now: Moment, request: &Request, hop: &Hop) -> Next {
         for evidence in &hop.evidence {
@@ -171,18 +201,26 @@
             Verdict::Suspect => job.suspect = true,
             Verdict::Clear => {}
         }
-        if job.pool.model != NO_MODEL && !hop.spilled {
+        if job.pool.model != NO_MODEL {
             self.recall(&mut job, hop);
         }
         Ok(job)
     }
 
-    // Where the chat is warm, if that is a place it can still go to.
+    // Where the chat is warm, if that is a place it can still go to. Only the
+    // owner of the home sends it elsewhere, so no chain of hints is followed.
     fn recall(&mut self, job: &mut Job, hop: &Hop) {
-        let Some(known) = self.chats.find(job.pool, job.chat) else {
+        let found = self.chats.find(job.pool, job.chat);
+        let Some(known) = found.filter(|known| self.lives(known)) else {
             return;
         };
-        let usable = self.view.serves(known.endpoint, job.pool)
+        if known.endpoint == hop.endpoint {
+            job.warm = Some((known.endpoint, known.tokens));
+            return;
+        }
+        let usable = hop.count == 0
+            && known.tokens > 0
+            && self.view.serves(known.endpoint, job.pool)
             && !hop.tried.contains(&known.endpoint)
             && self.well(known.endpoint);
         if usable {
@@ -190,6 +228,11 @@
         }
     }
 
+    fn lives(&self, location: &Location) -> bool {
+        let endpoint = self.view.endpoint(location.endpoint);
+        endpoint.is_some_and(|e| e.incarnation == location.incarnation)
+    }
+
     fn well(&self, endpoint: EndpointId) -> bool {
         let book = self.books.get(&endpoint);
         book.is_none_or(|book| book.health.access() != health::Access::None)
@@ -199,11 +242,11 @@
     /// along the chat's order while the bound forbids, then into the queue.
     fn place(&mut self, now: Moment, job: Job, hop: &Hop) -> Next {
         let target = job.warm.map_or(hop.endpoint, |(endpoint, _)| endpoint);
-        if target != hop.endpoint && !self.owns(target) && !hop.last() {
-            return self.forward(now, &job, hop.clone(), target);
+        if !self.owns(target) && !hop.last() {
+            return self.forward(&job, hop.clone(), target);
         }
         let mut hop = hop.clone();
-        if self.view.serves(target, job.pool) {
+        if self.view.serves(target, job.pool) && !hop.tried.contains(&target) {
             if self.fits(now, target, &job) {
                 return self.grant(now, target, job);
             }
@@ -231,7 +274,7 @@
                 }
                 self.note(&mut hop, endpoint);
             } else if !hop.last() {
-                return self.forward(now, &job, hop, endpoint);
+                return self.forward(&job, hop, endpoint);
             }
         }
         self.wait(now, job, hop)
@@ -254,12 +297,12 @@
             && hop.count <= crate::hop::MOST
         {
             hop.count = crate::hop::MOST;
-            return self.forward(now, &job, hop, endpoint);
+            return self.forward(&job, hop, endpoint);
         }
         if !job.queues {
             return Next::Refuse(Refusal::new(Reason::Busy));
         }
-        if self.view.size(job.pool) == 0 {
+        if self.view.owned_of(job.pool).is_empty() {
             return Next::Refuse(Refusal::new(Reason::NoEndpoint));
         }
         self.enqueue(now, job)
@@ -282,11 +325,11 @@
         Next::Wait { ticket, until }
     }
 
-    fn forward(&mut self, now: Moment, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
+    fn forward(&self, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
+        hop.home = hop.home.or(Some(self.view.local()));
         hop.endpoint = endpoint;
         hop.count += 1;
         hop.cached = job.cached(endpoint);
-        self.remember(now, job, endpoint);
         Next::Forward {
             instance: self.view.owner(endpoint),
             hop,
@@ -295,17 +338,25 @@
 
     // A hint for the chat's next turn: after this one its context, prompt and
     // answer, is at the endpoint.
-    fn remember(&mut self, now: Moment, job: &Job, endpoint: EndpointId) {
+    fn remember(&mut self, now: Moment, job: &Job, endpoint: EndpointId) -> Option<Location> {
         if job.pool.model == NO_MODEL {
-            return;
+            return None;
         }
-        self.chats.put(Location {
+        let location = Location {
             chat: job.chat,
             pool: job.pool,
             endpoint,
+            incarnation: self.view.endpoint(endpoint).map_or(0, |e| e.incarnation),
             tokens: job.prompt.saturating_add(job.answer),
             seen: now,
-        });
+        };
+        self.chats.put(location);
+        Some(location)
+    }
+
+    /// Takes in where another owner placed a chat whose home is here.
+    pub fn located(&mut self, location: Location) {
+        self.chats.put(location);
     }
 
     fn grant(&mut self, now: Moment, endpoint: EndpointId, job: Job) -> Next {
@@ -313,14 +364,15 @@
         self.next += 1;
         let work = job.work(endpoint);
         let cached = job.cached(endpoint);
-        self.remember(now, &job, endpoint);
+        let location = self.remember(now, &job, endpoint);
+        let tell = job.home.zip(location);
         let book = self.books.entry(endpoint).or_insert_with(|| Book::new(0));
         book.begin(now, work);
         if job.suspect {
             book.solo = Solo::Running(attempt);
         }
         let shares = self.shares.entry(job.pool).or_default();
-        shares.begin(now, &job, work);
+        shares.begin(&job);
         let priority = job.rank.priority;
         let running = Running {
             endpoint,
@@ -333,6 +385,7 @@
             endpoint,
             cached,
             priority,
+            tell,
         })
     }
 
@@ -426,8 +479,7 @@
     /// Lets time pass: refuses what waited too long, tries closed endpoints
     /// again. Called about every 100 ms.
     pub fn tick(&mut self, now: Moment) -> Vec<Wake> {
-        self.means.expire(now);
-        self.quarantine.expire(now);
+        self.tidy(now);
         for book in self.books.values_mut() {
             book.health.handle(health::Event::Tick(now));
         }
@@ -436,6 +488,15 @@
         wakes
     }
 
+    fn tidy(&mut self, now: Moment) {
+        if since(now, self.tidied) < TIDIED {
+            return;
+        }
+        self.tidied = now;
+        self.means.expire(now);
+        self.quarantine.expire(now);
+    }
+
     fn time_out(&mut self, now: Moment) -> Vec<Wake> {
         let mut gone = Vec::new();
         for queue in self.queues.values_mut() {
@@ -495,41 +556,21 @@
     /// the others.
     #[must_use]
     pub fn summaries(&self, now: Moment) -> Vec<Summary> {
-        let mut pools: BTreeMap<Pool, Summary> = BTreeMap::new();
-        for endpoint in self.view.owned().filter(|e| e.standing == Standing::Live) {
-            let load = self.books.get(&endpoint.id).map_or(0, Book::load);
-            let models = endpoint.models.iter().copied();
-            let none = endpoint.models.is_empty().then_some(NO_MODEL);
-            for model in models.chain(none) {
-                let pool = Pool {
-                    service: endpoint.service,
-                    model,
-                };
-                let summary = pools.entry(pool).or_insert(Summary {
-                    source: self.view.local(),
-                    pool,
-                    endpoints: 0,
-                    work: 0,
-                    taken: now,
-                });
-                summary.endpoints += 1;
-                summary.work += load;
-            }
-        }
-        pools.into_values().collect()
+        let pools = self.view.owned().keys();
+        pools.map(|pool| self.summary(now, *pool)).collect()
     }
 
     /// Returns the summary of one pool, to send along with an answer.
     #[must_use]
     pub fn summary(&self, now: Moment, pool: Pool) -> Summary {
-        let found = self.summaries(now).into_iter().find(|s| s.pool == pool);
-        found.unwrap_or(Summary {
+        let owned = self.view.owned_of(pool);
+        Summary {
             source: self.view.local(),
             pool,
-            endpoints: 0,
-            work: 0,
+            endpoints: u32::try_from(owned.len()).unwrap_or(u32::MAX),
+            work: owned.iter().map(|id| self.load(*id)).sum(),
             taken: now,
-        })
+        }
     }
 
     /// Takes in summaries of other instances.
@@ -559,20 +600,46 @@
         fresh.filter(|e| self.quarantine.learn(*e)).collect()
     }
 
-    /// Returns the chat locations to hand over on a graceful stop.
+    /// Returns chat locations that belong to other owners in the present
+    /// view, with whom they go to; looks at some of the table in each call.
     ///
-    /// Each goes to the owner, in the view without this instance, of the
-    /// chat's home: [`View::ranked`], then [`View::owner`].
-    #[must_use]
-    pub fn handover(&self) -> Vec<Location> {
-        self.chats.iter().copied().collect()
+    /// Called until it returns nothing after [`Owner::adopt`] brought another
+    /// list of instances: homes have moved then, and on a graceful stop, when
+    /// the view has the local instance as leaving, all of them have.
+    pub fn handover(&mut self) -> Vec<(InstanceId, Location)> {
+        let most = self.strays.len().min(HANDED);
+        let some: Vec<(Pool, ChatId)> = self.strays.drain(..most).collect();
+        let known = some
+            .iter()
+            .filter_map(|(pool, chat)| self.chats.peek(*pool, *chat));
+        known.flat_map(|location| self.heirs(location)).collect()
+    }
+
+    // The owners of the chat's home and of the endpoint where it is warm.
+    fn heirs(&self, location: &Location) -> Vec<(InstanceId, Location)> {
+        if !self.lives(location) || location.tokens == 0 {
+            return Vec::new();
+        }
+        let home = self.view.ranked(location.pool, location.chat, 0).next();
+        let owners = [home, Some(location.endpoint)].into_iter().flatten();
+        let owners: BTreeSet<InstanceId> = owners.map(|id| self.view.owner(id)).collect();
+        let others = owners.into_iter().filter(|id| *id != self.view.local());
+        let gone = !self.owns(location.endpoint) || home.is_some_and(|home| !self.owns(home));
+        let moved = others.filter(|_| gone && self.moved(home, location.endpoint));
+        moved.map(|id| (id, *location)).collect()
+    }
+
+    // Whether the last view had the home or the endpoint here.
+    fn moved(&self, home: Option<EndpointId>, endpoint: EndpointId) -> bool {
+        let mut places = home.into_iter().chain([endpoint]);
+        places.any(|id| self.lost.contains(&id))
     }
 
     /// Takes over chat locations of an instance that stops.
     pub fn take_over(&mut self, locations: &[Location]) {
         // The most recently used come first and have to be put last.
         for location in locations.iter().rev() {
-            self.chats.put(*location);
+            self.located(*location);
         }
     }
 
@@ -611,34 +678,40 @@
     }
 
     // What waits for a pool with no endpoint left here moves on.
-    fn evict(&mut self, now: Moment) -> Vec<Wake> {
+    fn evict(&mut self) -> Vec<Wake> {
         let view = Arc::clone(&self.view);
-        let here = |pool: Pool| view.owned().any(|e| view.serves(e.id, pool));
+        let here = |pool: Pool| !view.owned_of(pool).is_empty();
         let pools: Vec<Pool> = self.queues.keys().copied().filter(|p| !here(*p)).collect();
         let mut wakes = Vec::new();
         for pool in pools {
             let queue = self.queues.remove(&pool).unwrap_or_default();
             for (ticket, job) in queue.iter() {
                 self.left(ticket, job);
-                let next = self.relocate(now, job);
+                let next = self.relocate(job);
                 wakes.push(Wake { ticket, next });
             }
         }
         wakes
     }
 
-    fn relocate(&mut self, now: Moment, job: &Job) -> Next {
+    fn relocate(&self, job: &Job) -> Next {
         let view = Arc::clone(&self.view);
         let home = view.ranked(job.pool, job.chat, 0).next();
         match home {
             Some(endpoint) if !self.owns(endpoint) => {
-                self.forward(now, job, Hop::first(0, endpoint), endpoint)
+                self.forward(job, Hop::first(0, endpoint), endpoint)
             }
             _ => Next::Refuse(Refusal::new(Reason::NoEndpoint)),
         }
     }
 }
 
+/// Locations looked at in one call of [`Owner::handover`], some 200 us.
+const HANDED: usize = 512;
+
+/// From one look for what has expired to the next.
+const TIDIED: Duration = Duration::from_secs(5);
+
 /// Endpoints of a chat's order that a spill looks at.
 const SCANNED: usize = 16;
 
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -1,7 +1,7 @@
 //! A request as its owner keeps it while it waits or runs.
 
 use godwitpost_types::clock::Moment;
-use godwitpost_types::id::{BodyDigest, ChatId, EndpointId};
+use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, InstanceId};
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
@@ -33,6 +33,8 @@
     pub rank: Rank,
     /// Whether its class may wait at all.
     pub queues: bool,
+    /// The owner of its chat's home, if that is another instance.
+    pub home: Option<InstanceId>,
     /// When it started to wait.
     pub since: Moment,
     /// Whether it runs alone.
@@ -75,6 +77,7 @@
                 until: request.deadline,
             },
             queues: class.queue,
+            home: hop.home,
             since: Moment::ZERO,
             suspect: false,
             warm: (hop.cached > 0).then_some((hop.endpoint, hop.cached)),
--- a/crates/decide/src/owner/room.rs
+++ b/crates/decide/src/owner/room.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{EndpointId, WorkspaceId};
@@ -19,21 +20,24 @@
 /// the next request of a surge ends.
 const RESERVE: f64 = 0.125;
 
-/// Requests whose mean work is the least load that the bound applies to.
+/// Shares that a workspace may use before it leaves the reserve free.
 ///
-/// Under it one request more or less is a large multiple of the mean, and
-/// nothing drowns.
-const FLOOR: f64 = 4.0;
+/// Chance alone takes a workspace somewhat over its share without any surge.
+const LENIENT: f64 = 1.5;
 
-/// How fast the mean work of a request follows: a 64th of each new one.
-const SMOOTH: f64 = 1.0 / 64.0;
+/// How long after a request had to wait the reserve is kept.
+const CONTENDED: Duration = Duration::from_secs(10);
+
+/// How fast the largest request is forgotten: by a 256th with each new one.
+const FADE: f64 = 1.0 / 256.0;
 
 /// Who uses a pool's endpoints here, and how large its requests are.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     users: BTreeMap<WorkspaceId, User>,
     running: u32,
-    each: f64,
+    largest: f64,
+    contended: Moment,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,7 +49,8 @@
 
 impl Shares {
     /// Counts a request that starts to wait.
-    pub fn arrive(&mut self, _now: Moment, job: &Job) {
+    pub fn arrive(&mut self, now: Moment, job: &Job) {
+        self.contended = now;
         let user = self.users.entry(job.rank.flow.workspace).or_default();
         user.weight = job.rank.weight;
         user.waiting += 1;
@@ -57,15 +62,14 @@
     }
 
     /// Counts a request that starts to run.
-    pub fn begin(&mut self, _now: Moment, job: &Job, work: u64) {
+    pub fn begin(&mut self, job: &Job) {
         let user = self.users.entry(job.rank.flow.workspace).or_default();
         user.weight = job.rank.weight;
         user.running += 1;
         self.running += 1;
         #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
-        let work = work as f64;
-        let first = self.each == 0.0;
-        self.each += (work - self.each) * if first { 1.0 } else { SMOOTH };
+        let work = job.rank.work as f64;
+        self.largest = (self.largest * (1.0 - FADE)).max(work);
     }
 
     /// Counts a request that ended.
@@ -96,7 +100,7 @@
             .sum();
         let running = self.users.get(&id).map_or(0, |user| user.running);
         let share = job.rank.weight / (job.rank.weight + others);
-        f64::from(running + 1) > f64::from(slots) * share
+        f64::from(running + 1) > f64::from(slots) * share * LENIENT
     }
 }
 
@@ -104,12 +108,12 @@
     /// Returns whether an endpoint has room for a request now.
     pub(super) fn fits(&self, now: Moment, endpoint: EndpointId, job: &Job) -> bool {
         let Some(book) = self.books.get(&endpoint) else {
-            return true;
+            return false;
         };
         if job.suspect {
             return book.open(job.slots) && book.running() == 0;
         }
-        let over = self.over(job);
+        let over = self.over(now, job);
         let free = if over { 1.0 - RESERVE } else { 1.0 };
         if !book.open(part(job.slots, free)) {
             return false;
@@ -123,18 +127,23 @@
         after <= limit
     }
 
-    fn over(&self, job: &Job) -> bool {
+    fn over(&self, now: Moment, job: &Job) -> bool {
         let Some(shares) = self.shares.get(&job.pool) else {
             return false;
         };
+        if since(now, shares.contended) > CONTENDED {
+            return false;
+        }
         let own = self.own(job.pool);
         shares.over(job, own.endpoints * job.slots)
     }
 
     // The bound on one endpoint's work, in tokens.
+    //
+    // A mean under the largest request is taken as that request: a single
+    // one on an idle endpoint would else be over the bound.
     fn limit(&self, now: Moment, endpoint: EndpointId, job: &Job) -> f64 {
-        let each = self.shares.get(&job.pool).map_or(0.0, |s| s.each);
-        let floor = each * FLOOR;
+        let floor = self.shares.get(&job.pool).map_or(0.0, |s| s.largest);
         let size = self.view.size(job.pool);
         let mean = self.means.mean(&self.own(job.pool), size, floor, now);
         multiple(job, endpoint) * mean.max(floor)
@@ -168,8 +177,7 @@
     // The first in the queue for which an owned endpoint has room.
     fn fitting(&mut self, now: Moment, pool: Pool) -> Option<(Ticket, EndpointId)> {
         let view = Arc::clone(&self.view);
-        let owned = view.owned().map(|e| e.id);
-        let owned: Vec<_> = owned.filter(|id| view.serves(*id, pool)).collect();
+        let owned = view.owned_of(pool);
         let mut drains = None;
         let mut found = None;
         for (ticket, job) in self.queues.get(&pool)?.iter().take(LOOKED_AT) {
@@ -186,7 +194,7 @@
             }
         }
         if let Some(ticket) = drains {
-            self.set_aside(ticket, &owned);
+            self.set_aside(ticket, owned);
         }
         found
     }
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -6,6 +6,7 @@
 //! the same: a request that reaches the wrong owner is served all the same.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id::{
@@ -51,38 +52,86 @@
     }
 }
 
-/// An immutable picture of the fleet as one instance sees it.
+/// The instances and endpoints that one picture of the fleet holds.
+///
+/// It is the same for every instance that has this picture, so tests and
+/// benches of many instances in one process share it.
 #[derive(Clone, Debug)]
-pub struct View {
-    local: InstanceId,
-    region: RegionId,
+pub struct Fleet {
     instances: BTreeMap<InstanceId, Instance>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     owners: BTreeMap<EndpointId, InstanceId>,
+    owned: BTreeMap<InstanceId, BTreeMap<Pool, Vec<EndpointId>>>,
     pools: BTreeMap<Pool, Vec<Group>>,
 }
 
-impl View {
-    /// Builds the view of instance `local`, which must be among `instances`
-    /// to have a region of its own.
+impl Fleet {
+    /// Works out the owners and pools of a picture.
     #[must_use]
     pub fn new(
-        local: InstanceId,
         instances: impl IntoIterator<Item = Instance>,
         endpoints: impl IntoIterator<Item = Endpoint>,
     ) -> Self {
         let instances: BTreeMap<_, _> = instances.into_iter().map(|i| (i.id, i)).collect();
         let endpoints: BTreeMap<_, _> = endpoints.into_iter().map(|e| (e.id, e)).collect();
-        let region = instances.get(&local).map_or(0, |instance| instance.region);
-        let owners = owners(local, &instances, &endpoints);
+        let owners = owners(&instances, &endpoints);
         let pools = pools(endpoints.values());
-        Self {
-            local,
-            region,
+        let mut fleet = Self {
             instances,
             endpoints,
             owners,
+            owned: BTreeMap::new(),
             pools,
+        };
+        fleet.owned = fleet.by_owner();
+        fleet
+    }
+
+    fn by_owner(&self) -> BTreeMap<InstanceId, BTreeMap<Pool, Vec<EndpointId>>> {
+        let mut owned: BTreeMap<_, BTreeMap<Pool, Vec<EndpointId>>> = BTreeMap::new();
+        for (pool, groups) in &self.pools {
+            for endpoint in groups.iter().flat_map(|group| &group.members) {
+                if let Some(owner) = self.owners.get(endpoint) {
+                    let pools = owned.entry(*owner).or_default();
+                    pools.entry(*pool).or_default().push(*endpoint);
+                }
+            }
+        }
+        owned
+    }
+}
+
+/// An immutable picture of the fleet as one instance sees it.
+#[derive(Clone, Debug)]
+pub struct View {
+    local: InstanceId,
+    region: RegionId,
+    fleet: Arc<Fleet>,
+    owned: BTreeMap<Pool, Vec<EndpointId>>,
+}
+
+impl View {
+    /// Builds the view of instance `local`, which must be among `instances`
+    /// to have a region of its own.
+    #[must_use]
+    pub fn new(
+        local: InstanceId,
+        instances: impl IntoIterator<Item = Instance>,
+        endpoints: impl IntoIterator<Item = Endpoint>,
+    ) -> Self {
+        Self::of(local, Arc::new(Fleet::new(instances, endpoints)))
+    }
+
+    /// Builds the view that instance `local` has of a fleet.
+    #[must_use]
+    pub fn of(local: InstanceId, fleet: Arc<Fleet>) -> Self {
+        let region = fleet.instances.get(&local).map_or(0, |i| i.region);
+        let owned = fleet.owned.get(&local).cloned().unwrap_or_default();
+        Self {
+            local,
+            region,
+            fleet,
+            owned,
         }
     }
 
@@ -95,30 +144,35 @@
     /// Returns an instance by its id.
     #[must_use]
     pub fn instance(&self, id: InstanceId) -> Option<&Instance> {
-        self.instances.get(&id)
+        self.fleet.instances.get(&id)
     }
 
     /// Returns every instance, in the order of ids.
     pub fn instances(&self) -> impl Iterator<Item = &Instance> {
-        self.instances.values()
+        self.fleet.instances.values()
     }
 
     /// Returns an endpoint by its id.
     #[must_use]
     pub fn endpoint(&self, id: EndpointId) -> Option<&Endpoint> {
-        self.endpoints.get(&id)
+        self.fleet.endpoints.get(&id)
     }
 
     /// Returns every endpoint, in the order of ids.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints.values()
+        self.fleet.endpoints.values()
     }
 
-    /// Returns the endpoints that the local instance owns.
-    pub fn owned(&self) -> impl Iterator<Item = &Endpoint> {
-        self.endpoints
-            .values()
-            .filter(|endpoint| self.owner(endpoint.id) == self.local)
+    /// Returns the live endpoints that the local instance owns, by pool.
+    #[must_use]
+    pub const fn owned(&self) -> &BTreeMap<Pool, Vec<EndpointId>> {
+        &self.owned
+    }
+
+    /// Returns the live endpoints of one pool that the local instance owns.
+    #[must_use]
+    pub fn owned_of(&self, pool: Pool) -> &[EndpointId] {
+        self.owned.get(&pool).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the instance that dispatches to an endpoint.
@@ -126,13 +180,18 @@
     /// An endpoint that the view does not know is the local instance's.
     #[must_use]
     pub fn owner(&self, endpoint: EndpointId) -> InstanceId {
-        self.owners.get(&endpoint).copied().unwrap_or(self.local)
+        self.fleet
+            .owners
+            .get(&endpoint)
+            .copied()
+            .unwrap_or(self.local)
     }
 
     /// Returns the number of live endpoints of a pool.
     #[must_use]
     pub fn size(&self, pool: Pool) -> usize {
-        self.pools
+        self.fleet
+            .pools
             .get(&pool)
             .map_or(0, |groups| groups.iter().map(|g| g.members.len()).sum())
     }
@@ -142,7 +201,7 @@
     /// `zone` is where the request came in. The local region goes first.
     #[must_use]
     pub fn ranked(&self, pool: Pool, chat: ChatId, zone: ZoneId) -> Ranked<'_> {
-        let groups = self.pools.get(&pool).map_or(&[][..], Vec::as_slice);
+        let groups = self.fleet.pools.get(&pool).map_or(&[][..], Vec::as_slice);
         let plain = pool.model == NO_MODEL;
         let weights = Weights {
             zone: plain.then_some(zone),
@@ -154,7 +213,7 @@
     /// Returns whether an endpoint is known, live and of `pool`.
     #[must_use]
     pub fn serves(&self, endpoint: EndpointId, pool: Pool) -> bool {
-        self.endpoints.get(&endpoint).is_some_and(|endpoint| {
+        self.fleet.endpoints.get(&endpoint).is_some_and(|endpoint| {
             endpoint.standing == Standing::Live
                 && endpoint.service == pool.service
                 && (pool.model == NO_MODEL || endpoint.models.contains(&pool.model))
@@ -163,7 +222,6 @@
 }
 
 fn owners(
-    local: InstanceId,
     instances: &BTreeMap<InstanceId, Instance>,
     endpoints: &BTreeMap<EndpointId, Endpoint>,
 ) -> BTreeMap<EndpointId, InstanceId> {
@@ -184,13 +242,13 @@
         .collect();
     endpoints
         .values()
-        .map(|endpoint| {
+        .filter_map(|endpoint| {
             let weights = Weights {
                 zone: Some(endpoint.zone),
                 favour: OWNER_FAVOUR,
             };
             let mut ranked = Ranked::new(&groups, endpoint.id, endpoint.region, weights);
-            (endpoint.id, ranked.next().unwrap_or(local))
+            Some((endpoint.id, ranked.next()?))
         })
         .collect()
 }
