--- a/crates/bench/benches/decisions.rs
+++ b/crates/bench/benches/decisions.rs
@@ -23,6 +23,11 @@
     for size in [size::kitakaze(base.clone()), size::port_of_spain(base)] {
         std::thread::scope(|scope| {
             for scheme in schemes {
+                if std::env::args().any(|a| a == "few")
+                    && !matches!(scheme, Scheme::Owned | Scheme::Oracle)
+                {
+                    continue;
+                }
                 let size = size.clone();
                 scope.spawn(move || {
                     let at = std::time::Instant::now();
--- a/crates/bench/src/decisions/traffic.rs
+++ b/crates/bench/src/decisions/traffic.rs
@@ -77,7 +77,7 @@
         Chat {
             number: self.next,
             workspace: surging.unwrap_or_else(|| self.rng.random_range(0..WORKSPACES)),
-            model: self.rng.random_range(0..size.models),
+            model: self.rng.random_range(0..size.driven),
             context: self.rng.random_range(0..LONGEST / 2),
             guest: surging.is_some(),
             answered: false,
--- a/crates/decide/src/hop.rs
+++ b/crates/decide/src/hop.rs
@@ -1,5 +1,6 @@
 //! What travels with a request from one instance to the next.
 
+use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{EndpointId, InstanceId, ZoneId};
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +25,8 @@
     pub spilled: bool,
     /// Prompt tokens that the sender takes to be cached at `endpoint`.
     pub cached: u32,
+    /// When the chat last ran there, as far as the sender knows.
+    pub seen: Moment,
     /// The owner of the chat's home, to be told where the chat went.
     pub home: Option<InstanceId>,
     /// Endpoints that failed the request or had no room for it.
@@ -44,6 +47,7 @@
             count: 0,
             spilled: false,
             cached: 0,
+            seen: Moment::ZERO,
             home: None,
             tried: Vec::new(),
             least: None,
--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -31,6 +31,8 @@
     pub endpoints: u32,
     /// Their estimated work in tokens.
     pub work: u64,
+    /// Requests that wait for them at the source.
+    pub waiting: u32,
     /// When the source took the figures, on its clock.
     pub taken: Moment,
 }
@@ -59,6 +61,13 @@
         self.pools.retain(|_, sources| !sources.is_empty());
     }
 
+    /// Returns the last fresh summary of one source.
+    #[must_use]
+    pub fn of(&self, pool: Pool, source: InstanceId, now: Moment) -> Option<&Summary> {
+        let summary = self.pools.get(&pool)?.get(&source)?;
+        (since(now, summary.taken) < FRESH).then_some(summary)
+    }
+
     /// Returns the mean estimated work of an endpoint in a pool of `size`.
     ///
     /// `own` is the local instance's exact summary. Endpoints that no fresh
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -25,7 +25,7 @@
 use godwitpost_types::request::Request;
 
 use self::book::{Book, Solo};
-use self::job::Job;
+use self::job::{Job, Warm};
 use self::room::Shares;
 use crate::chats::{self, Location};
 use crate::ending::Ending;
@@ -203,6 +203,7 @@
         }
         if job.pool.model != NO_MODEL {
             self.recall(&mut job, hop);
+            self.doubt(&mut job);
         }
         Ok(job)
     }
@@ -215,7 +216,7 @@
             return;
         };
         if known.endpoint == hop.endpoint {
-            job.warm = Some((known.endpoint, known.tokens));
+            job.warm = Some(Warm::from(&known));
             return;
         }
         let usable = hop.count == 0
@@ -224,7 +225,19 @@
             && !hop.tried.contains(&known.endpoint)
             && self.well(known.endpoint);
         if usable {
-            job.warm = Some((known.endpoint, known.tokens));
+            job.warm = Some(Warm::from(&known));
+        }
+    }
+
+    // Engines evict in the order of use, so whatever ran before a chat that
+    // was evicted is gone as well, even if its event was lost in a gap.
+    fn doubt(&self, job: &mut Job) {
+        let Some(warm) = &mut job.warm else {
+            return;
+        };
+        let horizon = self.books.get(&warm.endpoint).map(Book::horizon);
+        if horizon.is_some_and(|horizon| warm.seen <= horizon) {
+            warm.tokens = 0;
         }
     }
 
@@ -241,7 +254,7 @@
     /// Decides where a request goes: to the endpoint where its chat is warm,
     /// along the chat's order while the bound forbids, then into the queue.
     fn place(&mut self, now: Moment, job: Job, hop: &Hop) -> Next {
-        let target = job.warm.map_or(hop.endpoint, |(endpoint, _)| endpoint);
+        let target = job.warm.map_or(hop.endpoint, |warm| warm.endpoint);
         if !self.owns(target) && !hop.last() {
             return self.forward(&job, hop.clone(), target);
         }
@@ -260,10 +273,12 @@
     }
 
     // The chat's order beyond its own endpoint: owned endpoints are tried
-    // here, the first one of somebody else's ends the search.
+    // here; of the others', the one whose owner has the least load goes next.
     fn spill(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
         let view = Arc::clone(&self.view);
         hop.spilled = true;
+        let mut next: Option<(u64, EndpointId)> = None;
+        let mut others = 0;
         for endpoint in view.ranked(job.pool, job.chat, hop.zone).take(SCANNED) {
             if hop.tried.contains(&endpoint) {
                 continue;
@@ -273,11 +288,31 @@
                     return self.grant(now, endpoint, job);
                 }
                 self.note(&mut hop, endpoint);
-            } else if !hop.last() {
-                return self.forward(&job, hop, endpoint);
+            } else if let Some(load) = self.heard(now, job.pool, endpoint) {
+                next = next
+                    .filter(|(least, _)| *least <= load)
+                    .or(Some((load, endpoint)));
+                others += 1;
+            }
+            if others == CHOICES {
+                break;
             }
         }
-        self.wait(now, job, hop)
+        match next {
+            Some((_, endpoint)) if !hop.last() => self.forward(&job, hop, endpoint),
+            _ => self.wait(now, job, hop),
+        }
+    }
+
+    // The mean load of the endpoints of an endpoint's owner, if nothing was
+    // heard to wait for them.
+    fn heard(&self, now: Moment, pool: Pool, endpoint: EndpointId) -> Option<u64> {
+        let owner = self.view.owner(endpoint);
+        match self.means.of(pool, owner, now) {
+            Some(summary) if summary.waiting > 0 => None,
+            Some(summary) => Some(summary.work / u64::from(summary.endpoints.max(1))),
+            None => Some(0),
+        }
     }
 
     fn note(&self, hop: &mut Hop, endpoint: EndpointId) {
@@ -291,7 +326,7 @@
     }
 
     // Where to wait: at the owner of the least loaded endpoint seen.
-    fn wait(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
+    fn wait(&mut self, now: Moment, mut job: Job, mut hop: Hop) -> Next {
         if let Some((endpoint, _)) = hop.least
             && !self.owns(endpoint)
             && hop.count <= crate::hop::MOST
@@ -299,16 +334,33 @@
             hop.count = crate::hop::MOST;
             return self.forward(&job, hop, endpoint);
         }
+        if let Some(endpoint) = self.settle_for(now, &mut job) {
+            return self.grant(now, endpoint, job);
+        }
         if !job.queues {
             return Next::Refuse(Refusal::new(Reason::Busy));
         }
         if self.view.owned_of(job.pool).is_empty() {
+            // The sender's list of instances is another; ours names an owner.
+            if hop.count < ASTRAY
+                && let Some(home) = self.home(&job)
+            {
+                return self.forward(&job, hop, home);
+            }
             return Next::Refuse(Refusal::new(Reason::NoEndpoint));
         }
         self.enqueue(now, job)
     }
 
-    fn enqueue(&mut self, now: Moment, mut job: Job) -> Next {
+    // With nowhere else to go, the whole bound is open to a cold request.
+    fn settle_for(&self, now: Moment, job: &mut Job) -> Option<EndpointId> {
+        job.since = now;
+        let owned = self.view.owned_of(job.pool).iter().copied();
+        let fitting = owned.filter(|id| self.fits(now, *id, job));
+        fitting.min_by_key(|id| self.load(*id))
+    }
+
+    fn enqueue(&mut self, now: Moment, job: Job) -> Next {
         let queue = self.queues.entry(job.pool).or_default();
         if queue.len() >= LONGEST {
             return Next::Refuse(Refusal::new(Reason::QueueFull));
@@ -317,7 +369,6 @@
         self.next += 1;
         self.tickets.insert(ticket, job.pool);
         let until = job.rank.until;
-        job.since = now;
         let rank = job.rank;
         let shares = self.shares.entry(job.pool).or_default();
         shares.arrive(now, &job);
@@ -330,6 +381,7 @@
         hop.endpoint = endpoint;
         hop.count += 1;
         hop.cached = job.cached(endpoint);
+        hop.seen = job.warm.map_or(Moment::ZERO, |warm| warm.seen);
         Next::Forward {
             instance: self.view.owner(endpoint),
             hop,
@@ -545,10 +597,17 @@
         }
     }
 
-    /// Takes in an engine's cache event; `gap` says that some before it were
-    /// lost, and with them perhaps evictions.
-    pub fn cache_event(&mut self, endpoint: EndpointId, event: &chats::Event, gap: bool) {
-        let _ = gap;
+    /// Takes in an engine's cache event, which may be late and follow a gap.
+    pub fn cache_event(&mut self, endpoint: EndpointId, event: &chats::Event) {
+        let row = self.chats.peek(event.pool, event.chat);
+        let seen = row.filter(|row| row.endpoint == endpoint && row.seen <= event.at);
+        if let (chats::Kind::Evicted, Some(seen), Some(book)) = (
+            event.kind,
+            seen.map(|row| row.seen),
+            self.books.get_mut(&endpoint),
+        ) {
+            book.evicted(seen);
+        }
         self.chats.apply(endpoint, event);
     }
 
@@ -569,6 +628,7 @@
             pool,
             endpoints: u32::try_from(owned.len()).unwrap_or(u32::MAX),
             work: owned.iter().map(|id| self.load(*id)).sum(),
+            waiting: self.queues.get(&pool).map_or(0, Queue::count),
             taken: now,
         }
     }
@@ -694,10 +754,12 @@
         wakes
     }
 
+    fn home(&self, job: &Job) -> Option<EndpointId> {
+        self.view.ranked(job.pool, job.chat, 0).next()
+    }
+
     fn relocate(&self, job: &Job) -> Next {
-        let view = Arc::clone(&self.view);
-        let home = view.ranked(job.pool, job.chat, 0).next();
-        match home {
+        match self.home(job) {
             Some(endpoint) if !self.owns(endpoint) => {
                 self.forward(job, Hop::first(0, endpoint), endpoint)
             }
@@ -709,12 +771,18 @@
 /// Locations looked at in one call of [`Owner::handover`], some 200 us.
 const HANDED: usize = 512;
 
+/// Forwards after which a request that nobody owns up to is refused.
+const ASTRAY: u8 = crate::hop::MOST + 4;
+
 /// From one look for what has expired to the next.
 const TIDIED: Duration = Duration::from_secs(5);
 
 /// Endpoints of a chat's order that a spill looks at.
 const SCANNED: usize = 16;
 
+/// Owners of others that a spill chooses from.
+const CHOICES: usize = 2;
+
 /// The longest that one call spends on a queue, in requests looked at.
 const LOOKED_AT: usize = 64;
 
--- a/crates/decide/src/owner/book.rs
+++ b/crates/decide/src/owner/book.rs
@@ -21,6 +21,9 @@
 /// what the report may contain of ours.
 const SKEW: Duration = Duration::from_millis(50);
 
+/// Evictions that the horizon is taken from.
+const EVICTED: usize = 8;
+
 /// Whether an endpoint is set aside for one suspect request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Solo {
@@ -48,6 +51,7 @@
     foreign: (u32, u64),
     reported: Moment,
     past: VecDeque<(Moment, u32)>,
+    evicted: VecDeque<Moment>,
 }
 
 impl Book {
@@ -63,6 +67,7 @@
             foreign: (0, 0),
             reported: Moment::ZERO,
             past: VecDeque::new(),
+            evicted: VecDeque::new(),
         }
     }
 
@@ -117,6 +122,26 @@
         self.foreign = (others, each * u64::from(others));
     }
 
+    /// Notes that a chat which last ran at `seen` was evicted.
+    pub fn evicted(&mut self, seen: Moment) {
+        self.evicted.push_back(seen);
+        if self.evicted.len() > EVICTED {
+            self.evicted.pop_front();
+        }
+    }
+
+    /// Returns the moment before which chats that ran here are evicted.
+    ///
+    /// It is the earliest of the last few evictions', so that one out of
+    /// order moves nothing.
+    #[must_use]
+    pub fn horizon(&self) -> Moment {
+        if self.evicted.len() < EVICTED {
+            return Moment::ZERO;
+        }
+        self.evicted.iter().min().copied().unwrap_or(Moment::ZERO)
+    }
+
     // The greatest own count within the skew about a moment.
     fn own_about(&self, moment: Moment) -> u32 {
         let (from, to) = (moment.saturating_sub(SKEW), moment + SKEW);
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -5,11 +5,33 @@
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
+use crate::chats::Location;
 use crate::hop::Hop;
 use crate::queue::{Flow, Rank};
 use crate::refusal::Reason;
 use crate::view::Pool;
 
+/// Where a chat is warm.
+#[derive(Clone, Copy, Debug)]
+pub struct Warm {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Prompt tokens estimated to be cached there; may be none.
+    pub tokens: u32,
+    /// When the chat last ran there.
+    pub seen: Moment,
+}
+
+impl From<&Location> for Warm {
+    fn from(location: &Location) -> Self {
+        Self {
+            endpoint: location.endpoint,
+            tokens: location.tokens,
+            seen: location.seen,
+        }
+    }
+}
+
 /// A request as its owner keeps it while it waits or runs.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -40,7 +62,7 @@
     /// Whether it runs alone.
     pub suspect: bool,
     /// Where the chat is warm, and the tokens estimated to be cached there.
-    pub warm: Option<(EndpointId, u32)>,
+    pub warm: Option<Warm>,
 }
 
 impl Job {
@@ -80,7 +102,11 @@
             home: hop.home,
             since: Moment::ZERO,
             suspect: false,
-            warm: (hop.cached > 0).then_some((hop.endpoint, hop.cached)),
+            warm: (hop.cached > 0).then_some(Warm {
+                endpoint: hop.endpoint,
+                tokens: hop.cached,
+                seen: hop.seen,
+            }),
         })
     }
 
@@ -88,7 +114,7 @@
     #[must_use]
     pub fn cached(&self, endpoint: EndpointId) -> u32 {
         match self.warm {
-            Some((warm, tokens)) if warm == endpoint => tokens.min(self.prompt),
+            Some(warm) if warm.endpoint == endpoint => warm.tokens.min(self.prompt),
             _ => 0,
         }
     }
--- a/crates/decide/src/owner/room.rs
+++ b/crates/decide/src/owner/room.rs
@@ -223,13 +223,26 @@
     }
 }
 
-// The full multiple of the mean where the chat is warm. A cold request may go
-// anywhere, so the more the policy weighs skew the earlier it moves on.
+// Part of what the bound leaves above the mean. A request whose chat is warm
+// may use most of it; a cold one may go anywhere, so the more the policy
+// weighs skew the earlier it moves on. The rest covers what this owner can't
+// know: means that changed since they were told, and wrong estimates.
 fn multiple(job: &Job, endpoint: EndpointId) -> f64 {
-    if job.cached(endpoint) > 0 {
-        return job.bound;
-    }
-    1.0 + (job.bound - 1.0) * f64::midpoint(1.0, job.reuse.clamp(0.0, 1.0))
+    let reuse = job.reuse.clamp(0.0, 1.0);
+    let part = if job.cached(endpoint) > 0 || job.since > Moment::ZERO {
+        warm_part() + 0.1 * reuse
+    } else {
+        cold_part() + 0.2 * reuse
+    };
+    1.0 + (job.bound - 1.0) * part
+}
+fn warm_part() -> f64 {
+    static X: std::sync::OnceLock<f64> = std::sync::OnceLock::new();
+    *X.get_or_init(|| std::env::var("WARM").map_or(0.8, |v| v.parse().unwrap()))
+}
+fn cold_part() -> f64 {
+    static X: std::sync::OnceLock<f64> = std::sync::OnceLock::new();
+    *X.get_or_init(|| std::env::var("COLD").map_or(0.2, |v| v.parse().unwrap()))
 }
 
 #[expect(
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -84,6 +84,12 @@
         self.order.len()
     }
 
+    /// Returns the number of waiting requests, as summaries tell it.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.order.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether nothing waits.
     #[must_use]
     pub fn is_empty(&self) -> bool {
