--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -20,7 +20,7 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Report;
-use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, InstanceId, NO_MODEL};
+use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, Incarnation, InstanceId, NO_MODEL};
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
@@ -118,7 +118,7 @@
     next: u64,
     tidied: Moment,
     strays: VecDeque<(Pool, ChatId)>,
-    lost: BTreeSet<EndpointId>,
+    former: Arc<View>,
 }
 
 impl Owner {
@@ -126,6 +126,7 @@
     #[must_use]
     pub fn new(view: Arc<View>, policy: Arc<Policy>) -> Self {
         let mut owner = Self {
+            former: Arc::clone(&view),
             view,
             policy,
             books: BTreeMap::new(),
@@ -140,7 +141,6 @@
             next: 0,
             tidied: Moment::ZERO,
             strays: VecDeque::new(),
-            lost: BTreeSet::new(),
         };
         owner.open_books();
         owner
@@ -152,28 +152,25 @@
     /// pool of which nothing is owned here any more move to its owners.
     pub fn adopt(&mut self, now: Moment, view: Arc<View>, policy: Arc<Policy>) -> Vec<Wake> {
         self.lose(&view);
-        self.view = view;
+        let last = std::mem::replace(&mut self.view, view);
         self.policy = policy;
+        self.inherit(now, &last);
         self.open_books();
         let mut wakes = self.evict();
         wakes.extend(self.drain(now));
         wakes
     }
 
-    // Notes the endpoints that go to other owners in the next view; the chats
-    // that have their home or context there are to be handed over.
+    // Homes move with the endpoints and with their owners; what is known of
+    // the chats whose home or context moves goes along.
     fn lose(&mut self, next: &View) {
-        let owned = self.view.owned().values().flatten();
-        let lost = owned.filter(|id| next.owner(**id) != next.local());
-        let lost: BTreeSet<EndpointId> = lost.copied().collect();
-        if lost.is_empty() {
+        if self.view.same_places(next) {
             return;
         }
-        // What the view before lost is in the queue still, if anything.
+        // With some of the last move left to do, both are done from before it.
         if self.strays.is_empty() {
-            self.lost.clear();
+            self.former = Arc::clone(&self.view);
         }
-        self.lost.extend(lost);
         let rows = self.chats.iter();
         self.strays = rows
             .map(|location| (location.pool, location.chat))
@@ -242,8 +239,7 @@
     }
 
     fn lives(&self, location: &Location) -> bool {
-        let endpoint = self.view.endpoint(location.endpoint);
-        endpoint.is_some_and(|e| e.incarnation == location.incarnation)
+        self.lives_on(location.endpoint, location.incarnation)
     }
 
     fn well(&self, endpoint: EndpointId) -> bool {
@@ -341,17 +337,33 @@
             return Next::Refuse(Refusal::new(Reason::Busy));
         }
         if self.view.owned_of(job.pool).is_empty() {
-            // The sender's list of instances is another; ours names an owner.
-            if hop.count < ASTRAY
-                && let Some(home) = self.home(&job)
-            {
-                return self.forward(&job, hop, home);
-            }
-            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
+            return self.improvise(now, job, hop);
         }
         self.enqueue(now, job)
     }
 
+    // The sender takes this instance for an owner, this one another. The lists
+    // agree within seconds; until then the request goes to the owner in this
+    // list, or after too many forwards to the endpoint itself, with whatever
+    // room the mean leaves on it.
+    fn improvise(&mut self, now: Moment, job: Job, hop: Hop) -> Next {
+        let Some(home) = self.home(&job) else {
+            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
+        };
+        if hop.count < ASTRAY {
+            return self.forward(&job, hop, home);
+        }
+        if !self.books.contains_key(&home) {
+            let incarnation = self.view.endpoint(home).map_or(0, |e| e.incarnation);
+            let book = self.presumed(now, job.pool, incarnation);
+            self.books.insert(home, book);
+        }
+        if self.fits(now, home, &job) {
+            return self.grant(now, home, job);
+        }
+        Next::Refuse(Refusal::new(Reason::Busy))
+    }
+
     // With nowhere else to go, the whole bound is open to a cold request.
     fn settle_for(&self, now: Moment, job: &mut Job) -> Option<EndpointId> {
         job.since = now;
@@ -675,24 +687,26 @@
         known.flat_map(|location| self.heirs(location)).collect()
     }
 
-    // The owners of the chat's home and of the endpoint where it is warm.
+    // The owners of the chat's home and of the endpoint where it is warm, if
+    // they were here in the former view and are elsewhere now.
     fn heirs(&self, location: &Location) -> Vec<(InstanceId, Location)> {
         if !self.lives(location) || location.tokens == 0 {
             return Vec::new();
         }
-        let home = self.view.ranked(location.pool, location.chat, 0).next();
-        let owners = [home, Some(location.endpoint)].into_iter().flatten();
-        let owners: BTreeSet<InstanceId> = owners.map(|id| self.view.owner(id)).collect();
-        let others = owners.into_iter().filter(|id| *id != self.view.local());
-        let gone = !self.owns(location.endpoint) || home.is_some_and(|home| !self.owns(home));
-        let moved = others.filter(|_| gone && self.moved(home, location.endpoint));
-        moved.map(|id| (id, *location)).collect()
-    }
-
-    // Whether the last view had the home or the endpoint here.
-    fn moved(&self, home: Option<EndpointId>, endpoint: EndpointId) -> bool {
-        let mut places = home.into_iter().chain([endpoint]);
-        places.any(|id| self.lost.contains(&id))
+        let home = |view: &View| view.ranked(location.pool, location.chat, 0).next();
+        let local = self.view.local();
+        let moved = |before: Option<EndpointId>, after: Option<EndpointId>| {
+            let here = before.is_some_and(|id| self.former.owner(id) == local);
+            let owner = after.map(|id| self.view.owner(id))?;
+            (here && owner != local).then_some(owner)
+        };
+        let warm = Some(location.endpoint);
+        let owners = [
+            moved(home(&self.former), home(&self.view)),
+            moved(warm, warm),
+        ];
+        let owners: BTreeSet<InstanceId> = owners.into_iter().flatten().collect();
+        owners.into_iter().map(|id| (id, *location)).collect()
     }
 
     /// Takes over chat locations of an instance that stops.
@@ -721,6 +735,36 @@
         self.books.get(&endpoint).map_or(0, Book::load)
     }
 
+    // An endpoint that was another's until now has work that no report has
+    // shown here yet, and its last owner may go on for seconds. Taken to be
+    // idle, it would get twice its bound; so it is taken to be at the mean
+    // until a report that was taken from now on says what is there.
+    fn inherit(&mut self, now: Moment, last: &View) {
+        let view = Arc::clone(&self.view);
+        for (pool, owned) in view.owned() {
+            for id in owned {
+                let here = self.books.contains_key(id);
+                let known = last.endpoint(*id).map(|endpoint| endpoint.incarnation);
+                let same = known.filter(|life| self.lives_on(*id, *life));
+                if let Some(incarnation) = same.filter(|_| !here && last.serves(*id, *pool)) {
+                    let book = self.presumed(now, *pool, incarnation);
+                    self.books.insert(*id, book);
+                }
+            }
+        }
+    }
+
+    fn lives_on(&self, id: EndpointId, incarnation: Incarnation) -> bool {
+        let endpoint = self.view.endpoint(id);
+        endpoint.is_some_and(|endpoint| endpoint.incarnation == incarnation)
+    }
+
+    fn presumed(&self, now: Moment, pool: Pool, incarnation: Incarnation) -> Book {
+        let mut book = Book::new(incarnation);
+        book.presume(now, self.mean(now, pool));
+        book
+    }
+
     // Books of endpoints that the view lost stay while something runs there.
     fn open_books(&mut self) {
         let view = Arc::clone(&self.view);
@@ -771,7 +815,8 @@
 /// Locations looked at in one call of [`Owner::handover`], some 200 us.
 const HANDED: usize = 512;
 
-/// Forwards after which a request that nobody owns up to is refused.
+/// Forwards after which a request that nobody owns up to is dispatched by
+/// whoever has it.
 const ASTRAY: u8 = crate::hop::MOST + 4;
 
 /// From one look for what has expired to the next.
--- a/crates/decide/src/owner/book.rs
+++ b/crates/decide/src/owner/book.rs
@@ -110,6 +110,13 @@
         self.remember(now);
     }
 
+    /// Takes the endpoint to carry `work` of others until a report that was
+    /// taken after `now`.
+    pub const fn presume(&mut self, now: Moment, work: u64) {
+        self.foreign = (0, work);
+        self.reported = now;
+    }
+
     /// Takes in a report: what it shows beyond this owner's own count at its
     /// moment is another owner's, who sees a different list of instances.
     pub fn compare(&mut self, report: &Report) {
--- a/crates/decide/src/owner/room.rs
+++ b/crates/decide/src/owner/room.rs
@@ -25,6 +25,12 @@
 /// Chance alone takes a workspace somewhat over its share without any surge.
 const LENIENT: f64 = 1.5;
 
+/// Part of the bound's room above the mean that a warm request may use.
+const WARM: f64 = 0.8;
+
+/// Part of it that a cold request may use before it looks elsewhere.
+const COLD: f64 = 0.0;
+
 /// How long after a request had to wait the reserve is kept.
 const CONTENDED: Duration = Duration::from_secs(10);
 
@@ -143,10 +149,28 @@
     // A mean under the largest request is taken as that request: a single
     // one on an idle endpoint would else be over the bound.
     fn limit(&self, now: Moment, endpoint: EndpointId, job: &Job) -> f64 {
-        let floor = self.shares.get(&job.pool).map_or(0.0, |s| s.largest);
-        let size = self.view.size(job.pool);
-        let mean = self.means.mean(&self.own(job.pool), size, floor, now);
-        multiple(job, endpoint) * mean.max(floor)
+        let floor = self.floor(job.pool);
+        multiple(job, endpoint) * self.exact_mean(now, job.pool).max(floor)
+    }
+
+    fn floor(&self, pool: Pool) -> f64 {
+        self.shares.get(&pool).map_or(0.0, |s| s.largest)
+    }
+
+    fn exact_mean(&self, now: Moment, pool: Pool) -> f64 {
+        let size = self.view.size(pool);
+        self.means
+            .mean(&self.own(pool), size, self.floor(pool), now)
+    }
+
+    /// Returns the mean work of a pool's endpoints, in tokens.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "work is positive and far under 2^52"
+    )]
+    pub(super) fn mean(&self, now: Moment, pool: Pool) -> u64 {
+        self.exact_mean(now, pool) as u64
     }
 
     fn own(&self, pool: Pool) -> Summary {
@@ -230,21 +254,12 @@
 fn multiple(job: &Job, endpoint: EndpointId) -> f64 {
     let reuse = job.reuse.clamp(0.0, 1.0);
     let part = if job.cached(endpoint) > 0 || job.since > Moment::ZERO {
-        warm_part() + 0.1 * reuse
+        WARM + 0.1 * reuse
     } else {
-        cold_part() + 0.2 * reuse
+        COLD + 0.2 * reuse
     };
     1.0 + (job.bound - 1.0) * part
 }
-fn warm_part() -> f64 {
-    static X: std::sync::OnceLock<f64> = std::sync::OnceLock::new();
-    *X.get_or_init(|| std::env::var("WARM").map_or(0.8, |v| v.parse().unwrap()))
-}
-fn cold_part() -> f64 {
-    static X: std::sync::OnceLock<f64> = std::sync::OnceLock::new();
-    *X.get_or_init(|| std::env::var("COLD").map_or(0.2, |v| v.parse().unwrap()))
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -175,6 +175,13 @@
         self.owned.get(&pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether another view has the same endpoints in the same hands.
+    #[must_use]
+    pub fn same_places(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.fleet, &other.fleet)
+            || (self.fleet.owners == other.fleet.owners && self.fleet.pools == other.fleet.pools)
+    }
+
     /// Returns the instance that dispatches to an endpoint.
     ///
     /// An endpoint that the view does not know is the local instance's.
