--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -255,7 +255,8 @@
             return self.forward(&job, hop.clone(), target);
         }
         let mut hop = hop.clone();
-        if self.view.serves(target, job.pool) && !hop.tried.contains(&target) {
+        let ours = self.owns(target) && self.view.serves(target, job.pool);
+        if ours && !hop.tried.contains(&target) {
             if self.fits(now, target, &job) {
                 return self.grant(now, target, job);
             }
