--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -20,6 +20,17 @@
 /// is silent for longer is treated as not heard of.
 pub const FRESH: Duration = Duration::from_secs(15);
 
+/// How old the summaries are that a mean is taken from if they are enough.
+///
+/// Means follow a surge's end within some seconds; a mean of older figures
+/// is too high then, and the bound with it.
+pub const RECENT: Duration = Duration::from_secs(3);
+
+/// Endpoints that recent summaries have to cover for a mean of their own.
+///
+/// With loads that differ by a third, the mean of 16 is off by 8%.
+pub const ENOUGH: u64 = 16;
+
 /// The load of one instance's endpoints in one pool at one moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Summary {
@@ -76,15 +87,14 @@
     /// themselves, find each at the mean, and let them drown.
     #[must_use]
     pub fn mean(&self, own: &Summary, size: usize, floor: f64, now: Moment) -> f64 {
-        let mut endpoints = u64::from(own.endpoints);
-        let mut work = own.work;
-        for summary in self.fresh(own.pool, now) {
-            if summary.source != own.source {
-                endpoints += u64::from(summary.endpoints);
-                work += summary.work;
-            }
+        let others = || self.fresh(own.pool, now).filter(|s| s.source != own.source);
+        let recent = others().filter(|summary| since(now, summary.taken) < RECENT);
+        let (endpoints, work) = total(own, recent);
+        if endpoints >= ENOUGH {
+            return average(endpoints, work, endpoints, floor);
         }
-        average(endpoints, work, size, floor)
+        let (endpoints, work) = total(own, others());
+        average(endpoints, work, size as u64, floor)
     }
 
     fn fresh(&self, pool: Pool, now: Moment) -> impl Iterator<Item = &Summary> {
@@ -96,13 +106,23 @@
     }
 }
 
+fn total<'a>(own: &Summary, others: impl Iterator<Item = &'a Summary>) -> (u64, u64) {
+    let start = (u64::from(own.endpoints), own.work);
+    others.fold(start, |(endpoints, work), summary| {
+        (
+            endpoints + u64::from(summary.endpoints),
+            work + summary.work,
+        )
+    })
+}
+
 #[expect(
     clippy::cast_precision_loss,
     reason = "work and counts stay far under 2^52"
 )]
-fn average(endpoints: u64, work: u64, size: usize, floor: f64) -> f64 {
+fn average(endpoints: u64, work: u64, size: u64, floor: f64) -> f64 {
     let known = work as f64;
-    let unheard = (size as u64).saturating_sub(endpoints) as f64;
+    let unheard = size.saturating_sub(endpoints) as f64;
     if endpoints == 0 {
         return floor;
     }
