decide: an endpoint at the mean may always take one more

With few requests of one size the bound stopped at one request an endpoint: with all at the mean, a second was twice the mean and never fitted, however many slots were free. Where the load is no more than the mean, one more request now always fits.

The router follows the wider interface: it tells the owner of a chat's home where the chat was placed, and hands locations over whenever homes move, a part at each tick, not only on a stop.

--- a/crates/capacity/src/role/owner.rs
+++ b/crates/capacity/src/role/owner.rs
@@ -62,6 +62,7 @@
         chat: request.chat,
         pool: Pool::of(&request),
         endpoint: 1,
+        incarnation: 1,
         tokens: 800,
         seen: Duration::from_secs(chat),
     }
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -552,7 +552,7 @@
         // An instance that lags may still send here what this one no longer
         // owns. With its forwards used up such a request waits here, where no
         // end of another would ever wake it.
-        wakes.extend(self.evict(now));
+        wakes.extend(self.evict());
         wakes.extend(self.drain(now));
         wakes
     }
@@ -632,7 +632,7 @@
     /// the others.
     #[must_use]
     pub fn summaries(&self, now: Moment) -> Vec<Summary> {
-        let pools = self.view.owned().keys();
+        let pools = self.view.owned_pools().keys();
         pools.map(|pool| self.summary(now, *pool)).collect()
     }
 
@@ -684,18 +684,22 @@
     }
 
     /// Returns chat locations that belong to other owners in the present
-    /// view, with whom they go to; looks at some of the table in each call.
+    /// view, with whom they go to; looks at some of the table in each call,
+    /// and returns `None` when there is no more to look at.
     ///
-    /// Called until it returns nothing after [`Owner::adopt`] brought another
-    /// list of instances: homes have moved then, and on a graceful stop, when
-    /// the view has the local instance as leaving, all of them have.
-    pub fn handover(&mut self) -> Vec<(InstanceId, Location)> {
+    /// Homes move when [`Owner::adopt`] brings other endpoints or instances;
+    /// on a graceful stop, when the view has the local instance as leaving,
+    /// all of them do. Called at each tick, and on a stop until it is done.
+    pub fn handover(&mut self) -> Option<Vec<(InstanceId, Location)>> {
+        if self.strays.is_empty() {
+            return None;
+        }
         let most = self.strays.len().min(HANDED);
         let some: Vec<(Pool, ChatId)> = self.strays.drain(..most).collect();
         let known = some
             .iter()
             .filter_map(|(pool, chat)| self.chats.peek(*pool, *chat));
-        known.flat_map(|location| self.heirs(location)).collect()
+        Some(known.flat_map(|location| self.heirs(location)).collect())
     }
 
     // The owners of the chat's home and of the endpoint where it is warm, if
@@ -752,7 +756,7 @@
     // until a report that was taken from now on says what is there.
     fn inherit(&mut self, now: Moment, last: &View) {
         let view = Arc::clone(&self.view);
-        for (pool, owned) in view.owned() {
+        for (pool, owned) in view.owned_pools() {
             for id in owned {
                 let here = self.books.contains_key(id);
                 let known = last.endpoint(*id).map(|endpoint| endpoint.incarnation);
--- a/crates/decide/src/owner/room.rs
+++ b/crates/decide/src/owner/room.rs
@@ -127,10 +127,14 @@
         if book.running() == 0 {
             return true;
         }
-        let limit = self.limit(now, endpoint, job) * free;
+        let mean = self.exact_mean(now, job.pool);
         #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
-        let after = (book.load() + job.work(endpoint)) as f64;
-        after <= limit
+        let (load, work) = (book.load() as f64, job.work(endpoint) as f64);
+        // One more is always right where the load is no more than the mean:
+        // with few and equal requests, all at the mean, nobody could else
+        // ever take a second.
+        let limit = multiple(job, endpoint) * mean.max(self.floor(job.pool));
+        load <= mean * free || load + work <= limit * free
     }
 
     fn over(&self, now: Moment, job: &Job) -> bool {
@@ -144,15 +148,8 @@
         shares.over(job, own.endpoints * job.slots)
     }
 
-    // The bound on one endpoint's work, in tokens.
-    //
-    // A mean under the largest request is taken as that request: a single
-    // one on an idle endpoint would else be over the bound.
-    fn limit(&self, now: Moment, endpoint: EndpointId, job: &Job) -> f64 {
-        let floor = self.floor(job.pool);
-        multiple(job, endpoint) * self.exact_mean(now, job.pool).max(floor)
-    }
-
+    // A mean under the largest request is taken as that request: a single one
+    // on an idle endpoint would else be over the bound.
     fn floor(&self, pool: Pool) -> f64 {
         self.shares.get(&pool).map_or(0.0, |s| s.largest)
     }
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -163,9 +163,15 @@
         self.fleet.endpoints.values()
     }
 
+    /// Returns the endpoints that the local instance owns, leaving ones too.
+    pub fn owned(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints()
+            .filter(|endpoint| self.owner(endpoint.id) == self.local)
+    }
+
     /// Returns the live endpoints that the local instance owns, by pool.
     #[must_use]
-    pub const fn owned(&self) -> &BTreeMap<Pool, Vec<EndpointId>> {
+    pub const fn owned_pools(&self) -> &BTreeMap<Pool, Vec<EndpointId>> {
         &self.owned
     }
 
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -36,6 +36,7 @@
 use crate::metrics::Traffic;
 use crate::random;
 use crate::shared::Shared;
+use crate::shutdown;
 use batchers::Batchers;
 use probe::CachePage;
 
@@ -212,6 +213,8 @@
         let now = self.shared.now();
         self.changes(now);
         self.shared.desk.tick(now);
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move { shutdown::pass_on(&shared).await });
         self.gossip(now);
         self.probe(now);
         self.renew(now);
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -136,6 +136,7 @@
             pool,
             endpoints: load.endpoints,
             work: load.work,
+            waiting: 0,
             taken: load.taken,
         })
     }
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -60,7 +60,6 @@
 /// An engine's cache events from an offset on.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct CachePage {
-    first: Offset,
     next: Offset,
     events: Vec<CacheEvent>,
 }
@@ -153,7 +152,7 @@
         let owned = self.probes.asked.len();
         let due = now + spread(bytes * owned, CACHE_RATE);
         self.probes.due.insert(id, due);
-        let gap = self.probes.read(endpoint, page);
+        self.probes.read(endpoint, page);
         let events: Vec<chats::Event> = page
             .events
             .iter()
@@ -163,8 +162,8 @@
             })
             .collect();
         self.shared.desk.with(|owner| {
-            for (index, event) in events.iter().enumerate() {
-                owner.cache_event(id, event, gap && index == 0);
+            for event in &events {
+                owner.cache_event(id, event);
             }
         });
     }
@@ -182,12 +181,12 @@
         }
     }
 
-    // Returns whether events were lost before this page.
-    fn read(&mut self, endpoint: &Endpoint, page: &CachePage) -> bool {
+    // A page after a gap is taken as it is: what the lost events would have
+    // said shows in the order of the evictions that did arrive.
+    fn read(&mut self, endpoint: &Endpoint, page: &CachePage) {
         let before = self.from(endpoint).unwrap_or(0);
         let place = (endpoint.incarnation, page.next.max(before));
         self.events.insert(endpoint.id, place);
-        page.first > before
     }
 }
 
@@ -205,6 +204,7 @@
                 CacheKind::Evicted => chats::Kind::Evicted,
             },
             tokens: self.tokens,
+            incarnation: endpoint.incarnation,
             at,
         })
     }
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -20,12 +20,17 @@
 use crate::body;
 use crate::control;
 use crate::shared::Shared;
+use crate::shutdown;
 
 /// Sends a repeatable request and relays the answer as it comes.
 pub(crate) async fn relay(shared: &Arc<Shared>, leave: Leave, job: &Job) -> Attempt {
     let Some(target) = Target::find(shared, &leave, job) else {
         return gone(leave);
     };
+    if let Some((home, location)) = leave.grant().tell {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move { shutdown::tell(&shared, home, location).await });
+    }
     // Dropped while the engine works, this cancels there.
     let mut cancel = Cancel::armed(shared, &target, job);
     match begin(shared, &target, leave.grant(), job).await {
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use godwitpost_decide::chats::Location;
+use godwitpost_decide::owner::Owner;
 use godwitpost_state::drain::{Drain, Limits, Next};
 use godwitpost_types::id::InstanceId;
 use godwitpost_types::instance::Instance;
@@ -98,20 +99,35 @@
 /// A peer that can't be reached goes without: the chats it now owns start
 /// cold, which costs a prefill and no answer.
 async fn hand_over(shared: &Arc<Shared>) {
-    let snapshot = shared.snapshot();
-    let view = &snapshot.view;
-    let zone = shared.settings.zone_id();
+    while pass_on(shared).await {}
+}
+
+/// Sends some of the chat locations that moved to other owners on to them;
+/// returns whether there may be more.
+pub(crate) async fn pass_on(shared: &Arc<Shared>) -> bool {
+    let Some(strays) = shared.desk.with(Owner::handover) else {
+        return false;
+    };
     let mut moves: BTreeMap<InstanceId, Vec<Location>> = BTreeMap::new();
-    for location in shared.desk.with(|owner| owner.handover()) {
-        let home = view.ranked(location.pool, location.chat, zone).next();
-        let Some(home) = home else { continue };
-        moves.entry(view.owner(home)).or_default().push(location);
+    for (instance, location) in strays {
+        moves.entry(instance).or_default().push(location);
     }
+    let snapshot = shared.snapshot();
     for (instance, locations) in moves {
-        if let Some(instance) = view.instance(instance).filter(|i| i.id != shared.local()) {
+        let instance = snapshot.view.instance(instance);
+        if let Some(instance) = instance.filter(|i| i.id != shared.local()) {
             send(shared, instance, &locations).await;
         }
     }
+    true
+}
+
+/// Tells the owner of a chat's home where the chat was placed.
+pub(crate) async fn tell(shared: &Arc<Shared>, home: InstanceId, location: Location) {
+    let snapshot = shared.snapshot();
+    if let Some(instance) = snapshot.view.instance(home) {
+        send(shared, instance, &[location]).await;
+    }
 }
 
 async fn send(shared: &Shared, instance: &Instance, locations: &[Location]) {
