--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod bundles;
 pub mod claims;
+pub mod decisions;
 pub mod figure;
 pub mod rolls;
 pub mod state;
