--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod claims;
 pub mod cli;
 mod control;
+mod handover;
 pub mod logging;
 pub mod metrics;
 mod problem;
