--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -332,7 +332,9 @@
         Ok(())
     }
 
-    fn settings(&self, name: &str, zone: &str) -> String {
+    /// Returns the settings of an instance of this fleet, as YAML.
+    #[must_use]
+    pub fn settings(&self, name: &str, zone: &str) -> String {
         let Deployment { fleet, region, .. } = self.deployment;
         let (log, list) = (self.log.address(), self.list.address());
         let (lag, drain) = (STILL_TAKEN.as_millis(), DRAIN.as_millis());
--- a/crates/demo/src/hold.rs
+++ b/crates/demo/src/hold.rs
@@ -55,5 +55,14 @@
         to,
         "    curl -i http://{callers}{path} -H 'Godwitpost-Workspace: {workspace}' \
          -H 'Idempotency-Key: {key}' -d '{{\"copies\":3}}'"
-    )
+    )?;
+    let zone = deployment.zones[0];
+    writeln!(
+        to,
+        "  settings of one more router, for godwitpost-router --settings:"
+    )?;
+    for line in fleet.settings("one-more", zone).lines() {
+        writeln!(to, "    {line}")?;
+    }
+    Ok(())
 }
