--- a/crates/state/src/membership/member.rs
+++ b/crates/state/src/membership/member.rs
@@ -55,10 +55,11 @@
 pub(super) enum Event {
     /// The instance itself, directly or through peers, showed this beat.
     Alive { beat: u64, now: Moment },
-    /// Someone could not reach the instance at this beat.
+    /// Someone could not reach the instance at this beat, or gave it up.
+    ///
+    /// Being given up by others is no more than an accusation: after a cut
+    /// between regions each side says so of the other.
     Accused { beat: u64, now: Moment },
-    /// Someone gave the instance up at this beat.
-    Lost { beat: u64 },
     /// The instance is leaving.
     Leave { now: Moment },
     /// The instance is new here and starts with its probation.
@@ -74,6 +75,9 @@
     pub(super) beat: u64,
     /// The last sign of life.
     pub(super) heard: Moment,
+    /// Whether this incarnation has shown that it leaves; it may be taken for
+    /// gone since, and must not come back as anything but leaving.
+    pub(super) left: bool,
 }
 
 /// One member's machine.
@@ -92,7 +96,6 @@
             Event::Accused { beat, now } if beat >= self.beat => {
                 Transition(Phase::suspect(beat, now))
             }
-            Event::Lost { beat } if beat >= self.beat => Transition(Phase::gone(beat)),
             Event::Leave { now } => self.leave(now),
             Event::Probation { now } => Transition(Phase::returning(now)),
             _ => Handled,
@@ -106,7 +109,10 @@
                 self.sign(beat, now);
                 Transition(Phase::live())
             }
-            Event::Lost { beat } if beat >= *at => Transition(Phase::gone(beat)),
+            Event::Accused { beat, .. } => {
+                *at = beat.max(*at);
+                Handled
+            }
             Event::Leave { now } => self.leave(now),
             Event::Tick { now } if since(now, *from) >= SUSPECT => Transition(Phase::gone(*at)),
             _ => Handled,
@@ -128,9 +134,7 @@
     fn returning(&mut self, from: &Moment, event: &Event) -> Outcome<Phase> {
         match *event {
             Event::Alive { beat, now } => self.alive(beat, now),
-            Event::Accused { beat, .. } | Event::Lost { beat } if beat >= self.beat => {
-                Transition(Phase::gone(beat))
-            }
+            Event::Accused { beat, .. } if beat >= self.beat => Transition(Phase::gone(beat)),
             Event::Leave { now } => self.leave(now),
             Event::Tick { now } if since(now, *from) >= PROBATION => Transition(Phase::live()),
             _ => Handled,
@@ -142,12 +146,16 @@
         match *event {
             Event::Alive { beat, now } if beat > *at => {
                 self.sign(beat, now);
-                Transition(Phase::returning(now))
+                Transition(self.back(now))
             }
-            Event::Lost { beat } | Event::Accused { beat, .. } => {
+            Event::Accused { beat, .. } => {
                 *at = beat.max(*at);
                 Handled
             }
+            Event::Leave { .. } => {
+                self.left = true;
+                Handled
+            }
             _ => Handled,
         }
     }
@@ -157,8 +165,17 @@
         Handled
     }
 
+    fn back(&self, now: Moment) -> Phase {
+        if self.left {
+            Phase::leaving()
+        } else {
+            Phase::returning(now)
+        }
+    }
+
     fn leave(&mut self, now: Moment) -> Outcome<Phase> {
         self.heard = now;
+        self.left = true;
         Transition(Phase::leaving())
     }
 
