decide: surges keep nobody out of the queue, nor chats cold in it

And three surging workspaces filled an owner's queue, so that 0.6% of the others' requests were refused for a full queue; past its length the queue now takes only flows with less than an even part of it.

A cold request again looks for an endpoint under the mean before it takes one at the mean, and an endpoint taken over is presumed a fifth above the mean.

--- a/crates/bench/src/decisions/size.rs
+++ b/crates/bench/src/decisions/size.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// Ten minutes of today's size, for tests.
+#[must_use]
+pub fn small() -> Size {
+    Size {
+        name: "small",
+        chats: 5_000,
+        pause: Duration::from_mins(1),
+        long: (8, Duration::from_mins(3), Duration::from_mins(6)),
+        memory: 800_000,
+        time: Duration::from_mins(10),
+        warm: Duration::from_mins(4),
+        churn: Duration::from_mins(2),
+        ..today()
+    }
+}
+
 /// The letter's size. Four of its 33 models are driven, at the rate for one
 /// engine that the letter gives, for two minutes with pauses of half a minute.
 #[must_use]
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -378,7 +378,7 @@
 
     fn enqueue(&mut self, now: Moment, job: Job) -> Next {
         let queue = self.queues.entry(job.pool).or_default();
-        if queue.len() >= LONGEST {
+        if queue.full(LONGEST, job.rank.flow) {
             return Next::Refuse(Refusal::new(Reason::QueueFull));
         }
         let ticket = self.next;
@@ -755,8 +755,8 @@
 
     // An endpoint that was another's until now has work that no report has
     // shown here yet, and its last owner may go on for seconds. Taken to be
-    // idle, it would get twice its bound; so it is taken to be at the mean
-    // until a report that was taken from now on says what is there.
+    // idle, it would get twice its bound; so it is taken to be somewhat above
+    // the mean until a report that was taken from now on says what is there.
     fn inherit(&mut self, now: Moment, last: &View, means: &BTreeMap<Pool, u64>) {
         let view = Arc::clone(&self.view);
         for (pool, owned) in view.owned_pools() {
@@ -766,7 +766,8 @@
                 let same = known.filter(|life| self.lives_on(*id, *life));
                 if let Some(incarnation) = same.filter(|_| !here && last.serves(*id, *pool)) {
                     let mut book = Book::new(incarnation);
-                    book.presume(now, means.get(pool).copied().unwrap_or(0));
+                    let mean = means.get(pool).copied().unwrap_or(0);
+                    book.presume(now, mean + mean / PRESUMED);
                     self.books.insert(*id, book);
                 }
             }
@@ -825,6 +826,10 @@
     }
 }
 
+/// Part of the mean that an endpoint taken over is presumed to be above it:
+/// a fifth, so that it gets little before its first report.
+const PRESUMED: u64 = 5;
+
 /// Locations looked at in one call of [`Owner::handover`], some 200 us.
 const HANDED: usize = 512;
 
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// Returns whether it has nothing to find at an endpoint, and has not
+    /// looked for a better place yet.
+    #[must_use]
+    pub fn roams(&self, endpoint: EndpointId) -> bool {
+        self.cached(endpoint) == 0 && self.since == Moment::ZERO
+    }
+
     /// Returns its estimated work at an endpoint, in tokens.
     #[must_use]
     pub fn work(&self, endpoint: EndpointId) -> u64 {
--- a/crates/decide/src/owner/room.rs
+++ b/crates/decide/src/owner/room.rs
@@ -11,7 +11,7 @@
 use super::job::Job;
 use super::{LOOKED_AT, Owner, PATIENCE, Wake};
 use crate::load::Summary;
-use crate::queue::Ticket;
+use crate::queue::{Queue, Ticket};
 use crate::view::Pool;
 
 /// Part of an endpoint that a workspace over its share must leave free.
@@ -31,6 +31,10 @@
 /// Part of it that a cold request may use before it looks elsewhere.
 const COLD: f64 = 0.0;
 
+/// Waiting requests among which one that is warm may go first, at a policy
+/// that weighs reuse alone.
+const PREFERRED: u32 = 32;
+
 /// How long after a request had to wait the reserve is kept.
 const CONTENDED: Duration = Duration::from_secs(10);
 
@@ -130,11 +134,12 @@
         let mean = self.exact_mean(now, job.pool);
         #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
         let (load, work) = (book.load() as f64, job.work(endpoint) as f64);
+        let limit = multiple(job, endpoint) * mean.max(self.floor(job.pool));
         // One more is always right where the load is no more than the mean:
         // with few and equal requests, all at the mean, nobody could else
-        // ever take a second.
-        let limit = multiple(job, endpoint) * mean.max(self.floor(job.pool));
-        load <= mean * free || load + work <= limit * free
+        // ever take a second. A cold one looks for a better place before.
+        let stays = !job.roams(endpoint) && load <= mean * free;
+        stays || load + work <= limit * free
     }
 
     fn over(&self, now: Moment, job: &Job) -> bool {
@@ -217,7 +222,36 @@
         if let Some(ticket) = drains {
             self.set_aside(ticket, owned);
         }
-        found
+        found.map(|(ticket, endpoint)| self.warmer(now, pool, ticket, endpoint))
+    }
+
+    // When all endpoints are full, whoever is first in the queue gets the slot
+    // that comes free, and every chat goes cold. One of the next few that is
+    // warm there goes before, unless the first has waited long.
+    fn warmer(
+        &self,
+        now: Moment,
+        pool: Pool,
+        first: Ticket,
+        endpoint: EndpointId,
+    ) -> (Ticket, EndpointId) {
+        let queue = self.queues.get(&pool);
+        let jobs = queue.into_iter().flat_map(Queue::iter);
+        let mut jobs = jobs.skip_while(|(ticket, _)| *ticket != first);
+        let Some((_, head)) = jobs.next() else {
+            return (first, endpoint);
+        };
+        let settled = head.cached(endpoint) > 0 || since(now, head.since) > PATIENCE;
+        if settled || head.suspect {
+            return (first, endpoint);
+        }
+        let peers = jobs.take(part(PREFERRED, head.reuse) as usize);
+        let mut warm = peers.filter(|(_, job)| {
+            let peer = job.rank.priority == head.rank.priority && !job.suspect;
+            peer && job.cached(endpoint) > 0 && self.fits(now, endpoint, job)
+        });
+        warm.next()
+            .map_or((first, endpoint), |(ticket, _)| (ticket, endpoint))
     }
 
     fn fits_waiting(&self, now: Moment, id: EndpointId, ticket: Ticket, job: &Job) -> bool {
@@ -250,10 +284,10 @@
 // know: means that changed since they were told, and wrong estimates.
 fn multiple(job: &Job, endpoint: EndpointId) -> f64 {
     let reuse = job.reuse.clamp(0.0, 1.0);
-    let part = if job.cached(endpoint) > 0 || job.since > Moment::ZERO {
-        WARM + 0.1 * reuse
-    } else {
+    let part = if job.roams(endpoint) {
         COLD + 0.2 * reuse
+    } else {
+        WARM + 0.1 * reuse
     };
     1.0 + (job.bound - 1.0) * part
 }
--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -102,6 +102,18 @@
         self.waiting.get(&flow).copied().unwrap_or(0)
     }
 
+    /// Returns whether a queue of `most` has no place for one more of a flow.
+    ///
+    /// Past `most`, only flows with less than an even part of it still get
+    /// in, up to twice as many: a surge that fills the queue must not keep
+    /// the others out of it.
+    #[must_use]
+    pub fn full(&self, most: usize, flow: Flow) -> bool {
+        let flows = self.waiting.len().max(1);
+        let own = usize::try_from(self.waiting(flow)).unwrap_or(usize::MAX);
+        self.len() >= 2 * most || (self.len() >= most && own.saturating_mul(flows) >= most)
+    }
+
     /// Puts a request in its place.
     pub fn push(&mut self, ticket: Ticket, rank: &Rank, item: T) {
         let level = self.levels.entry(rank.priority).or_default();
--- a/crates/decide/tests/traps/queue.rs
+++ b/crates/decide/tests/traps/queue.rs
@@ -47,6 +47,24 @@
     assert_eq!(order(&queue).first(), Some(&9));
 }
 
+// A supervisor's lookup is refused with "queue full" at a fete: the workspace
+// of the fete has filled the queue to its last place.
+#[test]
+fn surge_that_fills_the_queue_keeps_nobody_out() {
+    let mut queue = Queue::default();
+    let (surging, other) = (rank(1, 2, 1), rank(2, 2, 1));
+    for ticket in 0..100 {
+        assert!(!queue.full(100, surging.flow));
+        queue.push(ticket, &surging, 1);
+    }
+    assert!(queue.full(100, surging.flow));
+    for ticket in 100..150 {
+        assert!(!queue.full(100, other.flow));
+        queue.push(ticket, &other, 2);
+    }
+    assert!(queue.full(100, other.flow));
+}
+
 // A workspace that slept through the night must not bank its unused share and
 // hold everybody else up in the morning.
 #[test]
