router: idle connections outlast a balancer's, one key at once runs once

hyper counts idle time towards the time for the next head, so connections that a balancer kept for more than ten seconds were closed under it, perhaps as it sent an order. The time is above a balancer's now.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -25,9 +25,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// How long a caller may take to send a head. Slow ones would otherwise hold
-/// connections for nothing.
-const HEAD_TIME: Duration = Duration::from_secs(10);
+/// How long a connection may take to send its next head.
+///
+/// hyper counts the time that a connection is idle, too. Balancers keep idle
+/// connections for up to a minute; one that is closed under them just as they
+/// send an order leaves its fate unknown, so this is longer.
+const HEAD_TIME: Duration = Duration::from_secs(75);
 
 /// The pause after a connection could not be accepted, as when files run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/router/tests/router/orders.rs
+++ b/crates/router/tests/router/orders.rs
@@ -1,5 +1,7 @@
 //! Orders: at most once, and the truth about their fate.
 
+use std::time::Duration;
+
 use crate::fleet::{Fleet, Size, chat, key, order, outcome};
 
 const SIZE: Size = Size {
@@ -100,3 +102,26 @@
     assert_eq!((status.as_u16(), outcome(&headers)), (422, "not-run"));
     assert_eq!(runs(&fleet, &key), 1);
 }
+
+// Two shops and a timer send one reprint commitment at the same moment through
+// different routers. Each is told something true, and it runs once.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_key_at_once_through_all_routers_runs_once() {
+    let fleet = Fleet::start(SIZE).await;
+    for plain in &fleet.plains {
+        plain
+            .faults()
+            .change(|faults| faults.slow = Duration::from_millis(50));
+    }
+    for n in 0..6 {
+        let key = key(200 + n);
+        let ask = |router| fleet.ask(router, order(&key, "reprint"));
+        let (a, b, c) = tokio::join!(ask(0), ask(1), ask(2));
+        let told: Vec<&str> = [&a, &b, &c]
+            .map(|(_, headers, _)| outcome(headers))
+            .to_vec();
+        assert!(told.contains(&"ran"), "{told:?}");
+        assert!(!told.contains(&"not-run"), "{told:?}");
+        assert_eq!(runs(&fleet, &key), 1);
+    }
+}
