router: a stream that nobody reads ends after a minute

The kernel now ends a connection whose peer takes nothing of what was sent to it for a minute, dead or merely stalled.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -124,7 +124,7 @@
 {
     // Tokens are small and must not wait for an acknowledgement.
     drop(stream.set_nodelay(true));
-    silence::keep_alive(&stream);
+    silence::keep_alive(&stream, silence::UNREAD);
     let service = service_fn(move |request| {
         // Boxed: hyper keeps room for this future as long as the connection is
         // open, and 10,000 idle ones took 40 KB each for it.
--- a/crates/router/src/serve/silence.rs
+++ b/crates/router/src/serve/silence.rs
@@ -21,12 +21,22 @@
 /// The time between probes; the kernel gives up after nine by default.
 const PROBED_EVERY: Duration = Duration::from_secs(10);
 
-/// Has the kernel end the connection if its peer is gone.
-pub(super) fn keep_alive(stream: &TcpStream) {
+/// How long a peer may leave what was sent to it unread. A stream that nobody
+/// reads holds a slot of its endpoint, so it can't wait for ever; a phone that
+/// changes its network comes back within seconds.
+pub(super) const UNREAD: Duration = Duration::from_mins(1);
+
+/// Has the kernel end the connection if its peer is gone or, for longer than
+/// `unread`, takes nothing of what was sent to it.
+pub(super) fn keep_alive(stream: &TcpStream, unread: Duration) {
     let probes = TcpKeepalive::new()
         .with_time(PROBED_AFTER)
         .with_interval(PROBED_EVERY);
-    if let Err(error) = SockRef::from(stream).set_tcp_keepalive(&probes) {
+    let socket = SockRef::from(stream);
+    let set = socket
+        .set_tcp_keepalive(&probes)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(unread)));
+    if let Err(error) = set {
         log::debug!(error:% = error; "keep-alive not set");
     }
 }
--- a/crates/router/src/serve/silence/tests.rs
+++ b/crates/router/src/serve/silence/tests.rs
@@ -4,7 +4,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::first_byte;
+use super::{first_byte, keep_alive};
 
 const LONG: Duration = Duration::from_hours(1);
 
@@ -51,3 +51,18 @@
     let (_open, closing) = watch::channel(false);
     assert!(!first_byte(&accepted, LONG, closing).await);
 }
+
+/// A caller asks for a long draft and never reads it. Its stream keeps a slot
+/// of the engine, and enough of such callers keep all of them.
+#[tokio::test]
+async fn a_stream_that_nobody_reads_ends() {
+    let (_caller, mut accepted) = pair().await;
+    keep_alive(&accepted, Duration::from_millis(300));
+    let chunk = vec![0; 1 << 16];
+    let error = loop {
+        if let Err(error) = accepted.write_all(&chunk).await {
+            break error;
+        }
+    };
+    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+}
