--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -35,6 +35,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::handover;
 use crate::random;
 use crate::shared::Shared;
 use batchers::Batchers;
@@ -219,6 +220,10 @@
         let now = self.shared.now();
         self.changes(now);
         self.shared.desk.tick(now);
+        if let Some(due) = handover::due(&self.shared) {
+            let shared = Arc::clone(&self.shared);
+            tokio::spawn(async move { handover::send(&shared, due).await });
+        }
         self.gossip(now);
         self.probe(now);
         self.renew(now);
