demo: orders take time and lose answers, lookups of unknown fate are resent

Orders that end at once are seldom in flight when a router is killed. They now take 60 ms, and with lost answers one in twenty runs and its answer is lost, so that callers are told of unknown fates and resend under their keys.

--- a/crates/demo/src/cli.rs
+++ b/crates/demo/src/cli.rs
@@ -51,7 +51,8 @@
 Faults:
   log-down       the log service refuses everything for a while
   log-slow       the log service takes half a second for each call
-  lost-answers   appends take effect and their answers are lost
+  lost-answers   appends to the log take effect and orders run, and their
+                 answers are lost
   poison         a request that crashes each engine that runs it, sent again
                  and again by its caller
   flapping       an engine that leaves the list and comes back, over and over
--- a/crates/demo/src/faults.rs
+++ b/crates/demo/src/faults.rs
@@ -24,6 +24,9 @@
 /// The part of appends whose answers are lost.
 const LOST: f64 = 0.3;
 
+/// The part of orders and lookups that run and whose answers are lost.
+const LOST_BY_ENDPOINTS: f64 = 0.05;
+
 /// What crashes an engine that reads it.
 const MARKER: &str = "crampon-of-doom";
 
@@ -43,7 +46,13 @@
 /// Switches on what lasts for the whole run.
 pub fn lasting(fleet: &Fleet, fault: Fault) {
     match fault {
-        Fault::LostAnswers => fleet.log.faults().change(|log| log.lose_answers = LOST),
+        Fault::LostAnswers => {
+            fleet.log.faults().change(|log| log.lose_answers = LOST);
+            for endpoint in &fleet.plain {
+                let faults = endpoint.running.faults();
+                faults.change(|plain| plain.lose_answers = LOST_BY_ENDPOINTS);
+            }
+        }
         Fault::Poison => {
             for engine in &fleet.engines {
                 engine.running.faults().change(|engine| {
--- a/crates/demo/src/fleet/endpoints.rs
+++ b/crates/demo/src/fleet/endpoints.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use godwitpost_history::event::{self, CallId, RunId, What};
 use godwitpost_history::recorder::Recorder;
@@ -18,6 +19,10 @@
 use crate::deployment::Deployment;
 use crate::error::Error;
 
+/// How long an order or lookup takes, so that a kill or a stop finds some in
+/// flight.
+const ORDER_TIME: Duration = Duration::from_millis(60);
+
 /// An endpoint with its name.
 #[derive(Debug)]
 pub struct Endpoint<R> {
@@ -79,7 +84,11 @@
     let mut endpoints = Vec::new();
     for index in 0..deployment.plain_endpoints {
         let (name, zone) = deployment.plain_endpoint(index);
-        let running = plain::start(ANY, plain::Faults::default()).await;
+        let faults = plain::Faults {
+            slow: ORDER_TIME,
+            ..plain::Faults::default()
+        };
+        let running = plain::start(ANY, faults).await;
         let running = running.map_err(Error::Standin)?;
         let mut entry = tap.entry(&name, zone, running.address());
         entry.service = Some(deployment.plain.to_owned());
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -193,7 +193,7 @@
         let seen = loop {
             let seen = self.send(class, &ask, rng).await;
             sends += 1;
-            if sends == SENDS || settled(&seen) {
+            if sends == SENDS || settled(&seen, &ask) {
                 break seen;
             }
             self.rekey(&mut ask, &seen, rng);
@@ -255,7 +255,13 @@
 }
 
 // A whole answer that says *ran* is the end, whatever the endpoint said in it.
-// An unknown fate stays unknown: asking again tells no more.
-fn settled(seen: &Seen) -> bool {
-    seen.end == End::Whole && matches!(seen.outcome, Some(Outcome::Ran | Outcome::Unknown))
+// The fate of an order that is unknown stays so: asking again tells no more.
+// What may run twice is simply sent again.
+fn settled(seen: &Seen, ask: &Ask) -> bool {
+    let told = match seen.outcome {
+        Some(Outcome::Ran) => true,
+        Some(Outcome::Unknown) => ask.key.is_some(),
+        Some(Outcome::NotRun) | None => false,
+    };
+    told && seen.end == End::Whole
 }
