--- a/crates/router/src/control/bundles.rs
+++ b/crates/router/src/control/bundles.rs
@@ -16,7 +16,6 @@
 
 use super::{Control, Event, Io, PLATFORM};
 use crate::body;
-use crate::metrics::Traffic;
 use crate::relay::peer;
 use crate::shared::Shared;
 
@@ -28,6 +27,9 @@
 /// bytes each are under a megabyte.
 const BUNDLE_BYTES: usize = 64 << 20;
 
+/// Records asked for at once; fewer in an answer are the end of the stream.
+const PAGE: usize = 1000;
+
 /// What a peer hands over.
 #[derive(Debug, Serialize, Deserialize)]
 enum Handed {
@@ -43,6 +45,7 @@
 /// the log is down, peers hand the bundle over.
 pub(super) async fn follow(io: Io) {
     let settings = follower::Settings {
+        limit: PAGE,
         seed: io.shared.local(),
         ..follower::Settings::default()
     };
@@ -50,8 +53,9 @@
     loop {
         let records = match follower.next().await {
             follower::Event::Records(records) => records,
+            follower::Event::Idle => Vec::new(),
             // The fold sees a gap by the offset that follows it.
-            follower::Event::Gap { .. } | follower::Event::Idle => continue,
+            follower::Event::Gap { .. } => continue,
             follower::Event::Down(error) => {
                 log::debug!(error:% = error; "bundles not read");
                 continue;
@@ -67,8 +71,9 @@
     pub(super) fn records(&mut self, records: &[Record]) {
         for record in records {
             let next = self.fold.apply(record.offset, record.time, &record.body);
-            self.folded(&next);
+            Self::folded(&next);
         }
+        self.ready.read(&self.fold, records.len() < PAGE);
         self.publish();
     }
 
@@ -84,7 +89,7 @@
         let (shared, io) = (Arc::clone(&self.shared), self.io.clone());
         let version = self.fold.version();
         tokio::spawn(async move {
-            let bytes = fetch(&shared, &io.connector, &instance, version).await;
+            let bytes = fetch(&shared, &io.peers, &instance, version).await;
             drop(io.events.send(Event::Fetched(bytes)).await);
         });
     }
@@ -100,12 +105,24 @@
                 return;
             }
         };
-        self.folded(&next.unwrap_or_else(Next::Refused));
+        match next {
+            Ok(next) => {
+                Self::folded(&next);
+                self.ready.heard(&self.fold);
+            }
+            Err(refusal) => Self::folded(&Next::Refused(refusal)),
+        }
         self.publish();
     }
 
     /// Returns what a peer needs that holds `version`.
+    ///
+    /// An instance that still reads the stream has passed old versions only,
+    /// and hands none of them on.
     pub(super) fn bundle(&self, version: Version) -> Option<Bytes> {
+        if !self.ready.get() {
+            return None;
+        }
         let update = self.fold.update(version).filter(|_| version > 0);
         let handed = match update {
             Some(update) => Handed::Update(update),
@@ -114,12 +131,9 @@
         rmp_serde::to_vec(&handed).ok().map(Bytes::from)
     }
 
-    fn folded(&mut self, next: &Next) {
+    fn folded(next: &Next) {
         match next {
-            Next::InForce(version) => {
-                log::info!(version = version; "bundle in force");
-                self.pump.set_version(*version);
-            }
+            Next::InForce(version) => log::info!(version = version; "bundle folded"),
             Next::Refused(refusal) => log::warn!(reason:% = refusal; "bundle refused"),
             Next::Waiting => log::warn!("bundle records were dropped; asking peers"),
             Next::Ignored => {}
@@ -142,6 +156,5 @@
     }
     let read = body::collect(response.into_body(), BUNDLE_BYTES);
     let bytes = tokio::time::timeout(PLATFORM, read).await.ok()?.ok()?;
-    shared.metrics.control(Traffic::Peers, bytes.len());
     Some(bytes)
 }
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_decide::view::Pool;
 use godwitpost_platform::connect::Body;
 use godwitpost_state::claim::{Found, Item, Verdict, batch};
 use godwitpost_state::gossip::Message;
@@ -18,12 +19,12 @@
 use tokio::sync::oneshot;
 
 use crate::body;
-use crate::body::relay::Relay;
+use crate::body::relay::{Ends, Relay};
 use crate::claims;
 use crate::control::{Event, bundles, gossip};
+use crate::handover;
 use crate::relay::{Attempt, Job, owner, peer};
 use crate::shared::Shared;
-use crate::shutdown;
 
 /// Bytes of a message beside the caller's body: its head in the frame.
 const BEYOND: usize = 256 << 10;
@@ -85,7 +86,7 @@
         (&Method::POST, claims::ANSWER_PATH) => kept(shared, &bytes),
         (&Method::POST, peer::EVIDENCE) => testified(shared, &bytes),
         (&Method::POST, gossip::PATH) => gossiped(shared, &bytes).await,
-        (&Method::POST, shutdown::PATH) => taken_over(shared, &bytes),
+        (&Method::POST, handover::PATH) => taken_over(shared, &bytes),
         (&Method::GET, bundles::PATH) => bundle(shared, parts).await,
         _ => status(StatusCode::NOT_FOUND),
     }
@@ -97,6 +98,7 @@
         return status(StatusCode::BAD_REQUEST);
     };
     let attempt = head.attempt;
+    let pool = Pool::of(&head.request);
     let (kind, mut response) = match owner::serve(shared, Job { head, body }).await {
         Attempt::Answered(mut response) => {
             header::add_via(response.headers_mut(), &shared.settings.name);
@@ -112,8 +114,13 @@
     if let Ok(attempt) = HeaderValue::from_str(&format!("{attempt:x}")) {
         headers.insert(header::ATTEMPT, attempt);
     }
+    let now = shared.now();
+    let summary = shared.desk.with(|owner| owner.summary(now, pool));
+    if let Ok(load) = HeaderValue::from_str(&dispatch::load_text(&summary)) {
+        headers.insert(header::LOAD, load);
+    }
     // A stream that is relayed here is in flight here until its end.
-    response.map(|body| Relay::new(body, false, move |_end| drop(in_flight)).boxed_unsync())
+    response.map(|body| Relay::new(body, Ends::Framed, move |_end| drop(in_flight)).boxed_unsync())
 }
 
 async fn claim(shared: &Shared, bytes: &Bytes) -> Response<Body> {
