--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -35,10 +35,12 @@
 mod table;
 
 pub use answers::{Answers, Found};
-pub use batcher::{Batcher, Failure, Next, Page, Stored};
+pub use batcher::{Batcher, Next};
 pub use holder::{Abandon, Holder, Refusal, Scope, Step};
 pub use table::Table;
 
+pub use crate::log::{Failure, Page, Stored};
+
 /// Streams that claims are spread over.
 ///
 /// With a batch each [`BATCH_PERIOD`] at most, 16 partitions make 320 appends
--- a/crates/state/src/claim/batcher.rs
+++ b/crates/state/src/claim/batcher.rs
@@ -23,6 +23,7 @@
 
 use super::seek::Seek;
 use super::{BATCH_PERIOD, Id, Item, Record, SKEW, Table, Verdict, batch};
+use crate::log::{Failure, Page};
 
 /// Items of one append at most; at 80 bytes each that is 20 KB a record.
 pub const LARGEST_BATCH: usize = 256;
@@ -76,37 +77,6 @@
     Wait(Option<Moment>),
 }
 
-/// What is known of an append that brought no offset.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The log refused it or was never reached: it has no effect.
-    NotDone,
-    /// Its answer was lost: it may have taken effect, or still will.
-    Unknown,
-}
-
-/// One answer to a read.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Page {
-    /// The oldest record still kept.
-    pub first: Offset,
-    /// The offset that the next append would get.
-    pub next: Offset,
-    /// The records, in order and without gaps.
-    pub records: Vec<Stored>,
-}
-
-/// A record of the stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Stored {
-    /// Its offset.
-    pub offset: Offset,
-    /// The log's time for it.
-    pub time: Moment,
-    /// Its bytes.
-    pub body: Vec<u8>,
-}
-
 /// The batcher of one partition.
 #[derive(Debug)]
 pub struct Batcher {
--- a/crates/state/src/claim/batcher/tests.rs
+++ b/crates/state/src/claim/batcher/tests.rs
@@ -1,6 +1,7 @@
 //! A batcher answers from the fold alone, and gives up in time.
 
 use super::*;
+use crate::log::Stored;
 
 const WINDOW: Duration = Duration::from_mins(15);
 
--- a/crates/state/src/lease/holder.rs
+++ b/crates/state/src/lease/holder.rs
@@ -13,7 +13,7 @@
 use godwitpost_types::id::{Incarnation, InstanceId, Offset};
 
 use super::{Ask, MARGIN, Pool, RENEW, Record, TERM, Table};
-use crate::claim::{Failure, Page};
+use crate::log::{Failure, Page};
 
 /// What the holder wants done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/state/src/lease/holder/tests.rs
+++ b/crates/state/src/lease/holder/tests.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::*;
-use crate::claim::Stored;
+use crate::log::Stored;
 
 const fn at(millis: u64) -> Moment {
     Duration::from_millis(1_000_000 + millis)
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod drain;
 pub mod gossip;
 pub mod lease;
+pub mod log;
 pub mod membership;
 pub mod order;
