state: a leaving sign of incarnation zero counts

Signs were compared with a default of zero, so the sign of a first life that the platform numbers zero was taken for known and dropped: the endpoint stood as leaving only after the next list, and no peer was told.

--- a/crates/state/src/membership/endpoints.rs
+++ b/crates/state/src/membership/endpoints.rs
@@ -103,11 +103,11 @@
 
     /// Takes a leaving sign: a peer's, or an answer that refused new work.
     pub fn sign(&mut self, leaving: Leaving) {
-        let left = self.left.entry(leaving.id).or_default();
-        if leaving.incarnation <= *left {
+        let left = self.left.get(&leaving.id);
+        if left.is_some_and(|left| leaving.incarnation <= *left) {
             return;
         }
-        *left = leaving.incarnation;
+        self.left.insert(leaving.id, leaving.incarnation);
         self.changes.push(Change::Left(leaving));
         self.stand(leaving.id);
     }
--- a/crates/state/src/membership/endpoints/tests.rs
+++ b/crates/state/src/membership/endpoints/tests.rs
@@ -73,6 +73,24 @@
     assert_eq!(standing(&endpoints), Some(Standing::Leaving));
 }
 
+/// New drafts go to a leaving runner in its first life, which the platform
+/// numbers zero: its sign looked like one that was known already.
+#[test]
+fn the_first_incarnation_may_be_zero() {
+    let mut endpoints = Endpoints::new();
+    endpoints.list(at(0), &[endpoint(0, Standing::Live)]);
+    endpoints.report(at(1), 7, &report(0, Standing::Leaving));
+    assert_eq!(standing(&endpoints), Some(Standing::Leaving));
+    let sign = Leaving {
+        id: 7,
+        incarnation: 0,
+    };
+    assert_eq!(
+        endpoints.tick(at(1)),
+        [Change::Joined(7), Change::Left(sign)]
+    );
+}
+
 /// A restarted runner gets no work, since its former life was leaving.
 #[test]
 fn a_new_incarnation_on_the_same_address_is_someone_else() {
