state: a page with a gap is truncation, not a panic

A page of the log that left a record out ran into the folds' own assertion and would have taken the control thread down. What a platform answers is never a detected bug: the batcher and the lease holder now skip to the record, which raises the floor or makes the reader unsure, as truncation does.

--- a/crates/state/src/claim/batcher.rs
+++ b/crates/state/src/claim/batcher.rs
@@ -223,6 +223,9 @@
         for stored in &page.records {
             // A record that is no batch claims nothing.
             let items = batch::decode(&stored.body).unwrap_or_default();
+            // Offsets have no gaps; a log that leaves some out is taken for
+            // one that has dropped them.
+            self.table.skip_to(stored.offset);
             self.apply(stored.offset, stored.time, &items);
         }
         self.behind = self.table.next() < page.next;
--- a/crates/state/src/claim/batcher/tests.rs
+++ b/crates/state/src/claim/batcher/tests.rs
@@ -169,6 +169,20 @@
     assert_eq!(batcher.next(at(6)), answer(&record, Verdict::Claimed));
 }
 
+/// A router dies because the log answers with a page that leaves a record out.
+/// What is missing may hold winners, so older keys are refused instead.
+#[test]
+fn a_page_with_a_gap_is_taken_for_truncation() {
+    let record = claim(1, 7);
+    let mut batcher = ready(record);
+    let ticket = ticket(&batcher.next(at(0)));
+    batcher.appended(at(5), ticket, 2, at(4));
+    batcher.next(at(5));
+    let records = vec![(0, vec![]), (2, vec![Item::Claim(record)])];
+    batcher.page(at(6), &page(0, 3, records));
+    assert_eq!(batcher.next(at(6)), answer(&record, Verdict::Expired));
+}
+
 #[test]
 fn batches_keep_their_period_and_size() {
     let mut batcher = ready(claim(0, 0));
--- a/crates/state/src/claim/table.rs
+++ b/crates/state/src/claim/table.rs
@@ -108,7 +108,7 @@
             return;
         }
         assert_eq!(offset, self.next, "a claim batch was left out of the fold");
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         self.time = self.time.max(time);
         self.raise_floor();
         for item in batch {
--- a/crates/state/src/lease/holder.rs
+++ b/crates/state/src/lease/holder.rs
@@ -168,6 +168,9 @@
         let before = self.table.busy_until(self.pool);
         for stored in &page.records {
             let record = Record::decode(&stored.body);
+            // Offsets have no gaps; a log that leaves some out is taken for
+            // one that has dropped them.
+            self.table.skip_to(stored.offset);
             self.table
                 .apply(stored.offset, stored.time, record.as_ref());
             if let Some(record) = record {
--- a/crates/state/src/lease/table.rs
+++ b/crates/state/src/lease/table.rs
@@ -92,7 +92,7 @@
             return;
         }
         assert_eq!(offset, self.next, "a lease record was left out of the fold");
-        self.next = offset + 1;
+        self.next = offset.saturating_add(1);
         self.time = self.time.max(time);
         if self.gap {
             self.lose_sight();
