router: not run says which attempts it speaks for

Cause: an order was told unknown, sent again under its key while the log was down, and told not run. That was true of the second attempt alone, yet a caller that took it for the order's fate would place it again under a new key, which is the double booking that keys are there to prevent.

Change: each not run carries Godwitpost-Outcome-Scope, attempt or key; only a claim that was won and provably never started speaks for the key. A key older than the claim window is told unknown, since it was most likely sent before.

Conclusion: two tests bring both about; the rule for callers needs no memory beyond the outcomes that their attempts were told.

--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use godwitpost_decide::refusal::{Reason, Refusal};
 use godwitpost_platform::connect::Body;
-use godwitpost_types::outcome::Outcome;
+use godwitpost_types::outcome::{Outcome, Scope};
 use godwitpost_wire::dispatch::Told;
 use godwitpost_wire::header as name;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -29,6 +29,8 @@
     pub detail: String,
     /// The fate of the request.
     pub outcome: Outcome,
+    /// Which attempts a *not run* speaks for.
+    pub scope: Scope,
     /// When sending it again may help.
     pub retry_after: Option<Duration>,
 }
@@ -51,6 +53,7 @@
             reason: Cow::Borrowed(reason),
             detail: detail.into(),
             outcome: Outcome::NotRun,
+            scope: Scope::Attempt,
             retry_after: None,
         }
     }
@@ -79,6 +82,12 @@
         Self { outcome, ..self }
     }
 
+    /// Returns it speaking for other attempts.
+    #[must_use]
+    pub fn with_scope(self, scope: Scope) -> Self {
+        Self { scope, ..self }
+    }
+
     /// Returns the answer that tells a caller.
     ///
     /// # Panics
@@ -105,6 +114,9 @@
             name::OUTCOME,
             HeaderValue::from_static(self.outcome.as_str()),
         );
+        if self.outcome == Outcome::NotRun {
+            headers.insert(name::SCOPE, HeaderValue::from_static(self.scope.as_str()));
+        }
         if let Some(wait) = self.retry_after {
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds(wait)));
         }
@@ -138,6 +150,7 @@
             reason: Cow::Owned(told.reason),
             detail: told.detail,
             outcome: told.outcome,
+            scope: told.scope,
             retry_after: told.retry_after,
         }
     }
@@ -150,6 +163,7 @@
             reason: problem.reason.into_owned(),
             detail: problem.detail,
             outcome: problem.outcome,
+            scope: problem.scope,
             retry_after: problem.retry_after,
         }
     }
--- a/crates/router/src/relay/once.rs
+++ b/crates/router/src/relay/once.rs
@@ -13,7 +13,7 @@
 use godwitpost_platform::connect::Received;
 use godwitpost_state::claim::key::Key;
 use godwitpost_state::claim::{Abandon, Found, Id, Item, Refusal, Step, Verdict};
-use godwitpost_types::outcome::Outcome;
+use godwitpost_types::outcome::{Outcome, Scope};
 use godwitpost_wire::dispatch::Reply;
 use godwitpost_wire::header;
 use http::{HeaderValue, Response, StatusCode};
@@ -264,6 +264,7 @@
         "unreachable",
         "no endpoint took the request and nothing was run; send it again with a new key",
     )
+    .with_scope(Scope::Key)
     .after(Duration::from_secs(1))
 }
 
@@ -278,8 +279,9 @@
         Refusal::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "claims-unavailable"),
         Refusal::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
     };
-    let problem =
-        Problem::not_run(status, reason, refusal.to_string()).with_outcome(refusal.outcome());
+    let problem = Problem::not_run(status, reason, refusal.to_string())
+        .with_outcome(refusal.outcome())
+        .with_scope(refusal.scope());
     match refusal {
         Refusal::Unavailable | Refusal::Running => problem.after(Duration::from_secs(2)),
         _ => problem,
--- a/crates/router/src/resolve.rs
+++ b/crates/router/src/resolve.rs
@@ -14,6 +14,7 @@
 use godwitpost_state::claim::key::{self, Key};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{self, BodyDigest, ClassId, NO_MODEL, RequestId, WorkspaceId};
+use godwitpost_types::outcome::Outcome;
 use godwitpost_types::policy::{Kind, Policy, Route, Service};
 use godwitpost_types::request::Request;
 use godwitpost_wire::header;
@@ -219,7 +220,13 @@
 }
 
 fn bad_key(error: &key::Error) -> Problem {
-    Problem::not_run(StatusCode::BAD_REQUEST, "bad-key", error.to_string())
+    let problem = |reason| Problem::not_run(StatusCode::BAD_REQUEST, reason, error.to_string());
+    match error {
+        // It was not run now, but an old key has most likely been sent before.
+        key::Error::Expired => problem("key-expired").with_outcome(Outcome::Unknown),
+        key::Error::Future => problem("key-early"),
+        _ => problem("bad-key"),
+    }
 }
 
 fn bad_prompt(error: &prompt::Error) -> Problem {
--- a/crates/router/tests/router/orders.rs
+++ b/crates/router/tests/router/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::fleet::{Fleet, Size, chat, key, order, outcome};
+use crate::fleet::{Fleet, Size, chat, key, order, outcome, until};
 
 const SIZE: Size = Size {
     routers: 3,
@@ -86,6 +86,7 @@
     assert_eq!((status.as_u16(), outcome(&headers)), (503, "not-run"));
     assert_eq!(headers["content-type"], "application/problem+json");
     assert!(headers.contains_key("retry-after"));
+    assert_eq!(headers["godwitpost-outcome-scope"], "attempt");
     let problem: serde_json::Value = serde_json::from_slice(&body).unwrap();
     assert_eq!(problem["type"], "urn:godwitpost:claims-unavailable");
     assert_eq!(runs(&fleet, &key), 0);
@@ -93,6 +94,42 @@
     assert_eq!((status.as_u16(), outcome(&headers)), (200, "ran"));
 }
 
+// A shop's order is told unknown. It sends the key again while nothing can be
+// claimed, hears not run, and places the order anew under another key: the
+// guides are billed twice. Only a word that speaks for the whole key may be
+// taken for the order's fate, so each not run says whom it speaks for.
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_speaks_for_a_key_only_where_no_attempt_can_have_run() {
+    let mut fleet = Fleet::start(SIZE).await;
+    // Their ports refuse connections from here on: provably nothing is sent.
+    fleet.plains.clear();
+    let key = key(5);
+    let (_, headers, body) = fleet.ask(0, order(&key, "40 guides")).await;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    assert_eq!(outcome(&headers), "not-run", "{text}");
+    assert_eq!(headers["godwitpost-outcome-scope"], "key", "{text}");
+    until("the key's fate is known to other instances", async || {
+        let (status, headers, _) = fleet.ask(1, order(&key, "40 guides")).await;
+        status == 409
+            && outcome(&headers) == "not-run"
+            && headers["godwitpost-outcome-scope"] == "key"
+    })
+    .await;
+}
+
+// A key from before the claim window is sent. The log may have forgotten that
+// it ran, so calling it not run would invite a second order.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_expired_key_is_unknown_and_not_run_now() {
+    let fleet = Fleet::start(SIZE).await;
+    let old = "01890000-0000-7000-8000-000000000001";
+    let (status, headers, body) = fleet.ask(0, order(old, "40 guides")).await;
+    let problem: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(problem["type"], "urn:godwitpost:key-expired");
+    assert_eq!((status.as_u16(), outcome(&headers)), (400, "unknown"));
+    assert_eq!(runs(&fleet, old), 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_key_with_another_body_is_refused() {
     let fleet = Fleet::start(SIZE).await;
--- a/crates/state/src/claim.rs
+++ b/crates/state/src/claim.rs
@@ -36,7 +36,8 @@
 
 pub use answers::{Answers, Found};
 pub use batcher::{Batcher, Next};
-pub use holder::{Abandon, Holder, Refusal, Scope, Step};
+pub use godwitpost_types::outcome::Scope;
+pub use holder::{Abandon, Holder, Refusal, Step};
 pub use table::Table;
 
 pub use crate::log::{Failure, Page, Stored};
--- a/crates/state/src/claim/holder.rs
+++ b/crates/state/src/claim/holder.rs
@@ -11,7 +11,7 @@
 
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{BodyDigest, Incarnation, InstanceId};
-use godwitpost_types::outcome::Outcome;
+use godwitpost_types::outcome::{Outcome, Scope};
 
 use super::key::Key;
 use super::{Id, Item, Record, Verdict};
@@ -76,16 +76,6 @@
     TooLate,
 }
 
-/// Whom a refusal's outcome speaks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scope {
-    /// This attempt alone; an earlier one with the same key keeps its own
-    /// outcome.
-    Attempt,
-    /// Every attempt with the key, whichever instance it went through.
-    Key,
-}
-
 /// Why an unrepeatable request is refused, and the way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Refusal {
@@ -115,13 +105,11 @@
     pub const fn outcome(self) -> Outcome {
         match self {
             Self::Ran => Outcome::Ran,
-            Self::Running => Outcome::Unknown,
-            Self::Spent
-            | Self::OtherBody
-            | Self::Expired
-            | Self::Early
-            | Self::Unavailable
-            | Self::Deadline => Outcome::NotRun,
+            // An old key has most likely been sent before.
+            Self::Running | Self::Expired => Outcome::Unknown,
+            Self::Spent | Self::OtherBody | Self::Early | Self::Unavailable | Self::Deadline => {
+                Outcome::NotRun
+            }
         }
     }
 
--- a/crates/types/src/outcome.rs
+++ b/crates/types/src/outcome.rs
@@ -42,3 +42,31 @@
         f.write_str(self.as_str())
     }
 }
+
+/// Which attempts a *not run* speaks for.
+///
+/// A caller sends an unrepeatable request again under its key. If the second
+/// attempt is refused because the log is down, the first may still have run;
+/// a caller that took the refusal for the fate of its order would place it
+/// again under a new key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scope {
+    /// This attempt alone; an earlier one with the same key keeps its own
+    /// outcome.
+    #[default]
+    Attempt,
+    /// Every attempt with the key, whichever instance it went through.
+    Key,
+}
+
+impl Scope {
+    /// Returns the value of the scope header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Attempt => "attempt",
+            Self::Key => "key",
+        }
+    }
+}
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -14,7 +14,7 @@
 use godwitpost_decide::view::Pool;
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{EndpointId, InstanceId};
-use godwitpost_types::outcome::Outcome;
+use godwitpost_types::outcome::{Outcome, Scope};
 use godwitpost_types::request::Request;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
@@ -86,6 +86,8 @@
     pub detail: String,
     /// The fate of the request.
     pub outcome: Outcome,
+    /// Which attempts a *not run* speaks for.
+    pub scope: Scope,
     /// When sending it again may help.
     pub retry_after: Option<Duration>,
 }
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -15,6 +15,8 @@
 pub const CLASS: HeaderName = HeaderName::from_static("godwitpost-class");
 /// The fate of a request, on each answer: `ran`, `not-run` or `unknown`.
 pub const OUTCOME: HeaderName = HeaderName::from_static("godwitpost-outcome");
+/// Which attempts a *not run* speaks for: `attempt` or `key`.
+pub const SCOPE: HeaderName = HeaderName::from_static("godwitpost-outcome-scope");
 /// The id of a request, on each answer.
 pub const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
 /// The bundle version that a request was handled under, on each answer.
