--- a/crates/platform/tests/connect.rs
+++ b/crates/platform/tests/connect.rs
@@ -255,3 +255,115 @@
         "{counted}, {least}"
     );
 }
+
+// An endpoint that is leaving closes its idle connections while orders still
+// come. An order written to one of them in that moment has an unknown fate,
+// though nobody saw it, and its caller is told to go and ask. An order on a
+// connection of its own is answered, or certainly wasn't sent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_on_a_new_connection_never_meets_an_idle_close() {
+    const ROUNDS: u32 = 300;
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            tokio::spawn(async move {
+                read_request(&mut stream).await.expect("a request");
+                let _gone = stream.write_all(OK).await;
+            });
+        }
+    });
+    let connector = Connector::new(Settings::default());
+    for _ in 0..ROUNDS {
+        let sent = connector.send_on_new(address, request("/orders"), LONG);
+        let response = sent.await.expect("an answer on a new connection");
+        assert_eq!(text(response).await, "ok");
+    }
+    server.abort();
+}
+
+// A burst over many endpoints leaves a connection to each. Without a bound
+// over all of them, an instance before 3,300 runners could keep a hundred
+// thousand open and run out of memory or file descriptors.
+#[tokio::test]
+async fn idle_connections_are_bounded_over_all_addresses() {
+    let connector = Connector::new(Settings {
+        idle: 2,
+        ..Settings::default()
+    });
+    let mut servers = Vec::new();
+    for _ in 0..4 {
+        let (listener, address) = listen().await;
+        let (done, wait_done) = tokio::sync::oneshot::channel::<()>();
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            read_request(&mut stream).await.expect("a request");
+            stream.write_all(OK).await.expect("an open connection");
+            // Either the client closes it, or the test ends.
+            let closed = stream.read_u8().await;
+            drop((closed, done));
+        });
+        let response = connector.send(address, request("/"), LONG).await;
+        text(response.expect("a response")).await;
+        servers.push((address, wait_done));
+    }
+    // The third and fourth are closed instead of kept.
+    for (_, wait_done) in servers.split_off(2) {
+        wait_done.await.expect_err("a closed connection");
+    }
+    let idle: usize = servers
+        .iter()
+        .map(|(address, _)| connector.idle(*address))
+        .sum();
+    assert_eq!(idle, 2);
+}
+
+// A service in the manner of HTTP/1.0 ends its answer by closing. If it dies
+// half-way the caller sees half a roster that looks whole. Nobody can tell the
+// two apart, so the body has to say that it isn't framed.
+#[tokio::test]
+async fn a_body_that_ends_with_its_connection_says_so() {
+    let answers: [(&[u8], bool); 3] = [
+        (b"HTTP/1.1 200 OK\r\n\r\nhalf a ros", false),
+        (OK, true),
+        (
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, Chunked\r\n\r\n0\r\n\r\n",
+            true,
+        ),
+    ];
+    let connector = Connector::new(Settings::default());
+    for (answer, framed) in answers {
+        let (listener, address) = listen().await;
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            read_request(&mut stream).await.expect("a request");
+            stream.write_all(answer).await.expect("an open connection");
+        });
+        let response = connector.send(address, request("/"), LONG).await;
+        let body = response.expect("a response").into_body();
+        assert_eq!(body.is_framed(), framed);
+        body.collect().await.expect("an end");
+    }
+}
+
+// A body of known length is cut off. Its reader must get an error and not an
+// end, or the caller would take the part for the whole.
+#[tokio::test]
+async fn a_framed_body_that_is_cut_off_ends_in_an_error() {
+    let answers: [&[u8]; 2] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    ];
+    let connector = Connector::new(Settings::default());
+    for answer in answers {
+        let (listener, address) = listen().await;
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            read_request(&mut stream).await.expect("a request");
+            stream.write_all(answer).await.expect("an open connection");
+        });
+        let response = connector.send(address, request("/"), LONG).await;
+        let body = response.expect("a response").into_body();
+        body.collect().await.expect_err("a body that was cut off");
+    }
+}
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -19,8 +19,8 @@
 use super::{Attempt, Job};
 use crate::body;
 use crate::control;
+use crate::handover;
 use crate::shared::Shared;
-use crate::shutdown;
 
 /// Sends a repeatable request and relays the answer as it comes.
 pub(crate) async fn relay(shared: &Arc<Shared>, leave: Leave, job: &Job) -> Attempt {
@@ -29,7 +29,7 @@
     };
     if let Some((home, location)) = leave.grant().tell {
         let shared = Arc::clone(shared);
-        tokio::spawn(async move { shutdown::tell(&shared, home, location).await });
+        tokio::spawn(async move { handover::tell(&shared, home, &[location]).await });
     }
     // Dropped while the engine works, this cancels there.
     let mut cancel = Cancel::armed(shared, &target, job);
--- a/crates/router/src/shutdown.rs
+++ b/crates/router/src/shutdown.rs
@@ -2,32 +2,16 @@
 //!
 //! `godwitpost_state::drain` says what to do when; this carries it out.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use godwitpost_decide::chats::Location;
-use godwitpost_decide::owner::Owner;
 use godwitpost_state::drain::{Drain, Limits, Next};
-use godwitpost_types::id::InstanceId;
-use godwitpost_types::instance::Instance;
-use http::Method;
 use tokio::sync::{oneshot, watch};
 
 use crate::control::Event;
-use crate::relay::peer;
+use crate::handover;
 use crate::shared::Shared;
 
-/// The path that chat locations are handed over on.
-pub(crate) const PATH: &str = "/peer/v1/handover";
-
-/// Locations in one message: about 60 bytes each make 60 KB.
-const CHUNK: usize = 1000;
-
-/// How long a peer may take to accept one message of locations.
-const WAIT: Duration = Duration::from_secs(2);
-
 /// How often the shutdown looks at what is in flight.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -74,7 +58,7 @@
             Next::Close { .. } => {
                 closed = true;
                 closing.send_replace(true);
-                hand_over(&shared).await;
+                handover::all(&shared).await;
                 drain.handed_over();
             }
             Next::Serve | Next::Wait { .. } => {}
@@ -93,51 +77,3 @@
         drop(published.await);
     }
 }
-
-/// Hands chat locations to the new owners of the chats' homes.
-///
-/// A peer that can't be reached goes without: the chats it now owns start
-/// cold, which costs a prefill and no answer.
-async fn hand_over(shared: &Arc<Shared>) {
-    while pass_on(shared).await {}
-}
-
-/// Sends some of the chat locations that moved to other owners on to them;
-/// returns whether there may be more.
-pub(crate) async fn pass_on(shared: &Arc<Shared>) -> bool {
-    let Some(strays) = shared.desk.with(Owner::handover) else {
-        return false;
-    };
-    let mut moves: BTreeMap<InstanceId, Vec<Location>> = BTreeMap::new();
-    for (instance, location) in strays {
-        moves.entry(instance).or_default().push(location);
-    }
-    let snapshot = shared.snapshot();
-    for (instance, locations) in moves {
-        let instance = snapshot.view.instance(instance);
-        if let Some(instance) = instance.filter(|i| i.id != shared.local()) {
-            send(shared, instance, &locations).await;
-        }
-    }
-    true
-}
-
-/// Tells the owner of a chat's home where the chat was placed.
-pub(crate) async fn tell(shared: &Arc<Shared>, home: InstanceId, location: Location) {
-    let snapshot = shared.snapshot();
-    if let Some(instance) = snapshot.view.instance(home) {
-        send(shared, instance, &[location]).await;
-    }
-}
-
-async fn send(shared: &Shared, instance: &Instance, locations: &[Location]) {
-    for chunk in locations.chunks(CHUNK) {
-        let bytes = Bytes::from(rmp_serde::to_vec(chunk).unwrap_or_default());
-        let request = peer::sealed(shared, instance, Method::POST, PATH, &bytes);
-        let sent = shared.connector.send(instance.peer_address, request, WAIT);
-        if let Err(error) = sent.await {
-            log::warn!(instance:% = instance.name, error:% = error; "chats not handed over");
-            return;
-        }
-    }
-}
