decide: a limit counts who was heard to ask for nothing

An instance that alone gets all of a workspace's requests kept to a third of the limit (at six instances) for ever: it could not tell that the others ask for nothing from not having heard of them, and nobody speaks of a workspace that it doesn't see. What an instance tells is now taken in as one message, and who spoke without naming a workspace asks nothing for it.

--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -57,6 +57,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
     meters: BTreeMap<WorkspaceId, Meter>,
+    heard: BTreeMap<InstanceId, Moment>,
     rated: Moment,
 }
 
@@ -74,9 +75,12 @@
         workspace: &Workspace,
         instances: usize,
     ) -> Result<(), Refusal> {
+        let heard = self.heard.values();
+        let heard = heard.filter(|at| since(now, **at) < FRESH).count();
+        let fleet = Fleet { instances, heard };
         let meter = self.meters.entry(id).or_default();
         meter.counted += 1;
-        let rate = meter.rate_share(now, workspace.rate, instances);
+        let rate = meter.rate_share(now, workspace.rate, &fleet);
         meter.fill(now, rate);
         if meter.tokens < 1.0 {
             let wait = Duration::from_secs_f64(((1.0 - meter.tokens) / rate).clamp(0.001, 60.0));
@@ -85,7 +89,7 @@
                 retry_after: wait,
             });
         }
-        if f64::from(meter.running) >= meter.room(now, workspace.concurrency, instances) {
+        if f64::from(meter.running) >= meter.room(now, workspace.concurrency, &fleet) {
             return Err(Refusal::new(Reason::Concurrency));
         }
         meter.tokens -= 1.0;
@@ -115,16 +119,27 @@
             .collect()
     }
 
-    /// Takes in what another instance told.
-    pub fn learn(&mut self, demand: Demand) {
-        let meter = self.meters.entry(demand.workspace).or_default();
-        let known = meter.others.entry(demand.source).or_insert(demand);
-        if known.taken < demand.taken {
-            *known = demand;
+    /// Takes in all that another instance told in one message, which may be
+    /// nothing: a workspace that it does not name asks nothing of it.
+    pub fn learn(&mut self, now: Moment, source: InstanceId, demands: &[Demand]) {
+        self.heard.insert(source, now);
+        self.heard.retain(|_, at| since(now, *at) < FRESH);
+        for demand in demands {
+            let meter = self.meters.entry(demand.workspace).or_default();
+            let known = meter.others.entry(source).or_insert(*demand);
+            if known.taken < demand.taken {
+                *known = *demand;
+            }
         }
     }
 }
 
+// The live instances, and how many others told of their demand lately.
+struct Fleet {
+    instances: usize,
+    heard: usize,
+}
+
 impl Meter {
     fn fill(&mut self, now: Moment, rate: f64) {
         let first = self.filled == Moment::ZERO;
@@ -146,19 +161,19 @@
         self.rate += (rate - self.rate) * 0.5;
     }
 
-    fn rate_share(&self, now: Moment, limit: f64, instances: usize) -> f64 {
+    fn rate_share(&self, now: Moment, limit: f64, fleet: &Fleet) -> f64 {
         let others = self.heard(now, |demand| f64::from(demand.rate));
-        share(limit, self.rate, others, instances).max(LEAST.min(limit))
+        share(limit, self.rate, others, fleet).max(LEAST.min(limit))
     }
 
-    fn room(&self, now: Moment, limit: u32, instances: usize) -> f64 {
+    fn room(&self, now: Moment, limit: u32, fleet: &Fleet) -> f64 {
         let others = self.heard(now, |demand| f64::from(demand.running));
-        share(f64::from(limit), f64::from(self.running), others, instances).max(1.0)
+        share(f64::from(limit), f64::from(self.running), others, fleet).max(1.0)
     }
 
-    fn heard(&self, now: Moment, figure: impl Fn(&Demand) -> f64) -> Option<f64> {
+    fn heard(&self, now: Moment, figure: impl Fn(&Demand) -> f64) -> f64 {
         let fresh = self.others.values().filter(|d| since(now, d.taken) < FRESH);
-        fresh.map(figure).reduce(|a, b| a + b)
+        fresh.map(figure).sum()
     }
 
     #[expect(
@@ -177,13 +192,16 @@
 }
 
 // What the others leave of the limit, or this instance's part of it by
-// demand if together they ask for more. With nobody heard: an even part.
+// demand if together they ask for more. Who was not heard of is taken to ask
+// for an even part; with nobody heard, the share is an even part with slack.
 #[expect(clippy::cast_precision_loss, reason = "few instances")]
-fn share(limit: f64, own: f64, others: Option<f64>, instances: usize) -> f64 {
-    let even = limit / instances.max(1) as f64;
-    let Some(others) = others else {
+fn share(limit: f64, own: f64, told: f64, fleet: &Fleet) -> f64 {
+    let even = limit / fleet.instances.max(1) as f64;
+    if fleet.heard == 0 {
         return (even * SLACK).min(limit);
-    };
+    }
+    let silent = fleet.instances.saturating_sub(fleet.heard + 1);
+    let others = told + even * silent as f64;
     if own + others <= limit {
         return limit - others;
     }
--- /dev/null
+++ b/crates/decide/tests/traps/limit.rs
@@ -0,0 +1,63 @@
+//! A workspace's limits over several instances.
+
+use std::time::Duration;
+
+use godwitpost_decide::limit::Limits;
+use godwitpost_types::id;
+use godwitpost_types::policy::Workspace;
+
+use crate::fleet;
+
+const INSTANCES: usize = 6;
+
+fn workspace(rate: f64, concurrency: u32) -> Workspace {
+    Workspace {
+        rate,
+        concurrency,
+        ..fleet::policy().workspaces[&id::of("otaru")].clone()
+    }
+}
+
+// Requests admitted in each of `secs` seconds; `shares` is how many of a
+// hundred a second come to each instance. Demand is told once a second.
+fn admitted(workspace: &Workspace, shares: [u32; INSTANCES], secs: u64) -> Vec<u64> {
+    let mut limits = vec![Limits::default(); INSTANCES];
+    let mut seconds = Vec::new();
+    for sec in 0..secs {
+        let mut count = 0;
+        for (limit, share) in limits.iter_mut().zip(shares) {
+            for request in 0..share {
+                let now = Duration::from_secs(100 + sec)
+                    + Duration::from_secs(1).mul_f64(f64::from(request) / f64::from(share));
+                if limit.admit(now, 1, workspace, INSTANCES).is_ok() {
+                    count += 1;
+                    limit.done(1);
+                }
+            }
+        }
+        tell(&mut limits, Duration::from_secs(101 + sec));
+        seconds.push(count);
+    }
+    seconds
+}
+
+fn tell(limits: &mut [Limits], now: Duration) {
+    for from in 0..INSTANCES {
+        let demands = limits[from].demands(now, from as u64);
+        for to in (0..INSTANCES).filter(|to| *to != from) {
+            limits[to].learn(now, from as u64, &demands);
+        }
+    }
+}
+
+// A workspace pays for fifty requests a second and gets three hundred: each of
+// six routers grants it the whole limit. Or it gets eight, as its callers hold
+// one connection, to one router, which keeps to a sixth.
+#[test]
+fn limit_holds_over_the_fleet_however_callers_spread() {
+    for shares in [[100, 0, 0, 0, 0, 0], [50, 30, 20, 0, 0, 0], [20; 6]] {
+        let admitted = admitted(&workspace(50.0, 40), shares, 20);
+        let late: u64 = admitted[10..].iter().sum();
+        assert!((400..=560).contains(&late), "{shares:?}: {admitted:?}");
+    }
+}
--- a/crates/decide/tests/traps/main.rs
+++ b/crates/decide/tests/traps/main.rs
@@ -4,6 +4,7 @@
 mod chats;
 mod fleet;
 mod health;
+mod limit;
 mod owner;
 mod place;
 mod quarantine;
