--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -11,28 +11,30 @@
 //! was still in the queue, and then no [`Wake`] will ever dispatch it.
 
 mod book;
+mod change;
 mod job;
+mod place;
 mod room;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Report;
-use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, Incarnation, InstanceId, NO_MODEL};
+use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, InstanceId};
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
 use self::book::{Book, Solo};
-use self::job::{Job, Warm};
+use self::job::Job;
 use self::room::Shares;
 use crate::chats::{self, Location};
 use crate::ending::Ending;
 use crate::health;
 use crate::hop::Hop;
 use crate::load::{Means, Summary};
-use crate::quarantine::{self, Evidence, Verdict};
+use crate::quarantine::{self, Evidence};
 use crate::queue::{Queue, Ticket};
 use crate::refusal::{Reason, Refusal};
 use crate::view::{Pool, View};
@@ -146,39 +148,6 @@
         owner
     }
 
-    /// Goes over to a new view and policy.
-    ///
-    /// Running requests stay counted until they finish. Those that wait for a
-    /// pool of which nothing is owned here any more move to its owners.
-    pub fn adopt(&mut self, now: Moment, view: Arc<View>, policy: Arc<Policy>) -> Vec<Wake> {
-        self.lose(&view);
-        let pools = view.owned_pools().keys();
-        let means = pools.map(|pool| (*pool, self.mean(now, *pool))).collect();
-        let last = std::mem::replace(&mut self.view, view);
-        self.policy = policy;
-        self.inherit(now, &last, &means);
-        self.open_books();
-        let mut wakes = self.evict();
-        wakes.extend(self.drain(now));
-        wakes
-    }
-
-    // Homes move with the endpoints and with their owners; what is known of
-    // the chats whose home or context moves goes along.
-    fn lose(&mut self, next: &View) {
-        if self.view.same_places(next) {
-            return;
-        }
-        // With some of the last move left to do, both are done from before it.
-        if self.strays.is_empty() {
-            self.former = Arc::clone(&self.view);
-        }
-        let rows = self.chats.iter();
-        self.strays = rows
-            .map(|location| (location.pool, location.chat))
-            .collect();
-    }
-
     /// Decides on a request that arrived with its hop.
     pub fn offer(&mut self, now: Moment, request: &Request, hop: &Hop) -> Next {
         for evidence in &hop.evidence {
@@ -190,273 +159,11 @@
         }
     }
 
-    fn admit(&mut self, now: Moment, request: &Request, hop: &Hop) -> Result<Job, Reason> {
-        let mut job = Job::new(&self.policy, request, hop)?;
-        if request.deadline <= now {
-            return Err(Reason::Deadline);
-        }
-        match self.quarantine.judge(&request.digest, now) {
-            Verdict::Convicted => return Err(Reason::Quarantined),
-            Verdict::Suspect => job.suspect = true,
-            Verdict::Clear => {}
-        }
-        if job.pool.model != NO_MODEL {
-            self.recall(&mut job, hop);
-            self.doubt(&mut job);
-        }
-        Ok(job)
-    }
-
-    // Where the chat is warm, if that is a place it can still go to. Only the
-    // owner of the home sends it elsewhere, so no chain of hints is followed.
-    fn recall(&mut self, job: &mut Job, hop: &Hop) {
-        let found = self.chats.find(job.pool, job.chat);
-        let Some(known) = found.filter(|known| self.lives(known)) else {
-            return;
-        };
-        if known.endpoint == hop.endpoint {
-            job.warm = Some(Warm::from(&known));
-            return;
-        }
-        let usable = hop.count == 0
-            && known.tokens > 0
-            && self.view.serves(known.endpoint, job.pool)
-            && !hop.tried.contains(&known.endpoint)
-            && self.well(known.endpoint);
-        if usable {
-            job.warm = Some(Warm::from(&known));
-        }
-    }
-
-    // Engines evict in the order of use, so whatever ran before a chat that
-    // was evicted is gone as well, even if its event was lost in a gap.
-    fn doubt(&self, job: &mut Job) {
-        let Some(warm) = &mut job.warm else {
-            return;
-        };
-        let horizon = self.books.get(&warm.endpoint).map(Book::horizon);
-        if horizon.is_some_and(|horizon| warm.seen <= horizon) {
-            warm.tokens = 0;
-        }
-    }
-
-    fn lives(&self, location: &Location) -> bool {
-        self.lives_on(location.endpoint, location.incarnation)
-    }
-
-    fn well(&self, endpoint: EndpointId) -> bool {
-        let book = self.books.get(&endpoint);
-        book.is_none_or(|book| book.health.access() != health::Access::None)
-    }
-
-    /// Decides where a request goes: to the endpoint where its chat is warm,
-    /// along the chat's order while the bound forbids, then into the queue.
-    fn place(&mut self, now: Moment, job: Job, hop: &Hop) -> Next {
-        let target = job.warm.map_or(hop.endpoint, |warm| warm.endpoint);
-        if !self.owns(target) && !hop.last() {
-            return self.forward(&job, hop.clone(), target);
-        }
-        let mut hop = hop.clone();
-        let ours = self.owns(target) && self.view.serves(target, job.pool);
-        if ours && !hop.tried.contains(&target) {
-            if self.fits(now, target, &job) {
-                return self.grant(now, target, job);
-            }
-            self.note(&mut hop, target);
-        }
-        self.spill(now, job, hop)
-    }
-
-    fn owns(&self, endpoint: EndpointId) -> bool {
-        self.view.owner(endpoint) == self.view.local()
-    }
-
-    // The chat's order beyond its own endpoint: owned endpoints are tried
-    // here; of the others', the one whose owner has the least load goes next.
-    fn spill(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
-        let view = Arc::clone(&self.view);
-        hop.spilled = true;
-        let mut next: Option<(u64, EndpointId)> = None;
-        let mut others = 0;
-        for endpoint in view.ranked(job.pool, job.chat, hop.zone).take(SCANNED) {
-            if hop.tried.contains(&endpoint) {
-                continue;
-            }
-            if self.owns(endpoint) {
-                if self.fits(now, endpoint, &job) {
-                    return self.grant(now, endpoint, job);
-                }
-                self.note(&mut hop, endpoint);
-            } else if let Some(load) = self.heard(now, job.pool, endpoint) {
-                next = next
-                    .filter(|(least, _)| *least <= load)
-                    .or(Some((load, endpoint)));
-                others += 1;
-            }
-            if others == CHOICES {
-                break;
-            }
-        }
-        match next {
-            Some((_, endpoint)) if !hop.last() => self.forward(&job, hop, endpoint),
-            _ => self.wait(now, job, hop),
-        }
-    }
-
-    // The mean load of the endpoints of an endpoint's owner, if nothing was
-    // heard to wait for them.
-    fn heard(&self, now: Moment, pool: Pool, endpoint: EndpointId) -> Option<u64> {
-        let owner = self.view.owner(endpoint);
-        match self.means.of(pool, owner, now) {
-            Some(summary) if summary.waiting > 0 => None,
-            Some(summary) => Some(summary.work / u64::from(summary.endpoints.max(1))),
-            None => Some(0),
-        }
-    }
-
-    fn note(&self, hop: &mut Hop, endpoint: EndpointId) {
-        if !hop.tried.contains(&endpoint) {
-            hop.tried.push(endpoint);
-        }
-        let load = self.books.get(&endpoint).map_or(0, Book::load);
-        if self.well(endpoint) && hop.least.is_none_or(|(_, least)| load < least) {
-            hop.least = Some((endpoint, load));
-        }
-    }
-
-    // Where to wait: at the owner of the least loaded endpoint seen.
-    fn wait(&mut self, now: Moment, mut job: Job, mut hop: Hop) -> Next {
-        if let Some((endpoint, _)) = hop.least
-            && !self.owns(endpoint)
-            && hop.count <= crate::hop::MOST
-        {
-            hop.count = crate::hop::MOST;
-            return self.forward(&job, hop, endpoint);
-        }
-        if let Some(endpoint) = self.settle_for(now, &mut job) {
-            return self.grant(now, endpoint, job);
-        }
-        if !job.queues {
-            return Next::Refuse(Refusal::new(Reason::Busy));
-        }
-        if self.view.owned_of(job.pool).is_empty() {
-            return self.improvise(now, job, hop);
-        }
-        self.enqueue(now, job)
-    }
-
-    // The sender takes this instance for an owner, this one another. The lists
-    // agree within seconds; until then the request goes to the owner in this
-    // list, or after too many forwards to the endpoint itself, with whatever
-    // room the mean leaves on it.
-    fn improvise(&mut self, now: Moment, job: Job, hop: Hop) -> Next {
-        let Some(home) = self.home(&job) else {
-            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
-        };
-        if hop.count < ASTRAY {
-            return self.forward(&job, hop, home);
-        }
-        if !self.books.contains_key(&home) {
-            let incarnation = self.view.endpoint(home).map_or(0, |e| e.incarnation);
-            let mut book = Book::new(incarnation);
-            book.presume(now, self.mean(now, job.pool));
-            self.books.insert(home, book);
-        }
-        if self.fits(now, home, &job) {
-            return self.grant(now, home, job);
-        }
-        Next::Refuse(Refusal::new(Reason::Busy))
-    }
-
-    // With nowhere else to go, the whole bound is open to a cold request.
-    fn settle_for(&self, now: Moment, job: &mut Job) -> Option<EndpointId> {
-        job.since = now;
-        let owned = self.view.owned_of(job.pool).iter().copied();
-        let fitting = owned.filter(|id| self.fits(now, *id, job));
-        fitting.min_by_key(|id| self.load(*id))
-    }
-
-    fn enqueue(&mut self, now: Moment, job: Job) -> Next {
-        let queue = self.queues.entry(job.pool).or_default();
-        if queue.full(LONGEST, job.rank.flow) {
-            return Next::Refuse(Refusal::new(Reason::QueueFull));
-        }
-        let ticket = self.next;
-        self.next += 1;
-        self.tickets.insert(ticket, job.pool);
-        let until = job.rank.until;
-        let rank = job.rank;
-        let shares = self.shares.entry(job.pool).or_default();
-        shares.arrive(now, &job);
-        queue.push(ticket, &rank, job);
-        Next::Wait { ticket, until }
-    }
-
-    fn forward(&self, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
-        hop.home = hop.home.or(Some(self.view.local()));
-        hop.endpoint = endpoint;
-        hop.count += 1;
-        hop.cached = job.cached(endpoint);
-        hop.seen = job.warm.map_or(Moment::ZERO, |warm| warm.seen);
-        Next::Forward {
-            instance: self.view.owner(endpoint),
-            hop,
-        }
-    }
-
-    // A hint for the chat's next turn: after this one its context, prompt and
-    // answer, is at the endpoint.
-    fn remember(&mut self, now: Moment, job: &Job, endpoint: EndpointId) -> Option<Location> {
-        if job.pool.model == NO_MODEL {
-            return None;
-        }
-        let location = Location {
-            chat: job.chat,
-            pool: job.pool,
-            endpoint,
-            incarnation: self.view.endpoint(endpoint).map_or(0, |e| e.incarnation),
-            tokens: job.prompt.saturating_add(job.answer),
-            seen: now,
-        };
-        self.chats.put(location);
-        Some(location)
-    }
-
     /// Takes in where another owner placed a chat whose home is here.
     pub fn located(&mut self, location: Location) {
         self.chats.put(location);
     }
 
-    fn grant(&mut self, now: Moment, endpoint: EndpointId, job: Job) -> Next {
-        let attempt = self.next;
-        self.next += 1;
-        let work = job.work(endpoint);
-        let cached = job.cached(endpoint);
-        let location = self.remember(now, &job, endpoint);
-        let tell = job.home.zip(location);
-        let book = self.books.entry(endpoint).or_insert_with(|| Book::new(0));
-        book.begin(now, work);
-        if job.suspect {
-            book.solo = Solo::Running(attempt);
-        }
-        let shares = self.shares.entry(job.pool).or_default();
-        shares.begin(&job);
-        let priority = job.rank.priority;
-        let running = Running {
-            endpoint,
-            job,
-            work,
-        };
-        self.running.insert(attempt, running);
-        Next::Dispatch(Grant {
-            attempt,
-            endpoint,
-            cached,
-            priority,
-            tell,
-        })
-    }
-
     /// Takes in how an attempt ended; returns who goes next.
     pub fn finish(&mut self, now: Moment, attempt: Attempt, ending: Ending) -> Vec<Wake> {
         let Some(running) = self.running.remove(&attempt) else {
@@ -686,55 +393,6 @@
         fresh.filter(|e| self.quarantine.learn(*e)).collect()
     }
 
-    /// Returns chat locations that belong to other owners in the present
-    /// view, with whom they go to; looks at some of the table in each call,
-    /// and returns `None` when there is no more to look at.
-    ///
-    /// Homes move when [`Owner::adopt`] brings other endpoints or instances;
-    /// on a graceful stop, when the view has the local instance as leaving,
-    /// all of them do. Called at each tick, and on a stop until it is done.
-    pub fn handover(&mut self) -> Option<Vec<(InstanceId, Location)>> {
-        if self.strays.is_empty() {
-            return None;
-        }
-        let most = self.strays.len().min(HANDED);
-        let some: Vec<(Pool, ChatId)> = self.strays.drain(..most).collect();
-        let known = some
-            .iter()
-            .filter_map(|(pool, chat)| self.chats.peek(*pool, *chat));
-        Some(known.flat_map(|location| self.heirs(location)).collect())
-    }
-
-    // The owners of the chat's home and of the endpoint where it is warm, if
-    // they were here in the former view and are elsewhere now.
-    fn heirs(&self, location: &Location) -> Vec<(InstanceId, Location)> {
-        if !self.lives(location) || location.tokens == 0 {
-            return Vec::new();
-        }
-        let home = |view: &View| view.ranked(location.pool, location.chat, 0).next();
-        let local = self.view.local();
-        let moved = |before: Option<EndpointId>, after: Option<EndpointId>| {
-            let here = before.is_some_and(|id| self.former.owner(id) == local);
-            let owner = after.map(|id| self.view.owner(id))?;
-            (here && owner != local).then_some(owner)
-        };
-        let warm = Some(location.endpoint);
-        let owners = [
-            moved(home(&self.former), home(&self.view)),
-            moved(warm, warm),
-        ];
-        let owners: BTreeSet<InstanceId> = owners.into_iter().flatten().collect();
-        owners.into_iter().map(|id| (id, *location)).collect()
-    }
-
-    /// Takes over chat locations of an instance that stops.
-    pub fn take_over(&mut self, locations: &[Location]) {
-        // The most recently used come first and have to be put last.
-        for location in locations.iter().rev() {
-            self.located(*location);
-        }
-    }
-
     /// Returns the number of requests that run.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -752,100 +410,11 @@
     pub fn load(&self, endpoint: EndpointId) -> u64 {
         self.books.get(&endpoint).map_or(0, Book::load)
     }
-
-    // An endpoint that was another's until now has work that no report has
-    // shown here yet, and its last owner may go on for seconds. Taken to be
-    // idle, it would get twice its bound; so it is taken to be somewhat above
-    // the mean until a report that was taken from now on says what is there.
-    fn inherit(&mut self, now: Moment, last: &View, means: &BTreeMap<Pool, u64>) {
-        let view = Arc::clone(&self.view);
-        for (pool, owned) in view.owned_pools() {
-            for id in owned {
-                let here = self.books.contains_key(id);
-                let known = last.endpoint(*id).map(|endpoint| endpoint.incarnation);
-                let same = known.filter(|life| self.lives_on(*id, *life));
-                if let Some(incarnation) = same.filter(|_| !here && last.serves(*id, *pool)) {
-                    let mut book = Book::new(incarnation);
-                    let mean = means.get(pool).copied().unwrap_or(0);
-                    book.presume(now, mean + mean / PRESUMED);
-                    self.books.insert(*id, book);
-                }
-            }
-        }
-    }
-
-    fn lives_on(&self, id: EndpointId, incarnation: Incarnation) -> bool {
-        let endpoint = self.view.endpoint(id);
-        endpoint.is_some_and(|endpoint| endpoint.incarnation == incarnation)
-    }
-
-    // Books of endpoints that the view lost stay while something runs there.
-    fn open_books(&mut self) {
-        let view = Arc::clone(&self.view);
-        for endpoint in view.endpoints() {
-            if view.owner(endpoint.id) != view.local() && !self.books.contains_key(&endpoint.id) {
-                continue;
-            }
-            let book = self.books.entry(endpoint.id);
-            let book = book.or_insert_with(|| Book::new(endpoint.incarnation));
-            book.health.hear(endpoint.incarnation, endpoint.standing);
-        }
-        self.books.retain(|id, book| {
-            book.requests > 0 || (view.endpoint(*id).is_some() && view.owner(*id) == view.local())
-        });
-    }
-
-    // What waits for a pool with no endpoint left here moves on.
-    fn evict(&mut self) -> Vec<Wake> {
-        let view = Arc::clone(&self.view);
-        let here = |pool: Pool| !view.owned_of(pool).is_empty();
-        let pools: Vec<Pool> = self.queues.keys().copied().filter(|p| !here(*p)).collect();
-        let mut wakes = Vec::new();
-        for pool in pools {
-            let queue = self.queues.remove(&pool).unwrap_or_default();
-            for (ticket, job) in queue.iter() {
-                self.left(ticket, job);
-                let next = self.relocate(job);
-                wakes.push(Wake { ticket, next });
-            }
-        }
-        wakes
-    }
-
-    fn home(&self, job: &Job) -> Option<EndpointId> {
-        self.view.ranked(job.pool, job.chat, 0).next()
-    }
-
-    fn relocate(&self, job: &Job) -> Next {
-        match self.home(job) {
-            Some(endpoint) if !self.owns(endpoint) => {
-                self.forward(job, Hop::first(0, endpoint), endpoint)
-            }
-            _ => Next::Refuse(Refusal::new(Reason::NoEndpoint)),
-        }
-    }
 }
 
-/// Part of the mean that an endpoint taken over is presumed to be above it:
-/// a fifth, so that it gets little before its first report.
-const PRESUMED: u64 = 5;
-
-/// Locations looked at in one call of [`Owner::handover`], some 200 us.
-const HANDED: usize = 512;
-
-/// Forwards after which a request that nobody owns up to is dispatched by
-/// whoever has it.
-const ASTRAY: u8 = crate::hop::MOST + 4;
-
 /// From one look for what has expired to the next.
 const TIDIED: Duration = Duration::from_secs(5);
 
-/// Endpoints of a chat's order that a spill looks at.
-const SCANNED: usize = 16;
-
-/// Owners of others that a spill chooses from.
-const CHOICES: usize = 2;
-
 /// The longest that one call spends on a queue, in requests looked at.
 const LOOKED_AT: usize = 64;
 
--- /dev/null
+++ b/crates/decide/src/owner/place.rs
@@ -0,0 +1,302 @@
+//! Where an offered request goes: to the endpoint where its chat is warm, along
+//! the chat's order while the bound forbids, then into the queue.
+
+use std::sync::Arc;
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{EndpointId, NO_MODEL};
+use godwitpost_types::request::Request;
+
+use super::book::{Book, Solo};
+use super::job::{Job, Warm};
+use super::{Grant, LONGEST, Next, Owner, Running};
+use crate::chats::Location;
+use crate::health;
+use crate::hop::Hop;
+use crate::quarantine::Verdict;
+use crate::refusal::{Reason, Refusal};
+use crate::view::Pool;
+
+/// Forwards after which a request that nobody owns up to is dispatched by
+/// whoever has it.
+const ASTRAY: u8 = crate::hop::MOST + 4;
+
+/// Endpoints of a chat's order that a spill looks at.
+const SCANNED: usize = 16;
+
+/// Owners of others that a spill chooses from.
+const CHOICES: usize = 2;
+
+impl Owner {
+    pub(super) fn admit(
+        &mut self,
+        now: Moment,
+        request: &Request,
+        hop: &Hop,
+    ) -> Result<Job, Reason> {
+        let mut job = Job::new(&self.policy, request, hop)?;
+        if request.deadline <= now {
+            return Err(Reason::Deadline);
+        }
+        match self.quarantine.judge(&request.digest, now) {
+            Verdict::Convicted => return Err(Reason::Quarantined),
+            Verdict::Suspect => job.suspect = true,
+            Verdict::Clear => {}
+        }
+        if job.pool.model != NO_MODEL {
+            self.recall(&mut job, hop);
+            self.doubt(&mut job);
+        }
+        Ok(job)
+    }
+
+    // Where the chat is warm, if that is a place it can still go to. Only the
+    // owner of the home sends it elsewhere, so no chain of hints is followed.
+    pub(super) fn recall(&mut self, job: &mut Job, hop: &Hop) {
+        let found = self.chats.find(job.pool, job.chat);
+        let Some(known) = found.filter(|known| self.lives(known)) else {
+            return;
+        };
+        if known.endpoint == hop.endpoint {
+            job.warm = Some(Warm::from(&known));
+            return;
+        }
+        let usable = hop.count == 0
+            && known.tokens > 0
+            && self.view.serves(known.endpoint, job.pool)
+            && !hop.tried.contains(&known.endpoint)
+            && self.well(known.endpoint);
+        if usable {
+            job.warm = Some(Warm::from(&known));
+        }
+    }
+
+    // Engines evict in the order of use, so whatever ran before a chat that
+    // was evicted is gone as well, even if its event was lost in a gap.
+    pub(super) fn doubt(&self, job: &mut Job) {
+        let Some(warm) = &mut job.warm else {
+            return;
+        };
+        let horizon = self.books.get(&warm.endpoint).map(Book::horizon);
+        if horizon.is_some_and(|horizon| warm.seen <= horizon) {
+            warm.tokens = 0;
+        }
+    }
+
+    pub(super) fn well(&self, endpoint: EndpointId) -> bool {
+        let book = self.books.get(&endpoint);
+        book.is_none_or(|book| book.health.access() != health::Access::None)
+    }
+
+    /// Decides where a request goes: to the endpoint where its chat is warm,
+    /// along the chat's order while the bound forbids, then into the queue.
+    pub(super) fn place(&mut self, now: Moment, job: Job, hop: &Hop) -> Next {
+        let target = job.warm.map_or(hop.endpoint, |warm| warm.endpoint);
+        if !self.owns(target) && !hop.last() {
+            return self.forward(&job, hop.clone(), target);
+        }
+        let mut hop = hop.clone();
+        let ours = self.owns(target) && self.view.serves(target, job.pool);
+        if ours && !hop.tried.contains(&target) {
+            if self.fits(now, target, &job) {
+                return self.grant(now, target, job);
+            }
+            self.note(&mut hop, target);
+        }
+        self.spill(now, job, hop)
+    }
+
+    pub(super) fn owns(&self, endpoint: EndpointId) -> bool {
+        self.view.owner(endpoint) == self.view.local()
+    }
+
+    // The chat's order beyond its own endpoint: owned endpoints are tried
+    // here; of the others', the one whose owner has the least load goes next.
+    pub(super) fn spill(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
+        let view = Arc::clone(&self.view);
+        hop.spilled = true;
+        let mut next: Option<(u64, EndpointId)> = None;
+        let mut others = 0;
+        for endpoint in view.ranked(job.pool, job.chat, hop.zone).take(SCANNED) {
+            if hop.tried.contains(&endpoint) {
+                continue;
+            }
+            if self.owns(endpoint) {
+                if self.fits(now, endpoint, &job) {
+                    return self.grant(now, endpoint, job);
+                }
+                self.note(&mut hop, endpoint);
+            } else if let Some(load) = self.heard(now, job.pool, endpoint) {
+                next = next
+                    .filter(|(least, _)| *least <= load)
+                    .or(Some((load, endpoint)));
+                others += 1;
+            }
+            if others == CHOICES {
+                break;
+            }
+        }
+        match next {
+            Some((_, endpoint)) if !hop.last() => self.forward(&job, hop, endpoint),
+            _ => self.wait(now, job, hop),
+        }
+    }
+
+    // The mean load of the endpoints of an endpoint's owner, if nothing was
+    // heard to wait for them.
+    pub(super) fn heard(&self, now: Moment, pool: Pool, endpoint: EndpointId) -> Option<u64> {
+        let owner = self.view.owner(endpoint);
+        match self.means.of(pool, owner, now) {
+            Some(summary) if summary.waiting > 0 => None,
+            Some(summary) => Some(summary.work / u64::from(summary.endpoints.max(1))),
+            None => Some(0),
+        }
+    }
+
+    pub(super) fn note(&self, hop: &mut Hop, endpoint: EndpointId) {
+        if !hop.tried.contains(&endpoint) {
+            hop.tried.push(endpoint);
+        }
+        let load = self.books.get(&endpoint).map_or(0, Book::load);
+        if self.well(endpoint) && hop.least.is_none_or(|(_, least)| load < least) {
+            hop.least = Some((endpoint, load));
+        }
+    }
+
+    // Where to wait: at the owner of the least loaded endpoint seen.
+    pub(super) fn wait(&mut self, now: Moment, mut job: Job, mut hop: Hop) -> Next {
+        if let Some((endpoint, _)) = hop.least
+            && !self.owns(endpoint)
+            && hop.count <= crate::hop::MOST
+        {
+            hop.count = crate::hop::MOST;
+            return self.forward(&job, hop, endpoint);
+        }
+        if let Some(endpoint) = self.settle_for(now, &mut job) {
+            return self.grant(now, endpoint, job);
+        }
+        if !job.queues {
+            return Next::Refuse(Refusal::new(Reason::Busy));
+        }
+        if self.view.owned_of(job.pool).is_empty() {
+            return self.improvise(now, job, hop);
+        }
+        self.enqueue(now, job)
+    }
+
+    // The sender takes this instance for an owner, this one another. The lists
+    // agree within seconds; until then the request goes to the owner in this
+    // list, or after too many forwards to the endpoint itself, with whatever
+    // room the mean leaves on it.
+    pub(super) fn improvise(&mut self, now: Moment, job: Job, hop: Hop) -> Next {
+        let Some(home) = self.home(&job) else {
+            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
+        };
+        if hop.count < ASTRAY {
+            return self.forward(&job, hop, home);
+        }
+        if !self.books.contains_key(&home) {
+            let incarnation = self.view.endpoint(home).map_or(0, |e| e.incarnation);
+            let mut book = Book::new(incarnation);
+            book.presume(now, self.mean(now, job.pool));
+            self.books.insert(home, book);
+        }
+        if self.fits(now, home, &job) {
+            return self.grant(now, home, job);
+        }
+        Next::Refuse(Refusal::new(Reason::Busy))
+    }
+
+    // With nowhere else to go, the whole bound is open to a cold request.
+    pub(super) fn settle_for(&self, now: Moment, job: &mut Job) -> Option<EndpointId> {
+        job.since = now;
+        let owned = self.view.owned_of(job.pool).iter().copied();
+        let fitting = owned.filter(|id| self.fits(now, *id, job));
+        fitting.min_by_key(|id| self.load(*id))
+    }
+
+    pub(super) fn enqueue(&mut self, now: Moment, job: Job) -> Next {
+        let queue = self.queues.entry(job.pool).or_default();
+        if queue.full(LONGEST, job.rank.flow) {
+            return Next::Refuse(Refusal::new(Reason::QueueFull));
+        }
+        let ticket = self.next;
+        self.next += 1;
+        self.tickets.insert(ticket, job.pool);
+        let until = job.rank.until;
+        let rank = job.rank;
+        let shares = self.shares.entry(job.pool).or_default();
+        shares.arrive(now, &job);
+        queue.push(ticket, &rank, job);
+        Next::Wait { ticket, until }
+    }
+
+    pub(super) fn forward(&self, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
+        hop.home = hop.home.or(Some(self.view.local()));
+        hop.endpoint = endpoint;
+        hop.count += 1;
+        hop.cached = job.cached(endpoint);
+        hop.seen = job.warm.map_or(Moment::ZERO, |warm| warm.seen);
+        Next::Forward {
+            instance: self.view.owner(endpoint),
+            hop,
+        }
+    }
+
+    // A hint for the chat's next turn: after this one its context, prompt and
+    // answer, is at the endpoint.
+    pub(super) fn remember(
+        &mut self,
+        now: Moment,
+        job: &Job,
+        endpoint: EndpointId,
+    ) -> Option<Location> {
+        if job.pool.model == NO_MODEL {
+            return None;
+        }
+        let location = Location {
+            chat: job.chat,
+            pool: job.pool,
+            endpoint,
+            incarnation: self.view.endpoint(endpoint).map_or(0, |e| e.incarnation),
+            tokens: job.prompt.saturating_add(job.answer),
+            seen: now,
+        };
+        self.chats.put(location);
+        Some(location)
+    }
+
+    pub(super) fn grant(&mut self, now: Moment, endpoint: EndpointId, job: Job) -> Next {
+        let attempt = self.next;
+        self.next += 1;
+        let work = job.work(endpoint);
+        let cached = job.cached(endpoint);
+        let location = self.remember(now, &job, endpoint);
+        let tell = job.home.zip(location);
+        let book = self.books.entry(endpoint).or_insert_with(|| Book::new(0));
+        book.begin(now, work);
+        if job.suspect {
+            book.solo = Solo::Running(attempt);
+        }
+        let shares = self.shares.entry(job.pool).or_default();
+        shares.begin(&job);
+        let priority = job.rank.priority;
+        let running = Running {
+            endpoint,
+            job,
+            work,
+        };
+        self.running.insert(attempt, running);
+        Next::Dispatch(Grant {
+            attempt,
+            endpoint,
+            cached,
+            priority,
+            tell,
+        })
+    }
+
+    pub(super) fn home(&self, job: &Job) -> Option<EndpointId> {
+        self.view.ranked(job.pool, job.chat, 0).next()
+    }
+}
