--- a/crates/bench/src/decisions/fate.rs
+++ b/crates/bench/src/decisions/fate.rs
@@ -49,12 +49,25 @@
     tally: Tally,
     rng: ChaCha8Rng,
     next: u64,
+    confirms: bool,
 }
 
 /// Drives one owner through a seeded schedule.
 #[must_use]
 pub fn drive(seed: u64) -> Tally {
+    follow(seed, true)
+}
+
+/// Drives a weakened caller of the owner, which says *not run* without having
+/// its cancellation confirmed; shows that the check finds what it is for.
+#[must_use]
+pub fn drive_unconfirmed(seed: u64) -> Tally {
+    follow(seed, false)
+}
+
+fn follow(seed: u64, confirms: bool) -> Tally {
     let mut run = Run::new(seed);
+    run.confirms = confirms;
     for _ in 0..STEPS {
         run.step();
     }
@@ -100,6 +113,7 @@
             tally: Tally::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             next: 0,
+            confirms: true,
             size,
         }
     }
@@ -197,6 +211,10 @@
         let Some((&ticket, &(id, _))) = self.waiting.first_key_value() else {
             return;
         };
+        if !self.confirms {
+            self.told.insert(id);
+            return;
+        }
         if self.owner.cancel(ticket) {
             self.tally.cancelled += 1;
             self.told.insert(id);
--- a/crates/bench/tests/decisions.rs
+++ b/crates/bench/tests/decisions.rs
@@ -5,6 +5,9 @@
 use godwitpost_bench::decisions::{fate, poison, report, size};
 use godwitpost_bench::figure::Figure;
 
+/// A schedule that breaks the weakened build.
+const WEAK: u64 = 0;
+
 fn broken(figures: &[Figure]) -> Vec<String> {
     let broken = figures.iter().filter(|figure| !figure.holds());
     broken.map(ToString::to_string).collect()
@@ -39,6 +42,17 @@
     assert!(dispatched > 5_000, "{dispatched} dispatched");
 }
 
+// The same with the word said before the queue confirmed it: the schedules and
+// the check have to find the lie, or they would find none above either.
+#[test]
+fn word_without_confirmation_is_found_out() {
+    let lies: usize = (0..1_000)
+        .map(|seed| fate::drive_unconfirmed(seed).lies)
+        .sum();
+    assert!(lies > 0);
+    assert!(fate::drive_unconfirmed(WEAK).lies > 0, "seed {WEAK}");
+}
+
 // One draft crashes each engine that runs it, and its caller sends it again
 // with a new key through another router, eight times, among innocent drafts.
 #[test]
