--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -11,11 +11,8 @@
 
 use godwitpost_history::event::What;
 use godwitpost_history::recorder::Recorder;
-use godwitpost_platform::list::{Entry, Role};
-use godwitpost_router::settings::Settings;
 use godwitpost_router::{Running, Stopped};
 use godwitpost_standin::{engine, list, log, plain};
-use godwitpost_types::endpoint::Standing;
 use tokio::time::{Instant, sleep};
 
 use crate::balancer::Balancer;
@@ -25,6 +22,7 @@
 
 mod endpoints;
 mod operator;
+mod routers;
 mod watch;
 
 pub use endpoints::Endpoint;
@@ -42,13 +40,6 @@
 /// How late the balancer learns that an instance has left.
 const BALANCER_LAG: Duration = Duration::from_millis(300);
 
-/// How long a leaving instance still takes new callers, at least the
-/// balancer's lag with room for a slow machine.
-const STILL_TAKEN: Duration = Duration::from_secs(1);
-
-/// How long a graceful stop may take; streams of the demo last a second.
-const DRAIN: Duration = Duration::from_secs(20);
-
 /// The longest wait for a version or the endpoints: far above the six seconds
 /// that a roll may take, since it only ends a run that would hang.
 const LONGEST: Duration = Duration::from_secs(20);
@@ -304,48 +295,4 @@
         }
         control
     }
-
-    fn start_router(&mut self, index: usize) -> Result<(), Error> {
-        let (name, zone) = self.deployment.instance(index);
-        let text = self.settings(&name, zone);
-        let settings = Settings::parse(&text).map_err(Error::Settings)?;
-        let incarnation = settings.incarnation;
-        let running = godwitpost_router::start(settings).map_err(Error::Router)?;
-        self.recorder.record(What::InstanceStarted {
-            instance: name.clone(),
-        });
-        self.list.set(Entry {
-            name: name.clone(),
-            incarnation,
-            role: Role::Router,
-            standing: Standing::Live,
-            zone: zone.to_owned(),
-            region: self.deployment.region.to_owned(),
-            address: running.peers_address(),
-            operators_address: Some(running.operators_address()),
-            service: None,
-            models: [].into(),
-        });
-        let address = running.operators_address();
-        let watch = Watch::start(self.recorder.clone(), name.clone(), address);
-        self.routers.insert(name, Router { running, watch });
-        Ok(())
-    }
-
-    /// Returns the settings of an instance of this fleet, as YAML.
-    #[must_use]
-    pub fn settings(&self, name: &str, zone: &str) -> String {
-        let Deployment { fleet, region, .. } = self.deployment;
-        let (log, list) = (self.log.address(), self.list.address());
-        let (lag, drain) = (STILL_TAKEN.as_millis(), DRAIN.as_millis());
-        let root = self.operator.public();
-        let key = self.operator.fleet_key();
-        format!(
-            "name: {name}\nzone: {zone}\nregion: {region}\nfleet: {fleet}\n\
-             listen: {{ callers: {ANY}, peers: {ANY}, operators: {ANY} }}\n\
-             platform: {{ log: {log}, list: {list} }}\n\
-             root_keys: [{root}]\nfleet_key: {key}\n\
-             balancer_lag: {lag}ms\ndrain: {drain}ms\nthreads: 1\n"
-        )
-    }
 }
