--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -284,14 +284,18 @@
         });
     }
 
-    /// Returns the control bytes of each instance a second since the start.
-    pub async fn control(&self) -> BTreeMap<String, f64> {
+    /// Returns the control bytes of each instance a second since the start, by
+    /// where they go.
+    pub async fn control(&self) -> BTreeMap<String, BTreeMap<String, f64>> {
         let seconds = self.started.elapsed().as_secs_f64();
         let mut control = BTreeMap::new();
         for (name, router) in &self.routers {
             let address = router.running.operators_address();
-            let bytes = watch::control_bytes(address).await;
-            control.insert(name.clone(), bytes / seconds);
+            let mut bytes = watch::control_bytes(address).await;
+            for rate in bytes.values_mut() {
+                *rate /= seconds;
+            }
+            control.insert(name.clone(), bytes);
         }
         control
     }
--- a/crates/demo/src/fleet/watch.rs
+++ b/crates/demo/src/fleet/watch.rs
@@ -1,5 +1,6 @@
 //! What a router says of itself on its operators' port.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -95,15 +96,23 @@
         .any(|one| one.name == name && one.standing == Standing::Live)
 }
 
-/// Returns the control bytes that a router has counted since its start.
-pub(super) async fn control_bytes(address: SocketAddr) -> f64 {
+/// Returns the control bytes that a router has counted since its start, by
+/// where they go.
+pub(super) async fn control_bytes(address: SocketAddr) -> BTreeMap<String, f64> {
     let connector = Connector::new(connect::Settings::default());
     let text = get(&connector, address, "/metrics").await;
     let text = String::from_utf8_lossy(&text.unwrap_or_default()).into_owned();
     text.lines()
         .filter(|line| line.starts_with("godwitpost_control_bytes"))
-        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
-        .sum()
+        .filter_map(counted)
+        .collect()
+}
+
+fn counted(line: &str) -> Option<(String, f64)> {
+    let (_, label) = line.split_once("to=\"")?;
+    let (to, _) = label.split_once('"')?;
+    let bytes = line.rsplit(' ').next()?.parse().ok()?;
+    Some((to.to_owned(), bytes))
 }
 
 async fn held(connector: &Connector, address: SocketAddr) -> Option<Held> {
--- a/crates/demo/src/report.rs
+++ b/crates/demo/src/report.rs
@@ -34,8 +34,8 @@
     /// The greatest work an engine carried over the mean, at its worst instant
     /// and on average over the run.
     pub skew: Skew,
-    /// Control bytes a second of each instance.
-    pub control: BTreeMap<String, f64>,
+    /// Control bytes a second of each instance, by where they go.
+    pub control: BTreeMap<String, BTreeMap<String, f64>>,
     /// How long each roll took to be in force everywhere.
     pub rolls: Vec<Duration>,
 }
@@ -205,10 +205,18 @@
     format!("{:>8.1}", micros as f64 / 1000.0)
 }
 
-fn control(f: &mut fmt::Formatter<'_>, bytes: &BTreeMap<String, f64>) -> fmt::Result {
-    write!(f, "  control       bytes a second:")?;
-    for (instance, rate) in bytes {
-        write!(f, " {instance} {rate:.0}")?;
+fn control(
+    f: &mut fmt::Formatter<'_>,
+    control: &BTreeMap<String, BTreeMap<String, f64>>,
+) -> fmt::Result {
+    writeln!(f, "  control, bytes a second")?;
+    for (instance, rates) in control {
+        let all: f64 = rates.values().sum();
+        write!(f, "    {instance:<22}{all:>8.0} =")?;
+        for (to, rate) in rates {
+            write!(f, " {to} {rate:.0}")?;
+        }
+        writeln!(f)?;
     }
-    writeln!(f)
+    Ok(())
 }
--- a/crates/demo/src/report/tests.rs
+++ b/crates/demo/src/report/tests.rs
@@ -5,6 +5,7 @@
 use super::{Counts, Report, Share, Skew};
 
 fn report() -> Report {
+    let control = [("peers".to_owned(), 800.0), ("probes".to_owned(), 12.4)];
     let mut report = Report {
         fleet: "kitakaze".into(),
         cache: Share {
@@ -15,7 +16,7 @@
             overall: 1.2,
             worst: 1.5,
         },
-        control: [("otaru-router-1".to_owned(), 812.4)].into(),
+        control: [("otaru-router-1".to_owned(), control.into())].into(),
         rolls: vec![Duration::from_millis(40)],
         ..Report::default()
     };
@@ -52,7 +53,7 @@
         "    draft, last byte         100.0    200.1    200.1    200.1",
         "  cache reuse   75.0 % of 100 prompt tokens",
         "  skew          1.20 x mean over the run, 1.50 at the worst instant",
-        "  control       bytes a second: otaru-router-1 812",
+        "    otaru-router-1             812 = peers 800 probes 12",
         "  roll          version 1 in force everywhere in 40 ms",
     ];
     for line in wanted {
