--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -4,13 +4,19 @@
 use std::process::ExitCode;
 
 use cap::Cap;
-use clap::{Arg, Command};
+use clap::{Arg, ArgAction, Command};
+use godwitpost_bench::figure::Figure;
+use godwitpost_capacity::live::{control, relay};
 use godwitpost_capacity::page::{self, Sum};
 use godwitpost_capacity::role;
 
 #[global_allocator]
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
 
+/// The command that writes the page, as the page names it.
+const HOW: &str =
+    "cargo run --release --locked --bin godwitpost-capacity -- --live --write docs/CAPACITY.md";
+
 /// The sums are above the letter's budgets.
 const OVER: u8 = 1;
 /// The page could not be written.
@@ -21,7 +27,13 @@
         .about("Measures slopes and gives each role's cost at the letter's size")
         .after_help(
             "Exit codes:\n  0  the control sums keep the letter's budgets\n  \
-             1  a sum is above its budget\n  2  the page could not be written",
+             1  a sum or a running figure is above its bound\n  2  the page could not be written",
+        )
+        .arg(
+            Arg::new("live")
+                .long("live")
+                .action(ArgAction::SetTrue)
+                .help("Also measures routers that run; takes about a minute and a half"),
         )
         .arg(
             Arg::new("write")
@@ -31,11 +43,21 @@
         )
 }
 
+fn live() -> Vec<Figure> {
+    let sizes = control::SIZES.into_iter();
+    let control = sizes.flat_map(|(instances, endpoints)| control::figures(instances, endpoints));
+    control.chain(relay::figures()).collect()
+}
+
 fn main() -> ExitCode {
     let matches = command().get_matches();
     let measures = role::all(|| ALLOCATOR.allocated());
-    let how = "cargo run --release --locked --bin godwitpost-capacity -- --write docs/CAPACITY.md";
-    let page = page::render(&measures, how);
+    let live = if matches.get_flag("live") {
+        live()
+    } else {
+        Vec::new()
+    };
+    let page = page::render(&measures, &live, HOW);
     match matches.get_one::<String>("write") {
         None => print!("{page}"),
         Some(file) => {
@@ -45,7 +67,7 @@
             }
         }
     }
-    if Sum::of(&measures).holds() {
+    if Sum::of(&measures).holds() && live.iter().all(Figure::holds) {
         ExitCode::SUCCESS
     } else {
         ExitCode::from(OVER)
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::{self, Write as _};
 
+use godwitpost_bench::figure::{Bound, Figure};
+
 use crate::letter;
 use crate::role::{Cost, Measure};
 
@@ -47,13 +49,13 @@
 ///
 /// Never: writing to a string can't fail.
 #[must_use]
-pub fn render(measures: &[Measure], command: &str) -> String {
+pub fn render(measures: &[Measure], live: &[Figure], command: &str) -> String {
     let mut page = String::new();
-    write(&mut page, measures, command).expect("writing to a string never fails");
+    write(&mut page, measures, live, command).expect("writing to a string never fails");
     page
 }
 
-fn write(page: &mut String, measures: &[Measure], command: &str) -> fmt::Result {
+fn write(page: &mut String, measures: &[Measure], live: &[Figure], command: &str) -> fmt::Result {
     writeln!(page, "# Capacity at the letter's size\n")?;
     writeln!(page, "Written by `{command}`; run it again after a change.")?;
     writeln!(page, "Times are of the machine it ran on.\n")?;
@@ -61,6 +63,9 @@
     table(page, measures)?;
     sums(page, &Sum::of(measures))?;
     writeln!(page)?;
+    if !live.is_empty() {
+        running(page, live)?;
+    }
     page.write_str(MECHANISMS)
 }
 
@@ -102,6 +107,37 @@
     writeln!(page)
 }
 
+fn running(page: &mut String, live: &[Figure]) -> fmt::Result {
+    writeln!(page, "## Routers that run\n")?;
+    writeln!(
+        page,
+        "Real routers in one process, with stub peers and endpoints as many as the\n\
+         size says: processor time of the control thread, bytes on the wire with all\n\
+         headers, and processor time of the traffic threads for a short request and a\n\
+         streamed token. `control.N` is a fleet of N instances.\n"
+    )?;
+    writeln!(
+        page,
+        "| figure | value | unit | bound | |\n|---|---|---|---|---|"
+    )?;
+    for figure in live {
+        let Figure {
+            name, value, unit, ..
+        } = figure;
+        let bound = match figure.bound {
+            Bound::AtLeast(limit) => format!("at least {limit}"),
+            Bound::AtMost(limit) => format!("at most {limit}"),
+            Bound::Free => String::new(),
+        };
+        let verdict = if figure.holds() { "" } else { "**over**" };
+        writeln!(
+            page,
+            "| {name} | {value:.4} | {unit} | {bound} | {verdict} |"
+        )?;
+    }
+    writeln!(page)
+}
+
 fn row(page: &mut String, measure: &Measure) -> fmt::Result {
     let line = measure.line();
     let points: Vec<String> = measure
--- a/crates/capacity/src/role.rs
+++ b/crates/capacity/src/role.rs
@@ -7,6 +7,7 @@
 pub mod bundle;
 pub mod entry;
 pub mod member;
+pub mod metrics;
 pub mod owner;
 
 /// Measures every role.
@@ -18,6 +19,7 @@
         batcher::measure,
         bundle::measure,
         member::measure,
+        metrics::measure,
     ];
     roles
         .iter()
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -1,5 +1,6 @@
 //! The fitted lines, the sums and the page, on figures made up here.
 
+use godwitpost_bench::figure::{Bound, Figure};
 use godwitpost_capacity::letter;
 use godwitpost_capacity::page::{Sum, render};
 use godwitpost_capacity::role::{Cost, Measure};
@@ -56,9 +57,20 @@
 
 #[test]
 fn a_row_shows_points_line_and_total() {
-    let page = render(&[measure(Cost::Memory, 3.0)], "the command");
+    let page = render(&[measure(Cost::Memory, 3.0)], &[], "the command");
     let row = "| owner | locations | 10: 130.0 B; 20: 160.0 B; 50: 250.0 B \
                | 100.0 B + 3.0 B for each of the chats | 1000 | 0.00 MB | control |";
     assert!(page.contains(row), "{page}");
     assert!(page.contains("Written by `the command`"), "{page}");
 }
+
+#[test]
+fn a_running_figure_over_its_bound_is_marked() {
+    let over = Figure::new("control.320.bytes", 7000.0, "B/s", Bound::AtMost(6144.0));
+    let kept = Figure::new("control.6.bytes", 3000.0, "B/s", Bound::AtMost(6144.0));
+    let page = render(&[measure(Cost::Memory, 3.0)], &[over, kept], "the command");
+    let row = "| control.320.bytes | 7000.0000 | B/s | at most 6144 | **over** |";
+    assert!(page.contains(row), "{page}");
+    let row = "| control.6.bytes | 3000.0000 | B/s | at most 6144 |  |";
+    assert!(page.contains(row), "{page}");
+}
