router: resume a broken event stream at its engine

Cause: a connection to an engine that broke after the first token broke the caller's too, although the engine was well and still held the stream.

Change: the owner asks the same engine for the rest, with the same X-Request-Id and Last-Event-ID, twice at most, within the caller's deadline, and each time out of the budget of retries. decide::resume says whether, and checks that the events go on one by one; body::splice joins the rest on at the end of the last whole event, holding back up to 64 KiB of an unfinished one. A 404, any other answer, or events that don't go on abort the caller's connection as before. A stream without numbered events is passed on as it comes. The stand-in engine can break a stream within an event (truncate_within) and spare resumed streams (truncate_once).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod quarantine;
 pub mod queue;
 pub mod refusal;
+pub mod resume;
 pub mod view;
--- /dev/null
+++ b/crates/decide/src/resume.rs
@@ -0,0 +1,111 @@
+//! Whether a broken event stream is asked for again at the same engine.
+//!
+//! An engine holds a stream for a while after its connection broke, and goes
+//! on after the event that `Last-Event-ID` names. That is worth asking for only
+//! while each event so far had a number one above the last: then what follows
+//! can be checked to leave nothing out and to repeat nothing. A stream without
+//! such numbers is relayed as it comes and never resumed.
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::request::Request;
+
+use crate::entry::Budgets;
+
+/// How often one stream is asked for again.
+///
+/// A connection that breaks three times under one answer says that the engine
+/// or the way to it is broken, and the caller hears of it sooner.
+const MOST: u32 = 2;
+
+/// What an event means for the stream that it came in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// It is the next one.
+    Next,
+    /// The stream is not numbered; it is relayed but can't be resumed.
+    Unnumbered,
+    /// A resumed stream doesn't go on where it broke off.
+    Astray,
+}
+
+/// What follows a broken stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Ask the same engine for what follows this event.
+    Ask {
+        /// The number of the last whole event.
+        after: u64,
+    },
+    /// Break the caller's connection off.
+    GiveUp,
+}
+
+/// How far one stream has come.
+#[derive(Clone, Debug, Default)]
+pub struct Resume {
+    last: Option<u64>,
+    unnumbered: bool,
+    done: bool,
+    asked: u32,
+}
+
+impl Resume {
+    /// Notes a whole event and its number, if it has one.
+    pub fn event(&mut self, number: Option<u64>) -> Seen {
+        let expected = self.last.and_then(|last| last.checked_add(1));
+        let next = number.is_some() && (self.last.is_none() || number == expected);
+        if next && !self.done {
+            self.last = number;
+            Seen::Next
+        } else if self.asked > 0 {
+            Seen::Astray
+        } else {
+            self.unnumbered = true;
+            Seen::Unnumbered
+        }
+    }
+
+    /// Notes that the events have no boundaries that can be relied on.
+    pub const fn unbounded(&mut self) -> Seen {
+        self.unnumbered = true;
+        if self.asked > 0 {
+            Seen::Astray
+        } else {
+            Seen::Unnumbered
+        }
+    }
+
+    /// Notes the end mark.
+    pub const fn done(&mut self) {
+        self.done = true;
+    }
+
+    /// Returns whether the end mark came.
+    #[must_use]
+    pub const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Returns whether the stream can't be resumed, whatever comes.
+    #[must_use]
+    pub const fn is_unnumbered(&self) -> bool {
+        self.unnumbered
+    }
+
+    /// Notes that the stream broke off and returns what follows.
+    ///
+    /// Asking again counts as a retry.
+    pub fn broken(&mut self, now: Moment, request: &Request, budgets: &mut Budgets) -> Next {
+        let Some(after) = self.last else {
+            return Next::GiveUp;
+        };
+        if self.unnumbered || self.done || self.asked >= MOST || now >= request.deadline {
+            return Next::GiveUp;
+        }
+        if !budgets.spend(now, request.workspace, request.service) {
+            return Next::GiveUp;
+        }
+        self.asked += 1;
+        Next::Ask { after }
+    }
+}
--- a/crates/decide/tests/traps/main.rs
+++ b/crates/decide/tests/traps/main.rs
@@ -8,4 +8,5 @@
 mod place;
 mod quarantine;
 mod queue;
+mod resume;
 mod retry;
--- /dev/null
+++ b/crates/decide/tests/traps/resume.rs
@@ -0,0 +1,79 @@
+//! When a broken stream is asked for again, and when it is given up.
+
+use std::time::Duration;
+
+use godwitpost_decide::entry::Budgets;
+use godwitpost_decide::resume::{Next, Resume, Seen};
+use godwitpost_types::clock::Moment;
+
+use crate::fleet;
+
+const NOW: Moment = Duration::from_secs(100);
+
+fn broken(resume: &mut Resume, now: Moment) -> Next {
+    let request = fleet::request(1);
+    resume.broken(now, &request, &mut Budgets::default())
+}
+
+fn numbered(until: u64) -> Resume {
+    let mut resume = Resume::default();
+    for number in 1..=until {
+        assert_eq!(resume.event(Some(number)), Seen::Next);
+    }
+    resume
+}
+
+// An engine's connection breaks again and again under one draft. Asking for
+// ever would keep its editor waiting and load an engine that is already ill.
+#[test]
+fn a_stream_is_asked_for_twice_at_most_and_in_time() {
+    let mut resume = numbered(3);
+    assert_eq!(broken(&mut resume, NOW), Next::Ask { after: 3 });
+    assert_eq!(resume.event(Some(4)), Seen::Next);
+    assert_eq!(broken(&mut resume, NOW), Next::Ask { after: 4 });
+    assert_eq!(broken(&mut resume, NOW), Next::GiveUp);
+    let late = fleet::request(1).deadline;
+    assert_eq!(broken(&mut numbered(3), late), Next::GiveUp);
+    assert_eq!(broken(&mut Resume::default(), NOW), Next::GiveUp);
+    let mut done = numbered(3);
+    done.done();
+    assert_eq!(broken(&mut done, NOW), Next::GiveUp);
+}
+
+// An engine knows nothing of Last-Event-ID and starts the draft anew; the
+// editor would read its opening twice. Another skips an event.
+#[test]
+fn a_resumed_stream_has_to_go_on_at_the_next_event() {
+    for wrong in [Some(1), Some(3), Some(5), None] {
+        let mut resume = numbered(3);
+        assert_eq!(broken(&mut resume, NOW), Next::Ask { after: 3 });
+        assert_eq!(resume.event(wrong), Seen::Astray, "{wrong:?}");
+    }
+}
+
+// An engine numbers no events, or not one by one. What it left out could not
+// be told after a break.
+#[test]
+fn a_stream_without_numbers_is_not_asked_for() {
+    for odd in [Some(1), Some(5), None] {
+        let mut resume = numbered(3);
+        assert_eq!(resume.event(odd), Seen::Unnumbered, "{odd:?}");
+        assert_eq!(broken(&mut resume, NOW), Next::GiveUp);
+    }
+}
+
+// An engine breaks under every stream of a workspace. Each break would double
+// the requests; the budget of retries bounds them.
+#[test]
+fn asking_again_spends_the_budget_of_retries() {
+    let request = fleet::request(1);
+    let (mut plain, mut asking) = (Budgets::default(), Budgets::default());
+    let retries = (0..1000)
+        .take_while(|_| plain.spend(NOW, request.workspace, request.service))
+        .count();
+    let asked = (0..1000)
+        .take_while(|_| numbered(1).broken(NOW, &request, &mut asking) != Next::GiveUp)
+        .count();
+    assert_eq!(asked, retries);
+    assert!(asked > 0);
+}
--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -1,7 +1,9 @@
 //! Bodies: whole ones, bounded reads, and the guard of a relayed stream.
 
+mod events;
 pub mod peeked;
 pub mod relay;
+pub mod splice;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/router/src/body/events/tests.rs
@@ -0,0 +1,40 @@
+use bytes::Bytes;
+use godwitpost_decide::resume::Resume;
+
+use super::{Events, HELD};
+
+fn push(events: &mut Events, resume: &mut Resume, frame: &str) -> String {
+    let frame = Bytes::from(frame.to_owned());
+    let bytes = events.push(frame, resume).unwrap();
+    String::from_utf8(bytes.to_vec()).unwrap()
+}
+
+#[test]
+fn events_come_out_whole_wherever_frames_end() {
+    for text in [
+        "id: 1\ndata: a\n\n: alive\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n",
+        "id:1\r\ndata:a\r\n\r\nid:2\r\ndata:b\r\n\r\ndata:[DONE]\r\n\r\n",
+    ] {
+        for at in 0..text.len() {
+            let (mut events, mut resume) = (Events::default(), Resume::default());
+            let first = push(&mut events, &mut resume, &text[..at]);
+            let end = first.is_empty() || first.trim_end_matches('\r').ends_with('\n');
+            assert!(end, "{first:?}");
+            let second = push(&mut events, &mut resume, &text[at..]);
+            assert_eq!(first + &second, text);
+            assert!(resume.is_done() && !resume.is_unnumbered());
+        }
+    }
+}
+
+// An engine sends an event without an end. Held back whole it would fill the
+// router's memory; it is passed on and the stream can't be resumed any more.
+#[test]
+fn an_endless_event_is_not_held() {
+    let (mut events, mut resume) = (Events::default(), Resume::default());
+    let long = "x".repeat(HELD + 1);
+    let frame = format!("id: 1\ndata: a\n\nid: 2\ndata: {long}");
+    assert_eq!(push(&mut events, &mut resume, &frame), frame);
+    assert!(resume.is_unnumbered());
+    assert_eq!(push(&mut events, &mut resume, "more"), "more");
+}
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -5,7 +5,8 @@
 //! instance), and decides on another attempt if one failed. [`owner`] offers
 //! the request to the [`desk`] and, with its leave, sends it on by
 //! [`endpoint`], whose [`answer`] it relays; unrepeatable requests pass
-//! [`once`] between the two. [`cancel`] ends what nobody waits for.
+//! [`once`] between the two. [`resume`] asks for the rest of a broken stream,
+//! and [`cancel`] ends what nobody waits for.
 
 pub(crate) mod answer;
 pub(crate) mod cancel;
@@ -15,6 +16,7 @@
 pub(crate) mod once;
 pub(crate) mod owner;
 pub(crate) mod peer;
+pub(crate) mod resume;
 
 use bytes::Bytes;
 use godwitpost_platform::connect::Body;
--- a/crates/router/src/relay/answer.rs
+++ b/crates/router/src/relay/answer.rs
@@ -15,16 +15,18 @@
 use godwitpost_types::policy::Kind;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
 use http::response::Parts;
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt as _;
 use serde::de::IgnoredAny;
 
 use super::cancel::Cancel;
 use super::desk::Leave;
 use super::endpoint;
+use super::resume::Source;
 use crate::body;
 use crate::body::peeked::Peeked;
 use crate::body::relay::{End, Ends, Relay};
+use crate::body::splice::Splice;
 
 /// Bytes of an answer in one piece; 100,000 tokens are about half of it.
 const JSON_BYTES: usize = 1 << 20;
@@ -65,6 +67,15 @@
         Ok(Self { parts, body, ends })
     }
 
+    /// Lets a broken event stream go on with what its engine still holds.
+    pub(crate) fn resumed_from(mut self, source: Source) -> Self {
+        if self.ends == Ends::Marked && self.parts.status == StatusCode::OK {
+            let again = move |resume: &mut _| source.again(resume);
+            self.body = Splice::new(self.body, again).boxed_unsync();
+        }
+        self
+    }
+
     /// Returns the answer, which tells the owner how it ends.
     pub(crate) fn relay(self, leave: Leave, mut cancel: Cancel) -> Response<Body> {
         let told = move |end| {
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -16,6 +16,7 @@
 use super::answer::Begun;
 use super::cancel::Cancel;
 use super::desk::Leave;
+use super::resume::Source;
 use super::{Attempt, Job};
 use crate::body;
 use crate::control;
@@ -34,7 +35,15 @@
     // Dropped while the engine works, this cancels there.
     let mut cancel = Cancel::armed(shared, &target, job);
     match begin(shared, &target, leave.grant(), job).await {
-        Ok(begun) => Attempt::Answered(begun.relay(leave, cancel)),
+        Ok(begun) => {
+            let source = Source {
+                shared: Arc::clone(shared),
+                target,
+                grant: *leave.grant(),
+                job: job.clone(),
+            };
+            Attempt::Answered(begun.resumed_from(source).relay(leave, cancel))
+        }
         Err(ending) => {
             if ending != Ending::Timeout {
                 cancel.disarm();
--- a/crates/router/tests/router/main.rs
+++ b/crates/router/tests/router/main.rs
@@ -6,4 +6,5 @@
 mod fleet;
 mod orders;
 mod peers;
+mod resume;
 mod shutdown;
--- a/crates/standin/src/cli/flags/engine.rs
+++ b/crates/standin/src/cli/flags/engine.rs
@@ -115,6 +115,24 @@
             Ok(())
         },
     },
+    Flag {
+        name: "truncate-within",
+        value: "",
+        help: "Streams break off in the middle of an event",
+        set: |to, _| {
+            to.truncate_within = true;
+            Ok(())
+        },
+    },
+    Flag {
+        name: "truncate-once",
+        value: "",
+        help: "Resumed streams don't break off",
+        set: |to, _| {
+            to.truncate_once = true;
+            Ok(())
+        },
+    },
     Flag {
         name: "cross",
         value: "PROBABILITY",
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -92,6 +92,10 @@
 /// What can go wrong with an engine.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each fault is switched on its own, and its JSON is flat"
+)]
 pub struct Faults {
     /// Added to the time before the first token.
     #[serde(rename = "slow_ms", with = "millis")]
@@ -104,6 +108,10 @@
     pub truncate: f64,
     /// Broken-off answers end as if they were whole.
     pub truncate_cleanly: bool,
+    /// Streams break off in the middle of their second event, not between two.
+    pub truncate_within: bool,
+    /// Resumed streams don't break off.
+    pub truncate_once: bool,
     /// Probability that a request gets the answer to the one before it.
     pub cross: f64,
     /// A request whose body holds this text crashes the engine when it runs.
@@ -131,6 +139,8 @@
             leaving: false,
             truncate: 0.0,
             truncate_cleanly: false,
+            truncate_within: false,
+            truncate_once: false,
             cross: 0.0,
             crash_marker: None,
             down_for: Duration::from_secs(1),
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -99,7 +99,14 @@
     fn resume(&self, id: &str, after: usize) -> Response<Body> {
         let job = lock(&self.state).jobs.get(id).cloned();
         match job {
-            Some(job) => self.stream(Reader::new(self.clone(), job, after)),
+            Some(job) => {
+                let probability = if self.faults.get().truncate_once {
+                    0.0
+                } else {
+                    self.faults.get().truncate
+                };
+                self.stream(Reader::new(self.clone(), job, after), probability)
+            }
             None => answer::error(
                 StatusCode::NOT_FOUND,
                 "the stream is no longer held; send the request again",
--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -17,7 +17,7 @@
 impl Core {
     pub(super) async fn answer(&self, mut reader: Reader, streamed: bool) -> Answer {
         if streamed {
-            return Ok(self.stream(reader));
+            return Ok(self.stream(reader, self.faults.get().truncate));
         }
         if reader.end().await != End::Finished {
             return Err(Broken);
@@ -40,9 +40,12 @@
         Ok(named(response, &reader))
     }
 
-    pub(super) fn stream(&self, reader: Reader) -> Response<Body> {
-        let cut = if !self.faults.hits(self.faults.get().truncate) {
+    /// Streams an answer that breaks off with this probability.
+    pub(super) fn stream(&self, reader: Reader, truncate: f64) -> Response<Body> {
+        let cut = if !self.faults.hits(truncate) {
             Cut::Never
+        } else if self.faults.get().truncate_within {
+            Cut::Within
         } else if self.faults.get().truncate_cleanly {
             Cut::Cleanly
         } else {
@@ -57,12 +60,14 @@
     }
 }
 
-/// Where a stream is cut off after its first part.
+/// Where a stream is cut off: after its first part, or within its second.
 #[derive(Clone, Copy)]
 enum Cut {
     Never,
     Cleanly,
     Broken,
+    Within,
+    Half,
     Now,
 }
 
@@ -71,17 +76,22 @@
 async fn next_frame(state: Frames) -> Option<(Result<Frame<Bytes>, Broken>, Frames)> {
     let (mut reader, cut) = state?;
     if matches!(cut, Cut::Now) {
+        // What was given so far is written out while this waits.
+        tokio::task::yield_now().await;
         return Some((Err(Broken), None));
     }
     match reader.part().await {
         Part::Events(events) => {
-            if !matches!(cut, Cut::Never) {
+            if !matches!(cut, Cut::Never | Cut::Within) {
                 reader.cut();
             }
-            let next = match cut {
-                Cut::Never => Some((reader, Cut::Never)),
-                Cut::Cleanly => None,
-                Cut::Broken | Cut::Now => Some((reader, Cut::Now)),
+            let half = events.slice(..events.len() / 2);
+            let (events, next) = match cut {
+                Cut::Never => (events, Some((reader, Cut::Never))),
+                Cut::Cleanly => (events, None),
+                Cut::Within => (events, Some((reader, Cut::Half))),
+                Cut::Half => (half, Some((reader, Cut::Now))),
+                Cut::Broken | Cut::Now => (events, Some((reader, Cut::Now))),
             };
             Some((Ok(Frame::data(events)), next))
         }
