router: ready once the list was read, and claims counted apart

Cause: a router with the bundle alone called itself ready before it knew an endpoint, and its first callers heard no-endpoint.

Change: readiness waits for the list. Batchers and dispatchers use connectors of their own, and godwitpost_claim_bytes_total counts them.

--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -111,7 +111,7 @@
     let instance = snapshot.view.instance(holder)?;
     let bytes = Bytes::from(rmp_serde::to_vec(&(key, body)).ok()?);
     let request = peer::sealed(shared, instance, Method::POST, ANSWER_PATH, &bytes);
-    let sent = shared.side.send(instance.peer_address, request, WAIT);
+    let sent = shared.claiming.send(instance.peer_address, request, WAIT);
     let response = sent.await.ok()?;
     if response.status() != StatusCode::OK {
         return None;
@@ -167,7 +167,7 @@
 async fn remote(shared: &Shared, instance: &Instance, item: Item) -> Option<Verdict> {
     let bytes = Bytes::from(claim::batch::encode(&[item]));
     let request = peer::sealed(shared, instance, Method::POST, PATH, &bytes);
-    let sent = shared.side.send(instance.peer_address, request, WAIT);
+    let sent = shared.claiming.send(instance.peer_address, request, WAIT);
     let response = match sent.await {
         Ok(response) if response.status() == StatusCode::OK => response,
         Ok(response) => {
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -124,6 +124,9 @@
     probes: Connector,
     platform: Connector,
     log: log::Client,
+    // The log as batchers use it; counted as claims.
+    claiming: Connector,
+    claims: log::Client,
     events: mpsc::Sender<Event>,
     timer: Timer,
     shared: Arc<Shared>,
@@ -141,6 +144,7 @@
         // One for each kind of control traffic, since each counts its bytes.
         let connector = || Connector::new(connect::Settings::default());
         let platform = connector();
+        let claiming = connector();
         let now = shared.now();
         let roots = settings.root_keys.iter().copied().map(Digest);
         Self {
@@ -159,6 +163,8 @@
             rng: random::generator(),
             io: Io {
                 log: log::Client::new(platform.clone(), settings.platform.log, PLATFORM),
+                claims: log::Client::new(claiming.clone(), settings.platform.log, PLATFORM),
+                claiming,
                 events: shared.control.clone(),
                 timer: Timer::new(now),
                 peers: connector(),
@@ -254,6 +260,7 @@
         self.roster.list(now, &listing.instances);
         self.endpoints.list(now, &listing.endpoints);
         self.publish();
+        self.shared.set_listed();
     }
 }
 
--- a/crates/router/src/control/batchers.rs
+++ b/crates/router/src/control/batchers.rs
@@ -122,7 +122,7 @@
         loop {
             match part.batcher.next(now) {
                 Next::Append { ticket, body } => {
-                    let (log, events) = (self.io.log.clone(), self.io.events.clone());
+                    let (log, events) = (self.io.claims.clone(), self.io.events.clone());
                     tokio::spawn(async move {
                         let call = append(&log, partition, ticket, body).await;
                         let result = Result { partition, call };
@@ -130,7 +130,7 @@
                     });
                 }
                 Next::Read { from, limit } => {
-                    let (log, events) = (self.io.log.clone(), self.io.events.clone());
+                    let (log, events) = (self.io.claims.clone(), self.io.events.clone());
                     tokio::spawn(async move {
                         let call = read(&log, partition, from, limit).await;
                         let result = Result { partition, call };
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -54,6 +54,7 @@
     strangers: Counter<u64>,
     stripped: Counter<u64>,
     control: Counter<u64>,
+    claims: Counter<u64>,
     in_flight: UpDownCounter<i64>,
     version: Gauge<u64>,
     labelled: Mutex<BTreeSet<String>>,
@@ -104,6 +105,10 @@
                 "Internal headers that callers sent",
             ),
             control: counter("godwitpost.control_bytes", "Bytes of control traffic"),
+            claims: counter(
+                "godwitpost.claim_bytes",
+                "Bytes of claims on unrepeatable requests",
+            ),
             in_flight: meter
                 .i64_up_down_counter("godwitpost.in_flight")
                 .with_description("Requests in flight")
@@ -152,6 +157,11 @@
         self.control.add(bytes, &[KeyValue::new("to", to)]);
     }
 
+    /// Counts bytes of claims, sent and received.
+    pub fn claim_bytes(&self, bytes: u64) {
+        self.claims.add(bytes, &[]);
+    }
+
     /// Moves the number of requests in flight.
     pub fn in_flight(&self, by: i64) {
         self.in_flight.add(by, &[]);
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -44,11 +44,16 @@
 }
 
 fn ready(shared: &Shared) -> Response<Body> {
-    match (shared.leaving(), shared.ready()) {
-        (true, _) => probe(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
-        (false, true) => probe(StatusCode::OK, "ready\n"),
-        (false, false) => probe(StatusCode::SERVICE_UNAVAILABLE, "no bundle yet\n"),
-    }
+    let (status, text) = if shared.leaving() {
+        (StatusCode::SERVICE_UNAVAILABLE, "leaving\n")
+    } else if shared.ready() {
+        (StatusCode::OK, "ready\n")
+    } else if shared.listed() {
+        (StatusCode::SERVICE_UNAVAILABLE, "no bundle yet\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "no instance list yet\n")
+    };
+    probe(status, text)
 }
 
 fn probe(status: StatusCode, text: &'static str) -> Response<Body> {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -54,8 +54,10 @@
     pub(crate) clock: Clock,
     /// For requests on their way; its bytes are no control traffic.
     pub(crate) connector: Connector,
-    /// For control messages that traffic threads send, such as claims.
+    /// For control messages that traffic threads send.
     pub(crate) side: Connector,
+    /// For claims of unrepeatable requests and answers kept for them.
+    pub(crate) claiming: Connector,
     pub(crate) metrics: Metrics,
     pub(crate) desk: Desk,
     pub(crate) claims: Claims,
@@ -63,6 +65,7 @@
     snapshot: ArcSwap<Snapshot>,
     gate: Mutex<Gate>,
     leaving: AtomicBool,
+    listed: AtomicBool,
     in_flight: AtomicUsize,
 }
 
@@ -117,6 +120,7 @@
             clock,
             connector,
             side: Connector::new(connect::Settings::default()),
+            claiming: Connector::new(connect::Settings::default()),
             metrics,
             control,
             snapshot: ArcSwap::from_pointee(snapshot),
@@ -127,6 +131,7 @@
                 rng: random::generator(),
             }),
             leaving: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         }
     }
@@ -176,8 +181,22 @@
     }
 
     /// Returns whether the balancer should send callers here.
+    ///
+    /// The failure: a router is ready with the bundle alone, and its first
+    /// callers hear that there is no endpoint, since it has not read the
+    /// platform's list yet.
     pub(crate) fn ready(&self) -> bool {
-        !self.leaving() && self.snapshot.load().bundle.is_some()
+        !self.leaving() && self.listed() && self.snapshot.load().bundle.is_some()
+    }
+
+    /// Returns whether the platform's list was read and published.
+    pub(crate) fn listed(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
+    }
+
+    /// Notes that the platform's list was read and published.
+    pub(crate) fn set_listed(&self) {
+        self.listed.store(true, Ordering::Release);
     }
 
     /// Returns the requests in flight: callers' and peers'.
--- a/crates/router/tests/router/faults.rs
+++ b/crates/router/tests/router/faults.rs
@@ -327,3 +327,35 @@
     let (_, headers, _) = fleet.ask(0, order(&key(8), "guides")).await;
     assert_eq!(outcome(&headers), "unknown");
 }
+
+// A router is started while the list is down. It has the bundle from the log
+// and calls itself ready; the balancer sends it callers, and all of them hear
+// that there is no endpoint, which the routers beside it have.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_is_not_ready_before_it_has_read_the_list() {
+    let mut fleet = Fleet::start(SIZE).await;
+    fleet.list.faults().change(|faults| faults.down = true);
+    fleet.add_router(9, &Private::from_seed(&[3; 32]));
+    let late = fleet.routers.last().unwrap();
+    let (callers, operators) = (late.callers_address(), late.operators_address());
+    until("the new router holds the bundle", async || {
+        let (_, _, bundle) = fleet.get(operators, "/bundle").await;
+        let bundle: serde_json::Value = serde_json::from_slice(&bundle).unwrap();
+        bundle["version"] == 1
+    })
+    .await;
+    let (status, _, text) = fleet.get(callers, "/readyz").await;
+    assert_eq!(
+        (status.as_u16(), &text[..]),
+        (503, &b"no instance list yet\n"[..])
+    );
+    fleet.list.faults().change(|faults| faults.down = false);
+    until("the new router is ready", async || {
+        fleet.get(callers, "/readyz").await.0 == 200
+    })
+    .await;
+    let (status, _, _) = fleet
+        .ask(fleet.routers.len() - 1, chat("ice lines", 4))
+        .await;
+    assert_eq!(status, 200);
+}
