capacity: the relay bench runs under the router's allocator

The binary has had mimalloc as its global allocator, but the bench linked the system's, so it measured an allocator that no router runs. A profile of the short requests showed 15% of the router's time in malloc and free against 3% of the bare relay's. Both now run under mimalloc in the bench.

The bound stays as it is.

--- a/crates/capacity/benches/relay.rs
+++ b/crates/capacity/benches/relay.rs
@@ -5,6 +5,11 @@
 use godwitpost_bench::figure::Figure;
 use godwitpost_capacity::live::relay;
 
+// The router's binary runs under this allocator, so its cost is measured under
+// it; the bare relay of the ratio runs under the same one.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 fn main() -> ExitCode {
     // The test command builds benches and runs them with this argument; wall
     // and processor time decide no verdict there.
