router: headers are packed only for another instance

Each request packed its headers into pairs of strings at the entry, cloned them with the job for the owner, and had the last leg parse them back, also where entry and owner are the same instance and nothing leaves it. The job now keeps the header map, packs it where the head goes into a frame, and is lent to a local owner; only an unrepeatable request, which runs apart from its caller, takes a copy.

--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -18,18 +18,43 @@
 
 use bytes::Bytes;
 use godwitpost_platform::connect::Body;
-use godwitpost_wire::dispatch::{Head, Reply};
-use http::Response;
+use godwitpost_wire::dispatch::{Head, Reply, pack, unpack};
+use http::{HeaderMap, Response};
 
 /// A request on its way, with its whole body.
+///
+/// Its headers are packed into the head only where it leaves for another
+/// instance: packing copies each name and value, and unpacking parses them
+/// again, which a request that stays here would pay for nothing.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
-    /// What travels between instances.
+    /// What travels between instances, but for the headers.
     pub(crate) head: Head,
+    /// The caller's headers that endpoints may see.
+    pub(crate) headers: HeaderMap,
     /// The body; clones share it.
     pub(crate) body: Bytes,
 }
 
+impl Job {
+    /// Returns a request as another instance sent it.
+    pub(crate) fn received(mut head: Head, body: Bytes) -> Self {
+        let packed = std::mem::take(&mut head.headers);
+        Self {
+            head,
+            headers: unpack(&packed),
+            body,
+        }
+    }
+
+    /// Returns the head as it goes to another instance.
+    pub(crate) fn packed(&self) -> Head {
+        let mut head = self.head.clone();
+        head.headers = pack(&self.headers);
+        head
+    }
+}
+
 /// What came of one attempt.
 #[derive(Debug)]
 pub(crate) enum Attempt {
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -9,7 +9,7 @@
 use godwitpost_types::endpoint::Endpoint;
 use godwitpost_types::id::{ChatId, RequestId};
 use godwitpost_types::policy::Kind;
-use godwitpost_wire::dispatch::{self, Reply};
+use godwitpost_wire::dispatch::Reply;
 use godwitpost_wire::header;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 
@@ -176,7 +176,7 @@
     let mut request = Request::new(body::full(job.body.clone()));
     *request.method_mut() = Method::from_bytes(head.method.as_bytes()).ok()?;
     *request.uri_mut() = Uri::try_from(head.path.as_str()).ok()?;
-    *request.headers_mut() = dispatch::unpack(&head.headers);
+    *request.headers_mut() = job.headers.clone();
     let headers = request.headers_mut();
     headers.insert(header::REQUEST, value(&request_text(head.request.id)));
     headers.insert(
--- a/crates/router/src/relay/entry.rs
+++ b/crates/router/src/relay/entry.rs
@@ -12,7 +12,7 @@
 use godwitpost_types::id::{EndpointId, InstanceId};
 use godwitpost_types::instance::Instance;
 use godwitpost_types::outcome::Outcome;
-use godwitpost_wire::dispatch::{Head, Reply, pack};
+use godwitpost_wire::dispatch::{Head, Reply};
 use http::{Response, StatusCode};
 use rand::RngExt as _;
 
@@ -176,14 +176,14 @@
     /// request; it counts the endpoint's work by its own share and reports.
     async fn send(&self, instance: InstanceId) -> Result<Attempt, Ending> {
         let Some(remote) = self.remote(instance) else {
-            return Ok(owner::serve(self.shared, self.job.clone()).await);
+            return Ok(owner::serve(self.shared, &self.job).await);
         };
         match peer::dispatch(self.shared, remote, &self.job).await {
             Ok(attempt) => Ok(attempt),
             Err(Failure::NotSent) => {
                 log::debug!(instance:% = remote.name; "owner unreachable, served here");
                 self.avoid(instance);
-                Ok(owner::serve(self.shared, self.job.clone()).await)
+                Ok(owner::serve(self.shared, &self.job).await)
             }
             Err(Failure::Unknown(ending)) => {
                 // A late answer says that the endpoint is slow; only a broken
@@ -280,9 +280,10 @@
             attempt: 0,
             method: resolved.method,
             path: resolved.path,
-            headers: pack(&resolved.headers),
+            headers: Vec::new(),
             issued: resolved.key.map(|key| key.issued),
         },
+        headers: resolved.headers,
         body: resolved.body,
     }
 }
--- a/crates/router/src/relay/owner.rs
+++ b/crates/router/src/relay/owner.rs
@@ -13,11 +13,12 @@
 /// An unrepeatable request runs apart from its caller: once it has started,
 /// its caller's going away must not break it off half-way, and its answer is
 /// kept for the caller's return.
-pub(crate) async fn serve(shared: &Arc<Shared>, job: Job) -> Attempt {
+pub(crate) async fn serve(shared: &Arc<Shared>, job: &Job) -> Attempt {
     if job.head.request.repeatable() {
-        return run(shared, &job).await;
+        return run(shared, job).await;
     }
     let shared = Arc::clone(shared);
+    let job = job.clone();
     let apart = tokio::spawn(async move {
         let _in_flight = shared.enter();
         run(&shared, &job).await
--- a/crates/router/src/relay/peer.rs
+++ b/crates/router/src/relay/peer.rs
@@ -48,7 +48,7 @@
     job: &Job,
 ) -> Result<Attempt, Failure> {
     let bytes = Frame {
-        head: &job.head,
+        head: job.packed(),
         body: job.body.clone(),
     }
     .encode();
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -99,7 +99,7 @@
     };
     let attempt = head.attempt;
     let pool = Pool::of(&head.request);
-    let (kind, mut response) = match owner::serve(shared, Job { head, body }).await {
+    let (kind, mut response) = match owner::serve(shared, &Job::received(head, body)).await {
         Attempt::Answered(mut response) => {
             header::add_via(response.headers_mut(), &shared.settings.name);
             (Kind::Relayed, response)
