router: instruments are bound to their labels once

Each request allocated its label set three times, hashed its strings and looked them up under the SDK's lock, and moved an up-down counter twice. The labels of a workspace and class are now bound to instruments when they are first seen, at most 65 times the classes as before, and the requests in flight are counted in an atomic number that is read when metrics are asked for.

--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -4,15 +4,21 @@
 //! workspaces in several classes would cost tens of megabytes. So the first
 //! [`LABELLED`] workspaces that send requests get a label of their own and
 //! the others share one.
+//!
+//! A request's label set is resolved once, to instruments bound to it: else
+//! each record would allocate the set, hash its strings and look it up.
 
-use std::collections::BTreeSet;
-use std::sync::{Mutex, PoisonError};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use godwitpost_types::id::Version;
 use godwitpost_types::outcome::Outcome;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _, UpDownCounter};
+use opentelemetry::metrics::{
+    BoundCounter, BoundHistogram, Counter, Gauge, Histogram, MeterProvider as _,
+};
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
@@ -54,9 +60,10 @@
     strangers: Counter<u64>,
     stripped: Counter<u64>,
     control: Counter<u64>,
-    in_flight: UpDownCounter<i64>,
+    in_flight: Arc<AtomicI64>,
     version: Gauge<u64>,
-    labelled: Mutex<BTreeSet<String>>,
+    labelled: Mutex<BTreeMap<String, Classes>>,
+    nobody: Labels,
 }
 
 impl Metrics {
@@ -91,10 +98,23 @@
         let counter = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
+        let first_byte = seconds("godwitpost.first_byte", "Time to the head of the answer");
+        let whole = seconds("godwitpost.whole", "Time to the end of the answer");
+        let requests = counter("godwitpost.requests", "Requests by outcome and status");
+        let in_flight = Arc::new(AtomicI64::new(0));
+        let observed = Arc::clone(&in_flight);
+        // Read when somebody asks for metrics; a request only counts.
+        meter
+            .i64_observable_up_down_counter("godwitpost.in_flight")
+            .with_description("Requests in flight")
+            .with_callback(move |to| to.observe(observed.load(Ordering::Relaxed), &[]))
+            .build();
         Self {
-            first_byte: seconds("godwitpost.first_byte", "Time to the head of the answer"),
-            whole: seconds("godwitpost.whole", "Time to the end of the answer"),
-            requests: counter("godwitpost.requests", "Requests by outcome and status"),
+            nobody: Labels::bind("(none)", "(none)", &first_byte, &whole),
+            first_byte,
+            whole,
+            requests,
+            in_flight,
             strangers: counter(
                 "godwitpost.strangers",
                 "Messages on the peers' port without a valid seal",
@@ -104,10 +124,6 @@
                 "Internal headers that callers sent",
             ),
             control: counter("godwitpost.control_bytes", "Bytes of control traffic"),
-            in_flight: meter
-                .i64_up_down_counter("godwitpost.in_flight")
-                .with_description("Requests in flight")
-                .build(),
             version: meter
                 .u64_gauge("godwitpost.bundle_version")
                 .with_description("The bundle version in force")
@@ -120,16 +136,13 @@
 
     /// Counts a request whose answer's head is known.
     pub fn head(&self, labels: &Labels, outcome: Outcome, status: u16, took: Duration) {
-        let mut set = labels.set();
-        self.first_byte.record(took.as_secs_f64(), &set);
-        set.push(KeyValue::new("outcome", outcome.as_str()));
-        set.push(KeyValue::new("status", i64::from(status)));
-        self.requests.add(1, &set);
+        labels.0.first_byte.record(took.as_secs_f64());
+        labels.count(&self.requests, outcome, status);
     }
 
     /// Counts a request whose answer ended.
-    pub fn end(&self, labels: &Labels, took: Duration) {
-        self.whole.record(took.as_secs_f64(), &labels.set());
+    pub fn end(labels: &Labels, took: Duration) {
+        labels.0.whole.record(took.as_secs_f64());
     }
 
     /// Counts a message of a stranger.
@@ -154,7 +167,7 @@
 
     /// Moves the number of requests in flight.
     pub fn in_flight(&self, by: i64) {
-        self.in_flight.add(by, &[]);
+        self.in_flight.fetch_add(by, Ordering::Relaxed);
     }
 
     /// Sets the bundle version in force.
@@ -166,15 +179,24 @@
     #[must_use]
     pub fn labels(&self, workspace: &str, class: &str) -> Labels {
         let mut labelled = self.labelled.lock().unwrap_or_else(PoisonError::into_inner);
-        let known = labelled.contains(workspace);
-        if !known && labelled.len() < LABELLED {
-            labelled.insert(workspace.to_owned());
-        }
-        let own = known || labelled.contains(workspace);
-        Labels {
-            workspace: if own { workspace } else { OTHERS }.to_owned(),
-            class: class.to_owned(),
+        // The label of the others is one beside the workspaces' own.
+        let most = LABELLED + usize::from(labelled.contains_key(OTHERS));
+        let own = labelled.contains_key(workspace) || labelled.len() < most;
+        let workspace = if own { workspace } else { OTHERS };
+        let known = labelled.get(workspace).and_then(|known| known.get(class));
+        if let Some(labels) = known {
+            return labels.clone();
         }
+        let classes = labelled.entry(workspace.to_owned()).or_default();
+        let bind = || Labels::bind(workspace, class, &self.first_byte, &self.whole);
+        let labels = classes.entry(class.to_owned()).or_insert_with(bind);
+        labels.clone()
+    }
+
+    /// Returns the labels of a request that named no known workspace.
+    #[must_use]
+    pub fn nobody(&self) -> Labels {
+        self.nobody.clone()
     }
 
     /// Returns all metrics as Prometheus text.
@@ -186,28 +208,57 @@
     }
 }
 
-/// The labels of one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Labels {
-    workspace: String,
-    class: String,
+/// The labels of one workspace, by class.
+type Classes = BTreeMap<String, Labels>;
+
+/// The labels of one request: instruments bound to them.
+#[derive(Clone, Debug)]
+pub struct Labels(Arc<Bound>);
+
+#[derive(Debug)]
+struct Bound {
+    set: Vec<KeyValue>,
+    first_byte: BoundHistogram<f64>,
+    whole: BoundHistogram<f64>,
+    // By outcome and status; both have few values.
+    requests: Mutex<BTreeMap<(Outcome, u16), BoundCounter<u64>>>,
 }
 
 impl Labels {
-    /// Returns the labels of a request that named no known workspace.
-    #[must_use]
-    pub fn nobody() -> Self {
-        Self {
-            workspace: "(none)".to_owned(),
-            class: "(none)".to_owned(),
-        }
+    fn bind(
+        workspace: &str,
+        class: &str,
+        first_byte: &Histogram<f64>,
+        whole: &Histogram<f64>,
+    ) -> Self {
+        let set = vec![
+            KeyValue::new("workspace", workspace.to_owned()),
+            KeyValue::new("class", class.to_owned()),
+        ];
+        Self(Arc::new(Bound {
+            first_byte: first_byte.bind(&set),
+            whole: whole.bind(&set),
+            requests: Mutex::default(),
+            set,
+        }))
     }
 
-    fn set(&self) -> Vec<KeyValue> {
-        vec![
-            KeyValue::new("workspace", self.workspace.clone()),
-            KeyValue::new("class", self.class.clone()),
-        ]
+    fn count(&self, requests: &Counter<u64>, outcome: Outcome, status: u16) {
+        let bound = &self.0;
+        let mut counters = bound
+            .requests
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let bind = || {
+            let mut set = bound.set.clone();
+            set.push(KeyValue::new("outcome", outcome.as_str()));
+            set.push(KeyValue::new("status", i64::from(status)));
+            requests.bind(&set)
+        };
+        counters
+            .entry((outcome, status))
+            .or_insert_with(bind)
+            .add(1);
     }
 }
 
--- a/crates/router/src/metrics/tests.rs
+++ b/crates/router/src/metrics/tests.rs
@@ -41,3 +41,23 @@
     assert!(!bucket("0.4"));
     assert!(bucket("0.8"));
 }
+
+// The number is read when metrics are asked for, so an instrument that lost
+// its reader would show nothing, and operators would see an idle router.
+#[test]
+fn requests_in_flight_are_shown_as_they_are_now() {
+    let metrics = Metrics::new("otaru-1");
+    let shown = || {
+        let text = metrics.text();
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("godwitpost_in_flight"))
+            .unwrap_or_else(|| panic!("not shown in {text}"));
+        line.rsplit(' ').next().map(str::to_owned)
+    };
+    metrics.in_flight(1);
+    metrics.in_flight(1);
+    assert_eq!(shown().as_deref(), Some("2"));
+    metrics.in_flight(-1);
+    assert_eq!(shown().as_deref(), Some("1"));
+}
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -18,7 +18,7 @@
 
 use crate::body;
 use crate::body::relay::Relay;
-use crate::metrics::Labels;
+use crate::metrics::{Labels, Metrics};
 use crate::problem::Problem;
 use crate::relay::{endpoint, entry};
 use crate::resolve;
@@ -61,7 +61,7 @@
     let began = shared.now();
     let id: RequestId = shared.gate().rng.random();
     let in_flight = shared.enter();
-    let mut labels = Labels::nobody();
+    let mut labels = shared.metrics.nobody();
     let (parts, mut incoming) = request.into_parts();
     let placed = try_place(shared, parts, &mut incoming, id, &in_flight, &mut labels).await;
     let mut response = match placed {
@@ -134,7 +134,7 @@
     shared.metrics.head(&labels, outcome, status.as_u16(), took);
     let shared = Arc::clone(shared);
     let ended = move |_end| {
-        shared.metrics.end(&labels, since(shared.now(), began));
+        Metrics::end(&labels, since(shared.now(), began));
         drop((in_flight, permit));
     };
     response.map(|body| Relay::new(body, false, ended).boxed_unsync())
