--- a/crates/decide/src/owner/room.rs
+++ b/crates/decide/src/owner/room.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{EndpointId, WorkspaceId};
@@ -10,7 +11,7 @@
 use super::job::Job;
 use super::{LOOKED_AT, Owner, PATIENCE, Wake};
 use crate::load::Summary;
-use crate::queue::Ticket;
+use crate::queue::{Queue, Ticket};
 use crate::view::Pool;
 
 /// Part of an endpoint that a workspace over its share must leave free.
@@ -19,21 +20,34 @@
 /// the next request of a surge ends.
 const RESERVE: f64 = 0.125;
 
-/// Requests whose mean work is the least load that the bound applies to.
+/// Shares that a workspace may use before it leaves the reserve free.
 ///
-/// Under it one request more or less is a large multiple of the mean, and
-/// nothing drowns.
-const FLOOR: f64 = 4.0;
+/// Chance alone takes a workspace somewhat over its share without any surge.
+const LENIENT: f64 = 1.5;
 
-/// How fast the mean work of a request follows: a 64th of each new one.
-const SMOOTH: f64 = 1.0 / 64.0;
+/// Part of the bound's room above the mean that a warm request may use.
+const WARM: f64 = 0.45;
+
+/// Part of it that a cold request may use before it looks elsewhere.
+const COLD: f64 = 0.0;
+
+/// Waiting requests among which one that is warm may go first, at a policy
+/// that weighs reuse alone.
+const PREFERRED: u32 = 32;
+
+/// How long after a request had to wait the reserve is kept.
+const CONTENDED: Duration = Duration::from_secs(10);
+
+/// How fast the largest request is forgotten: by a 256th with each new one.
+const FADE: f64 = 1.0 / 256.0;
 
 /// Who uses a pool's endpoints here, and how large its requests are.
 #[derive(Clone, Debug, Default)]
 pub struct Shares {
     users: BTreeMap<WorkspaceId, User>,
     running: u32,
-    each: f64,
+    largest: f64,
+    contended: Moment,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -45,7 +59,8 @@
 
 impl Shares {
     /// Counts a request that starts to wait.
-    pub fn arrive(&mut self, _now: Moment, job: &Job) {
+    pub fn arrive(&mut self, now: Moment, job: &Job) {
+        self.contended = now;
         let user = self.users.entry(job.rank.flow.workspace).or_default();
         user.weight = job.rank.weight;
         user.waiting += 1;
@@ -57,15 +72,14 @@
     }
 
     /// Counts a request that starts to run.
-    pub fn begin(&mut self, _now: Moment, job: &Job, work: u64) {
+    pub fn begin(&mut self, job: &Job) {
         let user = self.users.entry(job.rank.flow.workspace).or_default();
         user.weight = job.rank.weight;
         user.running += 1;
         self.running += 1;
         #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
-        let work = work as f64;
-        let first = self.each == 0.0;
-        self.each += (work - self.each) * if first { 1.0 } else { SMOOTH };
+        let work = job.rank.work as f64;
+        self.largest = (self.largest * (1.0 - FADE)).max(work);
     }
 
     /// Counts a request that ended.
@@ -96,7 +110,7 @@
             .sum();
         let running = self.users.get(&id).map_or(0, |user| user.running);
         let share = job.rank.weight / (job.rank.weight + others);
-        f64::from(running + 1) > f64::from(slots) * share
+        f64::from(running + 1) > f64::from(slots) * share * LENIENT
     }
 }
 
@@ -104,12 +118,12 @@
     /// Returns whether an endpoint has room for a request now.
     pub(super) fn fits(&self, now: Moment, endpoint: EndpointId, job: &Job) -> bool {
         let Some(book) = self.books.get(&endpoint) else {
-            return true;
+            return false;
         };
         if job.suspect {
             return book.open(job.slots) && book.running() == 0;
         }
-        let over = self.over(job);
+        let over = self.over(now, job);
         let free = if over { 1.0 - RESERVE } else { 1.0 };
         if !book.open(part(job.slots, free)) {
             return false;
@@ -117,27 +131,48 @@
         if book.running() == 0 {
             return true;
         }
-        let limit = self.limit(now, endpoint, job) * free;
+        let mean = self.exact_mean(now, job.pool);
         #[expect(clippy::cast_precision_loss, reason = "work is far under 2^52")]
-        let after = (book.load() + job.work(endpoint)) as f64;
-        after <= limit
+        let (load, work) = (book.load() as f64, job.work(endpoint) as f64);
+        let limit = multiple(job, endpoint) * mean.max(self.floor(job.pool));
+        // One more is always right where the load is no more than the mean:
+        // with few and equal requests, all at the mean, nobody could else
+        // ever take a second. A cold one looks for a better place before.
+        let stays = !job.roams(endpoint) && load <= mean * free;
+        stays || load + work <= limit * free
     }
 
-    fn over(&self, job: &Job) -> bool {
+    fn over(&self, now: Moment, job: &Job) -> bool {
         let Some(shares) = self.shares.get(&job.pool) else {
             return false;
         };
+        if since(now, shares.contended) > CONTENDED {
+            return false;
+        }
         let own = self.own(job.pool);
         shares.over(job, own.endpoints * job.slots)
     }
 
-    // The bound on one endpoint's work, in tokens.
-    fn limit(&self, now: Moment, endpoint: EndpointId, job: &Job) -> f64 {
-        let each = self.shares.get(&job.pool).map_or(0.0, |s| s.each);
-        let floor = each * FLOOR;
-        let size = self.view.size(job.pool);
-        let mean = self.means.mean(&self.own(job.pool), size, floor, now);
-        multiple(job, endpoint) * mean.max(floor)
+    // A mean under the largest request is taken as that request: a single one
+    // on an idle endpoint would else be over the bound.
+    fn floor(&self, pool: Pool) -> f64 {
+        self.shares.get(&pool).map_or(0.0, |s| s.largest)
+    }
+
+    fn exact_mean(&self, now: Moment, pool: Pool) -> f64 {
+        let size = self.view.size(pool);
+        self.means
+            .mean(&self.own(pool), size, self.floor(pool), now)
+    }
+
+    /// Returns the mean work of a pool's endpoints, in tokens.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "work is positive and far under 2^52"
+    )]
+    pub(super) fn mean(&self, now: Moment, pool: Pool) -> u64 {
+        self.exact_mean(now, pool) as u64
     }
 
     fn own(&self, pool: Pool) -> Summary {
@@ -168,8 +203,7 @@
     // The first in the queue for which an owned endpoint has room.
     fn fitting(&mut self, now: Moment, pool: Pool) -> Option<(Ticket, EndpointId)> {
         let view = Arc::clone(&self.view);
-        let owned = view.owned().map(|e| e.id);
-        let owned: Vec<_> = owned.filter(|id| view.serves(*id, pool)).collect();
+        let owned = view.owned_of(pool);
         let mut drains = None;
         let mut found = None;
         for (ticket, job) in self.queues.get(&pool)?.iter().take(LOOKED_AT) {
@@ -186,9 +220,38 @@
             }
         }
         if let Some(ticket) = drains {
-            self.set_aside(ticket, &owned);
+            self.set_aside(ticket, owned);
         }
-        found
+        found.map(|(ticket, endpoint)| self.warmer(now, pool, ticket, endpoint))
+    }
+
+    // When all endpoints are full, whoever is first in the queue gets the slot
+    // that comes free, and every chat goes cold. One of the next few that is
+    // warm there goes before, unless the first has waited long.
+    fn warmer(
+        &self,
+        now: Moment,
+        pool: Pool,
+        first: Ticket,
+        endpoint: EndpointId,
+    ) -> (Ticket, EndpointId) {
+        let queue = self.queues.get(&pool);
+        let jobs = queue.into_iter().flat_map(Queue::iter);
+        let mut jobs = jobs.skip_while(|(ticket, _)| *ticket != first);
+        let Some((_, head)) = jobs.next() else {
+            return (first, endpoint);
+        };
+        let settled = head.cached(endpoint) > 0 || since(now, head.since) > PATIENCE;
+        if settled || head.suspect {
+            return (first, endpoint);
+        }
+        let peers = jobs.take(part(PREFERRED, head.reuse) as usize);
+        let mut warm = peers.filter(|(_, job)| {
+            let peer = job.rank.priority == head.rank.priority && !job.suspect;
+            peer && job.cached(endpoint) > 0 && self.fits(now, endpoint, job)
+        });
+        warm.next()
+            .map_or((first, endpoint), |(ticket, _)| (ticket, endpoint))
     }
 
     fn fits_waiting(&self, now: Moment, id: EndpointId, ticket: Ticket, job: &Job) -> bool {
@@ -215,15 +278,19 @@
     }
 }
 
-// The full multiple of the mean where the chat is warm. A cold request may go
-// anywhere, so the more the policy weighs skew the earlier it moves on.
+// Part of what the bound leaves above the mean. A request whose chat is warm
+// may use most of it; a cold one may go anywhere, so the more the policy
+// weighs skew the earlier it moves on. The rest covers what this owner can't
+// know: means that changed since they were told, and wrong estimates.
 fn multiple(job: &Job, endpoint: EndpointId) -> f64 {
-    if job.cached(endpoint) > 0 {
-        return job.bound;
-    }
-    1.0 + (job.bound - 1.0) * f64::midpoint(1.0, job.reuse.clamp(0.0, 1.0))
+    let reuse = job.reuse.clamp(0.0, 1.0);
+    let part = if job.roams(endpoint) {
+        COLD + 0.2 * reuse
+    } else {
+        WARM + 0.1 * reuse
+    };
+    1.0 + (job.bound - 1.0) * part
 }
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -20,6 +20,7 @@
 use bytes::Bytes;
 use godwitpost_bundle::blob::Digest;
 use godwitpost_bundle::fold::Fold;
+use godwitpost_bundle::ready::Ready;
 use godwitpost_platform::connect::{self, Connector};
 use godwitpost_platform::list::{self, Listing};
 use godwitpost_platform::log;
@@ -34,6 +35,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::handover;
 use crate::random;
 use crate::shared::Shared;
 use batchers::Batchers;
@@ -62,7 +64,7 @@
 pub(crate) enum Event {
     /// An answer of the platform's list.
     Listing(Listing),
-    /// Records of the bundles' stream.
+    /// Records of the bundles' stream; none if there is nothing new.
     Bundles(Vec<log::Record>),
     /// A checkpoint was appended, or could not be.
     Renewed,
@@ -101,6 +103,7 @@
     shared: Arc<Shared>,
     io: Io,
     fold: Fold,
+    ready: Ready,
     roster: Roster,
     endpoints: Endpoints,
     pump: Pump,
@@ -141,6 +144,7 @@
         let now = shared.now();
         let roots = settings.root_keys.iter().copied().map(Digest);
         Self {
+            ready: Ready::default(),
             fold: Fold::new(settings.fleet.clone(), roots),
             roster: Roster::new(own.clone()),
             endpoints: Endpoints::new(),
@@ -216,6 +220,10 @@
         let now = self.shared.now();
         self.changes(now);
         self.shared.desk.tick(now);
+        if let Some(due) = handover::due(&self.shared) {
+            let shared = Arc::clone(&self.shared);
+            tokio::spawn(async move { handover::send(&shared, due).await });
+        }
         self.gossip(now);
         self.probe(now);
         self.renew(now);
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -29,11 +29,21 @@
 /// How often is looked for probes that are due.
 const LOOK: Duration = Duration::from_millis(500);
 
-/// The time between two reports of one owned endpoint. An instance owns about
-/// ten endpoints at the letter's size; at 400 bytes an exchange with headers,
-/// ten a second would be 4 KB/s, so each is asked every two seconds.
+/// The least time between two reports of one owned endpoint.
 const REPORT: Duration = Duration::from_secs(2);
 
+/// The longest time between two reports, whatever the number of endpoints.
+/// Beyond the connector's four seconds for an idle connection each report
+/// would open a new one, which costs more bytes than it saves.
+const REPORT_MOST: Duration = Duration::from_millis(3500);
+
+/// Bytes a second that reports of all owned endpoints may cost. With a fixed
+/// two seconds the ten endpoints of the letter's size cost 3.5 KB.
+const REPORT_RATE: usize = 2_000;
+
+/// Bytes of one report on the wire with all headers, as measured there.
+const REPORT_BYTES: usize = 700;
+
 /// How long an endpoint may take to answer a probe.
 const WAIT: Duration = Duration::from_secs(1);
 
@@ -53,7 +63,6 @@
 /// An engine's cache events from an offset on.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct CachePage {
-    first: Offset,
     next: Offset,
     events: Vec<CacheEvent>,
 }
@@ -110,9 +119,11 @@
         }
         self.probes.looked = now;
         let view = std::sync::Arc::clone(&self.shared.snapshot().view);
-        for endpoint in view.owned() {
+        let owned: Vec<&Endpoint> = view.owned().collect();
+        let period = spread(owned.len() * REPORT_BYTES, REPORT_RATE).clamp(REPORT, REPORT_MOST);
+        for endpoint in owned {
             let asked = self.probes.asked.get(&endpoint.id);
-            if asked.is_some_and(|at| since(now, *at) < REPORT) {
+            if asked.is_some_and(|at| since(now, *at) < period) {
                 continue;
             }
             self.probes.asked.insert(endpoint.id, now);
@@ -147,7 +158,7 @@
         let owned = self.probes.asked.len();
         let due = now + spread(bytes * owned, CACHE_RATE);
         self.probes.due.insert(id, due);
-        let gap = self.probes.read(endpoint, page);
+        self.probes.read(endpoint, page);
         let events: Vec<chats::Event> = page
             .events
             .iter()
@@ -157,8 +168,8 @@
             })
             .collect();
         self.shared.desk.with(|owner| {
-            for (index, event) in events.iter().enumerate() {
-                owner.cache_event(id, event, gap && index == 0);
+            for event in &events {
+                owner.cache_event(id, event);
             }
         });
     }
@@ -176,12 +187,12 @@
         }
     }
 
-    // Returns whether events were lost before this page.
-    fn read(&mut self, endpoint: &Endpoint, page: &CachePage) -> bool {
+    // A page after a gap is taken as it is: what the lost events would have
+    // said shows in the order of the evictions that did arrive.
+    fn read(&mut self, endpoint: &Endpoint, page: &CachePage) {
         let before = self.from(endpoint).unwrap_or(0);
         let place = (endpoint.incarnation, page.next.max(before));
         self.events.insert(endpoint.id, place);
-        page.first > before
     }
 }
 
@@ -199,6 +210,7 @@
                 CacheKind::Evicted => chats::Kind::Evicted,
             },
             tokens: self.tokens,
+            incarnation: endpoint.incarnation,
             at,
         })
     }
--- a/crates/wire/src/dispatch.rs
+++ b/crates/wire/src/dispatch.rs
@@ -113,7 +113,10 @@
 #[must_use]
 pub fn load_text(summary: &Summary) -> String {
     let millis = summary.taken.as_millis();
-    format!("{} {} {millis}", summary.endpoints, summary.work)
+    format!(
+        "{} {} {} {millis}",
+        summary.endpoints, summary.work, summary.waiting
+    )
 }
 
 /// Reads what `source` told of its load in a pool.
@@ -125,6 +128,7 @@
         pool,
         endpoints: parts.next()?.parse().ok()?,
         work: parts.next()?.parse().ok()?,
+        waiting: parts.next()?.parse().ok()?,
         taken: Duration::from_millis(parts.next()?.parse().ok()?),
     };
     parts.next().is_none().then_some(summary)
--- a/crates/wire/src/dispatch/tests.rs
+++ b/crates/wire/src/dispatch/tests.rs
@@ -75,10 +75,11 @@
         pool: POOL,
         endpoints: 2,
         work: 12_345,
+        waiting: 6,
         taken: Duration::from_millis(99),
     };
     assert_eq!(load(&load_text(&summary), 1, POOL), Some(summary));
-    for text in ["", "2", "2 3", "2 3 4 5", "-1 3 4", "2  3"] {
+    for text in ["", "2", "2 3 4", "2 3 4 5 6", "-1 3 4 5", "2  3 4"] {
         assert_eq!(load(text, 1, POOL), None, "{text}");
     }
 }
