router: leases and orders keep engines at the bundle's weights

A bundle could raise a model's weights and nothing brought them to the engines: the lease and the planner stood in the state crate unused.

Each service with engines now has one lease on the log's stream `leases`. A graceful stop releases the lease. An order that was not taken is forgotten by the planner and planned anew.

The planner sorted all endpoints once for each endpoint and model when it looked for surplus models; it now sorts once for each model. The list's models may carry weights, as engines' reports do.

The four tests roll weights under traffic, kill the holder in mid-roll, send a stale order to engines that ignore fences, and take the log away.

--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -198,7 +198,7 @@
         id: id::of(&entry.name),
         incarnation: entry.incarnation,
         service: id::of(&service),
-        models: entry.models.iter().map(|model| id::of(model)).collect(),
+        models: entry.models.iter().map(|model| model_id(model)).collect(),
         zone: id::of(&entry.zone),
         region: id::of(&entry.region),
         address: entry.address,
@@ -206,3 +206,9 @@
         name: entry.name,
     })
 }
+
+// Lists may name models as engines report them, with their weights, which
+// pass from version to version while the model stays the same.
+fn model_id(model: &str) -> id::ModelId {
+    id::of(model.split_once('@').map_or(model, |(name, _)| name))
+}
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -10,6 +10,7 @@
 pub(crate) mod bundles;
 mod cost;
 pub(crate) mod gossip;
+mod orders;
 mod probe;
 mod publish;
 mod renew;
@@ -30,7 +31,7 @@
 use godwitpost_state::membership::endpoints::{Change, Endpoints, Leaving};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::endpoint::{Endpoint, Report};
-use godwitpost_types::id::{EndpointId, InstanceId, Version};
+use godwitpost_types::id::{EndpointId, InstanceId, Offset, ServiceId, Version};
 use rand::rngs::StdRng;
 use tokio::sync::{mpsc, oneshot};
 
@@ -77,8 +78,15 @@
     /// What a peer answered to our gossip, with its size; `None` if it could
     /// not be reached.
     Answered(InstanceId, Option<(Message, usize)>),
-    /// An endpoint's report.
-    Report(EndpointId, Report),
+    /// An owned endpoint's report, with the models that it names.
+    Report(EndpointId, Report, Vec<String>),
+    /// What an engine that another instance owns answered when asked for its
+    /// report, with the answer's size.
+    Swept(EndpointId, Option<(Report, Vec<String>, usize)>),
+    /// The log's answer to a call about a service's lease.
+    Lease(ServiceId, orders::Call),
+    /// What came of an order to an engine, by its fencing number.
+    Ordered(ServiceId, EndpointId, Offset, orders::Sent),
     /// An engine's cache events, with their size.
     Cache(EndpointId, CachePage, usize),
     /// An endpoint's answer said that it is leaving.
@@ -110,6 +118,7 @@
     renewed: Option<Moment>,
     published: publish::Published,
     probes: probe::Probes,
+    orders: orders::Orders,
     costs: cost::Costs,
     rng: StdRng,
 }
@@ -151,6 +160,7 @@
             renewed: None,
             published: publish::Published::new(own),
             probes: probe::Probes::default(),
+            orders: orders::Orders::default(),
             costs: cost::Costs::default(),
             rng: random::generator(),
             io: Io {
@@ -199,7 +209,14 @@
                 answer(reply, said);
             }
             Event::Answered(instance, said) => self.answered(now, instance, said),
-            Event::Report(endpoint, report) => self.reported(now, endpoint, &report),
+            Event::Report(endpoint, report, models) => {
+                self.reported(now, endpoint, &report, models);
+            }
+            Event::Swept(endpoint, answer) => self.swept(now, endpoint, answer),
+            Event::Lease(service, call) => self.leased(now, service, call),
+            Event::Ordered(service, endpoint, fence, sent) => {
+                self.ordered(service, endpoint, fence, &sent);
+            }
             Event::Cache(endpoint, page, bytes) => self.cached(endpoint, &page, bytes),
             Event::Leaving(leaving) => self.endpoints.sign(leaving),
             Event::Claim { item, reply } => self.claim(now, item, reply),
@@ -207,6 +224,7 @@
             Event::Leave(done) => {
                 self.roster.leave();
                 self.publish();
+                self.release(now);
                 answer(done, ());
             }
         }
@@ -220,6 +238,7 @@
         self.probe(now);
         self.renew(now);
         self.pump_batchers(now);
+        self.orders(now);
         self.count();
     }
 
--- a/crates/router/src/control/batchers.rs
+++ b/crates/router/src/control/batchers.rs
@@ -165,7 +165,7 @@
 
 // The client's `next` is where to read on; the batcher's is the stream's end.
 // They are the same unless the page is full, when there may be more.
-fn page_of(page: godwitpost_platform::log::Page, limit: u32) -> claim::Page {
+pub(super) fn page_of(page: godwitpost_platform::log::Page, limit: u32) -> claim::Page {
     let full = page.records.len() >= limit as usize;
     let records = page.records.into_iter().map(|record| Stored {
         offset: record.offset,
--- /dev/null
+++ b/crates/router/src/control/orders/lease.rs
@@ -0,0 +1,81 @@
+//! Calls to the log about leases.
+//!
+//! Only candidates read the stream, once per renewal and without waiting.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_platform::log::{Appended, Client, Page, append, read as log_read};
+use godwitpost_state::lease::STREAM;
+use godwitpost_types::id::{Offset, ServiceId};
+
+use super::super::{Event, Io};
+
+/// Records that are read rather than searched for; one page.
+const NEAR: Offset = 1000;
+
+/// The log's answer to a lease's call.
+#[derive(Debug)]
+pub(crate) enum Call {
+    /// To an append, by its ticket.
+    Appended(u64, Result<Appended, append::Error>),
+    /// To a read of so many records.
+    Read(u32, Result<Page, log_read::Error>),
+}
+
+pub(super) async fn append(io: Io, service: ServiceId, ticket: u64, body: Vec<u8>) {
+    let appended = io.log.append(STREAM, Bytes::from(body)).await;
+    let event = Event::Lease(service, Call::Appended(ticket, appended));
+    drop(io.events.send(event).await);
+}
+
+pub(super) async fn read(io: Io, service: ServiceId, from: Offset, limit: u32) {
+    let page = page(&io.log, from, limit).await;
+    let event = Event::Lease(service, Call::Read(limit, page));
+    drop(io.events.send(event).await);
+}
+
+// A new candidate needs the end of the stream only: a lease renews itself
+// every few seconds, and the fold vouches for nothing before its first record.
+// A day of five services' leases is 86,400 records, some 10 MB.
+async fn page(log: &Client, from: Offset, limit: u32) -> Result<Page, log_read::Error> {
+    if from > 0 {
+        return at(log, from, limit).await;
+    }
+    let first = at(log, 0, 1).await?;
+    let start = tail(log, first.first).await?;
+    let mut page = at(log, start, limit).await?;
+    // What was passed over counts as dropped, so that the fold trusts no
+    // lease that it can't have seen.
+    page.first = page.first.max(start);
+    Ok(page)
+}
+
+// Finds an offset less than a page before the stream's end: doubling steps
+// until the end is passed, then halving.
+async fn tail(log: &Client, first: Offset) -> Result<Offset, log_read::Error> {
+    let (mut low, mut step) = (first, NEAR);
+    while holds(log, low + step).await? {
+        low += step;
+        step *= 2;
+    }
+    let mut high = low + step;
+    while high - low > NEAR {
+        let middle = low + (high - low) / 2;
+        if holds(log, middle).await? {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    Ok(low)
+}
+
+async fn holds(log: &Client, offset: Offset) -> Result<bool, log_read::Error> {
+    let page = at(log, offset, 1).await?;
+    Ok(!page.records.is_empty())
+}
+
+async fn at(log: &Client, from: Offset, limit: u32) -> Result<Page, log_read::Error> {
+    log.read(STREAM, from, limit as usize, Duration::ZERO).await
+}
--- /dev/null
+++ b/crates/router/src/control/orders/reports.rs
@@ -0,0 +1,252 @@
+//! What engines report of their models, swept at a bounded rate.
+//!
+//! A holder plans for engines that others own. Weighed were reports through
+//! gossip, which every instance would pay for, and asking the owners; asking
+//! the engines themselves costs only the holder, and the platform's list
+//! stands in until an engine has answered.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use godwitpost_decide::view;
+use godwitpost_state::order::View;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::{Endpoint, Report, Standing};
+use godwitpost_types::id::{self, EndpointId, ModelId, ServiceId};
+use godwitpost_types::policy::Policy;
+
+use super::super::{Control, probe};
+
+/// Bytes a second that a holder spends on reports of engines that it doesn't
+/// own: a sixth of the letter's 6 KB. 3,300 engines at 600 bytes take 33
+/// minutes; loads start at 5 s apart, so the sweep isn't what a roll waits for.
+const RATE: u64 = 1_000;
+
+/// Bytes that may be spent at once after a quiet time: 13 reports.
+const BURST: u64 = 8_000;
+
+/// What one report is taken to cost until its size is known: heads, TCP/IP
+/// headers, and a body with a few models.
+const COST: u64 = 600;
+
+/// The least time between two reports of one engine. Ten engines asked every
+/// five seconds cost 1.2 KB/s, the rate above about.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// How soon an engine with an order is asked again.
+const SOON: Duration = Duration::from_secs(1);
+
+/// How long an engine counts as it reported last while it doesn't answer.
+///
+/// Shorter, and a flapping engine's models would be loaded elsewhere.
+const SILENT: Duration = Duration::from_secs(30);
+
+/// The reports that this instance knows.
+#[derive(Debug, Default)]
+pub(super) struct Reports {
+    engines: BTreeMap<EndpointId, Engine>,
+    allowance: u64,
+    refilled: Moment,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    asked: Option<Moment>,
+    // Since when it has not answered, if so.
+    silent: Option<Moment>,
+    hurry: bool,
+    report: Option<Reported>,
+}
+
+#[derive(Debug)]
+struct Reported {
+    report: Report,
+    // As the engine names them.
+    models: Vec<String>,
+}
+
+impl Control {
+    /// Asks engines of the services whose leases are held.
+    pub(super) fn sweep(&mut self, now: Moment, view: &view::View) {
+        let services = self.orders.services.iter();
+        let held = services.filter(|(_, ordered)| ordered.holder.may_order(now).is_some());
+        let held: Vec<ServiceId> = held.map(|(service, _)| *service).collect();
+        let engines = view.endpoints();
+        let engines: Vec<&Endpoint> = engines.filter(|e| held.contains(&e.service)).collect();
+        for endpoint in self.orders.reports.due(now, &engines) {
+            tokio::spawn(probe::sweep(self.io.clone(), endpoint.clone()));
+        }
+    }
+
+    /// Takes a swept engine's report, or its silence.
+    pub(in crate::control) fn swept(
+        &mut self,
+        now: Moment,
+        id: EndpointId,
+        answer: Option<(Report, Vec<String>, usize)>,
+    ) {
+        let Some((report, models, bytes)) = answer else {
+            self.orders.reports.silent(now, id);
+            return;
+        };
+        self.orders.reports.spend(bytes as u64);
+        self.endpoints.report(now, id, &report);
+        self.orders.reports.take(id, report, models);
+    }
+
+    /// Takes the models of an owned engine's report, which costs nothing more.
+    pub(in crate::control) fn loaded(
+        &mut self,
+        now: Moment,
+        id: EndpointId,
+        report: Report,
+        models: Vec<String>,
+    ) {
+        // Only a holder needs them; the others would only keep them.
+        if self.orders.reports.engines.contains_key(&id) {
+            self.orders.reports.asked(now, id);
+            self.orders.reports.take(id, report, models);
+        }
+    }
+}
+
+impl Reports {
+    /// Returns the engines to ask now, those with orders and those never asked
+    /// first, and forgets the ones that are not `engines`.
+    fn due<'e>(&mut self, now: Moment, engines: &[&'e Endpoint]) -> Vec<&'e Endpoint> {
+        let earned = since(now, self.refilled).as_millis();
+        let earned = u64::try_from(earned).unwrap_or(u64::MAX);
+        let earned = earned.saturating_mul(RATE) / 1000;
+        self.allowance = self.allowance.saturating_add(earned).min(BURST);
+        self.refilled = now;
+        let present: BTreeSet<EndpointId> = engines.iter().map(|e| e.id).collect();
+        self.engines.retain(|id, _| present.contains(id));
+        let mut due: Vec<(bool, Option<Moment>, &Endpoint)> = Vec::new();
+        for endpoint in engines {
+            let engine = self.engines.entry(endpoint.id).or_default();
+            let period = if engine.hurry { SOON } else { PERIOD };
+            if engine.asked.is_none_or(|at| since(now, at) >= period) {
+                due.push((!engine.hurry, engine.asked, endpoint));
+            }
+        }
+        due.sort_by_key(|(calm, asked, endpoint)| (*calm, *asked, endpoint.id));
+        due.truncate(usize::try_from(self.allowance / COST).unwrap_or(usize::MAX));
+        self.allowance -= due.len() as u64 * COST;
+        let due: Vec<&Endpoint> = due.into_iter().map(|(.., endpoint)| endpoint).collect();
+        for endpoint in &due {
+            self.asked(now, endpoint.id);
+        }
+        due
+    }
+
+    /// Has an engine asked soon: it got an order.
+    pub(super) fn hurry(&mut self, id: EndpointId) {
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.hurry = true;
+        }
+    }
+
+    /// Returns the service's endpoints as the planner wants them.
+    pub(super) fn views(
+        &self,
+        now: Moment,
+        service: ServiceId,
+        policy: &Policy,
+        view: &view::View,
+    ) -> Vec<View> {
+        view.endpoints()
+            .filter(|endpoint| endpoint.service == service)
+            .map(|endpoint| self.view(now, endpoint, policy))
+            .collect()
+    }
+
+    fn view(&self, now: Moment, endpoint: &Endpoint, policy: &Policy) -> View {
+        let engine = self.engines.get(&endpoint.id);
+        let silent = engine.and_then(|engine| engine.silent);
+        let silent = silent.is_some_and(|from| since(now, from) >= SILENT);
+        let report = engine.and_then(|engine| engine.report.as_ref());
+        // A former life's models are gone with it.
+        let report = report.filter(|r| r.report.incarnation >= endpoint.incarnation);
+        let (taken, loaded) = match report {
+            Some(reported) => (reported.report.taken, loaded(&reported.models)),
+            None => (Moment::ZERO, listed(endpoint, policy)),
+        };
+        View {
+            id: endpoint.id,
+            incarnation: endpoint.incarnation,
+            standing: if silent {
+                Standing::Leaving
+            } else {
+                endpoint.standing
+            },
+            taken,
+            loaded,
+        }
+    }
+
+    /// Returns the name by which an engine reports a model.
+    pub(super) fn name(&self, endpoint: EndpointId, model: ModelId) -> Option<&str> {
+        let reported = self.engines.get(&endpoint)?.report.as_ref()?;
+        let mut names = reported.models.iter().map(|model| split(model).0);
+        names.find(|name| id::of(name) == model)
+    }
+
+    fn asked(&mut self, now: Moment, id: EndpointId) {
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.asked = Some(now);
+        }
+    }
+
+    fn silent(&mut self, now: Moment, id: EndpointId) {
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.silent.get_or_insert(now);
+        }
+    }
+
+    fn take(&mut self, id: EndpointId, report: Report, models: Vec<String>) {
+        let Some(engine) = self.engines.get_mut(&id) else {
+            return;
+        };
+        engine.silent = None;
+        let old = engine.report.as_ref();
+        let old = old.is_some_and(|old| {
+            let known = &old.report;
+            (report.incarnation, report.taken) < (known.incarnation, known.taken)
+        });
+        if old {
+            return;
+        }
+        let changed = engine.report.as_ref().is_none_or(|r| r.models != models);
+        engine.hurry &= !changed;
+        engine.report = Some(Reported { report, models });
+    }
+
+    // Takes off what a report cost beyond the estimate.
+    const fn spend(&mut self, bytes: u64) {
+        self.allowance = self.allowance.saturating_sub(bytes.saturating_sub(COST));
+    }
+}
+
+// The list names no weights that can be relied on: an engine that has not
+// answered yet is taken to have the wanted ones, so that nothing is loaded
+// anew on the list's word alone.
+fn listed(endpoint: &Endpoint, policy: &Policy) -> BTreeMap<ModelId, String> {
+    let models = endpoint.models.iter();
+    models
+        .filter_map(|id| Some((*id, policy.models.get(id)?.weights.clone())))
+        .collect()
+}
+
+// Reads a report's models, each `name@weights`.
+fn loaded(models: &[String]) -> BTreeMap<ModelId, String> {
+    let parts = models.iter().map(|model| {
+        let (name, weights) = split(model);
+        (id::of(name), weights.to_owned())
+    });
+    parts.collect()
+}
+
+// A bare name has weights that nobody knows, which are never the wanted ones.
+fn split(model: &str) -> (&str, &str) {
+    model.split_once('@').unwrap_or((model, ""))
+}
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -80,6 +80,8 @@
     standing: Standing,
     requests: u32,
     work: u64,
+    #[serde(default)]
+    models: Vec<String>,
 }
 
 /// Follows the list for ever.
@@ -130,8 +132,15 @@
             .retain(|id, _| view.endpoint(*id).is_some());
     }
 
-    pub(super) fn reported(&mut self, now: Moment, endpoint: EndpointId, report: &Report) {
+    pub(super) fn reported(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointId,
+        report: &Report,
+        models: Vec<String>,
+    ) {
         self.endpoints.report(now, endpoint, report);
+        self.loaded(now, endpoint, *report, models);
         self.shared
             .desk
             .with(|owner| owner.observe(endpoint, report));
@@ -205,15 +214,9 @@
 }
 
 async fn ask(io: Io, endpoint: Endpoint, from: Option<Offset>) {
-    if let Some((report, _)) = get::<ReportAnswer>(&io, &endpoint, "/v1/report").await {
-        let report = Report {
-            taken: Duration::from_millis(report.taken_ms),
-            incarnation: report.incarnation,
-            standing: report.standing,
-            requests: report.requests,
-            work: report.work,
-        };
-        drop(io.events.send(Event::Report(endpoint.id, report)).await);
+    if let Some((report, models, _)) = report(&io, &endpoint).await {
+        let event = Event::Report(endpoint.id, report, models);
+        drop(io.events.send(event).await);
     }
     let Some(from) = from else { return };
     let path = format!("/v1/cache-events?from={from}");
@@ -223,6 +226,25 @@
     }
 }
 
+/// Asks an endpoint that another instance owns for its report.
+pub(super) async fn sweep(io: Io, endpoint: Endpoint) {
+    let answer = report(&io, &endpoint).await;
+    drop(io.events.send(Event::Swept(endpoint.id, answer)).await);
+}
+
+// Returns a report with the models in it and its size.
+async fn report(io: &Io, endpoint: &Endpoint) -> Option<(Report, Vec<String>, usize)> {
+    let (answer, bytes) = get::<ReportAnswer>(io, endpoint, "/v1/report").await?;
+    let report = Report {
+        taken: Duration::from_millis(answer.taken_ms),
+        incarnation: answer.incarnation,
+        standing: answer.standing,
+        requests: answer.requests,
+        work: answer.work,
+    };
+    Some((report, answer.models, bytes))
+}
+
 /// Bytes of a probe beside its answer's body: two HTTP heads of about 120, and
 /// TCP/IP headers with the acknowledgements.
 const HEADS: usize = 400;
--- /dev/null
+++ b/crates/router/tests/router/engine_orders.rs
@@ -0,0 +1,196 @@
+//! Orders to engines, under leases on the log.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use godwitpost_router::Running;
+use godwitpost_standin::engine::{self, Wanted};
+use godwitpost_state::lease::{Ask, Record, STREAM, TERM, Table};
+use godwitpost_types::id::{self, Offset};
+use http::Request;
+
+use crate::fleet::{Fleet, Size, chat, full, outcome, until, until_within};
+
+const SIZE: Size = Size {
+    routers: 3,
+    engines: 3,
+    plains: 0,
+};
+
+/// Far above a lease's term, a successor's wait and three loads, 45 s in all.
+const TERMS: Duration = Duration::from_mins(3);
+
+/// Returns the router that holds the lease, with its fencing number.
+fn holder(fleet: &Fleet) -> Option<(u64, Offset)> {
+    let mut table = Table::new();
+    for record in fleet.log.records(STREAM) {
+        let decoded = Record::decode(&record.body);
+        table.apply(record.offset, record.time, decoded.as_ref());
+    }
+    let current = table.current(id::of("drafting"))?;
+    (table.time() < current.until).then_some((current.holder, current.fence))
+}
+
+async fn held(fleet: &Fleet, but: Option<u64>) -> (u64, Offset) {
+    let wanted = || holder(fleet).filter(|(holder, _)| Some(*holder) != but);
+    until_within(TERMS, "a router holds the lease", async || {
+        wanted().is_some()
+    })
+    .await;
+    wanted().unwrap()
+}
+
+fn take(fleet: &mut Fleet, holder: u64) -> Running {
+    let names = ["router-0", "router-1", "router-2"];
+    let index = names.iter().position(|name| id::of(name) == holder);
+    fleet.routers.remove(index.unwrap())
+}
+
+fn have(fleet: &Fleet, model: &str) -> usize {
+    let wanted = BTreeSet::from([model.to_owned()]);
+    let engines = fleet.engines.iter();
+    engines.filter(|engine| engine.models() == wanted).count()
+}
+
+fn orders(fleet: &Fleet) -> Vec<engine::Order> {
+    let engines = fleet.engines.iter();
+    engines.flat_map(engine::Running::orders).collect()
+}
+
+/// Sends an order as a holder of the past would; returns the status.
+async fn stale(fleet: &Fleet, engine: usize, fence: Offset, weights: &str) -> u16 {
+    let order = serde_json::json!({
+        "fence": fence,
+        "load": {"model": "writer", "weights": weights},
+    });
+    let request = Request::post("/v1/orders").body(full(&order.to_string()));
+    let address = fleet.engines[engine].address();
+    let sent = fleet.client.send(address, request.unwrap(), TERM).await;
+    sent.unwrap().status().as_u16()
+}
+
+async fn draft(fleet: &Fleet, n: usize) {
+    let request = chat(&format!("draft {n}"), 2);
+    let (status, headers, body) = fleet.ask(n % fleet.routers.len(), request).await;
+    let text = String::from_utf8_lossy(&body);
+    assert_eq!((status.as_u16(), outcome(&headers)), (200, "ran"), "{text}");
+}
+
+// An operator raises a model's weights at noon. Every engine has to come to
+// the new ones, each pulled once from the store, and editors who draft all
+// the while must not get one refusal.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_weights_reach_every_engine_and_no_request_fails_meanwhile() {
+    let fleet = Fleet::start(SIZE).await;
+    fleet.roll_weights("8");
+    let mut drafts = 0;
+    until_within(TERMS, "every engine has the new weights", async || {
+        draft(&fleet, drafts).await;
+        drafts += 1;
+        have(&fleet, "writer@8") == SIZE.engines
+    })
+    .await;
+    let (_, fence) = held(&fleet, None).await;
+    let orders = orders(&fleet);
+    assert_eq!(orders.len(), SIZE.engines, "{orders:?}");
+    for order in &orders {
+        assert!(order.taken && order.fence == fence, "{order:?}");
+    }
+    assert_eq!(fleet.store.pulls(), ["writer/8"; SIZE.engines]);
+}
+
+// The holder of the lease crashes in the middle of a roll. Another router has
+// to finish it, and an order of the dead one that was still under way must
+// not bring the old weights back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_holder_is_succeeded_and_its_fence_refused() {
+    let mut fleet = Fleet::start(SIZE).await;
+    fleet.roll_weights("8");
+    until_within(TERMS, "the roll has begun", async || {
+        !orders(&fleet).is_empty()
+    })
+    .await;
+    let (first, old) = held(&fleet, None).await;
+    take(&mut fleet, first).kill();
+    until_within(TERMS, "the roll is finished", async || {
+        have(&fleet, "writer@8") == SIZE.engines
+    })
+    .await;
+    let (_, fence) = held(&fleet, Some(first)).await;
+    assert!(fence > old);
+    let ordered: Vec<usize> = (0..SIZE.engines)
+        .filter(|&n| fleet.engines[n].orders().iter().any(|o| o.fence == fence))
+        .collect();
+    assert!(!ordered.is_empty(), "the successor gave orders");
+    for engine in ordered {
+        assert_eq!(stale(&fleet, engine, old, "7").await, 409);
+    }
+    assert_eq!(have(&fleet, "writer@8"), SIZE.engines);
+}
+
+// Two routers give orders for a moment: the first was paused with an order in
+// its hands, and its lease went to another meanwhile. The engine ignores
+// fencing numbers and obeys the late order. The holder sees the wrong weights
+// in its report and declares the right ones again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_ignores_numbers_ends_in_the_wanted_state() {
+    let mut fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines {
+        engine
+            .faults()
+            .change(|faults| faults.ignore_fencing = true);
+    }
+    let (first, old) = held(&fleet, None).await;
+    let stopped = take(&mut fleet, first);
+    stopped.stop_gracefully().await;
+    let (_, fence) = held(&fleet, Some(first)).await;
+    let released = fleet.log.records(STREAM).iter().any(|record| {
+        let record = Record::decode(&record.body);
+        record.is_some_and(|record| record.holder == first && record.ask == Ask::Release(old))
+    });
+    assert!(released, "a graceful stop gives the lease back");
+    assert_eq!(stale(&fleet, 0, old, "6").await, 202);
+    until("the engine obeys", async || have(&fleet, "writer@6") == 1).await;
+    until_within(TERMS, "the wanted weights are back", async || {
+        have(&fleet, "writer@7") == SIZE.engines
+    })
+    .await;
+    let last = fleet.engines[0].orders().pop().unwrap();
+    let wanted = Wanted::Load {
+        model: "writer".to_owned(),
+        weights: "7".to_owned(),
+    };
+    assert_eq!((last.fence, last.wanted), (fence, wanted));
+}
+
+// The log is down for long. Nobody can know who holds the lease, so an engine
+// that went astray gets no order, and drafts go on. When the log is back, so
+// are the orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_log_down_no_order_goes_out_and_chats_go_on() {
+    let fleet = Fleet::start(SIZE).await;
+    for engine in &fleet.engines {
+        engine
+            .faults()
+            .change(|faults| faults.ignore_fencing = true);
+    }
+    let (_, fence) = held(&fleet, None).await;
+    fleet.log.faults().change(|faults| faults.down = true);
+    // Whoever holds the lease now has lost it after a term.
+    tokio::time::sleep(TERM).await;
+    assert_eq!(stale(&fleet, 0, fence, "6").await, 202);
+    until("the engine obeys", async || have(&fleet, "writer@6") == 1).await;
+    // A holder would see it in the next reports, within seconds.
+    let end = tokio::time::Instant::now() + TERM;
+    let mut drafts = 0;
+    while tokio::time::Instant::now() < end {
+        draft(&fleet, drafts).await;
+        drafts += 1;
+    }
+    assert_eq!(orders(&fleet).len(), 1, "only the stale one");
+    fleet.log.faults().change(|faults| faults.down = false);
+    until_within(TERMS, "the wanted weights are back", async || {
+        have(&fleet, "writer@7") == SIZE.engines
+    })
+    .await;
+}
--- a/crates/router/tests/router/fleet.rs
+++ b/crates/router/tests/router/fleet.rs
@@ -17,7 +17,7 @@
 use godwitpost_platform::list::{Entry, Role};
 use godwitpost_router::settings::Settings;
 use godwitpost_router::{Running, start};
-use godwitpost_standin::{engine, list, log, plain};
+use godwitpost_standin::{engine, list, log, plain, weights};
 use godwitpost_types::endpoint::Standing;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
@@ -42,6 +42,7 @@
 pub(crate) struct Fleet {
     pub(crate) log: log::Running,
     pub(crate) list: list::Running,
+    pub(crate) store: weights::Running,
     pub(crate) engines: Vec<engine::Running>,
     pub(crate) plains: Vec<plain::Running>,
     pub(crate) routers: Vec<Running>,
@@ -61,6 +62,7 @@
         let key = Private::from_seed(&[3; 32]);
         let log = log::start(any(), log::Faults::default()).await.unwrap();
         let list = list::start(any(), list::Faults::default()).await.unwrap();
+        let store = weights::start(any(), weights::Faults::default());
         // Nobody may read half of the list: who joins later is on probation.
         list.faults().change(|faults| faults.down = true);
         let mut fleet = Self {
@@ -71,6 +73,7 @@
             retention,
             log,
             list,
+            store: store.await.unwrap(),
         };
         for n in 0..size.engines {
             fleet.add_engine(n).await;
@@ -90,6 +93,7 @@
     async fn add_engine(&mut self, n: usize) {
         let settings = engine::Settings {
             models: BTreeSet::from(["writer@7".to_owned()]),
+            weights: Some(self.store.address()),
             ..engine::Settings::default()
         };
         let engine = engine::start(any(), settings, engine::Faults::default()).await;
@@ -148,11 +152,23 @@
 
     /// Rolls a second version, which differs in its claim window.
     pub(crate) fn roll_second(&self) {
+        self.roll_changed(|second| second.fleet.claim_window = Duration::from_mins(20));
+    }
+
+    /// Rolls a second version with other weights of the model.
+    pub(crate) fn roll_weights(&self, weights: &str) {
+        self.roll_changed(|second| {
+            let writer = second.models.get_mut("writer").unwrap();
+            weights.clone_into(&mut writer.weights);
+        });
+    }
+
+    fn roll_changed(&self, change: impl FnOnce(&mut Bundle)) {
         let key = Private::from_seed(&[3; 32]);
         let mut second = bundle(&key);
         let first = Tree::new(entry::split(&second));
         second.version = 2;
-        second.fleet.claim_window = Duration::from_mins(20);
+        change(&mut second);
         self.append(&Change::sign(Some(&first), &second, "asahikawa", &key));
     }
 
@@ -275,10 +291,19 @@
 }
 
 /// Waits until something holds; the bound is far above what it takes.
-pub(crate) async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+pub(crate) async fn until(what: &str, holds: impl AsyncFnMut() -> bool) {
+    until_within(LONG, what, holds).await;
+}
+
+/// Waits until something holds that takes the terms of leases.
+pub(crate) async fn until_within(
+    bound: Duration,
+    what: &str,
+    mut holds: impl AsyncFnMut() -> bool,
+) {
     let start = tokio::time::Instant::now();
     while !holds().await {
-        assert!(start.elapsed() < LONG, "waited in vain until {what}");
+        assert!(start.elapsed() < bound, "waited in vain until {what}");
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
--- a/crates/router/tests/router/main.rs
+++ b/crates/router/tests/router/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod chats;
+mod engine_orders;
 mod faults;
 mod fleet;
 mod orders;
--- a/crates/state/src/order/planner.rs
+++ b/crates/state/src/order/planner.rs
@@ -1,6 +1,6 @@
 //! Plans the orders of one pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
@@ -149,6 +149,11 @@
         plan
     }
 
+    /// Forgets the order under way at an endpoint, because it was not taken.
+    pub fn forget(&mut self, endpoint: EndpointId) {
+        self.under_way.remove(&endpoint);
+    }
+
     // Forgets orders that are done, lost with their endpoint, or overdue.
     fn settle(&mut self, now: Moment, views: &[View]) {
         self.under_way.retain(|id, under_way| {
@@ -211,6 +216,13 @@
     // Frees models that the bundle no longer wants at an endpoint, once enough
     // others serve them.
     fn plan_unloads(&mut self, now: Moment, policy: &Policy, views: &[View], plan: &mut Plan) {
+        // Once for each model: for each endpoint it would be a sort of all
+        // endpoints for every one of them.
+        let homes: BTreeMap<ModelId, BTreeSet<EndpointId>> = policy
+            .models
+            .iter()
+            .map(|(&id, model)| (id, homes(id, model, views).iter().map(|v| v.id).collect()))
+            .collect();
         for view in views.iter().filter(|view| usable(view)) {
             if self.under_way.contains_key(&view.id) {
                 continue;
@@ -219,8 +231,8 @@
                 let Some(model) = policy.models.get(id) else {
                     return true;
                 };
-                let home = homes(*id, model, views).iter().any(|v| v.id == view.id);
-                !home && self.serving_wanted(*id, model, views) >= model.replicas as usize
+                !homes[id].contains(&view.id)
+                    && self.serving_wanted(*id, model, views) >= model.replicas as usize
             });
             if let Some(model) = surplus {
                 self.give(now, view, Action::Unload { model }, plan);
