--- a/crates/decide/src/hop.rs
+++ b/crates/decide/src/hop.rs
@@ -1,6 +1,7 @@
 //! What travels with a request from one instance to the next.
 
-use godwitpost_types::id::{EndpointId, ZoneId};
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{EndpointId, InstanceId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::quarantine::Evidence;
@@ -24,6 +25,10 @@
     pub spilled: bool,
     /// Prompt tokens that the sender takes to be cached at `endpoint`.
     pub cached: u32,
+    /// When the chat last ran there, as far as the sender knows.
+    pub seen: Moment,
+    /// The owner of the chat's home, to be told where the chat went.
+    pub home: Option<InstanceId>,
     /// Endpoints that failed the request or had no room for it.
     pub tried: Vec<EndpointId>,
     /// The least loaded endpoint without room so far, and its work.
@@ -42,6 +47,8 @@
             count: 0,
             spilled: false,
             cached: 0,
+            seen: Moment::ZERO,
+            home: None,
             tried: Vec::new(),
             least: None,
             evidence: Vec::new(),
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -14,18 +14,18 @@
 mod job;
 mod room;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
-use godwitpost_types::clock::Moment;
-use godwitpost_types::endpoint::{Report, Standing};
-use godwitpost_types::id::{BodyDigest, EndpointId, InstanceId, NO_MODEL};
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::Report;
+use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, Incarnation, InstanceId, NO_MODEL};
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
 use self::book::{Book, Solo};
-use self::job::Job;
+use self::job::{Job, Warm};
 use self::room::Shares;
 use crate::chats::{self, Location};
 use crate::ending::Ending;
@@ -57,6 +57,9 @@
     pub cached: u32,
     /// The priority to tell the engine; 0 goes first.
     pub priority: u8,
+    /// The owner of the chat's home, if it is another instance: it has to be
+    /// told of the location with [`Owner::located`].
+    pub tell: Option<(InstanceId, Location)>,
 }
 
 /// What to do with a request that was offered.
@@ -113,6 +116,9 @@
     quarantine: quarantine::Table,
     outbox: Vec<Evidence>,
     next: u64,
+    tidied: Moment,
+    strays: VecDeque<(Pool, ChatId)>,
+    former: Arc<View>,
 }
 
 impl Owner {
@@ -120,6 +126,7 @@
     #[must_use]
     pub fn new(view: Arc<View>, policy: Arc<Policy>) -> Self {
         let mut owner = Self {
+            former: Arc::clone(&view),
             view,
             policy,
             books: BTreeMap::new(),
@@ -132,6 +139,8 @@
             quarantine: quarantine::Table::default(),
             outbox: Vec::new(),
             next: 0,
+            tidied: Moment::ZERO,
+            strays: VecDeque::new(),
         };
         owner.open_books();
         owner
@@ -142,14 +151,32 @@
     /// Running requests stay counted until they finish. Those that wait for a
     /// pool of which nothing is owned here any more move to its owners.
     pub fn adopt(&mut self, now: Moment, view: Arc<View>, policy: Arc<Policy>) -> Vec<Wake> {
-        self.view = view;
+        self.lose(&view);
+        let last = std::mem::replace(&mut self.view, view);
         self.policy = policy;
+        self.inherit(now, &last);
         self.open_books();
-        let mut wakes = self.evict(now);
+        let mut wakes = self.evict();
         wakes.extend(self.drain(now));
         wakes
     }
 
+    // Homes move with the endpoints and with their owners; what is known of
+    // the chats whose home or context moves goes along.
+    fn lose(&mut self, next: &View) {
+        if self.view.same_places(next) {
+            return;
+        }
+        // With some of the last move left to do, both are done from before it.
+        if self.strays.is_empty() {
+            self.former = Arc::clone(&self.view);
+        }
+        let rows = self.chats.iter();
+        self.strays = rows
+            .map(|location| (location.pool, location.chat))
+            .collect();
+    }
+
     /// Decides on a request that arrived with its hop.
     pub fn offer(&mut self, now: Moment, request: &Request, hop: &Hop) -> Next {
         for evidence in &hop.evidence {
@@ -171,25 +198,50 @@
             Verdict::Suspect => job.suspect = true,
             Verdict::Clear => {}
         }
-        if job.pool.model != NO_MODEL && !hop.spilled {
+        if job.pool.model != NO_MODEL {
             self.recall(&mut job, hop);
+            self.doubt(&mut job);
         }
         Ok(job)
     }
 
-    // Where the chat is warm, if that is a place it can still go to.
+    // Where the chat is warm, if that is a place it can still go to. Only the
+    // owner of the home sends it elsewhere, so no chain of hints is followed.
     fn recall(&mut self, job: &mut Job, hop: &Hop) {
-        let Some(known) = self.chats.find(job.pool, job.chat) else {
+        let found = self.chats.find(job.pool, job.chat);
+        let Some(known) = found.filter(|known| self.lives(known)) else {
             return;
         };
-        let usable = self.view.serves(known.endpoint, job.pool)
+        if known.endpoint == hop.endpoint {
+            job.warm = Some(Warm::from(&known));
+            return;
+        }
+        let usable = hop.count == 0
+            && known.tokens > 0
+            && self.view.serves(known.endpoint, job.pool)
             && !hop.tried.contains(&known.endpoint)
             && self.well(known.endpoint);
         if usable {
-            job.warm = Some((known.endpoint, known.tokens));
+            job.warm = Some(Warm::from(&known));
+        }
+    }
+
+    // Engines evict in the order of use, so whatever ran before a chat that
+    // was evicted is gone as well, even if its event was lost in a gap.
+    fn doubt(&self, job: &mut Job) {
+        let Some(warm) = &mut job.warm else {
+            return;
+        };
+        let horizon = self.books.get(&warm.endpoint).map(Book::horizon);
+        if horizon.is_some_and(|horizon| warm.seen <= horizon) {
+            warm.tokens = 0;
         }
     }
 
+    fn lives(&self, location: &Location) -> bool {
+        self.lives_on(location.endpoint, location.incarnation)
+    }
+
     fn well(&self, endpoint: EndpointId) -> bool {
         let book = self.books.get(&endpoint);
         book.is_none_or(|book| book.health.access() != health::Access::None)
@@ -198,12 +250,13 @@
     /// Decides where a request goes: to the endpoint where its chat is warm,
     /// along the chat's order while the bound forbids, then into the queue.
     fn place(&mut self, now: Moment, job: Job, hop: &Hop) -> Next {
-        let target = job.warm.map_or(hop.endpoint, |(endpoint, _)| endpoint);
-        if target != hop.endpoint && !self.owns(target) && !hop.last() {
-            return self.forward(now, &job, hop.clone(), target);
+        let target = job.warm.map_or(hop.endpoint, |warm| warm.endpoint);
+        if !self.owns(target) && !hop.last() {
+            return self.forward(&job, hop.clone(), target);
         }
         let mut hop = hop.clone();
-        if self.view.serves(target, job.pool) {
+        let ours = self.owns(target) && self.view.serves(target, job.pool);
+        if ours && !hop.tried.contains(&target) {
             if self.fits(now, target, &job) {
                 return self.grant(now, target, job);
             }
@@ -217,10 +270,12 @@
     }
 
     // The chat's order beyond its own endpoint: owned endpoints are tried
-    // here, the first one of somebody else's ends the search.
+    // here; of the others', the one whose owner has the least load goes next.
     fn spill(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
         let view = Arc::clone(&self.view);
         hop.spilled = true;
+        let mut next: Option<(u64, EndpointId)> = None;
+        let mut others = 0;
         for endpoint in view.ranked(job.pool, job.chat, hop.zone).take(SCANNED) {
             if hop.tried.contains(&endpoint) {
                 continue;
@@ -230,11 +285,31 @@
                     return self.grant(now, endpoint, job);
                 }
                 self.note(&mut hop, endpoint);
-            } else if !hop.last() {
-                return self.forward(now, &job, hop, endpoint);
+            } else if let Some(load) = self.heard(now, job.pool, endpoint) {
+                next = next
+                    .filter(|(least, _)| *least <= load)
+                    .or(Some((load, endpoint)));
+                others += 1;
             }
+            if others == CHOICES {
+                break;
+            }
+        }
+        match next {
+            Some((_, endpoint)) if !hop.last() => self.forward(&job, hop, endpoint),
+            _ => self.wait(now, job, hop),
+        }
+    }
+
+    // The mean load of the endpoints of an endpoint's owner, if nothing was
+    // heard to wait for them.
+    fn heard(&self, now: Moment, pool: Pool, endpoint: EndpointId) -> Option<u64> {
+        let owner = self.view.owner(endpoint);
+        match self.means.of(pool, owner, now) {
+            Some(summary) if summary.waiting > 0 => None,
+            Some(summary) => Some(summary.work / u64::from(summary.endpoints.max(1))),
+            None => Some(0),
         }
-        self.wait(now, job, hop)
     }
 
     fn note(&self, hop: &mut Hop, endpoint: EndpointId) {
@@ -248,24 +323,57 @@
     }
 
     // Where to wait: at the owner of the least loaded endpoint seen.
-    fn wait(&mut self, now: Moment, job: Job, mut hop: Hop) -> Next {
+    fn wait(&mut self, now: Moment, mut job: Job, mut hop: Hop) -> Next {
         if let Some((endpoint, _)) = hop.least
             && !self.owns(endpoint)
             && hop.count <= crate::hop::MOST
         {
             hop.count = crate::hop::MOST;
-            return self.forward(now, &job, hop, endpoint);
+            return self.forward(&job, hop, endpoint);
+        }
+        if let Some(endpoint) = self.settle_for(now, &mut job) {
+            return self.grant(now, endpoint, job);
         }
         if !job.queues {
             return Next::Refuse(Refusal::new(Reason::Busy));
         }
-        if self.view.size(job.pool) == 0 {
-            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
+        if self.view.owned_of(job.pool).is_empty() {
+            return self.improvise(now, job, hop);
         }
         self.enqueue(now, job)
     }
 
-    fn enqueue(&mut self, now: Moment, mut job: Job) -> Next {
+    // The sender takes this instance for an owner, this one another. The lists
+    // agree within seconds; until then the request goes to the owner in this
+    // list, or after too many forwards to the endpoint itself, with whatever
+    // room the mean leaves on it.
+    fn improvise(&mut self, now: Moment, job: Job, hop: Hop) -> Next {
+        let Some(home) = self.home(&job) else {
+            return Next::Refuse(Refusal::new(Reason::NoEndpoint));
+        };
+        if hop.count < ASTRAY {
+            return self.forward(&job, hop, home);
+        }
+        if !self.books.contains_key(&home) {
+            let incarnation = self.view.endpoint(home).map_or(0, |e| e.incarnation);
+            let book = self.presumed(now, job.pool, incarnation);
+            self.books.insert(home, book);
+        }
+        if self.fits(now, home, &job) {
+            return self.grant(now, home, job);
+        }
+        Next::Refuse(Refusal::new(Reason::Busy))
+    }
+
+    // With nowhere else to go, the whole bound is open to a cold request.
+    fn settle_for(&self, now: Moment, job: &mut Job) -> Option<EndpointId> {
+        job.since = now;
+        let owned = self.view.owned_of(job.pool).iter().copied();
+        let fitting = owned.filter(|id| self.fits(now, *id, job));
+        fitting.min_by_key(|id| self.load(*id))
+    }
+
+    fn enqueue(&mut self, now: Moment, job: Job) -> Next {
         let queue = self.queues.entry(job.pool).or_default();
         if queue.len() >= LONGEST {
             return Next::Refuse(Refusal::new(Reason::QueueFull));
@@ -274,7 +382,6 @@
         self.next += 1;
         self.tickets.insert(ticket, job.pool);
         let until = job.rank.until;
-        job.since = now;
         let rank = job.rank;
         let shares = self.shares.entry(job.pool).or_default();
         shares.arrive(now, &job);
@@ -282,11 +389,12 @@
         Next::Wait { ticket, until }
     }
 
-    fn forward(&mut self, now: Moment, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
+    fn forward(&self, job: &Job, mut hop: Hop, endpoint: EndpointId) -> Next {
+        hop.home = hop.home.or(Some(self.view.local()));
         hop.endpoint = endpoint;
         hop.count += 1;
         hop.cached = job.cached(endpoint);
-        self.remember(now, job, endpoint);
+        hop.seen = job.warm.map_or(Moment::ZERO, |warm| warm.seen);
         Next::Forward {
             instance: self.view.owner(endpoint),
             hop,
@@ -295,17 +403,25 @@
 
     // A hint for the chat's next turn: after this one its context, prompt and
     // answer, is at the endpoint.
-    fn remember(&mut self, now: Moment, job: &Job, endpoint: EndpointId) {
+    fn remember(&mut self, now: Moment, job: &Job, endpoint: EndpointId) -> Option<Location> {
         if job.pool.model == NO_MODEL {
-            return;
+            return None;
         }
-        self.chats.put(Location {
+        let location = Location {
             chat: job.chat,
             pool: job.pool,
             endpoint,
+            incarnation: self.view.endpoint(endpoint).map_or(0, |e| e.incarnation),
             tokens: job.prompt.saturating_add(job.answer),
             seen: now,
-        });
+        };
+        self.chats.put(location);
+        Some(location)
+    }
+
+    /// Takes in where another owner placed a chat whose home is here.
+    pub fn located(&mut self, location: Location) {
+        self.chats.put(location);
     }
 
     fn grant(&mut self, now: Moment, endpoint: EndpointId, job: Job) -> Next {
@@ -313,14 +429,15 @@
         self.next += 1;
         let work = job.work(endpoint);
         let cached = job.cached(endpoint);
-        self.remember(now, &job, endpoint);
+        let location = self.remember(now, &job, endpoint);
+        let tell = job.home.zip(location);
         let book = self.books.entry(endpoint).or_insert_with(|| Book::new(0));
         book.begin(now, work);
         if job.suspect {
             book.solo = Solo::Running(attempt);
         }
         let shares = self.shares.entry(job.pool).or_default();
-        shares.begin(now, &job, work);
+        shares.begin(&job);
         let priority = job.rank.priority;
         let running = Running {
             endpoint,
@@ -333,6 +450,7 @@
             endpoint,
             cached,
             priority,
+            tell,
         })
     }
 
@@ -426,8 +544,7 @@
     /// Lets time pass: refuses what waited too long, moves on what came here
     /// by mistake, tries closed endpoints again. Called about every 100 ms.
     pub fn tick(&mut self, now: Moment) -> Vec<Wake> {
-        self.means.expire(now);
-        self.quarantine.expire(now);
+        self.tidy(now);
         for book in self.books.values_mut() {
             book.health.handle(health::Event::Tick(now));
         }
@@ -435,11 +552,20 @@
         // An instance that lags may still send here what this one no longer
         // owns. With its forwards used up such a request waits here, where no
         // end of another would ever wake it.
-        wakes.extend(self.evict(now));
+        wakes.extend(self.evict());
         wakes.extend(self.drain(now));
         wakes
     }
 
+    fn tidy(&mut self, now: Moment) {
+        if since(now, self.tidied) < TIDIED {
+            return;
+        }
+        self.tidied = now;
+        self.means.expire(now);
+        self.quarantine.expire(now);
+    }
+
     fn time_out(&mut self, now: Moment) -> Vec<Wake> {
         let mut gone = Vec::new();
         for queue in self.queues.values_mut() {
@@ -488,10 +614,17 @@
         }
     }
 
-    /// Takes in an engine's cache event; `gap` says that some before it were
-    /// lost, and with them perhaps evictions.
-    pub fn cache_event(&mut self, endpoint: EndpointId, event: &chats::Event, gap: bool) {
-        let _ = gap;
+    /// Takes in an engine's cache event, which may be late and follow a gap.
+    pub fn cache_event(&mut self, endpoint: EndpointId, event: &chats::Event) {
+        let row = self.chats.peek(event.pool, event.chat);
+        let seen = row.filter(|row| row.endpoint == endpoint && row.seen <= event.at);
+        if let (chats::Kind::Evicted, Some(seen), Some(book)) = (
+            event.kind,
+            seen.map(|row| row.seen),
+            self.books.get_mut(&endpoint),
+        ) {
+            book.evicted(seen);
+        }
         self.chats.apply(endpoint, event);
     }
 
@@ -499,41 +632,22 @@
     /// the others.
     #[must_use]
     pub fn summaries(&self, now: Moment) -> Vec<Summary> {
-        let mut pools: BTreeMap<Pool, Summary> = BTreeMap::new();
-        for endpoint in self.view.owned().filter(|e| e.standing == Standing::Live) {
-            let load = self.books.get(&endpoint.id).map_or(0, Book::load);
-            let models = endpoint.models.iter().copied();
-            let none = endpoint.models.is_empty().then_some(NO_MODEL);
-            for model in models.chain(none) {
-                let pool = Pool {
-                    service: endpoint.service,
-                    model,
-                };
-                let summary = pools.entry(pool).or_insert(Summary {
-                    source: self.view.local(),
-                    pool,
-                    endpoints: 0,
-                    work: 0,
-                    taken: now,
-                });
-                summary.endpoints += 1;
-                summary.work += load;
-            }
-        }
-        pools.into_values().collect()
+        let pools = self.view.owned_pools().keys();
+        pools.map(|pool| self.summary(now, *pool)).collect()
     }
 
     /// Returns the summary of one pool, to send along with an answer.
     #[must_use]
     pub fn summary(&self, now: Moment, pool: Pool) -> Summary {
-        let found = self.summaries(now).into_iter().find(|s| s.pool == pool);
-        found.unwrap_or(Summary {
+        let owned = self.view.owned_of(pool);
+        Summary {
             source: self.view.local(),
             pool,
-            endpoints: 0,
-            work: 0,
+            endpoints: u32::try_from(owned.len()).unwrap_or(u32::MAX),
+            work: owned.iter().map(|id| self.load(*id)).sum(),
+            waiting: self.queues.get(&pool).map_or(0, Queue::count),
             taken: now,
-        })
+        }
     }
 
     /// Takes in summaries of other instances.
@@ -569,20 +683,52 @@
         fresh.filter(|e| self.quarantine.learn(*e)).collect()
     }
 
-    /// Returns the chat locations to hand over on a graceful stop.
+    /// Returns chat locations that belong to other owners in the present
+    /// view, with whom they go to; looks at some of the table in each call,
+    /// and returns `None` when there is no more to look at.
     ///
-    /// Each goes to the owner, in the view without this instance, of the
-    /// chat's home: [`View::ranked`], then [`View::owner`].
-    #[must_use]
-    pub fn handover(&self) -> Vec<Location> {
-        self.chats.iter().copied().collect()
+    /// Homes move when [`Owner::adopt`] brings other endpoints or instances;
+    /// on a graceful stop, when the view has the local instance as leaving,
+    /// all of them do. Called at each tick, and on a stop until it is done.
+    pub fn handover(&mut self) -> Option<Vec<(InstanceId, Location)>> {
+        if self.strays.is_empty() {
+            return None;
+        }
+        let most = self.strays.len().min(HANDED);
+        let some: Vec<(Pool, ChatId)> = self.strays.drain(..most).collect();
+        let known = some
+            .iter()
+            .filter_map(|(pool, chat)| self.chats.peek(*pool, *chat));
+        Some(known.flat_map(|location| self.heirs(location)).collect())
+    }
+
+    // The owners of the chat's home and of the endpoint where it is warm, if
+    // they were here in the former view and are elsewhere now.
+    fn heirs(&self, location: &Location) -> Vec<(InstanceId, Location)> {
+        if !self.lives(location) || location.tokens == 0 {
+            return Vec::new();
+        }
+        let home = |view: &View| view.ranked(location.pool, location.chat, 0).next();
+        let local = self.view.local();
+        let moved = |before: Option<EndpointId>, after: Option<EndpointId>| {
+            let here = before.is_some_and(|id| self.former.owner(id) == local);
+            let owner = after.map(|id| self.view.owner(id))?;
+            (here && owner != local).then_some(owner)
+        };
+        let warm = Some(location.endpoint);
+        let owners = [
+            moved(home(&self.former), home(&self.view)),
+            moved(warm, warm),
+        ];
+        let owners: BTreeSet<InstanceId> = owners.into_iter().flatten().collect();
+        owners.into_iter().map(|id| (id, *location)).collect()
     }
 
     /// Takes over chat locations of an instance that stops.
     pub fn take_over(&mut self, locations: &[Location]) {
         // The most recently used come first and have to be put last.
         for location in locations.iter().rev() {
-            self.chats.put(*location);
+            self.located(*location);
         }
     }
 
@@ -604,6 +750,36 @@
         self.books.get(&endpoint).map_or(0, Book::load)
     }
 
+    // An endpoint that was another's until now has work that no report has
+    // shown here yet, and its last owner may go on for seconds. Taken to be
+    // idle, it would get twice its bound; so it is taken to be at the mean
+    // until a report that was taken from now on says what is there.
+    fn inherit(&mut self, now: Moment, last: &View) {
+        let view = Arc::clone(&self.view);
+        for (pool, owned) in view.owned_pools() {
+            for id in owned {
+                let here = self.books.contains_key(id);
+                let known = last.endpoint(*id).map(|endpoint| endpoint.incarnation);
+                let same = known.filter(|life| self.lives_on(*id, *life));
+                if let Some(incarnation) = same.filter(|_| !here && last.serves(*id, *pool)) {
+                    let book = self.presumed(now, *pool, incarnation);
+                    self.books.insert(*id, book);
+                }
+            }
+        }
+    }
+
+    fn lives_on(&self, id: EndpointId, incarnation: Incarnation) -> bool {
+        let endpoint = self.view.endpoint(id);
+        endpoint.is_some_and(|endpoint| endpoint.incarnation == incarnation)
+    }
+
+    fn presumed(&self, now: Moment, pool: Pool, incarnation: Incarnation) -> Book {
+        let mut book = Book::new(incarnation);
+        book.presume(now, self.mean(now, pool));
+        book
+    }
+
     // Books of endpoints that the view lost stay while something runs there.
     fn open_books(&mut self) {
         let view = Arc::clone(&self.view);
@@ -621,37 +797,52 @@
     }
 
     // What waits for a pool with no endpoint left here moves on.
-    fn evict(&mut self, now: Moment) -> Vec<Wake> {
+    fn evict(&mut self) -> Vec<Wake> {
         let view = Arc::clone(&self.view);
-        let here = |pool: Pool| view.owned().any(|e| view.serves(e.id, pool));
+        let here = |pool: Pool| !view.owned_of(pool).is_empty();
         let pools: Vec<Pool> = self.queues.keys().copied().filter(|p| !here(*p)).collect();
         let mut wakes = Vec::new();
         for pool in pools {
             let queue = self.queues.remove(&pool).unwrap_or_default();
             for (ticket, job) in queue.iter() {
                 self.left(ticket, job);
-                let next = self.relocate(now, job);
+                let next = self.relocate(job);
                 wakes.push(Wake { ticket, next });
             }
         }
         wakes
     }
 
-    fn relocate(&mut self, now: Moment, job: &Job) -> Next {
-        let view = Arc::clone(&self.view);
-        let home = view.ranked(job.pool, job.chat, 0).next();
-        match home {
+    fn home(&self, job: &Job) -> Option<EndpointId> {
+        self.view.ranked(job.pool, job.chat, 0).next()
+    }
+
+    fn relocate(&self, job: &Job) -> Next {
+        match self.home(job) {
             Some(endpoint) if !self.owns(endpoint) => {
-                self.forward(now, job, Hop::first(0, endpoint), endpoint)
+                self.forward(job, Hop::first(0, endpoint), endpoint)
             }
             _ => Next::Refuse(Refusal::new(Reason::NoEndpoint)),
         }
     }
 }
 
+/// Locations looked at in one call of [`Owner::handover`], some 200 us.
+const HANDED: usize = 512;
+
+/// Forwards after which a request that nobody owns up to is dispatched by
+/// whoever has it.
+const ASTRAY: u8 = crate::hop::MOST + 4;
+
+/// From one look for what has expired to the next.
+const TIDIED: Duration = Duration::from_secs(5);
+
 /// Endpoints of a chat's order that a spill looks at.
 const SCANNED: usize = 16;
 
+/// Owners of others that a spill chooses from.
+const CHOICES: usize = 2;
+
 /// The longest that one call spends on a queue, in requests looked at.
 const LOOKED_AT: usize = 64;
 
--- a/crates/decide/src/place.rs
+++ b/crates/decide/src/place.rs
@@ -29,6 +29,7 @@
     groups: &'a [Group],
     heads: Vec<Option<Head>>,
     started: bool,
+    taken: Option<(usize, (u64, EndpointId))>,
 }
 
 /// How much zones count in the order of a chat.
@@ -58,6 +59,7 @@
             groups,
             heads: Vec::new(),
             started: false,
+            taken: None,
         }
     }
 
@@ -71,14 +73,8 @@
     // The best member of a group whose score is under `below`.
     fn head(&self, index: usize, below: Option<(u64, EndpointId)>) -> Option<Head> {
         let group = &self.groups[index];
-        let scores = group
-            .members
-            .iter()
-            .map(|&id| (hash::score(self.chat, id), id));
-        let score = match below {
-            None => scores.max(),
-            Some(limit) => scores.filter(|score| *score < limit).max(),
-        }?;
+        let limit = below.unwrap_or((u64::MAX, EndpointId::MAX));
+        let score = best(self.chat, &group.members, limit)?;
         let favoured = self.weights.zone == Some(group.zone);
         let weight = if favoured { self.weights.favour } else { 1.0 };
         Some(Head {
@@ -96,6 +92,9 @@
         if !self.started {
             self.start();
         }
+        if let Some((index, score)) = self.taken.take() {
+            self.heads[index] = self.head(index, Some(score));
+        }
         let (index, head) = self
             .heads
             .iter()
@@ -106,7 +105,24 @@
                     .then(a.weighted.total_cmp(&b.weighted))
                     .then(a.score.cmp(&b.score))
             })?;
-        self.heads[index] = self.head(index, Some(head.score));
+        self.taken = Some((index, head.score));
         Some(head.score.1)
     }
 }
+
+// The loop that a placement spends its time in: two multiplications and a
+// comparison that seldom holds for each member.
+fn best(
+    chat: ChatId,
+    members: &[EndpointId],
+    below: (u64, EndpointId),
+) -> Option<(u64, EndpointId)> {
+    let mut best = (0, 0);
+    for &id in members {
+        let score = hash::score(chat, id);
+        if score >= best.0 && (score, id) < below && (score, id) > best {
+            best = (score, id);
+        }
+    }
+    (best != (0, 0)).then_some(best)
+}
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -19,6 +19,7 @@
 use super::{Attempt, Job};
 use crate::body;
 use crate::control;
+use crate::handover;
 use crate::shared::Shared;
 
 /// Sends a repeatable request and relays the answer as it comes.
@@ -26,6 +27,10 @@
     let Some(target) = Target::find(shared, &leave, job) else {
         return gone(leave);
     };
+    if let Some((home, location)) = leave.grant().tell {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move { handover::tell(&shared, home, &[location]).await });
+    }
     // Dropped while the engine works, this cancels there.
     let mut cancel = Cancel::armed(shared, &target, job);
     match begin(shared, &target, leave.grant(), job).await {
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -48,7 +48,7 @@
 pub const ATTEMPT: HeaderName = HeaderName::from_static("godwitpost-internal-attempt");
 
 /// The load of the answering owner in the request's pool: endpoints, work in
-/// tokens, and when both were taken, in milliseconds.
+/// tokens, requests that wait, and when all were taken, in milliseconds.
 pub const LOAD: HeaderName = HeaderName::from_static("godwitpost-internal-load");
 
 /// Takes off each header that only instances may send; returns their number.
