router: an engine without the model costs no caller its answer

The list lags behind an engine that was ordered to load or free a model, and the engine's 404 went to the caller as if the caller had erred.

An owner now goes by its engines' own reports while they are fresh, and an engine that says `Godwitpost-Endpoint: unloaded` has refused the request: it goes on to the next engine. The test takes a model from one of three engines behind the list's back; twelve drafts in a row are answered by the others.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -10,6 +10,7 @@
 pub(crate) mod bundles;
 mod cost;
 pub(crate) mod gossip;
+mod models;
 mod orders;
 mod probe;
 mod publish;
@@ -81,10 +82,10 @@
     /// not be reached.
     Answered(InstanceId, Option<(Message, usize)>),
     /// An owned endpoint's report, with the models that it names.
-    Report(EndpointId, Report, Vec<String>),
+    Report(EndpointId, Report, Option<Vec<String>>),
     /// What an engine that another instance owns answered when asked for its
     /// report, with the answer's size.
-    Swept(EndpointId, Option<(Report, Vec<String>, usize)>),
+    Swept(EndpointId, Option<probe::Told>),
     /// The log's answer to a call about a service's lease.
     Lease(ServiceId, orders::Call),
     /// What came of an order to an engine, by its fencing number.
@@ -122,6 +123,7 @@
     published: publish::Published,
     probes: probe::Probes,
     orders: orders::Orders,
+    models: models::Models,
     costs: cost::Costs,
     rng: StdRng,
 }
@@ -165,6 +167,7 @@
             published: publish::Published::new(own),
             probes: probe::Probes::default(),
             orders: orders::Orders::default(),
+            models: models::Models::default(),
             costs: cost::Costs::default(),
             rng: random::generator(),
             io: Io {
@@ -216,7 +219,7 @@
             Event::Report(endpoint, report, models) => {
                 self.reported(now, endpoint, &report, models);
             }
-            Event::Swept(endpoint, answer) => self.swept(now, endpoint, answer),
+            Event::Swept(endpoint, told) => self.swept(now, endpoint, told),
             Event::Lease(service, call) => self.leased(now, service, call),
             Event::Ordered(service, endpoint, fence, sent) => {
                 self.ordered(service, endpoint, fence, &sent);
--- /dev/null
+++ b/crates/router/src/control/models.rs
@@ -0,0 +1,67 @@
+//! The models that owned engines have, by their own word.
+//!
+//! The platform's list lags; an engine that took an order has other models
+//! than the list says for seconds. Each owner asks its engines for reports
+//! anyway, and the report goes before the list in the owner's view. Other
+//! instances go by the list: a request that they send for a model that the
+//! engine hasn't got is passed on by its owner.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::{Endpoint, Report};
+use godwitpost_types::id::{self, EndpointId, Incarnation, ModelId};
+
+use super::orders;
+
+/// How long a report goes before the list: five reports. After that the
+/// endpoint has another owner, or is silent, and the list knows better.
+const FRESH: Duration = Duration::from_secs(10);
+
+/// What owned engines reported last.
+#[derive(Debug, Default)]
+pub(super) struct Models {
+    reported: BTreeMap<EndpointId, Reported>,
+}
+
+#[derive(Debug)]
+struct Reported {
+    at: Moment,
+    incarnation: Incarnation,
+    models: BTreeSet<ModelId>,
+}
+
+impl Models {
+    /// Takes the models of a report; returns whether they changed.
+    pub(super) fn take(
+        &mut self,
+        now: Moment,
+        id: EndpointId,
+        report: &Report,
+        models: &[String],
+    ) -> bool {
+        self.reported
+            .retain(|_, known| since(now, known.at) < FRESH);
+        let names = models.iter().map(|model| orders::split(model).0);
+        let reported = Reported {
+            at: now,
+            incarnation: report.incarnation,
+            models: names.map(id::of).collect(),
+        };
+        let models = reported.models.clone();
+        let known = self.reported.insert(id, reported);
+        known.is_none_or(|known| known.models != models)
+    }
+
+    /// Returns an endpoint with the models that it has by its own word, if
+    /// that is fresh.
+    pub(super) fn correct(&self, now: Moment, mut endpoint: Endpoint) -> Endpoint {
+        let reported = self.reported.get(&endpoint.id);
+        let reported = reported.filter(|r| r.incarnation == endpoint.incarnation);
+        if let Some(reported) = reported.filter(|r| since(now, r.at) < FRESH) {
+            endpoint.models.clone_from(&reported.models);
+        }
+        endpoint
+    }
+}
--- a/crates/router/src/control/orders.rs
+++ b/crates/router/src/control/orders.rs
@@ -34,6 +34,7 @@
 use super::batchers::page_of;
 pub(crate) use lease::Call;
 use reports::Reports;
+pub(super) use reports::split;
 
 /// How often leases and orders are looked at; loads take minutes.
 const LOOK: Duration = Duration::from_millis(500);
--- a/crates/router/src/control/orders/reports.rs
+++ b/crates/router/src/control/orders/reports.rs
@@ -83,15 +83,16 @@
         &mut self,
         now: Moment,
         id: EndpointId,
-        answer: Option<(Report, Vec<String>, usize)>,
+        told: Option<probe::Told>,
     ) {
-        let Some((report, models, bytes)) = answer else {
+        let Some(told) = told else {
             self.orders.reports.silent(now, id);
             return;
         };
-        self.orders.reports.spend(bytes as u64);
-        self.endpoints.report(now, id, &report);
-        self.orders.reports.take(id, report, models);
+        self.orders.reports.spend(told.bytes as u64);
+        self.endpoints.report(now, id, &told.report);
+        let models = told.models.unwrap_or_default();
+        self.orders.reports.take(id, told.report, models);
     }
 
     /// Takes the models of an owned engine's report, which costs nothing more.
@@ -246,7 +247,9 @@
     parts.collect()
 }
 
-// A bare name has weights that nobody knows, which are never the wanted ones.
-fn split(model: &str) -> (&str, &str) {
+/// Splits a model from its weights.
+///
+/// A bare name has weights that nobody knows, which are never the wanted ones.
+pub(in crate::control) fn split(model: &str) -> (&str, &str) {
     model.split_once('@').unwrap_or((model, ""))
 }
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -79,8 +79,18 @@
     standing: Standing,
     requests: u32,
     work: u64,
-    #[serde(default)]
-    models: Vec<String>,
+    models: Option<Vec<String>>,
+}
+
+/// What an endpoint answered when asked for its report.
+#[derive(Clone, Debug)]
+pub(crate) struct Told {
+    /// The report.
+    pub(super) report: Report,
+    /// The models that it names, each `name@weights`; plain services name none.
+    pub(super) models: Option<Vec<String>>,
+    /// The answer's size on the wire, about.
+    pub(super) bytes: usize,
 }
 
 /// Follows the list for ever.
@@ -136,10 +146,15 @@
         now: Moment,
         endpoint: EndpointId,
         report: &Report,
-        models: Vec<String>,
+        models: Option<Vec<String>>,
     ) {
         self.endpoints.report(now, endpoint, report);
-        self.loaded(now, endpoint, *report, models);
+        if let Some(models) = models {
+            if self.models.take(now, endpoint, report, &models) {
+                self.publish();
+            }
+            self.loaded(now, endpoint, *report, models);
+        }
         self.shared
             .desk
             .with(|owner| owner.observe(endpoint, report));
@@ -214,8 +229,8 @@
 }
 
 async fn ask(io: Io, endpoint: Endpoint, from: Option<Offset>) {
-    if let Some((report, models, _)) = report(&io, &endpoint).await {
-        let event = Event::Report(endpoint.id, report, models);
+    if let Some(told) = report(&io, &endpoint).await {
+        let event = Event::Report(endpoint.id, told.report, told.models);
         drop(io.events.send(event).await);
     }
     let Some(from) = from else { return };
@@ -228,12 +243,11 @@
 
 /// Asks an endpoint that another instance owns for its report.
 pub(super) async fn sweep(io: Io, endpoint: Endpoint) {
-    let answer = report(&io, &endpoint).await;
-    drop(io.events.send(Event::Swept(endpoint.id, answer)).await);
+    let told = report(&io, &endpoint).await;
+    drop(io.events.send(Event::Swept(endpoint.id, told)).await);
 }
 
-// Returns a report with the models in it and its size.
-async fn report(io: &Io, endpoint: &Endpoint) -> Option<(Report, Vec<String>, usize)> {
+async fn report(io: &Io, endpoint: &Endpoint) -> Option<Told> {
     let (answer, bytes) = get::<ReportAnswer>(io, endpoint, "/v1/report").await?;
     let report = Report {
         taken: Duration::from_millis(answer.taken_ms),
@@ -242,7 +256,11 @@
         requests: answer.requests,
         work: answer.work,
     };
-    Some((report, answer.models, bytes))
+    Some(Told {
+        report,
+        models: answer.models,
+        bytes,
+    })
 }
 
 /// Bytes of a probe beside its answer's body: two HTTP heads of about 120, and
--- a/crates/router/src/control/publish.rs
+++ b/crates/router/src/control/publish.rs
@@ -34,7 +34,9 @@
 impl Control {
     pub(super) fn publish(&mut self) {
         let instances = self.instances();
-        let endpoints: Vec<Endpoint> = self.endpoints.endpoints().cloned().collect();
+        let now = self.shared.now();
+        let endpoints = self.endpoints.endpoints().cloned();
+        let endpoints: Vec<Endpoint> = endpoints.map(|e| self.models.correct(now, e)).collect();
         let version = self.serves();
         let last = &self.published;
         if last.version == version && last.instances == instances && last.endpoints == endpoints {
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -153,6 +153,14 @@
     response: &Response<B>,
 ) -> Option<Ending> {
     let leaving = response.headers().get(header::ENDPOINT);
+    // The list and the reports may name a model that the engine was freed of
+    // a moment ago. Passed on, the caller would take the 404 for its own fault.
+    if response.status() == StatusCode::NOT_FOUND
+        && target.kind == Kind::Engine
+        && leaving.is_some_and(|value| value == "unloaded")
+    {
+        return Some(Ending::Refused);
+    }
     if response.status() == StatusCode::SERVICE_UNAVAILABLE
         && leaving.is_some_and(|value| value == "leaving")
     {
--- a/crates/router/tests/router/engine_orders.rs
+++ b/crates/router/tests/router/engine_orders.rs
@@ -194,3 +194,20 @@
     })
     .await;
 }
+
+// The list still names a model at an engine that is free of it: it was ordered
+// to load something else. A caller would get the engine's 404 for a model that
+// the bundle has.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_without_the_model_costs_no_caller_its_answer() {
+    let fleet = Fleet::start(SIZE).await;
+    let order = r#"{"fence": 0, "unload": {"model": "writer"}}"#;
+    let request = Request::post("/v1/orders").body(full(order)).unwrap();
+    let address = fleet.engines[0].address();
+    let sent = fleet.client.send(address, request, TERM).await.unwrap();
+    assert_eq!(sent.status(), 202);
+    for n in 0..12 {
+        draft(&fleet, n).await;
+    }
+    assert!(fleet.engines[0].runs().is_empty());
+}
--- a/crates/standin/src/endpoint.rs
+++ b/crates/standin/src/endpoint.rs
@@ -23,6 +23,18 @@
     response
 }
 
+/// The answer of an engine that has not loaded the model asked for.
+pub(crate) fn unloaded() -> Response<Body> {
+    let mut response = answer::error(
+        StatusCode::NOT_FOUND,
+        "the model isn't loaded here; use another engine",
+    );
+    response
+        .headers_mut()
+        .insert("godwitpost-endpoint", HeaderValue::from_static("unloaded"));
+    response
+}
+
 /// Whether a body holds the text that crashes its endpoint.
 pub(crate) fn marked(body: &[u8], marker: Option<&str>) -> bool {
     marker.is_some_and(|marker| {
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -14,7 +14,7 @@
 use super::{End, Run, reply};
 use crate::answer::{self, Answer};
 use crate::digest;
-use crate::endpoint::{leaving, marked, trace};
+use crate::endpoint::{leaving, marked, trace, unloaded};
 use crate::faults::lock;
 use crate::observe::Event;
 use crate::serve::Body;
@@ -65,10 +65,7 @@
             }
         };
         if !lock(&self.state).orders.serves(&asked.model) {
-            return Ok(answer::error(
-                StatusCode::NOT_FOUND,
-                "the model isn't loaded here; use another engine",
-            ));
+            return Ok(unloaded());
         }
         if self.faults.hits(faults.refuse) {
             return Ok(answer::error(
