--- a/crates/router/src/control/models.rs
+++ b/crates/router/src/control/models.rs
@@ -65,3 +65,6 @@
         endpoint
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/control/models/tests.rs
@@ -0,0 +1,56 @@
+//! An engine's own word goes before the list, for as long as it is fresh.
+
+use godwitpost_types::endpoint::Standing;
+
+use super::*;
+
+const ENGINE: EndpointId = 7;
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        id: ENGINE,
+        name: "runner-7".to_owned(),
+        incarnation: 2,
+        service: 1,
+        models: BTreeSet::from([id::of("writer")]),
+        zone: 1,
+        region: 1,
+        address: "127.0.0.1:1".parse().expect("an address"),
+        standing: Standing::Live,
+    }
+}
+
+fn report(incarnation: Incarnation) -> Report {
+    Report {
+        taken: Moment::ZERO,
+        incarnation,
+        standing: Standing::Live,
+        requests: 0,
+        work: 0,
+    }
+}
+
+// An editor's draft is refused by an engine that was ordered to load another
+// model: the list still names the old one.
+#[test]
+fn a_fresh_report_goes_before_the_list() {
+    let mut models = Models::default();
+    let now = Duration::from_secs(100);
+    let said = ["tagger@3".to_owned()];
+    assert!(models.take(now, ENGINE, &report(2), &said));
+    assert!(!models.take(now, ENGINE, &report(2), &said));
+    let corrected = models.correct(now, endpoint());
+    assert_eq!(corrected.models, BTreeSet::from([id::of("tagger")]));
+    let stale = models.correct(now + FRESH, endpoint());
+    assert_eq!(stale.models, endpoint().models);
+}
+
+// An engine restarts with other models; what it said in its former life must
+// not hide them.
+#[test]
+fn a_former_lifes_report_counts_for_nothing() {
+    let mut models = Models::default();
+    let now = Duration::from_secs(100);
+    models.take(now, ENGINE, &report(1), &[]);
+    assert_eq!(models.correct(now, endpoint()).models, endpoint().models);
+}
--- a/crates/router/tests/router/engine_orders.rs
+++ b/crates/router/tests/router/engine_orders.rs
@@ -40,6 +40,23 @@
     wanted().unwrap()
 }
 
+// The first lease may go to a router whose view was not whole yet, and be given
+// up at once. One that is renewed is known to its holder, and stays.
+async fn settled(fleet: &Fleet) -> (u64, Offset) {
+    let renewed = || {
+        let (holder, fence) = holder(fleet)?;
+        let mut records = fleet.log.records(STREAM).into_iter();
+        let renews = |record: &Record| record.ask == Ask::Renew(fence);
+        let known = records.any(|r| Record::decode(&r.body).as_ref().is_some_and(renews));
+        known.then_some((holder, fence))
+    };
+    until_within(TERMS, "a router renews the lease", async || {
+        renewed().is_some()
+    })
+    .await;
+    renewed().unwrap()
+}
+
 fn take(fleet: &mut Fleet, holder: u64) -> Running {
     let names = ["router-0", "router-1", "router-2"];
     let index = names.iter().position(|name| id::of(name) == holder);
@@ -140,7 +157,7 @@
             .faults()
             .change(|faults| faults.ignore_fencing = true);
     }
-    let (first, old) = held(&fleet, None).await;
+    let (first, old) = settled(&fleet).await;
     let stopped = take(&mut fleet, first);
     stopped.stop_gracefully().await;
     let (_, fence) = held(&fleet, Some(first)).await;
@@ -174,7 +191,7 @@
             .faults()
             .change(|faults| faults.ignore_fencing = true);
     }
-    let (_, fence) = held(&fleet, None).await;
+    let (_, fence) = settled(&fleet).await;
     fleet.log.faults().change(|faults| faults.down = true);
     // Whoever holds the lease now has lost it after a term.
     tokio::time::sleep(TERM).await;
