--- a/crates/state/src/lease/holder.rs
+++ b/crates/state/src/lease/holder.rs
@@ -13,7 +13,7 @@
 use godwitpost_types::id::{Incarnation, InstanceId, Offset};
 
 use super::{Ask, MARGIN, Pool, RENEW, Record, TERM, Table};
-use crate::claim::{Failure, Page};
+use crate::log::{Failure, Page};
 
 /// What the holder wants done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -102,6 +102,9 @@
     /// any more releases it.
     pub fn set_candidate(&mut self, candidate: bool) {
         self.candidate = candidate;
+        if !candidate {
+            self.append_at = Moment::ZERO;
+        }
     }
 
     /// Returns the fencing number if an order may go out at `now`.
@@ -168,6 +171,9 @@
         let before = self.table.busy_until(self.pool);
         for stored in &page.records {
             let record = Record::decode(&stored.body);
+            // Offsets have no gaps; a log that leaves some out is taken for
+            // one that has dropped them.
+            self.table.skip_to(stored.offset);
             self.table
                 .apply(stored.offset, stored.time, record.as_ref());
             if let Some(record) = record {
@@ -258,7 +264,13 @@
             .is_some()
         {
             self.read_at = now;
-            self.append_at = now + RETRY;
+            // One that should not hold the lease any more releases it once and
+            // asks for nothing else. A pause would outlast the stop of an
+            // instance whose renewal was just under way, and the successor
+            // would wait out the whole term.
+            if self.candidate {
+                self.append_at = now + RETRY;
+            }
         }
     }
 
