--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -89,6 +89,18 @@
     standing: Standing,
     requests: u32,
     work: u64,
+    models: Option<Vec<String>>,
+}
+
+/// What an endpoint answered when asked for its report.
+#[derive(Clone, Debug)]
+pub(crate) struct Told {
+    /// The report.
+    pub(super) report: Report,
+    /// The models that it names, each `name@weights`; plain services name none.
+    pub(super) models: Option<Vec<String>>,
+    /// The answer's size on the wire, about.
+    pub(super) bytes: usize,
 }
 
 /// Follows the list for ever.
@@ -141,8 +153,20 @@
             .retain(|id, _| view.endpoint(*id).is_some());
     }
 
-    pub(super) fn reported(&mut self, now: Moment, endpoint: EndpointId, report: &Report) {
+    pub(super) fn reported(
+        &mut self,
+        now: Moment,
+        endpoint: EndpointId,
+        report: &Report,
+        models: Option<Vec<String>>,
+    ) {
         self.endpoints.report(now, endpoint, report);
+        if let Some(models) = models {
+            if self.models.take(now, endpoint, report, &models) {
+                self.publish();
+            }
+            self.loaded(now, endpoint, *report, models);
+        }
         self.shared
             .desk
             .with(|owner| owner.observe(endpoint, report));
@@ -217,15 +241,9 @@
 }
 
 async fn ask(io: Io, endpoint: Endpoint, from: Option<Offset>) {
-    if let Some((report, _)) = get::<ReportAnswer>(&io, &endpoint, "/v1/report").await {
-        let report = Report {
-            taken: Duration::from_millis(report.taken_ms),
-            incarnation: report.incarnation,
-            standing: report.standing,
-            requests: report.requests,
-            work: report.work,
-        };
-        drop(io.events.send(Event::Report(endpoint.id, report)).await);
+    if let Some(told) = report(&io, &endpoint).await {
+        let event = Event::Report(endpoint.id, told.report, told.models);
+        drop(io.events.send(event).await);
     }
     let Some(from) = from else { return };
     let path = format!("/v1/cache-events?from={from}");
@@ -235,6 +253,28 @@
     }
 }
 
+/// Asks an endpoint that another instance owns for its report.
+pub(super) async fn sweep(io: Io, endpoint: Endpoint) {
+    let told = report(&io, &endpoint).await;
+    drop(io.events.send(Event::Swept(endpoint.id, told)).await);
+}
+
+async fn report(io: &Io, endpoint: &Endpoint) -> Option<Told> {
+    let (answer, bytes) = get::<ReportAnswer>(io, endpoint, "/v1/report").await?;
+    let report = Report {
+        taken: Duration::from_millis(answer.taken_ms),
+        incarnation: answer.incarnation,
+        standing: answer.standing,
+        requests: answer.requests,
+        work: answer.work,
+    };
+    Some(Told {
+        report,
+        models: answer.models,
+        bytes,
+    })
+}
+
 /// Bytes of a probe beside its answer's body: two HTTP heads of about 120, and
 /// TCP/IP headers with the acknowledgements.
 const HEADS: usize = 400;
--- a/crates/state/src/lease/holder.rs
+++ b/crates/state/src/lease/holder.rs
@@ -102,6 +102,9 @@
     /// any more releases it.
     pub fn set_candidate(&mut self, candidate: bool) {
         self.candidate = candidate;
+        if !candidate {
+            self.append_at = Moment::ZERO;
+        }
     }
 
     /// Returns the fencing number if an order may go out at `now`.
@@ -261,7 +264,13 @@
             .is_some()
         {
             self.read_at = now;
-            self.append_at = now + RETRY;
+            // One that should not hold the lease any more releases it once and
+            // asks for nothing else. A pause would outlast the stop of an
+            // instance whose renewal was just under way, and the successor
+            // would wait out the whole term.
+            if self.candidate {
+                self.append_at = now + RETRY;
+            }
         }
     }
 
