bench: another seed for orders without a fencing number

Cause: a holder that stops now releases its lease without a pause, which moves the schedule of seed 1115: the weakened build no longer meets the window there. Ruled out: a checker that lost its bite.

Change: seed 1427 takes its place; 1115 stays as a check of the design.

--- a/crates/bench/src/state/lease/tests.rs
+++ b/crates/bench/src/state/lease/tests.rs
@@ -29,10 +29,12 @@
 /// look at the clock and the order, and the order carries no fencing number.
 #[test]
 fn orders_without_a_fencing_number_are_caught() {
-    for seed in [355, 744, 1115, 1248] {
+    for seed in [355, 744, 1248, 1427] {
         assert!(play(seed, Weakness::NoFence).obeyed_old > 0, "seed {seed}");
         assert_eq!(play(seed, Weakness::None).obeyed_old, 0);
     }
+    // Showed it until a stopping holder released its lease without a pause.
+    assert_eq!(play(1115, Weakness::None).obeyed_old, 0);
 }
 
 /// A runner that ignores fencing numbers serves old weights for good. A stale
--- a/crates/capacity/src/role/metrics.rs
+++ b/crates/capacity/src/role/metrics.rs
@@ -52,7 +52,7 @@
             for (outcome, status) in OUTCOMES {
                 metrics.head(&labels, outcome, status, Duration::from_millis(40));
             }
-            metrics.end(&labels, Duration::from_secs(2));
+            Metrics::end(&labels, Duration::from_secs(2));
         }
     }
     drop(metrics.text());
--- a/crates/router/tests/router/faults.rs
+++ b/crates/router/tests/router/faults.rs
@@ -346,8 +346,8 @@
     .await;
     let (status, _, text) = fleet.get(callers, "/readyz").await;
     assert_eq!(
-        (status.as_u16(), &text[..]),
-        (503, &b"no instance list yet\n"[..])
+        (status.as_u16(), &*text),
+        (503, b"no instance list yet\n".as_slice())
     );
     fleet.list.faults().change(|faults| faults.down = false);
     until("the new router is ready", async || {
