decide, state, router: limits follow demand told by gossip

Cause: instances never told each other what workspaces ask of them, so each kept twice its even part of a limit. Callers at one instance of six got a third of the limit, and a surge at all got twice of it.

Change: a gossip message carries the sender's demand by up to eight pressing workspaces, 20 bytes each, and load sums carry the waiting count. A message replaces the sender's former word. Shares follow demand only while every other instance's word is fresh: a sum over some would leave each nearly the whole limit. A share grows to twice the demand proven over five seconds. The test of the largest message now also holds that demand is left out of it, and a new one that a message with demand fits as well.

--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -4,7 +4,7 @@
 //! it: `cargo bench --bench state -- claims`.
 
 use godwitpost_bench::figure::Figure;
-use godwitpost_bench::{claims, rolls, state};
+use godwitpost_bench::{claims, limits, rolls, state};
 
 /// The seed of the first schedule of rolls, and how many follow.
 const ROLL_SEED: u64 = 1;
@@ -25,6 +25,7 @@
     part("rolls", &|| rolls::figures(ROLL_SEED, ROLL_SCHEDULES));
     part("claims", &claims::figures);
     part("claims.load", &claims::load::figures);
+    part("limits", &limits::figures);
     part("leases", &state::lease::figures);
     part("orders", &state::order::figures);
     for size in state::membership::SIZES {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod claims;
 pub mod decisions;
 pub mod figure;
+pub mod limits;
 pub mod rolls;
 pub mod state;
--- a/crates/bench/src/state/fleet.rs
+++ b/crates/bench/src/state/fleet.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use godwitpost_state::gossip::{Budget, Message, Pump};
+use godwitpost_state::gossip::{Budget, Demand, Message, Pump};
 use godwitpost_state::membership::endpoints::{Change, Endpoints, Leaving};
 use godwitpost_state::membership::{Roster, State};
 use godwitpost_types::clock::Moment;
@@ -445,12 +445,20 @@
 }
 
 fn node(instance: &Instance) -> Node {
+    // Limits that press on all instances: messages carry all they may.
+    let demand = |index: u64| Demand {
+        workspace: u64::MAX - index,
+        rate: u32::MAX,
+        running: u32::MAX,
+    };
+    let mut pump = Pump::new(Budget::new(START, RATE, HEADERS));
+    pump.set_demands((0..8).map(demand).collect());
     Node {
         alive: true,
         paused_until: Moment::ZERO,
         roster: Roster::new(instance.clone()),
         endpoints: Endpoints::new(),
-        pump: Pump::new(Budget::new(START, RATE, HEADERS)),
+        pump,
         version: 0,
         homes: BTreeMap::new(),
         moves: 0,
--- a/crates/capacity/src/live/control.rs
+++ b/crates/capacity/src/live/control.rs
@@ -144,6 +144,7 @@
         leaving: Vec::new(),
         loads: Vec::new(),
         evidence: Vec::new(),
+        demands: None,
     };
     Bytes::from(message.encode())
 }
--- a/crates/capacity/src/role/member.rs
+++ b/crates/capacity/src/role/member.rs
@@ -113,6 +113,7 @@
         pool: fleet::model(index),
         endpoints: 1,
         work: 12_000,
+        waiting: 2,
         taken: Duration::from_millis(1_764_712_800_123),
     };
     (0..10).map(load).collect()
--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -1,11 +1,11 @@
 //! Limits of a workspace over the whole fleet, kept without coordination.
 //!
 //! Each instance enforces a local share. Shares start at an even part of the
-//! limit, times a slack for unevenly spread callers, and follow the demand
-//! that instances tell each other. `docs/design/queues.md` says what else was
-//! weighed.
+//! limit, times a slack for unevenly spread callers. While a word of every
+//! other instance is fresh, they follow the demand told instead.
+//! `docs/design/queues.md` says what else was weighed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
@@ -15,7 +15,10 @@
 
 use crate::refusal::{Reason, Refusal};
 
-/// How long a word on demand counts.
+/// How long a word on demand counts, from when it came.
+///
+/// Peers are met once a round, in a new order each round: with a contact a
+/// second, eight instances meet within 13 seconds at worst.
 const FRESH: Duration = Duration::from_secs(15);
 
 /// A local share before any demand was heard, in even parts of the limit.
@@ -28,19 +31,48 @@
 /// never be used and so never be seen to be needed.
 const LEAST: f64 = 1.0;
 
+/// Demands in one word at most; with 20 bytes each they fit beside the rest
+/// of a gossip message.
+pub const TOLD: usize = 8;
+
+/// The part of an even share under which demand is not told.
+///
+/// What is not told is taken for none, so the fleet may admit this part of
+/// the limit beyond it.
+pub const QUIET: f64 = 0.25;
+
+/// The least time that demand is measured over, just under a gossip period.
+const MEASURED: Duration = Duration::from_millis(900);
+
+/// Measures, a second apart, that a demand has to last to be proven.
+///
+/// By then most of six instances were told of it, at two meetings a second.
+const PROOF: usize = 5;
+
+/// A share at most, in proven demand.
+///
+/// Without it a surge that reaches all instances at once would meet shares
+/// that each still hold the whole limit, until the instances hear of it.
+const GROWTH: f64 = 2.0;
+
 /// What one instance saw a workspace ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
-    /// The instance.
-    pub source: InstanceId,
     /// The workspace.
     pub workspace: WorkspaceId,
     /// Requests a second, smoothed over some seconds, refused ones included.
     pub rate: f32,
-    /// Requests at once, refused ones included.
+    /// Admitted requests at once.
     pub running: u32,
-    /// When the source took the figures.
-    pub taken: Moment,
+}
+
+// All that one source told last; a workspace that is missing from it is quiet
+// there, unless the word was full and may have had no room for it.
+#[derive(Clone, Debug)]
+struct Word {
+    heard: Moment,
+    full: bool,
+    demands: BTreeMap<WorkspaceId, Demand>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -50,13 +82,21 @@
     running: u32,
     rate: f64,
     counted: u32,
-    others: BTreeMap<InstanceId, Demand>,
+    past: VecDeque<(f64, u32)>,
+}
+
+// What all others told of one workspace, summed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    rate: f64,
+    running: f64,
 }
 
 /// The limits that one entry instance enforces.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
     meters: BTreeMap<WorkspaceId, Meter>,
+    words: BTreeMap<InstanceId, Word>,
     rated: Moment,
 }
 
@@ -74,9 +114,10 @@
         workspace: &Workspace,
         instances: usize,
     ) -> Result<(), Refusal> {
+        let others = self.others(now, id, instances);
         let meter = self.meters.entry(id).or_default();
         meter.counted += 1;
-        let rate = meter.rate_share(now, workspace.rate, instances);
+        let rate = meter.rate_share(workspace.rate, others, instances);
         meter.fill(now, rate);
         if meter.tokens < 1.0 {
             let wait = Duration::from_secs_f64(((1.0 - meter.tokens) / rate).clamp(0.001, 60.0));
@@ -85,7 +126,7 @@
                 retry_after: wait,
             });
         }
-        if f64::from(meter.running) >= meter.room(now, workspace.concurrency, instances) {
+        if f64::from(meter.running) >= meter.room(workspace.concurrency, others, instances) {
             return Err(Refusal::new(Reason::Concurrency));
         }
         meter.tokens -= 1.0;
@@ -100,28 +141,75 @@
         }
     }
 
-    /// Returns the demand to tell the others, about once a second.
-    pub fn demands(&mut self, now: Moment, source: InstanceId) -> Vec<Demand> {
-        let span = since(now, self.rated).as_secs_f64().max(0.001);
+    /// Returns the demand to tell the others: the [`TOLD`] workspaces that
+    /// press most on their even share, and none under [`QUIET`] of it.
+    pub fn demands(
+        &mut self,
+        now: Moment,
+        workspaces: &BTreeMap<WorkspaceId, Workspace>,
+        instances: usize,
+    ) -> Vec<Demand> {
+        self.measure(now);
+        let mut pressed: Vec<(f64, Demand)> = Vec::new();
+        for (id, meter) in &self.meters {
+            let Some(workspace) = workspaces.get(id) else {
+                continue;
+            };
+            let pressure = meter.pressure(workspace, instances);
+            if pressure >= QUIET {
+                pressed.push((pressure, meter.demand(*id)));
+            }
+        }
+        pressed.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        pressed.truncate(TOLD);
+        pressed.into_iter().map(|(_, demand)| demand).collect()
+    }
+
+    /// Takes in all that another instance told at once, in place of what it
+    /// told before.
+    pub fn learn(&mut self, now: Moment, source: InstanceId, demands: &[Demand]) {
+        let word = Word {
+            heard: now,
+            full: demands.len() >= TOLD,
+            demands: demands.iter().map(|d| (d.workspace, *d)).collect(),
+        };
+        self.words.insert(source, word);
+    }
+
+    fn measure(&mut self, now: Moment) {
+        let span = since(now, self.rated);
+        if span < MEASURED {
+            return;
+        }
         self.rated = now;
         let idle = |meter: &Meter| meter.running == 0 && meter.rate < 0.01;
-        self.meters
-            .values_mut()
-            .for_each(|meter| meter.measure(span));
+        for meter in self.meters.values_mut() {
+            meter.measure(span.as_secs_f64());
+        }
         self.meters.retain(|_, meter| !idle(meter));
-        self.meters
-            .iter()
-            .map(|(&workspace, meter)| meter.demand(now, source, workspace))
-            .collect()
+        self.words.retain(|_, word| since(now, word.heard) < FRESH);
     }
 
-    /// Takes in what another instance told.
-    pub fn learn(&mut self, demand: Demand) {
-        let meter = self.meters.entry(demand.workspace).or_default();
-        let known = meter.others.entry(demand.source).or_insert(demand);
-        if known.taken < demand.taken {
-            *known = demand;
+    // Nothing unless every other instance's word is known: a sum over some of
+    // them would leave each instance more of the limit than there is.
+    fn others(&self, now: Moment, id: WorkspaceId, instances: usize) -> Option<Others> {
+        let mut sum = Others::default();
+        let mut known = 1;
+        for word in self.words.values() {
+            if since(now, word.heard) >= FRESH {
+                continue;
+            }
+            match word.demands.get(&id) {
+                Some(demand) => {
+                    sum.rate += f64::from(demand.rate);
+                    sum.running += f64::from(demand.running);
+                }
+                None if word.full => continue,
+                None => {}
+            }
+            known += 1;
         }
+        (instances > 1 && known >= instances).then_some(sum)
     }
 }
 
@@ -144,48 +232,66 @@
         // Half of the newest second: smooth enough to share by, and a surge
         // shows within two seconds.
         self.rate += (rate - self.rate) * 0.5;
+        self.past.push_back((self.rate, self.running));
+        if self.past.len() > PROOF {
+            self.past.pop_front();
+        }
     }
 
-    fn rate_share(&self, now: Moment, limit: f64, instances: usize) -> f64 {
-        let others = self.heard(now, |demand| f64::from(demand.rate));
-        share(limit, self.rate, others, instances).max(LEAST.min(limit))
+    fn rate_share(&self, limit: f64, others: Option<Others>, instances: usize) -> f64 {
+        let others = others.map(|others| others.rate);
+        let proven = self.proven(|past| past.0);
+        share(limit, self.rate, others, proven, instances).max(LEAST.min(limit))
     }
 
-    fn room(&self, now: Moment, limit: u32, instances: usize) -> f64 {
-        let others = self.heard(now, |demand| f64::from(demand.running));
-        share(f64::from(limit), f64::from(self.running), others, instances).max(1.0)
+    fn room(&self, limit: u32, others: Option<Others>, instances: usize) -> f64 {
+        let others = others.map(|others| others.running);
+        let proven = self.proven(|past| f64::from(past.1));
+        let (limit, running) = (f64::from(limit), f64::from(self.running));
+        share(limit, running, others, proven, instances).max(1.0)
+    }
+
+    // The demand that lasted through all of the last measures.
+    fn proven(&self, figure: impl Fn(&(f64, u32)) -> f64) -> f64 {
+        if self.past.len() < PROOF {
+            return 0.0;
+        }
+        self.past.iter().map(figure).fold(f64::INFINITY, f64::min)
     }
 
-    fn heard(&self, now: Moment, figure: impl Fn(&Demand) -> f64) -> Option<f64> {
-        let fresh = self.others.values().filter(|d| since(now, d.taken) < FRESH);
-        fresh.map(figure).reduce(|a, b| a + b)
+    // The larger of the two demands in even shares.
+    #[expect(clippy::cast_precision_loss, reason = "few instances")]
+    fn pressure(&self, workspace: &Workspace, instances: usize) -> f64 {
+        let rate = self.rate / workspace.rate;
+        let running = f64::from(self.running) / f64::from(workspace.concurrency);
+        rate.max(running) * instances as f64
     }
 
     #[expect(
         clippy::cast_possible_truncation,
         reason = "a rate needs no more than 24 bits"
     )]
-    fn demand(&self, taken: Moment, source: InstanceId, workspace: WorkspaceId) -> Demand {
+    fn demand(&self, workspace: WorkspaceId) -> Demand {
         Demand {
-            source,
             workspace,
             rate: self.rate as f32,
             running: self.running,
-            taken,
         }
     }
 }
 
 // What the others leave of the limit, or this instance's part of it by
-// demand if together they ask for more. With nobody heard: an even part.
+// demand if together they ask for more. Unless all are heard: an even part.
 #[expect(clippy::cast_precision_loss, reason = "few instances")]
-fn share(limit: f64, own: f64, others: Option<f64>, instances: usize) -> f64 {
+fn share(limit: f64, own: f64, others: Option<f64>, proven: f64, instances: usize) -> f64 {
     let even = limit / instances.max(1) as f64;
     let Some(others) = others else {
         return (even * SLACK).min(limit);
     };
+    let most = (even * SLACK).max(proven * GROWTH);
     if own + others <= limit {
-        return limit - others;
+        return (limit - others).min(most);
     }
-    limit * own.max(even) / (own.max(even) + others)
+    let part = limit * own.max(even) / (own.max(even) + others);
+    part.min(most)
 }
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_decide::limit;
 use godwitpost_decide::load::Summary;
 use godwitpost_decide::owner::Owner;
 use godwitpost_decide::quarantine::Evidence;
 use godwitpost_decide::view::Pool;
 use godwitpost_platform::connect::Connector;
-use godwitpost_state::gossip::{Load, Message, News};
+use godwitpost_state::gossip::{Demand, Load, Message, News};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{InstanceId, NO_MODEL};
 use godwitpost_types::instance::Instance;
@@ -70,7 +71,7 @@
     pub(super) fn asked(&mut self, now: Moment, message: &Message, bytes: usize) -> Option<Bytes> {
         let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
         let news = self.pump.asked(now, bytes, message, roster, endpoints)?;
-        self.learn(message.from.id, &news);
+        self.learn(now, message.from.id, &news);
         let said = self.message(now, message.from.id);
         let cost = (bytes + said.len()) as u64 + 2 * super::GOSSIP_HEADERS;
         self.shared.metrics.control(Traffic::Peers, cost);
@@ -90,18 +91,37 @@
         };
         let (roster, endpoints) = (&mut self.roster, &mut self.endpoints);
         let news = self.pump.answered(now, bytes, &message, roster, endpoints);
-        self.learn(peer, &news);
+        self.learn(now, peer, &news);
     }
 
     fn message(&mut self, now: Moment, to: InstanceId) -> Bytes {
         let summaries = self.shared.desk.with(|owner| owner.summaries(now));
         let loads: Vec<Load> = summaries.iter().map(load).collect();
+        let demands = self.demands(now);
+        self.pump.set_demands(demands);
         let bytes = self.pump.message(to, &self.roster, &loads).encode();
         self.pump.sent(bytes.len());
         Bytes::from(bytes)
     }
 
-    fn learn(&mut self, peer: InstanceId, news: &News) {
+    // None without a bundle: no request is admitted then.
+    fn demands(&self, now: Moment) -> Vec<Demand> {
+        let snapshot = self.shared.snapshot();
+        let Some(bundle) = snapshot.bundle.as_ref() else {
+            return Vec::new();
+        };
+        let instances = snapshot.view.instances().count();
+        let workspaces = &bundle.policy.workspaces;
+        let limits = &mut self.shared.gate().limits;
+        let demands = limits.demands(now, workspaces, instances);
+        demands.iter().map(pack::demand).collect()
+    }
+
+    fn learn(&mut self, now: Moment, peer: InstanceId, news: &News) {
+        if let Some(demands) = &news.demands {
+            let demands: Vec<limit::Demand> = demands.iter().map(pack::read_demand).collect();
+            self.shared.gate().limits.learn(now, peer, &demands);
+        }
         if let Some(version) = news.version {
             self.heard(peer, version);
         }
@@ -130,7 +150,7 @@
             pool,
             endpoints: load.endpoints,
             work: load.work,
-            waiting: 0,
+            waiting: load.waiting,
             taken: load.taken,
         })
     }
@@ -172,6 +192,7 @@
         pool: number(summary.pool),
         endpoints: summary.endpoints,
         work: summary.work,
+        waiting: summary.waiting,
         taken: summary.taken,
     }
 }
--- a/crates/router/src/control/gossip/pack.rs
+++ b/crates/router/src/control/gossip/pack.rs
@@ -1,7 +1,9 @@
-//! Quarantine evidence in gossip's fixed size: five fields, 48 bytes.
+//! Quarantine evidence in gossip's fixed size, five fields and 48 bytes, and
+//! demand with its rate in whole numbers.
 
 use std::time::Duration;
 
+use godwitpost_decide::limit::Demand;
 use godwitpost_decide::quarantine::{Evidence, Kind};
 use godwitpost_state::gossip;
 
@@ -12,6 +14,9 @@
 /// Bytes of a digest; the fields of eight bytes follow it.
 const DIGEST: usize = 16;
 
+/// Parts of a request a second that a rate is told in.
+const PARTS: f32 = 1000.0;
+
 /// Packs a piece of evidence.
 pub(super) fn evidence(evidence: &Evidence) -> gossip::Evidence {
     let kind = match evidence.kind {
@@ -52,5 +57,32 @@
     }
 }
 
+/// Packs a workspace's demand.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a rate is never negative, and the cast saturates"
+)]
+pub(super) fn demand(demand: &Demand) -> gossip::Demand {
+    gossip::Demand {
+        workspace: demand.workspace,
+        rate: (demand.rate * PARTS) as u32,
+        running: demand.running,
+    }
+}
+
+/// Reads a packed demand.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a rate needs no more than 24 bits"
+)]
+pub(super) fn read_demand(packed: &gossip::Demand) -> Demand {
+    Demand {
+        workspace: packed.workspace,
+        rate: packed.rate as f32 / PARTS,
+        running: packed.running,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/state/src/gossip.rs
+++ b/crates/state/src/gossip.rs
@@ -15,6 +15,6 @@
 mod spread;
 
 pub use budget::{Budget, Urgency};
-pub use message::{EVIDENCE, Evidence, Load, Message};
+pub use message::{Demand, EVIDENCE, Evidence, Load, Message};
 pub use pump::{HOT_PEERS, LARGEST, News, PERIOD, Pump};
 pub use spread::Spread;
--- a/crates/state/src/gossip/budget.rs
+++ b/crates/state/src/gossip/budget.rs
@@ -83,6 +83,12 @@
         self.spent = self.spent.saturating_sub(cost);
     }
 
+    /// Returns whether the bucket is at least five eighths full.
+    #[must_use]
+    pub const fn ample(&self) -> bool {
+        self.level >= self.burst / 8 * 5
+    }
+
     /// Returns the bytes granted since the start.
     #[must_use]
     pub const fn spent(&self) -> u64 {
--- a/crates/state/src/gossip/message.rs
+++ b/crates/state/src/gossip/message.rs
@@ -33,10 +33,23 @@
     pub endpoints: u32,
     /// Their estimated work, in tokens still to be computed.
     pub work: u64,
+    /// Requests that wait for them.
+    pub waiting: u32,
     /// When the sums were taken, in whole milliseconds.
     pub taken: Moment,
 }
 
+/// What a workspace asks of the sender; the limits read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Demand {
+    /// The workspace.
+    pub workspace: u64,
+    /// Requests in 1,000 seconds.
+    pub rate: u32,
+    /// Requests at once.
+    pub running: u32,
+}
+
 /// What one instance tells another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
@@ -52,6 +65,9 @@
     pub loads: Vec<Load>,
     /// Quarantine evidence.
     pub evidence: Vec<Evidence>,
+    /// The sender's demand by workspaces near or over their share of it;
+    /// `None` if nothing is said of it.
+    pub demands: Option<Vec<Demand>>,
 }
 
 /// Why bytes are no message.
@@ -85,7 +101,7 @@
     }
 }
 
-const ELEMENTS: usize = 9;
+const ELEMENTS: usize = 10;
 
 impl Serialize for Message {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -99,6 +115,7 @@
         tuple.serialize_element(&self.leaving)?;
         tuple.serialize_element(&self.loads)?;
         tuple.serialize_element(&Flat(&self.evidence))?;
+        tuple.serialize_element(&self.demands)?;
         tuple.end()
     }
 }
@@ -115,7 +132,7 @@
     type Value = Message;
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("an array of nine: id, incarnation, beat, leaving, version, lists")
+        formatter.write_str("an array of ten: id, incarnation, beat, leaving, version, lists")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Message, A::Error> {
@@ -131,6 +148,7 @@
             leaving: element(&mut seq)?,
             loads: element(&mut seq)?,
             evidence: element::<A, Pieces>(&mut seq)?.0,
+            demands: element(&mut seq)?,
         })
     }
 }
@@ -197,22 +215,40 @@
 impl Serialize for Load {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let taken = u64::try_from(self.taken.as_millis()).unwrap_or(u64::MAX);
-        (self.pool, self.endpoints, self.work, taken).serialize(serializer)
+        (self.pool, self.endpoints, self.work, self.waiting, taken).serialize(serializer)
     }
 }
 
 impl<'de> Deserialize<'de> for Load {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let (pool, endpoints, work, taken) = Deserialize::deserialize(deserializer)?;
+        let (pool, endpoints, work, waiting, taken) = Deserialize::deserialize(deserializer)?;
         Ok(Self {
             pool,
             endpoints,
             work,
+            waiting,
             taken: Duration::from_millis(taken),
         })
     }
 }
 
+impl Serialize for Demand {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        (self.workspace, self.rate, self.running).serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for Demand {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (workspace, rate, running) = Deserialize::deserialize(deserializer)?;
+        Ok(Self {
+            workspace,
+            rate,
+            running,
+        })
+    }
+}
+
 // Evidence as one byte string, so that a piece costs its 48 bytes alone.
 struct Flat<'a>(&'a [Evidence]);
 
--- a/crates/state/src/gossip/message/tests.rs
+++ b/crates/state/src/gossip/message/tests.rs
@@ -21,11 +21,17 @@
     });
     let sign = any::<(u64, u64)>().prop_map(|(id, incarnation)| Leaving { id, incarnation });
     let load = any::<(u64, u32, u64, u32)>().prop_map(|(pool, endpoints, work, taken)| Load {
+        waiting: taken ^ endpoints,
         pool,
         endpoints,
         work,
         taken: Duration::from_millis(u64::from(taken)),
     });
+    let demand = any::<(u64, u32, u32)>().prop_map(|(workspace, rate, running)| Demand {
+        workspace,
+        rate,
+        running,
+    });
     let piece = prop::collection::vec(any::<u8>(), EVIDENCE)
         .prop_map(|bytes| Evidence::try_from(bytes).expect("the length is fixed"));
     (
@@ -35,9 +41,10 @@
         prop::collection::vec(sign, 0..5),
         prop::collection::vec(load, 0..5),
         prop::collection::vec(piece, 0..5),
+        prop::option::of(prop::collection::vec(demand, 0..5)),
     )
         .prop_map(
-            |(ids, version, rumours, leaving, loads, evidence)| Message {
+            |(ids, version, rumours, leaving, loads, evidence, demands)| Message {
                 from: Heartbeat {
                     id: ids.0,
                     incarnation: ids.1,
@@ -49,6 +56,7 @@
                 leaving,
                 loads,
                 evidence,
+                demands,
             },
         )
 }
--- a/crates/state/src/gossip/pump.rs
+++ b/crates/state/src/gossip/pump.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use rand::seq::{IndexedRandom, SliceRandom};
 
-use super::{Budget, Evidence, Load, Message, Spread, Urgency};
+use super::{Budget, Demand, Evidence, Load, Message, Spread, Urgency};
 use crate::membership::endpoints::{Endpoints, Leaving};
 use crate::membership::{Roster, Rumour, State};
 
@@ -41,13 +41,18 @@
 /// With its head it fills one packet, or a little of a second one.
 pub const LARGEST: usize = 1100;
 
-// Items in one message at most: on the wire they take 30, 19, 33 and 48 bytes
-// at most, which with the fixed 40 sums up to less than LARGEST.
+// Items in one message at most: on the wire they take 30, 19, 38 and 48 bytes
+// at most, which with the fixed 40 and an accusation sums up to less than LARGEST.
 const RUMOURS: usize = 15;
 const SIGNS: usize = 8;
 const LOADS: usize = 6;
 const PIECES: usize = 4;
 
+// Demands, 20 bytes each, are left out of a message with more rumours than
+// this: a third of them make room for eight demands.
+const DEMANDS: usize = 8;
+const ROOM_RUMOURS: usize = 9;
+
 // News held to be told; more than a lost zone of 27 instances, or a rack of
 // runners that leaves at once.
 const LONGEST: usize = 512;
@@ -63,6 +68,8 @@
     pub loads: Vec<Load>,
     /// Evidence that was not known before.
     pub evidence: Vec<Evidence>,
+    /// The sender's demand by workspaces, if it was told.
+    pub demands: Option<Vec<Demand>>,
 }
 
 /// The gossip of one instance.
@@ -78,6 +85,7 @@
     rumours: Spread<Rumour>,
     leaving: Spread<Leaving>,
     evidence: Spread<Evidence>,
+    demands: Vec<Demand>,
     known_evidence: VecDeque<Evidence>,
     peers: usize,
 }
@@ -97,6 +105,7 @@
             rumours: Spread::new(LONGEST),
             leaving: Spread::new(LONGEST),
             evidence: Spread::new(LONGEST),
+            demands: Vec::new(),
             known_evidence: VecDeque::new(),
             peers: 0,
         }
@@ -147,6 +156,14 @@
         }
     }
 
+    /// Sets the own demand to tell, of which the first eight are told.
+    ///
+    /// It is the sender's alone and is not passed on by others.
+    pub fn set_demands(&mut self, mut demands: Vec<Demand>) {
+        demands.truncate(DEMANDS);
+        self.demands = demands;
+    }
+
     /// Returns the peers to send a message to now.
     ///
     /// Each is already paid for. To be called at [`Pump::next`], and at once
@@ -195,6 +212,9 @@
         {
             rumours.push(accusation);
         }
+        // A burst of news needs the bytes more; it passes in seconds.
+        let told = rumours.len() <= ROOM_RUMOURS && self.budget.ample();
+        let demands = told.then(|| self.demands.clone());
         Message {
             from: roster.heartbeat(),
             version: self.version,
@@ -202,6 +222,7 @@
             leaving: self.leaving.take(SIGNS, times),
             loads: loads[..loads.len().min(LOADS)].to_vec(),
             evidence: self.evidence.take(PIECES, times),
+            demands,
         }
     }
 
@@ -269,6 +290,7 @@
             behind: message.version < self.version,
             loads: message.loads.clone(),
             evidence: fresh,
+            demands: message.demands.clone(),
         }
     }
 
--- a/crates/state/src/gossip/pump/tests.rs
+++ b/crates/state/src/gossip/pump/tests.rs
@@ -85,10 +85,18 @@
         pool: u64::MAX,
         endpoints: u32::MAX,
         work: u64::MAX,
+        waiting: u32::MAX,
         taken: Duration::from_millis(u64::MAX),
     };
+    let demand = Demand {
+        workspace: u64::MAX,
+        rate: u32::MAX,
+        running: u32::MAX,
+    };
+    pump.set_demands(vec![demand; 20]);
     let message = pump.message(2, &roster, &[load; 20]);
     assert_eq!(message.rumours.len(), RUMOURS);
+    assert_eq!(message.demands, None);
     assert!(
         message.encode().len() <= LARGEST,
         "{}",
@@ -96,6 +104,45 @@
     );
 }
 
+/// A message with demands outgrows what was paid for it beforehand.
+#[test]
+fn the_largest_message_with_demands_fits() {
+    let roster = roster(2);
+    let mut pump = pump(6000);
+    pump.set_version(u64::MAX);
+    for n in 0..64_u8 {
+        let id = u64::MAX - u64::from(n);
+        let incarnation = u64::MAX;
+        if usize::from(n) < ROOM_RUMOURS {
+            pump.rumours(&[Rumour {
+                id,
+                incarnation,
+                beat: u64::MAX,
+                state: State::Gone,
+            }]);
+        }
+        pump.leaving(Leaving { id, incarnation });
+        pump.evidence([n; EVIDENCE]);
+    }
+    let load = Load {
+        pool: u64::MAX,
+        endpoints: u32::MAX,
+        work: u64::MAX,
+        waiting: u32::MAX,
+        taken: Duration::from_millis(u64::MAX),
+    };
+    let demand = Demand {
+        workspace: u64::MAX,
+        rate: u32::MAX,
+        running: u32::MAX,
+    };
+    pump.set_demands(vec![demand; 20]);
+    let message = pump.message(2, &roster, &[load; 20]);
+    assert_eq!(message.demands.as_ref().map(Vec::len), Some(DEMANDS));
+    let bytes = message.encode().len();
+    assert!(bytes <= LARGEST, "{bytes}");
+}
+
 /// A dead instance is noticed late, or never, because chance leaves it out.
 #[test]
 fn each_peer_is_met_once_a_round() {
