--- a/crates/decide/tests/traps/limit.rs
+++ b/crates/decide/tests/traps/limit.rs
@@ -1,5 +1,6 @@
 //! A workspace's limits over several instances.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use godwitpost_decide::limit::Limits;
@@ -35,15 +36,16 @@
                 }
             }
         }
-        tell(&mut limits, Duration::from_secs(101 + sec));
+        tell(&mut limits, workspace, Duration::from_secs(101 + sec));
         seconds.push(count);
     }
     seconds
 }
 
-fn tell(limits: &mut [Limits], now: Duration) {
+fn tell(limits: &mut [Limits], workspace: &Workspace, now: Duration) {
+    let workspaces = BTreeMap::from([(1, workspace.clone())]);
     for from in 0..INSTANCES {
-        let demands = limits[from].demands(now, from as u64);
+        let demands = limits[from].demands(now, &workspaces, INSTANCES);
         for to in (0..INSTANCES).filter(|to| *to != from) {
             limits[to].learn(now, from as u64, &demands);
         }
--- a/crates/router/src/relay/resume.rs
+++ b/crates/router/src/relay/resume.rs
@@ -5,7 +5,6 @@
 use godwitpost_decide::owner::Grant;
 use godwitpost_decide::resume::{Next, Resume};
 use godwitpost_platform::connect::Body;
-use godwitpost_wire::dispatch::{pack, unpack};
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
 use http::{HeaderName, HeaderValue, StatusCode};
 
@@ -46,9 +45,7 @@
 
     fn after(&self, event: u64) -> Job {
         let mut job = self.job.clone();
-        let mut headers = unpack(&job.head.headers);
-        headers.insert(LAST_EVENT, HeaderValue::from(event));
-        job.head.headers = pack(&headers);
+        job.headers.insert(LAST_EVENT, HeaderValue::from(event));
         job
     }
 }
