router: models that a plain service reports change nothing

Cause: an owner goes by its endpoints' reports before the list, and took the models that any of them named.

Change: only endpoints of a service that the bundle calls engines are corrected by their reports; a test brings the failure about.

--- a/crates/router/src/control/models.rs
+++ b/crates/router/src/control/models.rs
@@ -12,6 +12,7 @@
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Report};
 use godwitpost_types::id::{self, EndpointId, Incarnation, ModelId};
+use godwitpost_types::policy::Kind;
 
 use super::orders;
 
@@ -54,9 +55,21 @@
         known.is_none_or(|known| known.models != models)
     }
 
-    /// Returns an endpoint with the models that it has by its own word, if
-    /// that is fresh.
-    pub(super) fn correct(&self, now: Moment, mut endpoint: Endpoint) -> Endpoint {
+    /// Returns an engine with the models that it has by its own word, if that
+    /// is fresh; other endpoints as they are.
+    ///
+    /// The failure: a plain service's back end names models in its report. It
+    /// would be taken out of its service, whose requests ask for none, and the
+    /// callers hear that there is no endpoint.
+    pub(super) fn correct(
+        &self,
+        now: Moment,
+        kind: Option<Kind>,
+        mut endpoint: Endpoint,
+    ) -> Endpoint {
+        if kind != Some(Kind::Engine) {
+            return endpoint;
+        }
         let reported = self.reported.get(&endpoint.id);
         let reported = reported.filter(|r| r.incarnation == endpoint.incarnation);
         if let Some(reported) = reported.filter(|r| since(now, r.at) < FRESH) {
--- a/crates/router/src/control/models/tests.rs
+++ b/crates/router/src/control/models/tests.rs
@@ -39,9 +39,9 @@
     let said = ["tagger@3".to_owned()];
     assert!(models.take(now, ENGINE, &report(2), &said));
     assert!(!models.take(now, ENGINE, &report(2), &said));
-    let corrected = models.correct(now, endpoint());
+    let corrected = models.correct(now, Some(Kind::Engine), endpoint());
     assert_eq!(corrected.models, BTreeSet::from([id::of("tagger")]));
-    let stale = models.correct(now + FRESH, endpoint());
+    let stale = models.correct(now + FRESH, Some(Kind::Engine), endpoint());
     assert_eq!(stale.models, endpoint().models);
 }
 
@@ -52,5 +52,24 @@
     let mut models = Models::default();
     let now = Duration::from_secs(100);
     models.take(now, ENGINE, &report(1), &[]);
-    assert_eq!(models.correct(now, endpoint()).models, endpoint().models);
+    assert_eq!(
+        models.correct(now, Some(Kind::Engine), endpoint()).models,
+        endpoint().models
+    );
+}
+
+// Stock checks stall though their service is up: its back ends name models in
+// their reports, out of a template for engines, and leave their own pool.
+#[test]
+fn models_that_a_plain_service_reports_change_nothing() {
+    let mut models = Models::default();
+    let now = Duration::from_secs(100);
+    models.take(now, ENGINE, &report(2), &["tagger@3".to_owned()]);
+    let plain = Endpoint {
+        models: BTreeSet::new(),
+        ..endpoint()
+    };
+    for kind in [Some(Kind::Plain), None] {
+        assert_eq!(models.correct(now, kind, plain.clone()), plain);
+    }
 }
--- a/crates/router/src/control/publish.rs
+++ b/crates/router/src/control/publish.rs
@@ -6,6 +6,7 @@
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id::Version;
 use godwitpost_types::instance::Instance;
+use godwitpost_types::policy::Kind;
 
 use super::Control;
 use crate::shared::{Bundle, Snapshot};
@@ -36,7 +37,9 @@
         let instances = self.instances();
         let now = self.shared.now();
         let endpoints = self.endpoints.endpoints().cloned();
-        let endpoints: Vec<Endpoint> = endpoints.map(|e| self.models.correct(now, e)).collect();
+        let endpoints: Vec<Endpoint> = endpoints
+            .map(|e| self.models.correct(now, self.kind(&e), e))
+            .collect();
         let version = self.serves();
         let last = &self.published;
         if last.version == version && last.instances == instances && last.endpoints == endpoints {
@@ -84,6 +87,11 @@
         instances
     }
 
+    fn kind(&self, endpoint: &Endpoint) -> Option<Kind> {
+        let policy = self.fold.policy()?;
+        Some(policy.services.get(&endpoint.service)?.kind)
+    }
+
     fn resolved(&self) -> Option<Bundle> {
         let policy = self.fold.policy()?.clone();
         Some(Bundle {
