--- a/crates/bundle/src/fold/tests.rs
+++ b/crates/bundle/src/fold/tests.rs
@@ -3,6 +3,7 @@
 mod gaps;
 mod order;
 mod peers;
+mod schedules;
 
 use std::time::Duration;
 
--- a/crates/bundle/src/root/tests.rs
+++ b/crates/bundle/src/root/tests.rs
@@ -1,5 +1,6 @@
 use proptest::collection::{btree_map, btree_set};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 use crate::blob::Blob;
 use crate::delta::Delta;
@@ -12,6 +13,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     // The root after a change must be the one of the entries taken afresh, or
     // instances that started at different times would disagree.
     #[test]
