--- a/crates/capacity/src/live/bare.rs
+++ b/crates/capacity/src/live/bare.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Body, Connector, Settings};
+use godwitpost_client::connect::{Body, Connector, Settings};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
@@ -96,7 +96,7 @@
     let body = full(body.unwrap_or_default());
     let sent = connector.send(to, Request::from_parts(parts, body), WAIT);
     let response = match sent.await {
-        Ok(response) => response.map(godwitpost_platform::connect::Received::boxed),
+        Ok(response) => response.map(godwitpost_client::connect::Received::boxed),
         Err(_failed) => {
             let mut response = Response::new(full(Bytes::new()));
             *response.status_mut() = StatusCode::BAD_GATEWAY;
--- a/crates/capacity/src/live/callers.rs
+++ b/crates/capacity/src/live/callers.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Connector, Settings};
+use godwitpost_client::connect::{Connector, Settings};
 use http::Request;
 use http_body_util::BodyExt as _;
 
@@ -91,7 +91,7 @@
     Some(body.to_bytes().len() as u64)
 }
 
-fn request(ask: Ask, number: u64) -> Request<godwitpost_platform::connect::Body> {
+fn request(ask: Ask, number: u64) -> Request<godwitpost_client::connect::Body> {
     let (path, body) = match ask {
         Ask::Plain => ("/stock", "{\"guide\":\"Sounkyo\"}".to_owned()),
         Ask::Chat => (
--- a/crates/capacity/src/live/control.rs
+++ b/crates/capacity/src/live/control.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use godwitpost_bench::figure::{Bound, Figure};
-use godwitpost_platform::connect::{Body, Connector, Settings};
+use godwitpost_client::connect::{Body, Connector, Settings};
 use godwitpost_state::gossip::Message;
 use godwitpost_state::membership::Heartbeat;
 use godwitpost_types::endpoint::Standing;
--- a/crates/capacity/src/role/metrics.rs
+++ b/crates/capacity/src/role/metrics.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use godwitpost_router::metrics::{LABELLED, Metrics};
+use godwitpost_process::metrics::{LABELLED, Metrics};
 use godwitpost_types::outcome::Outcome;
 
 use super::{Cost, Measure};
--- a/crates/platform/src/clock.rs
+++ b/crates/client/src/clock.rs
@@ -5,6 +5,8 @@
 
 use std::time::{Duration, SystemTime};
 
+use rustix::time::{ClockId, clock_gettime};
+
 use godwitpost_types::clock::Moment;
 use tokio::time::Instant;
 
@@ -49,3 +51,17 @@
         self.instant + moment.saturating_sub(self.start)
     }
 }
+
+/// Returns the time since the machine booted, suspended time included.
+///
+/// The monotonic clock of [`Clock`] stands still while a machine is suspended,
+/// and the system clock may jump either way. Whoever vouches for something for
+/// so many seconds, as a lease does, must count the time that it slept.
+#[must_use]
+pub fn boot_time() -> Moment {
+    let time = clock_gettime(ClockId::Boottime);
+    // Neither is negative on a clock that starts at zero.
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
--- a/crates/platform/src/connect/pool.rs
+++ b/crates/client/src/connect/pool.rs
@@ -59,17 +59,37 @@
 pub(super) struct Connection {
     pub(super) address: SocketAddr,
     pub(super) sender: SendRequest<Body>,
+    // How long the server keeps it open without a request, if it says so.
+    told: Option<Duration>,
     driver: AbortHandle,
 }
 
+/// The part of the server's own time-out after which a connection is no longer
+/// used. The server counts from its last byte, and a request has to arrive
+/// before it closes: half leaves the network and a stalled process the rest.
+const OF_TOLD: u32 = 2;
+
 impl Connection {
     pub(super) fn new(address: SocketAddr, sender: SendRequest<Body>, driver: AbortHandle) -> Self {
         Self {
             address,
             sender,
+            told: None,
             driver,
         }
     }
+
+    /// Notes how long the server keeps the connection open without a request.
+    pub(super) const fn told(&mut self, time: Duration) {
+        self.told = Some(time);
+    }
+
+    // How long it may stay idle and still be used.
+    fn idle_for(&self, settings: &Settings) -> Duration {
+        self.told.map_or(settings.idle_for, |told| {
+            settings.idle_for.min(told / OF_TOLD)
+        })
+    }
 }
 
 impl Drop for Connection {
@@ -121,7 +141,8 @@
         let connection = loop {
             let Some(last) = idle.pop() else { break None };
             inner.count -= 1;
-            if last.since.elapsed() < self.settings.idle_for && last.connection.sender.is_ready() {
+            let usable = last.since.elapsed() < last.connection.idle_for(&self.settings);
+            if usable && last.connection.sender.is_ready() {
                 break Some(last.connection);
             }
         };
@@ -180,7 +201,8 @@
         inner.swept = Some(now);
         inner.idle.retain(|_, idle| {
             idle.retain(|one| {
-                now - one.since < self.settings.idle_for && !one.connection.sender.is_closed()
+                let usable = now - one.since < one.connection.idle_for(&self.settings);
+                usable && !one.connection.sender.is_closed()
             });
             !idle.is_empty()
         });
--- a/crates/platform/src/connect/received.rs
+++ b/crates/client/src/connect/received.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -26,9 +27,12 @@
     pub(super) fn new(
         headers: &HeaderMap,
         body: Incoming,
-        connection: Connection,
+        mut connection: Connection,
         pool: Pool,
     ) -> Self {
+        if let Some(told) = keep_alive(headers) {
+            connection.told(told);
+        }
         let framed = body.size_hint().exact().is_some() || chunked(headers);
         let mut received = Self {
             body,
@@ -64,6 +68,16 @@
     }
 }
 
+// The time-out that the server names, in whole seconds: RFC 2068, section
+// 19.7.1.1, and common practice since.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let parameter = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    parameter.trim().parse().ok().map(Duration::from_secs)
+}
+
 // Chunks frame a body only as the last coding, RFC 9112, section 6.3.
 fn chunked(headers: &HeaderMap) -> bool {
     headers
--- a/crates/platform/tests/connect.rs
+++ b/crates/client/tests/connect.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Cause, Connector, Error, Received, Settings};
+use godwitpost_client::connect::{Cause, Connector, Error, Received, Settings};
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -15,7 +15,7 @@
 const LONG: Duration = Duration::from_secs(20);
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
 
-fn request(path: &str) -> Request<godwitpost_platform::connect::Body> {
+fn request(path: &str) -> Request<godwitpost_client::connect::Body> {
     let body = Full::new(Bytes::from_static(b"work"))
         .map_err(|never| match never {})
         .boxed_unsync();
--- a/crates/platform/tests/timer.rs
+++ b/crates/client/tests/timer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use godwitpost_platform::timer::Timer;
+use godwitpost_client::timer::Timer;
 
 const SECOND: Duration = Duration::from_secs(1);
 
--- a/crates/decide/src/resume.rs
+++ b/crates/decide/src/resume.rs
@@ -6,6 +6,8 @@
 //! can be checked to leave nothing out and to repeat nothing. A stream without
 //! such numbers is relayed as it comes and never resumed.
 
+pub mod events;
+
 use godwitpost_types::clock::Moment;
 use godwitpost_types::request::Request;
 
@@ -108,4 +110,25 @@
         self.asked += 1;
         Next::Ask { after }
     }
+
+    /// Returns the number of the last whole event.
+    #[must_use]
+    pub const fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Notes that the stream broke off and is asked for again after its last
+    /// whole event, at an endpoint that need not be the same.
+    ///
+    /// `None` if it can't be asked for: an event had no number, or the end
+    /// mark came.
+    pub const fn restart(&mut self) -> Option<u64> {
+        if self.unnumbered || self.done {
+            return None;
+        }
+        if self.last.is_some() {
+            self.asked += 1;
+        }
+        self.last
+    }
 }
--- a/crates/router/src/body/events.rs
+++ b/crates/decide/src/resume/events.rs
@@ -6,8 +6,8 @@
 //! limit; a stream that exceeds it, or that ends its lines in a way in which
 //! the end of an event can't be seen, is passed on as it comes from then on.
 
+use super::{Resume, Seen};
 use bytes::{Bytes, BytesMut};
-use godwitpost_decide::resume::{Resume, Seen};
 
 /// Bytes of an unfinished event that are held: far above an event of one
 /// token, and 64 MiB for 1,024 streams that all exceed it.
@@ -22,7 +22,7 @@
 
 /// Cuts frames at the ends of events.
 #[derive(Debug, Default)]
-pub(super) struct Events {
+pub struct Events {
     held: BytesMut,
 }
 
@@ -32,7 +32,7 @@
     /// # Errors
     ///
     /// Returns an error if a resumed stream doesn't go on where it broke off.
-    pub(super) fn push(&mut self, frame: Bytes, resume: &mut Resume) -> Result<Bytes, Astray> {
+    pub fn push(&mut self, frame: Bytes, resume: &mut Resume) -> Result<Bytes, Astray> {
         let mut bytes = self.join(frame);
         if resume.is_unnumbered() {
             return Ok(bytes);
@@ -58,7 +58,8 @@
     }
 
     /// Takes out what is held of an unfinished event.
-    pub(super) fn rest(&mut self) -> Bytes {
+    #[must_use]
+    pub fn rest(&mut self) -> Bytes {
         self.held.split().freeze()
     }
 
@@ -154,7 +155,8 @@
 }
 
 /// Returns whether the end mark is the last line of an unfinished event.
-pub(super) fn ends_with_mark(bytes: &[u8]) -> bool {
+#[must_use]
+pub fn ends_with_mark(bytes: &[u8]) -> bool {
     let lines = bytes.split(|byte| *byte == b'\n').map(<[u8]>::trim_ascii);
     lines
         .rev()
--- a/crates/router/src/body/events/tests.rs
+++ b/crates/decide/src/resume/events/tests.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
-use godwitpost_decide::resume::Resume;
 
 use super::{Events, HELD};
+use crate::resume::Resume;
 
 fn push(events: &mut Events, resume: &mut Resume, frame: &str) -> String {
     let frame = Bytes::from(frame.to_owned());
--- a/crates/demo/src/error.rs
+++ b/crates/demo/src/error.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use godwitpost_bundle::mistake::Mistakes;
 use godwitpost_bundle::record;
-use godwitpost_platform::log::append;
+use godwitpost_client::log::append;
 
 /// Why a fleet did not come up, or a run could not be finished.
 #[derive(Debug, Display)]
--- a/crates/demo/src/fleet/endpoints.rs
+++ b/crates/demo/src/fleet/endpoints.rs
@@ -6,9 +6,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use godwitpost_client::list::{Entry, Role};
 use godwitpost_history::event::{self, CallId, RunId, What};
 use godwitpost_history::recorder::Recorder;
-use godwitpost_platform::list::{Entry, Role};
 use godwitpost_standin::observe::{End, Event};
 use godwitpost_standin::{engine, list, plain};
 use godwitpost_types::endpoint::Standing;
--- a/crates/demo/src/fleet/operator.rs
+++ b/crates/demo/src/fleet/operator.rs
@@ -10,9 +10,9 @@
 use godwitpost_bundle::record::{Change, Record, STREAM};
 use godwitpost_bundle::root::Tree;
 use godwitpost_bundle::{entry, source};
+use godwitpost_client::connect::{self, Connector};
+use godwitpost_client::log::Client;
 use godwitpost_history::event::Accepted;
-use godwitpost_platform::connect::{self, Connector};
-use godwitpost_platform::log::Client;
 use tokio::time::sleep;
 
 use crate::deployment::Deployment;
--- a/crates/demo/src/fleet/routers.rs
+++ b/crates/demo/src/fleet/routers.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
+use godwitpost_client::list::{Entry, Role};
 use godwitpost_history::event::What;
-use godwitpost_platform::list::{Entry, Role};
 use godwitpost_router::settings::Settings;
 use godwitpost_types::endpoint::Standing;
 
--- a/crates/demo/src/fleet/watch.rs
+++ b/crates/demo/src/fleet/watch.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::{self, Connector};
 use godwitpost_history::event::{InForce, What};
 use godwitpost_history::recorder::Recorder;
-use godwitpost_platform::connect::{self, Connector};
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::Version;
 use http::Request;
--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::clock::Clock;
 use godwitpost_history::event::{CallId, End};
 use godwitpost_history::recorder::Recorder;
-use godwitpost_platform::clock::Clock;
 use godwitpost_types::outcome::Outcome;
 use http::Method;
 use rand::{RngExt, SeedableRng};
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -2,13 +2,13 @@
 
 use std::process::ExitCode;
 
+use godwitpost_client::clock::Clock;
 use godwitpost_demo::cli::{self, EXIT_BROKEN, EXIT_KEPT, EXIT_START, Next, Options};
 use godwitpost_demo::deployment::{Deployment, KITAKAZE, PORT_OF_SPAIN};
 use godwitpost_demo::error::Error;
 use godwitpost_demo::fleet::Fleet;
 use godwitpost_demo::run::{self, Outcome};
 use godwitpost_demo::{hold, key};
-use godwitpost_platform::clock::Clock;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::signal::unix::{SignalKind, signal};
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use godwitpost_client::clock::Clock;
 use godwitpost_history::event::Event;
 use godwitpost_history::file;
 use godwitpost_history::recorder::Recorder;
-use godwitpost_platform::clock::Clock;
 use godwitpost_standin::engine;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/crates/demo/tests/engines.rs
+++ b/crates/demo/tests/engines.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use godwitpost_client::clock::Clock;
 use godwitpost_demo::deployment::KITAKAZE;
 use godwitpost_demo::fleet::Fleet;
 use godwitpost_demo::load::Load;
 use godwitpost_demo::{judge, plan};
 use godwitpost_history::event::{Event, What};
 use godwitpost_history::recorder::Recorder;
-use godwitpost_platform::clock::Clock;
 use godwitpost_standin::engine;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- /dev/null
+++ b/crates/direct/src/book.rs
@@ -0,0 +1,146 @@
+//! What this instance knows of each endpoint's load and health.
+//!
+//! Its own requests are counted exactly. What other instances have there shows
+//! in the endpoint's answers, which name what it runs and holds: the reported
+//! figure less the own requests at that time is theirs. A report loses its
+//! weight with age, since an endpoint that gets no request of ours tells us
+//! nothing more.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use godwitpost_decide::health::{Access, Event, Machine};
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::EndpointId;
+
+/// Until when a report counts whole. An answer comes from each endpoint about
+/// every 0.7 s where six instances share 80 requests a second.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// When a report no longer counts. Most requests last less than 3 s, so hardly
+/// any of those that it speaks of is left by then.
+const STALE: Duration = Duration::from_secs(4);
+
+/// What an endpoint said of its load in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+}
+
+/// What is known of all endpoints.
+#[derive(Debug, Default)]
+pub struct Book {
+    entries: BTreeMap<EndpointId, Entry>,
+}
+
+struct Entry {
+    own: u32,
+    // Others' requests at the time of the last report.
+    others: u32,
+    reported: Option<Moment>,
+    health: Machine,
+}
+
+impl fmt::Debug for Entry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Entry")
+            .field("own", &self.own)
+            .field("others", &self.others)
+            .field("reported", &self.reported)
+            .field("health", &self.health)
+            .finish()
+    }
+}
+
+impl Entry {
+    fn new() -> Self {
+        Self {
+            own: 0,
+            others: 0,
+            reported: None,
+            // Each life of an endpoint has an id, and so an entry, of its own.
+            health: Machine::new(0),
+        }
+    }
+
+    fn load(&self, now: Moment) -> f64 {
+        let weight = self.reported.map_or(0.0, |at| weight(since(now, at)));
+        f64::from(self.own) + f64::from(self.others) * weight
+    }
+}
+
+// One while fresh, falling to zero when stale.
+fn weight(age: Duration) -> f64 {
+    let left = STALE.saturating_sub(age);
+    (left.as_secs_f64() / STALE.saturating_sub(FRESH).as_secs_f64()).min(1.0)
+}
+
+impl Book {
+    /// Counts a request that is sent to an endpoint.
+    pub fn sent(&mut self, endpoint: EndpointId) {
+        self.entry(endpoint).own += 1;
+    }
+
+    /// Counts a request that has ended there.
+    pub fn ended(&mut self, endpoint: EndpointId) {
+        if let Some(entry) = self.entries.get_mut(&endpoint) {
+            entry.own = entry.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes in what an endpoint says of its load.
+    pub fn report(&mut self, endpoint: EndpointId, report: Report, now: Moment) {
+        let entry = self.entry(endpoint);
+        let all = report.running.saturating_add(report.waiting);
+        entry.others = all.saturating_sub(entry.own);
+        entry.reported = Some(now);
+    }
+
+    /// Takes in what was seen of an endpoint's health.
+    pub fn seen(&mut self, endpoint: EndpointId, event: Event) {
+        self.entry(endpoint).health.handle(event);
+    }
+
+    /// Takes in that an endpoint can't be reached. One refused connection says
+    /// as much as two broken ones, so it closes the endpoint by itself.
+    pub fn unreachable(&mut self, endpoint: EndpointId, now: Moment) {
+        self.seen(endpoint, Event::Bad(now));
+        self.seen(endpoint, Event::Bad(now));
+    }
+
+    /// Lets time pass for the endpoints that are held to be down.
+    pub fn tick(&mut self, now: Moment) {
+        for entry in self.entries.values_mut() {
+            entry.health.handle(Event::Tick(now));
+        }
+    }
+
+    /// Returns an endpoint's load and what it may get.
+    #[must_use]
+    pub fn look(&self, endpoint: EndpointId, now: Moment) -> (f64, Access) {
+        self.entries
+            .get(&endpoint)
+            .map_or((0.0, Access::Full), |entry| {
+                (entry.load(now), entry.health.access())
+            })
+    }
+
+    /// Forgets endpoints that are gone, once none of our requests is there.
+    pub fn retain(&mut self, known: impl Fn(EndpointId) -> bool) {
+        self.entries
+            .retain(|endpoint, entry| entry.own > 0 || known(*endpoint));
+    }
+
+    fn entry(&mut self, endpoint: EndpointId) -> &mut Entry {
+        self.entries.entry(endpoint).or_insert_with(Entry::new)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/direct/src/cli.rs
@@ -0,0 +1,106 @@
+//! The command line of a binary that runs one instance.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Run an instance with these settings.
+    Run(PathBuf),
+    /// Check these settings and end.
+    Check(PathBuf),
+    /// Print this text and end with this exit code.
+    Say(String, u8),
+}
+
+/// Exit code after a graceful shutdown, or a check without mistakes.
+pub const EXIT_DONE: u8 = 0;
+/// Exit code when the instance can't start: a port is taken, say.
+pub const EXIT_START: u8 = 1;
+/// Exit code for a wrong command line or settings with mistakes.
+pub const EXIT_USAGE: u8 = 2;
+
+const AFTER: &str = "\
+Exit codes:
+  0  ended by a graceful shutdown; or --check found no mistake
+  1  could not start: a port is taken, say
+  2  wrong command line, or settings with mistakes (all are listed)
+
+SIGTERM or SIGINT begins a graceful shutdown. SIGHUP has the settings read
+again; what can't change while the instance runs is said in the log.
+
+Settings (YAML):
+  name: otaru-1
+  zone: otaru                      # availability zone
+  listen:
+    callers: 10.0.0.5:8080
+    ready: 10.0.0.5:8081           # for the balancer's probe
+    metrics: 10.0.0.5:8082
+  ready_path: /readyz
+  log: 10.0.1.1:7001               # configuration and endpoints
+  revocation: 5s                   # a key taken away stops within; optional
+  heartbeat: 1200ms                # of endpoints
+  refresh: 1s                      # how often endpoints are read
+  balancer_lag: 2500ms             # callers still come for so long
+  grace: 8s                        # longest graceful shutdown
+  retries: { ratio: 0.2, allowance: 2, window: 10s }
+  memory_mb: 260
+  threads: 1                       # that carry traffic
+  log_level: info";
+
+/// Reads the command line of the program called `name`. The settings file is
+/// that of `--settings`, else the one that the environment names.
+#[must_use]
+pub fn parse(
+    name: &'static str,
+    args: impl IntoIterator<Item = OsString>,
+    from_environment: Option<PathBuf>,
+) -> Next {
+    let matches = match command(name).try_get_matches_from(args) {
+        Ok(matches) => matches,
+        Err(error) => {
+            let code = if error.use_stderr() {
+                EXIT_USAGE
+            } else {
+                EXIT_DONE
+            };
+            return Next::Say(error.render().to_string(), code);
+        }
+    };
+    let named = matches.get_one::<PathBuf>("settings").cloned();
+    let Some(settings) = named.or(from_environment) else {
+        let text = format!("{name}: no settings; name a file with --settings\n");
+        return Next::Say(text, EXIT_USAGE);
+    };
+    if matches.get_flag("check") {
+        Next::Check(settings)
+    } else {
+        Next::Run(settings)
+    }
+}
+
+fn command(name: &'static str) -> Command {
+    Command::new(name)
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Routes callers' requests to endpoints under a configuration followed from a log")
+        .after_long_help(AFTER)
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Reads the settings from this YAML file"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings, lists every mistake, and ends"),
+        )
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/direct/src/dialect.rs
@@ -0,0 +1,90 @@
+//! How requests and answers are spelled, as functions to be filled in.
+//!
+//! The instance decides by what these say, and never looks at a header that
+//! belongs to the users' protocol itself.
+
+use std::time::Duration;
+
+use http::{HeaderMap, StatusCode};
+
+use crate::book::Report;
+
+/// A part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its id; the same for all requests that share it.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a request's head says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Facts {
+    /// The id that the caller gave this attempt. Endpoints echo it.
+    pub attempt: String,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The key of its workspace.
+    pub key: Option<String>,
+    /// The model it asks for.
+    pub model: Option<String>,
+    /// The parts of its prompt in order. The last is its own or its session's.
+    pub prompt: Vec<Part>,
+    /// The last event that the caller has, if it asks for a stream's rest.
+    pub after: Option<u64>,
+}
+
+impl Facts {
+    /// Returns what its placement goes by: the last part that it shares with
+    /// others.
+    #[must_use]
+    pub fn shared(&self) -> Option<u64> {
+        let last = self.prompt.len().checked_sub(1)?;
+        self.prompt.get(last.saturating_sub(1)).map(|part| part.id)
+    }
+}
+
+/// What is said to an endpoint beside the caller's own headers.
+#[derive(Clone, Copy, Debug)]
+pub struct Outgoing<'a> {
+    /// How long the caller still waits.
+    pub left: Duration,
+    /// The name of the endpoint; another one at its address must not run it.
+    pub endpoint: &'a str,
+    /// The workspace, if one is known.
+    pub workspace: Option<&'a str>,
+    /// The urgency; 0 goes first.
+    pub rank: u8,
+    /// The event to go on after, if a broken stream is asked for again.
+    pub after: Option<u64>,
+}
+
+/// What an endpoint's head says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// The id of the attempt that it answers.
+    pub attempt: Option<String>,
+    /// Whether it bears the endpoint's signature, without which it is not the
+    /// endpoint's own.
+    pub signed: bool,
+    /// Whether it says that the request has not run and never will.
+    pub not_run: bool,
+    /// Whether its body is coded, which no endpoint does.
+    pub coded: bool,
+    /// What it says of the endpoint's load.
+    pub report: Option<Report>,
+}
+
+/// The functions.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Reads a request's head; `None` if something that must be there isn't.
+    pub read_request: fn(&HeaderMap) -> Option<Facts>,
+    /// Rewrites a caller's headers into those for an endpoint.
+    pub write_request: fn(&mut HeaderMap, &Outgoing<'_>),
+    /// Reads an answer's head.
+    pub read_answer: fn(StatusCode, &HeaderMap) -> Answer,
+    /// Spells when to send a refused request again.
+    pub retry_after: fn(Duration) -> String,
+}
--- /dev/null
+++ b/crates/direct/src/lease/tests.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+use super::Lease;
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A key is revoked while the log turns this instance away. Its callers must
+/// be refused before the bound, though no newer version was ever seen.
+#[test]
+fn keys_stop_before_the_bound() {
+    let lease = Lease::new(Some(at(5_000)));
+    assert!(lease.holds(Some(at(1_000)), at(5_600)));
+    assert!(!lease.holds(Some(at(1_000)), at(5_800)));
+}
+
+#[test]
+fn nothing_is_acted_on_before_the_first_confirmation() {
+    assert!(!Lease::new(None).holds(None, at(1)));
+    assert!(Lease::new(None).holds(Some(at(0)), at(1_000_000)));
+}
--- /dev/null
+++ b/crates/direct/src/metrics.rs
@@ -0,0 +1,85 @@
+//! The instruments of one instance: those of each request, and its own state.
+
+use godwitpost_process::metrics::{Labels, Metrics as Requests};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge};
+
+use crate::refusal::Reason;
+
+/// The instruments.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    requests: Requests,
+    refusals: Counter<u64>,
+    repeats: Counter<u64>,
+    resumed: Counter<u64>,
+    calls: Counter<u64>,
+    endpoints: Gauge<u64>,
+    dropped: Gauge<u64>,
+}
+
+impl Metrics {
+    pub(crate) fn new(name: &str) -> Self {
+        let requests = Requests::new(name);
+        let meter = requests.meter();
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Self {
+            refusals: counter(
+                "godwitpost.refusals",
+                "Requests that got an answer of the instance's own, by reason",
+            ),
+            repeats: counter(
+                "godwitpost.repeats",
+                "Requests sent to a further endpoint, by whether the budget allowed it",
+            ),
+            resumed: counter("godwitpost.resumed", "Streams resumed at another endpoint"),
+            calls: counter("godwitpost.log_calls", "Reads of the log, by outcome"),
+            endpoints: gauge("godwitpost.endpoints", "Endpoints that may get new work"),
+            dropped: gauge("godwitpost.log_lines_dropped", "Log lines dropped so far"),
+            requests,
+        }
+    }
+
+    /// Returns the instruments of each request.
+    pub(crate) const fn requests(&self) -> &Requests {
+        &self.requests
+    }
+
+    pub(crate) fn labels(&self, workspace: &str, class: &str) -> Labels {
+        self.requests.labels(workspace, class)
+    }
+
+    pub(crate) fn refused(&self, reason: Reason) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    pub(crate) fn repeat(&self, allowed: bool) {
+        self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
+    }
+
+    pub(crate) fn resumed(&self) {
+        self.resumed.add(1, &[]);
+    }
+
+    pub(crate) fn log_call(&self, topic: &'static str, outcome: &'static str) {
+        let set = [
+            KeyValue::new("topic", topic),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.calls.add(1, &set);
+    }
+
+    pub(crate) fn endpoints(&self, count: usize) {
+        self.endpoints.record(count as u64, &[]);
+    }
+
+    pub(crate) fn dropped(&self, lines: u64) {
+        self.dropped.record(lines, &[]);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/place/tests.rs
@@ -0,0 +1,91 @@
+use godwitpost_decide::health::Access;
+
+use super::{Candidate, Pick, pick};
+
+const fn candidate(endpoint: u64, load: f64) -> Candidate {
+    Candidate {
+        endpoint,
+        load,
+        slots: 16,
+        near: true,
+        access: Access::Full,
+        tried: false,
+    }
+}
+
+fn loads(loads: &[f64]) -> Vec<Candidate> {
+    let ids = 1..;
+    ids.zip(loads)
+        .map(|(id, load)| candidate(id, *load))
+        .collect()
+}
+
+fn home(candidates: &[Candidate], part: u64) -> u64 {
+    match pick(candidates, Some(part), 0) {
+        Pick::Send(endpoint) => endpoint,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_part_has_one_home_whatever_the_order_of_the_list() {
+    let mut candidates = loads(&[1.0, 2.0, 0.0, 1.0]);
+    let first = home(&candidates, 77);
+    candidates.reverse();
+    assert_eq!(home(&candidates, 77), first);
+}
+
+/// One prompt is suddenly asked for by a fifth of all callers. Its home must
+/// not take them all while the other engines idle.
+#[test]
+fn a_hot_part_spills_within_the_bound() {
+    let mut candidates = loads(&[0.0; 9]);
+    for _ in 0..90 {
+        let endpoint = home(&candidates, 5);
+        let taken = candidates.iter_mut().find(|one| one.endpoint == endpoint);
+        taken.expect("a candidate").load += 1.0;
+    }
+    let most = candidates.iter().map(|one| one.load).fold(0.0, f64::max);
+    assert!(most <= 2.0 * 10.0 + 3.0, "{most}");
+    assert!(most >= 12.0, "the part should stay together: {most}");
+}
+
+#[test]
+fn a_request_without_parts_goes_to_the_lightest() {
+    assert_eq!(pick(&loads(&[3.0, 1.0, 2.0]), None, 9), Pick::Send(2));
+}
+
+#[test]
+fn the_own_zone_is_preferred_until_it_is_busier() {
+    let mut candidates = loads(&[0.0, 1.0]);
+    candidates[0].near = false;
+    assert_eq!(pick(&candidates, None, 1), Pick::Send(2));
+    candidates[1].load = 3.0;
+    assert_eq!(pick(&candidates, None, 1), Pick::Send(1));
+}
+
+#[test]
+fn an_endpoint_that_has_failed_the_request_is_not_tried_again() {
+    let mut candidates = loads(&[0.0, 5.0]);
+    candidates[0].tried = true;
+    assert_eq!(pick(&candidates, None, 1), Pick::Send(2));
+    candidates[1].tried = true;
+    assert_eq!(pick(&candidates, None, 1), Pick::None);
+}
+
+#[test]
+fn full_endpoints_are_said_to_be_full() {
+    assert_eq!(pick(&loads(&[48.0, 50.0]), None, 1), Pick::Full);
+    assert_eq!(pick(&loads(&[48.0, 50.0]), Some(3), 1), Pick::Full);
+}
+
+/// A broken switch made every endpoint look down for a second. An instance
+/// that then refuses all would stay out after the switch is well.
+#[test]
+fn with_all_endpoints_held_down_one_is_tried_all_the_same() {
+    let mut candidates = loads(&[0.0, 0.0]);
+    candidates[0].access = Access::None;
+    assert_eq!(pick(&candidates, None, 1), Pick::Send(2));
+    candidates[1].access = Access::None;
+    assert!(matches!(pick(&candidates, None, 1), Pick::Send(_)));
+}
--- /dev/null
+++ b/crates/direct/src/relay.rs
@@ -0,0 +1,133 @@
+//! One request, from its head to the head of its answer.
+//!
+//! [`answer`] takes it in, has it run and hands back what the caller gets. A
+//! [`Job`] is the request on its way: it is resolved again under the newest
+//! configuration each time it is sent, so a key that was taken away or a route
+//! that moved while it waited or failed is never acted on.
+
+mod answer;
+mod headers;
+mod job;
+mod send;
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::Body;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::time::timeout_at;
+
+pub(crate) use self::job::Job;
+pub(crate) use self::send::{Flight, Sent, dispatch};
+use crate::refusal::Reason;
+use crate::shared::{Admission, Shared};
+
+/// Answers a caller's request.
+pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = boot_time();
+    let mut response = match serve(&shared, request, arrived).await {
+        Ok(response) => response,
+        Err(refused) => refuse(&shared, &refused),
+    };
+    if shared.draining() {
+        // The balancer sends no new connections; what comes on this one is to
+        // go to another instance.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// A request that gets an answer of the instance's own.
+struct Refused {
+    reason: Reason,
+    /// The request, if it came far enough to be one.
+    job: Option<Box<Job>>,
+}
+
+impl From<Reason> for Refused {
+    fn from(reason: Reason) -> Self {
+        Self { reason, job: None }
+    }
+}
+
+async fn serve(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+    arrived: std::time::Duration,
+) -> Result<Response<Body>, Refused> {
+    let admission = shared.admit().ok_or(Reason::Overloaded)?;
+    let (head, body) = request.into_parts();
+    let mut job = Box::new(Job::new(shared, head, arrived, admission)?);
+    if let Err(reason) = read(&mut job, body).await {
+        return Err(Refused {
+            reason,
+            job: Some(job),
+        });
+    }
+    match dispatch(&mut job, None).await {
+        Ok(sent) => Ok(answer::relay(job, sent).await),
+        Err(reason) => Err(Refused {
+            reason,
+            job: Some(job),
+        }),
+    }
+}
+
+// Reads the caller's body whole: only then can it be sent a second time, and
+// an endpoint that answers early or late never meets half of it.
+async fn read(job: &mut Job, body: Incoming) -> Result<(), Reason> {
+    let limit = job.limits().body_bytes;
+    let whole = timeout_at(job.until(), Limited::new(body, limit).collect())
+        .await
+        .map_err(|_elapsed| Reason::BodyTimeout)?;
+    let bytes = match whole {
+        Ok(whole) => whole.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => return Err(Reason::BodyTooLarge),
+        Err(error) => {
+            log::debug!(request:% = job.id(), error:% = error; "body broke off");
+            return Err(Reason::Malformed);
+        }
+    };
+    if !job.admission(|admission: &mut Admission| admission.hold(bytes.len())) {
+        return Err(Reason::Overloaded);
+    }
+    job.set_body(bytes);
+    Ok(())
+}
+
+fn refuse(shared: &Shared, refused: &Refused) -> Response<Body> {
+    let reason = refused.reason;
+    shared.metrics.refused(reason);
+    if let Some(job) = &refused.job {
+        job.refused(reason);
+    } else {
+        log::warn!(reason:% = reason.as_str(), status = reason.status().as_u16(); "request refused");
+    }
+    let text = format!(
+        "{{\"title\":\"{}\",\"detail\":\"{reason}\"}}\n",
+        reason.as_str()
+    );
+    let body = Full::new(Bytes::from(text)).map_err(Into::into);
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = reason.status();
+    let headers = response.headers_mut();
+    headers.insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/problem+json"),
+    );
+    if let Some(wait) = reason.retry_after() {
+        // Callers refused together must not come back together.
+        let wait = wait.mul_f64(rand::rng().random_range(0.7..1.3));
+        let value = (shared.dialect.retry_after)(wait);
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/direct/src/relay/job.rs
@@ -0,0 +1,338 @@
+//! A request on its way, with all that a second attempt needs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_client::clock::boot_time;
+use godwitpost_process::metrics::Labels;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{EndpointId, ServiceId, Version};
+use godwitpost_types::outcome::Outcome;
+use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, Method, Uri};
+use rand::RngExt;
+use tokio::time::Instant;
+
+use super::headers;
+use crate::attempt::Attempts;
+use crate::dialect::Facts;
+use crate::policy::{Caller, Kind, Limits, Policy, Route, Workspace};
+use crate::refusal::Reason;
+use crate::shared::{Admission, Shared, View};
+
+/// What the head of a request line costs beside its headers' names and values.
+const PER_HEADER: usize = 4;
+
+/// The length of an id from which on it is cut in logs.
+const ID_SHOWN: usize = 40;
+
+/// A request under the configuration that it was last resolved by.
+pub(crate) struct Job {
+    pub(super) shared: Arc<Shared>,
+    pub(super) method: Method,
+    pub(super) target: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) facts: Facts,
+    pub(super) route: Arc<Route>,
+    pub(super) workspace: Option<Arc<Workspace>>,
+    pub(super) service: ServiceId,
+    pub(super) version: Version,
+    pub(super) attempts: Attempts,
+    pub(super) tried: Vec<EndpointId>,
+    limits: Limits,
+    host: String,
+    arrived: Moment,
+    // Until when it may take, on both clocks: the one counts the time that a
+    // machine is suspended, the other wakes whoever waits.
+    deadline: Moment,
+    until: Instant,
+    labels: Labels,
+    admission: Admission,
+    id: String,
+}
+
+impl std::fmt::Debug for Job {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Job")
+            .field("id", &self.id)
+            .field("route", &self.route.name)
+            .field("version", &self.version)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Job {
+    /// Takes a request in by its head.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it gets an answer of the instance's own.
+    pub(super) fn new(
+        shared: &Arc<Shared>,
+        head: Parts,
+        arrived: Moment,
+        admission: Admission,
+    ) -> Result<Self, Reason> {
+        let Parts {
+            method,
+            uri,
+            mut headers,
+            ..
+        } = head;
+        let fresh = shared.fresh();
+        let view = shared.view();
+        let policy = view.policy.as_ref().ok_or(Reason::Starting)?;
+        check(&headers, policy.limits())?;
+        let host = host(&uri, &headers).ok_or(Reason::Malformed)?;
+        let facts = (shared.dialect.read_request)(&headers).ok_or(Reason::Malformed)?;
+        let found = resolve(policy, &host, uri.path(), facts.key.as_deref(), fresh)?;
+        let patience = facts.patience.unwrap_or(found.route.timeout);
+        let allowed = patience.min(found.route.timeout);
+        headers::strip(&mut headers);
+        let kind = found.route.kind;
+        let workspace = found.workspace.as_deref();
+        let name = workspace.map_or("(open)", |workspace| workspace.name.as_str());
+        let service = draw(&found.route);
+        shared.budget().request(service, arrived);
+        shared.metrics.requests().in_flight(1);
+        Ok(Self {
+            labels: shared.metrics.labels(name, kind.as_str()),
+            shared: Arc::clone(shared),
+            method,
+            target: origin(&uri),
+            headers,
+            body: Bytes::new(),
+            id: shown(&facts.attempt),
+            facts,
+            attempts: Attempts::new(kind.idempotent(), found.route.attempts),
+            route: found.route,
+            workspace: found.workspace,
+            service,
+            version: policy.version(),
+            tried: Vec::new(),
+            limits: policy.limits(),
+            host,
+            arrived,
+            deadline: arrived + allowed,
+            until: Instant::now() + allowed.saturating_sub(since(boot_time(), arrived)),
+            admission,
+        })
+    }
+
+    /// Resolves the request anew under the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may no longer be sent.
+    pub(super) fn renew(&mut self, view: &View, fresh: bool) -> Result<(), Reason> {
+        let policy = view.policy.as_ref().ok_or(Reason::Starting)?;
+        let key = self.facts.key.as_deref();
+        let found = resolve(policy, &self.host, self.target.path(), key, fresh)?;
+        let moved = !found
+            .route
+            .targets
+            .iter()
+            .any(|target| target.service == self.service);
+        if moved {
+            self.service = draw(&found.route);
+        }
+        self.route = found.route;
+        self.workspace = found.workspace;
+        self.version = policy.version();
+        Ok(())
+    }
+
+    pub(crate) fn id(&self) -> &str {
+        &self.id
+    }
+
+    pub(crate) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    pub(crate) fn attempts_mut(&mut self) -> &mut Attempts {
+        &mut self.attempts
+    }
+
+    pub(crate) const fn service(&self) -> ServiceId {
+        self.service
+    }
+
+    /// Returns the last event that the caller has by its own word.
+    pub(crate) const fn after(&self) -> Option<u64> {
+        self.facts.after
+    }
+
+    pub(super) const fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    pub(crate) fn kind(&self) -> Kind {
+        self.route.kind
+    }
+
+    pub(super) fn admission<T>(&mut self, call: impl FnOnce(&mut Admission) -> T) -> T {
+        call(&mut self.admission)
+    }
+
+    pub(super) fn set_body(&mut self, body: Bytes) {
+        self.body = body;
+    }
+
+    /// Returns when its time is over, on the runtime's clock.
+    pub(crate) const fn until(&self) -> Instant {
+        self.until
+    }
+
+    /// Returns how much of its time is left.
+    pub(crate) fn left(&self) -> Duration {
+        since(self.deadline, boot_time())
+    }
+
+    /// Returns how long ago it arrived.
+    pub(crate) fn age(&self) -> Duration {
+        since(boot_time(), self.arrived)
+    }
+
+    /// Returns its urgency; 0 goes first.
+    pub(super) fn rank(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|workspace| workspace.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
+    /// Counts and logs the head of an endpoint's answer.
+    pub(crate) fn answered(&self, endpoint: &str, status: u16) {
+        let took = self.age();
+        let outcome = Outcome::Ran;
+        self.shared
+            .metrics
+            .requests()
+            .head(&self.labels, outcome, status, took);
+        log::info!(
+            request:% = self.id, endpoint:% = endpoint, status = status, version = self.version,
+            sent = self.attempts.sent() + 1, took_ms:% = took.as_millis();
+            "request answered"
+        );
+    }
+
+    /// Counts and logs an answer of the instance's own.
+    pub(super) fn refused(&self, reason: Reason) {
+        let status = reason.status().as_u16();
+        let took = self.age();
+        self.shared
+            .metrics
+            .requests()
+            .head(&self.labels, reason.outcome(), status, took);
+        log::warn!(
+            request:% = self.id, route:% = self.route.name, reason:% = reason.as_str(),
+            outcome:% = reason.outcome(), status = status, version = self.version,
+            sent = self.attempts.sent(), took_ms:% = took.as_millis();
+            "request refused"
+        );
+    }
+
+    /// Counts and logs the end of an answer's body.
+    pub(crate) fn ended(&self, end: &'static str) {
+        let took = self.age();
+        godwitpost_process::metrics::Metrics::end(&self.labels, took);
+        if end != "whole" {
+            log::warn!(
+                request:% = self.id, end:% = end, sent = self.attempts.sent() + 1,
+                took_ms:% = took.as_millis();
+                "answer ended early"
+            );
+        }
+    }
+}
+
+impl Drop for Job {
+    fn drop(&mut self) {
+        self.shared.metrics.requests().in_flight(-1);
+    }
+}
+
+struct Found {
+    route: Arc<Route>,
+    workspace: Option<Arc<Workspace>>,
+}
+
+// A configuration that was not confirmed lately may miss a route or a key that
+// is there by now, and may hold a key that was taken away: it neither serves
+// nor denies, it asks the caller to come again.
+fn resolve(
+    policy: &Policy,
+    host: &str,
+    path: &str,
+    key: Option<&str>,
+    fresh: bool,
+) -> Result<Found, Reason> {
+    let denied = |reason| if fresh { reason } else { Reason::Unconfirmed };
+    let route = policy
+        .route(host, path)
+        .ok_or_else(|| denied(Reason::NoRoute))?;
+    let workspace = match policy.caller(route, key) {
+        Caller::Known(workspace) if fresh || route.open => Some(workspace),
+        Caller::Known(_) => return Err(Reason::Unconfirmed),
+        Caller::Anonymous => None,
+        Caller::Unknown => return Err(denied(Reason::UnknownKey)),
+    };
+    Ok(Found {
+        route: Arc::clone(route),
+        workspace,
+    })
+}
+
+// Draws one of the route's services by their weights.
+fn draw(route: &Route) -> ServiceId {
+    let sum: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let first = route.targets.first().map_or(0, |target| target.service);
+    if sum == 0 {
+        return first;
+    }
+    let mut at = rand::rng().random_range(0..sum);
+    for target in &route.targets {
+        if at < target.weight {
+            return target.service;
+        }
+        at -= target.weight;
+    }
+    first
+}
+
+fn check(headers: &HeaderMap, limits: Limits) -> Result<(), Reason> {
+    let bytes: usize = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + PER_HEADER)
+        .sum();
+    if bytes > limits.head_bytes {
+        return Err(Reason::HeadTooLarge);
+    }
+    // Two ways to tell a body's end are how one request is hidden in another.
+    let twice = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
+    if twice || headers.get_all(HOST).iter().nth(1).is_some() {
+        return Err(Reason::Malformed);
+    }
+    Ok(())
+}
+
+// The host of the target if it names one, else that of the header.
+fn host(uri: &Uri, headers: &HeaderMap) -> Option<String> {
+    let named = uri.authority().map(http::uri::Authority::as_str);
+    let header = || headers.get(HOST)?.to_str().ok();
+    named.or_else(header).map(str::to_owned)
+}
+
+fn origin(uri: &Uri) -> Uri {
+    uri.path_and_query()
+        .map_or_else(Uri::default, |target| Uri::from(target.clone()))
+}
+
+// An id is the caller's text: it is shown only as far as it can't be mistaken
+// for anything else in a line.
+fn shown(id: &str) -> String {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    id.chars().filter(|c| plain(*c)).take(ID_SHOWN).collect()
+}
--- /dev/null
+++ b/crates/direct/src/relay/send.rs
@@ -0,0 +1,312 @@
+//! Sending a request until an endpoint answers it, or it is given up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::{Body, Cause, Error, Received};
+use godwitpost_decide::health::Event;
+use godwitpost_types::id::EndpointId;
+use http::request::Request;
+use http::response::Parts;
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use rand::RngExt;
+
+use super::Job;
+use crate::attempt::{Ending, Next, Verdict, judge};
+use crate::dialect::{Answer, Outgoing};
+use crate::place::{Candidate, Pick, pick};
+use crate::refusal::Reason;
+use crate::roster::Registration;
+use crate::shared::{Shared, View};
+
+/// How many times its objective a request waits for the head of an answer
+/// before it is tried elsewhere, where that does no harm. An endpoint that is
+/// that late will rarely do better than another one that begins now.
+const PATIENCE: u32 = 2;
+
+/// What is kept back of the time that is left when it is handed on: the answer
+/// still has to come back.
+const RETURN: Duration = Duration::from_millis(3);
+
+/// A request at an endpoint: counted there until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    shared: Arc<Shared>,
+    endpoint: EndpointId,
+    name: String,
+}
+
+impl Flight {
+    fn new(shared: &Arc<Shared>, registration: &Registration) -> Self {
+        let endpoint = registration.endpoint.id;
+        shared.book().sent(endpoint);
+        Self {
+            shared: Arc::clone(shared),
+            endpoint,
+            name: registration.endpoint.name.clone(),
+        }
+    }
+
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Notes that the endpoint broke off an answer.
+    pub(crate) fn broke(&self) {
+        let now = boot_time();
+        self.shared.book().seen(self.endpoint, Event::Bad(now));
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.shared.book().ended(self.endpoint);
+    }
+}
+
+/// An answer whose head the caller may see.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    pub(crate) head: Parts,
+    pub(crate) body: Received,
+    pub(crate) flight: Flight,
+}
+
+/// How one attempt came out.
+enum Tried {
+    Answer(Sent),
+    /// Worth another try, and the caller's if there is none.
+    Fallback(Sent),
+    Ended(Ending),
+}
+
+/// Sends a request to one endpoint after the other, as the rules allow, until
+/// there is an answer for the caller.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub(crate) async fn dispatch(job: &mut Job, after: Option<u64>) -> Result<Sent, Reason> {
+    let mut fallback = None;
+    loop {
+        let registration = match choose(job) {
+            Ok(registration) => registration,
+            Err(reason) => return fallback.ok_or_else(|| job.attempts.excuse(reason)),
+        };
+        let ending = match attempt(job, &registration, after).await {
+            Tried::Answer(sent) => return Ok(sent),
+            Tried::Fallback(sent) => {
+                fallback = Some(sent);
+                Ending::Failed
+            }
+            Tried::Ended(ending) => ending,
+        };
+        let next = again(job, ending);
+        log::warn!(
+            request:% = job.id(), endpoint:% = registration.endpoint.name, ending:? = ending,
+            next:? = next, sent = job.attempts.sent(), left_ms:% = job.left().as_millis();
+            "attempt ended without an answer"
+        );
+        if let Err(reason) = next {
+            return fallback.ok_or(reason);
+        }
+    }
+}
+
+// Whether the request may go to another endpoint.
+fn again(job: &mut Job, ending: Ending) -> Result<(), Reason> {
+    let next = job.attempts.ended(ending);
+    if job.left().is_zero() {
+        return Err(job.attempts.late());
+    }
+    match next {
+        Next::GiveUp(reason) => Err(reason),
+        Next::Again { repeat: false } => Ok(()),
+        Next::Again { repeat: true } => {
+            let allowed = job.shared.budget().take(job.service, boot_time());
+            job.shared.metrics.repeat(allowed);
+            if allowed {
+                Ok(())
+            } else {
+                Err(job.attempts.excuse(Reason::Refused))
+            }
+        }
+    }
+}
+
+// Resolves the request anew and picks its endpoint.
+fn choose(job: &mut Job) -> Result<Arc<Registration>, Reason> {
+    let shared = Arc::clone(&job.shared);
+    // In this order: a version published in between is then confirmed at least
+    // as well as is believed.
+    let fresh = shared.fresh();
+    let view = shared.view();
+    job.renew(&view, fresh)?;
+    if job.left() <= RETURN {
+        return Err(job.attempts.late());
+    }
+    let registrations = view.of(job.service);
+    let candidates = candidates(job, &view);
+    let draw = rand::rng().random();
+    let part = job.facts.shared().filter(|_| job.route.affinity);
+    match pick(&candidates, part, draw) {
+        Pick::Send(id) => registrations
+            .iter()
+            .find(|one| one.endpoint.id == id)
+            .cloned()
+            .ok_or(Reason::NoEndpoint),
+        Pick::Full => Err(Reason::Full),
+        Pick::None if job.tried.is_empty() => Err(Reason::NoEndpoint),
+        Pick::None => Err(Reason::Unreachable),
+    }
+}
+
+fn candidates(job: &Job, view: &View) -> Vec<Candidate> {
+    let now = boot_time();
+    let zone = job.shared.settings.zone_id();
+    let book = job.shared.book();
+    let model = job.facts.model.as_deref().map(godwitpost_types::id::of);
+    view.of(job.service)
+        .iter()
+        .filter(|one| {
+            let models = &one.endpoint.models;
+            models.is_empty() || model.is_none_or(|model| models.contains(&model))
+        })
+        .map(|one| {
+            let (load, access) = book.look(one.endpoint.id, now);
+            Candidate {
+                endpoint: one.endpoint.id,
+                load,
+                slots: one.slots,
+                near: one.endpoint.zone == zone,
+                access,
+                tried: job.tried.contains(&one.endpoint.id),
+            }
+        })
+        .collect()
+}
+
+async fn attempt(job: &mut Job, registration: &Registration, after: Option<u64>) -> Tried {
+    job.tried.push(registration.endpoint.id);
+    let request = request(job, registration, after);
+    let wait = wait(job);
+    let flight = Flight::new(&job.shared, registration);
+    log::info!(
+        request:% = job.id(), route:% = job.route.name, endpoint:% = registration.endpoint.name,
+        version = job.version, confirmed_ms:% = confirmed(&job.shared),
+        load:% = job.shared.book().look(flight.endpoint, boot_time()).0,
+        left_ms:% = job.left().as_millis(), wait_ms:% = wait.as_millis();
+        "request sent"
+    );
+    let address = registration.endpoint.address;
+    match job.shared.connector.send(address, request, wait).await {
+        Ok(response) => received(job, flight, response),
+        Err(error) => Tried::Ended(failed(job, &flight, &error)),
+    }
+}
+
+// The age of the configuration that the request is sent under.
+fn confirmed(shared: &Shared) -> u128 {
+    let at = shared.confirmed().unwrap_or_default();
+    godwitpost_types::clock::since(boot_time(), at).as_millis()
+}
+
+// How long to wait for the head of an answer.
+fn wait(job: &Job) -> Duration {
+    let another = job.route.kind.idempotent() && job.attempts.sent() + 1 < job.route.attempts;
+    let left = job.left();
+    if another {
+        left.min(job.route.objective * PATIENCE)
+    } else {
+        left
+    }
+}
+
+fn request(job: &Job, registration: &Registration, after: Option<u64>) -> Request<Body> {
+    let mut headers = job.headers.clone();
+    let outgoing = Outgoing {
+        left: job.left().saturating_sub(RETURN),
+        endpoint: &registration.endpoint.name,
+        workspace: job
+            .workspace
+            .as_ref()
+            .map(|workspace| workspace.name.as_str()),
+        rank: job.rank(),
+        after,
+    };
+    (job.shared.dialect.write_request)(&mut headers, &outgoing);
+    let body = Full::new(job.body.clone()).map_err(Into::into);
+    let mut request = Request::new(body.boxed_unsync());
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.target.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+fn received(job: &Job, flight: Flight, response: Response<Received>) -> Tried {
+    let (head, body) = response.into_parts();
+    let answer = (job.shared.dialect.read_answer)(head.status, &head.headers);
+    note(job, &flight, head.status, &answer);
+    let idempotent = job.route.kind.idempotent();
+    let verdict = judge(head.status, &answer, &job.facts.attempt, idempotent);
+    let sent = Sent { head, body, flight };
+    match verdict {
+        Verdict::Relay => Tried::Answer(sent),
+        Verdict::Fallback => Tried::Fallback(sent),
+        Verdict::Ended(ending) => {
+            log::warn!(
+                request:% = job.id(), endpoint:% = sent.flight.name(),
+                status = sent.head.status.as_u16(), not_run = answer.not_run,
+                signed = answer.signed;
+                "answer not passed on"
+            );
+            Tried::Ended(ending)
+        }
+    }
+}
+
+// Learns from an answer what it says of its endpoint.
+fn note(job: &Job, flight: &Flight, status: StatusCode, answer: &Answer) {
+    let now = boot_time();
+    let mut book = job.shared.book();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        // Somebody else has the address.
+        book.unreachable(flight.endpoint, now);
+        return;
+    }
+    if let Some(report) = answer.report {
+        book.report(flight.endpoint, report, now);
+    }
+    book.seen(flight.endpoint, Event::Good(now));
+}
+
+fn failed(job: &Job, flight: &Flight, error: &Error) -> Ending {
+    let now = boot_time();
+    log::warn!(request:% = job.id(), endpoint:% = flight.name(), error:% = error; "not answered");
+    let mut book = job.shared.book();
+    match error {
+        Error::NotSent { .. } => {
+            book.unreachable(flight.endpoint, now);
+            Ending::NotSent
+        }
+        Error::Unknown(cause) => {
+            if matches!(cause, Cause::ResponseTimeout) {
+                book.seen(flight.endpoint, Event::Bad(now));
+            }
+            Ending::Lost
+        }
+    }
+}
+
+/// A body that is gathered before the caller sees its head.
+pub(super) enum Gathered {
+    /// The whole of it.
+    Whole(Bytes),
+    /// Its beginning and the rest, which is too long to be kept.
+    Long(Bytes, Received),
+    /// It broke off.
+    Broken,
+}
--- /dev/null
+++ b/crates/direct/src/settings.rs
@@ -0,0 +1,255 @@
+//! What one instance is told at its start, in YAML.
+//!
+//! Settings say where the instance is, whom it talks to and within what bounds
+//! it has to act. What it does with requests is the configuration's to say.
+//! The file is checked as a whole: each mistake is reported with its line, key
+//! and remedy, and a [`Settings`] can't be invalid.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use godwitpost_process::settings::low::{Level, Mistake, duration};
+use godwitpost_process::settings::node::Node;
+use godwitpost_types::id::{self, ZoneId};
+use log::LevelFilter;
+
+use crate::budget::Rate;
+
+/// The settings of one instance, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// The name of its availability zone.
+    pub zone: String,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The path on which it says whether it is ready.
+    pub ready_path: String,
+    /// Where the log is that the configuration is followed from.
+    pub log: SocketAddr,
+    /// Within what time a key that is taken away stops working; `None` if
+    /// that has no bound.
+    pub revocation: Option<Duration>,
+    /// How often endpoints renew their entries.
+    pub heartbeat: Duration,
+    /// How often the list of endpoints is read. A leaving endpoint gets new
+    /// work for as long at most.
+    pub refresh: Duration,
+    /// How long the balancer may go on sending callers to an instance that
+    /// says it is not ready.
+    pub balancer_lag: Duration,
+    /// How long a graceful shutdown may take in all.
+    pub grace: Duration,
+    /// How much may be repeated.
+    pub retries: Rate,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
+    /// Threads that carry traffic, beside the one of control state.
+    pub threads: usize,
+    /// How much is logged.
+    pub log_level: LevelFilter,
+}
+
+/// Where an instance listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listen {
+    /// For callers, behind the balancer.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether it is ready.
+    pub ready: SocketAddr,
+    /// For whoever collects metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Why there are no settings.
+#[derive(Debug)]
+pub enum Error {
+    /// The file can't be read.
+    Read(PathBuf, std::io::Error),
+    /// The file is no YAML, or has a key twice.
+    Yaml(String),
+    /// Values are wrong: all of them.
+    Mistakes(Vec<Mistake>),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, error) => write!(
+                f,
+                "can't read {}: {error}; name a readable settings file",
+                path.display()
+            ),
+            Self::Yaml(text) => write!(f, "the settings are not well-formed YAML: {text}"),
+            Self::Mistakes(mistakes) => {
+                write!(f, "the settings have {} mistake(s):", mistakes.len())?;
+                mistakes
+                    .iter()
+                    .try_for_each(|mistake| write!(f, "\n  {mistake}"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+const TOP: [&str; 14] = [
+    "name",
+    "zone",
+    "listen",
+    "ready_path",
+    "log",
+    "revocation",
+    "heartbeat",
+    "refresh",
+    "balancer_lag",
+    "grace",
+    "retries",
+    "memory_mb",
+    "threads",
+    "log_level",
+];
+const LISTEN: [&str; 3] = ["callers", "ready", "metrics"];
+const RETRIES: [&str; 3] = ["ratio", "allowance", "window"];
+
+const NAME: &str = "a name, such as otaru-1";
+const ADDRESS: &str = "an IP number and a port, such as 10.0.0.5:8080";
+const DURATION: &str = "a number with ms, s, m or h, such as 90s";
+const PATH: &str = "a path that begins with a slash, such as /readyz";
+const RATIO: &str = "a number of 0 or more, such as 0.2";
+const COUNT: &str = "a whole number above 0";
+const LEVEL: &str = "one of error, warn, info, debug, trace, off";
+
+/// How often the list of endpoints is read unless the settings say otherwise:
+/// half of the two seconds within which a leaving endpoint must get no more.
+const REFRESH: Duration = Duration::from_secs(1);
+
+/// The balancer's lag unless the settings say otherwise: two missed probes, a
+/// second apart, and the answer to the second.
+const BALANCER_LAG: Duration = Duration::from_millis(2_500);
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read, is no YAML, or has
+    /// mistakes; all of them are listed.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text =
+            std::fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))?;
+        Self::parse(&text)
+    }
+
+    /// Checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::load`].
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let node = serde_saphyr::from_str(text).map_err(|error| Error::Yaml(error.to_string()))?;
+        let Node::Map(map) = node else {
+            return Err(Error::Yaml("keys with values are wanted".to_owned()));
+        };
+        let mut mistakes = Vec::new();
+        let settings = read(Level::top(map), &mut mistakes);
+        match settings {
+            Some(settings) if mistakes.is_empty() => Ok(settings),
+            _ => Err(Error::Mistakes(mistakes)),
+        }
+    }
+
+    /// Returns the id of its availability zone.
+    #[must_use]
+    pub fn zone_id(&self) -> ZoneId {
+        id::of(&self.zone)
+    }
+}
+
+fn read(mut top: Level, mistakes: &mut Vec<Mistake>) -> Option<Settings> {
+    let name = top.required("name", NAME, text, mistakes);
+    let zone = top.required("zone", NAME, text, mistakes);
+    let listen = listen(top.level("listen", mistakes), mistakes);
+    let ready_path = top.required("ready_path", PATH, path, mistakes);
+    let log = top.required("log", ADDRESS, parsed::<SocketAddr>, mistakes);
+    let revocation = top.optional("revocation", DURATION, duration, mistakes);
+    let heartbeat = top.required("heartbeat", DURATION, duration, mistakes);
+    let refresh = top.optional("refresh", DURATION, period, mistakes);
+    let balancer_lag = top.optional("balancer_lag", DURATION, duration, mistakes);
+    let grace = top.required("grace", DURATION, duration, mistakes);
+    let retries = retries(top.level("retries", mistakes), mistakes);
+    let memory = top.required("memory_mb", COUNT, positive, mistakes);
+    let threads = top.optional("threads", COUNT, positive, mistakes);
+    let log_level = top.optional("log_level", LEVEL, parsed::<LevelFilter>, mistakes);
+    top.finish(&TOP, mistakes);
+    Some(Settings {
+        name: name?.value,
+        zone: zone?.value,
+        listen: listen?,
+        ready_path: ready_path?.value,
+        log: log?.value,
+        revocation: revocation.map(|taken| taken.value),
+        heartbeat: heartbeat?.value,
+        refresh: refresh.map_or(REFRESH, |taken| taken.value),
+        balancer_lag: balancer_lag.map_or(BALANCER_LAG, |taken| taken.value),
+        grace: grace?.value,
+        retries: retries?,
+        memory: memory?.value << 20,
+        threads: threads.map_or(1, |taken| taken.value),
+        log_level: log_level.map_or(LevelFilter::Info, |taken| taken.value),
+    })
+}
+
+fn listen(mut level: Level, mistakes: &mut Vec<Mistake>) -> Option<Listen> {
+    let callers = level.required("callers", ADDRESS, parsed::<SocketAddr>, mistakes);
+    let ready = level.required("ready", ADDRESS, parsed::<SocketAddr>, mistakes);
+    let metrics = level.required("metrics", ADDRESS, parsed::<SocketAddr>, mistakes);
+    level.finish(&LISTEN, mistakes);
+    Some(Listen {
+        callers: callers?.value,
+        ready: ready?.value,
+        metrics: metrics?.value,
+    })
+}
+
+fn retries(mut level: Level, mistakes: &mut Vec<Mistake>) -> Option<Rate> {
+    let of_requests = level.required("ratio", RATIO, ratio, mistakes);
+    let allowance = level.required("allowance", RATIO, ratio, mistakes);
+    let window = level.required("window", DURATION, period, mistakes);
+    level.finish(&RETRIES, mistakes);
+    Some(Rate {
+        ratio: of_requests?.value,
+        allowance: allowance?.value,
+        window: window?.value,
+    })
+}
+
+fn text(text: &str) -> Option<String> {
+    (!text.is_empty()).then(|| text.to_owned())
+}
+
+fn path(text: &str) -> Option<String> {
+    text.starts_with('/').then(|| text.to_owned())
+}
+
+fn parsed<T: std::str::FromStr>(text: &str) -> Option<T> {
+    text.parse().ok()
+}
+
+fn period(text: &str) -> Option<Duration> {
+    duration(text).filter(|period| !period.is_zero())
+}
+
+fn ratio(text: &str) -> Option<f64> {
+    parsed(text).filter(|value: &f64| value.is_finite() && *value >= 0.0)
+}
+
+fn positive(text: &str) -> Option<usize> {
+    parsed(text).filter(|value| *value > 0)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/direct/src/settings/tests.rs
@@ -0,0 +1,54 @@
+use std::time::Duration;
+
+use super::{Error, Settings};
+
+const WHOLE: &str = r#"
+name: "otaru-1"
+zone: otaru
+listen:
+  callers: 10.0.0.5:8080
+  ready: 10.0.0.5:8081
+  metrics: 10.0.0.5:8082
+ready_path: /readyz
+log: 10.0.1.1:7001
+revocation: 5000ms
+heartbeat: 1200ms
+grace: 8s
+retries:
+  ratio: 0.2
+  allowance: 2
+  window: 10s
+memory_mb: 260
+"#;
+
+#[test]
+fn a_whole_file_is_read_and_defaults_are_filled_in() {
+    let settings = Settings::parse(WHOLE).expect("valid settings");
+    assert_eq!(settings.revocation, Some(Duration::from_secs(5)));
+    assert_eq!(settings.refresh, Duration::from_secs(1));
+    assert_eq!(settings.memory, 260 << 20);
+    assert_eq!(settings.threads, 1);
+}
+
+#[test]
+fn all_mistakes_are_told_at_once_with_line_key_and_remedy() {
+    let text = WHOLE
+        .replace("8080", "80a")
+        .replace("grace: 8s", "grace: 8")
+        .replace("zone: otaru", "zon: otaru");
+    let Err(Error::Mistakes(mistakes)) = Settings::parse(&text) else {
+        panic!("mistakes were expected");
+    };
+    let told: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        told,
+        [
+            "`zone` is missing; add it with a name, such as otaru-1",
+            "line 5: `listen.callers` wants an IP number and a port, such as 10.0.0.5:8080",
+            "line 12: `grace` wants a number with ms, s, m or h, such as 90s",
+            "line 3: `zon` is unknown; the keys here are name, zone, listen, ready_path, log, \
+             revocation, heartbeat, refresh, balancer_lag, grace, retries, memory_mb, threads, \
+             log_level",
+        ]
+    );
+}
--- /dev/null
+++ b/crates/direct/src/shared.rs
@@ -0,0 +1,218 @@
+//! What the threads of one instance share.
+//!
+//! The control thread publishes a [`View`] as a whole; traffic threads load it
+//! and never wait. Counts of requests are behind short locks.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::{self, Connector};
+use godwitpost_types::clock::Moment;
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::id::ServiceId;
+
+use crate::book::Book;
+use crate::budget::Budget;
+use crate::dialect::Dialect;
+use crate::lease::Lease;
+use crate::metrics::Metrics;
+use crate::policy::Policy;
+use crate::roster::Registration;
+use crate::settings::Settings;
+
+/// How long opening a connection to an endpoint may take. Endpoints are 2 ms
+/// away and there and back; a dark one costs a request this much of its time.
+/// A lost packet is sent again only after a second, so waiting longer gains
+/// nothing.
+const CONNECT: Duration = Duration::from_millis(250);
+
+/// How long a connection stays usable without a request, unless its endpoint
+/// names a time. Common servers close after 5 s to 75 s.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// Bytes of memory that one request in flight takes: two connections with
+/// their buffers, and the state between them.
+const REQUEST_BYTES: usize = 96 << 10;
+
+/// The part of the memory that requests in flight may fill.
+const OF_MEMORY: usize = 2;
+
+/// The part of the memory that callers' bodies may fill.
+const BODIES: usize = 4;
+
+/// What is in force and where requests can go.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    /// The configuration, once there is one.
+    pub(crate) policy: Option<Arc<Policy>>,
+    /// Endpoints that may get new work, by service; once they were listed.
+    pub(crate) endpoints: Option<BTreeMap<ServiceId, Vec<Arc<Registration>>>>,
+}
+
+impl View {
+    /// Returns the endpoints of a service that may get new work.
+    pub(crate) fn of(&self, service: ServiceId) -> &[Arc<Registration>] {
+        self.endpoints
+            .as_ref()
+            .and_then(|endpoints| endpoints.get(&service))
+            .map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Groups endpoints by service, without those that are leaving.
+pub(crate) fn by_service<'a>(
+    registrations: impl Iterator<Item = &'a Registration>,
+) -> BTreeMap<ServiceId, Vec<Arc<Registration>>> {
+    let mut services = BTreeMap::<_, Vec<_>>::new();
+    for registration in registrations {
+        if registration.endpoint.standing == Standing::Live {
+            services
+                .entry(registration.endpoint.service)
+                .or_default()
+                .push(Arc::new(registration.clone()));
+        }
+    }
+    services
+}
+
+/// What the threads share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Dialect,
+    pub(crate) connector: Connector,
+    pub(crate) metrics: Metrics,
+    view: ArcSwap<View>,
+    lease: Lease,
+    // Nanoseconds on the boot clock at which the read was sent that last
+    // confirmed the configuration; 0 if none did.
+    confirmed: AtomicU64,
+    book: Mutex<Book>,
+    budget: Mutex<Budget>,
+    in_flight: AtomicUsize,
+    body_bytes: AtomicUsize,
+    draining: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Settings, dialect: Dialect) -> Self {
+        let connector = Connector::new(connect::Settings {
+            connect_timeout: CONNECT,
+            idle_for: IDLE,
+            ..connect::Settings::default()
+        });
+        Self {
+            metrics: Metrics::new(&settings.name),
+            lease: Lease::new(settings.revocation),
+            budget: Mutex::new(Budget::new(settings.retries)),
+            settings,
+            dialect,
+            connector,
+            view: ArcSwap::default(),
+            confirmed: AtomicU64::new(0),
+            book: Mutex::default(),
+            in_flight: AtomicUsize::new(0),
+            body_bytes: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the view in force.
+    pub(crate) fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Replaces the view in force.
+    pub(crate) fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+    }
+
+    /// Notes that a read sent at `asked` confirmed the configuration that is
+    /// published already.
+    pub(crate) fn confirm(&self, asked: Moment) {
+        let nanos = u64::try_from(asked.as_nanos()).unwrap_or(u64::MAX);
+        self.confirmed.fetch_max(nanos, Ordering::Release);
+    }
+
+    /// Returns when the configuration was last confirmed.
+    pub(crate) fn confirmed(&self) -> Option<Moment> {
+        match self.confirmed.load(Ordering::Acquire) {
+            0 => None,
+            nanos => Some(Duration::from_nanos(nanos)),
+        }
+    }
+
+    /// Returns whether keys may be acted on now.
+    pub(crate) fn fresh(&self) -> bool {
+        self.lease.holds(self.confirmed(), boot_time())
+    }
+
+    /// Returns whether callers should be sent here.
+    pub(crate) fn ready(&self) -> bool {
+        let view = self.view();
+        let informed = view.policy.is_some() && view.endpoints.is_some();
+        informed && self.fresh() && !self.draining()
+    }
+
+    pub(crate) fn book(&self) -> MutexGuard<'_, Book> {
+        // No code that holds the lock can panic half-way through a change.
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Takes room for one request; `None` if there is none.
+    pub(crate) fn admit(self: &Arc<Self>) -> Option<Admission> {
+        let most = self.settings.memory / OF_MEMORY / REQUEST_BYTES;
+        let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let admission = Admission {
+            shared: Arc::clone(self),
+            bytes: 0,
+        };
+        (before < most).then_some(admission)
+    }
+}
+
+/// Room for a request and its body, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    shared: Arc<Shared>,
+    bytes: usize,
+}
+
+impl Admission {
+    /// Takes room for a body; returns whether there was enough.
+    pub(crate) fn hold(&mut self, bytes: usize) -> bool {
+        let most = self.shared.settings.memory / BODIES;
+        let before = self.shared.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        before.saturating_add(bytes) <= most
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.shared
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -8,7 +8,7 @@
 use godwitpost_bundle::fold::Refusal;
 use godwitpost_bundle::mistake::Mistakes;
 use godwitpost_bundle::record;
-use godwitpost_platform::log::read;
+use godwitpost_client::log::read;
 use godwitpost_types::id::Version;
 
 /// Exit code when all was done.
--- a/crates/operator/src/fleet.rs
+++ b/crates/operator/src/fleet.rs
@@ -8,7 +8,7 @@
 use godwitpost_bundle::fold::{Fold, Next};
 use godwitpost_bundle::record::STREAM;
 use godwitpost_bundle::schema::Bundle;
-use godwitpost_platform::log::{Client, append, read};
+use godwitpost_client::log::{Client, append, read};
 use godwitpost_types::id::{Offset, Version};
 
 use crate::error::Error;
--- a/crates/operator/src/roll.rs
+++ b/crates/operator/src/roll.rs
@@ -151,7 +151,7 @@
     fleet: &mut Fleet,
     version: Version,
     digest: Digest,
-) -> Result<Option<Result<(), Error>>, godwitpost_platform::log::read::Error> {
+) -> Result<Option<Result<(), Error>>, godwitpost_client::log::read::Error> {
     let mut fate = None;
     let see = |fold: &Fold, read: &Read| {
         if fate.is_none() {
--- a/crates/operator/src/run.rs
+++ b/crates/operator/src/run.rs
@@ -10,8 +10,8 @@
 use godwitpost_bundle::root;
 use godwitpost_bundle::schema::Bundle;
 use godwitpost_bundle::source;
-use godwitpost_platform::connect::{Connector, Settings};
-use godwitpost_platform::{list, log};
+use godwitpost_client::connect::{Connector, Settings};
+use godwitpost_client::{list, log};
 use godwitpost_types::id::Version;
 
 use crate::cli::{Log, Next, Side, Signer};
--- a/crates/operator/src/show.rs
+++ b/crates/operator/src/show.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{self, BoxError, Connector};
-use godwitpost_platform::list;
+use godwitpost_client::connect::{self, BoxError, Connector};
+use godwitpost_client::list;
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::Version;
 use godwitpost_types::instance::Instance;
--- a/crates/operator/tests/rolls.rs
+++ b/crates/operator/tests/rolls.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use godwitpost_bundle::source;
+use godwitpost_client::list::{Entry, Role};
 use godwitpost_operator::cli::parse;
 use godwitpost_operator::error::Error;
 use godwitpost_operator::keyfile;
 use godwitpost_operator::run::{Done, run};
-use godwitpost_platform::list::{Entry, Role};
 use godwitpost_standin::{list, log};
 use godwitpost_types::endpoint::Standing;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/router/src/metrics.rs
+++ b/crates/process/src/metrics.rs
@@ -17,7 +17,7 @@
 use godwitpost_types::outcome::Outcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{
-    BoundCounter, BoundHistogram, Counter, Gauge, Histogram, MeterProvider as _,
+    BoundCounter, BoundHistogram, Counter, Gauge, Histogram, Meter, MeterProvider as _,
 };
 use opentelemetry_sdk::Resource;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -53,7 +53,7 @@
 pub struct Metrics {
     registry: Registry,
     // Dropping it would stop the instruments.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     first_byte: Histogram<f64>,
     whole: Histogram<f64>,
     requests: Counter<u64>,
@@ -135,10 +135,16 @@
                 .build(),
             labelled: Mutex::default(),
             registry,
-            _provider: provider,
+            provider,
         }
     }
 
+    /// Returns the meter for instruments beside those of requests.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("godwitpost")
+    }
+
     /// Counts a request whose answer's head is known.
     pub fn head(&self, labels: &Labels, outcome: Outcome, status: u16, took: Duration) {
         labels.0.first_byte.record(took.as_secs_f64());
--- a/crates/router/src/settings/low.rs
+++ b/crates/process/src/settings/low.rs
@@ -28,21 +28,28 @@
 }
 
 /// One level of the file, emptied key by key.
-pub(super) struct Level {
+#[derive(Debug)]
+pub struct Level {
     path: String,
     line: u64,
     map: Map,
 }
 
 /// A value that was taken out, with its place for later checks.
-pub(super) struct Taken<T> {
-    pub(super) value: T,
-    pub(super) key: String,
-    pub(super) line: u64,
+#[derive(Debug)]
+pub struct Taken<T> {
+    /// The value.
+    pub value: T,
+    /// The key, with the keys above it.
+    pub key: String,
+    /// Its line in the file.
+    pub line: u64,
 }
 
 impl Level {
-    pub(super) fn top(map: Map) -> Self {
+    /// Returns the level of the file itself.
+    #[must_use]
+    pub fn top(map: Map) -> Self {
         Self {
             path: String::new(),
             line: 0,
@@ -51,7 +58,8 @@
     }
 
     /// Takes the keys under `key`; an absent one gives an empty level.
-    pub(super) fn level(&mut self, key: &str, mistakes: &mut Vec<Mistake>) -> Self {
+    #[must_use]
+    pub fn level(&mut self, key: &str, mistakes: &mut Vec<Mistake>) -> Self {
         let path = self.path_of(key);
         let (line, map) = match self.map.remove(key) {
             None => (self.line, Map::new()),
@@ -73,7 +81,7 @@
     }
 
     /// Takes a value that `read` understands; `None` if the key is absent.
-    pub(super) fn optional<T>(
+    pub fn optional<T>(
         &mut self,
         key: &str,
         wants: &str,
@@ -99,7 +107,7 @@
     }
 
     /// Takes a value that must be there.
-    pub(super) fn required<T>(
+    pub fn required<T>(
         &mut self,
         key: &str,
         wants: &str,
@@ -118,7 +126,7 @@
     }
 
     /// Takes a list; each item must be one that `read` understands.
-    pub(super) fn list<T>(
+    pub fn list<T>(
         &mut self,
         key: &str,
         wants: &str,
@@ -153,7 +161,7 @@
     }
 
     /// Reports each key that nobody took.
-    pub(super) fn finish(self, known: &[&str], mistakes: &mut Vec<Mistake>) {
+    pub fn finish(self, known: &[&str], mistakes: &mut Vec<Mistake>) {
         for (key, spanned) in &self.map {
             mistakes.push(Mistake {
                 line: spanned.referenced.line(),
@@ -174,7 +182,8 @@
 
 impl<T> Taken<T> {
     /// Reports the value as wrong.
-    pub(super) fn mistake(&self, text: &str) -> Mistake {
+    #[must_use]
+    pub fn mistake(&self, text: &str) -> Mistake {
         Mistake {
             line: self.line,
             key: self.key.clone(),
@@ -184,7 +193,8 @@
 }
 
 /// Reads a span of time such as `500ms`, `60s`, `15m` or `2h`.
-pub(super) fn duration(text: &str) -> Option<Duration> {
+#[must_use]
+pub fn duration(text: &str) -> Option<Duration> {
     let split = text.find(|c: char| !c.is_ascii_digit())?;
     let (number, unit) = text.split_at(split);
     let number: u64 = number.parse().ok()?;
--- a/crates/router/src/settings/node.rs
+++ b/crates/process/src/settings/node.rs
@@ -11,11 +11,11 @@
 use serde_saphyr::Spanned;
 
 /// Keys of one level with their values.
-pub(super) type Map = BTreeMap<String, Spanned<Node>>;
+pub type Map = BTreeMap<String, Spanned<Node>>;
 
 /// A YAML value.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) enum Node {
+pub enum Node {
     /// No value after the colon.
     Null,
     /// Text, numbers and truth values, as text.
--- a/crates/router/src/body.rs
+++ b/crates/router/src/body.rs
@@ -1,6 +1,5 @@
 //! Bodies: whole ones, bounded reads, and the guard of a relayed stream.
 
-mod events;
 pub mod peeked;
 pub mod relay;
 pub mod splice;
@@ -8,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Body, BoxError};
+use godwitpost_client::connect::{Body, BoxError};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 
 /// Why a body was not read.
--- a/crates/router/src/body/relay.rs
+++ b/crates/router/src/body/relay.rs
@@ -16,7 +16,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use godwitpost_platform::connect::BoxError;
+use godwitpost_client::connect::BoxError;
 use http_body::{Frame, SizeHint};
 
 /// How a relayed stream ended.
--- a/crates/router/src/body/splice.rs
+++ b/crates/router/src/body/splice.rs
@@ -12,11 +12,11 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use godwitpost_client::connect::{Body, BoxError};
 use godwitpost_decide::resume::Resume;
-use godwitpost_platform::connect::{Body, BoxError};
 use http_body::Frame;
 
-use super::events::{Events, ends_with_mark};
+use godwitpost_decide::resume::events::{Events, ends_with_mark};
 
 /// An event stream that may be joined from several answers.
 pub struct Splice<A, F> {
--- a/crates/router/src/body/splice/tests.rs
+++ b/crates/router/src/body/splice/tests.rs
@@ -2,9 +2,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::{Body, BoxError};
 use godwitpost_decide::entry::Budgets;
 use godwitpost_decide::resume::{Next, Resume};
-use godwitpost_platform::connect::{Body, BoxError};
 use godwitpost_types::request::Request;
 use http_body::Frame;
 use http_body_util::{BodyExt as _, StreamBody};
--- a/crates/router/src/control/batchers.rs
+++ b/crates/router/src/control/batchers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::log::{Appended, Client, append, read};
+use godwitpost_client::log::{Appended, Client, append, read};
 use godwitpost_state::claim::{self, Batcher, Failure, Id, Item, Next, Stored, Verdict};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::policy::Policy;
@@ -47,7 +47,7 @@
     Appended(u64, std::result::Result<Appended, append::Error>),
     Read(
         u32,
-        std::result::Result<godwitpost_platform::log::Page, read::Error>,
+        std::result::Result<godwitpost_client::log::Page, read::Error>,
     ),
 }
 
@@ -165,7 +165,7 @@
 
 // The client's `next` is where to read on; the batcher's is the stream's end.
 // They are the same unless the page is full, when there may be more.
-pub(super) fn page_of(page: godwitpost_platform::log::Page, limit: u32) -> claim::Page {
+pub(super) fn page_of(page: godwitpost_client::log::Page, limit: u32) -> claim::Page {
     let full = page.records.len() >= limit as usize;
     let records = page.records.into_iter().map(|record| Stored {
         offset: record.offset,
--- a/crates/router/src/control/cost.rs
+++ b/crates/router/src/control/cost.rs
@@ -9,7 +9,7 @@
 //! they have a counter of their own and no part in the control budget.
 
 use super::Control;
-use crate::metrics::Traffic;
+use godwitpost_process::metrics::Traffic;
 
 /// Bytes counted so far.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/router/src/control/gossip.rs
+++ b/crates/router/src/control/gossip.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::Connector;
 use godwitpost_decide::limit;
 use godwitpost_decide::load::Summary;
 use godwitpost_decide::owner::Owner;
 use godwitpost_decide::quarantine::Evidence;
 use godwitpost_decide::view::Pool;
-use godwitpost_platform::connect::Connector;
 use godwitpost_state::gossip::{Demand, Load, Message, News};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{InstanceId, NO_MODEL};
@@ -20,9 +20,9 @@
 
 use super::{Control, Event};
 use crate::body;
-use crate::metrics::Traffic;
 use crate::relay::peer;
 use crate::shared::Shared;
+use godwitpost_process::metrics::Traffic;
 
 /// The path that gossip is taken on.
 pub(crate) const PATH: &str = "/peer/v1/gossip";
--- a/crates/router/src/control/orders/lease.rs
+++ b/crates/router/src/control/orders/lease.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::log::{Appended, Client, Page, append, read as log_read};
+use godwitpost_client::log::{Appended, Client, Page, append, read as log_read};
 use godwitpost_state::lease::STREAM;
 use godwitpost_types::id::{Offset, ServiceId};
 
--- a/crates/router/src/control/probe.rs
+++ b/crates/router/src/control/probe.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use godwitpost_client::list::{self, Watch};
 use godwitpost_decide::chats;
 use godwitpost_decide::view::Pool;
-use godwitpost_platform::list::{self, Watch};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Report, Standing};
 use godwitpost_types::id::{EndpointId, Incarnation, Offset};
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,8 +9,6 @@
 pub mod cli;
 mod control;
 mod handover;
-pub mod logging;
-pub mod metrics;
 mod problem;
 mod random;
 mod relay;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,11 +3,12 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use godwitpost_process::logging;
 use godwitpost_router::cli::{
     EXIT_CUT, EXIT_DONE, EXIT_DRAIN, EXIT_START, EXIT_USAGE, Next, parse,
 };
 use godwitpost_router::settings::Settings;
-use godwitpost_router::{Stopped, logging, start};
+use godwitpost_router::{Stopped, start};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 #[global_allocator]
--- a/crates/router/src/problem.rs
+++ b/crates/router/src/problem.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::Body;
 use godwitpost_decide::refusal::{Reason, Refusal};
-use godwitpost_platform::connect::Body;
 use godwitpost_types::outcome::{Outcome, Scope};
 use godwitpost_wire::dispatch::Told;
 use godwitpost_wire::header as name;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -19,7 +19,7 @@
 pub(crate) mod resume;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::Body;
+use godwitpost_client::connect::Body;
 use godwitpost_wire::dispatch::{Head, Reply, pack, unpack};
 use http::{HeaderMap, Response};
 
--- a/crates/router/src/relay/answer.rs
+++ b/crates/router/src/relay/answer.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::{Body, Received};
 use godwitpost_decide::ending::Ending;
-use godwitpost_platform::connect::{Body, Received};
 use godwitpost_types::policy::Kind;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
 use http::response::Parts;
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use godwitpost_client::connect::{self, Body, Cause, Received};
 use godwitpost_decide::ending::Ending;
 use godwitpost_decide::owner::Grant;
-use godwitpost_platform::connect::{self, Body, Cause, Received};
 use godwitpost_types::clock::since;
 use godwitpost_types::endpoint::Endpoint;
 use godwitpost_types::id::{ChatId, RequestId};
--- a/crates/router/src/relay/entry.rs
+++ b/crates/router/src/relay/entry.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use godwitpost_client::connect::Body;
 use godwitpost_decide::ending::Ending;
 use godwitpost_decide::entry::{self, Attempts, Next, Retry};
 use godwitpost_decide::hop::Hop;
 use godwitpost_decide::refusal::{Reason, Refusal};
 use godwitpost_decide::view::Pool;
-use godwitpost_platform::connect::Body;
 use godwitpost_types::id::{EndpointId, InstanceId};
 use godwitpost_types::instance::Instance;
 use godwitpost_types::outcome::Outcome;
--- a/crates/router/src/relay/once.rs
+++ b/crates/router/src/relay/once.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use godwitpost_client::connect::Received;
 use godwitpost_decide::ending::Ending;
-use godwitpost_platform::connect::Received;
 use godwitpost_state::claim::key::Key;
 use godwitpost_state::claim::{Abandon, Found, Id, Item, Refusal, Step, Verdict};
 use godwitpost_types::outcome::{Outcome, Scope};
--- a/crates/router/src/relay/peer.rs
+++ b/crates/router/src/relay/peer.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::{self, Cause, Received};
 use godwitpost_decide::ending::Ending;
 use godwitpost_decide::quarantine::Evidence;
 use godwitpost_decide::view::Pool;
-use godwitpost_platform::connect::{self, Cause, Received};
 use godwitpost_types::clock::since;
 use godwitpost_types::instance::Instance;
 use godwitpost_wire::auth::Message;
--- a/crates/router/src/relay/resume.rs
+++ b/crates/router/src/relay/resume.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use godwitpost_client::connect::Body;
 use godwitpost_decide::owner::Grant;
 use godwitpost_decide::resume::{Next, Resume};
-use godwitpost_platform::connect::Body;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
 use http::{HeaderName, HeaderValue, StatusCode};
 
--- a/crates/router/src/running.rs
+++ b/crates/router/src/running.rs
@@ -10,9 +10,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use godwitpost_client::clock::Clock;
+use godwitpost_client::connect::{self, Connector};
 use godwitpost_decide::view::View;
-use godwitpost_platform::clock::Clock;
-use godwitpost_platform::connect::{self, Connector};
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::instance::Instance;
 use tokio::runtime::{Builder, Runtime};
@@ -20,10 +20,11 @@
 use tokio::task::JoinHandle;
 
 use crate::control::{self, Control, Event};
-use crate::serve::{self, Port, callers, operators, peers};
+use crate::serve::{self, callers, operators, peers};
 use crate::settings::Settings;
 use crate::shared::{Shared, Snapshot};
 use crate::shutdown::{self, Stopped};
+use godwitpost_process::serve::{Port, run};
 
 /// Why a router could not start.
 #[derive(Debug, displaydoc::Display)]
@@ -157,15 +158,30 @@
     let head = shared.settings.limits.head_bytes;
     let of = Arc::clone(shared);
     let answer = move |request| callers::answer(Arc::clone(&of), request);
-    let callers_port = traffic.spawn(serve::run(callers_port, head, closing.subscribe(), answer));
+    let callers_port = traffic.spawn(run(
+        callers_port,
+        serve::limits(head),
+        closing.subscribe(),
+        answer,
+    ));
     // Peers and operators are answered to the very end: other instances still
     // relay streams through here, and gossip says that this one is leaving.
     let of = Arc::clone(shared);
     let answer = move |request| peers::answer(Arc::clone(&of), request);
-    let peers_port = traffic.spawn(serve::run(peers_port, head, ending.subscribe(), answer));
+    let peers_port = traffic.spawn(run(
+        peers_port,
+        serve::limits(head),
+        ending.subscribe(),
+        answer,
+    ));
     let of = Arc::clone(shared);
     let answer = move |request| ready(operators::answer(&of, &request));
-    let operators_port = serve::run(operators_port, head, ending.subscribe(), answer);
+    let operators_port = run(
+        operators_port,
+        serve::limits(head),
+        ending.subscribe(),
+        answer,
+    );
     vec![callers_port, peers_port, traffic.spawn(operators_port)]
 }
 
--- a/crates/router/src/serve/callers.rs
+++ b/crates/router/src/serve/callers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::Body;
+use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{RequestId, WorkspaceId};
 use godwitpost_types::outcome::Outcome;
@@ -18,11 +18,11 @@
 
 use crate::body;
 use crate::body::relay::{Ends, Relay};
-use crate::metrics::{Labels, Metrics};
 use crate::problem::Problem;
 use crate::relay::{endpoint, entry};
 use crate::resolve;
 use crate::shared::{Bundle, InFlight, Shared};
+use godwitpost_process::metrics::{Labels, Metrics};
 
 /// How long a caller may take to send a body.
 const BODY_TIME: Duration = Duration::from_mins(1);
--- a/crates/router/src/serve/operators.rs
+++ b/crates/router/src/serve/operators.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::Body;
+use godwitpost_client::connect::Body;
 use godwitpost_types::endpoint::Standing;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
--- a/crates/router/src/serve/peers.rs
+++ b/crates/router/src/serve/peers.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::connect::Body;
 use godwitpost_decide::view::Pool;
-use godwitpost_platform::connect::Body;
 use godwitpost_state::claim::{Found, Item, Verdict, batch};
 use godwitpost_state::gossip::Message;
 use godwitpost_types::id::{self, BodyDigest, KeyDigest};
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -16,13 +16,11 @@
 use godwitpost_wire::auth;
 use log::LevelFilter;
 
-mod low;
-mod node;
 mod read;
 
-use low::Level;
-pub use low::Mistake;
-use node::Node;
+use godwitpost_process::settings::low::Level;
+pub use godwitpost_process::settings::low::Mistake;
+use godwitpost_process::settings::node::Node;
 
 /// Bytes of an Ed25519 public key.
 const PUBLIC_KEY_BYTES: usize = 32;
--- a/crates/router/src/settings/read.rs
+++ b/crates/router/src/settings/read.rs
@@ -9,8 +9,8 @@
 use godwitpost_wire::auth;
 use log::LevelFilter;
 
-use super::low::{Level, Mistake, duration};
 use super::{Limits, Listen, PUBLIC_KEY_BYTES, Platform, Settings};
+use godwitpost_process::settings::low::{Level, Mistake, duration};
 
 /// The log's retention unless the settings say otherwise: the shortest that
 /// still leaves its outages of half an hour room.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -11,11 +11,11 @@
 
 use arc_swap::ArcSwap;
 use godwitpost_bundle::blob::Digest;
+use godwitpost_client::clock::Clock;
+use godwitpost_client::connect::{self, Connector};
 use godwitpost_decide::entry::Budgets;
 use godwitpost_decide::limit::Limits;
 use godwitpost_decide::view::View;
-use godwitpost_platform::clock::Clock;
-use godwitpost_platform::connect::{self, Connector};
 use godwitpost_types::clock::Moment;
 use godwitpost_types::id::{InstanceId, Version};
 use godwitpost_types::policy::Policy;
@@ -24,10 +24,10 @@
 
 use crate::claims::Claims;
 use crate::control;
-use crate::metrics::Metrics;
 use crate::random;
 use crate::relay::desk::Desk;
 use crate::settings::Settings;
+use godwitpost_process::metrics::Metrics;
 
 /// The picture that requests are handled under.
 #[derive(Clone, Debug)]
--- a/crates/router/tests/router/callers.rs
+++ b/crates/router/tests/router/callers.rs
@@ -1,6 +1,6 @@
 //! What callers get wrong, and what they are told.
 
-use godwitpost_platform::connect::Body;
+use godwitpost_client::connect::Body;
 use http::Request;
 use http_body_util::BodyExt as _;
 use hyper_util::rt::{TokioExecutor, TokioIo};
--- a/crates/router/tests/router/resume.rs
+++ b/crates/router/tests/router/resume.rs
@@ -1,6 +1,6 @@
 //! Streams whose connection breaks while the engine still holds them.
 
-use godwitpost_platform::connect::Body;
+use godwitpost_client::connect::Body;
 use godwitpost_standin::digest;
 use godwitpost_standin::engine;
 use http::Request;
--- a/crates/standin/src/engine/core.rs
+++ b/crates/standin/src/engine/core.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use godwitpost_platform::clock::Clock;
+use godwitpost_client::clock::Clock;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::runtime::Handle;
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect;
+use godwitpost_client::connect;
 use godwitpost_types::clock::Moment;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
--- a/crates/standin/src/list.rs
+++ b/crates/standin/src/list.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-pub use godwitpost_platform::list::{Entry, Role};
+pub use godwitpost_client::list::{Entry, Role};
 use godwitpost_types::endpoint::Standing;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::clock::Clock;
+use godwitpost_client::clock::Clock;
 use godwitpost_types::id::Offset;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
--- a/crates/standin/src/plain/core.rs
+++ b/crates/standin/src/plain/core.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use godwitpost_platform::clock::Clock;
+use godwitpost_client::clock::Clock;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Connector, Error, Received, Settings as Pool};
+use godwitpost_client::connect::{Connector, Error, Received, Settings as Pool};
 use godwitpost_standin::digest;
 use godwitpost_standin::engine::{self, End, Faults, Running, Settings};
 use http::{Method, Request, Response, StatusCode};
--- a/crates/standin/tests/list.rs
+++ b/crates/standin/tests/list.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use godwitpost_platform::connect::{Connector, Settings};
-use godwitpost_platform::list::{Client, Listing, Watch};
+use godwitpost_client::connect::{Connector, Settings};
+use godwitpost_client::list::{Client, Listing, Watch};
 use godwitpost_standin::list::{self, Entry, Faults, Role};
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id;
--- a/crates/standin/tests/log.rs
+++ b/crates/standin/tests/log.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Connector, Settings};
-use godwitpost_platform::log::{Client, append};
+use godwitpost_client::connect::{Connector, Settings};
+use godwitpost_client::log::{Client, append};
 use godwitpost_standin::log::{self, Faults, Running};
 
 const TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/standin/tests/log_client.rs
+++ b/crates/standin/tests/log_client.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::clock::Clock;
-use godwitpost_platform::connect::{Connector, Settings as Pool};
-use godwitpost_platform::log::Client;
-use godwitpost_platform::log::follower::{self, Event, Follower};
-use godwitpost_platform::log::writer::{Error, Settings, Writer};
-use godwitpost_platform::timer::Timer;
+use godwitpost_client::clock::Clock;
+use godwitpost_client::connect::{Connector, Settings as Pool};
+use godwitpost_client::log::Client;
+use godwitpost_client::log::follower::{self, Event, Follower};
+use godwitpost_client::log::writer::{Error, Settings, Writer};
+use godwitpost_client::timer::Timer;
 use godwitpost_standin::log::{self, Faults, Running};
 
 const MS: Duration = Duration::from_millis(1);
--- a/crates/standin/tests/plain.rs
+++ b/crates/standin/tests/plain.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_platform::connect::{Connector, Error, Received, Settings};
+use godwitpost_client::connect::{Connector, Error, Received, Settings};
 use godwitpost_standin::plain::{self, Faults, Running};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
