--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -97,15 +97,13 @@
             return Vec::new();
         };
         let first = *end.get_or_insert(page.end);
-        let last = page.records.last().map(|record| record.key.clone());
         seen.extend(
             page.records
                 .iter()
                 .map(|record| (record.key.clone(), record.offset)),
         );
-        // A page that promises more and holds nothing can't be followed on.
-        let whole = !page.more || last.is_none();
-        *after = last;
+        let whole = page.next.is_none();
+        *after = page.next;
         let mut changes = self.fold(page.records);
         if whole {
             changes.extend(self.missing(first));
--- a/crates/direct/src/feed/tests.rs
+++ b/crates/direct/src/feed/tests.rs
@@ -18,7 +18,9 @@
 }
 
 fn page(records: Vec<Record<String>>, more: bool, end: u64) -> Page<String> {
-    Page { records, more, end }
+    let last = records.last().map(|record| record.key.clone());
+    let next = last.filter(|_| more);
+    Page { records, next, end }
 }
 
 fn tail(records: Vec<Record<String>>, next: u64) -> Tail<String> {
@@ -91,3 +93,18 @@
         ]
     );
 }
+
+/// The first page held only keys that say nothing to us. Taken for the end of
+/// the list, it would hide every endpoint that follows.
+#[test]
+fn a_page_without_a_record_of_ours_is_not_the_end() {
+    let mut feed = Feed::default();
+    feed.listed::<String>(Page {
+        records: Vec::new(),
+        next: Some("m".to_owned()),
+        end: 5,
+    });
+    assert_eq!(feed.next(), Next::List(Some("m".to_owned())));
+    feed.listed(page(vec![set("z", 4)], false, 9));
+    assert_eq!(feed.next(), Next::Read(5));
+}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -80,7 +80,9 @@
 }
 
 // Reads the caller's body whole: only then can it be sent a second time, and
-// an endpoint that answers early or late never meets half of it.
+// an endpoint that answers early or late never meets half of it. A request
+// that names two lengths is read by its chunks, and hyper closes its
+// connection afterwards, so that what is hidden behind it is never read.
 async fn read(job: &mut Job, body: Incoming) -> Result<(), Reason> {
     let limit = job.limits().body_bytes;
     let whole = timeout_at(job.until(), Limited::new(body, limit).collect())
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -9,7 +9,7 @@
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{EndpointId, ServiceId, Version};
 use godwitpost_types::outcome::Outcome;
-use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Method, Uri};
 use rand::RngExt;
@@ -310,9 +310,7 @@
     if bytes > limits.head_bytes {
         return Err(Reason::HeadTooLarge);
     }
-    // Two ways to tell a body's end are how one request is hidden in another.
-    let twice = headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH);
-    if twice || headers.get_all(HOST).iter().nth(1).is_some() {
+    if headers.get_all(HOST).iter().nth(1).is_some() {
         return Err(Reason::Malformed);
     }
     Ok(())
--- a/crates/direct/src/source.rs
+++ b/crates/direct/src/source.rs
@@ -53,8 +53,9 @@
 pub struct Page<T> {
     /// The records.
     pub records: Vec<Record<T>>,
-    /// Whether more keys follow the last one.
-    pub more: bool,
+    /// The key after which the next page begins; `None` if this is the last.
+    /// Records that say nothing to us are left out above and still count here.
+    pub next: Option<String>,
     /// The topic's end when the page was made.
     pub end: Offset,
 }
--- /dev/null
+++ b/crates/direct/tests/instance/fleet.rs
@@ -0,0 +1,346 @@
+//! One instance with its log in memory, and callers that speak plain HTTP.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use godwitpost_direct::control::Sources;
+use godwitpost_direct::dialect::{Answer, Dialect, Facts, Outgoing};
+use godwitpost_direct::policy::{Content, Kind, Limits, Policy, Route, Service, Target, Workspace};
+use godwitpost_direct::roster::Registration;
+use godwitpost_direct::settings::Settings;
+use godwitpost_direct::source::{Fault, Page, Record, Source, Tail, Value};
+use godwitpost_direct::{Running, start};
+use godwitpost_process::logging::queue::Queue;
+use godwitpost_types::endpoint::{Endpoint as Listed, Standing};
+use godwitpost_types::id;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// The service of every route.
+const SERVICE: &str = "desk";
+
+/// A topic in memory that can be taken away.
+pub(crate) struct Topic<T> {
+    state: Arc<Mutex<State<T>>>,
+}
+
+struct State<T> {
+    records: Vec<(String, Value<T>)>,
+    down: bool,
+}
+
+impl<T> Clone for Topic<T> {
+    fn clone(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+        }
+    }
+}
+
+impl<T: Clone + Send + 'static> Topic<T> {
+    fn new() -> Self {
+        Self {
+            state: Arc::new(Mutex::new(State {
+                records: Vec::new(),
+                down: false,
+            })),
+        }
+    }
+
+    pub(crate) fn append(&self, key: &str, value: Value<T>) {
+        let mut state = self.state.lock().expect("the topic");
+        state.records.push((key.to_owned(), value));
+    }
+
+    pub(crate) fn set_down(&self, down: bool) {
+        self.state.lock().expect("the topic").down = down;
+    }
+
+    fn since(&self, from: u64) -> Result<(Vec<Record<T>>, u64), Fault> {
+        let state = self.state.lock().expect("the topic");
+        if state.down {
+            return Err(Fault::Refused(503));
+        }
+        let records = (0..)
+            .zip(&state.records)
+            .filter(|(offset, _)| *offset >= from)
+            .map(|(offset, (key, value))| Record {
+                key: key.clone(),
+                offset,
+                value: value.clone(),
+            });
+        Ok((records.collect(), state.records.len() as u64))
+    }
+
+    fn source(&self) -> Source<T> {
+        let (lister, reader) = (self.clone(), self.clone());
+        Source {
+            list: Box::new(move |_| {
+                let answer = lister.since(0).map(|(records, end)| Page {
+                    records,
+                    next: None,
+                    end,
+                });
+                Box::pin(async move { answer })
+            }),
+            read: Box::new(move |from, wait| {
+                let reader = reader.clone();
+                Box::pin(async move {
+                    // A tenth of the wait: tests are in a hurry.
+                    tokio::time::sleep(wait / 10).await;
+                    let (records, end) = reader.since(from)?;
+                    Ok(Tail::Records {
+                        records,
+                        next: end,
+                        end,
+                    })
+                })
+            }),
+        }
+    }
+}
+
+/// A running instance and its log.
+pub(crate) struct Fleet {
+    pub(crate) running: Running,
+    pub(crate) policies: Topic<Policy>,
+    pub(crate) endpoints: Topic<Registration>,
+}
+
+const SETTINGS: &str = "
+name: one
+zone: otaru
+listen: { callers: \"127.0.0.1:0\", ready: \"127.0.0.1:0\", metrics: \"127.0.0.1:0\" }
+ready_path: /readyz
+log: 127.0.0.1:1
+revocation: 900ms
+heartbeat: 200ms
+refresh: 50ms
+balancer_lag: 200ms
+grace: 3s
+retries: { ratio: 0.2, allowance: 10, window: 10s }
+memory_mb: 260
+";
+
+impl Fleet {
+    /// Starts an instance before these endpoints, with version 1 in force.
+    pub(crate) async fn start(addresses: &[SocketAddr]) -> Self {
+        let fleet = Self::start_cold();
+        for (n, address) in addresses.iter().enumerate() {
+            fleet.join(&format!("e{n}"), *address);
+        }
+        fleet.roll(content(1));
+        fleet.ready().await;
+        fleet
+    }
+
+    /// Starts an instance whose log is empty.
+    pub(crate) fn start_cold() -> Self {
+        let policies = Topic::new();
+        let endpoints = Topic::new();
+        let sources = Sources {
+            policies: policies.source(),
+            endpoints: endpoints.source(),
+        };
+        let settings = Settings::parse(SETTINGS).expect("valid settings");
+        let lines = Queue::start(std::io::sink());
+        let running = start(settings, DIALECT, sources, lines).expect("free ports");
+        Self {
+            running,
+            policies,
+            endpoints,
+        }
+    }
+
+    pub(crate) fn roll(&self, content: Content) {
+        self.policies
+            .append("config", Value::Set(Policy::new(content)));
+    }
+
+    pub(crate) fn join(&self, name: &str, address: SocketAddr) {
+        self.endpoints.append(
+            name,
+            Value::Set(registration(name, address, Standing::Live)),
+        );
+    }
+
+    pub(crate) fn leave(&self, name: &str, address: SocketAddr) {
+        self.endpoints.append(
+            name,
+            Value::Set(registration(name, address, Standing::Leaving)),
+        );
+    }
+
+    pub(crate) async fn ready(&self) {
+        until(async || self.is_ready().await).await;
+    }
+
+    pub(crate) async fn is_ready(&self) -> bool {
+        let answer = exchange(
+            self.running.ready_address(),
+            "GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n",
+        )
+        .await;
+        answer.starts_with("HTTP/1.1 200")
+    }
+
+    /// Sends a request with the usual headers and returns the whole answer.
+    pub(crate) async fn call(&self, method: &str, path: &str, more: &str) -> String {
+        let text = request(method, path, more, "");
+        exchange(self.running.callers_address(), &text).await
+    }
+
+    /// Opens a connection and sends a request on it.
+    pub(crate) async fn open(&self, text: &str) -> TcpStream {
+        let address = self.running.callers_address();
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        stream.write_all(text.as_bytes()).await.expect("a request");
+        stream
+    }
+}
+
+/// Returns a request with the usual headers.
+pub(crate) fn request(method: &str, path: &str, more: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nx-attempt: a1\r\nx-key: k1\r\n\
+         x-patience: 1500\r\nconnection: close\r\n{more}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+async fn exchange(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(text.as_bytes()).await.expect("a request");
+    rest(&mut stream).await
+}
+
+/// Reads what still comes, also if the connection is reset then.
+pub(crate) async fn rest(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A reset ends it like a close: what came is what is looked at.
+    drop(stream.read_to_end(&mut bytes).await);
+    String::from_utf8(bytes).expect("text")
+}
+
+/// Waits until something holds, for five seconds at most.
+pub(crate) async fn until(mut holds: impl AsyncFnMut() -> bool) {
+    for _ in 0..500 {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("it never came to hold");
+}
+
+pub(crate) fn registration(name: &str, address: SocketAddr, standing: Standing) -> Registration {
+    Registration {
+        endpoint: Listed {
+            id: id::of(name),
+            name: name.to_owned(),
+            incarnation: 1,
+            service: id::of(SERVICE),
+            models: BTreeSet::new(),
+            zone: id::of("otaru"),
+            region: 0,
+            address,
+            standing,
+        },
+        slots: 8,
+    }
+}
+
+fn route(prefix: &str, kind: Kind, attempts: u32, open: bool) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_millis(1_200),
+        objective: Duration::from_millis(200),
+        attempts,
+        rank: 3,
+        open,
+        affinity: false,
+        targets: vec![Target {
+            service: id::of(SERVICE),
+            weight: 1,
+        }],
+    }
+}
+
+/// Returns what a version says unless a test wants it otherwise.
+pub(crate) fn content(version: u64) -> Content {
+    let workspace = Arc::new(Workspace {
+        name: "franchise".to_owned(),
+        rank: None,
+    });
+    let service = Service {
+        name: SERVICE.to_owned(),
+        connections: 96,
+    };
+    Content {
+        version,
+        routes: vec![
+            route("/stock/", Kind::Safe, 2, false),
+            route("/order/", Kind::Unsafe, 1, false),
+            route("/draft/", Kind::Stream { resumable: true }, 2, false),
+            route("/caption/", Kind::Stream { resumable: false }, 1, false),
+            route("/open/", Kind::Safe, 2, true),
+        ],
+        services: BTreeMap::from([(id::of(SERVICE), service)]),
+        keys: Some(BTreeMap::from([("k1".to_owned(), workspace)])),
+        limits: Some(Limits {
+            head_bytes: 2_000,
+            body_bytes: 10_000,
+        }),
+    }
+}
+
+const DIALECT: Dialect = Dialect {
+    read_request,
+    write_request,
+    read_answer,
+    retry_after: |wait| wait.as_secs_f64().to_string(),
+};
+
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+fn read_request(headers: &HeaderMap) -> Option<Facts> {
+    let millis = text(headers, "x-patience").and_then(|text| text.parse().ok());
+    Some(Facts {
+        attempt: text(headers, "x-attempt")?,
+        patience: millis.map(Duration::from_millis),
+        key: text(headers, "x-key"),
+        ..Facts::default()
+    })
+}
+
+fn write_request(headers: &mut HeaderMap, outgoing: &Outgoing<'_>) {
+    headers.remove("x-key");
+    let mut set = |name: &'static str, value: &str| {
+        headers.insert(name, HeaderValue::try_from(value).expect("plain text"));
+    };
+    set("x-patience", &outgoing.left.as_millis().to_string());
+    set("x-endpoint", outgoing.endpoint);
+    set("x-rank", &outgoing.rank.to_string());
+    set("x-workspace", outgoing.workspace.unwrap_or("none"));
+    if let Some(after) = outgoing.after {
+        set("x-after", &after.to_string());
+    }
+}
+
+fn read_answer(_status: StatusCode, headers: &HeaderMap) -> Answer {
+    Answer {
+        attempt: text(headers, "x-attempt"),
+        signed: headers.contains_key("x-signed"),
+        not_run: headers.contains_key("x-not-run"),
+        coded: headers.contains_key("content-encoding"),
+        report: None,
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/instance/freshness.rs
@@ -0,0 +1,126 @@
+//! The configuration and the endpoints as they change, and the log as it goes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use godwitpost_direct::source::Value;
+
+use crate::endpoint::{Endpoint, says};
+use crate::fleet::{Fleet, content, until};
+
+#[tokio::test]
+async fn a_key_that_is_taken_away_stops_working() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let mut without = content(2);
+    without.keys = Some(BTreeMap::new());
+    fleet.roll(without);
+    until(async || {
+        let whole = fleet.call("GET", "/stock/1", "").await;
+        whole.starts_with("HTTP/1.1 401")
+    })
+    .await;
+}
+
+/// The log turns this instance away, and meanwhile a key may be revoked. Its
+/// requests are refused before the bound, as not run; what needs no key is
+/// served on.
+#[tokio::test]
+async fn keys_are_not_acted_on_when_the_log_stays_away() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    fleet.policies.set_down(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let whole = fleet.call("GET", "/stock/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
+    assert!(
+        whole.contains("unconfirmed") && whole.contains("retry-after"),
+        "{whole}"
+    );
+    assert!(!fleet.is_ready().await);
+    let whole = fleet.call("GET", "/open/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+    // A route that may be there by now is not denied.
+    let whole = fleet.call("GET", "/nowhere/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
+    fleet.policies.set_down(false);
+    fleet.ready().await;
+    let whole = fleet.call("GET", "/stock/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+}
+
+#[tokio::test]
+async fn an_older_version_never_replaces_a_newer_one() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let mut newer = content(9);
+    newer.routes.retain(|route| route.prefix != "/open/");
+    fleet.roll(newer);
+    until(async || {
+        fleet
+            .call("GET", "/open/1", "")
+            .await
+            .starts_with("HTTP/1.1 404")
+    })
+    .await;
+    fleet.roll(content(8));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let whole = fleet.call("GET", "/open/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 404"), "{whole}");
+}
+
+#[tokio::test]
+async fn a_leaving_endpoint_gets_no_more() {
+    let first = Endpoint::start(says("ok")).await;
+    let second = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[first.address, second.address]).await;
+    fleet.leave("e0", first.address);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = first.seen().len();
+    for _ in 0..6 {
+        let whole = fleet.call("GET", "/stock/1", "").await;
+        assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+    }
+    assert_eq!(first.seen().len(), before);
+}
+
+/// Somebody writes nonsense to the list of endpoints. The others must go on.
+#[tokio::test]
+async fn an_entry_that_cannot_be_read_harms_no_other() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    fleet
+        .endpoints
+        .append("e7", Value::Unreadable("no address".to_owned()));
+    fleet
+        .policies
+        .append("config", Value::Unreadable("no routes".to_owned()));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let whole = fleet.call("GET", "/stock/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+}
+
+/// The log was away for longer than entries live. On its return all are
+/// removed and set again a moment later; meanwhile callers are served.
+#[tokio::test]
+async fn entries_that_lapsed_are_used_until_they_are_back() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    fleet.endpoints.set_down(true);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    fleet.endpoints.append("e0", Value::Removed);
+    fleet.endpoints.set_down(false);
+    for _ in 0..8 {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let whole = fleet.call("GET", "/stock/1", "").await;
+        assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+    }
+    // It never comes back: it is gone.
+    until(async || {
+        fleet
+            .call("GET", "/stock/1", "")
+            .await
+            .contains("no-endpoint")
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/direct/tests/instance/main.rs
@@ -0,0 +1,12 @@
+//! One whole instance between callers and endpoints that misbehave.
+//!
+//! Endpoints are scripted sockets, the log is a source in memory, and headers
+//! are spelled in a dialect of the tests' own.
+
+mod callers;
+mod endpoint;
+mod failures;
+mod fleet;
+mod freshness;
+mod shutdown;
+mod streams;
