direct, client: a dark machine's connections are given up after 650 ms

Their server had gone dark: open connections took requests and said nothing, and each instance learned it by losing requests, since a time-out alone does not tell a dark machine from a slow one.

Change: a connection to an endpoint ends when the other machine's kernel does not confirm what was sent within 650 ms (TCP_USER_TIMEOUT), which a live one does within a round trip however busy it is. An endpoint found dark is closed at once and its idle connections are forgotten, so that the next trial opens a new one and proves that nothing was sent.

--- a/crates/client/src/connect.rs
+++ b/crates/client/src/connect.rs
@@ -24,6 +24,7 @@
 mod pool;
 mod received;
 
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -82,6 +83,29 @@
 impl std::error::Error for Error {}
 impl std::error::Error for Cause {}
 
+impl Cause {
+    /// Returns whether the other machine gave no sign of life: no connection
+    /// came about, or nothing that was sent was confirmed.
+    #[must_use]
+    pub fn is_dark(&self) -> bool {
+        match self {
+            Self::Connect(_) | Self::ConnectTimeout => true,
+            Self::ResponseTimeout => false,
+            Self::Connection(error) => unconfirmed(error),
+        }
+    }
+}
+
+/// Returns whether a connection ended since the other machine confirmed
+/// nothing that was sent.
+#[must_use]
+pub fn unconfirmed(error: &hyper::Error) -> bool {
+    error
+        .source()
+        .and_then(|source| source.downcast_ref::<std::io::Error>())
+        .is_some_and(|error| error.kind() == std::io::ErrorKind::TimedOut)
+}
+
 impl Error {
     /// Returns whether the request may have reached the other side.
     #[must_use]
@@ -189,6 +213,13 @@
         self.pool.idle(address)
     }
 
+    /// Closes the idle connections to an address, as when its machine was
+    /// found dark: what is written to one of them has an unknown fate, while a
+    /// new connection that can't be opened proves that nothing was sent.
+    pub fn forget(&self, address: SocketAddr) {
+        self.pool.forget(address);
+    }
+
     async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Cause> {
         let settings = self.pool.settings();
         let deadline = deadline.min(Instant::now() + settings.connect_timeout);
@@ -267,6 +298,11 @@
     // Small frames of a token stream must not wait for an acknowledgement.
     stream.set_nodelay(true).map_err(Cause::Connect)?;
     probe(&stream, settings.dead_after).map_err(Cause::Connect)?;
+    if settings.unconfirmed.is_some() {
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(settings.unconfirmed)
+            .map_err(Cause::Connect)?;
+    }
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(settings.buffer)
         .handshake(TokioIo::new(Metered::new(stream, wire.clone())))
--- a/crates/client/src/connect/pool.rs
+++ b/crates/client/src/connect/pool.rs
@@ -27,6 +27,12 @@
     /// How long after its last sign a machine counts as gone, in seconds of
     /// four at least. It bounds how long a stream from it stays silent.
     pub dead_after: Duration,
+    /// How long what was sent may stay without the other machine's word that
+    /// it arrived; `None` leaves it to the system, which waits for minutes.
+    ///
+    /// A machine that is dark takes requests on open connections and says
+    /// nothing. A live one, however busy, confirms within a round trip.
+    pub unconfirmed: Option<Duration>,
     /// Bytes buffered for one connection in each direction; also the limit of
     /// a response's head. hyper allows no less than 8 KiB.
     pub buffer: usize,
@@ -49,6 +55,7 @@
             connect_timeout: Duration::from_millis(1500),
             // Twice what a switch takes to converge on another path.
             dead_after: Duration::from_secs(8),
+            unconfirmed: None,
             buffer: 64 * 1024,
         }
     }
@@ -170,6 +177,13 @@
         });
     }
 
+    /// Closes the idle connections to an address.
+    pub(super) fn forget(&self, address: SocketAddr) {
+        let inner = &mut *self.lock();
+        let closed = inner.idle.remove(&address).map_or(0, |idle| idle.len());
+        inner.count -= closed;
+    }
+
     pub(super) fn idle(&self, address: SocketAddr) -> usize {
         self.lock().idle.get(&address).map_or(0, Vec::len)
     }
--- a/crates/client/tests/connect.rs
+++ b/crates/client/tests/connect.rs
@@ -367,3 +367,49 @@
         body.collect().await.expect_err("a body that was cut off");
     }
 }
+
+/// A machine goes dark and its idle connections with it. An order written to
+/// one of them has an unknown fate; forgotten, they are replaced by a new one,
+/// which either opens or proves that nothing was sent.
+#[tokio::test]
+async fn forgotten_connections_are_not_used_again() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let mut streams = Vec::new();
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            read_request(&mut stream).await.expect("a request");
+            stream.write_all(OK).await.expect("an open connection");
+            streams.push(stream);
+        }
+    });
+    let connector = Connector::new(Settings {
+        unconfirmed: Some(Duration::from_millis(650)),
+        ..Settings::default()
+    });
+    let first = connector.send(address, request("/a"), LONG).await;
+    text(first.expect("an answer")).await;
+    assert_eq!(connector.idle(address), 1);
+    connector.forget(address);
+    assert_eq!(connector.idle(address), 0);
+    let second = connector.send(address, request("/b"), LONG).await;
+    text(second.expect("an answer")).await;
+    server.await.expect("two connections");
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_a_sign_of_a_dark_machine_and_a_slow_answer_is_none() {
+    let (listener, address) = listen().await;
+    let connector = Connector::new(Settings::default());
+    let slow = connector.send(address, request("/a"), Duration::from_millis(50));
+    let Err(Error::Unknown(cause)) = slow.await else {
+        panic!("nobody answers");
+    };
+    assert!(!cause.is_dark(), "{cause}");
+    drop(listener);
+    let refused = connector.send(address, request("/a"), LONG).await;
+    let Err(Error::NotSent { cause, .. }) = refused else {
+        panic!("nobody listens");
+    };
+    assert!(cause.is_dark(), "{cause}");
+}
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -1,5 +1,6 @@
 //! Sending a request until an endpoint answers it, or it is given up.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
 pub(crate) struct Flight {
     shared: Arc<Shared>,
     endpoint: EndpointId,
+    address: SocketAddr,
     name: String,
 }
 
@@ -46,6 +48,7 @@
         Self {
             shared: Arc::clone(shared),
             endpoint,
+            address: registration.endpoint.address,
             name: registration.endpoint.name.clone(),
         }
     }
@@ -59,6 +62,14 @@
         let now = boot_time();
         self.shared.book().seen(self.endpoint, Event::Bad(now));
     }
+
+    /// Notes that the endpoint's machine gives no sign of life. Its other
+    /// connections are as silent, so none of them is used again.
+    pub(crate) fn dark(&self) {
+        self.shared.connector.forget(self.address);
+        let now = boot_time();
+        self.shared.book().unreachable(self.endpoint, now);
+    }
 }
 
 impl Drop for Flight {
@@ -290,20 +301,17 @@
 }
 
 fn failed(job: &Job, flight: &Flight, error: &Error) -> Ending {
-    let now = boot_time();
     log::warn!(request:% = job.id(), endpoint:% = flight.name(), error:% = error; "not answered");
-    let mut book = job.shared.book();
-    match error {
-        Error::NotSent { .. } => {
-            book.unreachable(flight.endpoint, now);
-            Ending::NotSent
-        }
-        Error::Unknown(cause) => {
-            if matches!(cause, Cause::ResponseTimeout) {
-                book.seen(flight.endpoint, Event::Bad(now));
-            }
-            Ending::Lost
-        }
+    let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
+    if cause.is_dark() {
+        flight.dark();
+    } else if matches!(cause, Cause::ResponseTimeout) {
+        flight.broke();
+    }
+    if error.may_have_run() {
+        Ending::Lost
+    } else {
+        Ending::NotSent
     }
 }
 
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -30,6 +30,12 @@
 /// nothing.
 const CONNECT: Duration = Duration::from_millis(250);
 
+/// How long a request may stay unconfirmed by its endpoint's machine before
+/// the connection counts as broken. A lost packet is sent again after 200 ms and
+/// then 400 ms, so two in a row are borne; on a machine that went dark, orders
+/// wait no longer than their callers do, which is 600 ms and more.
+const UNCONFIRMED: Duration = Duration::from_millis(650);
+
 /// How long a connection stays usable without a request, unless its endpoint
 /// names a time. Common servers close after 5 s to 75 s.
 const IDLE: Duration = Duration::from_secs(4);
@@ -103,6 +109,7 @@
         let connector = Connector::new(connect::Settings {
             connect_timeout: CONNECT,
             idle_for: IDLE,
+            unconfirmed: Some(UNCONFIRMED),
             ..connect::Settings::default()
         });
         Self {
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -46,15 +46,17 @@
 type Asking = Pin<Box<dyn Future<Output = (Box<Job>, Result<Sent, Reason>)> + Send>>;
 
 enum State {
-    Reading {
-        job: Box<Job>,
-        body: Received,
-        flight: Flight,
-    },
+    Reading(Box<Reading>),
     Asking(Asking),
     Ended,
 }
 
+struct Reading {
+    job: Box<Job>,
+    body: Received,
+    flight: Flight,
+}
+
 /// The body of such an answer.
 pub(crate) struct Stream {
     state: State,
@@ -87,7 +89,7 @@
             last: now,
             silence: Box::pin(sleep_until(now + SILENCE)),
             deadline: Box::pin(sleep_until(job.until())),
-            state: State::Reading { job, body, flight },
+            state: State::Reading(Box::new(Reading { job, body, flight })),
         }
     }
 
@@ -108,8 +110,8 @@
     }
 
     fn give_up(&mut self, broken: Broken, cause: &str) -> Result<Frame<Bytes>, BoxError> {
-        if let State::Reading { job, flight, .. } = std::mem::replace(&mut self.state, State::Ended)
-        {
+        if let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) {
+            let Reading { job, flight, .. } = *reading;
             log::warn!(
                 request:% = job.id(), endpoint:% = flight.name(), cause:% = cause;
                 "stream broken off"
@@ -121,8 +123,8 @@
 
     // The end of the endpoint's answer.
     fn end(&mut self) -> Step {
-        if let State::Reading { job, .. } = std::mem::replace(&mut self.state, State::Ended) {
-            job.ended("whole");
+        if let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) {
+            reading.job.ended("whole");
         }
         let rest = self.events.take().map(|(mut events, _)| events.rest());
         rest.filter(|rest| !rest.is_empty())
@@ -131,14 +133,14 @@
 
     // The endpoint broke off or fell silent: ask another one, or give up.
     fn broken(&mut self, cause: &str) -> Option<BoxError> {
-        let State::Reading {
+        let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) else {
+            return Some(Box::new(Broken::Cut));
+        };
+        let Reading {
             mut job,
             body,
             flight,
-        } = std::mem::replace(&mut self.state, State::Ended)
-        else {
-            return Some(Box::new(Broken::Cut));
-        };
+        } = *reading;
         // First of all: the endpoint stops when its connection closes.
         drop(body);
         flight.broke();
@@ -191,11 +193,11 @@
             Ok(sent) if sent.head.status.is_success() => {
                 log::info!(request:% = job.id(), endpoint:% = sent.flight.name(); "stream resumed");
                 self.last = Instant::now();
-                self.state = State::Reading {
+                self.state = State::Reading(Box::new(Reading {
                     job,
                     body: sent.body,
                     flight: sent.flight,
-                };
+                }));
                 None
             }
             Ok(sent) => {
@@ -253,7 +255,7 @@
                     this.silence.as_mut().reset(Instant::now() + SILENCE);
                     error
                 }
-                State::Reading { body, .. } => match Pin::new(body).poll_frame(cx) {
+                State::Reading(reading) => match Pin::new(&mut reading.body).poll_frame(cx) {
                     Poll::Pending if this.silent(cx) => this.broken("silent"),
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(Ok(frame))) => match this.take(frame) {
@@ -274,8 +276,8 @@
 
 impl Drop for Stream {
     fn drop(&mut self) {
-        if let State::Reading { job, .. } = &self.state {
-            job.ended("caller left");
+        if let State::Reading(reading) = &self.state {
+            reading.job.ended("caller left");
         }
     }
 }
