--- /dev/null
+++ b/crates/direct/src/board.rs
@@ -0,0 +1,202 @@
+//! What an instance knows of the log, as it tells its peers.
+//!
+//! Reading the log costs the platform a call, and a fleet of hundreds would
+//! make hundreds of calls a second to be told the same. So a few instances
+//! read it, and the others ask one of those. What is told carries its age: the
+//! time since the read was *sent* that it came from. An age only grows on the
+//! way, so whoever is told can count its own lease from it, and an instance
+//! that lost the log shows as such by itself.
+//!
+//! Entries are stamped when they change, so that who knows a stamp is told
+//! only what came after.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::Version;
+use serde::{Deserialize, Serialize};
+
+use crate::policy::Content;
+use crate::roster::Registration;
+
+/// Names of endpoints that are gone which are remembered. Beyond that, who
+/// asks with an older stamp is told everything anew.
+const GONE: usize = 1_000;
+
+/// What a peer asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The life of the instance that gave the stamp; 0 for none.
+    pub life: u64,
+    /// The last stamp that is known.
+    pub stamp: u64,
+    /// The version that is in force at the peer.
+    pub version: Version,
+    /// How long to wait for something new.
+    pub wait: Duration,
+}
+
+/// What a peer is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The life of the instance that tells.
+    pub life: u64,
+    /// The stamp to ask with next time.
+    pub stamp: u64,
+    /// How long the answer was kept back, waiting for something new.
+    pub waited: Duration,
+    /// The age of the configuration; `None` if there is none.
+    pub policy_age: Option<Duration>,
+    /// The age of the list of endpoints; `None` if it was never read.
+    pub endpoints_age: Option<Duration>,
+    /// The configuration, if it is newer than the peer's.
+    pub policy: Option<Content>,
+    /// Whether `set` is all there is, and what it doesn't name is gone.
+    pub whole: bool,
+    /// Endpoints that changed.
+    pub set: Vec<Registration>,
+    /// Endpoints that are gone.
+    pub gone: Vec<String>,
+}
+
+impl Told {
+    /// Returns whether it says anything but ages.
+    #[must_use]
+    pub const fn is_news(&self) -> bool {
+        self.whole || self.policy.is_some() || !self.set.is_empty() || !self.gone.is_empty()
+    }
+}
+
+/// What an instance knows of the log.
+#[derive(Debug)]
+pub struct Board {
+    life: u64,
+    stamp: u64,
+    policy: Option<Content>,
+    policy_read: Option<Moment>,
+    endpoints_read: Option<Moment>,
+    entries: BTreeMap<String, Entry>,
+    // Stamps at or before this one are too old to tell only what changed.
+    forgotten: u64,
+}
+
+#[derive(Debug)]
+struct Entry {
+    stamp: u64,
+    // `None` once it is gone.
+    registration: Option<Registration>,
+}
+
+impl Board {
+    /// Returns the empty board of an instance's life, which is not 0.
+    #[must_use]
+    pub const fn new(life: u64) -> Self {
+        Self {
+            life,
+            stamp: 0,
+            policy: None,
+            policy_read: None,
+            endpoints_read: None,
+            entries: BTreeMap::new(),
+            forgotten: 0,
+        }
+    }
+
+    /// Notes the configuration in force.
+    pub fn set_policy(&mut self, content: Content) {
+        self.policy = Some(content);
+    }
+
+    /// Notes when the read was sent that confirmed the configuration.
+    pub fn policy_read(&mut self, at: Moment) {
+        self.policy_read = self.policy_read.max(Some(at));
+    }
+
+    /// Notes when the read was sent that confirmed the list of endpoints.
+    pub fn endpoints_read(&mut self, at: Moment) {
+        self.endpoints_read = self.endpoints_read.max(Some(at));
+    }
+
+    /// Returns when the list of endpoints was last confirmed.
+    #[must_use]
+    pub const fn endpoints_confirmed(&self) -> Option<Moment> {
+        self.endpoints_read
+    }
+
+    /// Notes an endpoint that changed.
+    pub fn set(&mut self, registration: Registration) {
+        self.stamp += 1;
+        let name = registration.endpoint.name.clone();
+        let entry = Entry {
+            stamp: self.stamp,
+            registration: Some(registration),
+        };
+        self.entries.insert(name, entry);
+    }
+
+    /// Notes an endpoint that is gone.
+    pub fn remove(&mut self, name: &str) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        self.stamp += 1;
+        entry.stamp = self.stamp;
+        entry.registration = None;
+        self.forget();
+    }
+
+    /// Returns the names of the endpoints that are there.
+    #[must_use]
+    pub fn names(&self) -> Vec<String> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.registration.is_some())
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
+    /// Returns what a question asked `waited` ago is answered with.
+    #[must_use]
+    pub fn tell(&self, question: &Question, waited: Duration, now: Moment) -> Told {
+        let stranger = question.life != self.life || question.stamp < self.forgotten;
+        let after = if stranger { 0 } else { question.stamp };
+        let changed = || self.entries.iter().filter(|(_, entry)| entry.stamp > after);
+        let age = |read: Option<Moment>| read.map(|read| since(now, read));
+        let newer = |content: &&Content| content.version > question.version;
+        Told {
+            life: self.life,
+            stamp: self.stamp,
+            waited,
+            policy_age: age(self.policy_read),
+            endpoints_age: age(self.endpoints_read),
+            policy: self.policy.as_ref().filter(newer).cloned(),
+            whole: stranger,
+            set: changed()
+                .filter_map(|(_, entry)| entry.registration.clone())
+                .collect(),
+            gone: changed()
+                .filter(|(_, entry)| !stranger && entry.registration.is_none())
+                .map(|(name, _)| name.clone())
+                .collect(),
+        }
+    }
+
+    fn forget(&mut self) {
+        let gone = |entry: &Entry| entry.registration.is_none();
+        while self.entries.values().filter(|entry| gone(entry)).count() > GONE {
+            let oldest = self
+                .entries
+                .iter()
+                .filter(|(_, entry)| gone(entry))
+                .min_by_key(|(_, entry)| entry.stamp)
+                .map(|(name, entry)| (name.clone(), entry.stamp));
+            let Some((name, stamp)) = oldest else { return };
+            self.entries.remove(&name);
+            self.forgotten = stamp;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/direct/src/board/tests.rs
@@ -0,0 +1,124 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use godwitpost_types::endpoint::{Endpoint, Standing};
+use godwitpost_types::id;
+
+use super::{Board, GONE, Question, Told};
+use crate::policy::Content;
+use crate::roster::Registration;
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn registration(name: &str) -> Registration {
+    Registration {
+        endpoint: Endpoint {
+            id: id::of(name),
+            name: name.to_owned(),
+            incarnation: 1,
+            service: 1,
+            models: BTreeSet::new(),
+            zone: 1,
+            region: 0,
+            address: "10.0.0.1:80".parse().expect("an address"),
+            standing: Standing::Live,
+        },
+        slots: 8,
+    }
+}
+
+const fn question(told: &Told) -> Question {
+    Question {
+        life: told.life,
+        stamp: told.stamp,
+        version: 0,
+        wait: Duration::ZERO,
+    }
+}
+
+const STRANGER: Question = Question {
+    life: 0,
+    stamp: 0,
+    version: 0,
+    wait: Duration::ZERO,
+};
+
+fn names(told: &Told) -> Vec<&str> {
+    told.set
+        .iter()
+        .map(|one| one.endpoint.name.as_str())
+        .collect()
+}
+
+#[test]
+fn who_asks_again_is_told_what_changed() {
+    let mut board = Board::new(7);
+    board.set(registration("a"));
+    board.set(registration("b"));
+    let first = board.tell(&STRANGER, at(0), at(0));
+    assert!(first.whole);
+    assert_eq!(names(&first), ["a", "b"]);
+    assert!(!board.tell(&question(&first), at(0), at(0)).is_news());
+    board.remove("a");
+    board.set(registration("c"));
+    let second = board.tell(&question(&first), at(0), at(0));
+    assert!(!second.whole);
+    assert_eq!(names(&second), ["c"]);
+    assert_eq!(second.gone, ["a"]);
+}
+
+/// The instance that was asked has been replaced by a new one, which counts
+/// its stamps from the beginning. Told only what comes after an old stamp, a
+/// peer would keep endpoints that left in between.
+#[test]
+fn a_stamp_of_another_life_is_worth_nothing() {
+    let mut board = Board::new(7);
+    board.set(registration("a"));
+    let first = board.tell(&STRANGER, at(0), at(0));
+    let mut next = Board::new(8);
+    next.set(registration("b"));
+    let told = next.tell(&question(&first), at(0), at(0));
+    assert!(told.whole);
+    assert_eq!(names(&told), ["b"]);
+}
+
+/// A peer was away while more endpoints left than are remembered.
+#[test]
+fn a_stamp_from_before_what_is_remembered_is_worth_nothing() {
+    let mut board = Board::new(7);
+    board.set(registration("stays"));
+    let first = board.tell(&STRANGER, at(0), at(0));
+    for n in 0..=GONE {
+        board.set(registration(&n.to_string()));
+        board.remove(&n.to_string());
+    }
+    let told = board.tell(&question(&first), at(0), at(0));
+    assert!(told.whole);
+    assert_eq!(names(&told), ["stays"]);
+}
+
+/// The one that is asked was itself turned away by the log four seconds ago.
+/// Told without its age, a revoked key would live on for another lease.
+#[test]
+fn what_is_told_carries_its_age() {
+    let mut board = Board::new(7);
+    assert_eq!(board.tell(&STRANGER, at(0), at(9)).policy_age, None);
+    board.set_policy(Content {
+        version: 3,
+        ..Content::default()
+    });
+    board.policy_read(at(1_000));
+    board.policy_read(at(400));
+    board.endpoints_read(at(2_000));
+    let told = board.tell(&STRANGER, at(0), at(5_000));
+    assert_eq!(told.policy_age, Some(at(4_000)));
+    assert_eq!(told.endpoints_age, Some(at(3_000)));
+    assert_eq!(told.policy.map(|content| content.version), Some(3));
+    let knows = Question {
+        version: 3,
+        ..STRANGER
+    };
+    assert_eq!(board.tell(&knows, at(0), at(5_000)).policy, None);
+}
--- a/crates/direct/src/cli.rs
+++ b/crates/direct/src/cli.rs
@@ -39,8 +39,10 @@
     callers: 10.0.0.5:8080
     ready: 10.0.0.5:8081           # for the balancer's probe
     metrics: 10.0.0.5:8082
+    peers: 10.0.0.5:8083           # optional; for instances that ask this one
   ready_path: /readyz
   log: 10.0.1.1:7001               # configuration and endpoints
+  seeds: [10.0.0.1:8083]           # instances to ask instead; optional
   revocation: 5s                   # a key taken away stops within; optional
   heartbeat: 1200ms                # of endpoints
   refresh: 1s                      # how often endpoints are read
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -1,21 +1,26 @@
 //! The control thread: follows the log and publishes what is in force.
 //!
 //! Each topic is followed by a task of this thread, which sends what it heard
-//! to one loop. The loop alone changes state, and publishes a new view when
+//! to one loop. An instance that has others to ask follows one of them instead
+//! ([`peers`]), and goes back to the log when none of them knows better. The loop alone changes state, and publishes a new view when
 //! something in it changed.
 
 mod follow;
+mod peers;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use godwitpost_client::clock::{Clock, boot_time};
 use godwitpost_client::timer::Timer;
 use godwitpost_process::logging::queue::Queue;
+use godwitpost_process::serve::{self, Port};
 use godwitpost_types::clock::{Moment, since};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
-use self::follow::{Heard, Pace, Topic, follow};
+use self::follow::{Heard, Log, Mode, Pace, Topic, follow};
+use self::peers::News;
 use crate::feed::Change;
 use crate::policy::Policy;
 use crate::roster::{Registration, Removal, Roster};
@@ -24,13 +29,20 @@
 
 /// How often endpoints that are held to be down, and lapsed entries, are
 /// looked at.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(100);
 
-/// How long a read of the configuration waits for a change. Half of it is the
-/// mean age of the configuration while nothing changes, and each read is a
-/// call that the platform counts.
+/// How long a read of the configuration waits for a change. Each read is a
+/// call that the platform counts. Twice this and one call that fails, with its
+/// time-out and pause, is 4.1 s: less than the shortest lease, of 4.7 s.
 const WAIT: Duration = Duration::from_millis(1_300);
 
+/// The same at an instance that others ask. What they know is older than what
+/// it knows by as much as they need to find out that it lost the log.
+const WAIT_FOR_OTHERS: Duration = Duration::from_millis(500);
+
+/// How many times as often the list of endpoints is read for others.
+const OFTENER: u32 = 2;
+
 /// The configuration and the endpoints, where they are followed from.
 #[derive(Debug)]
 pub struct Sources {
@@ -43,44 +55,69 @@
 enum Event {
     Policies(Heard<Policy>),
     Endpoints(Heard<Registration>),
+    Peer(News),
 }
 
 /// Follows both topics; never returns.
-pub(crate) async fn run(shared: Arc<Shared>, sources: Sources, lines: Queue) {
-    // Two tasks that wait for their turn to send; nothing piles up.
-    let (sender, mut events) = mpsc::channel(2);
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    sources: Sources,
+    lines: Queue,
+    peers_port: Option<Port>,
+    ended: watch::Receiver<bool>,
+) {
+    // Three tasks that wait for their turn to send; nothing piles up.
+    let (sender, mut events) = mpsc::channel(3);
     let timer = Timer::new(Duration::ZERO);
     tokio::spawn(timer.clone().drive(Clock::start_at(Duration::ZERO)));
-    let waiting = Pace::Wait(WAIT);
-    let polling = Pace::Poll(shared.settings.refresh);
-    let policies = sources.policies;
-    let endpoints = sources.endpoints;
-    let (first, second) = (sender.clone(), sender);
-    let metrics = Arc::clone(&shared);
-    tokio::spawn(async move {
-        let topic = Topic::Policies;
-        follow(&policies, topic, waiting, &metrics, first, Event::Policies).await;
-    });
-    let metrics = Arc::clone(&shared);
-    tokio::spawn(async move {
-        let topic = Topic::Endpoints;
-        follow(
-            &endpoints,
-            topic,
-            polling,
-            &metrics,
-            second,
-            Event::Endpoints,
-        )
-        .await;
-    });
+    let (mode, modes) = watch::channel(Mode::default());
+    let log = |topic, pace| Log {
+        shared: Arc::clone(&shared),
+        topic,
+        pace,
+        modes: modes.clone(),
+    };
+    let refresh = shared.settings.refresh;
+    let (wait, pause) = if shared.settings.reads_for_others() {
+        (WAIT_FOR_OTHERS, refresh / OFTENER)
+    } else {
+        (WAIT, refresh)
+    };
+    let policies = log(Topic::Policies, Pace::Wait(wait));
+    let endpoints = log(Topic::Endpoints, Pace::Poll(pause));
+    tokio::spawn(follow(
+        sources.policies,
+        policies,
+        sender.clone(),
+        Event::Policies,
+    ));
+    tokio::spawn(follow(
+        sources.endpoints,
+        endpoints,
+        sender.clone(),
+        Event::Endpoints,
+    ));
+    if let Some(port) = peers_port {
+        let told = Arc::clone(&shared);
+        let answer = move |request| peers::answer(Arc::clone(&told), request);
+        tokio::spawn(serve::run(port, crate::serve::limits(), ended, answer));
+    }
+    if !shared.settings.others().is_empty() {
+        tokio::spawn(peers::ask(Arc::clone(&shared), mode, sender, Event::Peer));
+    }
     let mut control = Control::new(shared, lines);
     let mut ticks = timer.every(TICK);
     loop {
         tokio::select! {
             event = events.recv() => match event {
                 Some(Event::Policies(heard)) => control.policies(heard),
-                Some(Event::Endpoints(heard)) => control.endpoints(heard),
+                // What was read before a peer was asked may be older than
+                // what the peer told since.
+                Some(Event::Endpoints(heard)) if modes.borrow().current(heard.mode) => {
+                    control.endpoints(heard);
+                }
+                Some(Event::Endpoints(_)) => {}
+                Some(Event::Peer(news)) => control.peer(news),
                 None => return,
             },
             _ = ticks.next() => control.tick(boot_time()),
@@ -118,10 +155,63 @@
             self.publish();
         }
         if heard.whole && self.policy.is_some() {
-            self.shared.confirm(heard.asked);
+            self.confirm(heard.asked);
+        }
+    }
+
+    fn confirm(&self, at: Moment) {
+        self.shared.confirm(at);
+        self.shared.tell(false, |board| board.policy_read(at));
+    }
+
+    // What a peer told that reads the log.
+    fn peer(&mut self, news: News) {
+        let mut changed = news.whole && !self.listed;
+        if let Some(content) = news.policy {
+            changed |= self.policy(Change::Set(Policy::new(content)));
+        }
+        self.roster.reached(news.endpoints_read);
+        let gone = self.gone(news.whole, &news.set, news.gone);
+        for registration in news.set {
+            changed |= self.endpoint(Change::Set(registration), news.endpoints_read);
+        }
+        for name in gone {
+            changed |= self.dismiss(&name);
+        }
+        self.listed |= news.whole;
+        if changed {
+            self.publish();
+        }
+        self.shared
+            .tell(false, |board| board.endpoints_read(news.endpoints_read));
+        if self.policy.is_some() {
+            self.confirm(news.policy_read);
         }
     }
 
+    // The endpoints that are gone: those named, or all that a whole list
+    // doesn't name.
+    fn gone(&self, whole: bool, set: &[Registration], named: Vec<String>) -> Vec<String> {
+        if !whole {
+            return named;
+        }
+        let told: BTreeSet<&str> = set.iter().map(|one| one.endpoint.name.as_str()).collect();
+        self.roster
+            .registrations()
+            .map(|one| one.endpoint.name.clone())
+            .filter(|name| !told.contains(name.as_str()))
+            .collect()
+    }
+
+    fn dismiss(&mut self, name: &str) -> bool {
+        let known = self.roster.dismiss(name);
+        if known {
+            log::info!(endpoint:% = name; "endpoint gone");
+            self.shared.tell(true, |board| board.remove(name));
+        }
+        known
+    }
+
     fn policy(&mut self, change: Change<Policy>) -> bool {
         match change {
             Change::Set(policy) => {
@@ -137,6 +227,8 @@
                     "version in force"
                 );
                 self.shared.metrics.requests().version(policy.version());
+                self.shared
+                    .tell(true, |board| board.set_policy(policy.content().clone()));
                 self.policy = Some(Arc::new(policy));
                 true
             }
@@ -159,14 +251,20 @@
         if changed {
             self.publish();
         }
+        if heard.whole {
+            self.shared
+                .tell(false, |board| board.endpoints_read(heard.asked));
+        }
     }
 
     fn endpoint(&mut self, change: Change<Registration>, now: Moment) -> bool {
         match change {
             Change::Set(registration) => {
                 let endpoint = registration.endpoint.clone();
+                let told = registration.clone();
                 let changed = self.roster.set(registration);
                 if changed {
+                    self.shared.tell(true, |board| board.set(told));
                     log::info!(
                         endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
                         address:% = endpoint.address, standing:? = endpoint.standing;
@@ -178,6 +276,7 @@
             Change::Removed(name) => match self.roster.remove(&name, now) {
                 Removal::Gone => {
                     log::info!(endpoint:% = name; "endpoint gone");
+                    self.shared.tell(true, |board| board.remove(&name));
                     true
                 }
                 Removal::Kept => {
@@ -199,6 +298,7 @@
         let gone = self.roster.expire(now);
         for name in &gone {
             log::info!(endpoint:% = name; "endpoint still missing after the log's return; gone");
+            self.shared.tell(true, |board| board.remove(name));
         }
         if !gone.is_empty() {
             self.publish();
--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -6,16 +6,21 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_types::clock::{Moment, since};
 use rand::RngExt;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::feed::{Change, Feed, Next};
+use crate::roster::GRACE;
 use crate::shared::Shared;
 use crate::source::{Fault, Source, Tail};
 
-/// The pause after a failed call, before jitter. An outage of seconds is to be
-/// noticed as over soon; three calls a second of each instance is what a fleet
-/// of hundreds may add to a service in trouble.
-const BACKOFF: Duration = Duration::from_millis(300);
+/// The first pause after a failed call, before jitter; the later ones are twice
+/// as long. A lost answer is asked for again soon, and a service in trouble
+/// gets two calls a second from each instance. Its return is noticed within
+/// 0.6 s, which the grace of lapsed entries counts on.
+const BACKOFF: Duration = Duration::from_millis(250);
+
+/// The pause between reads while lapsed entries may come back.
+const HURRY: Duration = Duration::from_millis(250);
 
 /// When a topic is asked again.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +31,39 @@
     Poll(Duration),
 }
 
+/// Whether the log itself is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Mode {
+    /// Whether it is, rather than a peer asked.
+    pub(super) direct: bool,
+    /// Counts the changes.
+    pub(super) epoch: u64,
+}
+
+impl Default for Mode {
+    fn default() -> Self {
+        Self {
+            direct: true,
+            epoch: 0,
+        }
+    }
+}
+
+impl Mode {
+    /// Returns whether what was read in `mode` still counts.
+    pub(super) fn current(self, mode: Self) -> bool {
+        self.direct && self == mode
+    }
+}
+
+/// What a follower needs beside its topic's source.
+pub(super) struct Log {
+    pub(super) shared: Arc<Shared>,
+    pub(super) topic: Topic,
+    pub(super) pace: Pace,
+    pub(super) modes: watch::Receiver<Mode>,
+}
+
 /// Which topic is followed.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Topic {
@@ -49,59 +87,93 @@
     pub(super) asked: Moment,
     /// Whether everything that the topic held then is known now.
     pub(super) whole: bool,
+    /// The mode in which it was asked.
+    pub(super) mode: Mode,
 }
 
 /// Follows a topic for as long as somebody listens.
 pub(super) async fn follow<T, E>(
-    source: &Source<T>,
-    topic: Topic,
-    pace: Pace,
-    shared: &Arc<Shared>,
+    source: Source<T>,
+    mut log: Log,
     events: mpsc::Sender<E>,
     event: fn(Heard<T>) -> E,
 ) {
     let mut feed = Feed::default();
-    let mut away: Option<Moment> = None;
-    let mut shown = false;
+    let mut mode = Mode::default();
+    let mut loss = Loss::default();
     // Whether the last call told all there was. Only then is it worth waiting
     // for a change; at a start or after an absence the answer is wanted now.
     let mut current = false;
     loop {
-        let asked = boot_time();
+        let Ok(now) = log.modes.wait_for(|mode| mode.direct).await.map(|now| *now) else {
+            return;
+        };
+        if now != mode {
+            mode = now;
+            feed = Feed::knowing(log.shared.tell(false, |board| board.names()));
+            current = false;
+        }
         let wait = if current {
-            waiting(pace)
+            waiting(log.pace)
         } else {
             Duration::ZERO
         };
-        let answer = ask(source, &mut feed, wait, asked).await;
-        let now = boot_time();
+        let answer = ask(&source, &mut feed, wait, mode).await;
         current = matches!(&answer, Ok(heard) if heard.whole);
-        let pause = match answer {
-            Ok(heard) => {
-                if let Some(from) = away.take() {
-                    let lost = since(now, from).as_millis();
-                    log::info!(topic:% = topic.as_str(), away_ms:% = lost; "log regained");
-                }
-                shared.metrics.log_call(topic.as_str(), "ok");
-                if heard.whole && !shown {
-                    shown = true;
-                    log::info!(topic:% = topic.as_str(); "topic read whole");
-                }
-                if events.send(event(heard)).await.is_err() {
-                    return;
-                }
-                if current { rest(pace) } else { Duration::ZERO }
+        let pause = loss.note(&log, answer.as_ref().err());
+        if let Ok(heard) = answer
+            && events.send(event(heard)).await.is_err()
+        {
+            return;
+        }
+        let rest = if current {
+            rest(log.pace).min(loss.hurry())
+        } else {
+            pause
+        };
+        tokio::time::sleep(rest).await;
+    }
+}
+
+/// Since when the log can't be read, and how often that was tried.
+#[derive(Debug, Default)]
+struct Loss {
+    since: Option<Moment>,
+    failures: u32,
+    regained: Option<Moment>,
+}
+
+impl Loss {
+    // The longest pause between reads now.
+    fn hurry(&self) -> Duration {
+        let now = boot_time();
+        let recent = self.regained.is_some_and(|at| since(now, at) < GRACE);
+        if recent { HURRY } else { Duration::MAX }
+    }
+
+    // Takes in how a call ended; returns the pause before the next one.
+    fn note(&mut self, log: &Log, fault: Option<&Fault>) -> Duration {
+        let topic = log.topic.as_str();
+        let now = boot_time();
+        log.shared.metrics.log_call(topic, fault.map_or("ok", name));
+        let Some(fault) = fault else {
+            if let Some(from) = self.since.take() {
+                let lost = since(now, from).as_millis();
+                log::info!(topic:% = topic, away_ms:% = lost, calls = self.failures; "log regained");
             }
-            Err(fault) => {
-                shared.metrics.log_call(topic.as_str(), name(&fault));
-                if away.is_none() {
-                    away = Some(asked);
-                    log::warn!(topic:% = topic.as_str(), cause:% = fault; "log lost");
-                }
-                BACKOFF.mul_f64(rand::rng().random_range(0.5..1.5))
+            if self.failures > 0 {
+                self.regained = Some(now);
             }
+            self.failures = 0;
+            return Duration::ZERO;
         };
-        tokio::time::sleep(pause).await;
+        if self.since.is_none() {
+            self.since = Some(now);
+            log::warn!(topic:% = topic, cause:% = fault; "log lost");
+        }
+        let pause = BACKOFF * self.failures.saturating_add(1).min(2);
+        self.failures += 1;
+        pause.mul_f64(rand::rng().random_range(0.75..1.25))
     }
 }
 
@@ -132,8 +204,9 @@
     source: &Source<T>,
     feed: &mut Feed,
     wait: Duration,
-    asked: Moment,
+    mode: Mode,
 ) -> Result<Heard<T>, Fault> {
+    let asked = boot_time();
     match feed.next() {
         Next::List(after) => {
             let page = (source.list)(after).await?;
@@ -143,6 +216,7 @@
                 asked,
                 // What changed while the pages were read is still to come.
                 whole: false,
+                mode,
             })
         }
         Next::Read(from) => {
@@ -153,6 +227,7 @@
                 changes,
                 asked,
                 whole,
+                mode,
             })
         }
     }
--- /dev/null
+++ b/crates/direct/src/control/peers.rs
@@ -0,0 +1,303 @@
+//! Asking another instance what the log says, and answering such questions.
+//!
+//! An instance with seeds to ask follows one of them in place of the log: a
+//! question waits there until something changes, so news is as quick as with
+//! the log itself. It goes back to the log at once when the one it asks fails,
+//! falls silent or lost the log itself, and looks for another after a pause.
+//! What a peer tells is taken only if it is not older than what was read
+//! here: an endpoint that was seen leaving must not come back.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::{self, Body, Connector};
+use godwitpost_types::clock::{Moment, since};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use rand::RngExt;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::follow::Mode;
+use crate::board::{Question, Told};
+use crate::policy::Content;
+use crate::roster::Registration;
+use crate::shared::Shared;
+
+const PATH: &str = "/peer/v1/state";
+
+/// How long a question waits for news.
+///
+/// With the times below it bounds how old what is known here can get while the
+/// one that is asked loses the log or goes dark: an answer at the limit of its
+/// age, this wait, and the patience. That makes 1.85 s, of the two seconds
+/// within which a version is to be in force and a leaving endpoint left alone.
+const WAIT: Duration = Duration::from_millis(400);
+
+/// How long an answer may take beyond that: machines are 2 ms apart, and a
+/// small one may be without the processor for a tenth of a second.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// The age of a configuration from which on a peer counts as having lost the
+/// log. One that reads for others is confirmed every half second, by a read
+/// sent as long ago.
+const POLICY_AGE: Duration = Duration::from_millis(1_200);
+
+/// The same for the list of endpoints, which is read every half second.
+const LIST_AGE: Duration = Duration::from_millis(900);
+
+/// The pause before another instance is looked for, before jitter.
+const PAUSE: Duration = Duration::from_secs(3);
+
+/// How often one instance is asked until it tells something that is not older
+/// than what is known here. Both read the log at moments of their own.
+const TRIES: u32 = 4;
+
+/// The most that a question or an answer may hold: a configuration of 8,900
+/// workspaces and 3,300 endpoints takes about 3 MB.
+const MESSAGE_BYTES: usize = 16 << 20;
+
+/// What a peer told, in this instance's time.
+pub(super) struct News {
+    pub(super) policy: Option<Content>,
+    /// When the read was sent that confirmed the configuration.
+    pub(super) policy_read: Moment,
+    /// When the read was sent that confirmed the list of endpoints.
+    pub(super) endpoints_read: Moment,
+    pub(super) whole: bool,
+    pub(super) set: Vec<Registration>,
+    pub(super) gone: Vec<String>,
+}
+
+/// Why a peer is not followed.
+#[derive(Debug, displaydoc::Display)]
+enum Refusal {
+    /// it can't be asked ({0})
+    Unreachable(String),
+    /// it answered nothing in time
+    Silent,
+    /// it has status {0}
+    Status(StatusCode),
+    /// its answer makes no sense ({0})
+    Garbled(String),
+    /// it has not read the log for a while
+    Stale,
+    /// it knows less than is known here
+    Older,
+}
+
+struct Peer<'a> {
+    connector: &'a Connector,
+    address: SocketAddr,
+    shared: &'a Shared,
+    life: u64,
+    stamp: u64,
+}
+
+/// Follows one seed after the other for as long as somebody listens.
+pub(super) async fn ask<E>(
+    shared: Arc<Shared>,
+    mode: watch::Sender<Mode>,
+    events: mpsc::Sender<E>,
+    event: fn(News) -> E,
+) {
+    let connector = Connector::new(connect::Settings {
+        connect_timeout: PATIENCE,
+        ..connect::Settings::default()
+    });
+    let seeds = shared.settings.others().to_vec();
+    let mut next = rand::rng().random_range(0..seeds.len().max(1));
+    loop {
+        let pause = PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
+        tokio::time::sleep(pause).await;
+        let Some(address) = seeds.get(next % seeds.len().max(1)).copied() else {
+            return;
+        };
+        next += 1;
+        let mut peer = Peer {
+            connector: &connector,
+            address,
+            shared: &shared,
+            life: 0,
+            stamp: 0,
+        };
+        let refusal = peer.follow(&mode, &events, event).await;
+        direct(&mode, true);
+        let Some(refusal) = refusal else { return };
+        log::info!(peer:% = address, cause:% = refusal; "peer not followed; the log is read");
+    }
+}
+
+// Says whether the log itself is read from now on.
+fn direct(mode: &watch::Sender<Mode>, direct: bool) {
+    mode.send_if_modified(|mode| {
+        let changed = mode.direct != direct;
+        if changed {
+            mode.direct = direct;
+            mode.epoch += 1;
+        }
+        changed
+    });
+}
+
+impl Peer<'_> {
+    // Follows the peer until it is no use any more; `None` if nobody listens.
+    async fn follow<E>(
+        &mut self,
+        mode: &watch::Sender<Mode>,
+        events: &mpsc::Sender<E>,
+        event: fn(News) -> E,
+    ) -> Option<Refusal> {
+        let mut news = match self.begin().await {
+            Ok(news) => news,
+            Err(refusal) => return Some(refusal),
+        };
+        log::info!(peer:% = self.address; "peer followed in place of the log");
+        direct(mode, false);
+        loop {
+            if events.send(event(news)).await.is_err() {
+                return None;
+            }
+            news = match self.question(WAIT).await {
+                Ok(news) => news,
+                Err(refusal) => return Some(refusal),
+            };
+        }
+    }
+
+    // Asks until the peer tells something that is not older than what is
+    // known here.
+    async fn begin(&mut self) -> Result<News, Refusal> {
+        for _ in 0..TRIES {
+            let news = self.question(WAIT).await?;
+            let known = self.shared.tell(false, |board| board.endpoints_confirmed());
+            if Some(news.endpoints_read) >= known {
+                return Ok(news);
+            }
+            // It has to tell all again: this was not taken.
+            (self.life, self.stamp) = (0, 0);
+            tokio::time::sleep(PATIENCE).await;
+        }
+        Err(Refusal::Older)
+    }
+
+    async fn question(&mut self, wait: Duration) -> Result<News, Refusal> {
+        let view = self.shared.view();
+        let question = Question {
+            life: self.life,
+            stamp: self.stamp,
+            version: view.policy.as_ref().map_or(0, |policy| policy.version()),
+            wait,
+        };
+        let asked = boot_time();
+        let told = timeout(wait + PATIENCE, self.send(&question))
+            .await
+            .map_err(|_elapsed| Refusal::Silent)??;
+        (self.life, self.stamp) = (told.life, told.stamp);
+        news(told, asked)
+    }
+
+    async fn send(&self, question: &Question) -> Result<Told, Refusal> {
+        let body =
+            rmp_serde::to_vec(question).map_err(|error| Refusal::Garbled(error.to_string()))?;
+        let request = Request::post(PATH)
+            .body(whole(body))
+            .map_err(|error| Refusal::Garbled(error.to_string()))?;
+        let wait = question.wait + PATIENCE;
+        let response = self
+            .connector
+            .send(self.address, request, wait)
+            .await
+            .map_err(|error| Refusal::Unreachable(error.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(Refusal::Status(response.status()));
+        }
+        let bytes = Limited::new(response.into_body(), MESSAGE_BYTES)
+            .collect()
+            .await
+            .map_err(|error| Refusal::Unreachable(error.to_string()))?
+            .to_bytes();
+        rmp_serde::from_slice(&bytes).map_err(|error| Refusal::Garbled(error.to_string()))
+    }
+}
+
+// The peer made its answer no sooner than it had waited after it was
+// asked. Counted from there, its ages never make anything look younger.
+fn news(told: Told, asked: Moment) -> Result<News, Refusal> {
+    let made = asked + told.waited;
+    let (Some(policy_age), Some(endpoints_age)) = (told.policy_age, told.endpoints_age) else {
+        return Err(Refusal::Stale);
+    };
+    if policy_age > POLICY_AGE || endpoints_age > LIST_AGE {
+        return Err(Refusal::Stale);
+    }
+    Ok(News {
+        policy: told.policy,
+        policy_read: since(made, policy_age),
+        endpoints_read: since(made, endpoints_age),
+        whole: told.whole,
+        set: told.set,
+        gone: told.gone,
+    })
+}
+
+/// Answers a peer's question, at once if there is news.
+pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+    let began = boot_time();
+    if request.uri().path() != PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES)
+        .collect()
+        .await
+    else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let Ok(question) = rmp_serde::from_slice::<Question>(&body.to_bytes()) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let until = Instant::now() + question.wait.min(WAIT);
+    let mut news = shared.news();
+    let told = loop {
+        news.mark_unchanged();
+        let now = boot_time();
+        let told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
+        if told.is_news() || timeout_at(until, news.changed()).await.is_err() {
+            break told;
+        }
+    };
+    let now = boot_time();
+    let told = if told.is_news() {
+        told
+    } else {
+        // Nothing came in the time allowed: the ages are those of now.
+        shared.tell(false, |board| board.tell(&question, since(now, began), now))
+    };
+    match rmp_serde::to_vec(&told) {
+        Ok(bytes) => Response::new(whole(bytes)),
+        Err(error) => {
+            log::error!(error:% = error; "state can't be told to peers");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(whole(Vec::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn whole(bytes: Vec<u8>) -> Body {
+    Full::new(Bytes::from(bytes))
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -38,8 +38,9 @@
 /// How far one topic has been followed.
 #[derive(Debug)]
 pub struct Feed {
-    // The offset of the record that each key's value came from.
-    known: BTreeMap<String, Offset>,
+    // The offset of the record that each key's value came from; `None` for a
+    // key that somebody else told of.
+    known: BTreeMap<String, Option<Offset>>,
     state: State,
 }
 
@@ -76,6 +77,16 @@
 }
 
 impl Feed {
+    /// Returns a feed of a topic of which these keys are known from elsewhere.
+    /// Those that the list doesn't hold any more are said to be removed.
+    #[must_use]
+    pub fn knowing(keys: impl IntoIterator<Item = String>) -> Self {
+        Self {
+            known: keys.into_iter().map(|key| (key, None)).collect(),
+            state: State::listing(),
+        }
+    }
+
     /// Returns what to ask.
     #[must_use]
     pub fn next(&self) -> Next {
@@ -138,7 +149,7 @@
         let gone: Vec<String> = self
             .known
             .iter()
-            .filter(|(key, offset)| !seen.contains_key(*key) && **offset < first)
+            .filter(|(key, offset)| !seen.contains_key(*key) && **offset < Some(first))
             .map(|(key, _)| key.clone())
             .collect();
         for key in &gone {
@@ -153,13 +164,13 @@
             let older = self
                 .known
                 .get(&record.key)
-                .is_some_and(|known| *known >= record.offset);
+                .is_some_and(|known| *known >= Some(record.offset));
             if older {
                 continue;
             }
             match record.value {
                 Value::Set(value) => {
-                    self.known.insert(record.key, record.offset);
+                    self.known.insert(record.key, Some(record.offset));
                     changes.push(Change::Set(value));
                 }
                 Value::Removed => {
@@ -167,7 +178,7 @@
                     changes.push(Change::Removed(record.key));
                 }
                 Value::Unreadable(cause) => {
-                    self.known.insert(record.key.clone(), record.offset);
+                    self.known.insert(record.key.clone(), Some(record.offset));
                     changes.push(Change::Unreadable(record.key.clone(), cause));
                     changes.push(Change::Removed(record.key));
                 }
--- a/crates/direct/src/feed/tests.rs
+++ b/crates/direct/src/feed/tests.rs
@@ -108,3 +108,10 @@
     feed.listed(page(vec![set("z", 4)], false, 9));
     assert_eq!(feed.next(), Next::Read(5));
 }
+
+#[test]
+fn keys_known_from_elsewhere_are_gone_if_the_list_does_not_hold_them() {
+    let mut feed = Feed::knowing(["a".to_owned(), "b".to_owned()]);
+    let changes = feed.listed(page(vec![set("b", 0)], false, 3));
+    assert_eq!(changes, [Change::Set("b@0".to_owned()), gone("a")]);
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,12 +8,13 @@
 //! are used on the wire.
 //!
 //! Decisions take no clock, socket or randomness of their own: [`policy`],
-//! [`feed`], [`roster`], [`lease`], [`place`], [`book`], [`budget`] and
-//! [`attempt`]. The rest carries bytes and time to them. What was weighed
+//! [`feed`], [`roster`], [`lease`], [`place`], [`book`], [`budget`],
+//! [`attempt`] and [`board`]. The rest carries bytes and time to them. What was weighed
 //! against sending through an endpoint's owner is in
 //! `docs/design/platform.md`.
 
 pub mod attempt;
+pub mod board;
 pub mod book;
 pub mod budget;
 pub mod cli;
--- a/crates/direct/src/policy.rs
+++ b/crates/direct/src/policy.rs
@@ -9,9 +9,10 @@
 use std::time::Duration;
 
 use godwitpost_types::id::{ServiceId, Version};
+use serde::{Deserialize, Serialize};
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Kind {
     /// They may run more than once.
     Safe,
@@ -51,7 +52,7 @@
 }
 
 /// A service that a route sends to, and its share of the route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceId,
@@ -60,7 +61,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name, for logs.
     pub name: String,
@@ -88,7 +89,7 @@
 }
 
 /// A workspace.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Its name.
     pub name: String,
@@ -97,7 +98,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: String,
@@ -106,7 +107,7 @@
 }
 
 /// Bounds on what callers may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Bytes of a head.
     pub head_bytes: usize,
@@ -115,7 +116,7 @@
 }
 
 /// All that a version says.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Content {
     /// Its number; greater is newer.
     pub version: Version,
@@ -132,11 +133,8 @@
 /// One version of the configuration, ready to be asked.
 #[derive(Clone, Debug)]
 pub struct Policy {
-    version: Version,
+    content: Content,
     routes: BTreeMap<String, BTreeMap<String, Arc<Route>>>,
-    services: BTreeMap<ServiceId, Service>,
-    keys: Option<BTreeMap<String, Arc<Workspace>>>,
-    limits: Limits,
 }
 
 impl Default for Limits {
@@ -165,25 +163,25 @@
     #[must_use]
     pub fn new(content: Content) -> Self {
         let mut routes = BTreeMap::<String, BTreeMap<String, Arc<Route>>>::new();
-        for route in content.routes {
+        for route in &content.routes {
             routes
                 .entry(route.host.clone())
                 .or_default()
-                .insert(route.prefix.clone(), Arc::new(route));
-        }
-        Self {
-            version: content.version,
-            routes,
-            services: content.services,
-            keys: content.keys,
-            limits: content.limits.unwrap_or_default(),
+                .insert(route.prefix.clone(), Arc::new(route.clone()));
         }
+        Self { content, routes }
     }
 
     /// Returns its number.
     #[must_use]
     pub const fn version(&self) -> Version {
-        self.version
+        self.content.version
+    }
+
+    /// Returns all that it says.
+    #[must_use]
+    pub const fn content(&self) -> &Content {
+        &self.content
     }
 
     /// Returns how many routes it has.
@@ -194,14 +192,14 @@
 
     /// Returns the bounds on what callers may send.
     #[must_use]
-    pub const fn limits(&self) -> Limits {
-        self.limits
+    pub fn limits(&self) -> Limits {
+        self.content.limits.unwrap_or_default()
     }
 
     /// Returns a service by its id.
     #[must_use]
     pub fn service(&self, id: ServiceId) -> Option<&Service> {
-        self.services.get(&id)
+        self.content.services.get(&id)
     }
 
     /// Returns the route of a host and path: among the host's, the one with
@@ -217,7 +215,7 @@
     /// Returns who sends a request with this key on this route.
     #[must_use]
     pub fn caller(&self, route: &Route, key: Option<&str>) -> Caller {
-        let Some(keys) = &self.keys else {
+        let Some(keys) = &self.content.keys else {
             return Caller::Anonymous;
         };
         let known = key.and_then(|key| keys.get(key));
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -13,10 +13,13 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Standing};
+use serde::{Deserialize, Serialize};
 
-/// How long after the log's return lapsed entries are kept: live endpoints
-/// renew theirs within two seconds, and a read takes up to a second to tell.
-const GRACE: Duration = Duration::from_millis(2_800);
+/// How long after the log's return lapsed entries are kept. Live endpoints
+/// renew theirs within two seconds of it; that return is noticed up to 0.6 s
+/// late, and an endpoint that really left must be left alone three seconds
+/// after it.
+pub const GRACE: Duration = Duration::from_millis(2_200);
 
 /// Heartbeats for which the log has to be away for entries to lapse: they
 /// lapse after three, of which the last may just not have been sent.
@@ -34,7 +37,7 @@
 }
 
 /// What an endpoint says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// Who and where it is, and whether it may get new work.
     pub endpoint: Endpoint,
@@ -117,6 +120,12 @@
         Removal::Gone
     }
 
+    /// Drops an entry that a peer, who weighed it, says is gone; returns
+    /// whether it was known.
+    pub fn dismiss(&mut self, name: &str) -> bool {
+        self.entries.remove(name).is_some()
+    }
+
     /// Drops lapsed entries whose time is over; returns their names.
     pub fn expire(&mut self, now: Moment) -> Vec<String> {
         let over = self.back.is_none_or(|back| since(now, back) >= GRACE);
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -50,7 +50,7 @@
     roster.reached(at(7_000));
     roster.set(endpoint("a", Standing::Live));
     assert_eq!(roster.expire(at(8_000)), [""; 0]);
-    assert_eq!(roster.expire(at(8_900)), ["b"]);
+    assert_eq!(roster.expire(at(8_300)), ["b"]);
     assert_eq!(names(&roster), ["a"]);
 }
 
--- a/crates/direct/src/running.rs
+++ b/crates/direct/src/running.rs
@@ -79,6 +79,7 @@
     let callers = bind(settings.listen.callers)?;
     let ready = bind(settings.listen.ready)?;
     let metrics = bind(settings.listen.metrics)?;
+    let peers = settings.listen.peers.map(bind).transpose()?;
     let addresses = (callers.address, ready.address);
     let threads = settings.threads;
     let shared = Arc::new(Shared::new(settings, dialect));
@@ -91,7 +92,7 @@
         ended.clone(),
     );
     thread("traffic", runtime(threads)?, ports)?;
-    let control = control::run(Arc::clone(&shared), sources, lines);
+    let control = control::run(Arc::clone(&shared), sources, lines, peers, ended.clone());
     thread("control", runtime(1)?, until(control, ended))?;
     Ok(Running {
         shared,
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -30,6 +30,9 @@
     pub ready_path: String,
     /// Where the log is that the configuration is followed from.
     pub log: SocketAddr,
+    /// Instances that read the log and may be asked instead of it. One that
+    /// finds itself among them, or none, reads the log itself.
+    pub seeds: Vec<SocketAddr>,
     /// Within what time a key that is taken away stops working; `None` if
     /// that has no bound.
     pub revocation: Option<Duration>,
@@ -65,6 +68,8 @@
     pub ready: SocketAddr,
     /// For whoever collects metrics.
     pub metrics: SocketAddr,
+    /// For other instances that ask what the log says; `None` if nobody does.
+    pub peers: Option<SocketAddr>,
 }
 
 /// Why there are no settings.
@@ -99,12 +104,13 @@
 
 impl std::error::Error for Error {}
 
-const TOP: [&str; 15] = [
+const TOP: [&str; 16] = [
     "name",
     "zone",
     "listen",
     "ready_path",
     "log",
+    "seeds",
     "revocation",
     "heartbeat",
     "refresh",
@@ -116,7 +122,7 @@
     "threads",
     "log_level",
 ];
-const LISTEN: [&str; 3] = ["callers", "ready", "metrics"];
+const LISTEN: [&str; 4] = ["callers", "ready", "metrics", "peers"];
 const RETRIES: [&str; 3] = ["ratio", "allowance", "window"];
 
 const NAME: &str = "a name, such as otaru-1";
@@ -172,6 +178,21 @@
         }
     }
 
+    /// Returns whether others may ask this instance instead of the log.
+    #[must_use]
+    pub fn reads_for_others(&self) -> bool {
+        self.listen.peers.is_some() && !self.seeds.is_empty() && self.others().is_empty()
+    }
+
+    /// Returns the instances to ask instead of the log; none if this one is
+    /// to read the log itself.
+    #[must_use]
+    pub fn others(&self) -> &[SocketAddr] {
+        let own = self.listen.peers;
+        let reads = own.is_none_or(|own| self.seeds.contains(&own));
+        if reads { &[] } else { &self.seeds }
+    }
+
     /// Returns the id of its availability zone.
     #[must_use]
     pub fn zone_id(&self) -> ZoneId {
@@ -185,6 +206,7 @@
     let listen = listen(top.level("listen", mistakes), mistakes);
     let ready_path = top.required("ready_path", PATH, path, mistakes);
     let log = top.required("log", ADDRESS, parsed::<SocketAddr>, mistakes);
+    let seeds = top.list("seeds", ADDRESS, parsed::<SocketAddr>, mistakes);
     let revocation = top.optional("revocation", DURATION, duration, mistakes);
     let heartbeat = top.required("heartbeat", DURATION, duration, mistakes);
     let refresh = top.optional("refresh", DURATION, period, mistakes);
@@ -202,6 +224,7 @@
         listen: listen?,
         ready_path: ready_path?.value,
         log: log?.value,
+        seeds,
         revocation: revocation.map(|taken| taken.value),
         heartbeat: heartbeat?.value,
         refresh: refresh.map_or(REFRESH, |taken| taken.value),
@@ -219,11 +242,13 @@
     let callers = level.required("callers", ADDRESS, parsed::<SocketAddr>, mistakes);
     let ready = level.required("ready", ADDRESS, parsed::<SocketAddr>, mistakes);
     let metrics = level.required("metrics", ADDRESS, parsed::<SocketAddr>, mistakes);
+    let peers = level.optional("peers", ADDRESS, parsed::<SocketAddr>, mistakes);
     level.finish(&LISTEN, mistakes);
     Some(Listen {
         callers: callers?.value,
         ready: ready?.value,
         metrics: metrics?.value,
+        peers: peers.map(|taken| taken.value),
     })
 }
 
--- a/crates/direct/src/settings/tests.rs
+++ b/crates/direct/src/settings/tests.rs
@@ -47,8 +47,21 @@
             "line 5: `listen.callers` wants an IP number and a port, such as 10.0.0.5:8080",
             "line 12: `grace` wants a number with ms, s, m or h, such as 90s",
             "line 3: `zon` is unknown; the keys here are name, zone, listen, ready_path, log, \
-             revocation, heartbeat, refresh, balancer_lag, grace, retries, load_bound, \
+             seeds, revocation, heartbeat, refresh, balancer_lag, grace, retries, load_bound, \
              memory_mb, threads, log_level",
         ]
     );
 }
+
+#[test]
+fn an_instance_asks_others_unless_it_is_one_of_them() {
+    let with = |own: &str| {
+        let text = WHOLE.replace("  metrics", &format!("  peers: {own}\n  metrics"));
+        let text = format!("{text}seeds:\n  - 10.0.0.1:7\n  - 10.0.0.2:7\n");
+        Settings::parse(&text).expect("valid settings")
+    };
+    assert_eq!(with("10.0.0.5:7").others().len(), 2);
+    assert_eq!(with("10.0.0.2:7").others().len(), 0);
+    let alone = Settings::parse(&format!("{WHOLE}seeds:\n")).expect("valid settings");
+    assert_eq!(alone.others().len(), 0);
+}
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -14,7 +14,10 @@
 use godwitpost_types::clock::Moment;
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::ServiceId;
+use rand::RngExt;
+use tokio::sync::watch;
 
+use crate::board::Board;
 use crate::book::Book;
 use crate::budget::Budget;
 use crate::dialect::Dialect;
@@ -97,6 +100,9 @@
     // Nanoseconds on the boot clock at which the read was sent that last
     // confirmed the configuration; 0 if none did.
     confirmed: AtomicU64,
+    board: Mutex<Board>,
+    // Moves when the board has news for peers.
+    news: watch::Sender<u64>,
     book: Mutex<Book>,
     budget: Mutex<Budget>,
     in_flight: AtomicUsize,
@@ -121,6 +127,8 @@
             connector,
             view: ArcSwap::default(),
             confirmed: AtomicU64::new(0),
+            board: Mutex::new(Board::new(rand::rng().random_range(1..=u64::MAX))),
+            news: watch::channel(0).0,
             book: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
@@ -165,6 +173,21 @@
         informed && self.fresh() && !self.draining()
     }
 
+    /// Changes what peers are told; tells those that wait if it is news.
+    pub(crate) fn tell<T>(&self, news: bool, change: impl FnOnce(&mut Board) -> T) -> T {
+        let told = change(&mut self.board.lock().unwrap_or_else(PoisonError::into_inner));
+        if news {
+            self.news
+                .send_modify(|count| *count = count.wrapping_add(1));
+        }
+        told
+    }
+
+    /// Returns what moves when there is news for peers.
+    pub(crate) fn news(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+
     pub(crate) fn book(&self) -> MutexGuard<'_, Book> {
         // No code that holds the lock can panic half-way through a change.
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -30,6 +30,7 @@
 struct State<T> {
     records: Vec<(String, Value<T>)>,
     down: bool,
+    calls: usize,
 }
 
 impl<T> Clone for Topic<T> {
@@ -46,6 +47,7 @@
             state: Arc::new(Mutex::new(State {
                 records: Vec::new(),
                 down: false,
+                calls: 0,
             })),
         }
     }
@@ -59,8 +61,14 @@
         self.state.lock().expect("the topic").down = down;
     }
 
+    /// Returns how often it was asked.
+    pub(crate) fn calls(&self) -> usize {
+        self.state.lock().expect("the topic").calls
+    }
+
     fn since(&self, from: u64) -> Result<(Vec<Record<T>>, u64), Fault> {
-        let state = self.state.lock().expect("the topic");
+        let mut state = self.state.lock().expect("the topic");
+        state.calls += 1;
         if state.down {
             return Err(Fault::Refused(503));
         }
@@ -139,13 +147,39 @@
 
     /// Starts an instance whose log is empty.
     pub(crate) fn start_cold() -> Self {
-        let policies = Topic::new();
-        let endpoints = Topic::new();
+        Self::start_with(SETTINGS, Topic::new(), Topic::new())
+    }
+
+    /// Starts an instance that reads for others, and one that asks it. Each
+    /// has a log of its own, so that a test can tell which one is read.
+    pub(crate) async fn start_two(addresses: &[SocketAddr]) -> [Self; 2] {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let seed = free.local_addr().expect("a bound address");
+        drop(free);
+        let with = |peers: SocketAddr| {
+            let text = SETTINGS.replace(" }\nready", &format!(", peers: \"{peers}\" }}\nready"));
+            let text = text.replace("900ms", "5s");
+            format!("{text}seeds: [\"{seed}\"]\n")
+        };
+        let own = "127.0.0.1:0".parse().expect("an address");
+        let start = |peers| Self::start_with(&with(peers), Topic::new(), Topic::new());
+        let fleets = [start(seed), start(own)];
+        for fleet in &fleets {
+            for (n, address) in addresses.iter().enumerate() {
+                fleet.join(&format!("e{n}"), *address);
+            }
+            fleet.roll(content(1));
+            fleet.ready().await;
+        }
+        fleets
+    }
+
+    fn start_with(settings: &str, policies: Topic<Policy>, endpoints: Topic<Registration>) -> Self {
         let sources = Sources {
             policies: policies.source(),
             endpoints: endpoints.source(),
         };
-        let settings = Settings::parse(SETTINGS).expect("valid settings");
+        let settings = Settings::parse(settings).expect("valid settings");
         let lines = Queue::start(std::io::sink());
         let running = start(settings, DIALECT, sources, lines).expect("free ports");
         Self {
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -8,5 +8,6 @@
 mod failures;
 mod fleet;
 mod freshness;
+mod peers;
 mod shutdown;
 mod streams;
--- a/crates/process/src/settings/low.rs
+++ b/crates/process/src/settings/low.rs
@@ -138,6 +138,9 @@
             return Vec::new();
         };
         let line = spanned.referenced.line();
+        if spanned.value == Node::Null {
+            return Vec::new();
+        }
         let Node::List(items) = spanned.value else {
             mistakes.push(Mistake {
                 line,
