direct: each request that is refused or left has a line with its id

A refusal before a request was resolved (unknown route or key, no configuration) had no id in its line, and a caller that left before an answer had none at all, so neither could be found from a complaint. Both have one now, with the version and its age. A caller that leaves is no warning any more.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -11,19 +11,23 @@
 mod send;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Body;
+use godwitpost_types::clock::Moment;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use tokio::time::timeout_at;
 
-pub(crate) use self::job::Job;
+pub(crate) use self::job::{End, Job};
 pub(crate) use self::send::{Flight, Sent, dispatch};
+use crate::dialect::Facts;
 use crate::refusal::Reason;
 use crate::shared::{Admission, Shared};
 
@@ -46,39 +50,55 @@
 /// A request that gets an answer of the instance's own.
 struct Refused {
     reason: Reason,
-    /// The request, if it came far enough to be one.
-    job: Option<Box<Job>>,
+    who: Who,
 }
 
-impl From<Reason> for Refused {
-    fn from(reason: Reason) -> Self {
-        Self { reason, job: None }
-    }
+/// What is known of a refused request.
+enum Who {
+    /// It came far enough to be resolved.
+    Job(Box<Job>),
+    /// Its id, if it has one.
+    Id(Option<String>),
 }
 
 async fn serve(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
-    arrived: std::time::Duration,
+    arrived: Moment,
 ) -> Result<Response<Body>, Refused> {
-    let admission = shared.admit().ok_or(Reason::Overloaded)?;
     let (head, body) = request.into_parts();
-    let mut job = Box::new(Job::new(shared, head, arrived, admission)?);
-    if let Err(reason) = read(&mut job, body).await {
-        return Err(Refused {
-            reason,
-            job: Some(job),
-        });
-    }
-    match dispatch(&mut job, None).await {
+    let facts = (shared.dialect.read_request)(&head.headers);
+    let id = facts.as_ref().map(|facts| job::shown(&facts.attempt));
+    let mut job = match job(shared, head, facts, arrived) {
+        Ok(job) => job,
+        Err(reason) => {
+            let who = Who::Id(id);
+            return Err(Refused { reason, who });
+        }
+    };
+    let sent = match read(&mut job, body).await {
+        Ok(()) => dispatch(&mut job, None).await,
+        Err(reason) => Err(reason),
+    };
+    match sent {
         Ok(sent) => Ok(answer::relay(job, sent).await),
-        Err(reason) => Err(Refused {
-            reason,
-            job: Some(job),
-        }),
+        Err(reason) => {
+            let who = Who::Job(job);
+            Err(Refused { reason, who })
+        }
     }
 }
 
+fn job(
+    shared: &Arc<Shared>,
+    head: Parts,
+    facts: Option<Facts>,
+    arrived: Moment,
+) -> Result<Box<Job>, Reason> {
+    let admission = shared.admit().ok_or(Reason::Overloaded)?;
+    Job::new(shared, head, facts, arrived, admission).map(Box::new)
+}
+
 // Reads the caller's body whole: only then can it be sent a second time, and
 // an endpoint that answers early or late never meets half of it. A request
 // that names two lengths is read by its chunks, and hyper closes its
@@ -106,10 +126,9 @@
 fn refuse(shared: &Shared, refused: &Refused) -> Response<Body> {
     let reason = refused.reason;
     shared.metrics.refused(reason);
-    if let Some(job) = &refused.job {
-        job.refused(reason);
-    } else {
-        log::warn!(reason:% = reason.as_str(), status = reason.status().as_u16(); "request refused");
+    match &refused.who {
+        Who::Job(job) => job.refused(reason),
+        Who::Id(id) => unresolved(shared, reason, id.as_deref()),
     }
     let text = format!(
         "{{\"title\":\"{}\",\"detail\":\"{reason}\"}}\n",
@@ -133,3 +152,18 @@
     }
     response
 }
+
+// Counts and logs a refusal of a request that was never resolved.
+fn unresolved(shared: &Shared, reason: Reason, id: Option<&str>) {
+    let metrics = shared.metrics.requests();
+    let status = reason.status().as_u16();
+    metrics.head(&metrics.nobody(), reason.outcome(), status, Duration::ZERO);
+    let view = shared.view();
+    let version = view.policy.as_ref().map_or(0, |policy| policy.version());
+    log::warn!(
+        request:% = id.unwrap_or("(none)"), reason:% = reason.as_str(),
+        outcome:% = reason.outcome(), status = status, version = version,
+        confirmed_ms = shared.age().as_millis();
+        "request refused"
+    );
+}
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout_at;
 
 use super::send::Gathered;
-use super::{Job, Refused, Sent, dispatch, headers, refuse};
+use super::{End, Job, Refused, Sent, Who, dispatch, headers, refuse};
 use crate::attempt::{Ending, Next};
 use crate::refusal::Reason;
 use crate::stream::Stream;
@@ -42,11 +42,8 @@
                     Ok(next) => sent = next,
                     Err(reason) => {
                         let shared = std::sync::Arc::clone(job.shared());
-                        let refused = Refused {
-                            reason,
-                            job: Some(job),
-                        };
-                        return refuse(&shared, &refused);
+                        let who = Who::Job(job);
+                        return refuse(&shared, &Refused { reason, who });
                     }
                 }
             }
@@ -92,7 +89,7 @@
         headers::strip(&mut head.headers);
     }
     job.answered(flight.name(), head.status.as_u16());
-    job.ended("whole");
+    job.ended(End::Whole);
     let body = Full::new(bytes).map_err(Into::into);
     Response::from_parts(head, body.boxed_unsync())
 }
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -1,6 +1,7 @@
 //! A request on its way, with all that a second attempt needs.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Method, Uri};
+use log::Level;
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -52,6 +54,8 @@
     labels: Labels,
     admission: Admission,
     id: String,
+    // Whether the caller has been told anything.
+    told: AtomicBool,
 }
 
 impl std::fmt::Debug for Job {
@@ -73,6 +77,7 @@
     pub(super) fn new(
         shared: &Arc<Shared>,
         head: Parts,
+        facts: Option<Facts>,
         arrived: Moment,
         admission: Admission,
     ) -> Result<Self, Reason> {
@@ -87,7 +92,7 @@
         let policy = view.policy.as_ref().ok_or(Reason::Starting)?;
         check(&headers, policy.limits())?;
         let host = host(&uri, &headers).ok_or(Reason::Malformed)?;
-        let facts = (shared.dialect.read_request)(&headers).ok_or(Reason::Malformed)?;
+        let facts = facts.ok_or(Reason::Malformed)?;
         let found = resolve(policy, &host, uri.path(), facts.key.as_deref(), fresh)?;
         let patience = facts.patience.unwrap_or(found.route.timeout);
         let allowed = patience.min(found.route.timeout);
@@ -119,6 +124,7 @@
             deadline: arrived + allowed,
             until: Instant::now() + allowed.saturating_sub(since(boot_time(), arrived)),
             admission,
+            told: AtomicBool::new(false),
         })
     }
 
@@ -205,6 +211,7 @@
 
     /// Counts and logs the head of an endpoint's answer.
     pub(crate) fn answered(&self, endpoint: &str, status: u16) {
+        self.told.store(true, Ordering::Relaxed);
         let took = self.age();
         let outcome = Outcome::Ran;
         self.shared
@@ -220,6 +227,7 @@
 
     /// Counts and logs an answer of the instance's own.
     pub(super) fn refused(&self, reason: Reason) {
+        self.told.store(true, Ordering::Relaxed);
         let status = reason.status().as_u16();
         let took = self.age();
         self.shared
@@ -235,21 +243,42 @@
     }
 
     /// Counts and logs the end of an answer's body.
-    pub(crate) fn ended(&self, end: &'static str) {
+    pub(crate) fn ended(&self, end: End) {
         let took = self.age();
         godwitpost_process::metrics::Metrics::end(&self.labels, took);
-        if end != "whole" {
-            log::warn!(
-                request:% = self.id, end:% = end, sent = self.attempts.sent() + 1,
-                took_ms:% = took.as_millis();
-                "answer ended early"
-            );
-        }
+        let level = match end {
+            End::Whole => return,
+            End::Left => Level::Info,
+            End::Broken => Level::Warn,
+        };
+        log::log!(
+            level, request:% = self.id, end:? = end, sent = self.attempts.sent() + 1,
+            took_ms:% = took.as_millis();
+            "answer ended early"
+        );
     }
 }
 
+/// How the body of an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// All of it was passed on.
+    Whole,
+    /// It was broken off.
+    Broken,
+    /// The caller went away.
+    Left,
+}
+
 impl Drop for Job {
     fn drop(&mut self) {
+        if !self.told.load(Ordering::Relaxed) {
+            log::info!(
+                request:% = self.id, sent = self.attempts.sent(), tried = self.tried.len(),
+                took_ms:% = self.age().as_millis();
+                "caller left before an answer"
+            );
+        }
         self.shared.metrics.requests().in_flight(-1);
     }
 }
@@ -330,7 +359,7 @@
 
 // An id is the caller's text: it is shown only as far as it can't be mistaken
 // for anything else in a line.
-fn shown(id: &str) -> String {
+pub(super) fn shown(id: &str) -> String {
     let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     id.chars().filter(|c| plain(*c)).take(ID_SHOWN).collect()
 }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -213,7 +213,7 @@
     log::info!(
         request:% = job.id(), route:% = job.route.name, endpoint:% = registration.endpoint.name,
         choice:% = choice.as_str(), part:? = job.facts.shared(), version = job.version,
-        confirmed_ms:% = confirmed(&job.shared),
+        confirmed_ms:% = job.shared.age().as_millis(),
         load:% = job.shared.book().look(flight.endpoint, boot_time()).0,
         left_ms:% = job.left().as_millis(), wait_ms:% = wait.as_millis();
         "request sent"
@@ -225,12 +225,6 @@
     }
 }
 
-// The age of the configuration that the request is sent under.
-fn confirmed(shared: &Shared) -> u128 {
-    let at = shared.confirmed().unwrap_or_default();
-    godwitpost_types::clock::since(boot_time(), at).as_millis()
-}
-
 // How long to wait for the head of an answer.
 fn wait(job: &Job) -> Duration {
     let another = job.route.kind.idempotent() && job.attempts.sent() + 1 < job.route.attempts;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -11,7 +11,7 @@
 use arc_swap::ArcSwap;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{self, Connector};
-use godwitpost_types::clock::Moment;
+use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::ServiceId;
 use rand::RngExt;
@@ -161,6 +161,12 @@
         }
     }
 
+    /// Returns how long ago the configuration was last confirmed; since the
+    /// machine's start if it never was.
+    pub(crate) fn age(&self) -> Duration {
+        since(boot_time(), self.confirmed().unwrap_or_default())
+    }
+
     /// Returns whether keys may be acted on now.
     pub(crate) fn fresh(&self) -> bool {
         self.lease.holds(self.confirmed(), boot_time())
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -23,7 +23,7 @@
 
 use crate::attempt::{Ending, Next};
 use crate::refusal::Reason;
-use crate::relay::{Flight, Job, Sent, dispatch};
+use crate::relay::{End, Flight, Job, Sent, dispatch};
 
 /// How long a stream may be silent before it is asked for elsewhere. Engines
 /// that are preempted or read a long prompt pause for some hundred
@@ -116,7 +116,7 @@
                 request:% = job.id(), endpoint:% = flight.name(), cause:% = cause;
                 "stream broken off"
             );
-            job.ended("broken");
+            job.ended(End::Broken);
         }
         Err(Box::new(broken))
     }
@@ -124,7 +124,7 @@
     // The end of the endpoint's answer.
     fn end(&mut self) -> Step {
         if let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) {
-            reading.job.ended("whole");
+            reading.job.ended(End::Whole);
         }
         let rest = self.events.take().map(|(mut events, _)| events.rest());
         rest.filter(|rest| !rest.is_empty())
@@ -151,20 +151,16 @@
             "stream broke"
         );
         drop(flight);
-        match next {
-            Ok(after) => {
-                job.shared().metrics.resumed();
-                self.state = State::Asking(Box::pin(async move {
-                    let sent = dispatch(&mut job, after).await;
-                    (job, sent)
-                }));
-                None
-            }
-            Err(reason) => {
-                job.ended(reason.as_str());
-                Some(Box::new(Broken::Cut))
-            }
-        }
+        let Ok(after) = next else {
+            job.ended(End::Broken);
+            return Some(Box::new(Broken::Cut));
+        };
+        job.shared().metrics.resumed();
+        self.state = State::Asking(Box::pin(async move {
+            let sent = dispatch(&mut job, after).await;
+            (job, sent)
+        }));
+        None
     }
 
     // The event after which the stream is to go on elsewhere.
@@ -206,12 +202,12 @@
                     status = sent.head.status.as_u16();
                     "stream not resumed"
                 );
-                job.ended("broken");
+                job.ended(End::Broken);
                 Some(Box::new(Broken::Cut))
             }
             Err(reason) => {
                 log::warn!(request:% = job.id(), reason:% = reason.as_str(); "stream not resumed");
-                job.ended("broken");
+                job.ended(End::Broken);
                 Some(Box::new(Broken::Cut))
             }
         }
@@ -277,7 +273,7 @@
 impl Drop for Stream {
     fn drop(&mut self) {
         if let State::Reading(reading) = &self.state {
-            reading.job.ended("caller left");
+            reading.job.ended(End::Left);
         }
     }
 }
