--- a/crates/client/src/connect.rs
+++ b/crates/client/src/connect.rs
@@ -25,6 +25,7 @@
 mod received;
 
 use std::error::Error as _;
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -77,7 +78,28 @@
     /// no response head within the time allowed; check the load or allow more
     ResponseTimeout,
     /// the connection failed ({0}); check the other side's log
-    Connection(hyper::Error),
+    Connection(Failure),
+}
+
+/// How a connection failed, with what lies below.
+#[derive(Debug)]
+pub struct Failure(hyper::Error);
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)?;
+        match self.0.source() {
+            // hyper's own text names its part only: "connection error".
+            Some(source) => write!(f, ": {source}"),
+            None => Ok(()),
+        }
+    }
+}
+
+impl From<hyper::Error> for Failure {
+    fn from(error: hyper::Error) -> Self {
+        Self(error)
+    }
 }
 
 impl std::error::Error for Error {}
@@ -91,7 +113,7 @@
         match self {
             Self::Connect(_) | Self::ConnectTimeout => true,
             Self::ResponseTimeout => false,
-            Self::Connection(error) => unconfirmed(error),
+            Self::Connection(failure) => unconfirmed(&failure.0),
         }
     }
 }
@@ -249,10 +271,12 @@
             }
             Err(mut refused) => match refused.take_message() {
                 Some(unsent) => Err(not_sent(
-                    Cause::Connection(refused.into_error()),
+                    Cause::Connection(refused.into_error().into()),
                     Some(unsent),
                 )),
-                None => Err(Error::Unknown(Cause::Connection(refused.into_error()))),
+                None => Err(Error::Unknown(Cause::Connection(
+                    refused.into_error().into(),
+                ))),
             },
         }
     }
@@ -307,7 +331,7 @@
         .max_buf_size(settings.buffer)
         .handshake(TokioIo::new(Metered::new(stream, wire.clone())))
         .await
-        .map_err(Cause::Connection)?;
+        .map_err(|error| Cause::Connection(error.into()))?;
     let driver = tokio::spawn(async move {
         if let Err(error) = connection.await {
             ::log::debug!(address:% = address, error:% = error; "connection ended");
