direct: an entry that lapsed at a peer brings no endpoint back

The store turned some machines away, all three seeds among them, while a server really left. Others read its removal; the seeds kept its entry as lapsed. An instance that then followed a seed took the endpoint in again.

Change: peers tell lapsed entries apart. Who knows such an endpoint keeps it until more is told; who doesn't leaves it out. While the log is lost, peers are asked every 0.4 s instead of 3, instances that others ask may ask each other, and those with others to ask call the log every 2 s at most.

--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -56,6 +56,10 @@
     pub whole: bool,
     /// Endpoints that changed.
     pub set: Vec<Registration>,
+    /// Endpoints whose entries lapsed while the log was away from whoever
+    /// tells. They may have left: who knows them keeps them until more is
+    /// told, and who doesn't must not take them in.
+    pub lapsed: Vec<String>,
     /// Endpoints that are gone.
     pub gone: Vec<String>,
 }
@@ -64,7 +68,8 @@
     /// Returns whether it says anything but ages.
     #[must_use]
     pub const fn is_news(&self) -> bool {
-        self.whole || self.policy.is_some() || !self.set.is_empty() || !self.gone.is_empty()
+        let told = self.set.len() + self.lapsed.len() + self.gone.len();
+        self.whole || self.policy.is_some() || told > 0
     }
 }
 
@@ -86,6 +91,7 @@
     stamp: u64,
     // `None` once it is gone.
     registration: Option<Registration>,
+    lapsed: bool,
 }
 
 impl Board {
@@ -131,10 +137,20 @@
         let entry = Entry {
             stamp: self.stamp,
             registration: Some(registration),
+            lapsed: false,
         };
         self.entries.insert(name, entry);
     }
 
+    /// Notes an endpoint whose entry lapsed.
+    pub fn lapse(&mut self, name: &str) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            self.stamp += 1;
+            entry.stamp = self.stamp;
+            entry.lapsed = true;
+        }
+    }
+
     /// Notes an endpoint that is gone.
     pub fn remove(&mut self, name: &str) {
         let Some(entry) = self.entries.get_mut(name) else {
@@ -173,8 +189,13 @@
             policy: self.policy.as_ref().filter(newer).cloned(),
             whole: stranger,
             set: changed()
+                .filter(|(_, entry)| !entry.lapsed)
                 .filter_map(|(_, entry)| entry.registration.clone())
                 .collect(),
+            lapsed: changed()
+                .filter(|(_, entry)| entry.lapsed && entry.registration.is_some())
+                .map(|(name, _)| name.clone())
+                .collect(),
             gone: changed()
                 .filter(|(_, entry)| !stranger && entry.registration.is_none())
                 .map(|(name, _)| name.clone())
--- a/crates/direct/src/board/tests.rs
+++ b/crates/direct/src/board/tests.rs
@@ -122,3 +122,28 @@
     };
     assert_eq!(board.tell(&knows, at(0), at(5_000)).policy, None);
 }
+
+/// The instance that was asked had been turned away by the log, and kept an
+/// entry that had lapsed for all it knew. It had really been removed, and a
+/// peer that had read so took the endpoint in again.
+#[test]
+fn a_lapsed_entry_is_told_as_one() {
+    let mut board = Board::new(7);
+    board.set(registration("a"));
+    board.set(registration("b"));
+    let first = board.tell(&STRANGER, at(0), at(0));
+    board.lapse("a");
+    let told = board.tell(&question(&first), at(0), at(0));
+    assert_eq!(
+        (names(&told).len(), &told.lapsed),
+        (0, &vec!["a".to_owned()])
+    );
+    let whole = board.tell(&STRANGER, at(0), at(0));
+    assert_eq!(
+        (names(&whole), &whole.lapsed),
+        (vec!["b"], &vec!["a".to_owned()])
+    );
+    board.set(registration("a"));
+    let back = board.tell(&question(&told), at(0), at(0));
+    assert_eq!((names(&back), back.lapsed.len()), (vec!["a"], 0));
+}
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -23,7 +23,7 @@
 use self::peers::News;
 use crate::feed::Change;
 use crate::policy::Policy;
-use crate::roster::{Registration, Removal, Roster};
+use crate::roster::{Registration, Removal, Roster, Setting};
 use crate::shared::{Shared, View, by_service};
 use crate::source::Source;
 
@@ -167,11 +167,11 @@
     // What a peer told that reads the log.
     fn peer(&mut self, news: News) {
         let mut changed = news.whole && !self.listed;
+        let gone = self.gone(&news);
         if let Some(content) = news.policy {
             changed |= self.policy(Change::Set(Policy::new(content)));
         }
         self.roster.reached(news.endpoints_read);
-        let gone = self.gone(news.whole, &news.set, news.gone);
         for registration in news.set {
             changed |= self.endpoint(Change::Set(registration), news.endpoints_read);
         }
@@ -190,12 +190,15 @@
     }
 
     // The endpoints that are gone: those named, or all that a whole list
-    // doesn't name.
-    fn gone(&self, whole: bool, set: &[Registration], named: Vec<String>) -> Vec<String> {
-        if !whole {
-            return named;
+    // doesn't name. Those that lapsed at the peer are neither: known ones stay,
+    // and unknown ones, which may have been seen leaving here, stay out.
+    fn gone(&self, news: &News) -> Vec<String> {
+        if !news.whole {
+            return news.gone.clone();
         }
-        let told: BTreeSet<&str> = set.iter().map(|one| one.endpoint.name.as_str()).collect();
+        let set = news.set.iter().map(|one| one.endpoint.name.as_str());
+        let lapsed = news.lapsed.iter().map(String::as_str);
+        let told: BTreeSet<&str> = set.chain(lapsed).collect();
         self.roster
             .registrations()
             .map(|one| one.endpoint.name.clone())
@@ -262,16 +265,21 @@
             Change::Set(registration) => {
                 let endpoint = registration.endpoint.clone();
                 let told = registration.clone();
-                let changed = self.roster.set(registration);
-                if changed {
-                    self.shared.tell(true, |board| board.set(told));
-                    log::info!(
-                        endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
-                        address:% = endpoint.address, standing:? = endpoint.standing;
-                        "endpoint changed"
-                    );
+                let setting = self.roster.set(registration);
+                if setting == Setting::Same {
+                    return false;
+                }
+                self.shared.tell(true, |board| board.set(told));
+                if setting == Setting::Returned {
+                    log::info!(endpoint:% = endpoint.name; "lapsed entry is back");
+                    return false;
                 }
-                changed
+                log::info!(
+                    endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
+                    address:% = endpoint.address, standing:? = endpoint.standing;
+                    "endpoint changed"
+                );
+                true
             }
             Change::Removed(name) => match self.roster.remove(&name, now) {
                 Removal::Gone => {
@@ -281,6 +289,7 @@
                 }
                 Removal::Kept => {
                     log::info!(endpoint:% = name; "entry lapsed with the log away; endpoint kept");
+                    self.shared.tell(true, |board| board.lapse(&name));
                     false
                 }
                 Removal::Unknown => false,
--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -13,11 +13,15 @@
 use crate::shared::Shared;
 use crate::source::{Fault, Source, Tail};
 
-/// The first pause after a failed call, before jitter; the later ones are twice
-/// as long. A lost answer is asked for again soon, and a service in trouble
-/// gets two calls a second from each instance. Its return is noticed within
-/// 0.6 s, which the grace of lapsed entries counts on.
+/// The first pause after a failed call, before jitter. It doubles, up to the
+/// second of these figures, or the third at an instance that has others to ask
+/// and does so meanwhile. A lost answer is asked for again soon, and a service
+/// in trouble gets a call a second from each instance at most, but two from
+/// those that the others wait for: they notice its return within 0.6 s, which
+/// the grace of lapsed entries counts on.
 const BACKOFF: Duration = Duration::from_millis(250);
+const LONGEST: Duration = Duration::from_millis(500);
+const LONGEST_OF_MANY: Duration = Duration::from_secs(2);
 
 /// The pause between reads while lapsed entries may come back.
 const HURRY: Duration = Duration::from_millis(250);
@@ -135,6 +139,15 @@
     }
 }
 
+fn longest(log: &Log) -> Duration {
+    let settings = &log.shared.settings;
+    if settings.reads_for_others() || settings.others().is_empty() {
+        LONGEST
+    } else {
+        LONGEST_OF_MANY
+    }
+}
+
 /// Since when the log can't be read, and how often that was tried.
 #[derive(Debug, Default)]
 struct Loss {
@@ -161,17 +174,23 @@
                 let lost = since(now, from).as_millis();
                 log::info!(topic:% = topic, away_ms:% = lost, calls = self.failures; "log regained");
             }
+            if matches!(log.topic, Topic::Policies) {
+                log.shared.set_lost(false);
+            }
             if self.failures > 0 {
                 self.regained = Some(now);
             }
             self.failures = 0;
             return Duration::ZERO;
         };
+        if matches!(log.topic, Topic::Policies) {
+            log.shared.set_lost(true);
+        }
         if self.since.is_none() {
             self.since = Some(now);
             log::warn!(topic:% = topic, cause:% = fault; "log lost");
         }
-        let pause = BACKOFF * self.failures.saturating_add(1).min(2);
+        let pause = (BACKOFF * 2_u32.pow(self.failures.min(8))).min(longest(log));
         self.failures += 1;
         pause.mul_f64(rand::rng().random_range(0.75..1.25))
     }
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -54,6 +54,14 @@
 /// The pause before another instance is looked for, before jitter.
 const PAUSE: Duration = Duration::from_secs(3);
 
+/// The same while the log can't be read. Asking a peer costs the platform
+/// nothing, and the first of them to get through serves all.
+const HASTE: Duration = Duration::from_millis(400);
+
+/// How long an instance that is to read the log asks another one before it
+/// tries the log again.
+const VISIT: Duration = Duration::from_secs(4);
+
 /// How often one instance is asked until it tells something that is not older
 /// than what is known here. Both read the log at moments of their own.
 const TRIES: u32 = 4;
@@ -71,6 +79,7 @@
     pub(super) endpoints_read: Moment,
     pub(super) whole: bool,
     pub(super) set: Vec<Registration>,
+    pub(super) lapsed: Vec<String>,
     pub(super) gone: Vec<String>,
 }
 
@@ -110,11 +119,11 @@
         connect_timeout: PATIENCE,
         ..connect::Settings::default()
     });
-    let seeds = shared.settings.others().to_vec();
+    let seeds = shared.settings.others();
+    let visits = shared.settings.reads_for_others();
     let mut next = rand::rng().random_range(0..seeds.len().max(1));
-    loop {
-        let pause = PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
-        tokio::time::sleep(pause).await;
+    let mut lost = shared.lost();
+    while due(&mut lost, visits).await {
         let Some(address) = seeds.get(next % seeds.len().max(1)).copied() else {
             return;
         };
@@ -126,10 +135,36 @@
             life: 0,
             stamp: 0,
         };
-        let refusal = peer.follow(&mode, &events, event).await;
+        let following = peer.follow(&mode, &events, event);
+        let longest = if visits { VISIT } else { Duration::MAX };
+        let refusal = timeout(longest, following).await;
         direct(&mode, true);
-        let Some(refusal) = refusal else { return };
-        log::info!(peer:% = address, cause:% = refusal; "peer not followed; the log is read");
+        match refusal {
+            Ok(None) => return,
+            Ok(Some(refusal)) => {
+                log::info!(peer:% = address, cause:% = refusal; "peer not followed; the log is read");
+            }
+            Err(_elapsed) => log::info!(peer:% = address; "the log is tried again"),
+        }
+    }
+}
+
+// Waits until a peer is to be asked: after a pause, or soon while the log is
+// lost. An instance that is to read the log waits until it is lost. Returns
+// whether the process goes on.
+async fn due(lost: &mut watch::Receiver<bool>, visits: bool) -> bool {
+    let jitter = rand::rng().random_range(0.5..1.5);
+    let pause = if visits {
+        Duration::MAX
+    } else {
+        PAUSE.mul_f64(jitter)
+    };
+    tokio::select! {
+        () = tokio::time::sleep(pause) => true,
+        goes_on = async { lost.wait_for(|lost| *lost).await.is_ok() } => {
+            tokio::time::sleep(HASTE.mul_f64(jitter)).await;
+            goes_on
+        }
     }
 }
 
@@ -242,6 +277,7 @@
         endpoints_read: since(made, endpoints_age),
         whole: told.whole,
         set: told.set,
+        lapsed: told.lapsed,
         gone: told.gone,
     })
 }
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -51,6 +51,17 @@
     lapsed: bool,
 }
 
+/// What an entry that was set says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Setting {
+    /// Nothing but that its endpoint lives.
+    Same,
+    /// The same as before it lapsed.
+    Returned,
+    /// Something new.
+    Changed,
+}
+
 /// What became of an entry that the log removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Removal {
@@ -83,8 +94,8 @@
         self.read = Some(now);
     }
 
-    /// Takes in an entry; returns whether anything but its heartbeat changed.
-    pub fn set(&mut self, registration: Registration) -> bool {
+    /// Takes in an entry; returns what it says beside its heartbeat.
+    pub fn set(&mut self, registration: Registration) -> Setting {
         let name = registration.endpoint.name.clone();
         let entry = Entry {
             registration,
@@ -92,16 +103,19 @@
         };
         match self.entries.get_mut(&name) {
             Some(known) if known.registration == entry.registration => {
-                known.lapsed = false;
-                false
+                if std::mem::take(&mut known.lapsed) {
+                    Setting::Returned
+                } else {
+                    Setting::Same
+                }
             }
             Some(known) => {
                 *known = entry;
-                true
+                Setting::Changed
             }
             None => {
                 self.entries.insert(name, entry);
-                true
+                Setting::Changed
             }
         }
     }
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -4,7 +4,7 @@
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
 
-use super::{Registration, Removal, Roster};
+use super::{Registration, Removal, Roster, Setting};
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -48,7 +48,8 @@
     assert_eq!(roster.remove("b", at(6_100)), Removal::Kept);
     assert_eq!(names(&roster), ["a", "b"]);
     roster.reached(at(7_000));
-    roster.set(endpoint("a", Standing::Live));
+    let back = roster.set(endpoint("a", Standing::Live));
+    assert_eq!(back, Setting::Returned);
     assert_eq!(roster.expire(at(8_000)), [""; 0]);
     assert_eq!(roster.expire(at(8_300)), ["b"]);
     assert_eq!(names(&roster), ["a"]);
@@ -81,7 +82,8 @@
 #[test]
 fn a_mere_heartbeat_changes_nothing() {
     let mut roster = Roster::new(HEARTBEAT);
-    assert!(roster.set(endpoint("a", Standing::Live)));
-    assert!(!roster.set(endpoint("a", Standing::Live)));
-    assert!(roster.set(endpoint("a", Standing::Leaving)));
+    let mut set = |standing| roster.set(endpoint("a", standing));
+    assert_eq!(set(Standing::Live), Setting::Changed);
+    assert_eq!(set(Standing::Live), Setting::Same);
+    assert_eq!(set(Standing::Leaving), Setting::Changed);
 }
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -31,7 +31,8 @@
     /// Where the log is that the configuration is followed from.
     pub log: SocketAddr,
     /// Instances that read the log and may be asked instead of it. One that
-    /// finds itself among them, or none, reads the log itself.
+    /// finds itself among them reads the log, and asks the others only while it
+    /// can't.
     pub seeds: Vec<SocketAddr>,
     /// Within what time a key that is taken away stops working; `None` if
     /// that has no bound.
@@ -178,19 +179,22 @@
         }
     }
 
-    /// Returns whether others may ask this instance instead of the log.
+    /// Returns whether others ask this instance instead of the log, so that it
+    /// reads the log for as long as it can.
     #[must_use]
     pub fn reads_for_others(&self) -> bool {
-        self.listen.peers.is_some() && !self.seeds.is_empty() && self.others().is_empty()
+        self.listen
+            .peers
+            .is_some_and(|own| self.seeds.contains(&own))
     }
 
-    /// Returns the instances to ask instead of the log; none if this one is
-    /// to read the log itself.
+    /// Returns the instances that can be asked instead of the log.
     #[must_use]
-    pub fn others(&self) -> &[SocketAddr] {
+    pub fn others(&self) -> Vec<SocketAddr> {
         let own = self.listen.peers;
-        let reads = own.is_none_or(|own| self.seeds.contains(&own));
-        if reads { &[] } else { &self.seeds }
+        let mut others = self.seeds.clone();
+        others.retain(|seed| Some(*seed) != own);
+        others
     }
 
     /// Returns the id of its availability zone.
--- a/crates/direct/src/settings/tests.rs
+++ b/crates/direct/src/settings/tests.rs
@@ -54,14 +54,19 @@
 }
 
 #[test]
-fn an_instance_asks_others_unless_it_is_one_of_them() {
+fn an_instance_that_others_ask_reads_the_log() {
     let with = |own: &str| {
         let text = WHOLE.replace("  metrics", &format!("  peers: {own}\n  metrics"));
         let text = format!("{text}seeds:\n  - 10.0.0.1:7\n  - 10.0.0.2:7\n");
         Settings::parse(&text).expect("valid settings")
     };
-    assert_eq!(with("10.0.0.5:7").others().len(), 2);
-    assert_eq!(with("10.0.0.2:7").others().len(), 0);
+    let asks = with("10.0.0.5:7");
+    assert!(!asks.reads_for_others());
+    assert_eq!(asks.others().len(), 2);
+    let reads = with("10.0.0.2:7");
+    assert!(reads.reads_for_others());
+    assert_eq!(reads.others(), ["10.0.0.1:7".parse().expect("an address")]);
     let alone = Settings::parse(&format!("{WHOLE}seeds:\n")).expect("valid settings");
-    assert_eq!(alone.others().len(), 0);
+    assert!(!alone.reads_for_others());
+    assert_eq!(alone.others(), []);
 }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -103,6 +103,8 @@
     board: Mutex<Board>,
     // Moves when the board has news for peers.
     news: watch::Sender<u64>,
+    // Whether the log can't be read.
+    lost: watch::Sender<bool>,
     book: Mutex<Book>,
     budget: Mutex<Budget>,
     in_flight: AtomicUsize,
@@ -129,6 +131,7 @@
             confirmed: AtomicU64::new(0),
             board: Mutex::new(Board::new(rand::rng().random_range(1..=u64::MAX))),
             news: watch::channel(0).0,
+            lost: watch::channel(false).0,
             book: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
@@ -189,6 +192,20 @@
         told
     }
 
+    /// Notes whether the log can be read.
+    pub(crate) fn set_lost(&self, lost: bool) {
+        self.lost.send_if_modified(|known| {
+            let changed = *known != lost;
+            *known = lost;
+            changed
+        });
+    }
+
+    /// Returns what tells whether the log can't be read.
+    pub(crate) fn lost(&self) -> watch::Receiver<bool> {
+        self.lost.subscribe()
+    }
+
     /// Returns what moves when there is news for peers.
     pub(crate) fn news(&self) -> watch::Receiver<u64> {
         self.news.subscribe()
