process: one way to read a settings file

The router and the direct instance had the same error type and the same reading of a file. Mistakes of the direct instance are told in the order of lines now, as the router's were, and no snippet of a file gets into the log.

--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -5,13 +5,13 @@
 //! The file is checked as a whole: each mistake is reported with its line, key
 //! and remedy, and a [`Settings`] can't be invalid.
 
-use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
+use godwitpost_process::settings;
+pub use godwitpost_process::settings::Error;
 use godwitpost_process::settings::low::{Level, Mistake, duration};
-use godwitpost_process::settings::node::Node;
 use godwitpost_types::id::{self, ZoneId};
 use log::LevelFilter;
 
@@ -73,38 +73,6 @@
     pub peers: Option<SocketAddr>,
 }
 
-/// Why there are no settings.
-#[derive(Debug)]
-pub enum Error {
-    /// The file can't be read.
-    Read(PathBuf, std::io::Error),
-    /// The file is no YAML, or has a key twice.
-    Yaml(String),
-    /// Values are wrong: all of them.
-    Mistakes(Vec<Mistake>),
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Read(path, error) => write!(
-                f,
-                "can't read {}: {error}; name a readable settings file",
-                path.display()
-            ),
-            Self::Yaml(text) => write!(f, "the settings are not well-formed YAML: {text}"),
-            Self::Mistakes(mistakes) => {
-                write!(f, "the settings have {} mistake(s):", mistakes.len())?;
-                mistakes
-                    .iter()
-                    .try_for_each(|mistake| write!(f, "\n  {mistake}"))
-            }
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
 const TOP: [&str; 16] = [
     "name",
     "zone",
@@ -156,9 +124,7 @@
     /// Returns an error if the file can't be read, is no YAML, or has
     /// mistakes; all of them are listed.
     pub fn load(path: &Path) -> Result<Self, Error> {
-        let text =
-            std::fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))?;
-        Self::parse(&text)
+        Self::parse(&settings::load(path)?)
     }
 
     /// Checks the text of a settings file.
@@ -167,16 +133,7 @@
     ///
     /// As [`Settings::load`].
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let node = serde_saphyr::from_str(text).map_err(|error| Error::Yaml(error.to_string()))?;
-        let Node::Map(map) = node else {
-            return Err(Error::Yaml("keys with values are wanted".to_owned()));
-        };
-        let mut mistakes = Vec::new();
-        let settings = read(Level::top(map), &mut mistakes);
-        match settings {
-            Some(settings) if mistakes.is_empty() => Ok(settings),
-            _ => Err(Error::Mistakes(mistakes)),
-        }
+        settings::parse(text, read)
     }
 
     /// Returns whether others ask this instance instead of the log, so that it
--- a/crates/process/src/settings.rs
+++ b/crates/process/src/settings.rs
@@ -1,7 +1,84 @@
 //! Reading a YAML settings file so that all of its mistakes are found at once.
 //!
 //! [`node`] is the file as a tree with lines; [`low`] takes checked values out
-//! of it and collects what is wrong.
+//! of it and collects what is wrong. [`load`] does the whole for a program's
+//! own settings, which it is handed a function to read.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use self::low::{Level, Mistake};
+use self::node::Node;
 
 pub mod low;
 pub mod node;
+
+/// Why there are no settings.
+#[derive(Debug)]
+pub enum Error {
+    /// The file can't be read.
+    Read(PathBuf, std::io::Error),
+    /// The file is no YAML, or has a key twice.
+    Yaml(String),
+    /// Values are wrong: all of them.
+    Mistakes(Vec<Mistake>),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, error) => write!(
+                f,
+                "can't read {}: {error}; name a readable file with --settings",
+                path.display()
+            ),
+            Self::Yaml(text) => write!(f, "the settings are not well-formed YAML: {text}"),
+            Self::Mistakes(mistakes) => {
+                write!(f, "the settings have {} mistake(s):", mistakes.len())?;
+                mistakes
+                    .iter()
+                    .try_for_each(|mistake| write!(f, "\n  {mistake}"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Reads a file's text.
+///
+/// # Errors
+///
+/// Returns [`Error::Read`] if it can't be read.
+pub fn load(path: &Path) -> Result<String, Error> {
+    std::fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))
+}
+
+/// Reads settings from YAML; `read` takes them out of the top level and notes
+/// what is wrong.
+///
+/// # Errors
+///
+/// Returns an error that names all mistakes, in the order of lines.
+pub fn parse<T>(
+    text: &str,
+    read: impl FnOnce(Level, &mut Vec<Mistake>) -> Option<T>,
+) -> Result<T, Error> {
+    // A snippet of the source would put secrets into the log.
+    let options = serde_saphyr::options! { with_snippet: false };
+    let node = serde_saphyr::from_str_with_options(text, options)
+        .map_err(|error| Error::Yaml(error.to_string()))?;
+    let Node::Map(map) = node else {
+        return Err(Error::Yaml(
+            "the top level wants keys with values".to_owned(),
+        ));
+    };
+    let mut mistakes = Vec::new();
+    match read(Level::top(map), &mut mistakes) {
+        Some(settings) if mistakes.is_empty() => Ok(settings),
+        _ => {
+            mistakes.sort_by_key(|mistake| mistake.line);
+            Err(Error::Mistakes(mistakes))
+        }
+    }
+}
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -7,7 +7,6 @@
 
 use std::fmt::{self, Write as _};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -18,9 +17,9 @@
 
 mod read;
 
-use godwitpost_process::settings::low::Level;
+use godwitpost_process::settings;
+pub use godwitpost_process::settings::Error;
 pub use godwitpost_process::settings::low::Mistake;
-use godwitpost_process::settings::node::Node;
 
 /// Bytes of an Ed25519 public key.
 const PUBLIC_KEY_BYTES: usize = 32;
@@ -110,38 +109,6 @@
     }
 }
 
-/// Why there are no settings.
-#[derive(Debug)]
-pub enum Error {
-    /// The file can't be read.
-    Read(PathBuf, std::io::Error),
-    /// The file is no YAML, or has a key twice.
-    Yaml(String),
-    /// Values are wrong: all of them.
-    Mistakes(Vec<Mistake>),
-}
-
-impl fmt::Display for Error {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Read(path, error) => write!(
-                f,
-                "can't read {}: {error}; name a readable file with --settings",
-                path.display()
-            ),
-            Self::Yaml(text) => write!(f, "the settings are not well-formed YAML: {text}"),
-            Self::Mistakes(mistakes) => {
-                write!(f, "the settings have {} mistake(s):", mistakes.len())?;
-                mistakes
-                    .iter()
-                    .try_for_each(|mistake| write!(f, "\n  {mistake}"))
-            }
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
 impl Settings {
     /// Reads a settings file.
     ///
@@ -150,9 +117,7 @@
     /// Returns an error if the file can't be read or has mistakes; of these it
     /// names all.
     pub fn load(path: &std::path::Path) -> Result<Self, Error> {
-        let text =
-            std::fs::read_to_string(path).map_err(|error| Error::Read(path.into(), error))?;
-        Self::parse(&text)
+        Self::parse(&settings::load(path)?)
     }
 
     /// Reads settings from YAML.
@@ -161,21 +126,7 @@
     ///
     /// Returns an error that names all mistakes.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        // A snippet of the source would put the fleet key into the log.
-        let options = serde_saphyr::options! { with_snippet: false };
-        let node = serde_saphyr::from_str_with_options(text, options)
-            .map_err(|error| Error::Yaml(error.to_string()))?;
-        let Node::Map(map) = node else {
-            return Err(Error::Yaml("the top level wants keys with values".into()));
-        };
-        let mut mistakes = Vec::new();
-        match read::settings(Level::top(map), &mut mistakes) {
-            Some(settings) if mistakes.is_empty() => Ok(settings),
-            _ => {
-                mistakes.sort_by_key(|mistake| mistake.line);
-                Err(Error::Mistakes(mistakes))
-            }
-        }
+        settings::parse(text, read::settings)
     }
 
     /// Returns the id of the instance.
