--- a/crates/direct/tests/instance/freshness.rs
+++ b/crates/direct/tests/instance/freshness.rs
@@ -124,3 +124,26 @@
     })
     .await;
 }
+
+/// A look-up's first endpoint says nothing, and before it is tried elsewhere
+/// its key is taken away. Sent under the configuration that it arrived under,
+/// it would run after the key had stopped working.
+#[tokio::test]
+async fn a_further_attempt_goes_by_what_is_in_force_then() {
+    let silent = |_, _: &_| vec![crate::endpoint::Step::Wait(10_000)];
+    let first = Endpoint::start(silent).await;
+    let second = Endpoint::start(silent).await;
+    let fleet = Fleet::start(&[first.address, second.address]).await;
+    let seen = || first.seen().len() + second.seen().len();
+    let call = fleet.call("GET", "/stock/1", "");
+    let revoke = async {
+        until(async || seen() == 1).await;
+        let mut without = content(2);
+        without.keys = Some(BTreeMap::new());
+        fleet.roll(without);
+    };
+    let (whole, ()) = tokio::join!(call, revoke);
+    // It may have run at the first one, so no word of it not having run.
+    assert!(whole.starts_with("HTTP/1.1 502"), "{whole}");
+    assert_eq!(seen(), 1);
+}
