--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -304,6 +304,7 @@
     fn tick(&mut self, now: Moment) {
         self.shared.book().tick(now);
         self.shared.metrics.dropped(self.lines.dropped());
+        self.shared.metrics.age(self.shared.age());
         let gone = self.roster.expire(now);
         for name in &gone {
             log::info!(endpoint:% = name; "endpoint still missing after the log's return; gone");
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The instruments of one instance: those of each request, and its own state.
 
+use std::time::Duration;
+
 use godwitpost_process::metrics::{Labels, Metrics as Requests};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge};
@@ -15,6 +17,7 @@
     resumed: Counter<u64>,
     calls: Counter<u64>,
     endpoints: Gauge<u64>,
+    age: Gauge<u64>,
     dropped: Gauge<u64>,
 }
 
@@ -40,6 +43,10 @@
             resumed: counter("godwitpost.resumed", "Streams resumed at another endpoint"),
             calls: counter("godwitpost.log_calls", "Reads of the log, by outcome"),
             endpoints: gauge("godwitpost.endpoints", "Endpoints that may get new work"),
+            age: gauge(
+                "godwitpost.policy_age_ms",
+                "Milliseconds since the configuration was last confirmed",
+            ),
             dropped: gauge("godwitpost.log_lines_dropped", "Log lines dropped so far"),
             requests,
         }
@@ -79,6 +86,11 @@
         self.endpoints.record(count as u64, &[]);
     }
 
+    pub(crate) fn age(&self, age: Duration) {
+        let millis = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        self.age.record(millis, &[]);
+    }
+
     pub(crate) fn dropped(&self, lines: u64) {
         self.dropped.record(lines, &[]);
     }
--- a/crates/direct/src/running.rs
+++ b/crates/direct/src/running.rs
@@ -60,6 +60,7 @@
     closing: watch::Sender<bool>,
     callers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
     // Dropping it ends the threads that carry traffic.
     traffic: Option<watch::Sender<bool>>,
 }
@@ -80,7 +81,7 @@
     let ready = bind(settings.listen.ready)?;
     let metrics = bind(settings.listen.metrics)?;
     let peers = settings.listen.peers.map(bind).transpose()?;
-    let addresses = (callers.address, ready.address);
+    let addresses = (callers.address, ready.address, metrics.address);
     let threads = settings.threads;
     let shared = Arc::new(Shared::new(settings, dialect));
     let (closing, closed) = watch::channel(false);
@@ -99,6 +100,7 @@
         closing,
         callers: addresses.0,
         ready: addresses.1,
+        metrics: addresses.2,
         traffic: Some(traffic),
     })
 }
@@ -167,6 +169,12 @@
         self.ready
     }
 
+    /// Returns where it tells its metrics.
+    #[must_use]
+    pub const fn metrics_address(&self) -> SocketAddr {
+        self.metrics
+    }
+
     /// Stops: says that it isn't ready, serves until the balancer has noticed,
     /// and ends when nothing is in flight or the time is over.
     ///
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -245,7 +245,8 @@
     )
 }
 
-async fn exchange(address: SocketAddr, text: &str) -> String {
+/// Sends a request and returns the whole answer.
+pub(crate) async fn exchange(address: SocketAddr, text: &str) -> String {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     stream.write_all(text.as_bytes()).await.expect("a request");
     rest(&mut stream).await
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -8,6 +8,7 @@
 mod failures;
 mod fleet;
 mod freshness;
+mod metrics;
 mod peers;
 mod shutdown;
 mod streams;
