direct: weights add up without overflow, and no reason that is never given

Found by reading: two weights near the largest number would have summed past it, and a refusal for quarantine existed that nothing decides. A head may be 64 KiB before hyper itself refuses it, so that a configuration's larger limit holds.

--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -44,8 +44,6 @@
     Timeout,
     /// the endpoint failed or its answer was lost; it may have run
     Broken,
-    /// this request has crashed the endpoints that ran it; mend it
-    Quarantined,
 }
 
 /// The wait that is asked of callers while an instance gets its configuration
@@ -72,7 +70,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Broken | Self::Quarantined => StatusCode::BAD_GATEWAY,
+            Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Starting
             | Self::Unconfirmed
             | Self::NoEndpoint
@@ -124,7 +122,6 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
-            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/direct/src/refusal/tests.rs
+++ b/crates/direct/src/refusal/tests.rs
@@ -2,7 +2,7 @@
 
 use super::Reason;
 
-const ALL: [Reason; 17] = [
+const ALL: [Reason; 16] = [
     Reason::Malformed,
     Reason::HeadTooLarge,
     Reason::BodyTooLarge,
@@ -19,7 +19,6 @@
     Reason::Expired,
     Reason::Timeout,
     Reason::Broken,
-    Reason::Quarantined,
 ];
 
 /// A caller sends an order again after 503 because it promises that nothing
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -20,7 +20,7 @@
 use super::headers;
 use crate::attempt::Attempts;
 use crate::dialect::Facts;
-use crate::policy::{Caller, Kind, Limits, Policy, Route, Workspace};
+use crate::policy::{Caller, Kind, Limits, Policy, Route, Target, Workspace};
 use crate::refusal::Reason;
 use crate::shared::{Admission, Shared, View};
 
@@ -316,17 +316,18 @@
 
 // Draws one of the route's services by their weights.
 fn draw(route: &Route) -> ServiceId {
-    let sum: u32 = route.targets.iter().map(|target| target.weight).sum();
+    let weight = |target: &Target| u64::from(target.weight);
+    let sum: u64 = route.targets.iter().map(weight).sum();
     let first = route.targets.first().map_or(0, |target| target.service);
     if sum == 0 {
         return first;
     }
     let mut at = rand::rng().random_range(0..sum);
     for target in &route.targets {
-        if at < target.weight {
+        if at < weight(target) {
             return target.service;
         }
-        at -= target.weight;
+        at -= weight(target);
     }
     first
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -20,9 +20,9 @@
 /// order leaves its fate unknown, so this is longer.
 const HEAD_TIME: Duration = Duration::from_secs(75);
 
-/// Bytes of a head that hyper reads; the configuration's limit is checked when
-/// the head is whole.
-const HEAD_BYTES: usize = 32 << 10;
+/// Bytes of a head that hyper reads at most; the configuration's limit, mostly
+/// 16 KiB, is checked when the head is whole. Buffers grow only as needed.
+const HEAD_BYTES: usize = 64 << 10;
 
 /// Returns the limits of every port.
 pub(crate) const fn limits() -> Limits {
