--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -3,7 +3,7 @@
 //! Each topic is followed by a task of this thread, which sends what it heard
 //! to one loop. The loop alone changes state, and publishes a new view when
 //! something in it changed. An instance that has others to ask follows one of
-//! them instead ([`peers`]), and goes back to the log when none of them knows
+//! them instead (`peers`), and goes back to the log when none of them knows
 //! better.
 
 mod follow;
