operator: a request's story from instances' logs

Cause: whoever looked into a failed request had to grep its id, then what its instance had lost around that time, then how others fared at its endpoint, and to allow for clocks by hand. Change: `godwitpost-bundle story ID FILE...` puts these together; clocks are laid side by side by the versions that all instances log.

--- a/crates/operator/src/cli.rs
+++ b/crates/operator/src/cli.rs
@@ -86,6 +86,13 @@
         /// Who signs.
         signer: Signer,
     },
+    /// Tell what the logs say of a request.
+    Story {
+        /// The request's id.
+        request: String,
+        /// The logs.
+        files: Vec<PathBuf>,
+    },
     /// Print this text and end with this exit code.
     Say(String, u8),
 }
@@ -170,6 +177,10 @@
             signer: signer(m),
         }),
         Some(("diff", m)) => diff(m),
+        Some(("story", m)) => Next::Story {
+            request: m.get_one::<String>("id").cloned().unwrap_or_default(),
+            files: m.get_many("file").into_iter().flatten().cloned().collect(),
+        },
         _ => Next::Say(flags::command().render_help().to_string(), EXIT_USAGE),
     }
 }
--- a/crates/operator/src/cli/flags.rs
+++ b/crates/operator/src/cli/flags.rs
@@ -97,6 +97,12 @@
                 .arg(to()),
             true,
         ))
+        .subcommand(
+            Command::new("story")
+                .about("Tells what instances' logs say of one request")
+                .arg(request())
+                .arg(file()),
+        )
 }
 
 fn signing(command: Command, required: bool) -> Command {
@@ -119,6 +125,23 @@
         .help("The bundle in YAML")
 }
 
+fn request() -> Arg {
+    Arg::new("id")
+        .value_name("ID")
+        .required(true)
+        .help("The id of the request, as its lines have it")
+}
+
+fn file() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .action(ArgAction::Append)
+        .num_args(1..)
+        .required(true)
+        .help("A log of one instance, or of several that each line names")
+}
+
 fn out(help: &'static str) -> Arg {
     Arg::new("out")
         .long("out")
--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -86,6 +86,8 @@
     Unsigned(PathBuf),
     /// no instance list ({0}); try again when the list is up
     List(String),
+    /// {0}
+    NoLine(String),
 }
 
 impl std::error::Error for Error {}
@@ -106,7 +108,8 @@
             | Self::Empty
             | Self::Forgotten(_)
             | Self::Unsigned(_)
-            | Self::List(_) => EXIT_FAILED,
+            | Self::List(_)
+            | Self::NoLine(_) => EXIT_FAILED,
             Self::Mistakes(..) => EXIT_USAGE,
             Self::Version { .. }
             | Self::Same(_)
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,4 +1,4 @@
-//! The operators' tool: keys, checks, signatures, rolls.
+//! The operators' tool: keys, checks, signatures, rolls, and stories of requests.
 //!
 //! Everything that `godwitpost-bundle` does is a function here; the binary
 //! only reads the command line and prints. A roll signs the change against
@@ -14,3 +14,4 @@
 pub mod roll;
 pub mod run;
 pub mod show;
+pub mod story;
--- a/crates/operator/src/run.rs
+++ b/crates/operator/src/run.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use godwitpost_bundle::entry;
@@ -18,6 +18,7 @@
 use crate::error::{EXIT_BEHIND, EXIT_DONE, Error};
 use crate::fleet::Fleet;
 use crate::plan::{self, Signed};
+use crate::story::{self, Logs};
 use crate::{diff, keyfile, roll, show};
 
 /// A call to the platform or an instance; they are milliseconds away.
@@ -79,10 +80,24 @@
             Ok(Done::new(text))
         }
         Next::Rollback { to, log, signer } => rollback(to, log, signer).await,
+        Next::Story { request, files } => told(&request, &files),
         Next::Say(text, code) => Ok(Done { text, code }),
     }
 }
 
+fn told(request: &str, files: &[PathBuf]) -> Result<Done, Error> {
+    let mut logs = Logs::default();
+    for path in files {
+        let bytes = fs::read(path).map_err(|error| Error::File(path.clone(), error))?;
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        // A log that was cut in the middle of a character is still a log.
+        logs.read(&name, &String::from_utf8_lossy(&bytes));
+    }
+    logs.story(request)
+        .map(|story| Done::new(story.to_string()))
+        .ok_or_else(|| Error::NoLine(story::missing(request, &logs)))
+}
+
 impl Done {
     fn new(text: String) -> Self {
         let code = EXIT_DONE;
