direct: gauges of each service: requests, load, idle connections, repeats left

Cause: whether calls to a service fail for want of room, of connections or of retries could only be guessed from counters. Change: four gauges by service, worked out when metrics are asked for, so that a request pays nothing and a service that is gone leaves no labels.

--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -149,6 +149,12 @@
             .collect()
     }
 
+    /// Returns how many of this instance's requests an endpoint has.
+    #[must_use]
+    pub fn own(&self, endpoint: EndpointId) -> u32 {
+        self.entries.get(&endpoint).map_or(0, |entry| entry.own)
+    }
+
     // What is believed of an endpoint; others have `mean` requests each on
     // those that are known.
     fn believe(&self, endpoint: EndpointId, mean: f64, now: Moment) -> Look {
--- a/crates/direct/src/budget.rs
+++ b/crates/direct/src/budget.rs
@@ -93,6 +93,15 @@
     /// Takes one repeat out of the service's budget; returns whether there
     /// was one.
     pub fn take(&mut self, service: ServiceId, now: Moment) -> bool {
+        let granted = self.left(service, now) >= 1.0;
+        if granted {
+            self.part(service, now).repeats += 1;
+        }
+        granted
+    }
+
+    /// Returns how many repeats are left of the service's budget.
+    pub fn left(&mut self, service: ServiceId, now: Moment) -> f64 {
         self.part(service, now);
         let Rate {
             ratio, allowance, ..
@@ -101,11 +110,7 @@
         let requests: u32 = window.parts.iter().map(|part| part.requests).sum();
         let repeats: u32 = window.parts.iter().map(|part| part.repeats).sum();
         let most = f64::from(requests) * ratio * SPENT + allowance;
-        let granted = f64::from(repeats) + 1.0 <= most;
-        if granted {
-            self.part(service, now).repeats += 1;
-        }
-        granted
+        most - f64::from(repeats)
     }
 
     fn part(&mut self, service: ServiceId, now: Moment) -> &mut Part {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,13 +1,33 @@
 //! The instruments of one instance: those of each request, and its own state.
 
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use godwitpost_process::metrics::{Labels, Metrics as Requests};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge};
+use opentelemetry::metrics::{Counter, Gauge, Meter};
 
 use crate::refusal::Reason;
 
+/// What an instance has to do with the endpoints of one service.
+#[derive(Clone, Debug)]
+pub(crate) struct Usage {
+    /// The service's name.
+    pub(crate) service: String,
+    /// This instance's requests there.
+    pub(crate) in_flight: f64,
+    /// What all of them run or hold, as believed.
+    pub(crate) load: f64,
+    /// This instance's connections that wait for a request.
+    pub(crate) idle: f64,
+    /// Repeats that are left of the budget.
+    pub(crate) repeats_left: f64,
+}
+
+/// The services as they were when somebody last asked for metrics. A gauge
+/// that is set keeps its labels for ever; these go with their services.
+type Usages = Arc<Mutex<Vec<Usage>>>;
+
 /// The instruments.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -19,6 +39,7 @@
     endpoints: Gauge<u64>,
     age: Gauge<u64>,
     dropped: Gauge<u64>,
+    usages: Usages,
 }
 
 impl Metrics {
@@ -48,6 +69,7 @@
                 "Milliseconds since the configuration was last confirmed",
             ),
             dropped: gauge("godwitpost.log_lines_dropped", "Log lines dropped so far"),
+            usages: usages(&meter),
             requests,
         }
     }
@@ -94,4 +116,48 @@
     pub(crate) fn dropped(&self, lines: u64) {
         self.dropped.record(lines, &[]);
     }
+
+    /// Replaces what the services' gauges show.
+    pub(crate) fn measured(&self, usages: Vec<Usage>) {
+        *self.usages.lock().unwrap_or_else(PoisonError::into_inner) = usages;
+    }
+}
+
+// The gauges of each service.
+fn usages(meter: &Meter) -> Usages {
+    let usages = Usages::default();
+    let gauge = |name: &'static str, text: &'static str, value: fn(&Usage) -> f64| {
+        let shown = Arc::clone(&usages);
+        meter
+            .f64_observable_gauge(name)
+            .with_description(text)
+            .with_callback(move |to| {
+                for usage in &*shown.lock().unwrap_or_else(PoisonError::into_inner) {
+                    let service = KeyValue::new("service", usage.service.clone());
+                    to.observe(value(usage), &[service]);
+                }
+            })
+            .build();
+    };
+    gauge(
+        "godwitpost.service_in_flight",
+        "Requests of this instance at a service's endpoints",
+        |usage| usage.in_flight,
+    );
+    gauge(
+        "godwitpost.service_load",
+        "Requests that a service's endpoints run or hold, as believed",
+        |usage| usage.load,
+    );
+    gauge(
+        "godwitpost.service_idle_connections",
+        "Connections to a service's endpoints that wait for a request",
+        |usage| usage.idle,
+    );
+    gauge(
+        "godwitpost.repeats_left",
+        "Repeats that the budget of a service has left",
+        |usage| usage.repeats_left,
+    );
+    usages
 }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -47,6 +47,7 @@
 /// Answers with the metrics.
 pub(crate) fn metrics(shared: &Arc<Shared>, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() == "/metrics" {
+        shared.measure();
         text(StatusCode::OK, shared.metrics.requests().text())
     } else {
         text(StatusCode::NOT_FOUND, "see /metrics\n".to_owned())
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -13,7 +13,7 @@
 use godwitpost_client::connect::{self, Connector};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Standing;
-use godwitpost_types::id::ServiceId;
+use godwitpost_types::id::{EndpointId, ServiceId};
 use rand::RngExt;
 use tokio::sync::watch;
 
@@ -22,8 +22,8 @@
 use crate::budget::Budget;
 use crate::dialect::Dialect;
 use crate::lease::Lease;
-use crate::metrics::Metrics;
-use crate::policy::Policy;
+use crate::metrics::{Metrics, Usage};
+use crate::policy::{Policy, Service};
 use crate::roster::Registration;
 use crate::settings::Settings;
 
@@ -220,6 +220,36 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Brings the gauges of the services up to date.
+    pub(crate) fn measure(&self) {
+        let view = self.view();
+        let policy = view.policy.iter();
+        let services = policy.flat_map(|policy| &policy.content().services);
+        let usage = |(id, service): (&ServiceId, &Service)| self.usage(*id, service, &view);
+        self.metrics.measured(services.map(usage).collect());
+    }
+
+    fn usage(&self, id: ServiceId, service: &Service, view: &View) -> Usage {
+        let now = boot_time();
+        let of = view.of(id);
+        let ids: Vec<EndpointId> = of.iter().map(|one| one.endpoint.id).collect();
+        let book = self.book();
+        let own = ids.iter().map(|id| f64::from(book.own(*id))).sum();
+        let load = book.look(&ids, now).iter().map(|look| look.load).sum();
+        drop(book);
+        let idle = of
+            .iter()
+            .map(|one| self.connector.idle(one.endpoint.address));
+        let idle = u32::try_from(idle.sum::<usize>()).unwrap_or(u32::MAX);
+        Usage {
+            service: service.name.clone(),
+            in_flight: own,
+            load,
+            idle: f64::from(idle),
+            repeats_left: self.budget().left(id, now),
+        }
+    }
+
     pub(crate) fn draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use godwitpost_direct::book::Report;
 use godwitpost_direct::control::Sources;
 use godwitpost_direct::dialect::{Answer, Dialect, Facts, Outgoing};
 use godwitpost_direct::policy::{Content, Kind, Limits, Policy, Route, Service, Target, Workspace};
@@ -376,6 +377,15 @@
         signed: headers.contains_key("x-signed"),
         not_run: headers.contains_key("x-not-run"),
         coded: headers.contains_key("content-encoding"),
-        report: None,
+        report: text(headers, "x-load").and_then(|text| report(&text)),
     }
 }
+
+fn report(text: &str) -> Option<Report> {
+    let mut counts = text.split(',').map(|count| count.parse().ok());
+    Some(Report {
+        running: counts.next()??,
+        waiting: counts.next()??,
+        slots: counts.next()??,
+    })
+}
