direct: a request that ends its endpoints is held back after three

Cause: a request that crashes each endpoint that runs it was tried on two endpoints at each instance it came to, and its repeats went on for ever. Change: an instance whose connection breaks looks whether the endpoint refuses the next one. Ends are kept as chains, each link sent after the one before, and an answer clears a request; they are passed on through the instances that are asked. From the third link the request is refused as not run, for 30 s and twice as long after each further link; from the second it is placed apart from others that share its prompt. Result: in the tests a client's repeats end at most four endpoints at one instance and one more at another; with the hold taken out two of the three tests fail, the third checks that lost answers convict nobody.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -53,6 +53,19 @@
     Survived,
 }
 
+/// Returns the digest under which evidence on a request is kept.
+#[must_use]
+pub fn digest(method: &str, path: &str, body: &[u8]) -> BodyDigest {
+    let mut hasher = blake3::Hasher::new();
+    for part in [method.as_bytes(), path.as_bytes(), body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let mut digest = BodyDigest::default();
+    hasher.finalize_xof().fill(&mut digest);
+    digest
+}
+
 /// What to do with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -19,11 +19,16 @@
 
 use crate::policy::Content;
 use crate::roster::Registration;
+use crate::suspects::{Evidence, Sighting};
 
 /// Names of endpoints that are gone which are remembered. Beyond that, who
 /// asks with an older stamp is told everything anew.
 const GONE: usize = 1_000;
 
+/// Sightings that are kept to be told. An endpoint that ends leaves up to a
+/// hundred, and whoever asks does so every second or two.
+const SIGHTINGS: usize = 1_000;
+
 /// What a peer asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -62,13 +67,16 @@
     pub lapsed: Vec<String>,
     /// Endpoints that are gone.
     pub gone: Vec<String>,
+    /// What was seen of requests that crash endpoints.
+    pub sightings: Vec<Sighting>,
 }
 
 impl Told {
     /// Returns whether it says anything but ages.
     #[must_use]
     pub const fn is_news(&self) -> bool {
-        let told = self.set.len() + self.lapsed.len() + self.gone.len();
+        let entries = self.set.len() + self.lapsed.len() + self.gone.len();
+        let told = entries + self.sightings.len();
         self.whole || self.policy.is_some() || told > 0
     }
 }
@@ -84,6 +92,8 @@
     entries: BTreeMap<String, Entry>,
     // Stamps at or before this one are too old to tell only what changed.
     forgotten: u64,
+    // By stamp.
+    evidence: BTreeMap<u64, Evidence>,
 }
 
 #[derive(Debug)]
@@ -106,6 +116,16 @@
             endpoints_read: None,
             entries: BTreeMap::new(),
             forgotten: 0,
+            evidence: BTreeMap::new(),
+        }
+    }
+
+    /// Notes what was seen of a request that may crash endpoints.
+    pub fn sighted(&mut self, evidence: Evidence) {
+        self.stamp += 1;
+        self.evidence.insert(self.stamp, evidence);
+        if self.evidence.len() > SIGHTINGS {
+            self.evidence.pop_first();
         }
     }
 
@@ -200,6 +220,11 @@
                 .filter(|(_, entry)| !stranger && entry.registration.is_none())
                 .map(|(name, _)| name.clone())
                 .collect(),
+            sightings: self
+                .evidence
+                .range(after.saturating_add(1)..)
+                .map(|(_, evidence)| Sighting::of(evidence, now))
+                .collect(),
         }
     }
 
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -7,7 +7,7 @@
 //! better.
 
 mod follow;
-mod peers;
+pub(crate) mod peers;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -183,6 +183,9 @@
         if changed {
             self.publish();
         }
+        for evidence in news.evidence {
+            self.shared.suspects().learn(evidence);
+        }
         self.shared
             .tell(false, |board| board.endpoints_read(news.endpoints_read));
         if self.policy.is_some() {
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -28,8 +28,14 @@
 use crate::policy::Content;
 use crate::roster::Registration;
 use crate::shared::Shared;
+use crate::suspects::{Evidence, Sighting};
 
 const PATH: &str = "/peer/v1/state";
+const EVIDENCE_PATH: &str = "/peer/v1/evidence";
+
+/// How long evidence waits for more before it is passed on: an endpoint that
+/// ends breaks all its requests within a few milliseconds.
+const GATHER: Duration = Duration::from_millis(30);
 
 /// The longest that a question waits for news. Two instances of hundreds that
 /// are asked were busy with questions that nothing had come of.
@@ -85,6 +91,7 @@
     pub(super) set: Vec<Registration>,
     pub(super) lapsed: Vec<String>,
     pub(super) gone: Vec<String>,
+    pub(super) evidence: Vec<Evidence>,
 }
 
 /// Why a peer is not followed.
@@ -298,22 +305,87 @@
         set: told.set,
         lapsed: told.lapsed,
         gone: told.gone,
+        evidence: told
+            .sightings
+            .iter()
+            .map(|sighting| sighting.evidence(made))
+            .collect(),
     })
 }
 
 /// Answers a peer's question, at once if there is news.
 pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let began = boot_time();
-    if request.uri().path() != PATH {
-        return status(StatusCode::NOT_FOUND);
-    }
+    let path = request.uri().path().to_owned();
     let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES)
         .collect()
         .await
     else {
         return status(StatusCode::BAD_REQUEST);
     };
-    let Ok(question) = rmp_serde::from_slice::<Question>(&body.to_bytes()) else {
+    let body = body.to_bytes();
+    match path.as_str() {
+        PATH => state(&shared, &body, began).await,
+        EVIDENCE_PATH => learn(&shared, &body, began),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+// Takes in what another instance saw, for all that ask this one.
+fn learn(shared: &Shared, body: &[u8], now: Moment) -> Response<Body> {
+    let Ok(sightings) = rmp_serde::from_slice::<Vec<Sighting>>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    for sighting in sightings {
+        let evidence = sighting.evidence(now);
+        if shared.suspects().learn(evidence) {
+            shared.tell(true, |board| board.sighted(evidence));
+        }
+    }
+    status(StatusCode::OK)
+}
+
+/// Passes on what this instance saw of requests that may crash endpoints: to
+/// those that are asked, of which each tells it to whoever asks.
+pub(crate) fn pass_on(shared: &Arc<Shared>) {
+    if shared.suspects().begin_passing() {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            tokio::time::sleep(GATHER).await;
+            let seen = shared.suspects().take_unsent();
+            for evidence in &seen {
+                shared.tell(true, |board| board.sighted(*evidence));
+            }
+            for peer in shared.settings.others() {
+                if let Err(refusal) = hand(&shared, peer, &seen).await {
+                    log::info!(peer:% = peer, cause:% = refusal; "evidence not passed on");
+                }
+            }
+        });
+    }
+}
+
+async fn hand(shared: &Shared, peer: SocketAddr, seen: &[Evidence]) -> Result<(), Refusal> {
+    let now = boot_time();
+    let sightings: Vec<Sighting> = seen.iter().map(|one| Sighting::of(one, now)).collect();
+    let body =
+        rmp_serde::to_vec(&sightings).map_err(|error| Refusal::Garbled(error.to_string()))?;
+    let request = Request::post(EVIDENCE_PATH)
+        .body(whole(body))
+        .map_err(|error| Refusal::Garbled(error.to_string()))?;
+    let response = shared
+        .connector
+        .send(peer, request, PATIENCE)
+        .await
+        .map_err(|error| Refusal::Unreachable(error.to_string()))?;
+    match response.status() {
+        StatusCode::OK => Ok(()),
+        status => Err(Refusal::Status(status)),
+    }
+}
+
+async fn state(shared: &Shared, body: &[u8], began: Moment) -> Response<Body> {
+    let Ok(question) = rmp_serde::from_slice::<Question>(body) else {
         return status(StatusCode::BAD_REQUEST);
     };
     let until = Instant::now() + question.wait.min(LONGEST_WAIT);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -34,5 +34,6 @@
 mod shared;
 pub mod source;
 mod stream;
+pub mod suspects;
 
 pub use running::{Error, Running, Stopped, start};
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -44,6 +44,11 @@
     Timeout,
     /// the endpoint failed or its answer was lost; it may have run
     Broken,
+    /// endpoints ended each time that they ran this request; send it later
+    Held {
+        /// How long it is held back.
+        left: Duration,
+    },
 }
 
 /// The wait that is asked of callers while an instance gets its configuration
@@ -78,6 +83,7 @@
             | Self::Refused
             | Self::Unreachable
             | Self::Overloaded
+            | Self::Held { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -98,6 +104,7 @@
             Self::Starting | Self::Unconfirmed => Some(AWHILE),
             Self::NoEndpoint | Self::Unreachable | Self::Expired => Some(SOON),
             Self::Full | Self::Refused | Self::Overloaded => Some(LATER),
+            Self::Held { left } => Some(left),
             _ => None,
         }
     }
@@ -122,6 +129,7 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
+            Self::Held { .. } => "held",
         }
     }
 }
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -37,6 +37,7 @@
             Gathered::Broken => {
                 log::warn!(request:% = job.id(), endpoint:% = sent.flight.name(); "answer broke off");
                 sent.flight.broke();
+                sent.flight.look(job.id(), job.digest());
                 drop(sent.flight);
                 match again(&mut job).await {
                     Ok(next) => sent = next,
--- /dev/null
+++ b/crates/direct/src/relay/crash.rs
@@ -0,0 +1,74 @@
+//! Whether an endpoint ended with a request.
+//!
+//! A connection that breaks says little: answers are lost, links are cut,
+//! connections are reset. An endpoint that ended refuses the next connection,
+//! while one that lives takes it and one whose machine is gone says nothing.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitpost_client::clock::boot_time;
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{BodyDigest, EndpointId};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::control::peers::pass_on;
+use crate::shared::Shared;
+use crate::suspects::{Evidence, Fate};
+
+/// How long the refusal of a connection may take; a machine that lives sends
+/// it within a round trip.
+const PATIENCE: Duration = Duration::from_millis(250);
+
+/// A request that an endpoint had when its connection broke.
+pub(super) struct Broken {
+    pub(super) request: String,
+    pub(super) digest: BodyDigest,
+    pub(super) sent: Moment,
+    pub(super) endpoint: EndpointId,
+    pub(super) name: String,
+    pub(super) address: SocketAddr,
+}
+
+/// Looks whether the endpoint ended, and notes it if it did.
+pub(super) async fn look(shared: Arc<Shared>, broken: Broken) {
+    let at = boot_time();
+    if !refuses(broken.address).await {
+        return;
+    }
+    // What the next request would have found out.
+    shared.endpoint_down(broken.endpoint, broken.address);
+    let mut suspects = shared.suspects();
+    suspects.saw(Evidence {
+        digest: broken.digest,
+        fate: Fate::Crashed(broken.endpoint),
+        sent: broken.sent,
+        at,
+    });
+    let chain = suspects.chain(&broken.digest);
+    drop(suspects);
+    log::warn!(
+        request:% = broken.request, endpoint:% = broken.name, chain = chain;
+        "endpoint ended with the request"
+    );
+    pass_on(&shared);
+}
+
+/// Notes that a request was answered, if that says anything of it.
+pub(super) fn answered(shared: &Arc<Shared>, digest: BodyDigest, sent: Moment) {
+    shared.suspects().saw(Evidence {
+        digest,
+        fate: Fate::Answered,
+        sent,
+        at: boot_time(),
+    });
+    pass_on(shared);
+}
+
+async fn refuses(address: SocketAddr) -> bool {
+    let connection = timeout(PATIENCE, TcpStream::connect(address)).await;
+    matches!(connection, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -1,14 +1,15 @@
 //! A request on its way, with all that a second attempt needs.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
+use godwitpost_decide::quarantine;
 use godwitpost_process::metrics::Labels;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{EndpointId, ServiceId, Version};
+use godwitpost_types::id::{BodyDigest, EndpointId, ServiceId, Version};
 use godwitpost_types::outcome::Outcome;
 use http::header::HOST;
 use http::request::Parts;
@@ -17,7 +18,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use super::headers;
+use super::{crash, headers};
 use crate::attempt::Attempts;
 use crate::dialect::Facts;
 use crate::policy::{Caller, Kind, Limits, Policy, Route, Target, Workspace};
@@ -30,6 +31,11 @@
 /// The length of an id from which on it is cut in logs.
 const ID_SHOWN: usize = 40;
 
+/// The links of a chain of endpoints that ended from which on a request goes
+/// apart from others. With one link it is most likely innocent, and reading its
+/// prompt anew elsewhere would be wasted.
+const APART: u32 = 2;
+
 /// A request under the configuration that it was last resolved by.
 pub(crate) struct Job {
     pub(super) shared: Arc<Shared>,
@@ -54,6 +60,7 @@
     labels: Labels,
     admission: Admission,
     id: String,
+    digest: OnceLock<BodyDigest>,
     // Whether the caller has been told anything.
     told: AtomicBool,
 }
@@ -111,6 +118,7 @@
             headers,
             body: Bytes::new(),
             id: shown(&facts.attempt),
+            digest: OnceLock::new(),
             facts,
             attempts: Attempts::new(kind.idempotent(), found.route.attempts),
             route: found.route,
@@ -155,6 +163,37 @@
         &self.id
     }
 
+    /// Returns what it is known by if it comes again. It takes some
+    /// microseconds, so it is asked for only once there is a reason.
+    pub(crate) fn digest(&self) -> BodyDigest {
+        *self.digest.get_or_init(|| {
+            let path = self.target.path_and_query();
+            let path = path.map_or("/", |path| path.as_str());
+            quarantine::digest(self.method.as_str(), path, &self.body)
+        })
+    }
+
+    /// Returns for how long it is still held back since endpoints ended each
+    /// time that they ran it.
+    pub(super) fn held(&self) -> Option<Duration> {
+        let suspects = self.shared.suspects();
+        if suspects.is_empty() {
+            return None;
+        }
+        suspects.held(&self.digest(), boot_time())
+    }
+
+    /// Returns what it is placed by if it may be one that crashes endpoints:
+    /// others that share its prompt's parts must not be where it is.
+    pub(super) fn apart(&self) -> Option<u64> {
+        let suspects = self.shared.suspects();
+        if suspects.is_empty() || suspects.chain(&self.digest()) < APART {
+            return None;
+        }
+        let half = self.digest().first_chunk().copied();
+        half.map(u64::from_le_bytes)
+    }
+
     pub(crate) fn shared(&self) -> &Arc<Shared> {
         &self.shared
     }
@@ -247,7 +286,12 @@
         let took = self.age();
         godwitpost_process::metrics::Metrics::end(&self.labels, took);
         let level = match end {
-            End::Whole => return,
+            End::Whole => {
+                if !self.shared.suspects().is_empty() {
+                    crash::answered(&self.shared, self.digest(), self.arrived);
+                }
+                return;
+            }
             End::Left => Level::Info,
             End::Broken => Level::Warn,
         };
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -8,7 +8,8 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{Body, Cause, Error, Received};
 use godwitpost_decide::health::Event;
-use godwitpost_types::id::EndpointId;
+use godwitpost_types::clock::Moment;
+use godwitpost_types::id::{BodyDigest, EndpointId};
 use http::request::Request;
 use http::response::Parts;
 use http::{Response, StatusCode};
@@ -16,6 +17,7 @@
 use rand::RngExt;
 
 use super::Job;
+use super::crash::{Broken, look};
 use crate::attempt::{Ending, Next, Verdict, judge};
 use crate::dialect::{Answer, Outgoing};
 use crate::place::{Candidate, Choice, Pick, pick};
@@ -46,6 +48,7 @@
     endpoint: EndpointId,
     address: SocketAddr,
     name: String,
+    sent: Moment,
 }
 
 impl Flight {
@@ -57,6 +60,7 @@
             endpoint,
             address: registration.endpoint.address,
             name: registration.endpoint.name.clone(),
+            sent: boot_time(),
         }
     }
 
@@ -70,12 +74,23 @@
         self.shared.book().seen(self.endpoint, Event::Bad(now));
     }
 
-    /// Notes that the endpoint's machine gives no sign of life. Its other
-    /// connections are as silent, so none of them is used again.
+    /// Notes that the endpoint's machine gives no sign of life.
     pub(crate) fn dark(&self) {
-        self.shared.connector.forget(self.address);
-        let now = boot_time();
-        self.shared.book().unreachable(self.endpoint, now);
+        self.shared.endpoint_down(self.endpoint, self.address);
+    }
+
+    /// Looks whether the endpoint ended with a request of this id and digest,
+    /// the connection for which broke.
+    pub(crate) fn look(&self, request: &str, digest: BodyDigest) {
+        let broken = Broken {
+            request: request.to_owned(),
+            digest,
+            sent: self.sent,
+            endpoint: self.endpoint,
+            name: self.name.clone(),
+            address: self.address,
+        };
+        tokio::spawn(look(Arc::clone(&self.shared), broken));
     }
 }
 
@@ -170,6 +185,9 @@
     let fresh = shared.fresh();
     let view = shared.view();
     job.renew(&view, fresh)?;
+    if let Some(left) = job.held() {
+        return Err(Reason::Held { left });
+    }
     if job.left() <= RETURN {
         return Err(job.attempts.late());
     }
@@ -177,6 +195,7 @@
     let candidates = candidates(job, &view);
     let draw = rand::rng().random();
     let part = job.facts.shared().filter(|_| job.route.affinity);
+    let part = part.map(|part| job.apart().unwrap_or(part));
     match pick(&candidates, part, shared.settings.load_bound, draw) {
         Pick::Send { endpoint, choice } => {
             let chosen = candidates.iter().find(|one| one.endpoint == endpoint);
@@ -331,6 +350,8 @@
     let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
     if cause.is_dark() {
         flight.dark();
+    } else if matches!(error, Error::Unknown(Cause::Connection(_))) {
+        flight.look(job.id(), job.digest());
     } else if matches!(cause, Cause::ResponseTimeout) {
         flight.broke();
     }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -4,6 +4,7 @@
 //! and never wait. Counts of requests are behind short locks.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use crate::policy::{Policy, Service};
 use crate::roster::Registration;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 
 /// How long opening a connection to an endpoint may take. Endpoints are 2 ms
 /// away and there and back; a dark one costs a request this much of its time.
@@ -107,6 +109,7 @@
     lost: watch::Sender<bool>,
     book: Mutex<Book>,
     budget: Mutex<Budget>,
+    suspects: Mutex<Suspects>,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
     draining: AtomicBool,
@@ -133,6 +136,7 @@
             news: watch::channel(0).0,
             lost: watch::channel(false).0,
             book: Mutex::default(),
+            suspects: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
@@ -216,10 +220,22 @@
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn budget(&self) -> MutexGuard<'_, Budget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that nobody is at an endpoint's address, or that its machine gives
+    /// no sign of life. Its other connections are as dead, so none of them is
+    /// used again.
+    pub(crate) fn endpoint_down(&self, endpoint: EndpointId, address: SocketAddr) {
+        self.connector.forget(address);
+        self.book().unreachable(endpoint, boot_time());
+    }
+
     /// Brings the gauges of the services up to date.
     pub(crate) fn measure(&self) {
         let view = self.view();
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -30,6 +30,15 @@
 /// milliseconds; callers give up after two seconds at the earliest.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// What an endpoint did in the middle of a stream.
+#[derive(Debug, displaydoc::Display)]
+enum Cause {
+    /// silent
+    Silent,
+    /// {0}
+    Failed(BoxError),
+}
+
 /// Why a stream ended early.
 #[derive(Debug, displaydoc::Display)]
 pub(crate) enum Broken {
@@ -132,7 +141,7 @@
     }
 
     // The endpoint broke off or fell silent: ask another one, or give up.
-    fn broken(&mut self, cause: &str) -> Option<BoxError> {
+    fn broken(&mut self, cause: &Cause) -> Option<BoxError> {
         let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) else {
             return Some(Box::new(Broken::Cut));
         };
@@ -144,6 +153,9 @@
         // First of all: the endpoint stops when its connection closes.
         drop(body);
         flight.broke();
+        if matches!(cause, Cause::Failed(_)) {
+            flight.look(job.id(), job.digest());
+        }
         let next = self.next(&mut job);
         log::warn!(
             request:% = job.id(), endpoint:% = flight.name(), cause:% = cause, after:? = next,
@@ -252,13 +264,13 @@
                     error
                 }
                 State::Reading(reading) => match Pin::new(&mut reading.body).poll_frame(cx) {
-                    Poll::Pending if this.silent(cx) => this.broken("silent"),
+                    Poll::Pending if this.silent(cx) => this.broken(&Cause::Silent),
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(Ok(frame))) => match this.take(frame) {
                         None => None,
                         step => return Poll::Ready(step),
                     },
-                    Poll::Ready(Some(Err(error))) => this.broken(&error.to_string()),
+                    Poll::Ready(Some(Err(error))) => this.broken(&Cause::Failed(error.into())),
                     Poll::Ready(None) => return Poll::Ready(this.end()),
                 },
             };
--- a/crates/direct/tests/instance/endpoint.rs
+++ b/crates/direct/tests/instance/endpoint.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 
 /// What an endpoint does next on a connection.
 #[derive(Clone, Debug)]
@@ -16,6 +17,8 @@
     Wait(u64),
     /// Closes the connection.
     Close,
+    /// Ends the endpoint: it takes no more connections, and this one closes.
+    End,
 }
 
 /// A request as an endpoint read it.
@@ -41,6 +44,7 @@
     seen: Vec<Seen>,
     connections: usize,
     gone: usize,
+    accepting: Option<AbortHandle>,
 }
 
 /// A running endpoint.
@@ -59,12 +63,13 @@
         let address = listener.local_addr().expect("a bound address");
         let notes = Arc::<Mutex<Notes>>::default();
         let (script, kept): (Script, _) = (Arc::new(script), Arc::clone(&notes));
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 kept.lock().expect("notes").connections += 1;
                 tokio::spawn(serve(stream, Arc::clone(&script), Arc::clone(&kept)));
             }
         });
+        notes.lock().expect("notes").accepting = Some(accepting.abort_handle());
         Self { address, notes }
     }
 
@@ -108,6 +113,14 @@
                     }
                 }
                 Step::Close => return,
+                Step::End => {
+                    if let Some(accepting) = notes.lock().expect("notes").accepting.take() {
+                        accepting.abort();
+                    }
+                    // The listener goes when its task has run once more.
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    return;
+                }
             }
         }
     }
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -4,6 +4,7 @@
 //! are spelled in a dialect of the tests' own.
 
 mod callers;
+mod crashes;
 mod endpoint;
 mod failures;
 mod fleet;
--- a/crates/direct/tests/instance/peers.rs
+++ b/crates/direct/tests/instance/peers.rs
@@ -5,8 +5,8 @@
 use crate::endpoint::{Endpoint, says};
 use crate::fleet::{Fleet, content, until};
 
-// Waits until an instance reads its log no more.
-async fn follows(fleet: &Fleet) {
+/// Waits until an instance reads its log no more.
+pub(crate) async fn follows(fleet: &Fleet) {
     until(async || {
         let calls = || fleet.endpoints.calls() + fleet.policies.calls();
         let before = calls();
--- a/crates/router/src/resolve.rs
+++ b/crates/router/src/resolve.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_decide::quarantine;
 use godwitpost_decide::refusal::{Reason, Refusal};
 use godwitpost_state::claim::key::{self, Key};
 use godwitpost_types::clock::Moment;
-use godwitpost_types::id::{self, BodyDigest, ClassId, NO_MODEL, RequestId, WorkspaceId};
+use godwitpost_types::id::{self, ClassId, NO_MODEL, RequestId, WorkspaceId};
 use godwitpost_types::outcome::Outcome;
 use godwitpost_types::policy::{Kind, Policy, Route, Service};
 use godwitpost_types::request::Request;
@@ -113,7 +114,7 @@
         .uri
         .path_and_query()
         .map_or("/", http::uri::PathAndQuery::as_str);
-    let digest = digest(parts.method.as_str(), path, &body);
+    let digest = quarantine::digest(parts.method.as_str(), path, &body);
     let mut request = Request {
         id,
         version: policy.version,
@@ -276,17 +277,6 @@
     u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX)
 }
 
-fn digest(method: &str, path: &str, body: &[u8]) -> BodyDigest {
-    let mut hasher = blake3::Hasher::new();
-    for part in [method.as_bytes(), path.as_bytes(), body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    let mut digest = BodyDigest::default();
-    hasher.finalize_xof().fill(&mut digest);
-    digest
-}
-
 // A plain request has no chat and goes anywhere. One with a key goes where
 // the same key went before, since its answer may be kept there.
 #[expect(clippy::cast_possible_truncation, reason = "the low half is wanted")]
