--- a/crates/direct/tests/instance/freshness.rs
+++ b/crates/direct/tests/instance/freshness.rs
@@ -6,7 +6,7 @@
 use godwitpost_direct::source::Value;
 
 use crate::endpoint::{Endpoint, says};
-use crate::fleet::{Fleet, content, until};
+use crate::fleet::{Fleet, content, exchange, request, until};
 
 #[tokio::test]
 async fn a_key_that_is_taken_away_stops_working() {
@@ -147,3 +147,64 @@
     assert!(whole.starts_with("HTTP/1.1 502"), "{whole}");
     assert_eq!(seen(), 1);
 }
+
+/// A franchise loses its key, and a second later another one does. The lease
+/// counts from the last confirmation, whichever version that was of: neither
+/// key may live on for the other's change.
+#[tokio::test]
+async fn two_keys_that_are_taken_away_a_second_apart_both_stop() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let keys = |names: &[&str]| {
+        let workspace = content(1).keys.and_then(|mut keys| keys.remove("k1"));
+        let workspace = workspace.expect("a workspace");
+        let key = |name: &&str| ((*name).to_owned(), workspace.clone());
+        Some(names.iter().map(key).collect::<BTreeMap<_, _>>())
+    };
+    let roll = |version, names: &[&str]| {
+        let mut content = content(version);
+        content.keys = keys(names);
+        fleet.roll(content);
+    };
+    let status = async |key: &str| {
+        let text = request("GET", "/stock/1", "", "").replace("k1", key);
+        let whole = exchange(fleet.running.callers_address(), &text).await;
+        whole.get(9..12).unwrap_or_default().to_owned()
+    };
+    roll(2, &["k1", "k2", "k3"]);
+    until(async || status("k3").await == "200").await;
+    roll(3, &["k2", "k3"]);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    roll(4, &["k3"]);
+    assert_eq!(status("k1").await, "401");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(status("k1").await, "401");
+    assert_eq!(status("k2").await, "401");
+    assert_eq!(status("k3").await, "200");
+}
+
+/// Fifty versions come within a second, each with a route more. Callers are
+/// served all the while, and the last version is in force a moment later.
+#[tokio::test]
+async fn versions_in_quick_succession_end_with_the_last() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let mut grown = content(1);
+    for version in 2..52 {
+        let mut route = grown.routes[0].clone();
+        route.prefix = format!("/more/{version}/");
+        grown.routes.push(route);
+        grown.version = version;
+        fleet.roll(grown.clone());
+        if version % 5 == 0 {
+            let whole = fleet.call("GET", "/stock/1", "").await;
+            assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    until(async || {
+        let whole = fleet.call("GET", "/more/51/1", "").await;
+        whole.starts_with("HTTP/1.1 200")
+    })
+    .await;
+}
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -167,3 +167,6 @@
         .max_header_list_size(u32::try_from(limits.head_bytes + BEYOND).unwrap_or(u32::MAX));
     builder
 }
+
+#[cfg(test)]
+mod tests;
