--- a/crates/direct/tests/instance/freshness.rs
+++ b/crates/direct/tests/instance/freshness.rs
@@ -1,6 +1,7 @@
 //! The configuration and the endpoints as they change, and the log as it goes.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use godwitpost_direct::source::Value;
@@ -158,7 +159,7 @@
     let keys = |names: &[&str]| {
         let workspace = content(1).keys.and_then(|mut keys| keys.remove("k1"));
         let workspace = workspace.expect("a workspace");
-        let key = |name: &&str| ((*name).to_owned(), workspace.clone());
+        let key = |name: &&str| ((*name).to_owned(), Arc::clone(&workspace));
         Some(names.iter().map(key).collect::<BTreeMap<_, _>>())
     };
     let roll = |version, names: &[&str]| {
--- a/crates/process/src/serve/tests.rs
+++ b/crates/process/src/serve/tests.rs
@@ -86,5 +86,7 @@
     close.send_replace(true);
     tokio::time::sleep(IDLE / 10).await;
     assert!(!asks(&mut stream).await);
-    assert!(TcpStream::connect(address).await.is_err());
+    TcpStream::connect(address)
+        .await
+        .expect_err("nobody listens");
 }
