process: a head has the time that the configuration allows

Cause: hyper counts the time for a head and the idle time of a connection as one, so a head could take 75 s, a byte now and then. Change: the connection notes when a head begins and which request ends it, and answers 408 when it takes longer; the time is read from the configuration.

--- a/crates/direct/src/policy.rs
+++ b/crates/direct/src/policy.rs
@@ -113,6 +113,8 @@
     pub head_bytes: usize,
     /// Bytes of a body.
     pub body_bytes: usize,
+    /// How long a head may take from its first byte on.
+    pub head_time: Duration,
 }
 
 /// All that a version says.
@@ -143,6 +145,7 @@
             // What common servers allow.
             head_bytes: 16 << 10,
             body_bytes: 4 << 20,
+            head_time: Duration::from_secs(10),
         }
     }
 }
--- a/crates/direct/src/running.rs
+++ b/crates/direct/src/running.rs
@@ -147,7 +147,8 @@
 ) {
     let answering = Arc::clone(&shared);
     let answer = move |request| relay::answer(Arc::clone(&answering), request);
-    tokio::spawn(run(callers, serve::limits(), closed, answer));
+    let limits = serve::callers_limits(&shared);
+    tokio::spawn(run(callers, limits, closed, answer));
     let asked = Arc::clone(&shared);
     let answer = move |request| ready(serve::ready(&asked, &request));
     tokio::spawn(run(ready_port, serve::limits(), ended.clone(), answer));
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
+use crate::policy;
 use crate::shared::Shared;
 
 /// How long a caller's connection may be idle or take to send its next head.
@@ -24,11 +25,28 @@
 /// 16 KiB, is checked when the head is whole. Buffers grow only as needed.
 const HEAD_BYTES: usize = 64 << 10;
 
-/// Returns the limits of every port.
+/// Returns the limits of the ports that only the system's own sides use.
 pub(crate) const fn limits() -> Limits {
     Limits {
         head_bytes: HEAD_BYTES,
         head_time: HEAD_TIME,
+        head_within: None,
+    }
+}
+
+/// Returns the limits of the callers' port, by the configuration in force.
+pub(crate) fn callers_limits(shared: &Arc<Shared>) -> Limits {
+    let shared = Arc::clone(shared);
+    let within = move || {
+        let view = shared.view();
+        let policy = view.policy.as_ref();
+        policy
+            .map_or_else(policy::Limits::default, |policy| policy.limits())
+            .head_time
+    };
+    Limits {
+        head_within: Some(Arc::new(within)),
+        ..limits()
     }
 }
 
--- a/crates/direct/tests/instance/callers.rs
+++ b/crates/direct/tests/instance/callers.rs
@@ -107,6 +107,19 @@
     assert_eq!(endpoint.seen().len(), 0);
 }
 
+/// A caller begins a head and leaves it at that. It is told so after the time
+/// that the configuration allows, not after that of an idle connection.
+#[tokio::test]
+async fn a_head_that_never_ends_has_the_time_of_the_configuration() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let start = std::time::Instant::now();
+    let whole = rest(&mut fleet.open("GET /stock/1 HTTP/1.1\r\nhost: shop").await).await;
+    assert!(whole.starts_with("HTTP/1.1 408"), "{whole}");
+    let took = start.elapsed().as_millis();
+    assert!((300..1_500).contains(&took), "{took} ms");
+}
+
 /// A caller claims to be another workspace by the header that endpoints trust.
 #[tokio::test]
 async fn a_caller_cannot_set_what_the_system_says_to_endpoints() {
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -332,6 +332,7 @@
         limits: Some(Limits {
             head_bytes: 2_000,
             body_bytes: 10_000,
+            head_time: Duration::from_millis(400),
         }),
     }
 }
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -5,15 +5,17 @@
 //! connection between two requests is closed, and a busy one finishes its
 //! request, whose answer says `Connection: close`.
 
+mod pace;
 mod silence;
 
 use std::convert::Infallible;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -22,17 +24,36 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+pub use self::pace::Within;
+use self::pace::{Answer, Paced, Requests};
+
 /// An error of a response's body.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Bounds on what the other side of a connection may do.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone)]
 pub struct Limits {
     /// Bytes of a request's head.
     pub head_bytes: usize,
     /// How long a connection may take to send its next head. hyper counts the
     /// time that a connection is idle, too.
     pub head_time: Duration,
+    /// How long a head may take once its first byte came; `None` if only the
+    /// other bound holds.
+    pub head_within: Option<Within>,
+}
+
+impl fmt::Debug for Limits {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Limits")
+            .field("head_bytes", &self.head_bytes)
+            .field("head_time", &self.head_time)
+            .field(
+                "head_within",
+                &self.head_within.as_ref().map(|within| within()),
+            )
+            .finish()
+    }
 }
 
 /// How long a connection may stay open before its first byte. Balancers open
@@ -97,7 +118,8 @@
             return;
         }
     };
-    let builder = Arc::new(builder(limits));
+    let builder = Arc::new(builder(&limits));
+    let within = limits.head_within;
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -107,7 +129,8 @@
         match accepted {
             Ok((stream, _)) => {
                 let closing = closing.clone();
-                connection(stream, closing, &builder, &graceful, handle.clone());
+                let paced = within.clone();
+                connection(stream, closing, &builder, &graceful, paced, handle.clone());
             }
             Err(error) => {
                 log::warn!(error:% = error; "connection not accepted");
@@ -124,6 +147,7 @@
     closing: watch::Receiver<bool>,
     builder: &Arc<auto::Builder<TokioExecutor>>,
     graceful: &GracefulShutdown,
+    within: Option<Within>,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -133,11 +157,14 @@
     // Tokens are small and must not wait for an acknowledgement.
     drop(stream.set_nodelay(true));
     silence::keep_alive(&stream, silence::UNREAD);
-    let service = service_fn(move |request| {
+    let requests = Arc::<Requests>::default();
+    let noted = Arc::clone(&requests);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let open = noted.begin(request.version() == Version::HTTP_2);
         // Boxed: hyper keeps room for this future as long as the connection is
         // open, and 10,000 idle ones took 40 KB each for it.
         let answer = Box::pin(handle(request));
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(answer.await.map(|body| Answer::new(body, open))) }
     });
     let builder = Arc::clone(builder);
     let watcher = graceful.watcher();
@@ -146,7 +173,7 @@
             return;
         }
         let connection = builder
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(Paced::new(stream, requests, within)), service)
             .into_owned();
         if let Err(error) = watcher.watch(connection).await {
             log::debug!(error:% = error; "connection ended");
@@ -154,7 +181,7 @@
     });
 }
 
-fn builder(limits: Limits) -> auto::Builder<TokioExecutor> {
+fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/crates/process/src/serve/tests.rs
+++ b/crates/process/src/serve/tests.rs
@@ -1,5 +1,6 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,9 @@
 /// The idle time of the connections below.
 const IDLE: Duration = Duration::from_secs(1);
 
+/// The time for a head on them.
+const WITHIN: Duration = Duration::from_millis(300);
+
 /// A body without a byte.
 struct Nothing;
 
@@ -40,6 +44,7 @@
     let limits = Limits {
         head_bytes: 16 << 10,
         head_time: IDLE,
+        head_within: Some(Arc::new(|| WITHIN)),
     };
     let answer = |_| async { Response::new(Nothing) };
     tokio::spawn(async move {
@@ -90,3 +95,60 @@
         .await
         .expect_err("nobody listens");
 }
+
+/// A client sends a byte of its head now and then. As hyper counts, it could go
+/// on for as long as others may rest, and a few thousand of its kind would hold
+/// every file of the process.
+#[tokio::test]
+async fn a_head_that_trickles_is_cut_short() {
+    let (address, _open) = serve();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    assert!(asks(&mut stream).await);
+    let start = std::time::Instant::now();
+    let mut answer = [0; 512];
+    for byte in b"GET / HTTP/1.1\r\nhost: a" {
+        // Once it is cut, writing fails.
+        drop(stream.write_all(&[*byte]).await);
+        let read = tokio::time::timeout(WITHIN / 6, stream.read(&mut answer)).await;
+        if read.is_ok() {
+            break;
+        }
+    }
+    assert!(answer.starts_with(b"HTTP/1.1 408"), "{answer:?}");
+    let took = start.elapsed();
+    assert!(took > WITHIN / 2 && took < WITHIN * 2, "{took:?}");
+}
+
+/// Near misses: a head in two halves that arrives in time, and an answer that
+/// takes longer than a head may.
+#[tokio::test]
+async fn a_head_in_halves_and_a_slow_answer_are_let_be() {
+    let port = Port::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let address = port.address;
+    let (_open, closing) = watch::channel(false);
+    let limits = Limits {
+        head_bytes: 16 << 10,
+        head_time: IDLE,
+        head_within: Some(Arc::new(|| WITHIN)),
+    };
+    let answer = |_| async {
+        tokio::time::sleep(WITHIN * 2).await;
+        Response::new(Nothing)
+    };
+    tokio::spawn(run(port, limits, closing, answer));
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    for _ in 0..2 {
+        stream
+            .write_all(b"GET / HTTP/1.1\r\n")
+            .await
+            .expect("a half");
+        tokio::time::sleep(WITHIN / 2).await;
+        stream
+            .write_all(b"host: a\r\n\r\n")
+            .await
+            .expect("the other");
+        let mut bytes = [0; 512];
+        let count = stream.read(&mut bytes).await.expect("an answer");
+        assert!(bytes[..count].starts_with(b"HTTP/1.1 200"));
+    }
+}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -18,6 +18,7 @@
 /// Returns the limits of a port whose heads have at most `head_bytes`.
 pub(crate) const fn limits(head_bytes: usize) -> Limits {
     Limits {
+        head_within: None,
         head_bytes,
         head_time: HEAD_TIME,
     }
