direct: long prompts fill more of the load bound than short ones

Cause: half of the shared prompt parts that are read again come from prompts that spill from their home; reading one again costs by its length, and what a spill saves doesn't.

Change: the bound goes by a prefix's length in multiples of what is usual for its service. Only what was seen makes an endpoint full: driven at 320 instances, one that knew of the hottest endpoint alone refused everything. With fullness by belief the test of it fails.

--- /dev/null
+++ b/crates/bench/src/direct/cost.rs
@@ -0,0 +1,61 @@
+//! Processor time of one placement.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use godwitpost_decide::health::Access;
+use godwitpost_direct::book::{Book, Report};
+use godwitpost_direct::place::{Candidate, Pick, Prefix, pick};
+use godwitpost_types::hash;
+
+use super::{ALLOWED, Size};
+use crate::figure::{Bound, Figure};
+
+/// Placements that are timed.
+const TIMES: u32 = 2_000;
+
+/// Returns the mean time of one placement among a size's endpoints, a third of
+/// which have been heard of.
+#[must_use]
+pub fn placement(size: &Size) -> Figure {
+    let ids: Vec<u64> = (0..size.endpoints as u64)
+        .map(|n| hash::score(n, 1))
+        .collect();
+    let now = Duration::from_secs(10);
+    let mut book = Book::default();
+    let report = Report {
+        running: 3,
+        waiting: 0,
+        slots: size.slots,
+    };
+    for id in ids.iter().step_by(3) {
+        book.report(*id, report, now);
+    }
+    let start = Instant::now();
+    for n in 0..u64::from(TIMES) {
+        black_box(place(&book, &ids, size, now, n));
+    }
+    let each = start.elapsed() / TIMES;
+    let name = format!("direct.{}.placement", size.name);
+    Figure::new(name, each.as_secs_f64() * 1e6, "us", Bound::Free)
+}
+
+fn place(book: &Book, ids: &[u64], size: &Size, now: Duration, n: u64) -> bool {
+    let looks = book.look(ids, now);
+    let candidates: Vec<Candidate> = ids
+        .iter()
+        .zip(looks)
+        .map(|(id, look)| Candidate {
+            endpoint: *id,
+            load: look.load,
+            seen: look.seen,
+            known: look.known,
+            slots: size.slots,
+            near: true,
+            access: Access::Full,
+            tried: false,
+        })
+        .collect();
+    let prefix = Prefix::new(n, 2_000, 2_000.0);
+    pick(&candidates, Some(prefix), ALLOWED, n) != Pick::None
+}
--- /dev/null
+++ b/crates/bench/tests/direct.rs
@@ -0,0 +1,69 @@
+//! The figures of direct sending that depend on seeds alone, at a size that a
+//! debug build drives within seconds.
+
+use std::time::Duration;
+
+use godwitpost_bench::direct::{Form, HOT, RATIO, SIZES, Size, drive, storm};
+
+/// Half of a grown deployment.
+const HALF: Size = Size {
+    name: "40",
+    instances: 40,
+    endpoints: 45,
+    rate: 400.0,
+    parts: 950,
+    time: Duration::from_secs(15),
+    ..SIZES[1]
+};
+
+// Prompts share prefixes of 700 to 10,500 tokens, and now and then a home is
+// above its bound. With one bound for all lengths, long prompts spilled as soon
+// as short ones, and reading them anew cost their callers the first token's time:
+// 75 tokens a request were read again at 81 instances, and 50 now.
+#[test]
+fn long_prompts_stay_where_they_were_read() {
+    for seed in [1, 2, 3] {
+        let by_length = drive(&HALF, Form::Whole, 0.0, seed);
+        let one_length = drive(&HALF, Form::OneLength, 0.0, seed);
+        assert!(
+            by_length.again < one_length.again * 0.9,
+            "seed {seed}: {by_length:?}, {one_length:?}"
+        );
+        assert!(by_length.above <= 0.01, "seed {seed}: {by_length:?}");
+    }
+}
+
+// Most of a large fleet's endpoints are unknown to an instance. Taken for idle,
+// every known one looked overloaded beside them, and a quarter of all prompts
+// were sent away from home.
+#[test]
+fn what_is_unknown_sends_no_prompt_away() {
+    let whole = drive(&HALF, Form::Whole, 0.0, 1);
+    let idle = drive(&HALF, Form::Idle, 0.0, 1);
+    assert!(whole.away < 0.1, "{whole:?}");
+    assert!(idle.away > 2.0 * whole.away, "{idle:?}");
+}
+
+// More than a quarter of the longest prompts are suddenly about one thing. At
+// six instances, which hear of every endpoint several times a second, the bound
+// holds all the same.
+#[test]
+fn a_small_fleet_keeps_its_bound_under_sudden_demand() {
+    for seed in [1, 2, 3] {
+        let placed = drive(&SIZES[0], Form::Whole, HOT, seed);
+        assert!(placed.above <= 0.01, "seed {seed}: {placed:?}");
+    }
+}
+
+// Endpoints fail six requests in ten, and every instance repeats what it may.
+// Without budgets the repeats are as many as the requests, just when endpoints
+// can bear the least.
+#[test]
+fn repeats_of_a_storm_stay_within_the_fleets_budget() {
+    for instances in [6, 81] {
+        let bounded = storm(instances, true, 1);
+        let free = storm(instances, false, 1);
+        assert!(bounded.ratio <= RATIO, "{bounded:?}");
+        assert!(free.ratio > 2.0 * RATIO, "{free:?}");
+    }
+}
--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -15,7 +15,7 @@
 
 use godwitpost_decide::health::{Access, Event, Machine};
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::EndpointId;
+use godwitpost_types::id::{EndpointId, ServiceId};
 
 /// Until when a report counts whole. An answer comes from each endpoint about
 /// every 0.7 s where six instances share 80 requests a second.
@@ -25,6 +25,10 @@
 /// any of those that it speaks of is left by then.
 const STALE: Duration = Duration::from_secs(4);
 
+/// The weight of a prompt in the usual length of its service's. An instance of
+/// many has some ten prompts a second, so the mean is over about ten seconds.
+const LATEST: f64 = 0.01;
+
 /// What an endpoint said of its load in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -40,6 +44,8 @@
 #[derive(Debug, Default)]
 pub struct Book {
     entries: BTreeMap<EndpointId, Entry>,
+    // The usual length of prompts' shared prefixes, by service.
+    lengths: BTreeMap<ServiceId, f64>,
 }
 
 struct Entry {
@@ -82,7 +88,9 @@
 pub struct Look {
     /// Requests that it runs or holds.
     pub load: f64,
-    /// How much of that is known rather than taken from others, 0 to 1.
+    /// The part of that which was seen there, and not taken from others.
+    pub seen: f64,
+    /// How much of the load is known rather than taken from others, 0 to 1.
     pub known: f64,
     /// What it may get by what was seen of it.
     pub access: Access,
@@ -137,16 +145,27 @@
     /// Returns what is believed of the endpoints of one service, in order.
     #[must_use]
     pub fn look(&self, endpoints: &[EndpointId], now: Moment) -> Vec<Look> {
-        let known = || endpoints.iter().filter_map(|id| self.entries.get(id));
-        let weights: f64 = known().map(|entry| entry.weight(now)).sum();
-        let sum: f64 = known()
-            .map(|entry| entry.weight(now) * f64::from(entry.others))
-            .sum();
+        // Looked up once each: of thousands, most of the time goes into that.
+        let entries: Vec<Option<&Entry>> =
+            endpoints.iter().map(|id| self.entries.get(id)).collect();
+        let (mut weights, mut sum) = (0.0, 0.0);
+        for entry in entries.iter().flatten() {
+            let weight = entry.weight(now);
+            weights += weight;
+            sum += weight * f64::from(entry.others);
+        }
         let mean = if weights > 0.0 { sum / weights } else { 0.0 };
-        endpoints
-            .iter()
-            .map(|id| self.believe(*id, mean, now))
-            .collect()
+        let believe = |entry: Option<&Entry>| believe(entry, mean, now);
+        entries.into_iter().map(believe).collect()
+    }
+
+    /// Takes in the length of a prompt's shared prefix, in tokens; returns what
+    /// is usual for its service.
+    pub fn usual(&mut self, service: ServiceId, tokens: u32) -> f64 {
+        let tokens = f64::from(tokens);
+        let usual = self.lengths.entry(service).or_insert(tokens);
+        *usual += (tokens - *usual) * LATEST;
+        *usual
     }
 
     /// Returns how many of this instance's requests an endpoint has.
@@ -155,25 +174,6 @@
         self.entries.get(&endpoint).map_or(0, |entry| entry.own)
     }
 
-    // What is believed of an endpoint; others have `mean` requests each on
-    // those that are known.
-    fn believe(&self, endpoint: EndpointId, mean: f64, now: Moment) -> Look {
-        let Some(entry) = self.entries.get(&endpoint) else {
-            return Look {
-                load: mean,
-                known: 0.0,
-                access: Access::Full,
-            };
-        };
-        let weight = entry.weight(now);
-        let others = f64::from(entry.others) * weight + mean * (1.0 - weight);
-        Look {
-            load: f64::from(entry.own) + others,
-            known: weight,
-            access: entry.health.access(),
-        }
-    }
-
     /// Forgets endpoints that are gone, once none of our requests is there.
     pub fn retain(&mut self, known: impl Fn(EndpointId) -> bool) {
         self.entries
@@ -185,5 +185,26 @@
     }
 }
 
+// What is believed of an endpoint; others have `mean` requests each on those
+// that are known.
+fn believe(entry: Option<&Entry>, mean: f64, now: Moment) -> Look {
+    let Some(entry) = entry else {
+        return Look {
+            load: mean,
+            seen: 0.0,
+            known: 0.0,
+            access: Access::Full,
+        };
+    };
+    let weight = entry.weight(now);
+    let seen = f64::from(entry.own) + f64::from(entry.others) * weight;
+    Look {
+        load: seen + mean * (1.0 - weight),
+        seen,
+        known: weight,
+        access: entry.health.access(),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -37,11 +37,17 @@
 
 impl Facts {
     /// Returns what its placement goes by: the last part that it shares with
-    /// others.
+    /// others, with the length of all up to its end.
     #[must_use]
-    pub fn shared(&self) -> Option<u64> {
-        let last = self.prompt.len().checked_sub(1)?;
-        self.prompt.get(last.saturating_sub(1)).map(|part| part.id)
+    pub fn shared(&self) -> Option<Part> {
+        let own = self.prompt.len().checked_sub(1)?;
+        let shared = self.prompt.get(..own.max(1))?;
+        let last = shared.last()?;
+        let tokens = shared.iter().map(|part| part.tokens);
+        Some(Part {
+            id: last.id,
+            tokens: tokens.fold(0, u32::saturating_add),
+        })
     }
 }
 
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -18,25 +18,27 @@
 use godwitpost_types::id::EndpointId;
 
 /// The part of the way from the mean to the greatest load allowed that a
-/// request may fill for its prompt's sake, with all loads known.
+/// request may fill for its prompt's sake, with all loads known: for the
+/// shortest prompts and for those of twice the usual length.
 ///
 /// Loads are some hundred milliseconds old, and other instances place at the
 /// same time, so what is aimed at lies below what must not be passed. Each
 /// prompt that spills is read again where it goes: with the load allowed at
 /// twice the mean, a bound of 1.3 instead of 1.6 times the mean (and one
 /// request less of [`SLACK`]) had a fifth of all prompts spill, and half as
-/// many tokens again read a second time.
-const AIMED: f64 = 0.6;
+/// many tokens again read a second time. What a spill costs goes by the length
+/// of the prompt, and what it saves doesn't, so short ones go first.
+const AIMED: [f64; 2] = [0.3, 0.8];
 
 /// What is added to the bound, in requests, with all loads known: with a mean
 /// of one, a multiple alone would send every second request of a chat away
 /// from its context.
 const SLACK: f64 = 3.0;
 
-/// The part of both that is left with nothing known. Where a fleet is so large
-/// that an instance rarely hears from an endpoint, most requests are placed
-/// blindly; the few that meet a known load have to make up for them.
-const BLIND: f64 = 0.4;
+/// The part of both that is left with nothing known, for the same two. Where a fleet is so large that an instance rarely hears
+/// from an endpoint, most requests are placed blindly; the few that meet a known
+/// load have to make up for them.
+const BLIND: [f64; 2] = [0.3, 0.6];
 
 /// What another availability zone counts, in parts of an endpoint's slots. The
 /// way there and back takes some 2 ms of a request of 15 ms.
@@ -47,6 +49,29 @@
 /// slots and refuses the rest.
 const FULL: f64 = 3.0;
 
+/// What a request's prompt shares with others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prefix {
+    /// The last part of it, which stands for all.
+    pub part: u64,
+    /// Its length: 0 for none, a half for what is usual, 1 for twice that and
+    /// more.
+    pub length: f64,
+}
+
+impl Prefix {
+    /// Returns the prefix that ends with a part, of so many tokens where
+    /// `usual` are usual.
+    #[must_use]
+    pub fn new(part: u64, tokens: u32, usual: f64) -> Self {
+        let length = f64::from(tokens) / (2.0 * usual.max(1.0));
+        Self {
+            part,
+            length: length.min(1.0),
+        }
+    }
+}
+
 /// An endpoint that could take a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -54,6 +79,8 @@
     pub endpoint: EndpointId,
     /// Requests that it runs or holds, as believed.
     pub load: f64,
+    /// The part of the load that was seen there.
+    pub seen: f64,
     /// How much of the load is known, 0 to 1.
     pub known: f64,
     /// Requests that it runs at once.
@@ -107,8 +134,12 @@
 }
 
 impl Candidate {
+    // Only what was seen makes an endpoint full. An instance that has just
+    // started in a fleet of hundreds first hears of the endpoint that is in
+    // greatest demand; with all others taken to be like it, it refused every
+    // request while most were idle.
     fn full(&self) -> bool {
-        self.load >= f64::from(self.slots) * FULL
+        self.seen >= f64::from(self.slots) * FULL
     }
 
     // An endpoint on trial gets one request of each instance at a time.
@@ -126,11 +157,11 @@
     }
 }
 
-/// Picks an endpoint among `candidates` for a prompt with this shared part, or
+/// Picks an endpoint among `candidates` for a prompt with this shared prefix, or
 /// for a request without one. No endpoint may have more than `allowed` times
 /// the mean load; `draw` decides between equals.
 #[must_use]
-pub fn pick(candidates: &[Candidate], part: Option<u64>, allowed: f64, draw: u64) -> Pick {
+pub fn pick(candidates: &[Candidate], prefix: Option<Prefix>, allowed: f64, draw: u64) -> Pick {
     let untried: Vec<&Candidate> = candidates.iter().filter(|one| !one.tried).collect();
     if untried.is_empty() {
         return Pick::None;
@@ -140,9 +171,12 @@
     // than a try is harmful.
     let open = if open.is_empty() { untried } else { open };
     let room: Vec<&Candidate> = open.into_iter().filter(|one| !one.full()).collect();
-    let within = part.and_then(|part| ranked(&room, part, bound(candidates, allowed)));
-    if let (Some(one), Some(part)) = (within, part) {
-        let home = highest(candidates.iter(), part).map(|home| home.endpoint);
+    let within = prefix.and_then(|prefix| {
+        let bound = bound(candidates, allowed, prefix.length);
+        ranked(&room, prefix.part, bound)
+    });
+    if let (Some(one), Some(prefix)) = (within, prefix) {
+        let home = highest(candidates.iter(), prefix.part).map(|home| home.endpoint);
         let choice = if home == Some(one.endpoint) {
             Choice::Home
         } else {
@@ -160,16 +194,19 @@
     }
 }
 
-/// Returns the load up to which a prompt stays at its first endpoints.
+/// Returns the load up to which a prompt with a shared prefix of this length
+/// stays at its first endpoints.
 #[must_use]
-pub fn bound(candidates: &[Candidate], allowed: f64) -> f64 {
+pub fn bound(candidates: &[Candidate], allowed: f64, length: f64) -> f64 {
+    let between = |[short, long]: [f64; 2]| short + (long - short) * length;
+    let (aimed, blind) = (between(AIMED), between(BLIND));
     let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
     let sum: f64 = candidates.iter().map(|one| one.load).sum();
     let count = f64::from(count.max(1));
     let known: f64 = candidates.iter().map(|one| one.known).sum();
-    let sight = BLIND + (1.0 - BLIND) * known / count;
-    let aimed = 1.0 + (allowed - 1.0).max(0.0) * AIMED * sight;
-    sum / count * aimed + SLACK * sight
+    let sight = blind + (1.0 - blind) * known / count;
+    let most = 1.0 + (allowed - 1.0).max(0.0) * aimed * sight;
+    sum / count * most + SLACK * sight
 }
 
 fn ranked<'a>(room: &[&'a Candidate], part: u64, bound: f64) -> Option<&'a Candidate> {
--- a/crates/direct/src/place/tests.rs
+++ b/crates/direct/src/place/tests.rs
@@ -1,18 +1,20 @@
 use godwitpost_decide::health::Access;
 
-use super::{Candidate, Choice, Pick};
+use super::{Candidate, Choice, Pick, Prefix, bound};
 
 /// The greatest load as a multiple of the mean.
 const ALLOWED: f64 = 2.0;
 
 fn pick(candidates: &[Candidate], part: Option<u64>, draw: u64) -> Pick {
-    super::pick(candidates, part, ALLOWED, draw)
+    let prefix = part.map(|part| Prefix::new(part, 2_000, 2_000.0));
+    super::pick(candidates, prefix, ALLOWED, draw)
 }
 
 const fn candidate(endpoint: u64, load: f64) -> Candidate {
     Candidate {
         endpoint,
         load,
+        seen: load,
         known: 1.0,
         slots: 16,
         near: true,
@@ -111,10 +113,26 @@
 #[test]
 fn the_less_is_known_the_sooner_a_part_spills() {
     let mut candidates = loads(&[4.0; 4]);
-    let bound = super::bound(&candidates, ALLOWED);
+    let sighted = bound(&candidates, ALLOWED, 0.5);
     for one in &mut candidates {
         one.known = 0.0;
     }
-    let blind = super::bound(&candidates, ALLOWED);
-    assert!(blind < bound && blind > 4.0 + 1.0, "{blind} {bound}");
+    let blind = bound(&candidates, ALLOWED, 0.5);
+    assert!(blind < sighted && blind > 4.0 + 1.0, "{blind} {sighted}");
+}
+
+/// An instance has just started and heard of one endpoint, which the whole fleet
+/// overwhelms with a prompt in sudden demand. It knows nothing of the others,
+/// takes them to be alike, and must not refuse everything for it.
+#[test]
+fn endpoints_that_nothing_is_known_of_are_not_full() {
+    let mut candidates = loads(&[500.0; 9]);
+    for one in &mut candidates[1..] {
+        one.seen = 0.0;
+        one.known = 0.0;
+    }
+    for part in 0..20 {
+        assert_ne!(home(&candidates, part), 1, "{part}");
+    }
+    assert!(matches!(pick(&candidates, None, 7), Pick::Send { .. }));
 }
--- a/crates/direct/src/refusal/tests.rs
+++ b/crates/direct/src/refusal/tests.rs
@@ -1,8 +1,10 @@
+use std::time::Duration;
+
 use godwitpost_types::outcome::Outcome;
 
 use super::Reason;
 
-const ALL: [Reason; 16] = [
+const ALL: [Reason; 17] = [
     Reason::Malformed,
     Reason::HeadTooLarge,
     Reason::BodyTooLarge,
@@ -19,6 +21,9 @@
     Reason::Expired,
     Reason::Timeout,
     Reason::Broken,
+    Reason::Held {
+        left: Duration::from_secs(30),
+    },
 ];
 
 /// A caller sends an order again after 503 because it promises that nothing
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -20,7 +20,7 @@
 use super::crash::{Broken, look};
 use crate::attempt::{Ending, Next, Verdict, judge};
 use crate::dialect::{Answer, Outgoing};
-use crate::place::{Candidate, Choice, Pick, pick};
+use crate::place::{Candidate, Choice, Pick, Prefix, pick};
 use crate::refusal::Reason;
 use crate::roster::Registration;
 use crate::shared::{Shared, View};
@@ -194,9 +194,8 @@
     let registrations = view.of(job.service);
     let candidates = candidates(job, &view);
     let draw = rand::rng().random();
-    let part = job.facts.shared().filter(|_| job.route.affinity);
-    let part = part.map(|part| job.apart().unwrap_or(part));
-    match pick(&candidates, part, shared.settings.load_bound, draw) {
+    let prefix = prefix(job);
+    match pick(&candidates, prefix, shared.settings.load_bound, draw) {
         Pick::Send { endpoint, choice } => {
             let chosen = candidates.iter().find(|one| one.endpoint == endpoint);
             registrations
@@ -215,6 +214,14 @@
     }
 }
 
+// What the request's prompt shares with others, where that counts.
+fn prefix(job: &Job) -> Option<Prefix> {
+    let part = job.facts.shared().filter(|_| job.route.affinity)?;
+    let usual = job.shared.book().usual(job.service, part.tokens);
+    let id = job.apart().unwrap_or(part.id);
+    Some(Prefix::new(id, part.tokens, usual))
+}
+
 fn candidates(job: &Job, view: &View) -> Vec<Candidate> {
     let zone = job.shared.settings.zone_id();
     let model = job.facts.model.as_deref().map(godwitpost_types::id::of);
@@ -235,6 +242,7 @@
         .map(|(one, look)| Candidate {
             endpoint: one.endpoint.id,
             load: look.load,
+            seen: look.seen,
             known: look.known,
             slots: one.slots,
             near: one.endpoint.zone == zone,
@@ -252,7 +260,7 @@
     let flight = Flight::new(&job.shared, registration);
     log::info!(
         request:% = job.id(), route:% = job.route.name, endpoint:% = registration.endpoint.name,
-        choice:% = chosen.choice.as_str(), load:% = chosen.load, part:? = job.facts.shared(), version = job.version,
+        choice:% = chosen.choice.as_str(), load:% = chosen.load, part:? = job.facts.shared().map(|part| part.id), version = job.version,
         confirmed_ms:% = job.shared.age().as_millis(),
         left_ms:% = job.left().as_millis(), wait_ms:% = wait.as_millis();
         "request sent"
