--- a/crates/operator/src/story.rs
+++ b/crates/operator/src/story.rs
@@ -7,8 +7,8 @@
 //! each other, the versions that come into force.
 //!
 //! Beside the request's own lines there is what its instances came to believe
-//! in that time, and how others fared at the endpoints it was sent to. Both
-//! are what an engineer looks up next.
+//! in that time, of endpoints only those that it was sent to, and how others
+//! fared there. Both are what an engineer looks up next.
 
 mod line;
 
@@ -88,14 +88,21 @@
         let begin = own().map(|line| line.at).fold(f64::INFINITY, f64::min);
         let end = own().map(|line| line.at).fold(f64::NEG_INFINITY, f64::max);
         let near = |line: &&Line| line.at >= begin - AROUND && line.at <= end + AROUND;
+        let ahead = self.ahead(instance, reference);
+        let endpoints: BTreeSet<&str> = own().filter_map(|line| line.field(ENDPOINT)).collect();
+        let elsewhere =
+            |line: &&Line| matches!(line.field(ENDPOINT), Some(at) if !endpoints.contains(at));
+        let believed = || {
+            let lines = lines.iter().filter(|line| line.field(ID).is_none());
+            lines.filter(near)
+        };
+        let left_out = believed().filter(elsewhere).count();
         let shown = |line: &&Line| match line.field(ID) {
             Some(of) => of == id,
-            None => near(line),
+            None => near(line) && !elsewhere(line),
         };
-        let ahead = self.ahead(instance, reference);
-        let endpoints: BTreeSet<&str> = own().filter_map(|line| line.field(ENDPOINT)).collect();
         let others = endpoints
-            .into_iter()
+            .iter()
             .map(|endpoint| self.others(id, endpoint, begin - ahead, end - ahead, reference))
             .collect();
         Part {
@@ -107,6 +114,7 @@
                 .filter(shown)
                 .map(|line| (line.at - begin, line.clone()))
                 .collect(),
+            left_out,
             others,
         }
     }
@@ -182,6 +190,8 @@
     begin: f64,
     // Seconds after the part's begin, and the line.
     lines: Vec<(f64, Line)>,
+    // Lines about endpoints that it wasn't sent to.
+    left_out: usize,
     others: Vec<Others>,
 }
 
@@ -195,7 +205,9 @@
 
 impl fmt::Display for Story {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "request {} at {} instances", self.id, self.parts.len())?;
+        let instances = self.parts.len();
+        let plural = if instances == 1 { "" } else { "s" };
+        writeln!(f, "request {} at {instances} instance{plural}", self.id)?;
         for part in &self.parts {
             write!(f, "{part}")?;
         }
@@ -222,6 +234,10 @@
             let at = self.begin + after;
             writeln!(f, "{own} {at:+9.3} {:<5} {}", line.level, line.text)?;
         }
+        if self.left_out > 0 {
+            let count = self.left_out;
+            writeln!(f, "  {count} lines about other endpoints were left out")?;
+        }
         for others in &self.others {
             writeln!(
                 f,
--- a/crates/operator/src/story/tests.rs
+++ b/crates/operator/src/story/tests.rs
@@ -9,6 +9,8 @@
 2026-12-03T10:00:06.100Z [INFO] godwitpost_direct::relay::job: request answered request=b1 endpoint=e1 status=200
 2026-12-03T10:00:06.400Z [WARN] godwitpost_direct::relay::send: not answered request=a1 endpoint=e1 error=\"fate unknown: \\\"x\\\"\"
 2026-12-03T10:00:06.401Z [WARN] godwitpost_direct::relay::job: request refused request=a1 reason=broken status=502
+2026-12-03T10:00:07.000Z [INFO] godwitpost_direct::control: endpoint gone endpoint=e1
+2026-12-03T10:00:07.500Z [INFO] godwitpost_direct::control: endpoint gone endpoint=e2
 2026-12-03T10:00:20.000Z [INFO] godwitpost_direct::control: endpoint gone endpoint=e9
 ";
 
@@ -54,6 +56,9 @@
         text.contains("at e1 in that time: 1 answered, 0 not answered"),
         "{text}"
     );
+    assert!(text.contains("endpoint gone endpoint=e1"), "{text}");
+    assert!(!text.contains("endpoint=e2"), "{text}");
+    assert!(text.contains("1 lines about other"), "{text}");
     assert!(
         !text.contains("e9") && !text.contains("request=b1"),
         "{text}"
@@ -97,7 +102,7 @@
     logs.read("one", "no log line\n");
     assert!(logs.story("zz").is_none());
     let text = missing("zz", &logs);
-    assert!(text.contains("one: 7 lines over 20.0 s"), "{text}");
+    assert!(text.contains("one: 9 lines over 20.0 s"), "{text}");
 }
 
 proptest! {
