direct: a refused key is told apart from one that was taken away

Cause: a 401 after a revocation could not be explained from its id: the line named the version in force, and no line said that versions change keys. No key or digest is logged.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -24,6 +24,7 @@
 use self::peers::News;
 use crate::feed::Change;
 use crate::policy::Policy;
+use crate::revoked::{Changes, Revoked};
 use crate::roster::{Registration, Removal, Roster, Setting};
 use crate::shared::{Shared, View, by_service};
 use crate::source::Source;
@@ -130,6 +131,7 @@
     shared: Arc<Shared>,
     lines: Queue,
     policy: Option<Arc<Policy>>,
+    revoked: Arc<Revoked>,
     roster: Roster,
     listed: bool,
     fresh: bool,
@@ -142,6 +144,7 @@
             shared,
             lines,
             policy: None,
+            revoked: Arc::default(),
             listed: false,
             fresh: false,
         }
@@ -229,8 +232,10 @@
                     log::warn!(version = policy.version(), held = held; "older version ignored");
                     return false;
                 }
+                let changes = self.keys(&policy);
                 log::info!(
-                    version = policy.version(), before = held, routes = policy.routes();
+                    version = policy.version(), before = held, routes = policy.routes(),
+                    keys_added = changes.added, keys_removed = changes.removed;
                     "version in force"
                 );
                 self.shared.metrics.requests().version(policy.version());
@@ -247,6 +252,16 @@
         }
     }
 
+    // Remembers the keys that a version takes away.
+    fn keys(&mut self, policy: &Policy) -> Changes {
+        match &self.policy {
+            Some(held) if held.content().keys != policy.content().keys => {
+                Arc::make_mut(&mut self.revoked).replaced(held, policy)
+            }
+            _ => Changes::default(),
+        }
+    }
+
     fn endpoints(&mut self, heard: Heard<Registration>) {
         let now = boot_time();
         self.roster.reached(now);
@@ -341,6 +356,7 @@
         self.shared.publish(View {
             policy: self.policy.clone(),
             endpoints,
+            revoked: Arc::clone(&self.revoked),
         });
         let known: Vec<_> = self
             .roster
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod policy;
 pub mod refusal;
 mod relay;
+pub mod revoked;
 pub mod roster;
 mod running;
 mod serve;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -18,6 +18,7 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::Moment;
+use godwitpost_types::id::Version;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
@@ -58,8 +59,13 @@
 enum Who {
     /// It came far enough to be resolved.
     Job(Box<Job>),
-    /// Its id, if it has one.
-    Id(Option<String>),
+    /// It has at most this.
+    Head {
+        /// Its id.
+        id: Option<String>,
+        /// The version that took its key away.
+        revoked_in: Option<Version>,
+    },
 }
 
 async fn serve(
@@ -70,10 +76,12 @@
     let (head, body) = request.into_parts();
     let facts = (shared.dialect.read_request)(&head.headers);
     let id = facts.as_ref().map(|facts| job::shown(&facts.attempt));
+    let key = facts.as_ref().and_then(|facts| facts.key.clone());
     let mut job = match job(shared, head, facts, arrived) {
         Ok(job) => job,
         Err(reason) => {
-            let who = Who::Id(id);
+            let revoked_in = key.and_then(|key| shared.view().revoked.by(&key));
+            let who = Who::Head { id, revoked_in };
             return Err(Refused { reason, who });
         }
     };
@@ -129,7 +137,7 @@
     shared.metrics.refused(reason);
     match &refused.who {
         Who::Job(job) => job.refused(reason),
-        Who::Id(id) => unresolved(shared, reason, id.as_deref()),
+        Who::Head { id, revoked_in } => unresolved(shared, reason, id.as_deref(), *revoked_in),
     }
     let text = format!(
         "{{\"title\":\"{}\",\"detail\":\"{reason}\"}}\n",
@@ -155,7 +163,7 @@
 }
 
 // Counts and logs a refusal of a request that was never resolved.
-fn unresolved(shared: &Shared, reason: Reason, id: Option<&str>) {
+fn unresolved(shared: &Shared, reason: Reason, id: Option<&str>, revoked_in: Option<Version>) {
     let metrics = shared.metrics.requests();
     let status = reason.status().as_u16();
     metrics.head(&metrics.nobody(), reason.outcome(), status, Duration::ZERO);
@@ -164,7 +172,7 @@
     log::warn!(
         request:% = id.unwrap_or("(none)"), reason:% = reason.as_str(),
         outcome:% = reason.outcome(), status = status, version = version,
-        confirmed_ms = shared.age().as_millis();
+        confirmed_ms = shared.age().as_millis(), revoked_in:? = revoked_in;
         "request refused"
     );
 }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -25,6 +25,7 @@
 use crate::lease::Lease;
 use crate::metrics::{Metrics, Usage};
 use crate::policy::{Policy, Service};
+use crate::revoked::Revoked;
 use crate::roster::Registration;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
@@ -62,6 +63,8 @@
     pub(crate) policy: Option<Arc<Policy>>,
     /// Endpoints that may get new work, by service; once they were listed.
     pub(crate) endpoints: Option<BTreeMap<ServiceId, Vec<Arc<Registration>>>>,
+    /// Keys that were seen to be taken away.
+    pub(crate) revoked: Arc<Revoked>,
 }
 
 impl View {
