capacity: placement of a direct instance

Change: rows for placing among all endpoints and among those of one of 35 services; a published view no longer compares every endpoint with every other.

--- a/crates/bench/src/direct/cost.rs
+++ b/crates/bench/src/direct/cost.rs
@@ -14,10 +14,17 @@
 /// Placements that are timed.
 const TIMES: u32 = 2_000;
 
-/// Returns the mean time of one placement among a size's endpoints, a third of
-/// which have been heard of.
+/// Returns the figure of one placement among a size's endpoints.
 #[must_use]
 pub fn placement(size: &Size) -> Figure {
+    let name = format!("direct.{}.placement", size.name);
+    Figure::new(name, nanoseconds(size) / 1e3, "us", Bound::Free)
+}
+
+/// Returns the mean time of one placement in nanoseconds, a third of the
+/// endpoints having been heard of.
+#[must_use]
+pub fn nanoseconds(size: &Size) -> f64 {
     let ids: Vec<u64> = (0..size.endpoints as u64)
         .map(|n| hash::score(n, 1))
         .collect();
@@ -36,8 +43,7 @@
         black_box(place(&book, &ids, size, now, n));
     }
     let each = start.elapsed() / TIMES;
-    let name = format!("direct.{}.placement", size.name);
-    Figure::new(name, each.as_secs_f64() * 1e6, "us", Bound::Free)
+    each.as_secs_f64() * 1e9
 }
 
 fn place(book: &Book, ids: &[u64], size: &Size, now: Duration, n: u64) -> bool {
--- a/crates/capacity/src/role.rs
+++ b/crates/capacity/src/role.rs
@@ -5,6 +5,7 @@
 
 pub mod batcher;
 pub mod bundle;
+pub mod direct;
 pub mod entry;
 pub mod member;
 pub mod metrics;
@@ -15,6 +16,7 @@
 pub fn all(allocated: Allocated) -> Vec<Measure> {
     let roles = [
         entry::measure,
+        direct::measure,
         owner::measure,
         batcher::measure,
         bundle::measure,
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -358,7 +358,7 @@
             endpoints,
             revoked: Arc::clone(&self.revoked),
         });
-        let known: Vec<_> = self
+        let known: BTreeSet<_> = self
             .roster
             .registrations()
             .map(|one| one.endpoint.id)
