direct: instances pass on the loads that they hear

Change: a question to a peer brings the loads that were heard since the last, and each answer has the greatest that are known from lately, with their ages. With the question's loads left out the instances' test fails.

--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -17,6 +17,7 @@
 use godwitpost_types::id::Version;
 use serde::{Deserialize, Serialize};
 
+use crate::book::Load;
 use crate::policy::Content;
 use crate::roster::Registration;
 use crate::suspects::{Evidence, Sighting};
@@ -30,7 +31,7 @@
 const SIGHTINGS: usize = 1_000;
 
 /// What a peer asks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
     /// The life of the instance that gave the stamp; 0 for none.
     pub life: u64,
@@ -40,6 +41,8 @@
     pub version: Version,
     /// How long to wait for something new.
     pub wait: Duration,
+    /// Loads that endpoints told the peer since it last asked.
+    pub loads: Vec<Load>,
 }
 
 /// What a peer is told.
@@ -69,6 +72,8 @@
     pub gone: Vec<String>,
     /// What was seen of requests that crash endpoints.
     pub sightings: Vec<Sighting>,
+    /// Loads of endpoints that are known from lately.
+    pub loads: Vec<Load>,
 }
 
 impl Told {
@@ -225,6 +230,7 @@
                 .range(after.saturating_add(1)..)
                 .map(|(_, evidence)| Sighting::of(evidence, now))
                 .collect(),
+            loads: Vec::new(),
         }
     }
 
--- a/crates/direct/src/board/tests.rs
+++ b/crates/direct/src/board/tests.rs
@@ -35,6 +35,7 @@
         stamp: told.stamp,
         version: 0,
         wait: Duration::ZERO,
+        loads: Vec::new(),
     }
 }
 
@@ -43,6 +44,7 @@
     stamp: 0,
     version: 0,
     wait: Duration::ZERO,
+    loads: Vec::new(),
 };
 
 fn names(told: &Told) -> Vec<&str> {
--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -8,6 +8,9 @@
 //! of its service that are. With hundreds of instances most of it is not known,
 //! and taken for nothing it made every endpoint that had just answered look
 //! overloaded.
+//!
+//! What one instance hears it passes on through those that are asked for the
+//! log, so that an instance of many knows of endpoints that it rarely sends to.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -16,6 +19,7 @@
 use godwitpost_decide::health::{Access, Event, Machine};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{EndpointId, ServiceId};
+use serde::{Deserialize, Serialize};
 
 use crate::dialect::Part;
 use crate::place::Prefix;
@@ -40,6 +44,13 @@
 /// Parts that are counted before those not asked for lately are forgotten.
 const PARTS: usize = 2_000;
 
+/// The age up to which a load is passed on: what is older counts for little
+/// when it arrives.
+const TOLD: Duration = Duration::from_secs(2);
+
+/// Loads that are passed on at most, about 15 bytes each.
+const LOADS: usize = 128;
+
 /// What an endpoint said of its load in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -59,6 +70,19 @@
     lengths: BTreeMap<ServiceId, f64>,
     // Requests for parts of prompts.
     demands: BTreeMap<u64, Demand>,
+    // Loads that endpoints told this instance and that it has not passed on.
+    heard: BTreeMap<EndpointId, (u32, Moment)>,
+}
+
+/// An endpoint's load as one instance passes it on to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Requests that it runs or holds.
+    pub all: u32,
+    /// How long ago it said so.
+    pub age: Duration,
 }
 
 // Requests for a part, each counting less with its age.
@@ -141,6 +165,50 @@
         let all = report.running.saturating_add(report.waiting);
         entry.others = all.saturating_sub(entry.own);
         entry.reported = Some(now);
+        self.heard.insert(endpoint, (all, now));
+    }
+
+    /// Takes in a load that another instance was told at `at`.
+    pub fn told(&mut self, endpoint: EndpointId, all: u32, at: Moment) {
+        let entry = self.entry(endpoint);
+        if entry.reported < Some(at) {
+            entry.others = all.saturating_sub(entry.own);
+            entry.reported = Some(at);
+        }
+    }
+
+    /// Returns the loads that were heard since this was last asked.
+    pub fn take_heard(&mut self, now: Moment) -> Vec<Load> {
+        std::mem::take(&mut self.heard)
+            .into_iter()
+            .map(|(endpoint, (all, at))| Load {
+                endpoint,
+                all,
+                age: since(now, at),
+            })
+            .collect()
+    }
+
+    /// Returns the loads that are known from lately, the greatest first and no
+    /// more than are worth their bytes.
+    #[must_use]
+    pub fn loads(&self, now: Moment) -> Vec<Load> {
+        let mut loads: Vec<Load> = self
+            .entries
+            .iter()
+            .filter_map(|(endpoint, entry)| {
+                let age = since(now, entry.reported?);
+                let all = entry.others.saturating_add(entry.own);
+                (age < TOLD).then_some(Load {
+                    endpoint: *endpoint,
+                    all,
+                    age,
+                })
+            })
+            .collect();
+        loads.sort_by_key(|load| std::cmp::Reverse(load.all));
+        loads.truncate(LOADS);
+        loads
     }
 
     /// Takes in what was seen of an endpoint's health.
@@ -228,6 +296,7 @@
     pub fn retain(&mut self, known: impl Fn(EndpointId) -> bool) {
         self.entries
             .retain(|endpoint, entry| entry.own > 0 || known(*endpoint));
+        self.heard.retain(|endpoint, _| known(*endpoint));
     }
 
     fn entry(&mut self, endpoint: EndpointId) -> &mut Entry {
--- a/crates/direct/src/book/tests.rs
+++ b/crates/direct/src/book/tests.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use godwitpost_decide::health::Access;
+use godwitpost_types::clock::since;
 
 use crate::dialect::Part;
 
@@ -112,3 +113,27 @@
     let later = cost(&mut book, 7, 60);
     assert!((later - alone).abs() < 0.01, "{later} {alone}");
 }
+
+/// An instance of eighty asks an endpoint every seven seconds. Homes that were
+/// busy by chance stayed unknown to it, and 104 of 2,974 requests met one above
+/// twice the mean. What another instance heard counts like its own reports, by
+/// its age.
+#[test]
+fn loads_that_others_heard_count_by_their_age() {
+    let mut one = Book::default();
+    let mut other = Book::default();
+    one.report(7, report(9), at(5_000));
+    let loads = one.take_heard(at(5_600));
+    assert_eq!(loads.len(), 1);
+    assert!(one.take_heard(at(5_600)).is_empty());
+    for load in &loads {
+        other.told(load.endpoint, load.all, since(at(5_600), load.age));
+    }
+    let look = other.look(&[7], at(5_700))[0];
+    assert!(look.load >= 9.0 && look.known >= 1.0, "{look:?}");
+    // An older one changes nothing, and none is passed on for ever.
+    other.told(7, 1, at(4_000));
+    assert!(other.look(&[7], at(5_700))[0].load >= 9.0);
+    assert_eq!(other.loads(at(6_000)).len(), 1);
+    assert!(other.loads(at(9_000)).is_empty());
+}
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -25,6 +25,7 @@
 
 use super::follow::Mode;
 use crate::board::{Question, Told};
+use crate::book::Load;
 use crate::policy::Content;
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -254,12 +255,14 @@
             stamp: self.stamp,
             version: view.policy.as_ref().map_or(0, |policy| policy.version()),
             wait,
+            loads: self.shared.book().take_heard(boot_time()),
         };
         let asked = boot_time();
         let told = timeout(wait + PATIENCE, self.send(&question))
             .await
             .map_err(|_elapsed| Refusal::Silent)??;
         (self.life, self.stamp) = (told.life, told.stamp);
+        take(self.shared, &told.loads, asked + told.waited);
         news(told, asked)
     }
 
@@ -384,11 +387,20 @@
     }
 }
 
+// Takes in loads that another instance passed on at `then`.
+fn take(shared: &Shared, loads: &[Load], then: Moment) {
+    let mut book = shared.book();
+    for load in loads {
+        book.told(load.endpoint, load.all, since(then, load.age));
+    }
+}
+
 async fn state(shared: &Shared, body: &[u8], began: Moment) -> Response<Body> {
     let Ok(question) = rmp_serde::from_slice::<Question>(body) else {
         return status(StatusCode::BAD_REQUEST);
     };
     let until = Instant::now() + question.wait.min(LONGEST_WAIT);
+    take(shared, &question.loads, began);
     let mut news = shared.news();
     loop {
         news.mark_unchanged();
@@ -407,7 +419,8 @@
     }
     // The ages are those of now, also if nothing came in the time allowed.
     let now = boot_time();
-    let told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
+    let mut told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
+    told.loads = shared.book().loads(now);
     match rmp_serde::to_vec(&told) {
         Ok(bytes) => Response::new(whole(bytes)),
         Err(error) => {
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -19,6 +19,7 @@
     stamp: 0,
     version: 0,
     wait: at(400),
+    loads: Vec::new(),
 };
 
 /// The instance that others ask was cut from the log. Those that asked it went
--- a/crates/direct/tests/instance/metrics.rs
+++ b/crates/direct/tests/instance/metrics.rs
@@ -3,7 +3,8 @@
 use crate::endpoint::{Endpoint, Step, answer, says};
 use crate::fleet::{Fleet, exchange, until};
 
-const ASK: &str = "GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+/// A request for the metrics.
+pub(crate) const ASK: &str = "GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
 
 const NAMES: [&str; 14] = [
     "godwitpost_requests_total",
@@ -66,10 +67,7 @@
         text = read => text,
         _ = slow => panic!("the slow one came back"),
     };
-    let value = |name: &str| {
-        let line = text.lines().find(|line| line.starts_with(name))?;
-        line.rsplit(' ').next()?.parse::<f64>().ok()
-    };
+    let value = |name| value(&text, name);
     assert_eq!(value("godwitpost_service_in_flight{"), Some(1.0), "{text}");
     assert_eq!(
         value("godwitpost_service_idle_connections{"),
@@ -79,3 +77,9 @@
     assert!(value("godwitpost_service_load{") > Some(3.0), "{text}");
     assert!(value("godwitpost_repeats_left{") > Some(0.0), "{text}");
 }
+
+/// Returns the value of the first sample whose line begins so.
+pub(crate) fn value(text: &str, begin: &str) -> Option<f64> {
+    let line = text.lines().find(|line| line.starts_with(begin))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
--- a/crates/direct/tests/instance/peers.rs
+++ b/crates/direct/tests/instance/peers.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use crate::endpoint::{Endpoint, says};
-use crate::fleet::{Fleet, content, until};
+use crate::endpoint::{Endpoint, Seen, answer, says};
+use crate::fleet::{Fleet, content, exchange, until};
+use crate::metrics::{ASK, value};
 
 /// Waits until an instance reads its log no more.
 pub(crate) async fn follows(fleet: &Fleet) {
@@ -81,3 +82,22 @@
     other.policies.set_down(false);
     until(async || status(&other, "/stock/1").await == "200").await;
 }
+
+/// A model engine is busy, and only one instance has asked it lately. The other
+/// one would take it for idle, as would eighty others.
+#[tokio::test]
+async fn what_one_instance_hears_of_a_load_the_other_knows() {
+    let busy = |_: usize, seen: &Seen| vec![answer(seen, "200 OK", "x-load: 14,2,64\r\n", "ok")];
+    for from in [0, 1] {
+        let endpoint = Endpoint::start(busy).await;
+        let fleets = Fleet::start_two(&[endpoint.address]).await;
+        follows(&fleets[1]).await;
+        let told = &fleets[1 - from];
+        until(async || {
+            assert_eq!(status(&fleets[from], "/stock/1").await, "200");
+            let text = exchange(told.running.metrics_address(), ASK).await;
+            value(&text, "godwitpost_service_load{") > Some(8.0)
+        })
+        .await;
+    }
+}
