--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -39,9 +39,9 @@
 /// from its context.
 const SLACK: f64 = 3.0;
 
-/// The part of both that is left with nothing known, for the same two. Where a fleet is so large that an instance rarely hears
-/// from an endpoint, most requests are placed blindly; the few that meet a known
-/// load have to make up for them.
+/// The part of both that is left with nothing known, for the same two. Where a
+/// fleet is so large that an instance rarely hears from an endpoint, most requests
+/// are placed blindly; the few that meet a known load have to make up for them.
 const BLIND: [f64; 2] = [0.3, 0.6];
 
 /// How long a request is at an endpoint, in seconds: most streams take one to
