direct: an endpoint on trial is tried although others use it

An instance that held an engine to be down tried it again only while nobody had a request there: never, on a busy fleet.

--- a/crates/bench/src/direct/instance.rs
+++ b/crates/bench/src/direct/instance.rs
@@ -41,6 +41,7 @@
             Candidate {
                 endpoint: *id,
                 load,
+                own: look.own,
                 seen: look.seen,
                 known,
                 slots,
--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -132,7 +132,9 @@
 pub struct Look {
     /// Requests that it runs or holds.
     pub load: f64,
-    /// The part of that which was seen there, and not taken from others.
+    /// This instance's own requests among them.
+    pub own: u32,
+    /// The part of the load which was seen there, and not taken from others.
     pub seen: f64,
     /// How much of the load is known rather than taken from others, 0 to 1.
     pub known: f64,
@@ -317,6 +319,7 @@
     let Some(entry) = entry else {
         return Look {
             load: mean,
+            own: 0,
             seen: 0.0,
             known: 0.0,
             access: Access::Full,
@@ -326,6 +329,7 @@
     let seen = f64::from(entry.own) + f64::from(entry.others) * weight;
     Look {
         load: seen + mean * (1.0 - weight),
+        own: entry.own,
         seen,
         known: weight,
         access: entry.health.access(),
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -111,6 +111,8 @@
     pub endpoint: EndpointId,
     /// Requests that it runs or holds, as believed.
     pub load: f64,
+    /// This instance's own requests there.
+    pub own: u32,
     /// The part of the load that was seen there.
     pub seen: f64,
     /// How much of the load is known, 0 to 1.
@@ -174,11 +176,15 @@
         self.seen >= f64::from(self.slots) * FULL
     }
 
-    // An endpoint on trial gets one request of each instance at a time.
+    // An endpoint on trial gets one request of each instance at a time. What others
+    // have there says nothing against it: they may never have held it to be down.
+    // Counted all the same, it was never tried again on a busy fleet: after some
+    // seconds of lost packets instances went without some of their engines for
+    // good, and their prompts were read again elsewhere.
     fn open(&self) -> bool {
         match self.access {
             Access::Full => true,
-            Access::Trial => self.load < 1.0,
+            Access::Trial => self.own == 0,
             Access::None => false,
         }
     }
--- a/crates/direct/src/place/tests.rs
+++ b/crates/direct/src/place/tests.rs
@@ -16,6 +16,7 @@
     Candidate {
         endpoint,
         load,
+        own: 0,
         seen: load,
         known: 1.0,
         slots: 16,
@@ -186,3 +187,27 @@
     assert_eq!(taken(2.0, 1.0), 1);
     assert!((4..20).contains(&taken(0.6, 80.0)), "{}", taken(0.6, 80.0));
 }
+
+/// One instance lost packets on its way to an engine and held it to be down. All
+/// others went on using it, so it was never free of requests, and the instance
+/// never tried it again: half a minute later it still sent its prompts elsewhere.
+#[test]
+fn an_endpoint_that_others_use_is_tried_again() {
+    let mut candidates = loads(&[8.0, 8.0, 8.0]);
+    let part = 77;
+    let home = home(&candidates, part);
+    let at_home = candidates
+        .iter_mut()
+        .find(|one| one.endpoint == home)
+        .expect("the home");
+    at_home.access = Access::Trial;
+    let sent = |choice| Pick::Send {
+        endpoint: home,
+        choice,
+    };
+    assert_eq!(pick(&candidates, Some(part), 0), sent(Choice::Home));
+    // One at a time: a second one waits for how the first comes out.
+    let at_home = candidates.iter_mut().find(|one| one.endpoint == home);
+    at_home.expect("the home").own = 1;
+    assert_ne!(pick(&candidates, Some(part), 0), sent(Choice::Home));
+}
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -253,6 +253,7 @@
         .map(|(one, look)| Candidate {
             endpoint: one.endpoint.id,
             load: look.load,
+            own: look.own,
             seen: look.seen,
             known: look.known,
             slots: one.slots,
