direct: requests wait at an instance that starts until it is informed

Eighty instances that start together are informed after 0.6 s, and whoever was refused before used up his only repeat at the next one.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -26,7 +26,7 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 pub(crate) use self::job::{End, Job};
 pub(crate) use self::send::{Flight, Sent, dispatch};
@@ -34,6 +34,14 @@
 use crate::refusal::{JITTER, Reason};
 use crate::shared::{Admission, Shared};
 
+/// How long after its start an instance may take to be informed: twice what it
+/// takes one of eighty that start together.
+const STARTS: Duration = Duration::from_millis(1_200);
+
+/// The part of its caller's patience that a request waits for that at most: a
+/// refusal must leave enough for a repeat elsewhere.
+const OF_PATIENCE: u32 = 2;
+
 /// Answers a caller's request.
 pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = boot_time();
@@ -78,6 +86,9 @@
     let facts = (shared.dialect.read_request)(&head.headers);
     let id = facts.as_ref().map(|facts| job::shown(&facts.attempt));
     let key = facts.as_ref().and_then(|facts| facts.key.clone());
+    if let Some(facts) = &facts {
+        start_up(shared, facts).await;
+    }
     let mut job = match job(shared, head, facts, arrived) {
         Ok(job) => job,
         Err(reason) => {
@@ -99,6 +110,26 @@
     }
 }
 
+// Waits, at an instance that has just started, until it is informed.
+//
+// After a loss of all instances everybody returns at once. One of a few is
+// informed 30 ms after it listens, one of eighty with hundreds of routes after
+// 600 ms: it isn't known that a request can't be served, and what is refused uses
+// up its caller's only repeat at the next instance that isn't informed either.
+// An instance that is not informed by then has lost the log, and refuses at once.
+async fn start_up(shared: &Shared, facts: &Facts) {
+    let left = STARTS.saturating_sub(shared.uptime());
+    if left.is_zero() || shared.informed() {
+        return;
+    }
+    let patience = facts.patience.unwrap_or(STARTS) / OF_PATIENCE;
+    let mut confirmations = shared.confirmations();
+    let informed = async { while !shared.informed() && confirmations.changed().await.is_ok() {} };
+    if timeout(left.min(patience), informed).await.is_err() {
+        log::info!(request:% = job::shown(&facts.attempt); "not informed within the start");
+    }
+}
+
 fn job(
     shared: &Arc<Shared>,
     head: Parts,
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -125,6 +125,10 @@
     // Nanoseconds on the boot clock at which the read was sent that last
     // confirmed the configuration; 0 if none did.
     confirmed: AtomicU64,
+    // Moves with each confirmation.
+    confirmations: watch::Sender<()>,
+    // When the process started.
+    began: Moment,
     board: Mutex<Board>,
     // Moves when the board has news for peers.
     news: watch::Sender<u64>,
@@ -157,6 +161,8 @@
             connector,
             view: ArcSwap::default(),
             confirmed: AtomicU64::new(0),
+            confirmations: watch::channel(()).0,
+            began: boot_time(),
             board: Mutex::new(Board::new(rand::rng().random_range(1..=u64::MAX))),
             news: watch::channel(0).0,
             lost: watch::channel(false).0,
@@ -185,6 +191,7 @@
     pub(crate) fn confirm(&self, asked: Moment) {
         let nanos = u64::try_from(asked.as_nanos()).unwrap_or(u64::MAX);
         self.confirmed.fetch_max(nanos, Ordering::Release);
+        self.confirmations.send_replace(());
     }
 
     /// Returns when the configuration was last confirmed.
@@ -208,9 +215,23 @@
 
     /// Returns whether callers should be sent here.
     pub(crate) fn ready(&self) -> bool {
+        self.informed() && !self.draining()
+    }
+
+    /// Returns whether requests can be resolved and sent somewhere.
+    pub(crate) fn informed(&self) -> bool {
         let view = self.view();
-        let informed = view.policy.is_some() && view.endpoints.is_some();
-        informed && self.fresh() && !self.draining()
+        view.policy.is_some() && view.endpoints.is_some() && self.fresh()
+    }
+
+    /// Returns how long ago the process started.
+    pub(crate) fn uptime(&self) -> Duration {
+        since(boot_time(), self.began)
+    }
+
+    /// Returns what moves when the configuration is confirmed.
+    pub(crate) fn confirmations(&self) -> watch::Receiver<()> {
+        self.confirmations.subscribe()
     }
 
     /// Changes what peers are told; tells those that wait if it is news.
--- a/crates/direct/tests/instance/freshness.rs
+++ b/crates/direct/tests/instance/freshness.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use godwitpost_direct::source::Value;
 
@@ -209,3 +209,41 @@
     })
     .await;
 }
+
+/// All instances lost power, and everybody comes back at once to some that have
+/// listened for a moment. Refused there, callers used up their only repeat at the
+/// next one that had just started.
+#[tokio::test]
+async fn at_a_start_callers_wait_until_the_instance_is_informed() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start_cold();
+    let early = async {
+        let start = Instant::now();
+        (fleet.call("GET", "/stock/1", "").await, start.elapsed())
+    };
+    let informed = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        fleet.join("e0", endpoint.address);
+        fleet.roll(content(1));
+    };
+    let ((answer, took), ()) = tokio::join!(early, informed);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(took < Duration::from_millis(700), "{took:?}");
+}
+
+/// The log is away while an instance starts. Nothing is served by waiting for it:
+/// callers are refused by half of their time, and at once when the start is over.
+#[tokio::test]
+async fn with_the_log_away_at_a_start_nobody_waits_for_long() {
+    let fleet = Fleet::start_cold();
+    let start = Instant::now();
+    let answer = fleet.call("GET", "/stock/1", "").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert!(start.elapsed() < Duration::from_millis(900));
+    tokio::time::sleep(Duration::from_millis(1_300).saturating_sub(start.elapsed())).await;
+    let later = Instant::now();
+    let answer = fleet.call("GET", "/stock/1", "").await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(later.elapsed() < Duration::from_millis(100));
+}
