--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -242,7 +242,7 @@
                 .iter()
                 .find(|one| one.endpoint.id == endpoint)
                 .map(|one| Chosen {
-                    source: source::find(job, &view, &candidates, endpoint, draw),
+                    source: source::find(job, &view, &candidates, one, draw),
                     registration: Arc::clone(one),
                     choice,
                     load: chosen.map_or(0.0, |one| one.load),
--- a/crates/direct/src/relay/source.rs
+++ b/crates/direct/src/relay/source.rs
@@ -43,7 +43,7 @@
     job: &Job,
     view: &View,
     candidates: &[Candidate],
-    target: EndpointId,
+    target: &Registration,
     draw: u64,
 ) -> Option<Source> {
     let part = job.facts.shared().filter(|_| job.route.affinity)?;
@@ -52,20 +52,31 @@
         part: part.id,
         spans: &spans,
     };
+    // At the target's address there is only the target: an entry that names another
+    // is of a life before, whose removal wasn't heard of yet. Named as the source,
+    // the endpoint was told to fetch from itself.
+    let before: Vec<EndpointId> = view
+        .holders(job.service)
+        .filter(|one| one.endpoint.address == target.endpoint.address)
+        .map(|one| one.endpoint.id)
+        .collect();
     let live = candidates
         .iter()
         .filter(|one| !one.tried && one.access == Access::Full)
-        .map(|one| one.endpoint)
-        .filter(|endpoint| *endpoint != target);
+        .map(|one| one.endpoint);
     // What is leaving takes no requests any more and still holds what it read.
     let leaving = view.leaving(job.service).iter().map(|one| one.endpoint.id);
     let others: Vec<EndpointId> = {
         let book = job.shared.book();
         let sound = |endpoint: &EndpointId| book.access(*endpoint) == Access::Full;
-        live.chain(leaving.filter(sound)).collect()
+        live.chain(leaving.filter(sound))
+            .filter(|endpoint| !before.contains(endpoint))
+            .collect()
     };
     let now = boot_time();
-    let pick = pick(&job.shared.directory(), prompt, target, &others, draw, now);
+    let directory = job.shared.directory();
+    let pick = pick(&directory, prompt, target.endpoint.id, &others, draw, now);
+    drop(directory);
     job.shared.metrics.source(pick.as_str());
     let from = match pick {
         Pick::From { endpoint, .. } => view.holder(job.service, endpoint).map(Arc::clone),
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -89,10 +89,14 @@
         self.leaving.get(&service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns an endpoint of a service that may hold what it was sent.
+    /// Returns the endpoints of a service that may hold what they were sent.
+    pub(crate) fn holders(&self, service: ServiceId) -> impl Iterator<Item = &Arc<Registration>> {
+        self.of(service).iter().chain(self.leaving(service))
+    }
+
+    /// Returns one of them by its id.
     pub(crate) fn holder(&self, service: ServiceId, id: EndpointId) -> Option<&Arc<Registration>> {
-        let all = self.of(service).iter().chain(self.leaving(service));
-        all.into_iter().find(|one| one.endpoint.id == id)
+        self.holders(service).find(|one| one.endpoint.id == id)
     }
 }
 
--- a/crates/direct/tests/instance/prompts.rs
+++ b/crates/direct/tests/instance/prompts.rs
@@ -170,3 +170,20 @@
         .await;
     assert_eq!(other.seen().len(), other_before + 1);
 }
+
+/// An engine restarted under another name at the same address, and the log has not
+/// removed the name of before yet. The engine was told to fetch from itself.
+#[tokio::test]
+async fn an_endpoint_is_not_its_own_source_under_another_name() {
+    let engine = Endpoint::start(script).await;
+    let fleet = Fleet::start(&[engine.address, engine.address]).await;
+    until(async || {
+        let text = exchange(fleet.running.metrics_address(), ASK).await;
+        value(&text, "godwitpost_endpoints{") == Some(2.0)
+    })
+    .await;
+    for wanted in [[0, 1, 2], [1, 0, 2]] {
+        draft(&fleet, [5_000, part(wanted), 5_001]).await;
+        assert_eq!(source(&engine), None);
+    }
+}
