--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -7,6 +7,8 @@
 //! What a peer tells is taken only if it is not older than what was read
 //! here: an endpoint that was seen leaving must not come back.
 
+mod passing;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,25 +22,20 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
-use serde::Serialize;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
+pub(super) use self::passing::exchange;
+pub(crate) use self::passing::pass_on;
+use self::passing::{EVIDENCE_PATH, HEARD_PATH, heard, learn, take};
 use super::follow::Mode;
-use crate::board::{Heard, Question, Told};
-use crate::book::Load;
+use crate::board::{Question, Told};
 use crate::policy::Content;
 use crate::roster::Registration;
 use crate::shared::Shared;
-use crate::suspects::{Evidence, Sighting};
+use crate::suspects::Evidence;
 
 const PATH: &str = "/peer/v1/state";
-const EVIDENCE_PATH: &str = "/peer/v1/evidence";
-const HEARD_PATH: &str = "/peer/v1/heard";
-
-/// How long evidence waits for more before it is passed on: an endpoint that
-/// ends breaks all its requests within a few milliseconds.
-const GATHER: Duration = Duration::from_millis(30);
 
 /// The longest that a question waits for news. Two instances of hundreds that
 /// are asked were busy with questions that nothing had come of.
@@ -85,10 +82,6 @@
 /// than what is known here. Both read the log at moments of their own.
 const TRIES: u32 = 4;
 
-/// How often instances that are asked tell each other what they heard. Loads
-/// count whole for a second.
-const EXCHANGE: Duration = Duration::from_secs(1);
-
 /// The most that a question or an answer may hold: a configuration of 8,900
 /// workspaces and 3,300 endpoints takes about 3 MB.
 const MESSAGE_BYTES: usize = 16 << 20;
@@ -354,113 +347,6 @@
     }
 }
 
-// Takes in what another instance heard from those that ask it.
-fn heard(shared: &Shared, body: &[u8], now: Moment) -> Response<Body> {
-    let Ok(heard) = rmp_serde::from_slice::<Heard>(body) else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    take(shared, &heard.loads, now);
-    for holding in heard.held {
-        if shared.directory().learn(&holding, now) {
-            shared.tell(false, |board| board.held(holding, now));
-        }
-    }
-    status(StatusCode::OK)
-}
-
-/// Tells the other instances that are asked what this one heard, for as long
-/// as the process runs. Each instance asks one of them, so without this it
-/// would hear only of those that ask the same one.
-pub(super) async fn exchange(shared: Arc<Shared>) {
-    loop {
-        tokio::time::sleep(EXCHANGE).await;
-        let now = boot_time();
-        let held = shared.directory().take_untold(now);
-        for holding in &held {
-            shared.tell(false, |board| board.held(*holding, now));
-        }
-        let loads = shared.book().loads(now);
-        if loads.is_empty() && held.is_empty() {
-            continue;
-        }
-        let heard = Heard { loads, held };
-        for peer in shared.settings.others() {
-            if let Err(refusal) = post(&shared, peer, HEARD_PATH, &heard).await {
-                log::debug!(peer:% = peer, cause:% = refusal; "what was heard is not passed on");
-            }
-        }
-    }
-}
-
-// Takes in what another instance saw, for all that ask this one.
-fn learn(shared: &Shared, body: &[u8], now: Moment) -> Response<Body> {
-    let Ok(sightings) = rmp_serde::from_slice::<Vec<Sighting>>(body) else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    for sighting in sightings {
-        let evidence = sighting.evidence(now);
-        if shared.suspects().learn(evidence) {
-            shared.tell(true, |board| board.sighted(evidence));
-        }
-    }
-    status(StatusCode::OK)
-}
-
-/// Passes on what this instance saw of requests that may crash endpoints: to
-/// those that are asked, of which each tells it to whoever asks.
-pub(crate) fn pass_on(shared: &Arc<Shared>) {
-    if shared.suspects().begin_passing() {
-        let shared = Arc::clone(shared);
-        tokio::spawn(async move {
-            tokio::time::sleep(GATHER).await;
-            let seen = shared.suspects().take_unsent();
-            for evidence in &seen {
-                shared.tell(true, |board| board.sighted(*evidence));
-            }
-            for peer in shared.settings.others() {
-                if let Err(refusal) = hand(&shared, peer, &seen).await {
-                    log::info!(peer:% = peer, cause:% = refusal; "evidence not passed on");
-                }
-            }
-        });
-    }
-}
-
-async fn hand(shared: &Shared, peer: SocketAddr, seen: &[Evidence]) -> Result<(), Refusal> {
-    let now = boot_time();
-    let sightings: Vec<Sighting> = seen.iter().map(|one| Sighting::of(one, now)).collect();
-    post(shared, peer, EVIDENCE_PATH, &sightings).await
-}
-
-async fn post<T: Serialize>(
-    shared: &Shared,
-    peer: SocketAddr,
-    path: &str,
-    message: &T,
-) -> Result<(), Refusal> {
-    let body = rmp_serde::to_vec(message).map_err(|error| Refusal::Garbled(error.to_string()))?;
-    let request = Request::post(path)
-        .body(whole(body))
-        .map_err(|error| Refusal::Garbled(error.to_string()))?;
-    let response = shared
-        .connector
-        .send(peer, request, PATIENCE)
-        .await
-        .map_err(|error| Refusal::Unreachable(error.to_string()))?;
-    match response.status() {
-        StatusCode::OK => Ok(()),
-        status => Err(Refusal::Status(status)),
-    }
-}
-
-// Takes in loads that another instance passed on at `then`.
-fn take(shared: &Shared, loads: &[Load], then: Moment) {
-    let mut book = shared.book();
-    for load in loads {
-        book.told(load.endpoint, load.all, since(then, load.age));
-    }
-}
-
 async fn state(shared: &Shared, body: &[u8], began: Moment) -> Response<Body> {
     let Ok(question) = rmp_serde::from_slice::<Question>(body) else {
         return status(StatusCode::BAD_REQUEST);
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -123,8 +123,8 @@
         return;
     }
     let patience = facts.patience.unwrap_or(STARTS) / OF_PATIENCE;
-    let mut confirmations = shared.confirmations();
-    let informed = async { while !shared.informed() && confirmations.changed().await.is_ok() {} };
+    let mut beliefs = shared.beliefs();
+    let informed = async { while !shared.informed() && beliefs.changed().await.is_ok() {} };
     if timeout(left.min(patience), informed).await.is_err() {
         log::info!(request:% = job::shown(&facts.attempt); "not informed within the start");
     }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -129,8 +129,8 @@
     // Nanoseconds on the boot clock at which the read was sent that last
     // confirmed the configuration; 0 if none did.
     confirmed: AtomicU64,
-    // Moves with each confirmation.
-    confirmations: watch::Sender<()>,
+    // Moves when the view changes or is confirmed.
+    beliefs: watch::Sender<()>,
     // When the process started.
     began: Moment,
     board: Mutex<Board>,
@@ -165,7 +165,7 @@
             connector,
             view: ArcSwap::default(),
             confirmed: AtomicU64::new(0),
-            confirmations: watch::channel(()).0,
+            beliefs: watch::channel(()).0,
             began: boot_time(),
             board: Mutex::new(Board::new(rand::rng().random_range(1..=u64::MAX))),
             news: watch::channel(0).0,
@@ -188,6 +188,7 @@
     /// Replaces the view in force.
     pub(crate) fn publish(&self, view: View) {
         self.view.store(Arc::new(view));
+        self.beliefs.send_replace(());
     }
 
     /// Notes that a read sent at `asked` confirmed the configuration that is
@@ -195,7 +196,7 @@
     pub(crate) fn confirm(&self, asked: Moment) {
         let nanos = u64::try_from(asked.as_nanos()).unwrap_or(u64::MAX);
         self.confirmed.fetch_max(nanos, Ordering::Release);
-        self.confirmations.send_replace(());
+        self.beliefs.send_replace(());
     }
 
     /// Returns when the configuration was last confirmed.
@@ -233,9 +234,9 @@
         since(boot_time(), self.began)
     }
 
-    /// Returns what moves when the configuration is confirmed.
-    pub(crate) fn confirmations(&self) -> watch::Receiver<()> {
-        self.confirmations.subscribe()
+    /// Returns what moves when the view changes or is confirmed.
+    pub(crate) fn beliefs(&self) -> watch::Receiver<()> {
+        self.beliefs.subscribe()
     }
 
     /// Changes what peers are told; tells those that wait if it is news.
