direct: instances ask peers before the log, whatever fails

Cause: at 295 instances calls to the store and the seconds in which the few that are asked fail were the greatest losses. Each instance that started read the log itself (list, read, list, read, wait: six calls and more); when the one it followed failed, it read the log anew, although two others knew as much; a store that answers in 252 ms made those that are asked look as if they had lost it (1.2 s and 0.9 s of age were the limit whatever the bound), so that all left them for the store that was slow.

Change: an instance that starts asks peers for 0.6 s, and one that starts itself holds the question until it has read; when a peer fails the next one is asked while what is known is young enough for the log to be read after it; seeds name two of their askers each as standbys, which alone read the log when no seed can be asked; the age that is too old is what the bound leaves (2.2 s of 4 s); a slow log is read as often as a fast one; a list in one page needs no read after it; who knows what is told already says so by a digest.

--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -11,10 +11,13 @@
 //! only what came after.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::Version;
+use godwitpost_types::{hash, id};
 use serde::{Deserialize, Serialize};
 
 use crate::book::Load;
@@ -42,6 +45,10 @@
     pub life: u64,
     /// The last stamp that is known.
     pub stamp: u64,
+    /// The digest of the endpoints that the peer knows, if it knows no stamp; or 0.
+    pub digest: u64,
+    /// Where the peer can itself be asked.
+    pub own: Option<SocketAddr>,
     /// The version that is in force at the peer.
     pub version: Version,
     /// How long to wait for something new.
@@ -61,7 +68,8 @@
     pub stamp: u64,
     /// How long the answer was kept back, waiting for something new.
     pub waited: Duration,
-    /// The age of the configuration; `None` if there is none.
+    /// The age of the configuration; `None` if it was never read. Before the operator
+    /// gives one, it is known that there is none.
     pub policy_age: Option<Duration>,
     /// The age of the list of endpoints; `None` if it was never read.
     pub endpoints_age: Option<Duration>,
@@ -83,9 +91,17 @@
     pub loads: Vec<Load>,
     /// Endpoints that were found to hold beginnings of prompts.
     pub held: Vec<Holding>,
+    /// Instances that may be asked when no seed can be.
+    pub standbys: Vec<SocketAddr>,
 }
 
 impl Told {
+    /// Returns whether whoever tells has read the log at all.
+    #[must_use]
+    pub const fn is_informed(&self) -> bool {
+        self.policy_age.is_some() && self.endpoints_age.is_some()
+    }
+
     /// Returns whether it says anything but ages.
     #[must_use]
     pub const fn is_news(&self) -> bool {
@@ -115,6 +131,7 @@
 #[derive(Debug)]
 struct Entry {
     stamp: u64,
+    digest: u64,
     // `None` once it is gone.
     registration: Option<Registration>,
     lapsed: bool,
@@ -177,12 +194,19 @@
         self.endpoints_read
     }
 
+    /// Returns when the older of both topics was last confirmed.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Moment> {
+        self.policy_read.min(self.endpoints_read)
+    }
+
     /// Notes an endpoint that changed.
     pub fn set(&mut self, registration: Registration) {
         self.stamp += 1;
         let name = registration.endpoint.name.clone();
         let entry = Entry {
             stamp: self.stamp,
+            digest: digest(&registration),
             registration: Some(registration),
             lapsed: false,
         };
@@ -219,12 +243,31 @@
             .collect()
     }
 
+    /// Returns a digest of the endpoints that are there. Two boards with the same
+    /// one say the same of them; 0 stands for none.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let there = self.entries.values();
+        there
+            .filter(|entry| entry.registration.is_some())
+            .map(|entry| hash::score(entry.digest, u64::from(entry.lapsed)))
+            .fold(0, |all, one| all ^ one)
+    }
+
     /// Returns what a question asked `waited` ago is answered with.
     #[must_use]
     pub fn tell(&self, question: &Question, waited: Duration, now: Moment) -> Told {
         let stranger = question.life != self.life || question.stamp < self.forgotten;
         let after = if stranger { 0 } else { question.stamp };
-        let changed = || self.entries.iter().filter(|(_, entry)| entry.stamp > after);
+        // Hundreds that read the log for themselves at a start all know what is
+        // told here when they first ask, and need no list of it.
+        let same = stranger && question.digest != 0 && question.digest == self.digest();
+        let whole = stranger && !same;
+        let entries_after = if same { self.stamp } else { after };
+        let changed = || {
+            let newer = |entry: &Entry| entry.stamp > entries_after;
+            self.entries.iter().filter(move |(_, entry)| newer(entry))
+        };
         let age = |read: Option<Moment>| read.map(|read| since(now, read));
         let newer = |content: &&Content| content.version > question.version;
         Told {
@@ -234,7 +277,7 @@
             policy_age: age(self.policy_read),
             endpoints_age: age(self.endpoints_read),
             policy: self.policy.as_ref().filter(newer).cloned(),
-            whole: stranger,
+            whole,
             set: changed()
                 .filter(|(_, entry)| !entry.lapsed)
                 .filter_map(|(_, entry)| entry.registration.clone())
@@ -244,7 +287,7 @@
                 .map(|(name, _)| name.clone())
                 .collect(),
             gone: changed()
-                .filter(|(_, entry)| !stranger && entry.registration.is_none())
+                .filter(|(_, entry)| !whole && entry.registration.is_none())
                 .map(|(name, _)| name.clone())
                 .collect(),
             sightings: self
@@ -260,6 +303,7 @@
                 .take(holders::TOLD)
                 .map(|(_, (holding, then))| holding.aged(since(now, *then)))
                 .collect(),
+            standbys: Vec::new(),
         }
     }
 
@@ -279,5 +323,20 @@
     }
 }
 
+fn digest(registration: &Registration) -> u64 {
+    let Registration { endpoint, slots } = registration;
+    let own = [
+        endpoint.incarnation,
+        endpoint.service,
+        endpoint.zone,
+        endpoint.region,
+        id::of(&endpoint.address.to_string()),
+        u64::from(endpoint.standing == Standing::Live),
+        u64::from(*slots),
+    ];
+    let fields = own.into_iter().chain(endpoint.models.iter().copied());
+    fields.fold(endpoint.id, hash::score)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/direct/src/board/tests.rs
+++ b/crates/direct/src/board/tests.rs
@@ -34,6 +34,8 @@
     Question {
         life: told.life,
         stamp: told.stamp,
+        digest: 0,
+        own: None,
         version: 0,
         wait: Duration::ZERO,
         loads: Vec::new(),
@@ -44,6 +46,8 @@
 const STRANGER: Question = Question {
     life: 0,
     stamp: 0,
+    digest: 0,
+    own: None,
     version: 0,
     wait: Duration::ZERO,
     loads: Vec::new(),
@@ -178,3 +182,48 @@
     let told = board.tell(&question(&told), at(0), now);
     assert!(told.held.is_empty());
 }
+
+/// Three hundred instances start together, read the log, and then ask. Told all
+/// endpoints again, they kept the three that are asked busy with what they knew.
+#[test]
+fn who_knows_the_same_is_told_no_list() {
+    let mut board = Board::new(7);
+    let mut other = Board::new(8);
+    board.set(registration("a"));
+    board.set(registration("b"));
+    // Another order, and one that has changed in between.
+    let leaving = Registration {
+        slots: 9,
+        ..registration("b")
+    };
+    other.set(leaving.clone());
+    other.set(registration("a"));
+    assert_ne!(board.digest(), other.digest());
+    other.set(registration("b"));
+    assert_eq!(board.digest(), other.digest());
+    let asks = Question {
+        digest: other.digest(),
+        ..STRANGER
+    };
+    let told = board.tell(&asks, Duration::ZERO, at(1));
+    assert!(!told.whole && told.set.is_empty() && told.gone.is_empty());
+    // From then on changes are told.
+    board.remove("a");
+    let told = board.tell(&question(&told), Duration::ZERO, at(1));
+    assert_eq!(told.gone, ["a"]);
+}
+
+/// An endpoint left while an instance that is asked was away from the log, and its
+/// entry counts as lapsed there. Another one knows it as live: that is not the same.
+#[test]
+fn a_lapsed_entry_shows_in_the_digest() {
+    let mut board = Board::new(7);
+    board.set(registration("a"));
+    let before = board.digest();
+    board.lapse("a");
+    assert_ne!(board.digest(), before);
+    board.remove("a");
+    assert_eq!(board.digest(), 0);
+    let told = board.tell(&STRANGER, Duration::ZERO, at(1));
+    assert!(told.whole);
+}
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -21,7 +21,7 @@
 use godwitpost_types::endpoint::Standing;
 use tokio::sync::{mpsc, watch};
 
-use self::follow::{Heard, Log, Mode, Pace, Topic, follow};
+use self::follow::{Heard, Log, Mode, Topic, follow};
 use self::peers::News;
 use crate::feed::Change;
 use crate::policy::Policy;
@@ -34,18 +34,6 @@
 /// looked at.
 const TICK: Duration = Duration::from_millis(100);
 
-/// How long a read of the configuration waits for a change. Each read is a
-/// call that the platform counts. Twice this and one call that fails, with its
-/// time-out and pause, is 4.1 s: less than the shortest lease, of 4.7 s.
-const WAIT: Duration = Duration::from_millis(1_300);
-
-/// The same at an instance that others ask. What they know is older than what
-/// it knows by as much as they need to find out that it lost the log.
-const WAIT_FOR_OTHERS: Duration = Duration::from_millis(500);
-
-/// How many times as often the list of endpoints is read for others.
-const OFTENER: u32 = 2;
-
 /// The configuration and the endpoints, where they are followed from.
 #[derive(Debug)]
 pub struct Sources {
@@ -73,30 +61,22 @@
     let (sender, mut events) = mpsc::channel(3);
     let timer = Timer::new(Duration::ZERO);
     tokio::spawn(timer.clone().drive(Clock::start_at(Duration::ZERO)));
-    let (mode, modes) = watch::channel(Mode::default());
-    let log = |topic, pace| Log {
+    let asks = !shared.settings.others().is_empty() && !shared.settings.reads_for_others();
+    let (mode, modes) = watch::channel(Mode::at_start(asks));
+    let log = |topic| Log {
         shared: Arc::clone(&shared),
         topic,
-        pace,
         modes: modes.clone(),
     };
-    let refresh = shared.settings.refresh;
-    let (wait, pause) = if shared.settings.reads_for_others() {
-        (WAIT_FOR_OTHERS, refresh / OFTENER)
-    } else {
-        (WAIT, refresh)
-    };
-    let policies = log(Topic::Policies, Pace::Wait(wait));
-    let endpoints = log(Topic::Endpoints, Pace::Poll(pause));
     tokio::spawn(follow(
         sources.policies,
-        policies,
+        log(Topic::Policies),
         sender.clone(),
         Event::Policies,
     ));
     tokio::spawn(follow(
         sources.endpoints,
-        endpoints,
+        log(Topic::Endpoints),
         sender.clone(),
         Event::Endpoints,
     ));
@@ -137,6 +117,8 @@
     policy: Option<Arc<Policy>>,
     revoked: Arc<Revoked>,
     roster: Roster,
+    // Whether the configuration's topic was ever read.
+    read: bool,
     listed: bool,
     fresh: bool,
 }
@@ -149,6 +131,7 @@
             lines,
             policy: None,
             revoked: Arc::default(),
+            read: false,
             listed: false,
             fresh: false,
         }
@@ -162,14 +145,19 @@
         if newer {
             self.publish();
         }
-        if heard.whole && self.policy.is_some() {
+        if heard.whole {
             self.confirm(heard.asked);
         }
     }
 
-    fn confirm(&self, at: Moment) {
-        self.shared.confirm(at);
-        self.shared.tell(false, |board| board.policy_read(at));
+    // That there is no configuration yet is known as well, but nothing can be
+    // acted on by it.
+    fn confirm(&mut self, at: Moment) {
+        if self.policy.is_some() {
+            self.shared.confirm(at);
+        }
+        let first = !std::mem::replace(&mut self.read, true);
+        self.shared.tell(first, |board| board.policy_read(at));
     }
 
     // What a peer told that reads the log.
@@ -195,9 +183,7 @@
         }
         self.shared
             .tell(false, |board| board.endpoints_read(news.endpoints_read));
-        if self.policy.is_some() {
-            self.confirm(news.policy_read);
-        }
+        self.confirm(news.policy_read);
     }
 
     // The endpoints that are gone: those named, or all that a whole list
@@ -269,7 +255,8 @@
     fn endpoints(&mut self, heard: Heard<Registration>) {
         let now = boot_time();
         self.roster.reached(now);
-        let mut changed = heard.whole && !self.listed;
+        let first = heard.whole && !self.listed;
+        let mut changed = first;
         for change in heard.changes {
             changed |= self.endpoint(change, now);
         }
@@ -279,7 +266,7 @@
         }
         if heard.whole {
             self.shared
-                .tell(false, |board| board.endpoints_read(heard.asked));
+                .tell(first, |board| board.endpoints_read(heard.asked));
         }
     }
 
--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -26,9 +26,25 @@
 /// The pause between reads while lapsed entries may come back.
 const HURRY: Duration = Duration::from_millis(250);
 
+/// How long a read of the configuration waits for a change. Each read is a
+/// call that the platform counts. Twice this and one call that fails, with its
+/// time-out and pause, is 4.1 s: less than the shortest lease, of 4.7 s.
+const WAIT: Duration = Duration::from_millis(1_300);
+
+/// The same at an instance that others ask. What they know is older than what
+/// it knows by as much as they need to find out that it lost the log.
+const WAIT_FOR_OTHERS: Duration = Duration::from_millis(500);
+
+/// How many times as often the list of endpoints is read for others.
+const OFTENER: u32 = 2;
+
+/// The pause after a topic was listed at an instance that has others to ask: one of
+/// them most likely spares it the next read.
+const LISTED: Duration = Duration::from_millis(600);
+
 /// When a topic is asked again.
 #[derive(Clone, Copy, Debug)]
-pub(super) enum Pace {
+enum Pace {
     /// At once; the call itself waits this long for a change.
     Wait(Duration),
     /// After this long, without waiting in the call.
@@ -54,6 +70,14 @@
 }
 
 impl Mode {
+    /// Returns the mode of an instance that starts, and asks peers first or doesn't.
+    pub(super) const fn at_start(asks: bool) -> Self {
+        Self {
+            direct: !asks,
+            epoch: 0,
+        }
+    }
+
     /// Returns whether what was read in `mode` still counts.
     pub(super) fn current(self, mode: Self) -> bool {
         self.direct && self == mode
@@ -64,10 +88,26 @@
 pub(super) struct Log {
     pub(super) shared: Arc<Shared>,
     pub(super) topic: Topic,
-    pub(super) pace: Pace,
     pub(super) modes: watch::Receiver<Mode>,
 }
 
+impl Log {
+    fn pace(&self) -> Pace {
+        let refresh = self.shared.settings.refresh;
+        match (self.topic, self.shared.is_asked()) {
+            (Topic::Policies, false) => Pace::Wait(WAIT),
+            (Topic::Policies, true) => Pace::Wait(WAIT_FOR_OTHERS),
+            (Topic::Endpoints, false) => Pace::Poll(refresh),
+            (Topic::Endpoints, true) => Pace::Poll(refresh / OFTENER),
+        }
+    }
+
+    fn asks(&self) -> bool {
+        let settings = &self.shared.settings;
+        !settings.reads_for_others() && !settings.others().is_empty()
+    }
+}
+
 /// Which topic is followed.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Topic {
@@ -108,6 +148,9 @@
     // Whether the last call told all there was. Only then is it worth waiting
     // for a change; at a start or after an absence the answer is wanted now.
     let mut current = false;
+    // How long the last answer took beyond its wait. One with changes comes
+    // before the wait is over, and says less than one without.
+    let mut lag = Duration::ZERO;
     loop {
         let Ok(now) = log.modes.wait_for(|mode| mode.direct).await.map(|now| *now) else {
             return;
@@ -117,34 +160,40 @@
             feed = Feed::knowing(log.shared.tell(false, |board| board.names()));
             current = false;
         }
+        let pace = log.pace();
+        let listing = !feed.is_listed();
         let wait = if current {
-            waiting(log.pace)
+            waiting(pace, lag)
         } else {
             Duration::ZERO
         };
+        let asked = boot_time();
         let answer = ask(&source, &mut feed, wait, mode).await;
         current = matches!(&answer, Ok(heard) if heard.whole);
+        let quiet = matches!(&answer, Ok(heard) if heard.changes.is_empty());
+        if quiet || wait.is_zero() {
+            lag = since(boot_time(), asked).saturating_sub(wait);
+        }
         let pause = loss.note(&log, answer.as_ref().err());
         if let Ok(heard) = answer
             && events.send(event(heard)).await.is_err()
         {
             return;
         }
-        let rest = if current {
-            rest(log.pace).min(loss.hurry())
-        } else {
-            pause
+        let rest = match current {
+            true if listing && log.asks() => LISTED,
+            true => rest(pace, lag).min(loss.hurry()),
+            false => pause,
         };
         tokio::time::sleep(rest).await;
     }
 }
 
 fn longest(log: &Log) -> Duration {
-    let settings = &log.shared.settings;
-    if settings.reads_for_others() || settings.others().is_empty() {
-        LONGEST
-    } else {
+    if log.asks() && !log.shared.is_asked() {
         LONGEST_OF_MANY
+    } else {
+        LONGEST
     }
 }
 
@@ -205,17 +254,23 @@
     }
 }
 
-const fn waiting(pace: Pace) -> Duration {
+// How long a read waits for a change, from a log that is this late.
+//
+// A log whose answers are slow is read as often as another one. Waiting as long
+// as ever beside that, the instances that are asked knew news so old that they
+// seemed to have lost the log, and all others went there themselves.
+const fn waiting(pace: Pace, lag: Duration) -> Duration {
     match pace {
-        Pace::Wait(wait) => wait,
+        Pace::Wait(wait) => wait.saturating_sub(lag),
         Pace::Poll(_) => Duration::ZERO,
     }
 }
 
-const fn rest(pace: Pace) -> Duration {
+// How long to rest between reads, likewise.
+const fn rest(pace: Pace, lag: Duration) -> Duration {
     match pace {
         Pace::Wait(_) => Duration::ZERO,
-        Pace::Poll(pause) => pause,
+        Pace::Poll(pause) => pause.saturating_sub(lag),
     }
 }
 
@@ -228,13 +283,17 @@
     let asked = boot_time();
     match feed.next() {
         Next::List(after) => {
+            let first = after.is_none();
             let page = (source.list)(after).await?;
+            // What changed while several pages were read is still to come. A
+            // single one is the topic as it was: read on for that alone, each
+            // topic would cost everybody that starts another call.
+            let whole = first && page.next.is_none();
             let changes = feed.listed(page);
             Ok(Heard {
                 changes,
                 asked,
-                // What changed while the pages were read is still to come.
-                whole: false,
+                whole,
                 mode,
             })
         }
@@ -251,3 +310,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -1,14 +1,17 @@
-//! Asking another instance what the log says, and answering such questions.
+//! Asking another instance what the log says.
 //!
 //! An instance with seeds to ask follows one of them in place of the log: a
 //! question waits there until something changes, so news is as quick as with
-//! the log itself. It goes back to the log at once when the one it asks fails,
-//! falls silent or lost the log itself, and looks for another after a pause.
+//! the log itself. When the one it asks fails, falls silent or lost the log
+//! itself, it asks another one, as long as what it knows isn't too old by then,
+//! and else reads the log and looks for another after a pause.
 //! What a peer tells is taken only if it is not older than what was read
 //! here: an endpoint that was seen leaving must not come back.
 
+mod answer;
 mod passing;
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,19 +23,20 @@
 use godwitpost_types::clock::{Moment, since};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 
+pub(super) use self::answer::answer;
 pub(super) use self::passing::exchange;
 pub(crate) use self::passing::pass_on;
-use self::passing::{EVIDENCE_PATH, HEARD_PATH, heard, learn, take};
+use self::passing::take;
 use super::follow::Mode;
 use crate::board::{Question, Told};
 use crate::policy::Content;
 use crate::roster::Registration;
 use crate::shared::Shared;
+use crate::standby::Peers;
 use crate::suspects::Evidence;
 
 const PATH: &str = "/peer/v1/state";
@@ -45,21 +49,14 @@
 /// reading the log anew and a moment without the processor.
 const SPARE: Duration = Duration::from_millis(150);
 
-/// How long news waits for more before it is told: a release or a scale-out
-/// brings a change a few times a second, and each would be an answer to all.
-const SETTLE: Duration = Duration::from_millis(100);
-
 /// How long an answer may take beyond that: machines are 2 ms apart, and a
 /// small one may be without the processor for a tenth of a second.
 const PATIENCE: Duration = Duration::from_millis(250);
 
-/// The age of a configuration from which on a peer counts as having lost the
-/// log. One that reads for others is confirmed every half second, by a read
-/// sent as long ago.
-const POLICY_AGE: Duration = Duration::from_millis(1_200);
-
-/// The same for the list of endpoints, which is read every half second.
-const LIST_AGE: Duration = Duration::from_millis(900);
+/// The least age of its news from which on a peer counts as having lost the log.
+/// One that reads for others is confirmed every half second, by a read sent as
+/// long ago.
+const LEAST_AGE: Duration = Duration::from_millis(1_200);
 
 /// The pause before another instance is looked for, before jitter.
 const PAUSE: Duration = Duration::from_secs(3);
@@ -74,6 +71,13 @@
 /// pause of three seconds, these save 240.
 const STARTS: Duration = Duration::from_secs(5);
 
+/// How long an instance that starts asks peers before it reads the log: time for
+/// one that is gone, and for one that starts as well and answers when it has read.
+const START: Duration = Duration::from_millis(600);
+
+/// The pause before it asks again peers that don't listen yet.
+const AGAIN: Duration = Duration::from_millis(50);
+
 /// How long an instance that is to read the log asks another one before it
 /// tries the log again.
 const VISIT: Duration = Duration::from_secs(4);
@@ -126,11 +130,31 @@
 fn wait(bound: Duration) -> Duration {
     bound
         .saturating_sub(SPARE)
-        .saturating_sub(POLICY_AGE)
+        .saturating_sub(LEAST_AGE)
         .saturating_sub(PATIENCE)
         .min(LONGEST_WAIT)
 }
 
+/// Returns the age of its news from which on a peer counts as having lost the log,
+/// where news has to be acted on within `bound`: all that the wait leaves of it.
+///
+/// A log whose answers are slow or get lost makes what is known older, but not
+/// wrong. Left at the least age by all that ask it, a peer was of no use just when
+/// the log was in trouble, and hundreds of instances went there themselves.
+fn oldest(bound: Duration) -> Duration {
+    bound
+        .saturating_sub(SPARE)
+        .saturating_sub(wait(bound))
+        .saturating_sub(PATIENCE)
+        .max(LEAST_AGE)
+}
+
+/// Returns how long asking another peer may take with news of this age, which has to
+/// be acted on within `bound`: until the log has to be read anew.
+fn left(bound: Duration, age: Duration) -> Duration {
+    bound.saturating_sub(SPARE).saturating_sub(age)
+}
+
 struct Peer<'a> {
     connector: &'a Connector,
     address: SocketAddr,
@@ -139,26 +163,127 @@
     stamp: u64,
 }
 
-/// Follows one seed after the other for as long as somebody listens.
+/// How asking one peer after the other ended.
+enum Turn {
+    /// The log has to be read.
+    Over,
+    /// Nobody listens any more.
+    Closed,
+}
+
+// What asking needs, whoever is asked.
+struct Asker<E> {
+    shared: Arc<Shared>,
+    connector: Connector,
+    mode: watch::Sender<Mode>,
+    events: mpsc::Sender<E>,
+    event: fn(News) -> E,
+    peers: Peers,
+}
+
+/// Follows one peer after the other for as long as somebody listens.
 pub(super) async fn ask<E>(
     shared: Arc<Shared>,
     mode: watch::Sender<Mode>,
     events: mpsc::Sender<E>,
     event: fn(News) -> E,
 ) {
-    let connector = Connector::new(connect::Settings {
-        connect_timeout: PATIENCE,
-        ..connect::Settings::default()
-    });
     let seeds = shared.settings.others();
+    let first = rand::rng().random_range(0..seeds.len().max(1));
     let visits = shared.settings.reads_for_others();
-    let mut next = rand::rng().random_range(0..seeds.len().max(1));
     let mut lost = shared.lost();
-    while due(&shared, &mut lost, visits).await {
-        let Some(address) = seeds.get(next % seeds.len().max(1)).copied() else {
+    let mut asker = Asker {
+        connector: Connector::new(connect::Settings {
+            connect_timeout: PATIENCE,
+            ..connect::Settings::default()
+        }),
+        peers: Peers::new(seeds, shared.settings.listen.peers, first),
+        shared,
+        mode,
+        events,
+        event,
+    };
+    // An instance that starts asks a peer before it reads the log.
+    if visits && !due(&asker.shared, &mut lost, visits).await {
+        return;
+    }
+    loop {
+        let turn = asker.turn(visits).await;
+        direct(&asker.mode, true);
+        let goes_on = due(&asker.shared, &mut lost, visits);
+        if matches!(turn, Turn::Closed) || !goes_on.await {
             return;
-        };
-        next += 1;
+        }
+    }
+}
+
+impl<E> Asker<E> {
+    // Asks one peer after the other. Where the one that was followed fails, the
+    // next one is asked before anybody goes to the log, as long as what is known
+    // here doesn't get too old by it.
+    async fn turn(&mut self, visits: bool) -> Turn {
+        let mut turn = VecDeque::from(self.peers.turn(rand::rng().random()));
+        loop {
+            let Some(address) = turn.pop_front() else {
+                // Others that start at the same time may not listen yet.
+                if self.knows() || self.allowed() < PATIENCE {
+                    return Turn::Over;
+                }
+                tokio::time::sleep(AGAIN).await;
+                turn = self.peers.turn(rand::rng().random()).into();
+                continue;
+            };
+            let allowed = self.allowed();
+            if allowed < PATIENCE {
+                log::info!(left_ms = allowed.as_millis(); "no time to ask another peer; the log is read");
+                return Turn::Over;
+            }
+            let began = Instant::now();
+            let longest = if visits { VISIT } else { Duration::MAX };
+            let following = timeout(longest, self.follow(address, allowed)).await;
+            match following {
+                Ok(None) => return Turn::Closed,
+                Ok(Some(refusal)) => {
+                    log::info!(peer:% = address, cause:% = refusal; "peer not followed");
+                }
+                Err(_elapsed) => {
+                    log::info!(peer:% = address; "the log is tried again");
+                    return Turn::Over;
+                }
+            }
+            // One that was followed for a while is asked again only after all others.
+            if began.elapsed() > allowed {
+                turn = self.peers.turn(rand::rng().random()).into();
+                turn.retain(|other| *other != address);
+            }
+        }
+    }
+
+    // Whether anything of the log is known here.
+    fn knows(&self) -> bool {
+        self.mode.borrow().direct || self.known().is_some()
+    }
+
+    // When the older of both topics was confirmed last.
+    fn known(&self) -> Option<Moment> {
+        self.shared.tell(false, |board| board.confirmed())
+    }
+
+    // How long asking a peer may take before the log has to be read.
+    fn allowed(&self) -> Duration {
+        if self.mode.borrow().direct {
+            return LONGEST_WAIT;
+        }
+        match self.known() {
+            Some(read) => left(self.shared.settings.news(), since(boot_time(), read)),
+            None => START.saturating_sub(self.shared.uptime()),
+        }
+    }
+
+    // Follows a peer until it is no use any more; `None` if nobody listens.
+    async fn follow(&mut self, address: SocketAddr, allowed: Duration) -> Option<Refusal> {
+        let shared = Arc::clone(&self.shared);
+        let connector = self.connector.clone();
         let mut peer = Peer {
             connector: &connector,
             address,
@@ -166,16 +291,28 @@
             life: 0,
             stamp: 0,
         };
-        let following = peer.follow(&mode, &events, event);
-        let longest = if visits { VISIT } else { Duration::MAX };
-        let refusal = timeout(longest, following).await;
-        direct(&mode, true);
-        match refusal {
-            Ok(None) => return,
-            Ok(Some(refusal)) => {
-                log::info!(peer:% = address, cause:% = refusal; "peer not followed; the log is read");
+        let patience = if self.knows() {
+            Duration::ZERO
+        } else {
+            allowed.saturating_sub(PATIENCE)
+        };
+        let begun = timeout(allowed, peer.begin(patience)).await;
+        let mut told = match begun.unwrap_or(Err(Refusal::Silent)) {
+            Ok(told) => told,
+            Err(refusal) => return Some(refusal),
+        };
+        log::info!(peer:% = address; "peer followed in place of the log");
+        direct(&self.mode, false);
+        loop {
+            self.peers.named(address, told.standbys);
+            if self.events.send((self.event)(told.news)).await.is_err() {
+                return None;
             }
-            Err(_elapsed) => log::info!(peer:% = address; "the log is tried again"),
+            let wait = wait(shared.settings.news());
+            told = match peer.question(wait).await {
+                Ok(told) => told,
+                Err(refusal) => return Some(refusal),
+            };
         }
     }
 }
@@ -213,39 +350,21 @@
     });
 }
 
-impl Peer<'_> {
-    // Follows the peer until it is no use any more; `None` if nobody listens.
-    async fn follow<E>(
-        &mut self,
-        mode: &watch::Sender<Mode>,
-        events: &mpsc::Sender<E>,
-        event: fn(News) -> E,
-    ) -> Option<Refusal> {
-        let mut news = match self.begin().await {
-            Ok(news) => news,
-            Err(refusal) => return Some(refusal),
-        };
-        log::info!(peer:% = self.address; "peer followed in place of the log");
-        direct(mode, false);
-        loop {
-            if events.send(event(news)).await.is_err() {
-                return None;
-            }
-            news = match self.question().await {
-                Ok(news) => news,
-                Err(refusal) => return Some(refusal),
-            };
-        }
-    }
+// An answer, and whom else to ask.
+struct Answered {
+    news: News,
+    standbys: Vec<SocketAddr>,
+}
 
+impl Peer<'_> {
     // Asks until the peer tells something that is not older than what is
-    // known here.
-    async fn begin(&mut self) -> Result<News, Refusal> {
+    // known here; one that knows nothing yet itself may wait this long for it.
+    async fn begin(&mut self, wait: Duration) -> Result<Answered, Refusal> {
         for _ in 0..TRIES {
-            let news = self.question().await?;
+            let told = self.question(wait).await?;
             let known = self.shared.tell(false, |board| board.endpoints_confirmed());
-            if Some(news.endpoints_read) >= known {
-                return Ok(news);
+            if Some(told.news.endpoints_read) >= known {
+                return Ok(told);
             }
             // It has to tell all again: this was not taken.
             (self.life, self.stamp) = (0, 0);
@@ -254,19 +373,25 @@
         Err(Refusal::Older)
     }
 
-    async fn question(&mut self) -> Result<News, Refusal> {
-        let wait = wait(self.shared.settings.news());
+    async fn question(&mut self, wait: Duration) -> Result<Answered, Refusal> {
         let view = self.shared.view();
+        let digest = if self.life == 0 {
+            self.shared.tell(false, |board| board.digest())
+        } else {
+            0
+        };
         let question = Question {
             life: self.life,
             stamp: self.stamp,
+            digest,
+            own: self.shared.settings.listen.peers,
             version: view.policy.as_ref().map_or(0, |policy| policy.version()),
             wait,
             loads: self.shared.book().take_heard(boot_time()),
             held: self.shared.directory().take_untold(boot_time()),
         };
         let asked = boot_time();
-        let told = timeout(wait + PATIENCE, self.send(&question))
+        let mut told = timeout(wait + PATIENCE, self.send(&question))
             .await
             .map_err(|_elapsed| Refusal::Silent)??;
         (self.life, self.stamp) = (told.life, told.stamp);
@@ -275,7 +400,10 @@
         for holding in &told.held {
             self.shared.directory().learn(holding, made);
         }
-        news(told, asked)
+        Ok(Answered {
+            standbys: std::mem::take(&mut told.standbys),
+            news: news(told, asked, oldest(self.shared.settings.news()))?,
+        })
     }
 
     async fn send(&self, question: &Question) -> Result<Told, Refusal> {
@@ -304,12 +432,12 @@
 
 // The peer made its answer no sooner than it had waited after it was
 // asked. Counted from there, its ages never make anything look younger.
-fn news(told: Told, asked: Moment) -> Result<News, Refusal> {
+fn news(told: Told, asked: Moment, oldest: Duration) -> Result<News, Refusal> {
     let made = asked + told.waited;
     let (Some(policy_age), Some(endpoints_age)) = (told.policy_age, told.endpoints_age) else {
         return Err(Refusal::Stale);
     };
-    if policy_age > POLICY_AGE || endpoints_age > LIST_AGE {
+    if policy_age.max(endpoints_age) > oldest {
         return Err(Refusal::Stale);
     }
     Ok(News {
@@ -328,63 +456,6 @@
     })
 }
 
-/// Answers a peer's question, at once if there is news.
-pub(super) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
-    let began = boot_time();
-    let path = request.uri().path().to_owned();
-    let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES)
-        .collect()
-        .await
-    else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    let body = body.to_bytes();
-    match path.as_str() {
-        PATH => state(&shared, &body, began).await,
-        EVIDENCE_PATH => learn(&shared, &body, began),
-        HEARD_PATH => heard(&shared, &body, began),
-        _ => status(StatusCode::NOT_FOUND),
-    }
-}
-
-async fn state(shared: &Shared, body: &[u8], began: Moment) -> Response<Body> {
-    let Ok(question) = rmp_serde::from_slice::<Question>(body) else {
-        return status(StatusCode::BAD_REQUEST);
-    };
-    let until = Instant::now() + question.wait.min(LONGEST_WAIT);
-    take(shared, &question.loads, began);
-    for holding in &question.held {
-        shared.directory().relay(holding, began);
-    }
-    let mut news = shared.news();
-    loop {
-        news.mark_unchanged();
-        let now = boot_time();
-        let told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
-        if told.whole || told.policy.is_some() {
-            break;
-        }
-        if told.is_news() {
-            sleep_until(until.min(Instant::now() + SETTLE)).await;
-            break;
-        }
-        if timeout_at(until, news.changed()).await.is_err() {
-            break;
-        }
-    }
-    // The ages are those of now, also if nothing came in the time allowed.
-    let now = boot_time();
-    let mut told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
-    told.loads = shared.book().loads(now);
-    match rmp_serde::to_vec(&told) {
-        Ok(bytes) => Response::new(whole(bytes)),
-        Err(error) => {
-            log::error!(error:% = error; "state can't be told to peers");
-            status(StatusCode::INTERNAL_SERVER_ERROR)
-        }
-    }
-}
-
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(whole(Vec::new()));
     *response.status_mut() = status;
--- /dev/null
+++ b/crates/direct/src/control/peers/answer.rs
@@ -0,0 +1,93 @@
+//! Answering peers that ask what the log says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::Body;
+use godwitpost_types::clock::{Moment, since};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+use super::passing::{EVIDENCE_PATH, HEARD_PATH, heard, learn, take};
+use super::{LONGEST_WAIT, MESSAGE_BYTES, PATH, status, whole};
+use crate::board::{Question, Told};
+use crate::shared::Shared;
+
+/// How long news waits for more before it is told: a release or a scale-out
+/// brings a change a few times a second, and each would be an answer to all.
+const SETTLE: Duration = Duration::from_millis(100);
+
+/// Answers a peer's question, at once if there is news.
+pub(in crate::control) async fn answer(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let began = boot_time();
+    let path = request.uri().path().to_owned();
+    let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES)
+        .collect()
+        .await
+    else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let body = body.to_bytes();
+    match path.as_str() {
+        PATH => state(&shared, &body, began).await,
+        EVIDENCE_PATH => learn(&shared, &body, began),
+        HEARD_PATH => heard(&shared, &body, began),
+        _ => status(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn state(shared: &Shared, body: &[u8], began: Moment) -> Response<Body> {
+    let Ok(question) = rmp_serde::from_slice::<Question>(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let until = Instant::now() + question.wait.min(LONGEST_WAIT);
+    shared.askers().asked(question.own, began);
+    take(shared, &question.loads, began);
+    for holding in &question.held {
+        shared.directory().relay(holding, began);
+    }
+    let mut news = shared.news();
+    loop {
+        news.mark_unchanged();
+        let now = boot_time();
+        let told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
+        // One that starts itself has nothing to tell yet. Hundreds that start with
+        // it wait for it, rather than that each reads the log.
+        let informed = told.is_informed();
+        if informed && (told.whole || told.policy.is_some()) {
+            break;
+        }
+        if informed && told.is_news() {
+            sleep_until(until.min(Instant::now() + SETTLE)).await;
+            break;
+        }
+        if timeout_at(until, news.changed()).await.is_err() {
+            break;
+        }
+    }
+    // The ages are those of now, also if nothing came in the time allowed.
+    let now = boot_time();
+    let mut told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
+    told.loads = shared.book().loads(now);
+    name_standbys(shared, &mut told, now);
+    match rmp_serde::to_vec(&told) {
+        Ok(bytes) => Response::new(whole(bytes)),
+        Err(error) => {
+            log::error!(error:% = error; "state can't be told to peers");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+// A standby's own askers are no better informed than it is, so only seeds name any.
+fn name_standbys(shared: &Shared, told: &mut Told, now: Moment) {
+    if shared.settings.reads_for_others() {
+        told.standbys = shared.askers().standbys(told.life, now);
+    }
+}
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! Decisions take no clock, socket or randomness of their own: [`policy`],
 //! [`feed`], [`roster`], [`lease`], [`place`], [`book`], [`budget`],
-//! [`attempt`], [`holders`], [`fetch`] and [`board`]. The rest carries bytes and time to them. What was weighed
+//! [`attempt`], [`holders`], [`fetch`], [`board`] and [`standby`]. The rest carries bytes and
+//! time to them. What was weighed
 //! against sending through an endpoint's owner is in
 //! `docs/design/platform.md`.
 
@@ -36,6 +37,7 @@
 pub mod settings;
 mod shared;
 pub mod source;
+pub mod standby;
 mod stream;
 pub mod suspects;
 pub mod ways;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -29,6 +29,7 @@
 use crate::revoked::Revoked;
 use crate::roster::Registration;
 use crate::settings::Settings;
+use crate::standby::Askers;
 use crate::suspects::Suspects;
 use crate::ways::Ways;
 
@@ -141,6 +142,7 @@
     book: Mutex<Book>,
     directory: Mutex<Directory>,
     budget: Mutex<Budget>,
+    askers: Mutex<Askers>,
     suspects: Mutex<Suspects>,
     ways: Mutex<Ways>,
     in_flight: AtomicUsize,
@@ -172,6 +174,7 @@
             lost: watch::channel(false).0,
             book: Mutex::default(),
             directory: Mutex::default(),
+            askers: Mutex::default(),
             suspects: Mutex::default(),
             ways: Mutex::default(),
             in_flight: AtomicUsize::new(0),
@@ -279,6 +282,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn askers(&self) -> MutexGuard<'_, Askers> {
+        self.askers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether others ask this instance instead of the log now, or are to.
+    pub(crate) fn is_asked(&self) -> bool {
+        self.settings.reads_for_others() || self.askers().any(boot_time())
+    }
+
     pub(crate) fn suspects(&self) -> MutexGuard<'_, Suspects> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/direct/src/standby.rs
@@ -0,0 +1,131 @@
+//! Which instances may be asked when none of the seeds can be.
+//!
+//! Seeds are few and die like any other instance, often together. Left without
+//! them, hundreds of instances went to the log at once, and it was slow or down as
+//! often as not. So each seed names a few of those that ask it as standbys, and
+//! tells all others of them. When the seeds fail, everybody asks the standbys, and
+//! only these read the log.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::{hash, id};
+
+/// Standbys that one instance names: three seeds then have six between them.
+const NAMED: usize = 2;
+
+/// How long after its last question an instance counts as asking: more than two
+/// of the longest waits.
+const ASKING: Duration = Duration::from_secs(4);
+
+/// Instances that are remembered as asking; more than ask one of three in a fleet
+/// of a thousand, and a bound on what strangers can make this one keep.
+const REMEMBERED: usize = 512;
+
+/// The instances that ask this one.
+#[derive(Debug, Default)]
+pub struct Askers {
+    asked: BTreeMap<SocketAddr, Moment>,
+    last: Option<Moment>,
+}
+
+impl Askers {
+    /// Takes in a question from an instance that can be asked at `address`, if it
+    /// can be.
+    pub fn asked(&mut self, address: Option<SocketAddr>, now: Moment) {
+        self.last = Some(now);
+        let Some(address) = address else { return };
+        if self.asked.len() >= REMEMBERED {
+            self.asked.retain(|_, at| since(now, *at) < ASKING);
+        }
+        if self.asked.len() < REMEMBERED {
+            self.asked.insert(address, now);
+        }
+    }
+
+    /// Returns whether there was a question lately.
+    #[must_use]
+    pub fn any(&self, now: Moment) -> bool {
+        self.last.is_some_and(|at| since(now, at) < ASKING)
+    }
+
+    /// Returns the standbys that the instance of this life names: those of its
+    /// askers that rank highest with it, so that they change only when one of
+    /// them stops asking.
+    #[must_use]
+    pub fn standbys(&self, life: u64, now: Moment) -> Vec<SocketAddr> {
+        let mut asking: Vec<SocketAddr> = self
+            .asked
+            .iter()
+            .filter(|(_, at)| since(now, **at) < ASKING)
+            .map(|(address, _)| *address)
+            .collect();
+        asking.sort_by_key(|address| std::cmp::Reverse(rank(life, *address)));
+        asking.truncate(NAMED);
+        asking
+    }
+}
+
+fn rank(life: u64, address: SocketAddr) -> u64 {
+    hash::score(life, id::of(&address.to_string()))
+}
+
+/// The instances that one can ask, in the order in which it does.
+#[derive(Debug)]
+pub struct Peers {
+    seeds: Vec<SocketAddr>,
+    // What each peer named last.
+    named: BTreeMap<SocketAddr, Vec<SocketAddr>>,
+    own: Option<SocketAddr>,
+    next: usize,
+}
+
+impl Peers {
+    /// Returns the seeds, beginning with the one of this number.
+    #[must_use]
+    pub const fn new(seeds: Vec<SocketAddr>, own: Option<SocketAddr>, first: usize) -> Self {
+        Self {
+            seeds,
+            named: BTreeMap::new(),
+            own,
+            next: first,
+        }
+    }
+
+    /// Takes in the standbys that a peer names. Only seeds name any: a standby's
+    /// own askers are at most as well informed as it is.
+    pub fn named(&mut self, peer: SocketAddr, standbys: Vec<SocketAddr>) {
+        if self.seeds.contains(&peer) {
+            self.named.insert(peer, standbys);
+        }
+    }
+
+    /// Returns whether this instance is a standby, so that it reads the log when no
+    /// seed can be asked.
+    #[must_use]
+    pub fn is_standby(&self) -> bool {
+        let named = |own: &SocketAddr| self.named.values().flatten().any(|one| one == own);
+        self.own.as_ref().is_some_and(named)
+    }
+
+    /// Returns whom to ask, one after the other: the seeds in turn, and then the
+    /// standbys, each instance in an order of its own. A standby asks seeds alone.
+    pub fn turn(&mut self, draw: u64) -> Vec<SocketAddr> {
+        let mut turn = self.seeds.clone();
+        let count = turn.len().max(1);
+        turn.rotate_left(self.next % count);
+        self.next = (self.next + 1) % count;
+        if !self.is_standby() {
+            let mut standbys: Vec<SocketAddr> = self.named.values().flatten().copied().collect();
+            standbys.sort_by_key(|address| rank(draw, *address));
+            standbys.dedup();
+            turn.extend(standbys);
+        }
+        turn
+    }
+}
+
+#[cfg(test)]
+mod tests;
