--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -21,6 +21,7 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{self, Body, Connector};
 use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::Version;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use rand::RngExt;
@@ -159,8 +160,31 @@
     connector: &'a Connector,
     address: SocketAddr,
     shared: &'a Shared,
+    told: Known,
+}
+
+/// What a peer has told so far, so that it tells only what came since.
+#[derive(Debug, Default)]
+struct Known {
     life: u64,
     stamp: u64,
+    version: Version,
+}
+
+impl Known {
+    fn take(&mut self, told: &Told) {
+        (self.life, self.stamp) = (told.life, told.stamp);
+        if let Some(policy) = &told.policy {
+            self.version = policy.version;
+        }
+    }
+
+    // The version to ask with, where this one is in force. What was just told may not
+    // be yet. Asked for by what is, the next answer held a long configuration once
+    // more, from an instance that a hundred others ask at the same time.
+    fn version(&self, in_force: Version) -> Version {
+        in_force.max(self.version)
+    }
 }
 
 /// How asking one peer after the other ended.
@@ -288,8 +312,7 @@
             connector: &connector,
             address,
             shared: &shared,
-            life: 0,
-            stamp: 0,
+            told: Known::default(),
         };
         let patience = if self.knows() {
             Duration::ZERO
@@ -367,7 +390,7 @@
                 return Ok(told);
             }
             // It has to tell all again: this was not taken.
-            (self.life, self.stamp) = (0, 0);
+            self.told = Known::default();
             tokio::time::sleep(PATIENCE).await;
         }
         Err(Refusal::Older)
@@ -375,17 +398,18 @@
 
     async fn question(&mut self, wait: Duration) -> Result<Answered, Refusal> {
         let view = self.shared.view();
-        let digest = if self.life == 0 {
+        let in_force = view.policy.as_ref().map_or(0, |policy| policy.version());
+        let digest = if self.told.life == 0 {
             self.shared.tell(false, |board| board.digest())
         } else {
             0
         };
         let question = Question {
-            life: self.life,
-            stamp: self.stamp,
+            life: self.told.life,
+            stamp: self.told.stamp,
             digest,
             own: self.shared.settings.listen.peers,
-            version: view.policy.as_ref().map_or(0, |policy| policy.version()),
+            version: self.told.version(in_force),
             wait,
             loads: self.shared.book().take_heard(boot_time()),
             held: self.shared.directory().take_untold(boot_time()),
@@ -394,7 +418,7 @@
         let mut told = timeout(wait + PATIENCE, self.send(&question))
             .await
             .map_err(|_elapsed| Refusal::Silent)??;
-        (self.life, self.stamp) = (told.life, told.stamp);
+        self.told.take(&told);
         let made = asked + told.waited;
         take(self.shared, &told.loads, made);
         for holding in &told.held {
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{LEAST_AGE, PATIENCE, Refusal, SPARE, left, news, oldest, wait};
+use super::{Known, LEAST_AGE, PATIENCE, Refusal, SPARE, left, news, oldest, wait};
 use crate::board::{Board, Question};
+use crate::policy::Content;
 
 const fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -14,6 +16,16 @@
     board
 }
 
+fn content(version: u64) -> Content {
+    Content {
+        version,
+        routes: Vec::new(),
+        services: BTreeMap::new(),
+        keys: None,
+        limits: None,
+    }
+}
+
 const QUESTION: Question = Question {
     life: 7,
     stamp: 0,
@@ -77,6 +89,35 @@
     assert!(matches!(news(told, at(50), oldest), Err(Refusal::Stale)));
 }
 
+/// All instances start at once, with hundreds of routes. The first answer brought them,
+/// and the next question went out before they were in force: it was answered with all
+/// of them again, and so were those of a hundred others.
+#[test]
+fn a_configuration_is_told_once() {
+    let mut seed = board(1_000);
+    seed.set_policy(content(15));
+    let mut known = Known::default();
+    let ask = |known: &Known, seed: &Board| {
+        let question = Question {
+            life: known.life,
+            stamp: known.stamp,
+            version: known.version(0),
+            ..QUESTION
+        };
+        seed.tell(&question, at(0), at(1_100))
+    };
+    let told = ask(&known, &seed);
+    assert!(told.policy.is_some());
+    known.take(&told);
+    let again = ask(&known, &seed);
+    assert_eq!(again.policy, None);
+    known.take(&again);
+    seed.set_policy(content(16));
+    assert!(ask(&known, &seed).policy.is_some());
+    // What is in force from elsewhere counts as well.
+    assert_eq!(known.version(20), 20);
+}
+
 /// An answer was on its way for long. Counted from its arrival, a key would
 /// live on by as much; it counts from when it was asked for, and waited there.
 #[test]
