direct: loads are told whole and count by how long requests last

Loads that are told were the greatest 128; of 252 endpoints the rest was taken to be like them. A report counted whole for a second. Plain requests last 60 ms: 295 instances were told the same old loads and all sent to the same endpoint, 23 to 30% of plain requests met one above twice the mean (47 where the mean was 11).

Change: up to 512 loads are told, drawn if there are more. What is believed falls back from the last report to what is usual at the endpoint within the time that requests there last; it comes with a deviation, and plain requests go by a load drawn from that.

--- a/crates/bench/src/direct/cost.rs
+++ b/crates/bench/src/direct/cost.rs
@@ -55,6 +55,7 @@
         .map(|(id, look)| Candidate {
             endpoint: *id,
             load: look.load,
+            spread: look.spread,
             own: look.own,
             seen: look.seen,
             known: look.known,
--- a/crates/bench/src/direct/instance.rs
+++ b/crates/bench/src/direct/instance.rs
@@ -41,6 +41,7 @@
             Candidate {
                 endpoint: *id,
                 load,
+                spread: look.spread,
                 own: look.own,
                 seen: look.seen,
                 known,
--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -2,16 +2,17 @@
 //!
 //! Its own requests are counted exactly. What other instances have there shows
 //! in the endpoint's answers, which name what it runs and holds: the reported
-//! figure less the own requests at that time is theirs. A report loses its
-//! weight with age, since an endpoint that gets no request of ours tells us
-//! nothing more; what is not known of an endpoint is taken to be as with those
-//! of its service that are. With hundreds of instances most of it is not known,
-//! and taken for nothing it made every endpoint that had just answered look
+//! figure less the own requests at that time is theirs. What is made of reports as
+//! they get old is in `belief`; what is not known of an endpoint is taken to be as
+//! with those of its service that are. With hundreds of instances most of it is not
+//! known, and taken for nothing it made every endpoint that had just answered look
 //! overloaded.
 //!
 //! What one instance hears it passes on through those that are asked for the
 //! log, so that an instance of many knows of endpoints that it rarely sends to.
 
+mod belief;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
@@ -20,18 +21,20 @@
 
 use godwitpost_decide::health::{Access, Event, Machine};
 use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::hash;
 use godwitpost_types::id::{EndpointId, ServiceId};
 use serde::{Deserialize, Serialize};
 
+use self::belief::{Lasting, Reports, Usual};
 use crate::dialect::Part;
 use crate::place::Prefix;
 
-/// Until when a report counts whole. An answer comes from each endpoint about
-/// every 0.7 s where six instances share 80 requests a second.
+/// Until when a report that an endpoint is full counts whole. An answer comes from
+/// each about every 0.7 s where six instances share 80 requests a second.
 const FRESH: Duration = Duration::from_secs(1);
 
-/// When a report no longer counts. Most requests last less than 3 s, so hardly
-/// any of those that it speaks of is left by then.
+/// When it no longer counts. Most requests last less than 3 s, so hardly any of
+/// those that it speaks of is left by then.
 const STALE: Duration = Duration::from_secs(4);
 
 /// The weight of a prompt in the usual length of its service's. An instance of
@@ -51,7 +54,7 @@
 const TOLD: Duration = Duration::from_secs(2);
 
 /// Loads that are passed on at most, about 15 bytes each.
-const LOADS: usize = 128;
+const LOADS: usize = 512;
 
 /// What an endpoint said of its load in an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -118,9 +121,8 @@
 struct Entry {
     own: u32,
     pulse: Pulse,
-    // Others' requests at the time of the last report.
-    others: u32,
-    reported: Option<Moment>,
+    reports: Reports,
+    lasting: Lasting,
     health: Machine,
 }
 
@@ -129,8 +131,8 @@
         f.debug_struct("Entry")
             .field("own", &self.own)
             .field("pulse", &self.pulse)
-            .field("others", &self.others)
-            .field("reported", &self.reported)
+            .field("reports", &self.reports)
+            .field("lasting", &self.lasting)
             .field("health", &self.health)
             .finish()
     }
@@ -141,15 +143,17 @@
         Self {
             own: 0,
             pulse: Pulse::default(),
-            others: 0,
-            reported: None,
+            reports: Reports::default(),
+            lasting: Lasting::default(),
             // Each life of an endpoint has an id, and so an entry, of its own.
             health: Machine::new(0),
         }
     }
 
-    fn weight(&self, now: Moment) -> f64 {
-        self.reported.map_or(0.0, |at| weight(since(now, at)))
+    // The load that was seen here and may still be.
+    fn seen(&self, now: Moment) -> f64 {
+        let weight = self.reports.at().map_or(0.0, |at| weight(since(now, at)));
+        f64::from(self.own) + f64::from(self.reports.others()) * weight
     }
 }
 
@@ -158,9 +162,11 @@
 pub struct Look {
     /// Requests that it runs or holds.
     pub load: f64,
+    /// How far that may be off, as a standard deviation.
+    pub spread: f64,
     /// This instance's own requests among them.
     pub own: u32,
-    /// The part of the load which was seen there, and not taken from others.
+    /// The load that was last seen there, and not taken from others.
     pub seen: f64,
     /// How much of the load is known rather than taken from others, 0 to 1.
     pub known: f64,
@@ -183,10 +189,11 @@
         entry.pulse.clone()
     }
 
-    /// Counts a request that has ended there.
-    pub fn ended(&mut self, endpoint: EndpointId) {
+    /// Counts a request that has ended there, this long after it was sent.
+    pub fn ended(&mut self, endpoint: EndpointId, lasted: Duration) {
         if let Some(entry) = self.entries.get_mut(&endpoint) {
             entry.own = entry.own.saturating_sub(1);
+            entry.lasting.add(lasted);
         }
     }
 
@@ -194,17 +201,15 @@
     pub fn report(&mut self, endpoint: EndpointId, report: Report, now: Moment) {
         let entry = self.entry(endpoint);
         let all = report.running.saturating_add(report.waiting);
-        entry.others = all.saturating_sub(entry.own);
-        entry.reported = Some(now);
+        entry.reports.add(all.saturating_sub(entry.own), now);
         self.heard.insert(endpoint, (all, now));
     }
 
     /// Takes in a load that another instance was told at `at`.
     pub fn told(&mut self, endpoint: EndpointId, all: u32, at: Moment) {
         let entry = self.entry(endpoint);
-        if entry.reported < Some(at) {
-            entry.others = all.saturating_sub(entry.own);
-            entry.reported = Some(at);
+        if entry.reports.at() < Some(at) {
+            entry.reports.add(all.saturating_sub(entry.own), at);
         }
     }
 
@@ -220,16 +225,21 @@
             .collect()
     }
 
-    /// Returns the loads that are known from lately, the greatest first and no
-    /// more than are worth their bytes.
+    /// Returns the loads that are known from lately, no more than are worth their
+    /// bytes; `draw` decides which.
+    ///
+    /// They are not chosen by their size. Of 252 endpoints the 128 greatest loads were
+    /// told, and the rest was taken to be as they: the mean looked twice as great as
+    /// it was, the bound with it, and a thirtieth of all prompts met an endpoint above
+    /// twice the true one.
     #[must_use]
-    pub fn loads(&self, now: Moment) -> Vec<Load> {
+    pub fn loads(&self, now: Moment, draw: u64) -> Vec<Load> {
         let mut loads: Vec<Load> = self
             .entries
             .iter()
             .filter_map(|(endpoint, entry)| {
-                let age = since(now, entry.reported?);
-                let all = entry.others.saturating_add(entry.own);
+                let age = since(now, entry.reports.at()?);
+                let all = entry.reports.others().saturating_add(entry.own);
                 (age < TOLD).then_some(Load {
                     endpoint: *endpoint,
                     all,
@@ -237,8 +247,10 @@
                 })
             })
             .collect();
-        loads.sort_by_key(|load| std::cmp::Reverse(load.all));
-        loads.truncate(LOADS);
+        if loads.len() > LOADS {
+            loads.sort_by_key(|load| hash::score(draw, load.endpoint));
+            loads.truncate(LOADS);
+        }
         loads
     }
 
@@ -267,14 +279,11 @@
         // Looked up once each: of thousands, most of the time goes into that.
         let entries: Vec<Option<&Entry>> =
             endpoints.iter().map(|id| self.entries.get(id)).collect();
-        let (mut weights, mut sum) = (0.0, 0.0);
-        for entry in entries.iter().flatten() {
-            let weight = entry.weight(now);
-            weights += weight;
-            sum += weight * f64::from(entry.others);
-        }
-        let mean = if weights > 0.0 { sum / weights } else { 0.0 };
-        let believe = |entry: Option<&Entry>| believe(entry, mean, now);
+        let known = || entries.iter().copied().flatten();
+        let usual: Usual = known().map(|entry| entry.reports.usual(now)).sum();
+        let mean = usual.mean();
+        let lasts = belief::lasts(known().map(|entry| entry.lasting));
+        let believe = |entry: Option<&Entry>| believe(entry, mean, lasts, now);
         entries.into_iter().map(believe).collect()
     }
 
@@ -343,25 +352,19 @@
 }
 
 // What is believed of an endpoint; others have `mean` requests each on those
-// that are known.
-fn believe(entry: Option<&Entry>, mean: f64, now: Moment) -> Look {
-    let Some(entry) = entry else {
-        return Look {
-            load: mean,
-            own: 0,
-            seen: 0.0,
-            known: 0.0,
-            access: Access::Full,
-        };
-    };
-    let weight = entry.weight(now);
-    let seen = f64::from(entry.own) + f64::from(entry.others) * weight;
+// that are known, and requests last this many seconds.
+fn believe(entry: Option<&Entry>, mean: f64, lasts: f64, now: Moment) -> Look {
+    let unknown = Reports::default();
+    let reports = entry.map_or(&unknown, |entry| &entry.reports);
+    let belief = reports.believe(mean, lasts, now);
+    let own = entry.map_or(0, |entry| entry.own);
     Look {
-        load: seen + mean * (1.0 - weight),
-        own: entry.own,
-        seen,
-        known: weight,
-        access: entry.health.access(),
+        load: f64::from(own) + belief.others,
+        spread: belief.spread,
+        own,
+        seen: entry.map_or(0.0, |entry| entry.seen(now)),
+        known: belief.known,
+        access: entry.map_or(Access::Full, |entry| entry.health.access()),
     }
 }
 
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use rand::RngExt;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::passing::{EVIDENCE_PATH, HEARD_PATH, heard, learn, take};
@@ -74,7 +75,7 @@
     // The ages are those of now, also if nothing came in the time allowed.
     let now = boot_time();
     let mut told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
-    told.loads = shared.book().loads(now);
+    told.loads = shared.book().loads(now, rand::rng().random());
     name_standbys(shared, &mut told, now);
     match rmp_serde::to_vec(&told) {
         Ok(bytes) => Response::new(whole(bytes)),
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -7,8 +7,9 @@
 //!   shared part, so all instances agree without a word, and the first whose
 //!   load is within a bound of the mean takes it. A part in sudden demand thus
 //!   spills to the second of its ranking, which then holds it too, and so on.
-//! - Any other request goes to the least loaded endpoint, with a slight
-//!   preference for the own availability zone.
+//! - Any other request goes to the endpoint that looks the least loaded, with each
+//!   load drawn from what it may be and a slight preference for the own
+//!   availability zone.
 //!
 //! Loads are what this instance knows: its own requests exactly, those of
 //! others from the endpoint's last answer.
@@ -56,6 +57,9 @@
 /// thirty packets needs one: as much as waiting for a round of 15 ms requests.
 const HELD_UP: f64 = 1.0;
 
+/// The number of values that half of a draw may have.
+const HALF_SPAN: f64 = 4_294_967_296.0;
+
 /// How much more than its slots an endpoint may hold before it is full. What
 /// is beyond the slots waits there; a plain service holds about four times its
 /// slots and refuses the rest.
@@ -115,6 +119,8 @@
     pub endpoint: EndpointId,
     /// Requests that it runs or holds, as believed.
     pub load: f64,
+    /// How far that may be off, as a standard deviation.
+    pub spread: f64,
     /// This instance's own requests there.
     pub own: u32,
     /// The part of the load that was seen there.
@@ -195,10 +201,17 @@
         }
     }
 
-    fn relative(&self) -> f64 {
+    // What it counts beside others, for a request with this draw.
+    //
+    // Hundreds of instances are told the same loads, a second old. All sending to the
+    // one that is the least by that, it held four times the mean while others idled,
+    // and orders waited for half a second. Each draws what the load may be instead, so
+    // that they send to an endpoint as often as it may be the least loaded.
+    fn relative(&self, draw: u64) -> f64 {
         let far = if self.near { 0.0 } else { FAR };
         let held_up = if self.clear { 0.0 } else { HELD_UP };
-        self.load / f64::from(self.slots.max(1)) + far + held_up
+        let load = self.load + self.spread * deviate(hash::score(draw, self.endpoint));
+        load / f64::from(self.slots.max(1)) + far + held_up
     }
 }
 
@@ -282,11 +295,19 @@
     candidates.max_by_key(|one| (hash::score(part, one.endpoint), one.endpoint))
 }
 
+// A random number of mean 0 and standard deviation 1: the sum of two that are
+// uniform, in place of a normal one.
+fn deviate(bits: u64) -> f64 {
+    const HALF: u64 = 0xffff_ffff;
+    let uniform = |bits: u64| f64::from(u32::try_from(bits & HALF).unwrap_or(0)) / HALF_SPAN;
+    (uniform(bits) + uniform(bits >> 32) - 1.0) * 6.0_f64.sqrt()
+}
+
 fn lightest<'a>(room: &[&'a Candidate], draw: u64) -> Option<&'a Candidate> {
     let lighter = |a: &&&Candidate, b: &&&Candidate| {
         let key = |one: &Candidate| hash::score(draw, one.endpoint);
-        a.relative()
-            .total_cmp(&b.relative())
+        a.relative(draw)
+            .total_cmp(&b.relative(draw))
             .then_with(|| key(a).cmp(&key(b)))
     };
     room.iter().min_by(lighter).copied()
--- a/crates/direct/src/place/tests.rs
+++ b/crates/direct/src/place/tests.rs
@@ -16,6 +16,7 @@
     Candidate {
         endpoint,
         load,
+        spread: 0.0,
         own: 0,
         seen: load,
         known: 1.0,
@@ -85,6 +86,29 @@
     assert_eq!(pick(&candidates, None, 1), lightest(1));
 }
 
+/// Hundreds of instances were told that the first endpoint has one request less than
+/// the others, a second ago. All sent theirs there, and it held four times the mean.
+#[test]
+fn the_one_that_looks_lightest_does_not_get_all() {
+    let mut candidates = loads(&[2.0, 2.5, 3.0, 3.0]);
+    for one in &mut candidates {
+        one.spread = 1.6;
+    }
+    let mut taken = [0_u32; 4];
+    for draw in 0..1_000 {
+        if let Pick::Send { endpoint, .. } = pick(&candidates, None, draw) {
+            taken[usize::try_from(endpoint - 1).unwrap_or(0)] += 1;
+        }
+    }
+    assert!(taken[0] > taken[1] && taken[1] > taken[2], "{taken:?}");
+    assert!(taken[0] < 500 && taken[3] > 100, "{taken:?}");
+    // Where it is known for sure, it gets them.
+    for one in &mut candidates {
+        one.spread = 0.0;
+    }
+    assert!((0..100).all(|draw| pick(&candidates, None, draw) == lightest(1)));
+}
+
 #[test]
 fn an_endpoint_that_has_failed_the_request_is_not_tried_again() {
     let mut candidates = loads(&[0.0, 5.0]);
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -135,7 +135,8 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.shared.book().ended(self.endpoint);
+        let lasted = since(boot_time(), self.sent);
+        self.shared.book().ended(self.endpoint, lasted);
     }
 }
 
@@ -289,6 +290,7 @@
         .map(|(one, look)| Candidate {
             endpoint: one.endpoint.id,
             load: look.load,
+            spread: look.spread,
             own: look.own,
             seen: look.seen,
             known: look.known,
