--- a/crates/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -14,8 +14,7 @@
 static ALLOCATOR: Cap<System> = Cap::new(System, usize::MAX);
 
 /// The command that writes the page, as the page names it.
-const HOW: &str =
-    "cargo run --release --locked --bin godwitpost-capacity -- --live --write docs/CAPACITY.md";
+const HOW: &str = "cargo run --release --locked --bin godwitpost-capacity -- --live --write docs/CAPACITY-router.md";
 
 /// The sums are above the letter's budgets.
 const OVER: u8 = 1;
--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -228,10 +228,9 @@
     /// Returns the loads that are known from lately, no more than are worth their
     /// bytes; `draw` decides which.
     ///
-    /// They are not chosen by their size. Of 252 endpoints the 128 greatest loads were
-    /// told, and the rest was taken to be as they: the mean looked twice as great as
-    /// it was, the bound with it, and a thirtieth of all prompts met an endpoint above
-    /// twice the true one.
+    /// They are not chosen by their size: whoever is told the greatest alone takes the
+    /// rest to be like them, and where the mean looks twice as great as it is, so is
+    /// the load up to which prompts stay at their homes.
     #[must_use]
     pub fn loads(&self, now: Moment, draw: u64) -> Vec<Load> {
         let mut loads: Vec<Load> = self
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -8,8 +8,10 @@
 //! What a peer tells is taken only if it is not older than what was read
 //! here: an endpoint that was seen leaving must not come back.
 
+mod age;
 mod answer;
 mod passing;
+mod peer;
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -21,43 +23,27 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{self, Body, Connector};
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::Version;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout};
 
+use self::age::{LONGEST_WAIT, PATIENCE, left, wait};
 pub(super) use self::answer::answer;
 pub(super) use self::passing::exchange;
 pub(crate) use self::passing::pass_on;
-use self::passing::take;
+pub(super) use self::peer::News;
+use self::peer::{Peer, Refusal};
 use super::follow::Mode;
-use crate::board::{Question, Told};
-use crate::policy::Content;
-use crate::roster::Registration;
 use crate::shared::Shared;
 use crate::standby::Peers;
-use crate::suspects::Evidence;
 
 const PATH: &str = "/peer/v1/state";
 
-/// The longest that a question waits for news. Two instances of hundreds that
-/// are asked were busy with questions that nothing had come of.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_400);
-
-/// What is kept back of the time within which news has to be acted on, for
-/// reading the log anew and a moment without the processor.
-const SPARE: Duration = Duration::from_millis(150);
-
-/// How long an answer may take beyond that: machines are 2 ms apart, and a
-/// small one may be without the processor for a tenth of a second.
-const PATIENCE: Duration = Duration::from_millis(250);
-
-/// The least age of its news from which on a peer counts as having lost the log.
-/// One that reads for others is confirmed every half second, by a read sent as
-/// long ago.
-const LEAST_AGE: Duration = Duration::from_millis(1_200);
+/// The most that a question or an answer may hold: a configuration of 8,900
+/// workspaces and 3,300 endpoints takes about 3 MB.
+const MESSAGE_BYTES: usize = 16 << 20;
 
 /// The pause before another instance is looked for, before jitter.
 const PAUSE: Duration = Duration::from_secs(3);
@@ -67,9 +53,8 @@
 const HASTE: Duration = Duration::from_millis(400);
 
 /// How long after its start an instance asks peers in haste. Those that are asked
-/// start at the same time and need up to a second themselves. Until it follows one
-/// it reads the log: of 1,367 calls that seventy instances made on a calm day with a
-/// pause of three seconds, these save 240.
+/// start at the same time and need up to a second themselves, and until it follows one
+/// it reads the log.
 const STARTS: Duration = Duration::from_secs(5);
 
 /// How long an instance that starts asks peers before it reads the log: time for
@@ -83,110 +68,6 @@
 /// tries the log again.
 const VISIT: Duration = Duration::from_secs(4);
 
-/// How often one instance is asked until it tells something that is not older
-/// than what is known here. Both read the log at moments of their own.
-const TRIES: u32 = 4;
-
-/// The most that a question or an answer may hold: a configuration of 8,900
-/// workspaces and 3,300 endpoints takes about 3 MB.
-const MESSAGE_BYTES: usize = 16 << 20;
-
-/// What a peer told, in this instance's time.
-pub(super) struct News {
-    pub(super) policy: Option<Content>,
-    /// When the read was sent that confirmed the configuration.
-    pub(super) policy_read: Moment,
-    /// When the read was sent that confirmed the list of endpoints.
-    pub(super) endpoints_read: Moment,
-    pub(super) whole: bool,
-    pub(super) set: Vec<Registration>,
-    pub(super) lapsed: Vec<String>,
-    pub(super) gone: Vec<String>,
-    pub(super) evidence: Vec<Evidence>,
-}
-
-/// Why a peer is not followed.
-#[derive(Debug, displaydoc::Display)]
-enum Refusal {
-    /// it can't be asked ({0})
-    Unreachable(String),
-    /// it answered nothing in time
-    Silent,
-    /// it has status {0}
-    Status(StatusCode),
-    /// its answer makes no sense ({0})
-    Garbled(String),
-    /// it has not read the log for a while
-    Stale,
-    /// it knows less than is known here
-    Older,
-}
-
-/// Returns how long a question waits for news that has to be acted on within
-/// `bound`.
-///
-/// It bounds how old what is known here can get while the one that is asked
-/// loses the log or goes dark: an answer at the limit of its age, this wait,
-/// and the patience.
-fn wait(bound: Duration) -> Duration {
-    bound
-        .saturating_sub(SPARE)
-        .saturating_sub(LEAST_AGE)
-        .saturating_sub(PATIENCE)
-        .min(LONGEST_WAIT)
-}
-
-/// Returns the age of its news from which on a peer counts as having lost the log,
-/// where news has to be acted on within `bound`: all that the wait leaves of it.
-///
-/// A log whose answers are slow or get lost makes what is known older, but not
-/// wrong. Left at the least age by all that ask it, a peer was of no use just when
-/// the log was in trouble, and hundreds of instances went there themselves.
-fn oldest(bound: Duration) -> Duration {
-    bound
-        .saturating_sub(SPARE)
-        .saturating_sub(wait(bound))
-        .saturating_sub(PATIENCE)
-        .max(LEAST_AGE)
-}
-
-/// Returns how long asking another peer may take with news of this age, which has to
-/// be acted on within `bound`: until the log has to be read anew.
-fn left(bound: Duration, age: Duration) -> Duration {
-    bound.saturating_sub(SPARE).saturating_sub(age)
-}
-
-struct Peer<'a> {
-    connector: &'a Connector,
-    address: SocketAddr,
-    shared: &'a Shared,
-    told: Known,
-}
-
-/// What a peer has told so far, so that it tells only what came since.
-#[derive(Debug, Default)]
-struct Known {
-    life: u64,
-    stamp: u64,
-    version: Version,
-}
-
-impl Known {
-    fn take(&mut self, told: &Told) {
-        (self.life, self.stamp) = (told.life, told.stamp);
-        if let Some(policy) = &told.policy {
-            self.version = policy.version;
-        }
-    }
-
-    // The version to ask with, where this one is in force. What was just told may not
-    // be yet. Asked for by what is, the next answer held a long configuration once
-    // more, from an instance that a hundred others ask at the same time.
-    fn version(&self, in_force: Version) -> Version {
-        in_force.max(self.version)
-    }
-}
-
 /// How asking one peer after the other ended.
 enum Turn {
     /// The log has to be read.
@@ -308,12 +189,7 @@
     async fn follow(&mut self, address: SocketAddr, allowed: Duration) -> Option<Refusal> {
         let shared = Arc::clone(&self.shared);
         let connector = self.connector.clone();
-        let mut peer = Peer {
-            connector: &connector,
-            address,
-            shared: &shared,
-            told: Known::default(),
-        };
+        let mut peer = Peer::new(&connector, address, &shared);
         let patience = if self.knows() {
             Duration::ZERO
         } else {
@@ -373,113 +249,6 @@
     });
 }
 
-// An answer, and whom else to ask.
-struct Answered {
-    news: News,
-    standbys: Vec<SocketAddr>,
-}
-
-impl Peer<'_> {
-    // Asks until the peer tells something that is not older than what is
-    // known here; one that knows nothing yet itself may wait this long for it.
-    async fn begin(&mut self, wait: Duration) -> Result<Answered, Refusal> {
-        for _ in 0..TRIES {
-            let told = self.question(wait).await?;
-            let known = self.shared.tell(false, |board| board.endpoints_confirmed());
-            if Some(told.news.endpoints_read) >= known {
-                return Ok(told);
-            }
-            // It has to tell all again: this was not taken.
-            self.told = Known::default();
-            tokio::time::sleep(PATIENCE).await;
-        }
-        Err(Refusal::Older)
-    }
-
-    async fn question(&mut self, wait: Duration) -> Result<Answered, Refusal> {
-        let view = self.shared.view();
-        let in_force = view.policy.as_ref().map_or(0, |policy| policy.version());
-        let digest = if self.told.life == 0 {
-            self.shared.tell(false, |board| board.digest())
-        } else {
-            0
-        };
-        let question = Question {
-            life: self.told.life,
-            stamp: self.told.stamp,
-            digest,
-            own: self.shared.settings.listen.peers,
-            version: self.told.version(in_force),
-            wait,
-            loads: self.shared.book().take_heard(boot_time()),
-            held: self.shared.directory().take_untold(boot_time()),
-        };
-        let asked = boot_time();
-        let mut told = timeout(wait + PATIENCE, self.send(&question))
-            .await
-            .map_err(|_elapsed| Refusal::Silent)??;
-        self.told.take(&told);
-        let made = asked + told.waited;
-        take(self.shared, &told.loads, made);
-        for holding in &told.held {
-            self.shared.directory().learn(holding, made);
-        }
-        Ok(Answered {
-            standbys: std::mem::take(&mut told.standbys),
-            news: news(told, asked, oldest(self.shared.settings.news()))?,
-        })
-    }
-
-    async fn send(&self, question: &Question) -> Result<Told, Refusal> {
-        let body =
-            rmp_serde::to_vec(question).map_err(|error| Refusal::Garbled(error.to_string()))?;
-        let request = Request::post(PATH)
-            .body(whole(body))
-            .map_err(|error| Refusal::Garbled(error.to_string()))?;
-        let wait = question.wait + PATIENCE;
-        let response = self
-            .connector
-            .send(self.address, request, wait)
-            .await
-            .map_err(|error| Refusal::Unreachable(error.to_string()))?;
-        if response.status() != StatusCode::OK {
-            return Err(Refusal::Status(response.status()));
-        }
-        let bytes = Limited::new(response.into_body(), MESSAGE_BYTES)
-            .collect()
-            .await
-            .map_err(|error| Refusal::Unreachable(error.to_string()))?
-            .to_bytes();
-        rmp_serde::from_slice(&bytes).map_err(|error| Refusal::Garbled(error.to_string()))
-    }
-}
-
-// The peer made its answer no sooner than it had waited after it was
-// asked. Counted from there, its ages never make anything look younger.
-fn news(told: Told, asked: Moment, oldest: Duration) -> Result<News, Refusal> {
-    let made = asked + told.waited;
-    let (Some(policy_age), Some(endpoints_age)) = (told.policy_age, told.endpoints_age) else {
-        return Err(Refusal::Stale);
-    };
-    if policy_age.max(endpoints_age) > oldest {
-        return Err(Refusal::Stale);
-    }
-    Ok(News {
-        policy: told.policy,
-        policy_read: since(made, policy_age),
-        endpoints_read: since(made, endpoints_age),
-        whole: told.whole,
-        set: told.set,
-        lapsed: told.lapsed,
-        gone: told.gone,
-        evidence: told
-            .sightings
-            .iter()
-            .map(|sighting| sighting.evidence(made))
-            .collect(),
-    })
-}
-
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(whole(Vec::new()));
     *response.status_mut() = status;
--- /dev/null
+++ b/crates/direct/src/control/peers/age.rs
@@ -0,0 +1,58 @@
+//! How old what a peer tells may be.
+//!
+//! What an instance knows has to be acted on within a bound, which covers the age of
+//! what it was told, the wait for the next answer, the time in which that may fail to
+//! come, and reading the log after it.
+
+use std::time::Duration;
+
+/// The longest that a question waits for news. Two instances of hundreds that
+/// are asked were busy with questions that nothing had come of.
+pub(super) const LONGEST_WAIT: Duration = Duration::from_millis(1_400);
+
+/// What is kept back of the time within which news has to be acted on, for
+/// reading the log anew and a moment without the processor.
+pub(super) const SPARE: Duration = Duration::from_millis(150);
+
+/// How long an answer may take beyond that: machines are 2 ms apart, and a
+/// small one may be without the processor for a tenth of a second.
+pub(super) const PATIENCE: Duration = Duration::from_millis(250);
+
+/// The least age of its news from which on a peer counts as having lost the log.
+/// One that reads for others is confirmed every half second, by a read sent as
+/// long ago.
+pub(super) const LEAST_AGE: Duration = Duration::from_millis(1_200);
+
+/// Returns how long a question waits for news that has to be acted on within
+/// `bound`.
+///
+/// It bounds how old what is known here can get while the one that is asked
+/// loses the log or goes dark: an answer at the limit of its age, this wait,
+/// and the patience.
+pub(super) fn wait(bound: Duration) -> Duration {
+    bound
+        .saturating_sub(SPARE)
+        .saturating_sub(LEAST_AGE)
+        .saturating_sub(PATIENCE)
+        .min(LONGEST_WAIT)
+}
+
+/// Returns the age of its news from which on a peer counts as having lost the log,
+/// where news has to be acted on within `bound`: all that the wait leaves of it.
+///
+/// A log whose answers are slow or get lost makes what is known older, but not
+/// wrong. Left at the least age by all that ask it, a peer was of no use just when
+/// the log was in trouble, and hundreds of instances went there themselves.
+pub(super) fn oldest(bound: Duration) -> Duration {
+    bound
+        .saturating_sub(SPARE)
+        .saturating_sub(wait(bound))
+        .saturating_sub(PATIENCE)
+        .max(LEAST_AGE)
+}
+
+/// Returns how long asking another peer may take with news of this age, which has to
+/// be acted on within `bound`: until the log has to be read anew.
+pub(super) fn left(bound: Duration, age: Duration) -> Duration {
+    bound.saturating_sub(SPARE).saturating_sub(age)
+}
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -12,8 +12,9 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::age::LONGEST_WAIT;
 use super::passing::{EVIDENCE_PATH, HEARD_PATH, heard, learn, take};
-use super::{LONGEST_WAIT, MESSAGE_BYTES, PATH, status, whole};
+use super::{MESSAGE_BYTES, PATH, status, whole};
 use crate::board::{Question, Told};
 use crate::shared::Shared;
 
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -14,7 +14,8 @@
 use http::{Request, Response, StatusCode};
 use serde::Serialize;
 
-use super::{PATIENCE, Refusal, status, whole};
+use super::age::PATIENCE;
+use super::{Refusal, status, whole};
 use crate::book::Load;
 use crate::holders::Holding;
 use crate::shared::Shared;
--- /dev/null
+++ b/crates/direct/src/control/peers/peer.rs
@@ -0,0 +1,211 @@
+//! One peer that is asked: questions, answers, and why it is not followed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::Connector;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::Version;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use tokio::time::timeout;
+
+use super::age::{PATIENCE, oldest};
+use super::passing::take;
+use super::{MESSAGE_BYTES, PATH, whole};
+use crate::board::{Question, Told};
+use crate::policy::Content;
+use crate::roster::Registration;
+use crate::shared::Shared;
+use crate::suspects::Evidence;
+
+/// How often one instance is asked until it tells something that is not older
+/// than what is known here. Both read the log at moments of their own.
+const TRIES: u32 = 4;
+
+/// What a peer told, in this instance's time.
+pub(in crate::control) struct News {
+    pub(in crate::control) policy: Option<Content>,
+    /// When the read was sent that confirmed the configuration.
+    pub(in crate::control) policy_read: Moment,
+    /// When the read was sent that confirmed the list of endpoints.
+    pub(in crate::control) endpoints_read: Moment,
+    pub(in crate::control) whole: bool,
+    pub(in crate::control) set: Vec<Registration>,
+    pub(in crate::control) lapsed: Vec<String>,
+    pub(in crate::control) gone: Vec<String>,
+    pub(in crate::control) evidence: Vec<Evidence>,
+}
+
+/// Why a peer is not followed.
+#[derive(Debug, displaydoc::Display)]
+pub(super) enum Refusal {
+    /// it can't be asked ({0})
+    Unreachable(String),
+    /// it answered nothing in time
+    Silent,
+    /// it has status {0}
+    Status(StatusCode),
+    /// its answer makes no sense ({0})
+    Garbled(String),
+    /// it has not read the log for a while
+    Stale,
+    /// it knows less than is known here
+    Older,
+}
+
+/// An instance that is asked.
+pub(super) struct Peer<'a> {
+    connector: &'a Connector,
+    address: SocketAddr,
+    shared: &'a Shared,
+    told: Known,
+}
+
+/// What a peer has told so far, so that it tells only what came since.
+#[derive(Debug, Default)]
+pub(super) struct Known {
+    pub(super) life: u64,
+    pub(super) stamp: u64,
+    version: Version,
+}
+
+impl Known {
+    pub(super) fn take(&mut self, told: &Told) {
+        (self.life, self.stamp) = (told.life, told.stamp);
+        if let Some(policy) = &told.policy {
+            self.version = policy.version;
+        }
+    }
+
+    // The version to ask with, where this one is in force. What was just told may not
+    // be yet. Asked for by what is, the next answer held a long configuration once
+    // more, from an instance that a hundred others ask at the same time.
+    pub(super) fn version(&self, in_force: Version) -> Version {
+        in_force.max(self.version)
+    }
+}
+
+/// An answer, and whom else to ask.
+pub(super) struct Answered {
+    pub(super) news: News,
+    pub(super) standbys: Vec<SocketAddr>,
+}
+
+impl<'a> Peer<'a> {
+    /// Returns one that has told nothing yet.
+    pub(super) fn new(connector: &'a Connector, address: SocketAddr, shared: &'a Shared) -> Self {
+        Self {
+            connector,
+            address,
+            shared,
+            told: Known::default(),
+        }
+    }
+
+    /// Asks until the peer tells something that is not older than what is
+    /// known here; one that knows nothing yet itself may wait this long for it.
+    pub(super) async fn begin(&mut self, wait: Duration) -> Result<Answered, Refusal> {
+        for _ in 0..TRIES {
+            let told = self.question(wait).await?;
+            let known = self.shared.tell(false, |board| board.endpoints_confirmed());
+            if Some(told.news.endpoints_read) >= known {
+                return Ok(told);
+            }
+            // It has to tell all again: this was not taken.
+            self.told = Known::default();
+            tokio::time::sleep(PATIENCE).await;
+        }
+        Err(Refusal::Older)
+    }
+
+    /// Asks what came since; waits this long for it.
+    pub(super) async fn question(&mut self, wait: Duration) -> Result<Answered, Refusal> {
+        let view = self.shared.view();
+        let in_force = view.policy.as_ref().map_or(0, |policy| policy.version());
+        let digest = if self.told.life == 0 {
+            self.shared.tell(false, |board| board.digest())
+        } else {
+            0
+        };
+        let question = Question {
+            life: self.told.life,
+            stamp: self.told.stamp,
+            digest,
+            own: self.shared.settings.listen.peers,
+            version: self.told.version(in_force),
+            wait,
+            loads: self.shared.book().take_heard(boot_time()),
+            held: self.shared.directory().take_untold(boot_time()),
+        };
+        let asked = boot_time();
+        let mut told = timeout(wait + PATIENCE, self.send(&question))
+            .await
+            .map_err(|_elapsed| Refusal::Silent)??;
+        self.told.take(&told);
+        let made = asked + told.waited;
+        take(self.shared, &told.loads, made);
+        for holding in &told.held {
+            self.shared.directory().learn(holding, made);
+        }
+        Ok(Answered {
+            standbys: std::mem::take(&mut told.standbys),
+            news: news(told, asked, oldest(self.shared.settings.news()))?,
+        })
+    }
+
+    async fn send(&self, question: &Question) -> Result<Told, Refusal> {
+        let body =
+            rmp_serde::to_vec(question).map_err(|error| Refusal::Garbled(error.to_string()))?;
+        let request = Request::post(PATH)
+            .body(whole(body))
+            .map_err(|error| Refusal::Garbled(error.to_string()))?;
+        let wait = question.wait + PATIENCE;
+        let response = self
+            .connector
+            .send(self.address, request, wait)
+            .await
+            .map_err(|error| Refusal::Unreachable(error.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(Refusal::Status(response.status()));
+        }
+        let bytes = Limited::new(response.into_body(), MESSAGE_BYTES)
+            .collect()
+            .await
+            .map_err(|error| Refusal::Unreachable(error.to_string()))?
+            .to_bytes();
+        rmp_serde::from_slice(&bytes).map_err(|error| Refusal::Garbled(error.to_string()))
+    }
+}
+
+/// Returns what an answer says, in this instance's time.
+///
+/// # Errors
+///
+/// Returns [`Refusal::Stale`] if it is older than `oldest`.
+pub(super) fn news(told: Told, asked: Moment, oldest: Duration) -> Result<News, Refusal> {
+    // The peer made its answer no sooner than it had waited after it was
+    // asked. Counted from there, its ages never make anything look younger.
+    let made = asked + told.waited;
+    let (Some(policy_age), Some(endpoints_age)) = (told.policy_age, told.endpoints_age) else {
+        return Err(Refusal::Stale);
+    };
+    if policy_age.max(endpoints_age) > oldest {
+        return Err(Refusal::Stale);
+    }
+    Ok(News {
+        policy: told.policy,
+        policy_read: since(made, policy_age),
+        endpoints_read: since(made, endpoints_age),
+        whole: told.whole,
+        set: told.set,
+        lapsed: told.lapsed,
+        gone: told.gone,
+        evidence: told
+            .sightings
+            .iter()
+            .map(|sighting| sighting.evidence(made))
+            .collect(),
+    })
+}
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{Known, LEAST_AGE, PATIENCE, Refusal, SPARE, left, news, oldest, wait};
+use super::age::{LEAST_AGE, PATIENCE, SPARE, left, oldest, wait};
+use super::peer::{Known, Refusal, news};
 use crate::board::{Board, Question};
 use crate::policy::Content;
 
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -203,9 +203,9 @@
 
     // What it counts beside others, for a request with this draw.
     //
-    // Hundreds of instances are told the same loads, a second old. All sending to the
-    // one that is the least by that, it held four times the mean while others idled,
-    // and orders waited for half a second. Each draws what the load may be instead, so
+    // Hundreds of instances are told the same loads, a second old. If all sent to the
+    // one that was the least then, it would hold several times the mean while others
+    // idle, and orders would wait there. Each draws what the load may be instead, so
     // that they send to an endpoint as often as it may be the least loaded.
     fn relative(&self, draw: u64) -> f64 {
         let far = if self.near { 0.0 } else { FAR };
