--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -256,7 +256,11 @@
 }
 
 fn whole(bytes: Vec<u8>) -> Body {
-    Full::new(Bytes::from(bytes))
+    body(Bytes::from(bytes))
+}
+
+fn body(bytes: Bytes) -> Body {
+    Full::new(bytes)
         .map_err(|never: Infallible| match never {})
         .boxed_unsync()
 }
