--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -256,11 +256,7 @@
 }
 
 fn whole(bytes: Vec<u8>) -> Body {
-    body(Bytes::from(bytes))
-}
-
-fn body(bytes: Bytes) -> Body {
-    Full::new(bytes)
+    Full::new(Bytes::from(bytes))
         .map_err(|never: Infallible| match never {})
         .boxed_unsync()
 }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -16,7 +16,7 @@
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::{EndpointId, ServiceId};
 use rand::RngExt;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 use crate::board::Board;
 use crate::book::Book;
@@ -59,10 +59,6 @@
 /// The part of the memory that callers' bodies may fill.
 const BODIES: usize = 4;
 
-/// Answers that tell peers all there is, under way at once. Four of a thousand
-/// endpoints leave over a link of 20 Mbit/s within the time that a peer waits.
-const WHOLE_ANSWERS: usize = 4;
-
 /// Endpoints by service.
 pub(crate) type Services = BTreeMap<ServiceId, Vec<Arc<Registration>>>;
 
@@ -147,7 +143,6 @@
     directory: Mutex<Directory>,
     budget: Mutex<Budget>,
     askers: Mutex<Askers>,
-    whole_answers: Arc<Semaphore>,
     suspects: Mutex<Suspects>,
     ways: Mutex<Ways>,
     in_flight: AtomicUsize,
@@ -180,7 +175,6 @@
             book: Mutex::default(),
             directory: Mutex::default(),
             askers: Mutex::default(),
-            whole_answers: Arc::new(Semaphore::new(WHOLE_ANSWERS)),
             suspects: Mutex::default(),
             ways: Mutex::default(),
             in_flight: AtomicUsize::new(0),
@@ -292,11 +286,6 @@
         self.askers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the room for answers that tell peers all there is.
-    pub(crate) const fn whole_answers(&self) -> &Arc<Semaphore> {
-        &self.whole_answers
-    }
-
     /// Returns whether others ask this instance instead of the log now, or are to.
     pub(crate) fn is_asked(&self) -> bool {
         self.settings.reads_for_others() || self.askers().any(boot_time())
