direct: tests take ports that nobody else is given; who asks others stands once

Cause: a test of standbys failed once of seven runs with 'Address already in use': its instance binds a port that was free when it was looked for, and another test's connection had been given it since. Settings say whether an instance asks others, in place of two expressions.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -61,7 +61,7 @@
     let (sender, mut events) = mpsc::channel(3);
     let timer = Timer::new(Duration::ZERO);
     tokio::spawn(timer.clone().drive(Clock::start_at(Duration::ZERO)));
-    let asks = !shared.settings.others().is_empty() && !shared.settings.reads_for_others();
+    let asks = shared.settings.asks_others();
     let (mode, modes) = watch::channel(Mode::at_start(asks));
     let log = |topic| Log {
         shared: Arc::clone(&shared),
--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -102,9 +102,8 @@
         }
     }
 
-    fn asks(&self) -> bool {
-        let settings = &self.shared.settings;
-        !settings.reads_for_others() && !settings.others().is_empty()
+    fn asks_others(&self) -> bool {
+        self.shared.settings.asks_others()
     }
 }
 
@@ -181,7 +180,7 @@
             return;
         }
         let rest = match current {
-            true if listing && log.asks() => LISTED,
+            true if listing && log.asks_others() => LISTED,
             true => rest(pace, lag).min(loss.hurry()),
             false => pause,
         };
@@ -190,7 +189,7 @@
 }
 
 fn longest(log: &Log) -> Duration {
-    if log.asks() && !log.shared.is_asked() {
+    if log.asks_others() && !log.shared.is_asked() {
         LONGEST_OF_MANY
     } else {
         LONGEST
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -155,6 +155,12 @@
             .is_some_and(|own| self.seeds.contains(&own))
     }
 
+    /// Returns whether this instance asks others in place of the log.
+    #[must_use]
+    pub fn asks_others(&self) -> bool {
+        !self.reads_for_others() && !self.others().is_empty()
+    }
+
     /// Returns within what time all news of the log has to be acted on.
     #[must_use]
     pub fn news(&self) -> Duration {
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -253,10 +254,23 @@
     }
 }
 
-/// Returns addresses at which nobody listens.
+/// Returns addresses at which nobody listens, and which the system gives to nobody
+/// who asks for any: an instance that starts later has to find its own free.
 pub(crate) fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let free = [(); N].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    free.map(|free| free.local_addr().expect("a bound address"))
+    // Below the ports that the system gives away.
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 18_000;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let free = || {
+        (0..COUNT).find_map(|_| {
+            let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+            let own = std::process::id().wrapping_mul(97).wrapping_add(taken);
+            let port = u16::try_from(FIRST + own % COUNT).ok()?;
+            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            std::net::TcpListener::bind(address).ok().map(|_| address)
+        })
+    };
+    [(); N].map(|()| free().expect("a free port"))
 }
 
 /// Returns a request with the usual headers.
