--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -59,7 +59,7 @@
 
 /// How long an instance that starts asks peers before it reads the log: time for
 /// one that is gone, and for one that starts as well and answers when it has read.
-const START: Duration = Duration::from_millis(600);
+const ASKS_FIRST: Duration = Duration::from_millis(600);
 
 /// The pause before it asks again peers that don't listen yet.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -181,7 +181,7 @@
         }
         match self.known() {
             Some(read) => left(self.shared.settings.news(), since(boot_time(), read)),
-            None => START.saturating_sub(self.shared.uptime()),
+            None => ASKS_FIRST.saturating_sub(self.shared.uptime()),
         }
     }
 
