--- a/crates/direct/src/book.rs
+++ b/crates/direct/src/book.rs
@@ -229,8 +229,8 @@
     /// bytes; `draw` decides which.
     ///
     /// They are not chosen by their size: whoever is told the greatest alone takes the
-    /// rest to be like them, and where the mean looks twice as great as it is, so is
-    /// the load up to which prompts stay at their homes.
+    /// rest to be like them, believes in too great a mean, and lets prompts stay at
+    /// homes that are above the true bound.
     #[must_use]
     pub fn loads(&self, now: Moment, draw: u64) -> Vec<Load> {
         let mut loads: Vec<Load> = self
--- a/crates/direct/src/control/peers/age.rs
+++ b/crates/direct/src/control/peers/age.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-/// The longest that a question waits for news. Two instances of hundreds that
-/// are asked were busy with questions that nothing had come of.
+/// The longest that a question waits for news: what is known only by asking, such as
+/// loads, is told no later.
 pub(super) const LONGEST_WAIT: Duration = Duration::from_millis(1_400);
 
 /// What is kept back of the time within which news has to be acted on, for
@@ -41,8 +41,8 @@
 /// where news has to be acted on within `bound`: all that the wait leaves of it.
 ///
 /// A log whose answers are slow or get lost makes what is known older, but not
-/// wrong. Left at the least age by all that ask it, a peer was of no use just when
-/// the log was in trouble, and hundreds of instances went there themselves.
+/// wrong. Left at the least age by all that ask it, a peer would be of no use just
+/// when the log is in trouble, and hundreds of instances would go there themselves.
 pub(super) fn oldest(bound: Duration) -> Duration {
     bound
         .saturating_sub(SPARE)
--- a/crates/operator/src/cli/flags.rs
+++ b/crates/operator/src/cli/flags.rs
@@ -27,11 +27,11 @@
   5  show: a live instance does not hold the bundle in force
 
 A first roll:
-  godwitpost-bundle keygen --out asahikawa.key      # prints the public key
-  godwitpost-bundle check kitakaze.yaml
-  godwitpost-bundle roll kitakaze.yaml --operator asahikawa --key asahikawa.key \\
-      --fleet kitakaze --log 10.0.1.1:7001 --root-key <public key>
-  godwitpost-bundle show --fleet kitakaze --log 10.0.1.1:7001 \\
+  godwitpost-bundle keygen --out alice.key      # prints the public key
+  godwitpost-bundle check fleet.yaml
+  godwitpost-bundle roll fleet.yaml --operator alice --key alice.key \\
+      --fleet north --log 10.0.1.1:7001 --root-key <public key>
+  godwitpost-bundle show --fleet north --log 10.0.1.1:7001 \\
       --root-key <public key> --list 10.0.1.2:7002
 
 A later change: take the bundle with `show --yaml`, change it, count its version
--- a/crates/router/src/cli.rs
+++ b/crates/router/src/cli.rs
@@ -56,7 +56,7 @@
   name: otaru-1                    # as on the platform's list
   zone: otaru                      # availability zone
   region: hokkaido
-  fleet: kitakaze                  # must equal the bundle's
+  fleet: north                     # must equal the bundle's
   listen:
     callers: 10.0.0.5:8080
     peers: 10.0.0.5:8081
