direct: zones that the operator evacuates get nothing

The evacuated zones are one state as of an offset of the operator's topic, told to peers beside the configuration under the same lease; the greater offset wins, by whichever way it came. Schedules of 10,000 seeds play lists, records, lost history, restarts and late answers; an instance that takes whatever comes last breaks them. With all zones of a service evacuated a request is refused at once.

--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -16,11 +16,12 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Standing;
-use godwitpost_types::id::Version;
+use godwitpost_types::id::{Offset, Version};
 use godwitpost_types::{hash, id};
 use serde::{Deserialize, Serialize};
 
 use crate::book::Load;
+use crate::evacuation::Evacuation;
 use crate::holders::{self, Holding};
 use crate::policy::Content;
 use crate::roster::Registration;
@@ -51,6 +52,8 @@
     pub own: Option<SocketAddr>,
     /// The version that is in force at the peer.
     pub version: Version,
+    /// Up to which offset of the operator's topic the peer knows the evacuated zones.
+    pub evacuation: Offset,
     /// How long to wait for something new.
     pub wait: Duration,
     /// Loads that endpoints told the peer since it last asked.
@@ -75,6 +78,8 @@
     pub endpoints_age: Option<Duration>,
     /// The configuration, if it is newer than the peer's.
     pub policy: Option<Content>,
+    /// The evacuated zones, if that is newer than what the peer knows.
+    pub evacuation: Option<Evacuation>,
     /// Whether `set` is all there is, and what it doesn't name is gone.
     pub whole: bool,
     /// Endpoints that changed.
@@ -107,7 +112,7 @@
     pub const fn is_news(&self) -> bool {
         let entries = self.set.len() + self.lapsed.len() + self.gone.len();
         let told = entries + self.sightings.len();
-        self.whole || self.policy.is_some() || told > 0
+        self.whole || self.policy.is_some() || self.evacuation.is_some() || told > 0
     }
 }
 
@@ -117,6 +122,7 @@
     life: u64,
     stamp: u64,
     policy: Option<Content>,
+    evacuation: Evacuation,
     policy_read: Option<Moment>,
     endpoints_read: Option<Moment>,
     entries: BTreeMap<String, Entry>,
@@ -145,6 +151,7 @@
             life,
             stamp: 0,
             policy: None,
+            evacuation: Evacuation::NONE,
             policy_read: None,
             endpoints_read: None,
             entries: BTreeMap::new(),
@@ -178,6 +185,18 @@
         self.policy = Some(content);
     }
 
+    /// Notes the evacuated zones.
+    pub fn set_evacuation(&mut self, evacuation: Evacuation) {
+        self.evacuation = evacuation;
+    }
+
+    /// Returns up to which offset of the operator's topic the evacuated zones are
+    /// known.
+    #[must_use]
+    pub const fn evacuation(&self) -> Offset {
+        self.evacuation.as_of
+    }
+
     /// Notes when the read was sent that confirmed the configuration.
     pub fn policy_read(&mut self, at: Moment) {
         self.policy_read = self.policy_read.max(Some(at));
@@ -270,6 +289,7 @@
         };
         let age = |read: Option<Moment>| read.map(|read| since(now, read));
         let newer = |content: &&Content| content.version > question.version;
+        let evacuation = Some(&self.evacuation).filter(|own| own.as_of > question.evacuation);
         Told {
             life: self.life,
             stamp: self.stamp,
@@ -277,6 +297,7 @@
             policy_age: age(self.policy_read),
             endpoints_age: age(self.endpoints_read),
             policy: self.policy.as_ref().filter(newer).cloned(),
+            evacuation: evacuation.cloned(),
             whole,
             set: changed()
                 .filter(|(_, entry)| !entry.lapsed)
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -23,12 +23,13 @@
 
 use self::follow::{Heard, Log, Mode, Topic, follow};
 use self::peers::News;
+use crate::evacuation::{Evacuation, Reading};
 use crate::feed::Change;
 use crate::policy::Policy;
 use crate::revoked::{Changes, Revoked};
 use crate::roster::{Registration, Removal, Roster, Setting};
 use crate::shared::{Shared, View, by_service};
-use crate::source::Source;
+use crate::source::{Source, Statement};
 
 /// How often endpoints that are held to be down, and lapsed entries, are
 /// looked at.
@@ -37,16 +38,16 @@
 /// The configuration and the endpoints, where they are followed from.
 #[derive(Debug)]
 pub struct Sources {
-    /// The configuration; versions only ever increase.
-    pub policies: Source<Policy>,
+    /// What the operator says; versions of the configuration only ever increase.
+    pub operator: Source<Statement>,
     /// What endpoints say of themselves.
     pub endpoints: Source<Registration>,
 }
 
 enum Event {
-    Policies(Heard<Policy>),
+    Operator(Heard<Statement>),
     Endpoints(Heard<Registration>),
-    Peer(News),
+    Peer(Box<News>),
 }
 
 /// Follows both topics; never returns.
@@ -69,10 +70,10 @@
         modes: modes.clone(),
     };
     tokio::spawn(follow(
-        sources.policies,
-        log(Topic::Policies),
+        sources.operator,
+        log(Topic::Operator),
         sender.clone(),
-        Event::Policies,
+        Event::Operator,
     ));
     tokio::spawn(follow(
         sources.endpoints,
@@ -86,7 +87,7 @@
         tokio::spawn(serve::run(port, crate::serve::limits(), ended, answer));
     }
     if !shared.settings.others().is_empty() {
-        tokio::spawn(peers::ask(Arc::clone(&shared), mode, sender, Event::Peer));
+        tokio::spawn(peers::ask(Arc::clone(&shared), mode, sender, peer_event));
     }
     if shared.settings.reads_for_others() {
         tokio::spawn(peers::exchange(Arc::clone(&shared)));
@@ -96,14 +97,14 @@
     loop {
         tokio::select! {
             event = events.recv() => match event {
-                Some(Event::Policies(heard)) => control.policies(heard),
+                Some(Event::Operator(heard)) => control.operator(heard),
                 // What was read before a peer was asked may be older than
                 // what the peer told since.
                 Some(Event::Endpoints(heard)) if modes.borrow().current(heard.mode) => {
                     control.endpoints(heard);
                 }
                 Some(Event::Endpoints(_)) => {}
-                Some(Event::Peer(news)) => control.peer(news),
+                Some(Event::Peer(news)) => control.peer(*news),
                 None => return,
             },
             _ = ticks.next() => control.tick(boot_time()),
@@ -111,10 +112,17 @@
     }
 }
 
+fn peer_event(news: News) -> Event {
+    Event::Peer(Box::new(news))
+}
+
 struct Control {
     shared: Arc<Shared>,
     lines: Queue,
     policy: Option<Arc<Policy>>,
+    evacuation: Evacuation,
+    // What the follower of the operator's topic has read of evacuations.
+    reading: Reading,
     revoked: Arc<Revoked>,
     roster: Roster,
     // Whether the configuration's topic was ever read.
@@ -130,6 +138,8 @@
             shared,
             lines,
             policy: None,
+            evacuation: Evacuation::NONE,
+            reading: Reading::default(),
             revoked: Arc::default(),
             read: false,
             listed: false,
@@ -137,10 +147,14 @@
         }
     }
 
-    fn policies(&mut self, heard: Heard<Policy>) {
+    fn operator(&mut self, heard: Heard<Statement>) {
         let mut newer = false;
+        self.reading.begin(heard.mode.epoch);
         for change in heard.changes {
-            newer |= self.policy(change);
+            newer |= self.statement(change);
+        }
+        if let Some(position) = heard.position {
+            newer |= self.evacuate(self.reading.as_of(position), "log");
         }
         if newer {
             self.publish();
@@ -150,6 +164,44 @@
         }
     }
 
+    fn statement(&mut self, change: Change<Statement>) -> bool {
+        match change {
+            Change::Set(_, Statement::Policy(policy)) => self.policy(policy),
+            Change::Set(key, Statement::Evacuate(zone)) => {
+                self.reading.set(key, zone);
+                false
+            }
+            Change::Removed(key) => {
+                self.reading.remove(&key);
+                false
+            }
+            Change::Unreadable(key, cause) => {
+                log::error!(key:% = key, cause:% = cause; "operator's record can't be read; the last version stays");
+                false
+            }
+        }
+    }
+
+    // Takes in which zones are evacuated, by the word of `told_by`; returns whether
+    // that changed.
+    fn evacuate(&mut self, evacuation: Evacuation, told_by: &str) -> bool {
+        let as_of = evacuation.as_of;
+        let changes = self.evacuation.learn(evacuation);
+        if changes.is_empty() {
+            return false;
+        }
+        for zone in &changes.evacuated {
+            log::warn!(zone:% = zone, as_of = as_of, told_by:% = told_by; "zone evacuated; its endpoints get nothing");
+        }
+        for zone in &changes.returned {
+            log::info!(zone:% = zone, as_of = as_of, told_by:% = told_by; "zone returned; its endpoints are used again");
+        }
+        self.shared.metrics.evacuated(self.evacuation.zones.len());
+        let own = self.evacuation.clone();
+        self.shared.tell(true, |board| board.set_evacuation(own));
+        true
+    }
+
     // That there is no configuration yet is known as well, but nothing can be
     // acted on by it.
     fn confirm(&mut self, at: Moment) {
@@ -165,11 +217,14 @@
         let mut changed = news.whole && !self.listed;
         let gone = self.gone(&news);
         if let Some(content) = news.policy {
-            changed |= self.policy(Change::Set(Policy::new(content)));
+            changed |= self.policy(Policy::new(content));
+        }
+        if let Some(evacuation) = news.evacuation {
+            changed |= self.evacuate(evacuation, "peer");
         }
         self.roster.reached(news.endpoints_read);
         for registration in news.set {
-            changed |= self.endpoint(Change::Set(registration), news.endpoints_read);
+            changed |= self.set(registration);
         }
         for name in gone {
             changed |= self.dismiss(&name);
@@ -212,34 +267,25 @@
         known
     }
 
-    fn policy(&mut self, change: Change<Policy>) -> bool {
-        match change {
-            Change::Set(policy) => {
-                let held = self.policy.as_ref().map_or(0, |held| held.version());
-                // The log never goes back; whatever looks like it is a mistake
-                // that must not undo a version that callers have seen work.
-                if policy.version() <= held {
-                    log::warn!(version = policy.version(), held = held; "older version ignored");
-                    return false;
-                }
-                let changes = self.keys(&policy);
-                log::info!(
-                    version = policy.version(), before = held, routes = policy.routes(),
-                    keys_added = changes.added, keys_removed = changes.removed;
-                    "version in force"
-                );
-                self.shared.metrics.requests().version(policy.version());
-                self.shared
-                    .tell(true, |board| board.set_policy(policy.content().clone()));
-                self.policy = Some(Arc::new(policy));
-                true
-            }
-            Change::Unreadable(key, cause) => {
-                log::error!(key:% = key, cause:% = cause; "version can't be read; the last one stays");
-                false
-            }
-            Change::Removed(_) => false,
+    fn policy(&mut self, policy: Policy) -> bool {
+        let held = self.policy.as_ref().map_or(0, |held| held.version());
+        // The log never goes back; whatever looks like it is a mistake that must
+        // not undo a version that callers have seen work.
+        if policy.version() <= held {
+            log::warn!(version = policy.version(), held = held; "older version ignored");
+            return false;
         }
+        let changes = self.keys(&policy);
+        log::info!(
+            version = policy.version(), before = held, routes = policy.routes(),
+            keys_added = changes.added, keys_removed = changes.removed;
+            "version in force"
+        );
+        self.shared.metrics.requests().version(policy.version());
+        self.shared
+            .tell(true, |board| board.set_policy(policy.content().clone()));
+        self.policy = Some(Arc::new(policy));
+        true
     }
 
     // Remembers the keys that a version takes away.
@@ -272,25 +318,7 @@
 
     fn endpoint(&mut self, change: Change<Registration>, now: Moment) -> bool {
         match change {
-            Change::Set(registration) => {
-                let endpoint = registration.endpoint.clone();
-                let told = registration.clone();
-                let setting = self.roster.set(registration);
-                if setting == Setting::Same {
-                    return false;
-                }
-                self.shared.tell(true, |board| board.set(told));
-                if setting == Setting::Returned {
-                    log::info!(endpoint:% = endpoint.name; "lapsed entry is back");
-                    return false;
-                }
-                log::info!(
-                    endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
-                    address:% = endpoint.address, standing:? = endpoint.standing;
-                    "endpoint changed"
-                );
-                true
-            }
+            Change::Set(_, registration) => self.set(registration),
             Change::Removed(name) => match self.roster.remove(&name, now) {
                 Removal::Gone => {
                     log::info!(endpoint:% = name; "endpoint gone");
@@ -311,6 +339,26 @@
         }
     }
 
+    fn set(&mut self, registration: Registration) -> bool {
+        let endpoint = registration.endpoint.clone();
+        let told = registration.clone();
+        let setting = self.roster.set(registration);
+        if setting == Setting::Same {
+            return false;
+        }
+        self.shared.tell(true, |board| board.set(told));
+        if setting == Setting::Returned {
+            log::info!(endpoint:% = endpoint.name; "lapsed entry is back");
+            return false;
+        }
+        log::info!(
+            endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
+            address:% = endpoint.address, standing:? = endpoint.standing;
+            "endpoint changed"
+        );
+        true
+    }
+
     fn tick(&mut self, now: Moment) {
         self.shared.book().tick(now);
         self.shared.metrics.dropped(self.lines.dropped());
@@ -343,14 +391,22 @@
     }
 
     fn publish(&self) {
-        let of = |standing| by_service(self.roster.registrations(), standing);
-        let endpoints = self.listed.then(|| of(Standing::Live));
+        let of = |standing| {
+            let all = self.roster.registrations();
+            all.filter(move |one| one.endpoint.standing == standing)
+        };
+        let evacuated = |one: &&Registration| self.evacuation.holds(one.endpoint.zone);
+        let usable = |one: &&Registration| !evacuated(one);
+        let endpoints = self
+            .listed
+            .then(|| by_service(of(Standing::Live).filter(usable)));
         let live = endpoints.iter().flatten().map(|(_, of)| of.len()).sum();
         self.shared.metrics.endpoints(live);
         self.shared.publish(View {
             policy: self.policy.clone(),
             endpoints,
-            leaving: of(Standing::Leaving),
+            leaving: by_service(of(Standing::Leaving).filter(usable)),
+            evacuated: by_service(of(Standing::Live).filter(evacuated)),
             revoked: Arc::clone(&self.revoked),
         });
         let known: BTreeSet<_> = self
--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -5,6 +5,7 @@
 
 use godwitpost_client::clock::boot_time;
 use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::Offset;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 
@@ -95,8 +96,8 @@
     fn pace(&self) -> Pace {
         let refresh = self.shared.settings.refresh;
         match (self.topic, self.shared.is_asked()) {
-            (Topic::Policies, false) => Pace::Wait(WAIT),
-            (Topic::Policies, true) => Pace::Wait(WAIT_FOR_OTHERS),
+            (Topic::Operator, false) => Pace::Wait(WAIT),
+            (Topic::Operator, true) => Pace::Wait(WAIT_FOR_OTHERS),
             (Topic::Endpoints, false) => Pace::Poll(refresh),
             (Topic::Endpoints, true) => Pace::Poll(refresh / OFTENER),
         }
@@ -110,14 +111,14 @@
 /// Which topic is followed.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Topic {
-    Policies,
+    Operator,
     Endpoints,
 }
 
 impl Topic {
     const fn as_str(self) -> &'static str {
         match self {
-            Self::Policies => "policies",
+            Self::Operator => "operator",
             Self::Endpoints => "endpoints",
         }
     }
@@ -130,6 +131,8 @@
     pub(super) asked: Moment,
     /// Whether everything that the topic held then is known now.
     pub(super) whole: bool,
+    /// Up to which offset all records are known, unless the topic is being listed.
+    pub(super) position: Option<Offset>,
     /// The mode in which it was asked.
     pub(super) mode: Mode,
 }
@@ -222,7 +225,7 @@
                 let lost = since(now, from).as_millis();
                 log::info!(topic:% = topic, away_ms:% = lost, calls = self.failures; "log regained");
             }
-            if matches!(log.topic, Topic::Policies) {
+            if matches!(log.topic, Topic::Operator) {
                 log.shared.set_lost(false);
             }
             if self.failures > 0 {
@@ -231,7 +234,7 @@
             self.failures = 0;
             return Duration::ZERO;
         };
-        if matches!(log.topic, Topic::Policies) {
+        if matches!(log.topic, Topic::Operator) {
             log.shared.set_lost(true);
         }
         if self.since.is_none() {
@@ -293,6 +296,7 @@
                 changes,
                 asked,
                 whole,
+                position: feed.position(),
                 mode,
             })
         }
@@ -304,6 +308,7 @@
                 changes,
                 asked,
                 whole,
+                position: feed.position(),
                 mode,
             })
         }
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -6,7 +6,7 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Connector;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::Version;
+use godwitpost_types::id::{Offset, Version};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
@@ -15,6 +15,7 @@
 use super::passing::take;
 use super::{MESSAGE_BYTES, PATH, whole};
 use crate::board::{Question, Told};
+use crate::evacuation::Evacuation;
 use crate::policy::Content;
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -27,6 +28,7 @@
 /// What a peer told, in this instance's time.
 pub(in crate::control) struct News {
     pub(in crate::control) policy: Option<Content>,
+    pub(in crate::control) evacuation: Option<Evacuation>,
     /// When the read was sent that confirmed the configuration.
     pub(in crate::control) policy_read: Moment,
     /// When the read was sent that confirmed the list of endpoints.
@@ -69,11 +71,15 @@
     pub(super) life: u64,
     pub(super) stamp: u64,
     version: Version,
+    evacuation: Offset,
 }
 
 impl Known {
     pub(super) fn take(&mut self, told: &Told) {
         (self.life, self.stamp) = (told.life, told.stamp);
+        if let Some(evacuation) = &told.evacuation {
+            self.evacuation = evacuation.as_of;
+        }
         if let Some(policy) = &told.policy {
             self.version = policy.version;
         }
@@ -129,12 +135,14 @@
         } else {
             0
         };
+        let evacuation = self.shared.tell(false, |board| board.evacuation());
         let question = Question {
             life: self.told.life,
             stamp: self.told.stamp,
             digest,
             own: self.shared.settings.listen.peers,
             version: self.told.version(in_force),
+            evacuation: evacuation.max(self.told.evacuation),
             wait,
             loads: self.shared.book().take_heard(boot_time()),
             held: self.shared.directory().take_untold(boot_time()),
@@ -196,6 +204,7 @@
     }
     Ok(News {
         policy: told.policy,
+        evacuation: told.evacuation,
         policy_read: since(made, policy_age),
         endpoints_read: since(made, endpoints_age),
         whole: told.whole,
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -33,6 +33,7 @@
     digest: 0,
     own: None,
     version: 0,
+    evacuation: 0,
     wait: at(400),
     loads: Vec::new(),
     held: Vec::new(),
--- /dev/null
+++ b/crates/direct/src/evacuation/tests.rs
@@ -0,0 +1,272 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use godwitpost_types::id;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Evacuation, Reading};
+use crate::board::{Board, Question};
+use crate::feed::{Change, Feed, Next};
+use crate::source::{Page, Record, Tail, Value};
+
+/// Schedules that each promise is played over.
+const SEEDS: u64 = 10_000;
+
+const ZONES: [&str; 3] = ["otaru", "kushiro", "sapporo"];
+
+fn state(as_of: u64, zones: &[&str]) -> Evacuation {
+    Evacuation {
+        as_of,
+        zones: zones.iter().copied().map(str::to_owned).collect(),
+    }
+}
+
+#[test]
+fn changes_name_what_came_and_went() {
+    let mut own = Evacuation::NONE;
+    let changes = own.learn(state(3, &["otaru", "kushiro"]));
+    assert_eq!(changes.evacuated, ["kushiro", "otaru"]);
+    assert!(own.holds(id::of("otaru")) && !own.holds(id::of("sapporo")));
+    let changes = own.learn(state(5, &["sapporo", "otaru"]));
+    assert_eq!(changes.evacuated, ["sapporo"]);
+    assert_eq!(changes.returned, ["kushiro"]);
+    assert!(own.learn(state(9, &["sapporo", "otaru"])).is_empty());
+    assert_eq!(own.as_of, 9);
+}
+
+/// Guards against a late word that undoes a newer one.
+#[test]
+fn an_older_state_changes_nothing() {
+    let mut own = state(7, &["otaru"]);
+    assert!(own.learn(state(6, &[])).is_empty());
+    assert!(own.learn(state(7, &["kushiro"])).is_empty());
+    assert_eq!(own, state(7, &["otaru"]));
+}
+
+/// Guards against zones that stay evacuated since their record was removed while
+/// a peer was asked.
+#[test]
+fn a_reading_begins_anew_with_each_epoch() {
+    let mut reading = Reading::default();
+    reading.set("k".to_owned(), "otaru".to_owned());
+    reading.begin(1);
+    assert_eq!(reading.as_of(4), state(4, &[]));
+    reading.set("k".to_owned(), "otaru".to_owned());
+    reading.begin(1);
+    assert_eq!(reading.as_of(5), state(5, &["otaru"]));
+}
+
+// The operator's topic: each record, and the first one that is still there.
+#[derive(Default)]
+struct Log {
+    records: Vec<Record<String>>,
+    kept_from: u64,
+}
+
+impl Log {
+    fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    // The zones as of an offset.
+    fn zones(&self, as_of: u64) -> BTreeSet<String> {
+        self.newest(as_of)
+            .values()
+            .map(|record| record.key.clone())
+            .collect()
+    }
+
+    fn newest(&self, as_of: u64) -> BTreeMap<&str, &Record<String>> {
+        let mut newest = BTreeMap::new();
+        for record in self.records.iter().filter(|one| one.offset < as_of) {
+            match record.value {
+                Value::Removed => newest.remove(record.key.as_str()),
+                _ => newest.insert(record.key.as_str(), record),
+            };
+        }
+        newest
+    }
+
+    fn write(&mut self, rng: &mut ChaCha8Rng) {
+        let zone = ZONES[rng.random_range(0..ZONES.len())];
+        let there = self.zones(self.end()).contains(zone);
+        let value = if there {
+            Value::Removed
+        } else {
+            Value::Set(zone.to_owned())
+        };
+        self.records.push(Record {
+            key: zone.to_owned(),
+            offset: self.end(),
+            value,
+        });
+        if rng.random_bool(0.1) {
+            self.kept_from = self.end();
+        }
+    }
+
+    fn list(&self) -> Page<String> {
+        Page {
+            records: self.newest(self.end()).into_values().cloned().collect(),
+            next: None,
+            end: self.end(),
+        }
+    }
+
+    // At most two records, so that readers are behind.
+    fn read(&self, from: u64) -> Tail<String> {
+        if from < self.kept_from {
+            return Tail::Expired;
+        }
+        let from = usize::try_from(from).expect("a short log");
+        let records: Vec<_> = self.records.iter().skip(from).take(2).cloned().collect();
+        Tail::Records {
+            next: from as u64 + records.len() as u64,
+            records,
+            end: self.end(),
+        }
+    }
+}
+
+// An instance, and how it takes in what it hears.
+struct Instance {
+    board: Board,
+    known: Evacuation,
+    feed: Feed,
+    reading: Reading,
+    epoch: u64,
+    learn: fn(&mut Evacuation, Evacuation),
+}
+
+impl Instance {
+    fn start(life: u64, learn: fn(&mut Evacuation, Evacuation)) -> Self {
+        Self {
+            board: Board::new(life),
+            known: Evacuation::NONE,
+            feed: Feed::default(),
+            reading: Reading::default(),
+            epoch: 0,
+            learn,
+        }
+    }
+
+    fn take(&mut self, other: Evacuation) {
+        (self.learn)(&mut self.known, other);
+        self.board.set_evacuation(self.known.clone());
+    }
+
+    fn reads(&mut self, log: &Log) {
+        let changes = match self.feed.next() {
+            Next::List(_) => self.feed.listed(log.list()),
+            Next::Read(from) => self.feed.read(log.read(from)),
+        };
+        self.reading.begin(self.epoch);
+        for change in changes {
+            match change {
+                Change::Set(key, zone) => self.reading.set(key, zone),
+                Change::Removed(key) => self.reading.remove(&key),
+                Change::Unreadable(..) => {}
+            }
+        }
+        if let Some(position) = self.feed.position() {
+            self.take(self.reading.as_of(position));
+        }
+    }
+
+    // Goes back to the log after it asked peers.
+    fn goes_back(&mut self) {
+        self.feed = Feed::default();
+        self.epoch += 1;
+    }
+
+    fn question(&self) -> Question {
+        Question {
+            life: 0,
+            stamp: 0,
+            digest: 0,
+            own: None,
+            version: 0,
+            evacuation: self.known.as_of,
+            wait: Duration::ZERO,
+            loads: Vec::new(),
+            held: Vec::new(),
+        }
+    }
+}
+
+// Plays a schedule: the operator writes, readers are behind, restart or go back to
+// the log, answers of peers come late, twice or never. Returns whether every
+// instance knew the truth as of its offset, never an older one, and all knew the
+// newest once each had read to the end.
+fn play(seed: u64, learn: fn(&mut Evacuation, Evacuation)) -> bool {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut log = Log::default();
+    let mut instances: Vec<_> = (1..=4).map(|life| Instance::start(life, learn)).collect();
+    let mut under_way: Vec<(usize, Evacuation)> = Vec::new();
+    for _ in 0..80 {
+        let at = rng.random_range(0..instances.len());
+        let before = instances[at].known.as_of;
+        let mut restarted = false;
+        match rng.random_range(0..12) {
+            0..=1 => log.write(&mut rng),
+            2..=5 => instances[at].reads(&log),
+            6..=7 => {
+                let peer = rng.random_range(0..instances.len());
+                let question = instances[at].question();
+                let told = instances[peer]
+                    .board
+                    .tell(&question, Duration::ZERO, Duration::ZERO);
+                under_way.extend(told.evacuation.map(|evacuation| (at, evacuation)));
+            }
+            8..=9 if !under_way.is_empty() => {
+                let next = rng.random_range(0..under_way.len());
+                let (to, evacuation) = under_way[next].clone();
+                instances[to].take(evacuation);
+                if rng.random_bool(0.7) {
+                    under_way.remove(next);
+                }
+            }
+            10 => instances[at].goes_back(),
+            11 => {
+                instances[at] = Instance::start(rng.random(), learn);
+                under_way.retain(|(to, _)| *to != at);
+                restarted = true;
+            }
+            _ => {}
+        }
+        let went_back = !restarted && instances[at].known.as_of < before;
+        let wrong = |one: &Instance| one.known.zones != log.zones(one.known.as_of);
+        if went_back || instances.iter().any(wrong) {
+            return false;
+        }
+    }
+    instances.iter_mut().all(|one| {
+        // Lost history, a list, and two records at a time.
+        for _ in 0..60 {
+            one.reads(&log);
+        }
+        one.known.zones == log.zones(log.end())
+    })
+}
+
+fn newer(own: &mut Evacuation, other: Evacuation) {
+    own.learn(other);
+}
+
+/// Guards against a zone that is used while evacuated, or stays empty for good,
+/// after news came late, twice, by several ways or not at all.
+#[test]
+fn every_instance_knows_the_zones_as_of_its_offset() {
+    for seed in 0..SEEDS {
+        assert!(play(seed, newer), "seed {seed}");
+    }
+}
+
+/// Shows that the schedules break an instance that takes whatever comes last.
+#[test]
+fn schedules_break_an_instance_that_takes_older_states() {
+    let last = |own: &mut Evacuation, other: Evacuation| *own = other;
+    let broken = (0..100).filter(|seed| !play(*seed, last)).count();
+    assert!(broken > 0);
+}
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change<T> {
     /// A key has a new value.
-    Set(T),
+    Set(String, T),
     /// A key is gone, or its value can't be used.
     Removed(String),
     /// A key's value can't be read, and why; [`Change::Removed`] follows.
@@ -102,6 +102,16 @@
         matches!(self.state, State::Reading { .. })
     }
 
+    /// Returns the offset up to which all records are taken in; `None` while the
+    /// topic is listed.
+    #[must_use]
+    pub const fn position(&self) -> Option<Offset> {
+        match self.state {
+            State::Reading { from } => Some(from),
+            State::Listing { .. } => None,
+        }
+    }
+
     /// Takes in a page. One that was not asked for is ignored.
     pub fn listed<T>(&mut self, page: Page<T>) -> Vec<Change<T>> {
         let State::Listing { after, end, seen } = &mut self.state else {
@@ -170,8 +180,8 @@
             }
             match record.value {
                 Value::Set(value) => {
-                    self.known.insert(record.key, Some(record.offset));
-                    changes.push(Change::Set(value));
+                    self.known.insert(record.key.clone(), Some(record.offset));
+                    changes.push(Change::Set(record.key, value));
                 }
                 Value::Removed => {
                     self.known.remove(&record.key);
--- a/crates/direct/src/feed/tests.rs
+++ b/crates/direct/src/feed/tests.rs
@@ -89,7 +89,7 @@
         [
             Change::Unreadable("a".to_owned(), "no address".to_owned()),
             gone("a"),
-            Change::Set("b@4".to_owned()),
+            Change::Set("b".to_owned(), "b@4".to_owned()),
         ]
     );
 }
@@ -113,5 +113,8 @@
 fn keys_known_from_elsewhere_are_gone_if_the_list_does_not_hold_them() {
     let mut feed = Feed::knowing(["a".to_owned(), "b".to_owned()]);
     let changes = feed.listed(page(vec![set("b", 0)], false, 3));
-    assert_eq!(changes, [Change::Set("b@0".to_owned()), gone("a")]);
+    assert_eq!(
+        changes,
+        [Change::Set("b".to_owned(), "b@0".to_owned()), gone("a")]
+    );
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,7 +8,7 @@
 //! are used on the wire.
 //!
 //! Decisions take no clock, socket or randomness of their own: [`policy`],
-//! [`feed`], [`roster`], [`lease`], [`place`], [`book`], [`budget`],
+//! [`feed`], [`roster`], [`lease`], [`evacuation`], [`place`], [`book`], [`budget`],
 //! [`attempt`], [`holders`], [`fetch`], [`board`] and [`standby`]. The rest carries bytes and
 //! time to them. What was weighed
 //! against sending through an endpoint's owner is in
@@ -21,6 +21,7 @@
 pub mod cli;
 pub mod control;
 pub mod dialect;
+pub mod evacuation;
 pub mod feed;
 pub mod fetch;
 pub mod holders;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -38,6 +38,7 @@
     sources: Counter<u64>,
     calls: Counter<u64>,
     endpoints: Gauge<u64>,
+    evacuated: Gauge<u64>,
     age: Gauge<u64>,
     spans: Gauge<u64>,
     dropped: Gauge<u64>,
@@ -74,6 +75,10 @@
             ),
             calls: counter("godwitpost.log_calls", "Reads of the log, by outcome"),
             endpoints: gauge("godwitpost.endpoints", "Endpoints that may get new work"),
+            evacuated: gauge(
+                "godwitpost.evacuated_zones",
+                "Availability zones kept empty",
+            ),
             age: gauge(
                 "godwitpost.policy_age_ms",
                 "Milliseconds since the configuration was last confirmed",
@@ -126,6 +131,10 @@
         self.endpoints.record(count as u64, &[]);
     }
 
+    pub(crate) fn evacuated(&self, zones: usize) {
+        self.evacuated.record(zones as u64, &[]);
+    }
+
     pub(crate) fn age(&self, age: Duration) {
         let millis = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
         self.age.record(millis, &[]);
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -31,6 +31,8 @@
     Unconfirmed,
     /// no endpoint of the service is known; send it again
     NoEndpoint,
+    /// all endpoints of the service are in evacuated availability zones; send it again later
+    Evacuated,
     /// all endpoints of the service are full; send it again later
     Full,
     /// the endpoint refused the request; send it again later
@@ -71,6 +73,10 @@
 /// takes 15 ms, so a queue of a few times the slots is gone by then.
 const LATER: Duration = Duration::from_millis(400);
 
+/// The wait that is asked of callers while all zones of a service are evacuated,
+/// which lasts for seconds or hours.
+const EVACUATED: Duration = Duration::from_secs(1);
+
 impl Reason {
     /// Returns the status of the answer.
     #[must_use]
@@ -87,6 +93,7 @@
             Self::Starting
             | Self::Unconfirmed
             | Self::NoEndpoint
+            | Self::Evacuated
             | Self::Full
             | Self::Refused
             | Self::Unreachable
@@ -115,6 +122,7 @@
             | Self::Unreachable
             | Self::Expired => Some(SOON),
             Self::Full | Self::Refused | Self::Overloaded => Some(LATER),
+            Self::Evacuated => Some(EVACUATED),
             Self::Held { left } => Some(left),
             _ => None,
         }
@@ -133,6 +141,7 @@
             Self::Starting => "starting",
             Self::Unconfirmed => "unconfirmed",
             Self::NoEndpoint => "no-endpoint",
+            Self::Evacuated => "evacuated",
             Self::Full => "full",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -251,11 +251,20 @@
                 .ok_or(Reason::NoEndpoint)
         }
         Pick::Full => Err(Reason::Full),
-        Pick::None if job.tried.is_empty() => Err(Reason::NoEndpoint),
+        Pick::None if job.tried.is_empty() => Err(none(job, &view)),
         Pick::None => Err(Reason::Unreachable),
     }
 }
 
+// Why there is no endpoint at all.
+fn none(job: &Job, view: &View) -> Reason {
+    if view.evacuated(job.service).is_empty() {
+        Reason::NoEndpoint
+    } else {
+        Reason::Evacuated
+    }
+}
+
 // What the request's prompt shares with others, where that counts.
 fn prefix(job: &Job, candidates: &[Candidate]) -> Option<Prefix> {
     let part = job.facts.shared().filter(|_| job.route.affinity)?;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -13,7 +13,6 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{self, Connector};
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::endpoint::Standing;
 use godwitpost_types::id::{EndpointId, ServiceId};
 use rand::RngExt;
 use tokio::sync::watch;
@@ -72,6 +71,9 @@
     /// Endpoints that are leaving, by service. They get no new work, but what
     /// they hold can still be fetched.
     pub(crate) leaving: Services,
+    /// Endpoints in evacuated zones, by service. They get nothing, and what they
+    /// have ends there.
+    pub(crate) evacuated: Services,
     /// Keys that were seen to be taken away.
     pub(crate) revoked: Arc<Revoked>,
 }
@@ -85,6 +87,11 @@
             .map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the endpoints of a service that are in evacuated zones.
+    pub(crate) fn evacuated(&self, service: ServiceId) -> &[Arc<Registration>] {
+        self.evacuated.get(&service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the endpoints of a service that are leaving.
     pub(crate) fn leaving(&self, service: ServiceId) -> &[Arc<Registration>] {
         self.leaving.get(&service).map_or(&[], Vec::as_slice)
@@ -101,19 +108,14 @@
     }
 }
 
-/// Groups the endpoints of this standing by service.
-pub(crate) fn by_service<'a>(
-    registrations: impl Iterator<Item = &'a Registration>,
-    standing: Standing,
-) -> Services {
+/// Groups endpoints by service.
+pub(crate) fn by_service<'a>(registrations: impl Iterator<Item = &'a Registration>) -> Services {
     let mut services = Services::new();
     for registration in registrations {
-        if registration.endpoint.standing == standing {
-            services
-                .entry(registration.endpoint.service)
-                .or_default()
-                .push(Arc::new(registration.clone()));
-        }
+        services
+            .entry(registration.endpoint.service)
+            .or_default()
+            .push(Arc::new(registration.clone()));
     }
     services
 }
--- a/crates/direct/src/source.rs
+++ b/crates/direct/src/source.rs
@@ -11,6 +11,8 @@
 
 use godwitpost_types::id::Offset;
 
+use crate::policy::Policy;
+
 /// Why a call has no answer.
 #[derive(Debug, displaydoc::Display)]
 pub enum Fault {
@@ -48,6 +50,16 @@
     pub value: Value<T>,
 }
 
+/// What the operator says in one record.
+#[derive(Clone, Debug)]
+pub enum Statement {
+    /// This is the configuration.
+    Policy(Policy),
+    /// The availability zone of this name is to be kept empty for as long as the
+    /// record is there.
+    Evacuate(String),
+}
+
 /// A page of the newest record of each key, in the order of keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Page<T> {
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -12,7 +12,7 @@
 use godwitpost_direct::policy::{Content, Kind, Limits, Policy, Route, Service, Target, Workspace};
 use godwitpost_direct::roster::Registration;
 use godwitpost_direct::settings::Settings;
-use godwitpost_direct::source::{Fault, Page, Record, Source, Tail, Value};
+use godwitpost_direct::source::{Fault, Page, Record, Source, Statement, Tail, Value};
 use godwitpost_direct::{Running, start};
 use godwitpost_process::logging::queue::Queue;
 use godwitpost_types::endpoint::{Endpoint as Listed, Standing};
@@ -116,7 +116,7 @@
 /// A running instance and its log.
 pub(crate) struct Fleet {
     pub(crate) running: Running,
-    pub(crate) policies: Topic<Policy>,
+    pub(crate) operator: Topic<Statement>,
     pub(crate) endpoints: Topic<Registration>,
 }
 
@@ -177,24 +177,28 @@
         let text = text.replace("900ms", "5s");
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!("{text}seeds: [{}]\n", seeds.join(","));
-        let (policies, endpoints) = (Topic::new(), Topic::new());
+        let (operator, endpoints) = (Topic::new(), Topic::new());
         for (n, address) in addresses.iter().enumerate() {
             let name = format!("e{n}");
             let registration = registration(&name, *address, Standing::Live);
             endpoints.append(&name, Value::Set(registration));
         }
-        policies.append("config", Value::Set(Policy::new(content(1))));
-        Self::start_with(&text, policies, endpoints)
+        operator.append("config", policy(content(1)));
+        Self::start_with(&text, operator, endpoints)
     }
 
     /// Returns how often the instance called its log.
     pub(crate) fn calls(&self) -> usize {
-        self.policies.calls() + self.endpoints.calls()
+        self.operator.calls() + self.endpoints.calls()
     }
 
-    fn start_with(settings: &str, policies: Topic<Policy>, endpoints: Topic<Registration>) -> Self {
+    fn start_with(
+        settings: &str,
+        operator: Topic<Statement>,
+        endpoints: Topic<Registration>,
+    ) -> Self {
         let sources = Sources {
-            policies: policies.source(),
+            operator: operator.source(),
             endpoints: endpoints.source(),
         };
         let settings = Settings::parse(settings).expect("valid settings");
@@ -202,14 +206,23 @@
         let running = start(settings, DIALECT, sources, lines).expect("free ports");
         Self {
             running,
-            policies,
+            operator,
             endpoints,
         }
     }
 
     pub(crate) fn roll(&self, content: Content) {
-        self.policies
-            .append("config", Value::Set(Policy::new(content)));
+        self.operator.append("config", policy(content));
+    }
+
+    /// Writes that a zone is to be kept empty, or that it may be used again.
+    pub(crate) fn evacuate(&self, zone: &str, evacuated: bool) {
+        let value = if evacuated {
+            Value::Set(Statement::Evacuate(zone.to_owned()))
+        } else {
+            Value::Removed
+        };
+        self.operator.append(&format!("empty-{zone}"), value);
     }
 
     pub(crate) fn join(&self, name: &str, address: SocketAddr) {
@@ -219,6 +232,12 @@
         );
     }
 
+    pub(crate) fn join_in(&self, zone: &str, name: &str, address: SocketAddr) {
+        let mut joined = registration(name, address, Standing::Live);
+        joined.endpoint.zone = id::of(zone);
+        self.endpoints.append(name, Value::Set(joined));
+    }
+
     pub(crate) fn leave(&self, name: &str, address: SocketAddr) {
         self.endpoints.append(
             name,
@@ -254,6 +273,10 @@
     }
 }
 
+fn policy(content: Content) -> Value<Statement> {
+    Value::Set(Statement::Policy(Policy::new(content)))
+}
+
 /// Returns addresses at which nobody listens, and which the system gives to nobody
 /// who asks for any: an instance that starts later has to find its own free.
 pub(crate) fn free_addresses<const N: usize>() -> [SocketAddr; N] {
--- a/crates/direct/tests/instance/freshness.rs
+++ b/crates/direct/tests/instance/freshness.rs
@@ -30,7 +30,7 @@
 async fn keys_are_not_acted_on_when_the_log_stays_away() {
     let endpoint = Endpoint::start(says("ok")).await;
     let fleet = Fleet::start(&[endpoint.address]).await;
-    fleet.policies.set_down(true);
+    fleet.operator.set_down(true);
     tokio::time::sleep(Duration::from_secs(1)).await;
     let whole = fleet.call("GET", "/stock/1", "").await;
     assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
@@ -44,7 +44,7 @@
     // A route that may be there by now is not denied.
     let whole = fleet.call("GET", "/nowhere/1", "").await;
     assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
-    fleet.policies.set_down(false);
+    fleet.operator.set_down(false);
     fleet.ready().await;
     let whole = fleet.call("GET", "/stock/1", "").await;
     assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
@@ -94,7 +94,7 @@
         .endpoints
         .append("e7", Value::Unreadable("no address".to_owned()));
     fleet
-        .policies
+        .operator
         .append("config", Value::Unreadable("no routes".to_owned()));
     tokio::time::sleep(Duration::from_millis(300)).await;
     let whole = fleet.call("GET", "/stock/1", "").await;
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod crashes;
 mod endpoint;
+mod evacuation;
 mod failures;
 mod fleet;
 mod freshness;
--- a/crates/direct/tests/instance/peers.rs
+++ b/crates/direct/tests/instance/peers.rs
@@ -164,16 +164,16 @@
     let endpoint = Endpoint::start(says("ok")).await;
     let [seed, other] = Fleet::start_two(&[endpoint.address]).await;
     follows(&other).await;
-    other.policies.set_down(true);
+    other.operator.set_down(true);
     // What the other one confirms counts here as well, for longer than a lease.
     tokio::time::sleep(Duration::from_secs(6)).await;
     assert_eq!(status(&other, "/stock/1").await, "200");
-    seed.policies.set_down(true);
+    seed.operator.set_down(true);
     let start = Instant::now();
     until(async || status(&other, "/stock/1").await == "503").await;
     assert!(start.elapsed() < Duration::from_secs(5));
     assert_eq!(status(&other, "/open/1").await, "200");
-    other.policies.set_down(false);
+    other.operator.set_down(false);
     until(async || status(&other, "/stock/1").await == "200").await;
 }
 
