direct: endpoints that are warming up get shares of what they bear

Each instance takes a share by the count of instances, which those that are asked add up and tell. A request without a share goes elsewhere, or waits for half of its objective where there is nothing else. Endpoints of a zone that is given back count as warming up, since their entries say so late.

--- a/crates/bench/src/direct/cost.rs
+++ b/crates/bench/src/direct/cost.rs
@@ -63,7 +63,7 @@
             near: true,
             clear: true,
             access: Access::Full,
-            tried: false,
+            bar: None,
         })
         .collect();
     let part = Part {
--- a/crates/bench/src/direct/instance.rs
+++ b/crates/bench/src/direct/instance.rs
@@ -49,7 +49,7 @@
                 near: true,
                 clear: true,
                 access: Access::Full,
-                tried: false,
+                bar: None,
             }
         };
         ids.iter().zip(looks).map(candidate).collect()
--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -98,6 +98,8 @@
     pub held: Vec<Holding>,
     /// Instances that may be asked when no seed can be.
     pub standbys: Vec<SocketAddr>,
+    /// How many instances there are, if whoever tells has counted them.
+    pub instances: Option<u32>,
 }
 
 impl Told {
@@ -140,9 +142,22 @@
     digest: u64,
     // `None` once it is gone.
     registration: Option<Registration>,
+    // When it will have warmed up.
+    warm_at: Moment,
     lapsed: bool,
 }
 
+impl Entry {
+    fn told(&self, now: Moment) -> Option<Registration> {
+        let registration = self.registration.clone()?;
+        let warming = since(self.warm_at, now);
+        Some(Registration {
+            warming,
+            ..registration
+        })
+    }
+}
+
 impl Board {
     /// Returns the empty board of an instance's life, which is not 0.
     #[must_use]
@@ -219,14 +234,15 @@
         self.policy_read.min(self.endpoints_read)
     }
 
-    /// Notes an endpoint that changed.
-    pub fn set(&mut self, registration: Registration) {
+    /// Notes an endpoint that changed, and when it will have warmed up.
+    pub fn set(&mut self, registration: Registration, warm_at: Moment) {
         self.stamp += 1;
         let name = registration.endpoint.name.clone();
         let entry = Entry {
             stamp: self.stamp,
             digest: digest(&registration),
             registration: Some(registration),
+            warm_at,
             lapsed: false,
         };
         self.entries.insert(name, entry);
@@ -301,7 +317,7 @@
             whole,
             set: changed()
                 .filter(|(_, entry)| !entry.lapsed)
-                .filter_map(|(_, entry)| entry.registration.clone())
+                .filter_map(|(_, entry)| entry.told(now))
                 .collect(),
             lapsed: changed()
                 .filter(|(_, entry)| entry.lapsed && entry.registration.is_some())
@@ -325,6 +341,7 @@
                 .map(|(_, (holding, then))| holding.aged(since(now, *then)))
                 .collect(),
             standbys: Vec::new(),
+            instances: None,
         }
     }
 
@@ -345,7 +362,9 @@
 }
 
 fn digest(registration: &Registration) -> u64 {
-    let Registration { endpoint, slots } = registration;
+    let Registration {
+        endpoint, slots, ..
+    } = registration;
     let own = [
         endpoint.incarnation,
         endpoint.service,
--- a/crates/direct/src/board/tests.rs
+++ b/crates/direct/src/board/tests.rs
@@ -27,6 +27,7 @@
             standing: Standing::Live,
         },
         slots: 8,
+        warming: Duration::ZERO,
     }
 }
 
@@ -66,14 +67,14 @@
 #[test]
 fn who_asks_again_is_told_what_changed() {
     let mut board = Board::new(7);
-    board.set(registration("a"));
-    board.set(registration("b"));
+    board.set(registration("a"), Duration::ZERO);
+    board.set(registration("b"), Duration::ZERO);
     let first = board.tell(&STRANGER, at(0), at(0));
     assert!(first.whole);
     assert_eq!(names(&first), ["a", "b"]);
     assert!(!board.tell(&question(&first), at(0), at(0)).is_news());
     board.remove("a");
-    board.set(registration("c"));
+    board.set(registration("c"), Duration::ZERO);
     let second = board.tell(&question(&first), at(0), at(0));
     assert!(!second.whole);
     assert_eq!(names(&second), ["c"]);
@@ -86,10 +87,10 @@
 #[test]
 fn a_stamp_of_another_life_is_worth_nothing() {
     let mut board = Board::new(7);
-    board.set(registration("a"));
+    board.set(registration("a"), Duration::ZERO);
     let first = board.tell(&STRANGER, at(0), at(0));
     let mut next = Board::new(8);
-    next.set(registration("b"));
+    next.set(registration("b"), Duration::ZERO);
     let told = next.tell(&question(&first), at(0), at(0));
     assert!(told.whole);
     assert_eq!(names(&told), ["b"]);
@@ -99,10 +100,10 @@
 #[test]
 fn a_stamp_from_before_what_is_remembered_is_worth_nothing() {
     let mut board = Board::new(7);
-    board.set(registration("stays"));
+    board.set(registration("stays"), Duration::ZERO);
     let first = board.tell(&STRANGER, at(0), at(0));
     for n in 0..=GONE {
-        board.set(registration(&n.to_string()));
+        board.set(registration(&n.to_string()), Duration::ZERO);
         board.remove(&n.to_string());
     }
     let told = board.tell(&question(&first), at(0), at(0));
@@ -140,8 +141,8 @@
 #[test]
 fn a_lapsed_entry_is_told_as_one() {
     let mut board = Board::new(7);
-    board.set(registration("a"));
-    board.set(registration("b"));
+    board.set(registration("a"), Duration::ZERO);
+    board.set(registration("b"), Duration::ZERO);
     let first = board.tell(&STRANGER, at(0), at(0));
     board.lapse("a");
     let told = board.tell(&question(&first), at(0), at(0));
@@ -154,7 +155,7 @@
         (names(&whole), &whole.lapsed),
         (vec!["b"], &vec!["a".to_owned()])
     );
-    board.set(registration("a"));
+    board.set(registration("a"), Duration::ZERO);
     let back = board.tell(&question(&told), at(0), at(0));
     assert_eq!((names(&back), back.lapsed.len()), (vec!["a"], 0));
 }
@@ -191,17 +192,17 @@
 fn who_knows_the_same_is_told_no_list() {
     let mut board = Board::new(7);
     let mut other = Board::new(8);
-    board.set(registration("a"));
-    board.set(registration("b"));
+    board.set(registration("a"), Duration::ZERO);
+    board.set(registration("b"), Duration::ZERO);
     // Another order, and one that has changed in between.
     let leaving = Registration {
         slots: 9,
         ..registration("b")
     };
-    other.set(leaving.clone());
-    other.set(registration("a"));
+    other.set(leaving.clone(), Duration::ZERO);
+    other.set(registration("a"), Duration::ZERO);
     assert_ne!(board.digest(), other.digest());
-    other.set(registration("b"));
+    other.set(registration("b"), Duration::ZERO);
     assert_eq!(board.digest(), other.digest());
     let asks = Question {
         digest: other.digest(),
@@ -220,7 +221,7 @@
 #[test]
 fn a_lapsed_entry_shows_in_the_digest() {
     let mut board = Board::new(7);
-    board.set(registration("a"));
+    board.set(registration("a"), Duration::ZERO);
     let before = board.digest();
     board.lapse("a");
     assert_ne!(board.digest(), before);
@@ -229,3 +230,15 @@
     let told = board.tell(&STRANGER, Duration::ZERO, at(1));
     assert!(told.whole);
 }
+
+/// Guards against an endpoint that warms up anew at each instance that is told of it
+/// later.
+#[test]
+fn what_is_left_of_warming_up_is_told() {
+    let mut board = Board::new(7);
+    board.set(registration("a"), at(5_000));
+    let left = |now| board.tell(&STRANGER, Duration::ZERO, at(now)).set[0].warming;
+    assert_eq!(left(2_000), at(3_000));
+    assert_eq!(left(4_500), at(500));
+    assert_eq!(left(9_000), Duration::ZERO);
+}
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -9,7 +9,7 @@
 mod follow;
 pub(crate) mod peers;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
 use godwitpost_process::serve::{self, Port};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Standing;
+use godwitpost_types::id::{self, EndpointId, ServiceId};
 use tokio::sync::{mpsc, watch};
 
 use self::follow::{Heard, Log, Mode, Topic, follow};
@@ -123,6 +124,8 @@
     evacuation: Evacuation,
     // What the follower of the operator's topic has read of evacuations.
     reading: Reading,
+    // When zones were given back.
+    returned: BTreeMap<String, Moment>,
     revoked: Arc<Revoked>,
     roster: Roster,
     // Whether the configuration's topic was ever read.
@@ -140,6 +143,7 @@
             policy: None,
             evacuation: Evacuation::NONE,
             reading: Reading::default(),
+            returned: BTreeMap::new(),
             revoked: Arc::default(),
             read: false,
             listed: false,
@@ -195,6 +199,7 @@
         }
         for zone in &changes.returned {
             log::info!(zone:% = zone, as_of = as_of, told_by:% = told_by; "zone returned; its endpoints are used again");
+            self.returned.insert(zone.clone(), boot_time());
         }
         self.shared.metrics.evacuated(self.evacuation.zones.len());
         let own = self.evacuation.clone();
@@ -224,7 +229,7 @@
         }
         self.roster.reached(news.endpoints_read);
         for registration in news.set {
-            changed |= self.set(registration);
+            changed |= self.set(registration, news.made);
         }
         for name in gone {
             changed |= self.dismiss(&name);
@@ -318,7 +323,7 @@
 
     fn endpoint(&mut self, change: Change<Registration>, now: Moment) -> bool {
         match change {
-            Change::Set(_, registration) => self.set(registration),
+            Change::Set(_, registration) => self.set(registration, now),
             Change::Removed(name) => match self.roster.remove(&name, now) {
                 Removal::Gone => {
                     log::info!(endpoint:% = name; "endpoint gone");
@@ -339,21 +344,24 @@
         }
     }
 
-    fn set(&mut self, registration: Registration) -> bool {
+    // Takes in an entry that was told at `then`.
+    fn set(&mut self, registration: Registration, then: Moment) -> bool {
         let endpoint = registration.endpoint.clone();
         let told = registration.clone();
-        let setting = self.roster.set(registration);
+        let setting = self.roster.set(registration, then);
         if setting == Setting::Same {
             return false;
         }
-        self.shared.tell(true, |board| board.set(told));
+        let warm_at = self.roster.warm_at(&endpoint.name);
+        self.shared.tell(true, |board| board.set(told, warm_at));
         if setting == Setting::Returned {
             log::info!(endpoint:% = endpoint.name; "lapsed entry is back");
             return false;
         }
         log::info!(
             endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
-            address:% = endpoint.address, standing:? = endpoint.standing;
+            address:% = endpoint.address, standing:? = endpoint.standing,
+            warming_ms = since(warm_at, boot_time()).as_millis();
             "endpoint changed"
         );
         true
@@ -390,6 +398,32 @@
         }
     }
 
+    // When endpoints that are warming up will have done so. Those of a zone that was
+    // given back may have become cold shortly before, which their entries say late.
+    fn warm_at(&self) -> BTreeMap<EndpointId, Moment> {
+        let now = boot_time();
+        let told = self.roster.warming(now);
+        let mut warm_at: BTreeMap<_, _> = told.map(|(one, at)| (one.endpoint.id, at)).collect();
+        for (name, back) in &self.returned {
+            let zone = id::of(name);
+            let all = self.roster.registrations();
+            for one in all.filter(|one| one.endpoint.zone == zone) {
+                let own = warm_at.entry(one.endpoint.id).or_default();
+                *own = (*own).max(*back + self.warms_up(one.endpoint.service));
+            }
+        }
+        warm_at.retain(|_, at| *at > now);
+        warm_at
+    }
+
+    // How long endpoints of a service take to warm up.
+    fn warms_up(&self, service: ServiceId) -> Duration {
+        let policy = self.policy.as_ref();
+        let service = policy.and_then(|policy| policy.service(service));
+        let ramp = service.and_then(|service| service.ramp);
+        ramp.map_or(Duration::ZERO, |ramp| ramp.time)
+    }
+
     fn publish(&self) {
         let of = |standing| {
             let all = self.roster.registrations();
@@ -407,6 +441,7 @@
             endpoints,
             leaving: by_service(of(Standing::Leaving).filter(usable)),
             evacuated: by_service(of(Standing::Live).filter(evacuated)),
+            warm_at: self.warm_at(),
             revoked: Arc::clone(&self.revoked),
         });
         let known: BTreeSet<_> = self
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -77,7 +77,7 @@
     let now = boot_time();
     let mut told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
     told.loads = shared.book().loads(now, rand::rng().random());
-    name_standbys(shared, &mut told, now);
+    name_instances(shared, &mut told, now);
     match rmp_serde::to_vec(&told) {
         Ok(bytes) => Response::new(whole(bytes)),
         Err(error) => {
@@ -88,8 +88,9 @@
 }
 
 // A standby's own askers are no better informed than it is, so only seeds name any.
-fn name_standbys(shared: &Shared, told: &mut Told, now: Moment) {
+fn name_instances(shared: &Shared, told: &mut Told, now: Moment) {
     if shared.settings.reads_for_others() {
         told.standbys = shared.askers().standbys(told.life, now);
     }
+    told.instances = shared.instances(now);
 }
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -12,17 +12,17 @@
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
 use http::{Request, Response, StatusCode};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::age::PATIENCE;
-use super::{Refusal, status, whole};
+use super::{Refusal, STARTS, status, whole};
 use crate::book::Load;
 use crate::holders::Holding;
 use crate::shared::Shared;
 use crate::suspects::{Evidence, Sighting};
 
 pub(super) const EVIDENCE_PATH: &str = "/peer/v1/evidence";
-pub(super) const HEARD_PATH: &str = "/peer/v1/heard";
+pub(super) const HEARD_PATH: &str = "/peer/v2/heard";
 
 /// How long evidence waits for more before it is passed on: an endpoint that
 /// ends breaks all its requests within a few milliseconds.
@@ -32,12 +32,15 @@
 /// as often as they are asked themselves.
 const EXCHANGE: Duration = Duration::from_secs(1);
 
-// Takes in the holders of prompts that another instance heard of.
+// Takes in what another instance that is asked heard.
 pub(super) fn heard(shared: &Shared, body: &[u8], now: Moment) -> Response<Body> {
-    let Ok(held) = rmp_serde::from_slice::<Vec<Holding>>(body) else {
+    let Ok(heard) = rmp_serde::from_slice::<Heard>(body) else {
         return status(StatusCode::BAD_REQUEST);
     };
-    for holding in held {
+    if let Some(own) = heard.own {
+        shared.askers().told(own, heard.count, now);
+    }
+    for holding in heard.held {
         if shared.directory().learn(&holding, now) {
             shared.tell(false, |board| board.held(holding, now));
         }
@@ -45,8 +48,19 @@
     status(StatusCode::OK)
 }
 
-/// Tells the other instances that are asked which holders of prompts this one heard
-/// of, for as long as the process runs. Each instance asks one of them, so without
+/// What one instance that is asked heard from its askers.
+#[derive(Debug, Serialize, Deserialize)]
+struct Heard {
+    /// Where it is asked.
+    own: Option<SocketAddr>,
+    /// How many ask it, and itself.
+    count: u32,
+    /// Holders of prompts.
+    held: Vec<Holding>,
+}
+
+/// Tells the other instances that are asked how many ask this one and which holders of
+/// prompts it heard of, for as long as the process runs. Each instance asks one of them, so without
 /// this it would hear only of those that ask the same one.
 ///
 /// Loads don't go this way: over two instances they are two seconds old, count as
@@ -55,15 +69,20 @@
     loop {
         tokio::time::sleep(EXCHANGE).await;
         let now = boot_time();
-        let held = shared.directory().take_untold(now);
-        if held.is_empty() {
-            continue;
-        }
-        for holding in &held {
+        let heard = Heard {
+            own: shared.settings.listen.peers,
+            count: shared.askers().own_count(now),
+            held: shared.directory().take_untold(now),
+        };
+        for holding in &heard.held {
             shared.tell(false, |board| board.held(*holding, now));
         }
+        if shared.uptime() >= STARTS {
+            let count = shared.askers().count(now);
+            shared.counted(count, now);
+        }
         for peer in shared.settings.others() {
-            if let Err(refusal) = post(&shared, peer, HEARD_PATH, &held).await {
+            if let Err(refusal) = post(&shared, peer, HEARD_PATH, &heard).await {
                 log::debug!(peer:% = peer, cause:% = refusal; "what was heard is not passed on");
             }
         }
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -33,6 +33,8 @@
     pub(in crate::control) policy_read: Moment,
     /// When the read was sent that confirmed the list of endpoints.
     pub(in crate::control) endpoints_read: Moment,
+    /// When the peer made its answer, at the earliest.
+    pub(in crate::control) made: Moment,
     pub(in crate::control) whole: bool,
     pub(in crate::control) set: Vec<Registration>,
     pub(in crate::control) lapsed: Vec<String>,
@@ -154,6 +156,9 @@
         self.told.take(&told);
         let made = asked + told.waited;
         take(self.shared, &told.loads, made);
+        if let Some(instances) = told.instances {
+            self.shared.counted(instances, made);
+        }
         for holding in &told.held {
             self.shared.directory().learn(holding, made);
         }
@@ -203,6 +208,7 @@
         return Err(Refusal::Stale);
     }
     Ok(News {
+        made,
         policy: told.policy,
         evacuation: told.evacuation,
         policy_read: since(made, policy_age),
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -8,9 +8,9 @@
 //! are used on the wire.
 //!
 //! Decisions take no clock, socket or randomness of their own: [`policy`],
-//! [`feed`], [`roster`], [`lease`], [`evacuation`], [`place`], [`book`], [`budget`],
-//! [`attempt`], [`holders`], [`fetch`], [`board`] and [`standby`]. The rest carries bytes and
-//! time to them. What was weighed
+//! [`feed`], [`roster`], [`lease`], [`evacuation`], [`place`], [`ramp`], [`book`],
+//! [`budget`], [`attempt`], [`holders`], [`fetch`], [`board`] and [`standby`]. The rest
+//! carries bytes and time to them. What was weighed
 //! against sending through an endpoint's owner is in
 //! `docs/design/platform.md`.
 
@@ -29,6 +29,7 @@
 mod metrics;
 pub mod place;
 pub mod policy;
+pub mod ramp;
 pub mod refusal;
 mod relay;
 pub mod revoked;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -36,6 +36,7 @@
     repeats: Counter<u64>,
     resumed: Counter<u64>,
     sources: Counter<u64>,
+    shares: Counter<u64>,
     calls: Counter<u64>,
     endpoints: Gauge<u64>,
     evacuated: Gauge<u64>,
@@ -65,6 +66,10 @@
                 "Requests sent to a further endpoint, by whether the budget allowed it",
             ),
             resumed: counter("godwitpost.resumed", "Streams resumed at another endpoint"),
+            shares: counter(
+                "godwitpost.warming_shares",
+                "Requests placed at endpoints that are warming up, by whether a share was left",
+            ),
             sources: counter(
                 "godwitpost.prompt_sources",
                 "Requests with a shared prompt, by where their endpoint gets it from",
@@ -115,6 +120,10 @@
         self.sources.add(1, &[KeyValue::new("basis", basis)]);
     }
 
+    pub(crate) fn share(&self, taken: bool) {
+        self.shares.add(1, &[KeyValue::new("taken", taken)]);
+    }
+
     pub(crate) fn spans(&self, count: usize) {
         self.spans.record(count as u64, &[]);
     }
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -135,8 +135,17 @@
     pub clear: bool,
     /// What it may get by what was seen of it.
     pub access: Access,
-    /// Whether this request has been sent there already.
-    pub tried: bool,
+    /// Why this request can't go there, if it can't.
+    pub bar: Option<Bar>,
+}
+
+/// Why a request can't go to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bar {
+    /// It has been sent there already.
+    Tried,
+    /// The endpoint is warming up, and this instance has no share of it left.
+    Spent,
 }
 
 /// Where a request goes.
@@ -151,6 +160,8 @@
     },
     /// Nowhere: all that could take it are full.
     Full,
+    /// Nowhere yet: all that could take it are warming up, with no share left.
+    Wait,
     /// Nowhere: there is no endpoint left that could take it.
     None,
 }
@@ -220,7 +231,10 @@
 /// the mean load; `draw` decides between equals.
 #[must_use]
 pub fn pick(candidates: &[Candidate], prefix: Option<Prefix>, allowed: f64, draw: u64) -> Pick {
-    let untried: Vec<&Candidate> = candidates.iter().filter(|one| !one.tried).collect();
+    let untried: Vec<&Candidate> = candidates
+        .iter()
+        .filter(|one| one.bar != Some(Bar::Tried))
+        .collect();
     if untried.is_empty() {
         return Pick::None;
     }
@@ -228,6 +242,10 @@
     // With every endpoint held to be down, that belief is more likely wrong
     // than a try is harmful.
     let open = if open.is_empty() { untried } else { open };
+    let open: Vec<&Candidate> = open.into_iter().filter(|one| one.bar.is_none()).collect();
+    if open.is_empty() {
+        return Pick::Wait;
+    }
     let room: Vec<&Candidate> = open.into_iter().filter(|one| !one.full()).collect();
     let within = prefix.and_then(|prefix| {
         let bound = bound(candidates, allowed, prefix.cost);
--- a/crates/direct/src/place/tests.rs
+++ b/crates/direct/src/place/tests.rs
@@ -1,6 +1,6 @@
 use godwitpost_decide::health::Access;
 
-use super::{Candidate, Choice, Pick, Prefix, bound};
+use super::{Bar, Candidate, Choice, Pick, Prefix, bound};
 use crate::dialect::Part;
 
 /// The greatest load as a multiple of the mean.
@@ -24,7 +24,7 @@
         near: true,
         clear: true,
         access: Access::Full,
-        tried: false,
+        bar: None,
     }
 }
 
@@ -112,9 +112,9 @@
 #[test]
 fn an_endpoint_that_has_failed_the_request_is_not_tried_again() {
     let mut candidates = loads(&[0.0, 5.0]);
-    candidates[0].tried = true;
+    candidates[0].bar = Some(Bar::Tried);
     assert_eq!(pick(&candidates, None, 1), lightest(2));
-    candidates[1].tried = true;
+    candidates[1].bar = Some(Bar::Tried);
     assert_eq!(pick(&candidates, None, 1), Pick::None);
 }
 
@@ -282,3 +282,29 @@
     candidates[1].seen = 40.0;
     assert_eq!(pick(&candidates, None, 0), lightest(1));
 }
+
+/// Guards against a request that is sent to an endpoint which can't bear it while
+/// others are idle, or is refused there.
+#[test]
+fn an_endpoint_whose_share_is_spent_is_passed_over() {
+    let mut candidates = loads(&[1.0, 1.0, 1.0]);
+    let own = home(&candidates, 77);
+    let index = usize::try_from(own - 1).expect("a small id");
+    candidates[index].bar = Some(Bar::Spent);
+    assert_ne!(home(&candidates, 77), own);
+    candidates[index].load = 0.0;
+    assert_ne!(pick(&candidates, None, 3), lightest(own));
+    for one in &mut candidates {
+        one.bar = Some(Bar::Spent);
+    }
+    assert_eq!(pick(&candidates, Some(77), 0), Pick::Wait);
+}
+
+/// Guards against a try of what is down for want of patience with what warms up.
+#[test]
+fn an_endpoint_that_is_down_is_no_better_than_one_that_warms_up() {
+    let mut candidates = loads(&[1.0, 1.0]);
+    candidates[0].bar = Some(Bar::Spent);
+    candidates[1].access = Access::None;
+    assert_eq!(pick(&candidates, None, 0), Pick::Wait);
+}
--- a/crates/direct/src/policy.rs
+++ b/crates/direct/src/policy.rs
@@ -104,6 +104,18 @@
     pub name: String,
     /// Connections that each of its endpoints accepts from all instances.
     pub connections: u32,
+    /// What its endpoints bear while they are warming up, if that is less than
+    /// later on.
+    pub ramp: Option<Ramp>,
+}
+
+/// What an endpoint bears while it is warming up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ramp {
+    /// How long it takes to warm up.
+    pub time: Duration,
+    /// The time between requests, of all instances together, that it bears.
+    pub spacing: Duration,
 }
 
 /// Bounds on what callers may send.
--- /dev/null
+++ b/crates/direct/src/ramp/tests.rs
@@ -0,0 +1,97 @@
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Count, Shares};
+use crate::policy::Ramp;
+
+/// Sixteen requests a second.
+const RAMP: Ramp = Ramp {
+    time: Duration::from_secs(3),
+    spacing: Duration::from_micros(62_500),
+};
+
+/// What the users allow within any second: 16 x 1.5 + 5.
+const ALLOWED: usize = 29;
+
+/// Requests a second at an endpoint that everybody wants.
+const DEMAND: u32 = 200;
+
+// Sends whatever the shares allow to one endpoint that everybody wants for ten
+// seconds; returns the most that it got within any one.
+fn most(seed: u64, instances: u32, counted: Option<u32>) -> usize {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let endpoint = rng.random();
+    let mut shares: Vec<Shares> = (0..instances).map(|_| Shares::new(rng.random())).collect();
+    let mut sent: Vec<Duration> = Vec::new();
+    for request in 0..10 * DEMAND {
+        let now = Duration::from_secs(50) + Duration::from_secs(1) / DEMAND * request;
+        let one = rng.random_range(0..shares.len());
+        if shares[one].take(endpoint, RAMP, counted, now) {
+            sent.push(now);
+        }
+    }
+    let within = |from: &Duration| {
+        let until = *from + Duration::from_secs(1);
+        sent.iter().filter(|at| *at >= from && **at < until).count()
+    };
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+/// Guards against an endpoint that ends as often as it starts, since everybody
+/// sends what was asked of it while it was away.
+#[test]
+fn an_endpoint_in_demand_gets_no_more_than_it_bears() {
+    for instances in [1, 3, 9, 82, 300] {
+        for seed in 0..2_000 {
+            let most = most(seed, instances, Some(instances));
+            assert!(most <= ALLOWED, "{most} of {instances}, seed {seed}");
+        }
+    }
+}
+
+/// Shows that the schedule breaks without shares, and with a count that is wrong by
+/// much.
+#[test]
+fn without_a_count_the_schedule_is_broken() {
+    assert!(most(1, 300, Some(1)) > ALLOWED);
+    assert!((0..200).any(|seed| most(seed, 82, Some(20)) > ALLOWED));
+}
+
+/// Guards against endpoints that get nothing while they are warming up.
+#[test]
+fn an_endpoint_in_demand_gets_a_part_of_what_it_bears() {
+    for instances in [1, 9, 82, 300] {
+        let sent: usize = (0..50)
+            .map(|seed| most(seed, instances, Some(instances)))
+            .sum();
+        assert!(sent / 50 >= 6, "{} of {instances}", sent / 50);
+    }
+}
+
+/// Guards against a burst after all instances started at once, when nobody has
+/// counted them yet.
+#[test]
+fn an_uncounted_fleet_is_taken_to_be_large() {
+    for seed in 0..200 {
+        assert!(most(seed, 300, None) <= ALLOWED, "seed {seed}");
+    }
+}
+
+/// Guards against too large shares for as long as a seed that has just started
+/// has heard of few.
+#[test]
+fn fewer_instances_are_believed_late() {
+    let at = Duration::from_secs;
+    let mut count = Count::default();
+    assert_eq!(count.known(at(5)), None);
+    count.learn(82, at(5));
+    count.learn(7, at(30));
+    assert_eq!(count.known(at(31)), Some(82));
+    count.learn(90, at(40));
+    assert_eq!(count.known(at(41)), Some(90));
+    count.learn(7, at(101));
+    assert_eq!(count.known(at(102)), Some(7));
+    assert_eq!(count.known(at(200)), None);
+}
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -33,6 +33,8 @@
     NoEndpoint,
     /// all endpoints of the service are in evacuated availability zones; send it again later
     Evacuated,
+    /// all endpoints of the service are warming up; send it again later
+    Warming,
     /// all endpoints of the service are full; send it again later
     Full,
     /// the endpoint refused the request; send it again later
@@ -94,6 +96,7 @@
             | Self::Unconfirmed
             | Self::NoEndpoint
             | Self::Evacuated
+            | Self::Warming
             | Self::Full
             | Self::Refused
             | Self::Unreachable
@@ -121,7 +124,7 @@
             | Self::NoEndpoint
             | Self::Unreachable
             | Self::Expired => Some(SOON),
-            Self::Full | Self::Refused | Self::Overloaded => Some(LATER),
+            Self::Full | Self::Refused | Self::Overloaded | Self::Warming => Some(LATER),
             Self::Evacuated => Some(EVACUATED),
             Self::Held { left } => Some(left),
             _ => None,
@@ -142,6 +145,7 @@
             Self::Unconfirmed => "unconfirmed",
             Self::NoEndpoint => "no-endpoint",
             Self::Evacuated => "evacuated",
+            Self::Warming => "warming",
             Self::Full => "full",
             Self::Refused => "refused",
             Self::Unreachable => "unreachable",
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -9,12 +9,13 @@
 use godwitpost_client::connect::{Body, Cause, Error, Received};
 use godwitpost_decide::health::Event;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId, ZoneId};
+use godwitpost_types::id::{BodyDigest, EndpointId, ServiceId, ZoneId};
 use http::request::Request;
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use rand::RngExt;
+use tokio::time::sleep;
 
 use super::Job;
 use super::crash::{Broken, look};
@@ -22,7 +23,7 @@
 use crate::attempt::{Ending, Next, Verdict, judge};
 use crate::book::Pulse;
 use crate::dialect::{Answer, Outgoing, Part};
-use crate::place::{Candidate, Choice, Pick, Prefix, pick};
+use crate::place::{Bar, Candidate, Choice, Pick, Prefix, pick};
 use crate::refusal::Reason;
 use crate::roster::Registration;
 use crate::shared::{Shared, View};
@@ -48,6 +49,13 @@
 /// still has to come back.
 const RETURN: Duration = Duration::from_millis(3);
 
+/// The part of its objective for which a request waits for a share of an endpoint
+/// that is warming up, where there is nothing else: it still has to be answered.
+const WAITS: u32 = 2;
+
+/// The pause before it looks again.
+const SHARE_PAUSE: Duration = Duration::from_millis(50);
+
 /// A request at an endpoint: counted there until this is dropped.
 #[derive(Debug)]
 pub(crate) struct Flight {
@@ -167,6 +175,10 @@
     loop {
         let chosen = match choose(job) {
             Ok(chosen) => chosen,
+            Err(Reason::Warming) if job.age() < job.route.objective / WAITS => {
+                sleep(SHARE_PAUSE).await;
+                continue;
+            }
             Err(reason) => return fallback.ok_or_else(|| job.attempts.excuse(reason)),
         };
         let ending = match attempt(job, &chosen, after).await {
@@ -238,6 +250,9 @@
     let draw = rand::rng().random();
     match pick(&candidates, prefix, shared.settings.load_bound, draw) {
         Pick::Send { endpoint, choice } => {
+            if !spend(&shared, &view, job.service, endpoint) {
+                return Err(Reason::Warming);
+            }
             let chosen = candidates.iter().find(|one| one.endpoint == endpoint);
             registrations
                 .iter()
@@ -251,11 +266,26 @@
                 .ok_or(Reason::NoEndpoint)
         }
         Pick::Full => Err(Reason::Full),
+        Pick::Wait => Err(Reason::Warming),
         Pick::None if job.tried.is_empty() => Err(none(job, &view)),
         Pick::None => Err(Reason::Unreachable),
     }
 }
 
+// Takes this instance's share of an endpoint that is warming up; returns whether
+// there was one.
+fn spend(shared: &Shared, view: &View, service: ServiceId, endpoint: EndpointId) -> bool {
+    let now = boot_time();
+    let Some(ramp) = view.ramp(service, endpoint, now) else {
+        return true;
+    };
+    let instances = shared.instances(now);
+    let taken = shared.shares().take(endpoint, ramp, instances, now);
+    shared.metrics.share(taken);
+    log::info!(endpoint = endpoint, instances:? = instances, taken = taken; "share of an endpoint that is warming up");
+    taken
+}
+
 // Why there is no endpoint at all.
 fn none(job: &Job, view: &View) -> Reason {
     if view.evacuated(job.service).is_empty() {
@@ -293,6 +323,16 @@
     let now = boot_time();
     let looks = job.shared.book().look(&ids, now);
     let ways = job.shared.ways();
+    let shares = job.shared.shares();
+    let instances = job.shared.instances(now);
+    let bar = |id: EndpointId| {
+        if job.tried.contains(&id) {
+            return Some(Bar::Tried);
+        }
+        let ramp = view.ramp(job.service, id, now)?;
+        let left = shares.left(id, ramp, instances, now);
+        (!left).then_some(Bar::Spent)
+    };
     registrations
         .iter()
         .zip(looks)
@@ -307,7 +347,7 @@
             near: one.endpoint.zone == zone,
             clear: ways.clear(one.endpoint.zone, now),
             access: look.access,
-            tried: job.tried.contains(&one.endpoint.id),
+            bar: bar(one.endpoint.id),
         })
         .collect()
 }
--- a/crates/direct/src/relay/source.rs
+++ b/crates/direct/src/relay/source.rs
@@ -10,7 +10,7 @@
 
 use super::{Job, Sent};
 use crate::fetch::{Pick, Prompt, pick};
-use crate::place::Candidate;
+use crate::place::{Bar, Candidate};
 use crate::roster::Registration;
 use crate::shared::View;
 
@@ -62,7 +62,7 @@
         .collect();
     let live = candidates
         .iter()
-        .filter(|one| !one.tried && one.access == Access::Full)
+        .filter(|one| one.bar != Some(Bar::Tried) && one.access == Access::Full)
         .map(|one| one.endpoint);
     // What is leaving takes no requests any more and still holds what it read.
     let leaving = view.leaving(job.service).iter().map(|one| one.endpoint.id);
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -43,11 +43,22 @@
     pub endpoint: Endpoint,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// How much longer it takes to warm up, from when this is told.
+    pub warming: Duration,
+}
+
+impl Registration {
+    // Whether it says the same but for its warming up.
+    fn same(&self, other: &Self) -> bool {
+        self.endpoint == other.endpoint && self.slots == other.slots
+    }
 }
 
 #[derive(Debug)]
 struct Entry {
     registration: Registration,
+    // When it will have warmed up.
+    warm_at: Moment,
     lapsed: bool,
 }
 
@@ -58,6 +69,8 @@
     Same,
     /// The same as before it lapsed.
     Returned,
+    /// That its endpoint is warming up again, and else the same.
+    Warming,
     /// Something new.
     Changed,
 }
@@ -94,16 +107,29 @@
         self.read = Some(now);
     }
 
-    /// Takes in an entry; returns what it says beside its heartbeat.
-    pub fn set(&mut self, registration: Registration) -> Setting {
+    /// Takes in an entry that was told at `then`; returns what it says beside its
+    /// heartbeat.
+    pub fn set(&mut self, registration: Registration, then: Moment) -> Setting {
         let name = registration.endpoint.name.clone();
         let entry = Entry {
+            warm_at: then + registration.warming,
             registration,
             lapsed: false,
         };
         match self.entries.get_mut(&name) {
-            Some(known) if known.registration == entry.registration => {
-                if std::mem::take(&mut known.lapsed) {
+            Some(known) if known.registration.same(&entry.registration) => {
+                let again = entry.registration.warming > Duration::ZERO
+                    && entry.warm_at > known.warm_at + self.heartbeat;
+                // Each entry is older than it looks, so the earliest is right.
+                known.warm_at = if again {
+                    entry.warm_at
+                } else {
+                    known.warm_at.min(entry.warm_at)
+                };
+                let lapsed = std::mem::take(&mut known.lapsed);
+                if again {
+                    Setting::Warming
+                } else if lapsed {
                     Setting::Returned
                 } else {
                     Setting::Same
@@ -158,6 +184,20 @@
         gone
     }
 
+    /// Returns when each endpoint will have warmed up, of those that have not by `now`.
+    pub fn warming(&self, now: Moment) -> impl Iterator<Item = (&Registration, Moment)> {
+        let warming = self.entries.values().filter(move |one| one.warm_at > now);
+        warming.map(|one| (&one.registration, one.warm_at))
+    }
+
+    /// Returns when an endpoint will have warmed up, or has.
+    #[must_use]
+    pub fn warm_at(&self, name: &str) -> Moment {
+        self.entries
+            .get(name)
+            .map_or(Duration::ZERO, |entry| entry.warm_at)
+    }
+
     /// Returns all endpoints known, leaving ones included.
     pub fn registrations(&self) -> impl Iterator<Item = &Registration> {
         self.entries.values().map(|entry| &entry.registration)
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -24,7 +24,11 @@
         address: "10.0.0.1:80".parse().expect("an address"),
         standing,
     };
-    Registration { endpoint, slots: 6 }
+    Registration {
+        endpoint,
+        slots: 6,
+        warming: Duration::ZERO,
+    }
 }
 
 fn names(roster: &Roster) -> Vec<&str> {
@@ -41,14 +45,14 @@
 fn entries_that_lapsed_with_the_log_away_are_kept_until_they_are_back() {
     let mut roster = Roster::new(HEARTBEAT);
     roster.reached(at(0));
-    roster.set(endpoint("a", Standing::Live));
-    roster.set(endpoint("b", Standing::Live));
+    roster.set(endpoint("a", Standing::Live), at(0));
+    roster.set(endpoint("b", Standing::Live), at(0));
     roster.reached(at(6_000));
     assert_eq!(roster.remove("a", at(6_000)), Removal::Kept);
     assert_eq!(roster.remove("b", at(6_100)), Removal::Kept);
     assert_eq!(names(&roster), ["a", "b"]);
     roster.reached(at(7_000));
-    let back = roster.set(endpoint("a", Standing::Live));
+    let back = roster.set(endpoint("a", Standing::Live), at(0));
     assert_eq!(back, Setting::Returned);
     assert_eq!(roster.expire(at(8_000)), [""; 0]);
     assert_eq!(roster.expire(at(8_300)), ["b"]);
@@ -61,11 +65,11 @@
 fn an_entry_removed_while_the_log_is_well_is_gone_at_once() {
     let mut roster = Roster::new(HEARTBEAT);
     roster.reached(at(0));
-    roster.set(endpoint("a", Standing::Live));
+    roster.set(endpoint("a", Standing::Live), at(0));
     roster.reached(at(1_000));
     assert_eq!(roster.remove("a", at(1_000)), Removal::Gone);
     // One lost poll is no absence in which an entry could lapse.
-    roster.set(endpoint("a", Standing::Live));
+    roster.set(endpoint("a", Standing::Live), at(0));
     roster.reached(at(3_100));
     assert_eq!(roster.remove("a", at(3_100)), Removal::Gone);
 }
@@ -74,7 +78,7 @@
 fn an_endpoint_that_was_leaving_is_never_kept() {
     let mut roster = Roster::new(HEARTBEAT);
     roster.reached(at(0));
-    roster.set(endpoint("a", Standing::Leaving));
+    roster.set(endpoint("a", Standing::Leaving), at(0));
     roster.reached(at(9_000));
     assert_eq!(roster.remove("a", at(9_000)), Removal::Gone);
 }
@@ -82,8 +86,42 @@
 #[test]
 fn a_mere_heartbeat_changes_nothing() {
     let mut roster = Roster::new(HEARTBEAT);
-    let mut set = |standing| roster.set(endpoint("a", standing));
+    let mut set = |standing| roster.set(endpoint("a", standing), at(0));
     assert_eq!(set(Standing::Live), Setting::Changed);
     assert_eq!(set(Standing::Live), Setting::Same);
     assert_eq!(set(Standing::Leaving), Setting::Changed);
 }
+
+fn warming(millis: u64) -> Registration {
+    Registration {
+        warming: at(millis),
+        ..endpoint("a", Standing::Live)
+    }
+}
+
+/// Guards against an endpoint that is news to all instances with each heartbeat of
+/// its first seconds.
+#[test]
+fn an_endpoint_that_warms_up_is_told_once() {
+    let mut roster = Roster::new(HEARTBEAT);
+    assert_eq!(roster.set(warming(3_000), at(100)), Setting::Changed);
+    assert_eq!(roster.set(warming(1_800), at(1_400)), Setting::Same);
+    assert_eq!(roster.warm_at("a"), at(3_100));
+    assert_eq!(roster.set(warming(600), at(2_300)), Setting::Same);
+    // The entry was read later than it was written, so the earliest is right.
+    assert_eq!(roster.warm_at("a"), at(2_900));
+    assert_eq!(roster.warming(at(2_800)).count(), 1);
+    assert_eq!(roster.warming(at(2_900)).count(), 0);
+}
+
+/// Guards against an endpoint that becomes cold again in the middle of its life and
+/// gets as much as ever.
+#[test]
+fn an_endpoint_that_warms_up_again_is_told_again() {
+    let mut roster = Roster::new(HEARTBEAT);
+    roster.set(warming(3_000), at(100));
+    roster.set(warming(0), at(4_000));
+    assert_eq!(roster.set(warming(2_500), at(9_000)), Setting::Warming);
+    assert_eq!(roster.warm_at("a"), at(11_500));
+    assert_eq!(roster.set(warming(1_300), at(10_300)), Setting::Same);
+}
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -24,7 +24,8 @@
 use crate::holders::Directory;
 use crate::lease::Lease;
 use crate::metrics::{Metrics, Usage};
-use crate::policy::{Policy, Service};
+use crate::policy::{Policy, Ramp, Service};
+use crate::ramp::{Count, Shares};
 use crate::revoked::Revoked;
 use crate::roster::Registration;
 use crate::settings::Settings;
@@ -74,6 +75,8 @@
     /// Endpoints in evacuated zones, by service. They get nothing, and what they
     /// have ends there.
     pub(crate) evacuated: Services,
+    /// When endpoints that are warming up will have done so.
+    pub(crate) warm_at: BTreeMap<EndpointId, Moment>,
     /// Keys that were seen to be taken away.
     pub(crate) revoked: Arc<Revoked>,
 }
@@ -87,6 +90,12 @@
             .map_or(&[], Vec::as_slice)
     }
 
+    /// Returns what an endpoint bears now, if it is warming up.
+    pub(crate) fn ramp(&self, service: ServiceId, id: EndpointId, now: Moment) -> Option<Ramp> {
+        self.warm_at.get(&id).filter(|warm_at| now < **warm_at)?;
+        self.policy.as_ref()?.service(service)?.ramp
+    }
+
     /// Returns the endpoints of a service that are in evacuated zones.
     pub(crate) fn evacuated(&self, service: ServiceId) -> &[Arc<Registration>] {
         self.evacuated.get(&service).map_or(&[], Vec::as_slice)
@@ -147,6 +156,8 @@
     askers: Mutex<Askers>,
     suspects: Mutex<Suspects>,
     ways: Mutex<Ways>,
+    shares: Mutex<Shares>,
+    count: Mutex<Count>,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
     draining: AtomicBool,
@@ -179,6 +190,8 @@
             askers: Mutex::default(),
             suspects: Mutex::default(),
             ways: Mutex::default(),
+            shares: Mutex::new(Shares::new(rand::rng().random())),
+            count: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
@@ -301,6 +314,27 @@
         self.ways.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what was sent to endpoints that are warming up.
+    pub(crate) fn shares(&self) -> MutexGuard<'_, Shares> {
+        self.shares.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in how many instances there are.
+    pub(crate) fn counted(&self, instances: u32, now: Moment) {
+        let mut count = self.count.lock().unwrap_or_else(PoisonError::into_inner);
+        count.learn(instances, now);
+    }
+
+    /// Returns how many instances there are, if that is known. One that nobody can
+    /// ask or be asked by is alone.
+    pub(crate) fn instances(&self, now: Moment) -> Option<u32> {
+        if self.settings.listen.peers.is_none() {
+            return Some(1);
+        }
+        let count = self.count.lock().unwrap_or_else(PoisonError::into_inner);
+        count.known(now)
+    }
+
     pub(crate) fn budget(&self) -> MutexGuard<'_, Budget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/direct/src/standby.rs
+++ b/crates/direct/src/standby.rs
@@ -24,11 +24,20 @@
 /// of a thousand, and a bound on what strangers can make this one keep.
 const REMEMBERED: usize = 512;
 
+/// How long another instance's count is believed: it is told each second, and one
+/// that is away comes back or its askers ask this one.
+const COUNT_BELIEVED: Duration = Duration::from_secs(10);
+
+/// Instances whose counts are kept at most.
+const COUNTING: usize = 16;
+
 /// The instances that ask this one.
 #[derive(Debug, Default)]
 pub struct Askers {
     asked: BTreeMap<SocketAddr, Moment>,
     last: Option<Moment>,
+    // What other instances that are asked counted of theirs.
+    told: BTreeMap<SocketAddr, (u32, Moment)>,
 }
 
 impl Askers {
@@ -45,6 +54,32 @@
         }
     }
 
+    /// Returns how many instances ask this one, and itself.
+    #[must_use]
+    pub fn own_count(&self, now: Moment) -> u32 {
+        let asking = self.asked.values().filter(|at| since(now, **at) < ASKING);
+        u32::try_from(asking.count()).map_or(u32::MAX, |count| count.saturating_add(1))
+    }
+
+    /// Takes in how many another instance that is asked counted.
+    pub fn told(&mut self, peer: SocketAddr, count: u32, now: Moment) {
+        self.told
+            .retain(|_, (_, at)| since(now, *at) < COUNT_BELIEVED);
+        if self.told.len() < COUNTING {
+            self.told.insert(peer, (count, now));
+        }
+    }
+
+    /// Returns how many instances there are in all, as far as this one knows.
+    #[must_use]
+    pub fn count(&self, now: Moment) -> u32 {
+        let told = self.told.values();
+        let believed = told.filter(|(_, at)| since(now, *at) < COUNT_BELIEVED);
+        believed.fold(self.own_count(now), |sum, (count, _)| {
+            sum.saturating_add(*count)
+        })
+    }
+
     /// Returns whether there was a question lately.
     #[must_use]
     pub fn any(&self, now: Moment) -> bool {
--- a/crates/direct/src/standby/tests.rs
+++ b/crates/direct/src/standby/tests.rs
@@ -88,3 +88,19 @@
     assert!(!peers.is_standby());
     assert_eq!(peers.turn(5), [address(1), address(21)]);
 }
+
+/// Guards against a fleet that counts itself too small, so that all its instances
+/// take too great a share.
+#[test]
+fn instances_are_counted_over_all_that_are_asked() {
+    let mut askers = Askers::default();
+    assert_eq!(askers.count(at(1_000)), 1);
+    askers.asked(Some(address(1)), at(1_000));
+    askers.asked(Some(address(2)), at(2_000));
+    askers.told(address(8), 30, at(2_000));
+    askers.told(address(9), 20, at(2_000));
+    askers.told(address(9), 25, at(3_000));
+    assert_eq!(askers.count(at(3_000)), 58);
+    assert_eq!(askers.count(at(8_000)), 56);
+    assert_eq!(askers.count(at(40_000)), 1);
+}
--- a/crates/direct/tests/herd/main.rs
+++ b/crates/direct/tests/herd/main.rs
@@ -128,7 +128,7 @@
                 near: zone(*id) == own,
                 clear: true,
                 access: Access::Full,
-                tried: false,
+                bar: None,
             })
             .collect()
     }
--- a/crates/direct/tests/instance/evacuation.rs
+++ b/crates/direct/tests/instance/evacuation.rs
@@ -1,6 +1,8 @@
 //! Availability zones that the operator empties.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use godwitpost_direct::policy::Ramp;
 
 use crate::endpoint::{Endpoint, says};
 use crate::fleet::{Fleet, until};
@@ -38,7 +40,7 @@
         whole.starts_with("HTTP/1.1 503")
     })
     .await;
-    let begun = std::time::Instant::now();
+    let begun = Instant::now();
     let before = endpoint.seen().len();
     let whole = fleet.call("POST", "/order/1", "").await;
     assert!(whole.contains("evacuated"), "{whole}");
@@ -84,3 +86,69 @@
     assert!(whole.contains("evacuated"), "{whole}");
     assert!(endpoint.seen().is_empty());
 }
+
+/// Guards against endpoints that end under what everybody sends once their zone is
+/// given back: they may have become cold, which their entries say late.
+#[tokio::test]
+async fn endpoints_of_a_zone_that_is_given_back_warm_up() {
+    let near = Endpoint::start(says("near")).await;
+    let far = Endpoint::start(says("far")).await;
+    let fleet = Fleet::start(&[near.address]).await;
+    fleet.join_in("kushiro", "e1", far.address);
+    let mut content = crate::fleet::content(2);
+    for service in content.services.values_mut() {
+        service.ramp = Some(Ramp {
+            time: Duration::from_mins(1),
+            spacing: Duration::from_millis(500),
+        });
+    }
+    fleet.roll(content);
+    fleet.evacuate("otaru", true);
+    until(async || fleet.call("GET", "/stock/1", "").await.contains("far")).await;
+    fleet.evacuate("otaru", false);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = near.seen().len();
+    let begun = Instant::now();
+    for _ in 0..40 {
+        let whole = fleet.call("GET", "/stock/1", "").await;
+        assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+    }
+    // One request in each second that was touched, of an instance that is alone.
+    let seconds = usize::try_from(begun.elapsed().as_secs()).expect("a short test") + 2;
+    let sent = near.seen().len() - before;
+    assert!(sent <= seconds, "{sent} in {seconds} s");
+}
+
+/// Guards against requests that wait for their caller's deadline with nowhere to go
+/// but endpoints that are warming up.
+#[tokio::test]
+async fn with_all_endpoints_warming_up_a_request_waits_and_is_refused() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let mut content = crate::fleet::content(2);
+    for service in content.services.values_mut() {
+        service.ramp = Some(Ramp {
+            time: Duration::from_mins(1),
+            spacing: Duration::MAX,
+        });
+    }
+    fleet.roll(content);
+    fleet.evacuate("otaru", true);
+    until(async || {
+        fleet
+            .call("GET", "/stock/1", "")
+            .await
+            .contains("evacuated")
+    })
+    .await;
+    fleet.evacuate("otaru", false);
+    until(async || fleet.call("GET", "/stock/1", "").await.contains("warming")).await;
+    let before = endpoint.seen().len();
+    let begun = Instant::now();
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
+    assert!(whole.contains("retry-after: "), "{whole}");
+    // Half of the objective, which is 200 ms.
+    assert!(begun.elapsed() < Duration::from_millis(500), "{whole}");
+    assert_eq!(endpoint.seen().len(), before);
+}
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -345,6 +345,7 @@
             standing,
         },
         slots: 8,
+        warming: Duration::ZERO,
     }
 }
 
@@ -376,6 +377,7 @@
     let service = Service {
         name: SERVICE.to_owned(),
         connections: 96,
+        ramp: None,
     };
     Content {
         version,
