direct: requests stay in the homes of their route and workspace

Routes and tenants may name regions (AllowedRegions); nothing read them. The settings hold the region of each zone. A request that no known region may run is refused at once as not run. Free where there is one region: two empty sets are looked at.

--- a/crates/direct/src/policy.rs
+++ b/crates/direct/src/policy.rs
@@ -4,11 +4,11 @@
 //! host and by the longest prefix of the path; a path has few slashes, so
 //! hundreds of routes cost no more than one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use godwitpost_types::id::{ServiceId, Version};
+use godwitpost_types::id::{RegionId, ServiceId, Version};
 use serde::{Deserialize, Serialize};
 
 /// What may be repeated of a route's requests.
@@ -86,6 +86,8 @@
     pub affinity: bool,
     /// Where its requests go; never empty.
     pub targets: Vec<Target>,
+    /// The regions whose endpoints may run its requests; empty if all may.
+    pub homes: BTreeSet<RegionId>,
 }
 
 /// A workspace.
@@ -95,6 +97,8 @@
     pub name: String,
     /// Its urgency; goes before the route's.
     pub rank: Option<u8>,
+    /// The regions whose endpoints may run its requests; empty if all may.
+    pub homes: BTreeSet<RegionId>,
 }
 
 /// A service.
@@ -173,6 +177,16 @@
     Unknown,
 }
 
+/// Returns whether endpoints in `region` may run a request of this route and workspace:
+/// where both name regions, both bind. An unknown region is nobody's.
+#[must_use]
+pub fn may_run(route: &Route, workspace: Option<&Workspace>, region: Option<RegionId>) -> bool {
+    let allows = |homes: &BTreeSet<RegionId>| {
+        homes.is_empty() || region.is_some_and(|region| homes.contains(&region))
+    };
+    allows(&route.homes) && workspace.is_none_or(|workspace| allows(&workspace.homes))
+}
+
 impl Policy {
     /// Arranges a version's content.
     #[must_use]
--- a/crates/direct/src/policy/tests.rs
+++ b/crates/direct/src/policy/tests.rs
@@ -1,8 +1,8 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Caller, Content, Kind, Policy, Route, Target, Workspace};
+use super::{Caller, Content, Kind, Policy, Route, Target, Workspace, may_run};
 
 fn route(name: &str, prefix: &str, open: bool) -> Route {
     Route {
@@ -20,6 +20,7 @@
             service: 1,
             weight: 1,
         }],
+        homes: BTreeSet::new(),
     }
 }
 
@@ -27,6 +28,7 @@
     let workspace = Workspace {
         name: "otaru".to_owned(),
         rank: None,
+        homes: BTreeSet::new(),
     };
     Policy::new(Content {
         version: 3,
@@ -73,3 +75,30 @@
     assert_eq!(policy.caller(&closed, None), Caller::Unknown);
     assert_eq!(policy.caller(&open, Some("k2")), Caller::Anonymous);
 }
+
+/// Guards against a request that leaves the regions of either its route or its
+/// workspace.
+#[test]
+fn homes_of_route_and_workspace_both_bind() {
+    let homes = |ids: &[u64]| ids.iter().copied().collect::<BTreeSet<_>>();
+    let route = |ids| Route {
+        homes: homes(ids),
+        ..route("r", "/a/", false)
+    };
+    let workspace = |ids| Workspace {
+        name: "w".to_owned(),
+        rank: None,
+        homes: homes(ids),
+    };
+    assert!(may_run(&route(&[]), None, None));
+    assert!(may_run(&route(&[1, 2]), None, Some(2)));
+    assert!(!may_run(&route(&[1, 2]), None, Some(3)));
+    assert!(!may_run(&route(&[1]), None, None));
+    assert!(may_run(&route(&[1, 2]), Some(&workspace(&[2, 3])), Some(2)));
+    assert!(!may_run(
+        &route(&[1, 2]),
+        Some(&workspace(&[2, 3])),
+        Some(1)
+    ));
+    assert!(!may_run(&route(&[]), Some(&workspace(&[2])), Some(1)));
+}
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -33,6 +33,8 @@
     NoEndpoint,
     /// all endpoints of the service are in evacuated availability zones; send it again later
     Evacuated,
+    /// no endpoint of the service is in a region that may run the request; send it again later
+    NoHome,
     /// all endpoints of the service are warming up; send it again later
     Warming,
     /// all endpoints of the service are full; send it again later
@@ -75,9 +77,9 @@
 /// takes 15 ms, so a queue of a few times the slots is gone by then.
 const LATER: Duration = Duration::from_millis(400);
 
-/// The wait that is asked of callers while all zones of a service are evacuated,
-/// which lasts for seconds or hours.
-const EVACUATED: Duration = Duration::from_secs(1);
+/// The wait that is asked of callers while no zone may be used, which lasts for
+/// seconds or hours.
+const AWAY: Duration = Duration::from_secs(1);
 
 impl Reason {
     /// Returns the status of the answer.
@@ -96,6 +98,7 @@
             | Self::Unconfirmed
             | Self::NoEndpoint
             | Self::Evacuated
+            | Self::NoHome
             | Self::Warming
             | Self::Full
             | Self::Refused
@@ -125,7 +128,7 @@
             | Self::Unreachable
             | Self::Expired => Some(SOON),
             Self::Full | Self::Refused | Self::Overloaded | Self::Warming => Some(LATER),
-            Self::Evacuated => Some(EVACUATED),
+            Self::Evacuated | Self::NoHome => Some(AWAY),
             Self::Held { left } => Some(left),
             _ => None,
         }
@@ -145,6 +148,7 @@
             Self::Unconfirmed => "unconfirmed",
             Self::NoEndpoint => "no-endpoint",
             Self::Evacuated => "evacuated",
+            Self::NoHome => "no-home",
             Self::Warming => "warming",
             Self::Full => "full",
             Self::Refused => "refused",
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -9,7 +9,7 @@
 use godwitpost_decide::quarantine;
 use godwitpost_process::metrics::Labels;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId, ServiceId, Version};
+use godwitpost_types::id::{BodyDigest, EndpointId, ServiceId, Version, ZoneId};
 use godwitpost_types::outcome::Outcome;
 use http::header::HOST;
 use http::request::Parts;
@@ -21,7 +21,7 @@
 use super::{crash, headers};
 use crate::attempt::Attempts;
 use crate::dialect::Facts;
-use crate::policy::{Caller, Kind, Limits, Policy, Route, Target, Workspace};
+use crate::policy::{self, Caller, Kind, Limits, Policy, Route, Target, Workspace};
 use crate::refusal::Reason;
 use crate::shared::{Admission, Shared, View};
 
@@ -194,6 +194,12 @@
         half.map(u64::from_le_bytes)
     }
 
+    /// Returns whether endpoints in a zone may run it.
+    pub(super) fn may_run_in(&self, zone: ZoneId) -> bool {
+        let region = self.shared.settings.regions.get(&zone).copied();
+        policy::may_run(&self.route, self.workspace.as_deref(), region)
+    }
+
     pub(crate) fn shared(&self) -> &Arc<Shared> {
         &self.shared
     }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -288,10 +288,13 @@
 
 // Why there is no endpoint at all.
 fn none(job: &Job, view: &View) -> Reason {
-    if view.evacuated(job.service).is_empty() {
+    let may_run = |one: &Arc<Registration>| job.may_run_in(one.endpoint.zone);
+    if view.evacuated(job.service).iter().any(may_run) {
+        Reason::Evacuated
+    } else if view.of(job.service).is_empty() || view.of(job.service).iter().any(may_run) {
         Reason::NoEndpoint
     } else {
-        Reason::Evacuated
+        Reason::NoHome
     }
 }
 
@@ -314,6 +317,7 @@
         .of(job.service)
         .iter()
         .map(Arc::as_ref)
+        .filter(|one| job.may_run_in(one.endpoint.zone))
         .filter(|one| {
             let models = &one.endpoint.models;
             models.is_empty() || model.is_none_or(|model| models.contains(&model))
--- a/crates/direct/src/relay/source.rs
+++ b/crates/direct/src/relay/source.rs
@@ -65,7 +65,11 @@
         .filter(|one| one.bar != Some(Bar::Tried) && one.access == Access::Full)
         .map(|one| one.endpoint);
     // What is leaving takes no requests any more and still holds what it read.
-    let leaving = view.leaving(job.service).iter().map(|one| one.endpoint.id);
+    let leaving = view
+        .leaving(job.service)
+        .iter()
+        .filter(|one| job.may_run_in(one.endpoint.zone))
+        .map(|one| one.endpoint.id);
     let others: Vec<EndpointId> = {
         let book = job.shared.book();
         let sound = |endpoint: &EndpointId| book.access(*endpoint) == Access::Full;
--- a/crates/direct/src/revoked/tests.rs
+++ b/crates/direct/src/revoked/tests.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use super::{Changes, REMEMBERED, Revoked};
@@ -8,6 +8,7 @@
     let workspace = Arc::new(Workspace {
         name: "franchise".to_owned(),
         rank: None,
+        homes: BTreeSet::new(),
     });
     let keys: BTreeMap<_, _> = keys.map(|key| (key, Arc::clone(&workspace))).collect();
     Policy::new(Content {
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -5,6 +5,7 @@
 //! The file is checked as a whole: each mistake is reported with its line, key
 //! and remedy, and a [`Settings`] can't be invalid.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use godwitpost_process::settings;
 pub use godwitpost_process::settings::Error;
 use godwitpost_process::settings::low::{Level, Mistake, duration};
-use godwitpost_types::id::{self, ZoneId};
+use godwitpost_types::id::{self, RegionId, ZoneId};
 use log::LevelFilter;
 
 use crate::budget::Rate;
@@ -24,6 +25,8 @@
     pub name: String,
     /// The name of its availability zone.
     pub zone: String,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<ZoneId, RegionId>,
     /// Where it listens.
     pub listen: Listen,
     /// The path on which it says whether it is ready.
@@ -77,9 +80,10 @@
     pub peers: Option<SocketAddr>,
 }
 
-const TOP: [&str; 18] = [
+const TOP: [&str; 19] = [
     "name",
     "zone",
+    "regions",
     "listen",
     "ready_path",
     "log",
@@ -186,6 +190,7 @@
 fn read(mut top: Level, mistakes: &mut Vec<Mistake>) -> Option<Settings> {
     let name = top.required("name", NAME, text, mistakes);
     let zone = top.required("zone", NAME, text, mistakes);
+    let regions = regions(top.level("regions", mistakes), mistakes);
     let listen = listen(top.level("listen", mistakes), mistakes);
     let ready_path = top.required("ready_path", PATH, path, mistakes);
     let log = top.required("log", ADDRESS, parsed::<SocketAddr>, mistakes);
@@ -206,6 +211,7 @@
     Some(Settings {
         name: name?.value,
         zone: zone?.value,
+        regions,
         listen: listen?,
         ready_path: ready_path?.value,
         log: log?.value,
@@ -225,6 +231,17 @@
     })
 }
 
+// The region of each zone, by the zone's name.
+fn regions(mut level: Level, mistakes: &mut Vec<Mistake>) -> BTreeMap<ZoneId, RegionId> {
+    let zones = level.keys().into_iter();
+    zones
+        .filter_map(|zone| {
+            let region = level.required(&zone, NAME, text, mistakes)?;
+            Some((id::of(&zone), id::of(&region.value)))
+        })
+        .collect()
+}
+
 fn listen(mut level: Level, mistakes: &mut Vec<Mistake>) -> Option<Listen> {
     let callers = level.required("callers", ADDRESS, parsed::<SocketAddr>, mistakes);
     let ready = level.required("ready", ADDRESS, parsed::<SocketAddr>, mistakes);
--- a/crates/direct/src/settings/tests.rs
+++ b/crates/direct/src/settings/tests.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use godwitpost_types::id;
+
 use super::{Error, Settings};
 
 const WHOLE: &str = r#"
@@ -28,6 +30,25 @@
     assert_eq!(settings.refresh, Duration::from_secs(1));
     assert_eq!(settings.memory, 260 << 20);
     assert_eq!(settings.threads, 1);
+    assert!(settings.regions.is_empty());
+}
+
+#[test]
+fn zones_have_regions() {
+    let text = format!("{WHOLE}regions:\n  otaru: hokkaido\n  \"sendai\": honshu\n");
+    let settings = Settings::parse(&text).expect("valid settings");
+    assert_eq!(
+        settings.regions.get(&id::of("sendai")),
+        Some(&id::of("honshu"))
+    );
+    let text = format!("{WHOLE}regions:\n  otaru: [1]\n");
+    let Err(Error::Mistakes(mistakes)) = Settings::parse(&text) else {
+        panic!("mistakes were expected");
+    };
+    assert_eq!(
+        mistakes[0].to_string(),
+        "line 19: `regions.otaru` wants a name, such as otaru-1"
+    );
 }
 
 #[test]
@@ -44,7 +65,7 @@
         told,
         [
             "`zone` is missing; add it with a name, such as otaru-1",
-            "line 3: `zon` is unknown; the keys here are name, zone, listen, ready_path, log, \
+            "line 3: `zon` is unknown; the keys here are name, zone, regions, listen, ready_path, log, \
              seeds, revocation, versions, leaving, heartbeat, refresh, balancer_lag, grace, retries, load_bound, \
              memory_mb, threads, log_level",
             "line 5: `listen.callers` wants an IP number and a port, such as 10.0.0.5:8080",
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -123,6 +123,7 @@
 const SETTINGS: &str = "
 name: one
 zone: otaru
+regions: { otaru: hokkaido, kushiro: hokkaido, sendai: honshu }
 listen: { callers: \"127.0.0.1:0\", ready: \"127.0.0.1:0\", metrics: \"127.0.0.1:0\" }
 ready_path: /readyz
 log: 127.0.0.1:1
@@ -365,6 +366,7 @@
             service: id::of(SERVICE),
             weight: 1,
         }],
+        homes: BTreeSet::new(),
     }
 }
 
@@ -373,6 +375,7 @@
     let workspace = Arc::new(Workspace {
         name: "franchise".to_owned(),
         rank: None,
+        homes: BTreeSet::new(),
     });
     let service = Service {
         name: SERVICE.to_owned(),
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -10,6 +10,7 @@
 mod failures;
 mod fleet;
 mod freshness;
+mod homes;
 mod metrics;
 mod peers;
 mod prompts;
--- a/crates/process/src/settings/low.rs
+++ b/crates/process/src/settings/low.rs
@@ -80,6 +80,12 @@
         Self { path, line, map }
     }
 
+    /// Returns the keys that nobody took, where they are names and not fixed.
+    #[must_use]
+    pub fn keys(&self) -> Vec<String> {
+        self.map.keys().cloned().collect()
+    }
+
     /// Takes a value that `read` understands; `None` if the key is absent.
     pub fn optional<T>(
         &mut self,
