direct: what an evacuated zone holds is fetched while it is being left

Cause: a quarter of all prompts lose their home at once, and were read anew elsewhere. For what is left of the bound on leaving a zone, less the age that news may have, its endpoints are sources, as those that are leaving are; an instance that has lost touch or just started names none.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -124,6 +124,8 @@
     evacuation: Evacuation,
     // What the follower of the operator's topic has read of evacuations.
     reading: Reading,
+    // Until when what an evacuated zone's endpoints hold may be fetched.
+    fetched: BTreeMap<String, Moment>,
     // When zones were given back.
     returned: BTreeMap<String, Moment>,
     revoked: Arc<Revoked>,
@@ -143,6 +145,7 @@
             policy: None,
             evacuation: Evacuation::NONE,
             reading: Reading::default(),
+            fetched: BTreeMap::new(),
             returned: BTreeMap::new(),
             revoked: Arc::default(),
             read: false,
@@ -196,9 +199,11 @@
         }
         for zone in &changes.evacuated {
             log::warn!(zone:% = zone, as_of = as_of, told_by:% = told_by; "zone evacuated; its endpoints get nothing");
+            self.fetch_from(zone);
         }
         for zone in &changes.returned {
             log::info!(zone:% = zone, as_of = as_of, told_by:% = told_by; "zone returned; its endpoints are used again");
+            self.fetched.remove(zone);
             self.returned.insert(zone.clone(), boot_time());
         }
         self.shared.metrics.evacuated(self.evacuation.zones.len());
@@ -272,6 +277,17 @@
         known
     }
 
+    // Lets endpoints elsewhere fetch what those of an evacuated zone hold, in what is
+    // left of the time for leaving it. An instance that has lost touch, or has just
+    // started, can't know how much that is.
+    fn fetch_from(&mut self, zone: &str) {
+        let settings = &self.shared.settings;
+        let left = settings.evacuation.saturating_sub(settings.news());
+        if self.shared.age() < settings.news() {
+            self.fetched.insert(zone.to_owned(), boot_time() + left);
+        }
+    }
+
     fn policy(&mut self, policy: Policy) -> bool {
         let held = self.policy.as_ref().map_or(0, |held| held.version());
         // The log never goes back; whatever looks like it is a mistake that must
@@ -378,7 +394,9 @@
             log::info!(endpoint:% = name; "endpoint still missing after the log's return; gone");
             self.shared.tell(true, |board| board.remove(name));
         }
-        if !gone.is_empty() {
+        let fetched = self.fetched.len();
+        self.fetched.retain(|_, until| now < *until);
+        if !gone.is_empty() || self.fetched.len() < fetched {
             self.publish();
         }
         self.freshness(now);
@@ -431,6 +449,12 @@
         };
         let evacuated = |one: &&Registration| self.evacuation.holds(one.endpoint.zone);
         let usable = |one: &&Registration| !evacuated(one);
+        let fetched = |one: &&Registration| {
+            let mut zones = self.fetched.keys();
+            zones.any(|name| id::of(name) == one.endpoint.zone)
+        };
+        let held = of(Standing::Leaving).filter(|one| usable(one) || fetched(one));
+        let held = held.chain(of(Standing::Live).filter(fetched));
         let endpoints = self
             .listed
             .then(|| by_service(of(Standing::Live).filter(usable)));
@@ -439,7 +463,7 @@
         self.shared.publish(View {
             policy: self.policy.clone(),
             endpoints,
-            leaving: by_service(of(Standing::Leaving).filter(usable)),
+            leaving: by_service(held),
             evacuated: by_service(of(Standing::Live).filter(evacuated)),
             warm_at: self.warm_at(),
             revoked: Arc::clone(&self.revoked),
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -44,6 +44,8 @@
     pub versions: Duration,
     /// Within what time an endpoint that says it is leaving gets no more.
     pub leaving: Duration,
+    /// Within what time a zone that is evacuated gets no more.
+    pub evacuation: Duration,
     /// How often endpoints renew their entries.
     pub heartbeat: Duration,
     /// How often the list of endpoints is read. A leaving endpoint gets new
@@ -80,7 +82,7 @@
     pub peers: Option<SocketAddr>,
 }
 
-const TOP: [&str; 19] = [
+const TOP: [&str; 20] = [
     "name",
     "zone",
     "regions",
@@ -91,6 +93,7 @@
     "revocation",
     "versions",
     "leaving",
+    "evacuation",
     "heartbeat",
     "refresh",
     "balancer_lag",
@@ -198,6 +201,7 @@
     let revocation = top.optional("revocation", DURATION, duration, mistakes);
     let versions = top.optional("versions", DURATION, duration, mistakes);
     let leaving = top.optional("leaving", DURATION, duration, mistakes);
+    let evacuation = top.optional("evacuation", DURATION, duration, mistakes);
     let heartbeat = top.required("heartbeat", DURATION, duration, mistakes);
     let refresh = top.optional("refresh", DURATION, period, mistakes);
     let balancer_lag = top.optional("balancer_lag", DURATION, duration, mistakes);
@@ -219,6 +223,7 @@
         revocation: revocation.map(|taken| taken.value),
         versions: versions.map_or(NEWS, |taken| taken.value),
         leaving: leaving.map_or(NEWS, |taken| taken.value),
+        evacuation: evacuation.map_or(NEWS, |taken| taken.value),
         heartbeat: heartbeat?.value,
         refresh: refresh.map_or(REFRESH, |taken| taken.value),
         balancer_lag: balancer_lag.map_or(BALANCER_LAG, |taken| taken.value),
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -69,7 +69,7 @@
     pub(crate) policy: Option<Arc<Policy>>,
     /// Endpoints that may get new work, by service; once they were listed.
     pub(crate) endpoints: Option<Services>,
-    /// Endpoints that are leaving, by service. They get no new work, but what
+    /// Endpoints that are being left, by service. They get no new work, but what
     /// they hold can still be fetched.
     pub(crate) leaving: Services,
     /// Endpoints in evacuated zones, by service. They get nothing, and what they
@@ -101,7 +101,7 @@
         self.evacuated.get(&service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the endpoints of a service that are leaving.
+    /// Returns the endpoints of a service that are being left.
     pub(crate) fn leaving(&self, service: ServiceId) -> &[Arc<Registration>] {
         self.leaving.get(&service).map_or(&[], Vec::as_slice)
     }
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -128,6 +128,7 @@
 ready_path: /readyz
 log: 127.0.0.1:1
 revocation: 900ms
+evacuation: 3s
 heartbeat: 200ms
 refresh: 50ms
 balancer_lag: 200ms
--- a/crates/direct/tests/instance/prompts.rs
+++ b/crates/direct/tests/instance/prompts.rs
@@ -187,3 +187,26 @@
         assert_eq!(source(&engine), None);
     }
 }
+
+/// Guards against prompts that are read anew elsewhere while the endpoint that holds
+/// them only has to be left, and against fetching from it later.
+#[tokio::test]
+async fn what_an_evacuated_zone_holds_is_fetched_in_time() {
+    let near = Endpoint::start(script).await;
+    let far = Endpoint::start(script).await;
+    let fleet = Fleet::start(&[near.address]).await;
+    draft(&fleet, [1, 2, 3]).await;
+    draft(&fleet, [1, 4, 5]).await;
+    fleet.join_in("kushiro", "e1", far.address);
+    fleet.evacuate("otaru", true);
+    until(async || {
+        fleet.call("GET", "/stock/1", "").await;
+        !far.seen().is_empty()
+    })
+    .await;
+    draft(&fleet, [1, 2, 3]).await;
+    assert_eq!(source(&far), Some(near.address.to_string()));
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    draft(&fleet, [1, 4, 5]).await;
+    assert_eq!(source(&far), None);
+}
