direct: an endpoint that is warming up is no guess for a source

Cause: it is the first of many prompts' ranking and is sent few of them, so what spilled from it was told to fetch where nothing was.

--- a/crates/bench/src/direct/memory.rs
+++ b/crates/bench/src/direct/memory.rs
@@ -11,7 +11,7 @@
 
 use godwitpost_direct::book::Report;
 use godwitpost_direct::dialect::{Part, Span};
-use godwitpost_direct::fetch::{Pick, Prompt, pick};
+use godwitpost_direct::fetch::{Others, Pick, Prompt, pick};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::hash;
 use godwitpost_types::id::{EndpointId, SpanId};
@@ -349,7 +349,11 @@
             spans,
         };
         let directory = &self.instances[instance].directory;
-        match pick(directory, prompt, target, &others, draw, now) {
+        let others = Others {
+            all: &others,
+            settled: &others,
+        };
+        match pick(directory, prompt, target, others, draw, now) {
             Pick::From { endpoint, .. } => Some(endpoint),
             Pick::Held | Pick::Nobody => None,
         }
--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -30,6 +30,17 @@
     pub spans: &'a [Span],
 }
 
+/// Endpoints that may be asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Others<'a> {
+    /// All of them.
+    pub all: &'a [EndpointId],
+    /// Those that have been there for a while. Nobody else can hold what it wasn't
+    /// seen to hold: an endpoint that is warming up is the first of many prompts'
+    /// ranking and gets few of them.
+    pub settled: &'a [EndpointId],
+}
+
 /// Where an endpoint fetches from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pick {
@@ -59,8 +70,8 @@
     Ranked,
 }
 
-/// Picks where `target` fetches a prompt from, among the endpoints in `others`
-/// that may be asked. `draw` decides between equals.
+/// Picks where `target` fetches a prompt from, among `others`. `draw` decides between
+/// equals.
 ///
 /// The ranking tells more than it seems to: whatever spilled comes from the
 /// first of it, and what a new endpoint is home to now had the second as its
@@ -71,7 +82,7 @@
     directory: &Directory,
     prompt: Prompt<'_>,
     target: EndpointId,
-    others: &[EndpointId],
+    others: Others<'_>,
     draw: u64,
     now: Moment,
 ) -> Pick {
@@ -82,9 +93,13 @@
         return Pick::Held;
     }
     let rank = |endpoint: EndpointId| (hash::score(prompt.part, endpoint), endpoint);
-    let first = others.iter().copied().max_by_key(|other| rank(*other));
+    let first = others
+        .settled
+        .iter()
+        .copied()
+        .max_by_key(|other| rank(*other));
     let home = first.is_none_or(|first| rank(target) > rank(first));
-    let usable = |endpoint| others.contains(&endpoint);
+    let usable = |endpoint| others.all.contains(&endpoint);
     let known = directory
         .source(prompt.spans, usable, draw, now)
         .filter(|source| home || source.tokens >= whole.tokens);
--- a/crates/direct/src/fetch/tests.rs
+++ b/crates/direct/src/fetch/tests.rs
@@ -2,7 +2,7 @@
 
 use godwitpost_types::hash;
 
-use super::{Basis, Pick, Prompt, pick};
+use super::{Basis, Others, Pick, Prompt};
 use crate::dialect::Span;
 use crate::holders::Directory;
 
@@ -25,6 +25,22 @@
     Duration::from_millis(millis)
 }
 
+// Picks among endpoints that have all been there for a while.
+fn pick(
+    directory: &Directory,
+    prompt: Prompt<'_>,
+    target: u64,
+    others: &[u64],
+    draw: u64,
+    now: Duration,
+) -> Pick {
+    let others = Others {
+        all: others,
+        settled: others,
+    };
+    super::pick(directory, prompt, target, others, draw, now)
+}
+
 // Endpoints in the prompt's ranking, the home first.
 fn ranked() -> Vec<u64> {
     let mut ids: Vec<u64> = (1..=5).collect();
@@ -131,3 +147,29 @@
     let picked = pick(&Directory::default(), prompt, 1, &[2], 9, at(0));
     assert_eq!(picked, Pick::Nobody);
 }
+
+/// Guards against prompts that are read anew since an endpoint which has just started
+/// is asked for them: it is the first of their ranking and was sent few of them.
+#[test]
+fn an_endpoint_that_warms_up_is_asked_for_what_it_was_seen_to_hold() {
+    let ranked = ranked();
+    let mut directory = Directory::default();
+    let others = without(ranked[2]);
+    let settled: Vec<u64> = others
+        .iter()
+        .copied()
+        .filter(|id| *id != ranked[0])
+        .collect();
+    let others = Others {
+        all: &others,
+        settled: &settled,
+    };
+    let picked =
+        |directory: &Directory| super::pick(directory, PROMPT, ranked[2], others, 9, at(10));
+    assert_eq!(picked(&directory), from(ranked[1], Basis::Ranked));
+    directory.read(ranked[0], &SPANS, at(0));
+    assert_eq!(
+        picked(&directory),
+        from(ranked[0], Basis::Known { tokens: 10_500 })
+    );
+}
--- a/crates/direct/src/relay/source.rs
+++ b/crates/direct/src/relay/source.rs
@@ -9,7 +9,7 @@
 use godwitpost_types::id::EndpointId;
 
 use super::{Job, Sent};
-use crate::fetch::{Pick, Prompt, pick};
+use crate::fetch::{Others, Pick, Prompt, pick};
 use crate::place::{Bar, Candidate};
 use crate::roster::Registration;
 use crate::shared::View;
@@ -78,8 +78,17 @@
             .collect()
     };
     let now = boot_time();
+    let settled: Vec<EndpointId> = others
+        .iter()
+        .copied()
+        .filter(|endpoint| view.ramp(job.service, *endpoint, now).is_none())
+        .collect();
+    let others = Others {
+        all: &others,
+        settled: &settled,
+    };
     let directory = job.shared.directory();
-    let pick = pick(&directory, prompt, target.endpoint.id, &others, draw, now);
+    let pick = pick(&directory, prompt, target.endpoint.id, others, draw, now);
     drop(directory);
     job.shared.metrics.source(pick.as_str());
     let from = match pick {
