direct: up to 512 holders of prompts are told at once

Cause: each answer to a peer had the newest 128 at most, and what was left out was never told. When a zone is left or a quarter of the engines end, several hundred prompts move within the 1.4 s of a question; their new holders were known to few, and instances that spilled such a prompt guessed.

--- a/crates/direct/src/board/tests.rs
+++ b/crates/direct/src/board/tests.rs
@@ -242,3 +242,21 @@
     assert_eq!(left(4_500), at(500));
     assert_eq!(left(9_000), Duration::ZERO);
 }
+
+/// Guards against prompts that are read anew since their new holders were told to
+/// nobody: a quarter of a thousand prompts moves at once when a zone is left.
+#[test]
+fn holders_of_all_prompts_that_moved_are_told() {
+    let mut board = Board::new(7);
+    let asked = question(&board.tell(&STRANGER, Duration::ZERO, at(0)));
+    for span in 0..500 {
+        let holding = Holding {
+            span,
+            endpoint: 3,
+            age: Duration::ZERO,
+        };
+        board.held(holding, at(1));
+    }
+    let told = board.tell(&asked, Duration::ZERO, at(2));
+    assert_eq!(told.held.len(), 500);
+}
--- a/crates/direct/src/holders.rs
+++ b/crates/direct/src/holders.rs
@@ -39,11 +39,11 @@
 const RENEWED: Duration = Duration::from_secs(20);
 
 /// Holdings that are told at once, about 20 bytes each.
-pub const TOLD: usize = 128;
+pub const TOLD: usize = 512;
 
 /// Holdings that wait to be told. Over that the oldest are left out: those who
 /// ask rank endpoints and find most holders by that.
-const WAITING: usize = 1_024;
+const WAITING: usize = 2_048;
 
 /// An endpoint that holds a beginning, as one instance tells another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
