direct: whether a peer has news is seen without making its answer

Cause: each piece of news woke all peers that wait, and for each the whole answer was made twice, configuration and list of endpoints included, three passes over all endpoints each time.

--- a/crates/direct/src/board.rs
+++ b/crates/direct/src/board.rs
@@ -102,22 +102,6 @@
     pub instances: Option<u32>,
 }
 
-impl Told {
-    /// Returns whether whoever tells has read the log at all.
-    #[must_use]
-    pub const fn is_informed(&self) -> bool {
-        self.policy_age.is_some() && self.endpoints_age.is_some()
-    }
-
-    /// Returns whether it says anything but ages.
-    #[must_use]
-    pub const fn is_news(&self) -> bool {
-        let entries = self.set.len() + self.lapsed.len() + self.gone.len();
-        let told = entries + self.sightings.len();
-        self.whole || self.policy.is_some() || self.evacuation.is_some() || told > 0
-    }
-}
-
 /// What an instance knows of the log.
 #[derive(Debug)]
 pub struct Board {
@@ -128,6 +112,8 @@
     policy_read: Option<Moment>,
     endpoints_read: Option<Moment>,
     entries: BTreeMap<String, Entry>,
+    // The latest stamp of any entry.
+    changed: u64,
     // Stamps at or before this one are too old to tell only what changed.
     forgotten: u64,
     // By stamp.
@@ -136,6 +122,29 @@
     held: BTreeMap<u64, (Holding, Moment)>,
 }
 
+/// How soon a question has to be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// There is nothing to tell: the log was never read.
+    Uninformed,
+    /// There is no news.
+    None,
+    /// There is news, and more may follow at once.
+    News,
+    /// The peer lacks the configuration or the list of endpoints.
+    Whole,
+}
+
+// What of a board a question is answered with.
+#[derive(Clone, Copy, Debug)]
+struct Scope {
+    // What has a later stamp than this.
+    after: u64,
+    // Likewise of endpoints.
+    entries_after: u64,
+    whole: bool,
+}
+
 #[derive(Debug)]
 struct Entry {
     stamp: u64,
@@ -170,6 +179,7 @@
             policy_read: None,
             endpoints_read: None,
             entries: BTreeMap::new(),
+            changed: 0,
             forgotten: 0,
             evidence: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -237,6 +247,7 @@
     /// Notes an endpoint that changed, and when it will have warmed up.
     pub fn set(&mut self, registration: Registration, warm_at: Moment) {
         self.stamp += 1;
+        self.changed = self.stamp;
         let name = registration.endpoint.name.clone();
         let entry = Entry {
             stamp: self.stamp,
@@ -252,6 +263,7 @@
     pub fn lapse(&mut self, name: &str) {
         if let Some(entry) = self.entries.get_mut(name) {
             self.stamp += 1;
+            self.changed = self.stamp;
             entry.stamp = self.stamp;
             entry.lapsed = true;
         }
@@ -263,6 +275,7 @@
             return;
         };
         self.stamp += 1;
+        self.changed = self.stamp;
         entry.stamp = self.stamp;
         entry.registration = None;
         self.forget();
@@ -289,20 +302,38 @@
             .fold(0, |all, one| all ^ one)
     }
 
+    /// Returns whether a question is worth an answer before its wait is over. Takes no
+    /// time in proportion to the endpoints, unless a stranger asks: whatever is news
+    /// wakes all that wait.
+    #[must_use]
+    pub fn urgency(&self, question: &Question) -> Urgency {
+        if self.policy_read.is_none() || self.endpoints_read.is_none() {
+            return Urgency::Uninformed;
+        }
+        let scope = self.scope(question);
+        let newer = |content: &Content| content.version > question.version;
+        if scope.whole || self.policy.as_ref().is_some_and(newer) {
+            return Urgency::Whole;
+        }
+        let sighted = self.evidence.last_key_value();
+        let sighted = sighted.is_some_and(|(stamp, _)| *stamp > scope.after);
+        let evacuated = self.evacuation.as_of > question.evacuation;
+        if evacuated || sighted || self.changed > scope.entries_after {
+            return Urgency::News;
+        }
+        Urgency::None
+    }
+
     /// Returns what a question asked `waited` ago is answered with.
     #[must_use]
     pub fn tell(&self, question: &Question, waited: Duration, now: Moment) -> Told {
-        let stranger = question.life != self.life || question.stamp < self.forgotten;
-        let after = if stranger { 0 } else { question.stamp };
-        // Hundreds that read the log for themselves at a start all know what is
-        // told here when they first ask, and need no list of it.
-        let same = stranger && question.digest != 0 && question.digest == self.digest();
-        let whole = stranger && !same;
-        let entries_after = if same { self.stamp } else { after };
-        let changed = || {
-            let newer = |entry: &Entry| entry.stamp > entries_after;
-            self.entries.iter().filter(move |(_, entry)| newer(entry))
-        };
+        let Scope {
+            after,
+            entries_after,
+            whole,
+        } = self.scope(question);
+        let changed = self.changed_after(entries_after);
+        let changed = || changed.iter().copied();
         let age = |read: Option<Moment>| read.map(|read| since(now, read));
         let newer = |content: &&Content| content.version > question.version;
         let evacuation = Some(&self.evacuation).filter(|own| own.as_of > question.evacuation);
@@ -345,6 +376,29 @@
         }
     }
 
+    // What of this board a question is answered with.
+    fn scope(&self, question: &Question) -> Scope {
+        let stranger = question.life != self.life || question.stamp < self.forgotten;
+        let after = if stranger { 0 } else { question.stamp };
+        // Hundreds that read the log for themselves at a start all know what is
+        // told here when they first ask, and need no list of it.
+        let same = stranger && question.digest != 0 && question.digest == self.digest();
+        Scope {
+            after,
+            entries_after: if same { self.stamp } else { after },
+            whole: stranger && !same,
+        }
+    }
+
+    // The entries that changed after a stamp.
+    fn changed_after(&self, stamp: u64) -> Vec<(&String, &Entry)> {
+        if self.changed <= stamp {
+            return Vec::new();
+        }
+        let newer = |(_, entry): &(&String, &Entry)| entry.stamp > stamp;
+        self.entries.iter().filter(newer).collect()
+    }
+
     fn forget(&mut self) {
         let gone = |entry: &Entry| entry.registration.is_none();
         while self.entries.values().filter(|entry| gone(entry)).count() > GONE {
--- a/crates/direct/src/board/tests.rs
+++ b/crates/direct/src/board/tests.rs
@@ -3,11 +3,15 @@
 
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
-use super::{Board, GONE, HELD, Question, Told};
+use super::{Board, GONE, HELD, Question, Told, Urgency};
+use crate::evacuation::Evacuation;
 use crate::holders::{Holding, TOLD};
 use crate::policy::Content;
 use crate::roster::Registration;
+use crate::suspects::{Evidence, Fate};
 
 const fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -31,6 +35,13 @@
     }
 }
 
+// Whether it says anything but ages.
+const fn is_news(told: &Told) -> bool {
+    let entries = told.set.len() + told.lapsed.len() + told.gone.len();
+    let more = entries + told.sightings.len();
+    told.whole || told.policy.is_some() || told.evacuation.is_some() || more > 0
+}
+
 const fn question(told: &Told) -> Question {
     Question {
         life: told.life,
@@ -72,7 +83,7 @@
     let first = board.tell(&STRANGER, at(0), at(0));
     assert!(first.whole);
     assert_eq!(names(&first), ["a", "b"]);
-    assert!(!board.tell(&question(&first), at(0), at(0)).is_news());
+    assert!(!is_news(&board.tell(&question(&first), at(0), at(0))));
     board.remove("a");
     board.set(registration("c"), Duration::ZERO);
     let second = board.tell(&question(&first), at(0), at(0));
@@ -181,7 +192,7 @@
     board.held(holding(1), now);
     let told = board.tell(&question(&told), at(0), now);
     assert_eq!(told.held, vec![holding(1)]);
-    assert!(!told.is_news());
+    assert!(!is_news(&told));
     let told = board.tell(&question(&told), at(0), now);
     assert!(told.held.is_empty());
 }
@@ -243,6 +254,55 @@
     assert_eq!(left(9_000), Duration::ZERO);
 }
 
+/// Guards against peers that wait although there is news, and against answers by the
+/// hundred without any.
+#[test]
+fn urgency_agrees_with_what_is_told() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..300 {
+        let mut board = Board::new(7);
+        let mut asked = STRANGER;
+        assert_eq!(board.urgency(&asked), Urgency::Uninformed);
+        board.policy_read(at(1));
+        board.endpoints_read(at(1));
+        for _ in 0..30 {
+            let name = ["a", "b", "c"][rng.random_range(0..3)];
+            match rng.random_range(0..7) {
+                0 => board.set(registration(name), Duration::ZERO),
+                1 => board.remove(name),
+                2 => board.lapse(name),
+                3 => board.set_policy(Content {
+                    version: rng.random_range(0..5),
+                    ..Content::default()
+                }),
+                4 => board.set_evacuation(Evacuation {
+                    as_of: rng.random_range(0..5),
+                    ..Evacuation::NONE
+                }),
+                5 => board.sighted(Evidence {
+                    digest: [7; 16],
+                    fate: Fate::Answered,
+                    sent: at(0),
+                    at: at(1),
+                }),
+                _ => {
+                    let told = board.tell(&asked, Duration::ZERO, at(2));
+                    asked = question(&told);
+                    asked.version = rng.random_range(0..5);
+                    asked.evacuation = rng.random_range(0..5);
+                }
+            }
+            let told = board.tell(&asked, Duration::ZERO, at(2));
+            let wanted = match (told.whole || told.policy.is_some(), is_news(&told)) {
+                (true, _) => Urgency::Whole,
+                (false, true) => Urgency::News,
+                (false, false) => Urgency::None,
+            };
+            assert_eq!(board.urgency(&asked), wanted);
+        }
+    }
+}
+
 /// Guards against prompts that are read anew since their new holders were told to
 /// nobody: a quarter of a thousand prompts moves at once when a zone is left.
 #[test]
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -15,7 +15,7 @@
 use super::age::LONGEST_WAIT;
 use super::passing::{EVIDENCE_PATH, HEARD_PATH, heard, learn, take};
 use super::{MESSAGE_BYTES, PATH, status, whole};
-use crate::board::{Question, Told};
+use crate::board::{Question, Told, Urgency};
 use crate::shared::Shared;
 
 /// How long news waits for more before it is told: a release or a scale-out
@@ -57,17 +57,15 @@
     let mut news = shared.news();
     loop {
         news.mark_unchanged();
-        let now = boot_time();
-        let told = shared.tell(false, |board| board.tell(&question, since(now, began), now));
-        // One that starts itself has nothing to tell yet. Hundreds that start with
-        // it wait for it, rather than that each reads the log.
-        let informed = told.is_informed();
-        if informed && (told.whole || told.policy.is_some()) {
-            break;
-        }
-        if informed && told.is_news() {
-            sleep_until(until.min(Instant::now() + SETTLE)).await;
-            break;
+        match shared.tell(false, |board| board.urgency(&question)) {
+            Urgency::Whole => break,
+            Urgency::News => {
+                sleep_until(until.min(Instant::now() + SETTLE)).await;
+                break;
+            }
+            // One that starts itself has nothing to tell yet. Hundreds that start with
+            // it wait for it, rather than that each reads the log.
+            Urgency::None | Urgency::Uninformed => {}
         }
         if timeout_at(until, news.changed()).await.is_err() {
             break;
