direct: an evacuation that was taken back and given again is told to peers

Cause: an instance that read both at once saw no change and passed nothing on; a peer that knew only that the zone was given back used it for good. A newer state is told now, whether it changes anything here or not. The line on a share names its request and its endpoint.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -193,10 +193,11 @@
     // that changed.
     fn evacuate(&mut self, evacuation: Evacuation, told_by: &str) -> bool {
         let as_of = evacuation.as_of;
-        let changes = self.evacuation.learn(evacuation);
-        if changes.is_empty() {
+        let Some(changes) = self.evacuation.learn(evacuation) else {
             return false;
-        }
+        };
+        let own = self.evacuation.clone();
+        self.shared.tell(true, |board| board.set_evacuation(own));
         for zone in &changes.evacuated {
             log::warn!(zone:% = zone, as_of = as_of, told_by:% = told_by; "zone evacuated; its endpoints get nothing");
             self.fetch_from(zone);
@@ -207,9 +208,7 @@
             self.returned.insert(zone.clone(), boot_time());
         }
         self.shared.metrics.evacuated(self.evacuation.zones.len());
-        let own = self.evacuation.clone();
-        self.shared.tell(true, |board| board.set_evacuation(own));
-        true
+        !changes.is_empty()
     }
 
     // That there is no configuration yet is known as well, but nothing can be
--- a/crates/direct/src/evacuation.rs
+++ b/crates/direct/src/evacuation.rs
@@ -45,11 +45,13 @@
         zones: BTreeSet::new(),
     };
 
-    /// Takes in another state; returns what it changes. An older one changes
-    /// nothing.
-    pub fn learn(&mut self, other: Self) -> Changes {
+    /// Takes in another state; returns what it changes, or `None` if it is not newer.
+    ///
+    /// A newer one that changes nothing has to be passed on all the same: others may
+    /// know what was in between.
+    pub fn learn(&mut self, other: Self) -> Option<Changes> {
         if other.as_of <= self.as_of {
-            return Changes::default();
+            return None;
         }
         let without = |zones: &BTreeSet<String>, others: &BTreeSet<String>| {
             zones.difference(others).cloned().collect()
@@ -59,7 +61,7 @@
             returned: without(&self.zones, &other.zones),
         };
         *self = other;
-        changes
+        Some(changes)
     }
 
     /// Returns whether a zone is evacuated.
--- a/crates/direct/src/evacuation/tests.rs
+++ b/crates/direct/src/evacuation/tests.rs
@@ -25,13 +25,14 @@
 #[test]
 fn changes_name_what_came_and_went() {
     let mut own = Evacuation::NONE;
-    let changes = own.learn(state(3, &["otaru", "kushiro"]));
+    let changes = own.learn(state(3, &["otaru", "kushiro"])).expect("newer");
     assert_eq!(changes.evacuated, ["kushiro", "otaru"]);
     assert!(own.holds(id::of("otaru")) && !own.holds(id::of("sapporo")));
-    let changes = own.learn(state(5, &["sapporo", "otaru"]));
+    let changes = own.learn(state(5, &["sapporo", "otaru"])).expect("newer");
     assert_eq!(changes.evacuated, ["sapporo"]);
     assert_eq!(changes.returned, ["kushiro"]);
-    assert!(own.learn(state(9, &["sapporo", "otaru"])).is_empty());
+    let changes = own.learn(state(9, &["sapporo", "otaru"])).expect("newer");
+    assert!(changes.is_empty());
     assert_eq!(own.as_of, 9);
 }
 
@@ -39,8 +40,8 @@
 #[test]
 fn an_older_state_changes_nothing() {
     let mut own = state(7, &["otaru"]);
-    assert!(own.learn(state(6, &[])).is_empty());
-    assert!(own.learn(state(7, &["kushiro"])).is_empty());
+    assert_eq!(own.learn(state(6, &[])), None);
+    assert_eq!(own.learn(state(7, &["kushiro"])), None);
     assert_eq!(own, state(7, &["otaru"]));
 }
 
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -9,7 +9,7 @@
 use godwitpost_client::connect::{Body, Cause, Error, Received};
 use godwitpost_decide::health::Event;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId, ServiceId, ZoneId};
+use godwitpost_types::id::{BodyDigest, EndpointId, ZoneId};
 use http::request::Request;
 use http::response::Parts;
 use http::{Response, StatusCode};
@@ -250,20 +250,20 @@
     let draw = rand::rng().random();
     match pick(&candidates, prefix, shared.settings.load_bound, draw) {
         Pick::Send { endpoint, choice } => {
-            if !spend(&shared, &view, job.service, endpoint) {
-                return Err(Reason::Warming);
-            }
             let chosen = candidates.iter().find(|one| one.endpoint == endpoint);
-            registrations
+            let one = registrations
                 .iter()
                 .find(|one| one.endpoint.id == endpoint)
-                .map(|one| Chosen {
-                    source: source::find(job, &view, &candidates, one, draw),
-                    registration: Arc::clone(one),
-                    choice,
-                    load: chosen.map_or(0.0, |one| one.load),
-                })
-                .ok_or(Reason::NoEndpoint)
+                .ok_or(Reason::NoEndpoint)?;
+            if !spend(job, &view, one) {
+                return Err(Reason::Warming);
+            }
+            Ok(Chosen {
+                source: source::find(job, &view, &candidates, one, draw),
+                registration: Arc::clone(one),
+                choice,
+                load: chosen.map_or(0.0, |one| one.load),
+            })
         }
         Pick::Full => Err(Reason::Full),
         Pick::Wait => Err(Reason::Warming),
@@ -272,17 +272,21 @@
     }
 }
 
-// Takes this instance's share of an endpoint that is warming up; returns whether
+// Takes this instance's share of an endpoint if that is warming up; returns whether
 // there was one.
-fn spend(shared: &Shared, view: &View, service: ServiceId, endpoint: EndpointId) -> bool {
+fn spend(job: &Job, view: &View, registration: &Registration) -> bool {
+    let endpoint = &registration.endpoint;
     let now = boot_time();
-    let Some(ramp) = view.ramp(service, endpoint, now) else {
+    let Some(ramp) = view.ramp(job.service, endpoint.id, now) else {
         return true;
     };
-    let instances = shared.instances(now);
-    let taken = shared.shares().take(endpoint, ramp, instances, now);
-    shared.metrics.share(taken);
-    log::info!(endpoint = endpoint, instances:? = instances, taken = taken; "share of an endpoint that is warming up");
+    let instances = job.shared.instances(now);
+    let taken = job.shared.shares().take(endpoint.id, ramp, instances, now);
+    job.shared.metrics.share(taken);
+    log::info!(
+        request:% = job.id(), endpoint:% = endpoint.name, instances:? = instances, taken = taken;
+        "share of an endpoint that is warming up"
+    );
     taken
 }
 
--- a/crates/direct/tests/instance/evacuation.rs
+++ b/crates/direct/tests/instance/evacuation.rs
@@ -152,3 +152,45 @@
     assert!(begun.elapsed() < Duration::from_millis(500), "{whole}");
     assert_eq!(endpoint.seen().len(), before);
 }
+
+/// Guards against a zone that is used again at an instance which knew that it was given
+/// back, since the one it asks read that and the next evacuation at once.
+#[tokio::test]
+async fn an_evacuation_that_was_taken_back_and_given_again_is_told() {
+    let endpoint = Endpoint::start(says("ok")).await;
+    let [seed, other] = Fleet::start_two(&[endpoint.address]).await;
+    follows(&other).await;
+    seed.evacuate("otaru", true);
+    other.evacuate("otaru", true);
+    until(async || {
+        other
+            .call("GET", "/stock/1", "")
+            .await
+            .contains("evacuated")
+    })
+    .await;
+    // The seed loses its log, and the other reads its own.
+    seed.operator.set_down(true);
+    seed.endpoints.set_down(true);
+    other.evacuate("otaru", false);
+    until(async || {
+        let whole = other.call("GET", "/stock/1", "").await;
+        whole.starts_with("HTTP/1.1 200")
+    })
+    .await;
+    seed.evacuate("otaru", false);
+    seed.evacuate("otaru", true);
+    seed.operator.set_down(false);
+    seed.endpoints.set_down(false);
+    let told = async || {
+        other
+            .call("GET", "/stock/1", "")
+            .await
+            .contains("evacuated")
+    };
+    let begun = Instant::now();
+    while !told().await {
+        assert!(begun.elapsed() < Duration::from_secs(15), "it is not told");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
