--- a/crates/direct/src/fetch.rs
+++ b/crates/direct/src/fetch.rs
@@ -4,15 +4,10 @@
 //! when its home is above the load bound, when endpoints join, leave or crash,
 //! and when a part in demand is spread. Reading takes an engine some 16 ms for
 //! 1,000 tokens, in which all its other streams wait; fetching the same from an
-//! endpoint that holds them takes between one and two. On a calm day of nine
-//! instances and twelve engines (means of eight seeds) 510,000 shared tokens were
-//! read again, and 103,000 are; the first event of prompts of 10,000 tokens came
-//! after 42 ms at the median and 650 ms at the 99th percentile, and comes after
-//! 40 ms and 581 ms.
+//! endpoint that holds them takes a tenth of that.
 //!
 //! A source is a hint. If it holds nothing, is dark or gone, the endpoint reads
-//! the prompt as without one; with a quarter of the engines dark and others
-//! replaced, no more requests were late or failed than without sources.
+//! the prompt as without one.
 
 use godwitpost_types::clock::Moment;
 use godwitpost_types::hash;
@@ -44,8 +39,8 @@
 /// Where an endpoint fetches from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pick {
-    /// From nowhere: it is believed to hold the whole. Naming a source all the
-    /// same cost the median first event 0.8 ms.
+    /// From nowhere: it is believed to hold the whole, and a source that is named all
+    /// the same delays the first event.
     Held,
     /// From this endpoint.
     From {
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -26,13 +26,8 @@
 ///
 /// Loads are some hundred milliseconds old, and other instances place at the
 /// same time, so what is aimed at lies below what must not be passed. Each
-/// prompt that spills is read again where it goes: with the load allowed at
-/// twice the mean, a bound of 1.3 instead of 1.6 times the mean (and one
-/// request less of [`SLACK`]) had a fifth of all prompts spill, and half as
-/// many tokens again read a second time. What a spill costs goes by the length
-/// of the prompt, and what it saves doesn't, so short ones go first. Driven at 81
-/// instances, 87 tokens for each request were read again with one bound for all
-/// lengths, and 59 are with these.
+/// prompt that spills is read or fetched where it goes. What that costs goes by
+/// the length of the prompt, and what it saves doesn't, so short ones go first.
 const AIMED: [f64; 2] = [0.3, 0.8];
 
 /// What is added to the bound, in requests, with all loads known: with a mean
@@ -100,9 +95,8 @@
     //
     // When all callers are suddenly about one thing, its home fills up within a
     // second, and what an instance last heard of it is as old. All instances then
-    // leave it for the next in the ranking, which fills up in turn. Driven at 81
-    // instances with 28% of the longest prompts about one thing, 3.7% of
-    // placements passed the bound before it was spread at once, and 1.0% do now.
+    // leave it for the next in the ranking, which fills up in turn, unless it is
+    // spread at once.
     fn spread(&self, bound: f64) -> usize {
         let endpoints = (self.demand / bound.max(1.0)).ceil();
         // A thousand is more than any service has that a part is spread over.
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -62,11 +62,8 @@
 /// instance may know better at once; half of the jitter spreads the return.
 ///
 /// It is also that of an instance that has just started or lost touch with its
-/// configuration: such a one is informed some 30 ms after it listens. Asked to
-/// wait for 0.9 s, callers of an order were past their deadline, and after all
-/// instances lost power everybody was late: on eight kinds of days with such
-/// losses (four seeds each) 87 requests a day were, and 82 are, and the first
-/// event at the 99th percentile came after 853 ms and comes after 773 ms.
+/// configuration: such a one is informed soon after it listens, and callers of an
+/// order have no time to spare.
 const SOON: Duration = Duration::from_millis(150);
 
 /// What a wait is multiplied by, drawn anew for each caller: those that were
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -35,9 +35,7 @@
 
 /// How long a connection may have rested for a request that runs once at most,
 /// or for the last attempt of another. What is written to a connection that
-/// its endpoint has forgotten is lost without a trace of whether it ran; with
-/// endpoints that forget theirs after 300 ms, 127 of 7,030 captions were, and
-/// none since. Endpoints were seen to forget after 150 ms.
+/// its endpoint has forgotten is lost without a trace of whether it ran.
 const RESTED: Duration = Duration::from_millis(100);
 
 /// How recent a sign of life has to be. Streams have an event every 25 ms or so;
@@ -112,10 +110,9 @@
     /// Notes that the endpoint's machine gave no sign of life to this request.
     ///
     /// Where one packet of thirty is lost, so is one connection's first, and it comes
-    /// to nothing within its time, while the endpoint goes on with all others. Held to be down by
-    /// that, it got nothing new for a second or more, and its prompts were read
-    /// again elsewhere: 193,000 tokens on a day of lost packets, and 125,000 since
-    /// (means of four seeds). A dark machine is silent on all its connections.
+    /// to nothing within its time, while the endpoint goes on with all others. Held to
+    /// be down by that, it would get nothing new for a second or more, and its prompts
+    /// would be read again elsewhere. A dark machine is silent on all its connections.
     pub(crate) fn dark(&self) {
         let recent = since(boot_time(), RECENT);
         if self.pulse.since(self.sent.max(recent)) {
--- a/crates/direct/src/ways.rs
+++ b/crates/direct/src/ways.rs
@@ -16,14 +16,9 @@
 use godwitpost_types::id::ZoneId;
 
 /// How long a way is left at first, and at the longest. One answer that was held
-/// up is enough: if a sound link loses one packet in a hundred thousand, which is
-/// assumed, the 350 events a second of an instance leave a way for nothing once in
-/// minutes,
-/// while of a link that loses three in a hundred every second stream is late.
-/// Driven over ways that lose 2 to 5 packets in 100 for eight seconds and again for
-/// six, 202 streams a day were late with no way left, 114 where it took two held up
-/// within a second and ways were left for two seconds, and 77 are with these (means
-/// of six seeds).
+/// up is enough: a sound link loses so few packets that a way is left for nothing
+/// once in minutes, while of a link that loses three in a hundred every second
+/// stream is late.
 const LEFT: Duration = Duration::from_secs(4);
 const LONGEST: Duration = Duration::from_secs(16);
 
