--- a/crates/direct/src/cli.rs
+++ b/crates/direct/src/cli.rs
@@ -35,6 +35,7 @@
 Settings (YAML):
   name: otaru-1
   zone: otaru                      # availability zone
+  regions: { otaru: hokkaido }     # of each zone, for homes; optional
   listen:
     callers: 10.0.0.5:8080
     ready: 10.0.0.5:8081           # for the balancer's probe
@@ -46,6 +47,7 @@
   revocation: 5s                   # a key taken away stops within; optional
   versions: 2s                     # a version is in force within
   leaving: 2s                      # a leaving endpoint gets no more after
+  evacuation: 2s                   # an evacuated zone gets no more after
   heartbeat: 1200ms                # of endpoints
   refresh: 1s                      # how often endpoints are read
   balancer_lag: 2500ms             # callers still come for so long
