--- a/crates/direct/src/ramp.rs
+++ b/crates/direct/src/ramp.rs
@@ -31,7 +31,7 @@
 const COUNTED: Duration = Duration::from_mins(1);
 
 /// The number of instances that is assumed with none told, as in the first second
-/// after a start: more than any fleet has in one region today.
+/// after a start: of the order of the largest fleets.
 const UNCOUNTED: f64 = 256.0;
 
 /// The number of values that half of a draw may have.
