platform, direct: what endpoints say of leaving and rest is read and told

Both are read now where the answer is the endpoint's own (it echoes the attempt, isn't coded and isn't a 421), and told by a line and a counter. Nothing is decided by them yet.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -50,8 +50,7 @@
 ///   what the endpoint made.
 #[must_use]
 pub fn judge(status: StatusCode, answer: &Answer, id: &str, idempotent: bool) -> Verdict {
-    let crossed = answer.attempt.as_deref().is_some_and(|echoed| echoed != id);
-    if crossed || answer.coded {
+    if answer.is_crossed(id) || answer.coded {
         return Verdict::Ended(Ending::Lost);
     }
     if answer.not_run || status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -120,6 +120,28 @@
     pub coded: bool,
     /// What it says of the endpoint's load.
     pub report: Option<Report>,
+    /// Whether it says that the endpoint is leaving.
+    pub leaving: bool,
+    /// For how long it asks this instance to send the endpoint nothing more.
+    pub rest: Option<Duration>,
+}
+
+impl Answer {
+    /// Returns whether it is another attempt's than `id`, as a late one is in the place
+    /// of the next one on its connection.
+    #[must_use]
+    pub fn is_crossed(&self, id: &str) -> bool {
+        self.attempt.as_deref().is_some_and(|echoed| echoed != id)
+    }
+
+    /// Returns whether the endpoint that the attempt `id` was sent to wrote it: it echoes
+    /// the attempt, nothing on the way has coded its body, and the status doesn't say
+    /// that somebody else has the address.
+    #[must_use]
+    pub fn is_own(&self, status: StatusCode, id: &str) -> bool {
+        let echoes = self.attempt.as_deref() == Some(id);
+        echoes && !self.coded && status != StatusCode::MISDIRECTED_REQUEST
+    }
 }
 
 /// The functions.
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -38,6 +38,7 @@
     resumed: Counter<u64>,
     sources: Counter<u64>,
     shares: Counter<u64>,
+    notices: Counter<u64>,
     calls: Counter<u64>,
     listed: Counter<u64>,
     ignored: Counter<u64>,
@@ -75,6 +76,10 @@
                 "godwitpost.warming_shares",
                 "Requests placed at endpoints that are warming up, by whether a share was left",
             ),
+            notices: counter(
+                "godwitpost.endpoint_notices",
+                "Answers in which an endpoint says that it is leaving or asks for rest, by which",
+            ),
             sources: counter(
                 "godwitpost.prompt_sources",
                 "Requests with a shared prompt, by where their endpoint gets it from",
@@ -142,6 +147,10 @@
         self.shares.add(1, &[KeyValue::new("taken", taken)]);
     }
 
+    pub(crate) fn notice(&self, says: &'static str) {
+        self.notices.add(1, &[KeyValue::new("says", says)]);
+    }
+
     pub(crate) fn spans(&self, count: usize) {
         self.spans.record(count as u64, &[]);
     }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -484,6 +484,9 @@
 fn note(job: &Job, flight: &Flight, status: StatusCode, answer: &Answer) {
     let now = boot_time();
     flight.pulse.beat(now);
+    if answer.is_own(status, &job.facts.attempt) {
+        tell_notices(job, flight, answer);
+    }
     let mut book = job.shared.book();
     if status == StatusCode::MISDIRECTED_REQUEST {
         // Somebody else has the address.
@@ -496,6 +499,24 @@
     book.seen(flight.endpoint, Event::Good(now));
 }
 
+// Counts and logs what an endpoint says of itself beside its load.
+fn tell_notices(job: &Job, flight: &Flight, answer: &Answer) {
+    if answer.leaving {
+        job.shared.metrics.notice("leaving");
+        log::info!(
+            request:% = job.id(), endpoint:% = flight.name();
+            "the answer says that its endpoint is leaving"
+        );
+    }
+    if let Some(rest) = answer.rest {
+        job.shared.metrics.notice("rest");
+        log::warn!(
+            request:% = job.id(), endpoint:% = flight.name(), rest_ms = rest.as_millis();
+            "the answer asks for rest"
+        );
+    }
+}
+
 fn failed(job: &Job, flight: &Flight, error: &Error) -> Ending {
     log::warn!(request:% = job.id(), endpoint:% = flight.name(), error:% = error; "not answered");
     let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
