direct: an endpoint that says in an answer that it leaves gets nothing more in that life

Cause: what is known of an endpoint's leaving came from the log alone. The log was away for twelve seconds; the endpoint could say it only in its answers, which nobody read, and when the log came back it still listed the endpoint as one that may get work.

Fix: an answer that is the endpoint's own (it echoes the attempt, isn't coded, is no 421) is taken for its word. Requests are kept away from it at once, and the roster takes it like an entry of the same life, so that peers that ask this instance are told. The roster now remembers a leaving life beyond its entry, by whoever's word: an entry that is listed anew, lapsed and came back, or is told by a peer doesn't take it back; a later life does. Before, that held only as long as the entry was there.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -463,19 +463,47 @@
             }
             Setting::Returned | Setting::Warming | Setting::Changed => {}
         }
-        let warm_at = self.roster.warm_at(&endpoint.name);
-        self.shared.tell(true, |board| board.set(told, warm_at));
         if setting == Setting::Returned {
+            self.tell(told);
             log::info!(endpoint:% = endpoint.name; "lapsed entry is back");
             return false;
         }
+        self.changed(told, "entry");
+        true
+    }
+
+    // Tells peers what an endpoint's entry says now.
+    fn tell(&self, registration: Registration) -> Moment {
+        let warm_at = self.roster.warm_at(&registration.endpoint.name);
+        self.shared
+            .tell(true, |board| board.set(registration, warm_at));
+        warm_at
+    }
+
+    // Tells peers and logs that an endpoint says something new of itself.
+    fn changed(&self, registration: Registration, told_by: &str) {
+        let endpoint = registration.endpoint.clone();
+        let warm_at = self.tell(registration);
         log::info!(
             endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
             address:% = endpoint.address, standing:? = endpoint.standing,
-            warming_ms = since(warm_at, boot_time()).as_millis();
+            warming_ms = since(warm_at, boot_time()).as_millis(), told_by:% = told_by;
             "endpoint changed"
         );
-        true
+    }
+
+    // Takes in which endpoints said in answers that they are leaving; returns whether
+    // that changed anything.
+    fn notices(&mut self, now: Moment) -> bool {
+        let leaving = self.shared.notices().take_leaving(now);
+        let mut changed = false;
+        for life in leaving {
+            if let Some(registration) = self.roster.leaves(&life, now) {
+                self.changed(registration, "endpoint");
+                changed = true;
+            }
+        }
+        changed
     }
 
     fn tick(&mut self, now: Moment) {
@@ -493,6 +521,7 @@
             self.shared.tell(true, |board| board.remove(name));
         }
         let mut changed = !gone.is_empty();
+        changed |= self.notices(now);
         for registration in self.roster.take_believed() {
             changed |= self.take(registration, now, Roster::set);
         }
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use godwitpost_types::endpoint::Standing;
 use godwitpost_types::hash;
 use godwitpost_types::id::{self, SpanId};
 use http::{HeaderMap, StatusCode};
@@ -120,8 +121,8 @@
     pub coded: bool,
     /// What it says of the endpoint's load.
     pub report: Option<Report>,
-    /// Whether it says that the endpoint is leaving.
-    pub leaving: bool,
+    /// Whether the endpoint may get new work, if the answer says so.
+    pub standing: Option<Standing>,
     /// For how long it asks this instance to send the endpoint nothing more.
     pub rest: Option<Duration>,
 }
@@ -156,3 +157,6 @@
     /// Spells when to send a refused request again.
     pub retry_after: fn(Duration) -> String,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! Decisions take no clock, socket or randomness of their own: [`policy`],
 //! [`feed`], [`roster`], [`lease`], [`evacuation`], [`place`], [`ramp`], [`book`],
-//! [`budget`], [`attempt`], [`holders`], [`fetch`], [`board`], [`standby`] and [`startup`]. The rest
+//! [`budget`], [`attempt`], [`notices`], [`holders`], [`fetch`], [`board`], [`standby`] and [`startup`]. The rest
 //! carries bytes and time to them. What was weighed
 //! against sending through an endpoint's owner is in
 //! `docs/design/platform.md`.
@@ -27,6 +27,7 @@
 pub mod holders;
 pub mod lease;
 mod metrics;
+pub mod notices;
 pub mod place;
 pub mod policy;
 pub mod ramp;
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -9,7 +9,8 @@
 use godwitpost_client::connect::{Body, Cause, Error, Received};
 use godwitpost_decide::health::Event;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId, ZoneId};
+use godwitpost_types::endpoint::Standing;
+use godwitpost_types::id::{BodyDigest, EndpointId};
 use http::request::Request;
 use http::response::Parts;
 use http::{Response, StatusCode};
@@ -58,41 +59,38 @@
 #[derive(Debug)]
 pub(crate) struct Flight {
     shared: Arc<Shared>,
-    endpoint: EndpointId,
-    zone: ZoneId,
-    address: SocketAddr,
-    name: String,
+    registration: Arc<Registration>,
     sent: Moment,
     pulse: Pulse,
 }
 
 impl Flight {
-    fn new(shared: &Arc<Shared>, registration: &Registration) -> Self {
-        let endpoint = registration.endpoint.id;
-        let pulse = shared.book().sent(endpoint);
+    fn new(shared: &Arc<Shared>, registration: &Arc<Registration>) -> Self {
+        let pulse = shared.book().sent(registration.endpoint.id);
         Self {
             pulse,
             shared: Arc::clone(shared),
-            endpoint,
-            zone: registration.endpoint.zone,
-            address: registration.endpoint.address,
-            name: registration.endpoint.name.clone(),
+            registration: Arc::clone(registration),
             sent: boot_time(),
         }
     }
 
     pub(crate) fn name(&self) -> &str {
-        &self.name
+        &self.registration.endpoint.name
+    }
+
+    pub(super) fn endpoint(&self) -> EndpointId {
+        self.registration.endpoint.id
     }
 
-    pub(super) const fn endpoint(&self) -> EndpointId {
-        self.endpoint
+    fn address(&self) -> SocketAddr {
+        self.registration.endpoint.address
     }
 
     /// Notes that the endpoint broke off an answer.
     pub(crate) fn broke(&self) {
         let now = boot_time();
-        self.shared.book().seen(self.endpoint, Event::Bad(now));
+        self.shared.book().seen(self.endpoint(), Event::Bad(now));
     }
 
     /// Notes that something came from the endpoint.
@@ -102,8 +100,9 @@
 
     /// Notes that an answer was held up on its way from the endpoint.
     pub(crate) fn held_up(&self) {
-        if self.shared.ways().held_up(self.zone, boot_time()) {
-            log::warn!(endpoint:% = self.name; "the way to its availability zone is left for a while");
+        let zone = self.registration.endpoint.zone;
+        if self.shared.ways().held_up(zone, boot_time()) {
+            log::warn!(endpoint:% = self.name(); "the way to its availability zone is left for a while");
         }
     }
 
@@ -116,11 +115,11 @@
     pub(crate) fn dark(&self) {
         let recent = since(boot_time(), RECENT);
         if self.pulse.since(self.sent.max(recent)) {
-            log::info!(endpoint:% = self.name; "a packet was lost; the endpoint answers others");
+            log::info!(endpoint:% = self.name(); "a packet was lost; the endpoint answers others");
             self.held_up();
             return;
         }
-        self.shared.endpoint_down(self.endpoint, self.address);
+        self.shared.endpoint_down(self.endpoint(), self.address());
     }
 
     /// Looks whether the endpoint ended with a request of this id and digest,
@@ -130,9 +129,9 @@
             request: request.to_owned(),
             digest,
             sent: self.sent,
-            endpoint: self.endpoint,
-            name: self.name.clone(),
-            address: self.address,
+            endpoint: self.endpoint(),
+            name: self.name().to_owned(),
+            address: self.address(),
         };
         tokio::spawn(look(Arc::clone(&self.shared), broken));
     }
@@ -141,7 +140,7 @@
 impl Drop for Flight {
     fn drop(&mut self) {
         let lasted = since(boot_time(), self.sent);
-        self.shared.book().ended(self.endpoint, lasted);
+        self.shared.book().ended(self.endpoint(), lasted);
     }
 }
 
@@ -313,7 +312,8 @@
     Some(book.prompt(job.service, part, (own, all), boot_time()))
 }
 
-// The endpoints that may run the request, and those that may not.
+// The endpoints that may run the request, and those that may not. What is leaving by its
+// own word, but not yet by the view, is neither.
 fn usable<'a>(
     job: &Job,
     registrations: &'a [Arc<Registration>],
@@ -324,7 +324,9 @@
         models.is_empty() || model.is_none_or(|model| models.contains(&model))
     };
     let may_run = |one: &Registration| job.may_run_in(one.endpoint.zone) && has_model(one);
-    let all = registrations.iter().map(Arc::as_ref);
+    let notices = job.shared.notices();
+    let stays = |one: &&Registration| !notices.is_leaving(one.endpoint.id);
+    let all = registrations.iter().map(Arc::as_ref).filter(stays);
     all.partition(|one| may_run(one))
 }
 
@@ -485,28 +487,31 @@
     let now = boot_time();
     flight.pulse.beat(now);
     if answer.is_own(status, &job.facts.attempt) {
-        tell_notices(job, flight, answer);
+        take_notices(job, flight, answer, now);
     }
     let mut book = job.shared.book();
     if status == StatusCode::MISDIRECTED_REQUEST {
         // Somebody else has the address.
-        book.unreachable(flight.endpoint, now);
+        book.unreachable(flight.endpoint(), now);
         return;
     }
     if let Some(report) = answer.report {
-        book.report(flight.endpoint, report, now);
+        book.report(flight.endpoint(), report, now);
     }
-    book.seen(flight.endpoint, Event::Good(now));
+    book.seen(flight.endpoint(), Event::Good(now));
 }
 
-// Counts and logs what an endpoint says of itself beside its load.
-fn tell_notices(job: &Job, flight: &Flight, answer: &Answer) {
-    if answer.leaving {
+// Takes in what an endpoint says of itself beside its load.
+fn take_notices(job: &Job, flight: &Flight, answer: &Answer, now: Moment) {
+    if answer.standing == Some(Standing::Leaving) {
         job.shared.metrics.notice("leaving");
-        log::info!(
-            request:% = job.id(), endpoint:% = flight.name();
-            "the answer says that its endpoint is leaving"
-        );
+        let life = flight.registration.life();
+        if job.shared.notices().leaves(flight.endpoint(), &life, now) {
+            log::info!(
+                request:% = job.id(), endpoint:% = flight.name(), incarnation = life.incarnation;
+                "the answer says that its endpoint is leaving"
+            );
+        }
     }
     if let Some(rest) = answer.rest {
         job.shared.metrics.notice("rest");
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -15,6 +15,10 @@
 //! holds may be of an endpoint that is gone. It waits until that writes again, or until
 //! what the copy holds of silent endpoints has lapsed; and so does one that a peer tells
 //! of an endpoint which was seen to be gone here.
+//!
+//! Endpoints also say in their answers that they are leaving, which the log may say late
+//! or never. Whoever said it, an entry that says otherwise of the same life is not taken,
+//! also if the endpoint was removed in between.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,6 +45,13 @@
 /// How long an endpoint that is gone is remembered: more than a copy of the log is old.
 const REMEMBERED: Duration = Duration::from_mins(1);
 
+/// How long it is remembered that a life was leaving, since anything was last said of it:
+/// more than endpoints take to leave.
+const LEAVING_REMEMBERED: Duration = Duration::from_mins(10);
+
+/// The life of an endpoint that doesn't say which one it is in.
+const UNNAMED: Incarnation = 0;
+
 /// The endpoints known, and how the log has been reached.
 #[derive(Debug)]
 pub struct Roster {
@@ -57,6 +68,17 @@
     origin: Option<Origin>,
     // Lives that ended lately, and when.
     gone: BTreeMap<String, (Incarnation, Moment)>,
+    // Lives that are leaving, and when anything was last said of them.
+    leaving: BTreeMap<String, (Incarnation, Moment)>,
+}
+
+/// One life of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Life {
+    /// The endpoint's name.
+    pub name: String,
+    /// Which of its lives.
+    pub incarnation: Incarnation,
 }
 
 /// What an endpoint says of itself.
@@ -71,6 +93,15 @@
 }
 
 impl Registration {
+    /// Returns the life that it is of.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life {
+            name: self.endpoint.name.clone(),
+            incarnation: self.endpoint.incarnation,
+        }
+    }
+
     // Whether it says the same but for its warming up.
     fn same(&self, other: &Self) -> bool {
         self.endpoint == other.endpoint && self.slots == other.slots
@@ -142,6 +173,7 @@
             doubted: BTreeMap::new(),
             origin: None,
             gone: BTreeMap::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
@@ -216,6 +248,11 @@
     pub fn set(&mut self, registration: Registration, then: Moment) -> Setting {
         let name = registration.endpoint.name.clone();
         self.doubted.remove(&name);
+        if registration.endpoint.standing == Standing::Leaving {
+            self.remember_leaving(&registration.life(), then);
+        } else if self.was_leaving(&registration.life(), then) {
+            return Setting::Older;
+        }
         self.gone.remove(&name);
         let entry = Entry {
             warm_at: then + registration.warming,
@@ -253,6 +290,40 @@
         }
     }
 
+    /// Takes in that an endpoint says itself that it is leaving; returns what its entry
+    /// says now if that is news.
+    pub fn leaves(&mut self, life: &Life, now: Moment) -> Option<Registration> {
+        self.remember_leaving(life, now);
+        let entry = self.entries.get_mut(&life.name)?;
+        let endpoint = &mut entry.registration.endpoint;
+        if endpoint.incarnation != life.incarnation || endpoint.standing == Standing::Leaving {
+            return None;
+        }
+        endpoint.standing = Standing::Leaving;
+        Some(entry.registration.clone())
+    }
+
+    fn remember_leaving(&mut self, life: &Life, now: Moment) {
+        self.leaving
+            .retain(|_, (_, at)| since(now, *at) < LEAVING_REMEMBERED);
+        let known = self.leaving.entry(life.name.clone()).or_default();
+        *known = (life.incarnation.max(known.0), now);
+    }
+
+    // Whether a life was leaving, or an earlier one than one that was.
+    fn was_leaving(&mut self, life: &Life, now: Moment) -> bool {
+        let Some((leaving, at)) = self.leaving.get_mut(&life.name) else {
+            return false;
+        };
+        let was = life.incarnation <= *leaving;
+        if was {
+            *at = now.max(*at);
+        } else {
+            self.leaving.remove(&life.name);
+        }
+        was
+    }
+
     /// Takes in that an entry was removed.
     pub fn remove(&mut self, name: &str, now: Moment) -> Removal {
         let recent = self.back.is_some_and(|back| since(now, back) < GRACE);
@@ -274,6 +345,10 @@
             self.gone.retain(|_, (_, at)| since(now, *at) < REMEMBERED);
             let life = entry.registration.endpoint.incarnation;
             self.gone.insert(name.to_owned(), (life, now));
+            // One that names no life can't be told from the next of its name.
+            if life == UNNAMED {
+                self.leaving.remove(name);
+            }
         }
     }
 
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -243,3 +243,100 @@
     }
     assert_eq!(roster.expire(at(8_200)), ["a"]);
 }
+
+fn life(incarnation: u64) -> super::Life {
+    super::Life {
+        name: "a".to_owned(),
+        incarnation,
+    }
+}
+
+fn of_life(incarnation: u64, standing: Standing) -> Registration {
+    let mut registration = endpoint("a", standing);
+    registration.endpoint.incarnation = incarnation;
+    registration
+}
+
+/// Guards against an endpoint that said that it leaves and is used again by an entry
+/// written before, with the log back or the entry listed anew.
+#[test]
+fn an_endpoint_that_said_that_it_leaves_stays_so_for_its_life() {
+    let mut roster = Roster::new(HEARTBEAT);
+    roster.reached(at(0));
+    roster.set(of_life(2, Standing::Live), at(0));
+    let told = roster.leaves(&life(2), at(1_000)).expect("news");
+    assert_eq!(told.endpoint.standing, Standing::Leaving);
+    assert_eq!(roster.leaves(&life(2), at(1_100)), None);
+    let live = || of_life(2, Standing::Live);
+    assert_eq!(roster.set(live(), at(1_200)), Setting::Older);
+    roster.reached(at(12_000));
+    assert_eq!(roster.remove("a", at(12_000)), Removal::Gone);
+    assert_eq!(roster.set(live(), at(12_500)), Setting::Older);
+    assert_eq!(roster.listed(live(), at(12_600)), Setting::Older);
+    assert_eq!(roster.told(live(), at(12_700)), Setting::Older);
+    assert_eq!(
+        roster.set(of_life(1, Standing::Live), at(13_000)),
+        Setting::Older
+    );
+    assert_eq!(names(&roster), [""; 0]);
+}
+
+/// Guards against a restarted endpoint that gets nothing since its life before was leaving.
+#[test]
+fn a_later_life_of_one_that_was_leaving_is_used() {
+    let mut roster = Roster::new(HEARTBEAT);
+    roster.reached(at(0));
+    roster.set(of_life(2, Standing::Live), at(0));
+    assert!(roster.leaves(&life(2), at(1_000)).is_some());
+    let later = of_life(3, Standing::Live);
+    assert_eq!(roster.set(later, at(2_000)), Setting::Changed);
+    // A late word of the life before says nothing of this one.
+    assert_eq!(roster.leaves(&life(2), at(2_100)), None);
+    let registration = roster.registrations().next().expect("an entry");
+    assert_eq!(registration.endpoint.standing, Standing::Live);
+}
+
+#[test]
+fn leaving_that_only_an_entry_told_outlasts_its_removal() {
+    let mut roster = Roster::new(HEARTBEAT);
+    roster.reached(at(0));
+    roster.set(of_life(2, Standing::Leaving), at(0));
+    roster.reached(at(1_000));
+    assert_eq!(roster.remove("a", at(1_000)), Removal::Gone);
+    let live = of_life(2, Standing::Live);
+    assert_eq!(roster.set(live, at(1_500)), Setting::Older);
+}
+
+/// Guards against an endpoint that names no life of its own and is left out for ever
+/// once it has been restarted.
+#[test]
+fn without_a_life_leaving_ends_with_the_entry() {
+    let mut roster = Roster::new(HEARTBEAT);
+    roster.reached(at(0));
+    roster.set(of_life(0, Standing::Live), at(0));
+    assert!(roster.leaves(&life(0), at(1_000)).is_some());
+    let live = || of_life(0, Standing::Live);
+    assert_eq!(roster.set(live(), at(1_100)), Setting::Older);
+    roster.reached(at(2_000));
+    assert_eq!(roster.remove("a", at(2_000)), Removal::Gone);
+    assert_eq!(roster.set(live(), at(2_100)), Setting::Changed);
+}
+
+#[test]
+fn leaving_is_remembered_for_as_long_as_anything_is_said_of_that_life() {
+    let mut roster = Roster::new(HEARTBEAT);
+    assert_eq!(roster.leaves(&life(2), at(0)), None);
+    let minutes = |count: u64| at(count * 60_000);
+    for minute in [9, 18, 27] {
+        let live = of_life(2, Standing::Live);
+        assert_eq!(roster.set(live, minutes(minute)), Setting::Older);
+    }
+    // Others that leave clear away what was last spoken of long ago.
+    let other = super::Life {
+        name: "b".to_owned(),
+        incarnation: 1,
+    };
+    assert_eq!(roster.leaves(&other, minutes(40)), None);
+    let live = of_life(2, Standing::Live);
+    assert_eq!(roster.set(live, minutes(40)), Setting::Changed);
+}
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::holders::Directory;
 use crate::lease::Lease;
 use crate::metrics::{Metrics, Usage};
+use crate::notices::Notices;
 use crate::policy::{Policy, Ramp, Service};
 use crate::ramp::{Count, Shares};
 use crate::revoked::Revoked;
@@ -153,6 +154,7 @@
     // Whether the log has to be read again before it is relied on.
     unsettled: AtomicBool,
     book: Mutex<Book>,
+    notices: Mutex<Notices>,
     directory: Mutex<Directory>,
     budget: Mutex<Budget>,
     askers: Mutex<Askers>,
@@ -189,6 +191,7 @@
             lost: watch::channel(false).0,
             unsettled: AtomicBool::new(false),
             book: Mutex::default(),
+            notices: Mutex::default(),
             directory: Mutex::default(),
             askers: Mutex::default(),
             suspects: Mutex::default(),
@@ -304,6 +307,11 @@
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns what endpoints said of themselves in their answers.
+    pub(crate) fn notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory
             .lock()
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -500,7 +500,7 @@
         not_run: headers.contains_key("x-not-run"),
         coded: headers.contains_key("content-encoding"),
         report: text(headers, "x-load").and_then(|text| report(&text)),
-        leaving: headers.contains_key("x-leaving"),
+        standing: headers.get("x-leaving").map(|_| Standing::Leaving),
         rest: text(headers, "x-rest")
             .and_then(|millis| millis.parse().ok())
             .map(Duration::from_millis),
--- a/crates/direct/tests/instance/leaving.rs
+++ b/crates/direct/tests/instance/leaving.rs
@@ -80,3 +80,39 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     gets_no_more(&fleet, &leaving).await;
 }
+
+/// Guards against an endpoint that gets nothing more for a word that came late, in the
+/// place of another answer.
+#[tokio::test]
+async fn a_word_in_an_answer_to_another_attempt_says_nothing() {
+    let endpoint = Endpoint::start(|n, seen| match n {
+        0 => vec![Step::Send(
+            "HTTP/1.1 200 OK\r\nx-attempt: a0\r\nx-signed: s1\r\nx-leaving: 1\r\n\
+             content-length: 5\r\n\r\nother"
+                .to_owned(),
+        )],
+        _ => vec![answer(seen, "200 OK", "", "mine")],
+    })
+    .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 502"), "{whole}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.ends_with("mine"), "{whole}");
+}
+
+/// Guards against callers who wait for an endpoint of a service that leaves as a whole.
+#[tokio::test]
+async fn with_all_endpoints_leaving_callers_are_told_at_once() {
+    let endpoint = Endpoint::start(leaves).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    call_until_told(&fleet, &endpoint).await;
+    let whole = fleet.call("GET", "/stock/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
+    assert!(
+        whole.contains("no-endpoint") && whole.contains("retry-after"),
+        "{whole}"
+    );
+    assert_eq!(endpoint.seen().len(), 1);
+}
