direct, platform: a pause that an endpoint asks for has the usual names

Rest is what a service has beside the endpoints that a request can go to, and the field says retry-after.

--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -124,7 +124,7 @@
     /// Whether the endpoint may get new work, if the answer says so.
     pub standing: Option<Standing>,
     /// For how long it asks this instance to send the endpoint nothing more.
-    pub rest: Option<Duration>,
+    pub retry_after: Option<Duration>,
 }
 
 impl Answer {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -78,7 +78,7 @@
             ),
             notices: counter(
                 "godwitpost.endpoint_notices",
-                "Answers in which an endpoint says that it is leaving or asks for rest, by which",
+                "Answers in which an endpoint says that it is leaving or wants no requests for a while, by which",
             ),
             sources: counter(
                 "godwitpost.prompt_sources",
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -513,11 +513,11 @@
             );
         }
     }
-    if let Some(rest) = answer.rest {
-        job.shared.metrics.notice("rest");
+    if let Some(pause) = answer.retry_after {
+        job.shared.metrics.notice("retry-after");
         log::warn!(
-            request:% = job.id(), endpoint:% = flight.name(), rest_ms = rest.as_millis();
-            "the answer asks for rest"
+            request:% = job.id(), endpoint:% = flight.name(), pause_ms = pause.as_millis();
+            "the answer asks for no requests for a while"
         );
     }
 }
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -501,7 +501,7 @@
         coded: headers.contains_key("content-encoding"),
         report: text(headers, "x-load").and_then(|text| report(&text)),
         standing: headers.get("x-leaving").map(|_| Standing::Leaving),
-        rest: text(headers, "x-rest")
+        retry_after: text(headers, "x-retry-after")
             .and_then(|millis| millis.parse().ok())
             .map(Duration::from_millis),
     }
