--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -6,6 +6,7 @@
 //! that moved while it waited or failed is never acted on.
 
 mod answer;
+mod choose;
 mod crash;
 mod headers;
 mod job;
