direct: an endpoint that asks for a pause gets no requests until that is over

Cause: an endpoint that turns requests away and says for how long it wants none was not listened to. Nothing read the time, and nothing could hold that an endpoint wants nothing for a while. What was known of it, its load, made it the more attractive the emptier it got.

Fix: the time counts from the answer, a later end replaces an earlier one, and an answer to what was under way doesn't end it. Until then the endpoint is no candidate, for first attempts, repeats and streams that go on elsewhere; it takes part in the mean load, and may be fetched from. Then it is tried by one request at a time until it answers. Where all that may run a request want none, callers are refused at once, as not run, with the time until the first does, or the third of their time that they can spare. It is kept to ten minutes, and only for the instance that was asked.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -495,7 +495,11 @@
     // Takes in which endpoints said in answers that they are leaving; returns whether
     // that changed anything.
     fn notices(&mut self, now: Moment) -> bool {
-        let leaving = self.shared.notices().take_leaving(now);
+        let (leaving, paused) = {
+            let mut notices = self.shared.notices();
+            (notices.take_leaving(now), notices.paused(now))
+        };
+        self.shared.metrics.paused(paused);
         let mut changed = false;
         for life in leaving {
             if let Some(registration) = self.roster.leaves(&life, now) {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -46,6 +46,7 @@
     era_age: Gauge<u64>,
     endpoints: Gauge<u64>,
     evacuated: Gauge<u64>,
+    paused: Gauge<u64>,
     age: Gauge<u64>,
     spans: Gauge<u64>,
     dropped: Gauge<u64>,
@@ -107,6 +108,10 @@
                 "godwitpost.evacuated_zones",
                 "Availability zones kept empty",
             ),
+            paused: gauge(
+                "godwitpost.paused_endpoints",
+                "Endpoints that want no requests of this instance for now",
+            ),
             age: gauge(
                 "godwitpost.policy_age_ms",
                 "Milliseconds since the configuration was last confirmed",
@@ -184,6 +189,10 @@
         self.evacuated.record(zones as u64, &[]);
     }
 
+    pub(crate) fn paused(&self, endpoints: usize) {
+        self.paused.record(endpoints as u64, &[]);
+    }
+
     pub(crate) fn age(&self, age: Duration) {
         self.age.record(millis(age), &[]);
     }
--- a/crates/direct/src/notices.rs
+++ b/crates/direct/src/notices.rs
@@ -3,6 +3,11 @@
 //! That is known at once, and also while the log is away, in which an endpoint can't
 //! write. Who is leaving doesn't come back in the same life, whatever the log still
 //! lists; what is heard here goes on to the roster, which remembers it for longer.
+//!
+//! An endpoint that turns a request away may say for how long it wants none. It says so
+//! to this instance, and other instances are not told: that it has had enough of one is
+//! no word on the others. Afterwards it gets one request at a time until it has answered
+//! one, since all that waited would come back at once.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -15,11 +20,31 @@
 /// How long an endpoint counts as leaving here; the roster has taken it in by then.
 const KEPT: Duration = Duration::from_mins(1);
 
+/// The longest pause that is kept to. Whoever asks for more is asked again then, by one
+/// request.
+const LONGEST: Duration = Duration::from_mins(10);
+
+/// What an endpoint may get by its own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// Nothing: it is leaving.
+    Leaving,
+    /// Nothing before this moment.
+    Paused {
+        /// When its pause is over.
+        until: Moment,
+    },
+    /// One request at a time: its pause is over, and it has not answered since.
+    Resuming,
+}
+
 /// What endpoints said of themselves lately.
 #[derive(Debug, Default)]
 pub struct Notices {
     // When they last said that they are leaving.
     leaving: BTreeMap<EndpointId, Moment>,
+    // Until when they want no requests, or wanted none.
+    pauses: BTreeMap<EndpointId, Moment>,
     // Lives that the roster has not been told of.
     untold: Vec<Life>,
 }
@@ -34,16 +59,50 @@
         news
     }
 
-    /// Returns whether an endpoint said that it is leaving.
+    /// Takes in that an endpoint wants no requests for a while. A shorter pause that it
+    /// asks for later doesn't end a longer one.
+    pub fn pauses(&mut self, endpoint: EndpointId, pause: Duration, now: Moment) {
+        let until = now + pause.min(LONGEST);
+        let known = self.pauses.entry(endpoint).or_default();
+        *known = until.max(*known);
+    }
+
+    /// Takes in that an endpoint answered a request; returns whether it is used again by
+    /// that. What it was sent before its pause says nothing of it.
+    pub fn answered(&mut self, endpoint: EndpointId, now: Moment) -> bool {
+        let over = self.of(endpoint, now) == Some(Notice::Resuming);
+        if over {
+            self.pauses.remove(&endpoint);
+        }
+        over
+    }
+
+    /// Returns what an endpoint may get by its own word, if that is not what it may get
+    /// anyway.
+    #[must_use]
+    pub fn of(&self, endpoint: EndpointId, now: Moment) -> Option<Notice> {
+        if self.leaving.contains_key(&endpoint) {
+            return Some(Notice::Leaving);
+        }
+        let until = *self.pauses.get(&endpoint)?;
+        Some(if now < until {
+            Notice::Paused { until }
+        } else {
+            Notice::Resuming
+        })
+    }
+
+    /// Returns how many endpoints want no requests.
     #[must_use]
-    pub fn is_leaving(&self, endpoint: EndpointId) -> bool {
-        self.leaving.contains_key(&endpoint)
+    pub fn paused(&self, now: Moment) -> usize {
+        self.pauses.values().filter(|until| now < **until).count()
     }
 
     /// Returns the lives that are leaving and that this was not yet asked for, and
     /// forgets what was heard long ago.
     pub fn take_leaving(&mut self, now: Moment) -> Vec<Life> {
         self.leaving.retain(|_, at| since(now, *at) < KEPT);
+        self.pauses.retain(|_, until| since(now, *until) < KEPT);
         std::mem::take(&mut self.untold)
     }
 }
--- a/crates/direct/src/notices/tests.rs
+++ b/crates/direct/src/notices/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::Notices;
+use super::{LONGEST, Notice, Notices};
 use crate::roster::Life;
 
 const fn at(seconds: u64) -> Duration {
@@ -17,12 +17,13 @@
 #[test]
 fn leaving_is_handed_on_once_and_holds() {
     let mut notices = Notices::default();
-    assert!(!notices.is_leaving(1));
+    assert_eq!(notices.of(1, at(0)), None);
     assert!(notices.leaves(1, &life(), at(1)));
     assert!(!notices.leaves(1, &life(), at(2)));
     assert_eq!(notices.take_leaving(at(2)), [life()]);
     assert!(notices.take_leaving(at(3)).is_empty());
-    assert!(notices.is_leaving(1) && !notices.is_leaving(2));
+    assert_eq!(notices.of(1, at(3)), Some(Notice::Leaving));
+    assert_eq!(notices.of(2, at(3)), None);
 }
 
 #[test]
@@ -31,5 +32,70 @@
     notices.leaves(1, &life(), at(1));
     notices.leaves(2, &life(), at(40));
     drop(notices.take_leaving(at(70)));
-    assert!(!notices.is_leaving(1) && notices.is_leaving(2));
+    assert_eq!(notices.of(1, at(70)), None);
+    assert_eq!(notices.of(2, at(70)), Some(Notice::Leaving));
+}
+
+const fn paused(until: u64) -> Notice {
+    Notice::Paused { until: at(until) }
+}
+
+#[test]
+fn a_pause_ends_with_the_first_answer_after_it() {
+    let mut notices = Notices::default();
+    notices.pauses(1, at(3), at(10));
+    assert_eq!(notices.of(1, at(12)), Some(paused(13)));
+    assert_eq!(notices.of(1, at(13)), Some(Notice::Resuming));
+    assert!(notices.answered(1, at(14)));
+    assert_eq!(notices.of(1, at(14)), None);
+    assert!(!notices.answered(1, at(15)));
+}
+
+/// Guards against a pause that ends early by the answer to a request which was under way
+/// when it began.
+#[test]
+fn an_answer_within_a_pause_does_not_end_it() {
+    let mut notices = Notices::default();
+    notices.pauses(1, at(3), at(10));
+    assert!(!notices.answered(1, at(11)));
+    assert_eq!(notices.of(1, at(12)), Some(paused(13)));
+}
+
+/// Guards against a pause that a second refusal cuts short.
+#[test]
+fn of_two_pauses_the_later_end_counts() {
+    let mut notices = Notices::default();
+    notices.pauses(1, at(10), at(0));
+    notices.pauses(1, at(1), at(2));
+    assert_eq!(notices.of(1, at(5)), Some(paused(10)));
+    notices.pauses(1, at(10), at(5));
+    assert_eq!(notices.of(1, at(12)), Some(paused(15)));
+}
+
+#[test]
+fn who_refuses_again_after_a_pause_is_paused_again() {
+    let mut notices = Notices::default();
+    notices.pauses(1, at(3), at(10));
+    notices.pauses(1, at(3), at(14));
+    assert_eq!(notices.of(1, at(16)), Some(paused(17)));
+}
+
+/// Guards against an endpoint that is left out for ever by one absurd figure.
+#[test]
+fn no_pause_is_longer_than_the_longest() {
+    let mut notices = Notices::default();
+    notices.pauses(1, Duration::MAX, at(1));
+    assert_eq!(notices.of(1, at(1) + LONGEST), Some(Notice::Resuming));
+}
+
+#[test]
+fn pauses_of_endpoints_that_get_nothing_any_more_are_forgotten() {
+    let mut notices = Notices::default();
+    notices.pauses(1, at(3), at(10));
+    assert_eq!(notices.paused(at(12)), 1);
+    drop(notices.take_leaving(at(12)));
+    assert_eq!(notices.of(1, at(12)), Some(paused(13)));
+    assert_eq!(notices.paused(at(13)), 0);
+    drop(notices.take_leaving(at(80)));
+    assert_eq!(notices.of(1, at(80)), None);
 }
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -51,6 +51,11 @@
     Timeout,
     /// the endpoint failed or its answer was lost; it may have run
     Broken,
+    /// all endpoints that may run the request want none for now; send it again later
+    Paused {
+        /// How long that lasts, or what the caller can spare of its time.
+        left: Duration,
+    },
     /// endpoints ended each time that they ran this request; send it later
     Held {
         /// How long it is held back.
@@ -68,7 +73,10 @@
 
 /// What a wait is multiplied by, drawn anew for each caller: those that were
 /// refused together must not come back together.
-pub const JITTER: Range<f64> = 0.7..1.3;
+const JITTER: Range<f64> = 0.7..1.3;
+
+/// Likewise where it is known until when sending it again is in vain.
+const NOT_BEFORE: Range<f64> = 1.0..1.3;
 
 /// The wait that is asked of callers while endpoints are full: a plain request
 /// takes 15 ms, so a queue of a few times the slots is gone by then.
@@ -102,6 +110,7 @@
             | Self::Unreachable
             | Self::Overloaded
             | Self::Held { .. }
+            | Self::Paused { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -117,7 +126,7 @@
 
     /// Returns when sending again may help, before jitter.
     #[must_use]
-    pub const fn retry_after(self) -> Option<Duration> {
+    pub fn retry_after(self) -> Option<Duration> {
         match self {
             Self::Starting
             | Self::Unconfirmed
@@ -127,10 +136,20 @@
             Self::Full | Self::Refused | Self::Overloaded | Self::Warming => Some(LATER),
             Self::Evacuated | Self::NoHome => Some(AWAY),
             Self::Held { left } => Some(left),
+            Self::Paused { left } => Some(left.max(SOON)),
             _ => None,
         }
     }
 
+    /// Returns what the wait is multiplied by, drawn anew for each caller.
+    #[must_use]
+    pub const fn jitter(self) -> Range<f64> {
+        match self {
+            Self::Held { .. } | Self::Paused { .. } => NOT_BEFORE,
+            _ => JITTER,
+        }
+    }
+
     /// Returns its name in logs and metrics.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
@@ -155,6 +174,7 @@
             Self::Timeout => "timeout",
             Self::Broken => "broken",
             Self::Held { .. } => "held",
+            Self::Paused { .. } => "paused",
         }
     }
 }
--- a/crates/direct/src/refusal/tests.rs
+++ b/crates/direct/src/refusal/tests.rs
@@ -4,7 +4,7 @@
 
 use super::Reason;
 
-const ALL: [Reason; 17] = [
+const ALL: [Reason; 18] = [
     Reason::Malformed,
     Reason::HeadTooLarge,
     Reason::BodyTooLarge,
@@ -24,6 +24,9 @@
     Reason::Held {
         left: Duration::from_secs(30),
     },
+    Reason::Paused {
+        left: Duration::from_secs(3),
+    },
 ];
 
 /// A caller sends an order again after 503 because it promises that nothing
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -32,7 +32,7 @@
 pub(crate) use self::job::{End, Job};
 pub(crate) use self::send::{Flight, Sent, dispatch};
 use crate::dialect::Facts;
-use crate::refusal::{JITTER, Reason};
+use crate::refusal::Reason;
 use crate::shared::{Admission, Shared};
 
 /// How long after its start an instance may take to be informed: twice what it
@@ -185,7 +185,7 @@
         HeaderValue::from_static("application/problem+json"),
     );
     if let Some(wait) = reason.retry_after() {
-        let wait = wait.mul_f64(rand::rng().random_range(JITTER));
+        let wait = wait.mul_f64(rand::rng().random_range(reason.jitter()));
         let value = (shared.dialect.retry_after)(wait);
         if let Ok(value) = HeaderValue::try_from(value) {
             headers.insert(RETRY_AFTER, value);
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use godwitpost_client::clock::boot_time;
+use godwitpost_decide::health::Access;
+use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::EndpointId;
 use rand::RngExt;
 
 use super::Job;
 use super::source::{self, Source};
 use crate::dialect::Part;
+use crate::notices::Notice;
 use crate::place::{Bar, Candidate, Choice, Pick, Prefix, Rest, pick};
 use crate::refusal::Reason;
 use crate::roster::Registration;
@@ -19,6 +22,9 @@
 /// still has to come back.
 pub(super) const RETURN: Duration = Duration::from_millis(3);
 
+/// The part of its time that a caller waits at most for endpoints that want no requests.
+const OF_LEFT: u32 = 3;
+
 /// The endpoint of an attempt, and what it was picked by.
 pub(super) struct Chosen {
     pub(super) registration: Arc<Registration>,
@@ -46,9 +52,9 @@
         return Err(job.attempts.late());
     }
     let registrations = view.of(job.service);
-    let (usable, others) = usable(job, registrations);
-    let candidates = candidates(job, &view, &usable);
-    let rest = rest(job, &view, &others);
+    let split = split(job, registrations);
+    let candidates = candidates(job, &view, &split.usable);
+    let rest = rest(job, &view, &split);
     let prefix = prefix(job, &candidates);
     let draw = rand::rng().random();
     match pick(&candidates, rest, prefix, shared.settings.load_bound, draw) {
@@ -62,7 +68,7 @@
                 return Err(Reason::Warming);
             }
             Ok(Chosen {
-                source: source::find(job, &view, &candidates, one, draw),
+                source: source::find(job, &view, &candidates, &split.paused, one, draw),
                 registration: Arc::clone(one),
                 choice,
                 load: chosen.map_or(0.0, |one| one.load),
@@ -70,8 +76,7 @@
         }
         Pick::Full => Err(Reason::Full),
         Pick::Wait => Err(Reason::Warming),
-        Pick::None if job.tried.is_empty() => Err(none(job, &view)),
-        Pick::None => Err(Reason::Unreachable),
+        Pick::None => Err(none(job, &view, split.back)),
     }
 }
 
@@ -93,8 +98,17 @@
     taken
 }
 
-// Why there is no endpoint at all.
-fn none(job: &Job, view: &View) -> Reason {
+// Why there is no endpoint left, where some may want requests again at `back`.
+fn none(job: &Job, view: &View, back: Option<Moment>) -> Reason {
+    if let Some(back) = back {
+        // Another instance may have endpoints that take it, so callers don't wait for
+        // longer than leaves them time for that.
+        let left = since(back, boot_time()).min(job.left() / OF_LEFT);
+        return Reason::Paused { left };
+    }
+    if !job.tried.is_empty() {
+        return Reason::Unreachable;
+    }
     let may_run = |one: &Arc<Registration>| job.may_run_in(one.endpoint.zone);
     if view.evacuated(job.service).iter().any(may_run) {
         Reason::Evacuated
@@ -117,33 +131,58 @@
     Some(book.prompt(job.service, part, (own, all), boot_time()))
 }
 
-// The endpoints that may run the request, and those that may not. What is leaving by its
-// own word, but not yet by the view, is neither.
-fn usable<'a>(
-    job: &Job,
-    registrations: &'a [Arc<Registration>],
-) -> (Vec<&'a Registration>, Vec<&'a Registration>) {
+/// The endpoints of a request's service by what they may get of it. Those that are leaving
+/// by their own word, but not yet by the view, are none of these.
+struct Split<'a> {
+    /// It may be sent to these.
+    usable: Vec<&'a Registration>,
+    /// These may run it, but want no requests for now.
+    paused: Vec<&'a Registration>,
+    /// When the first of those wants requests again.
+    back: Option<Moment>,
+    /// These may not run it.
+    others: Vec<&'a Registration>,
+}
+
+fn split<'a>(job: &Job, registrations: &'a [Arc<Registration>]) -> Split<'a> {
     let model = job.facts.model.as_deref().map(godwitpost_types::id::of);
     let has_model = |one: &Registration| {
         let models = &one.endpoint.models;
         models.is_empty() || model.is_none_or(|model| models.contains(&model))
     };
     let may_run = |one: &Registration| job.may_run_in(one.endpoint.zone) && has_model(one);
+    let mut split = Split {
+        usable: Vec::with_capacity(registrations.len()),
+        paused: Vec::new(),
+        back: None,
+        others: Vec::new(),
+    };
+    let now = boot_time();
     let notices = job.shared.notices();
-    let stays = |one: &&Registration| !notices.is_leaving(one.endpoint.id);
-    let all = registrations.iter().map(Arc::as_ref).filter(stays);
-    all.partition(|one| may_run(one))
+    for one in registrations {
+        match notices.of(one.endpoint.id, now) {
+            Some(Notice::Leaving) => {}
+            _ if !may_run(one) => split.others.push(one),
+            Some(Notice::Paused { until }) => {
+                split.paused.push(one);
+                split.back = Some(split.back.map_or(until, |back| back.min(until)));
+            }
+            Some(Notice::Resuming) | None => split.usable.push(one),
+        }
+    }
+    split
 }
 
-// What the service's endpoints have to which the request can't go: the `others` that
-// may not run it, and those in evacuated zones.
-fn rest(job: &Job, view: &View, others: &[&Registration]) -> Rest {
+// What the service's endpoints have to which the request can't go now, and those in
+// evacuated zones.
+fn rest(job: &Job, view: &View, split: &Split<'_>) -> Rest {
     let evacuated = view.evacuated(job.service);
+    let others = split.others.iter().chain(&split.paused);
+    let others: Vec<EndpointId> = others.map(|one| one.endpoint.id).collect();
     if others.is_empty() && evacuated.is_empty() {
         return Rest::default();
     }
     let now = boot_time();
-    let others: Vec<EndpointId> = others.iter().map(|one| one.endpoint.id).collect();
     let evacuated: Vec<EndpointId> = evacuated.iter().map(|one| one.endpoint.id).collect();
     let book = job.shared.book();
     let used = book.look(&others, now).into_iter().map(|look| look.load);
@@ -161,8 +200,13 @@
     let now = boot_time();
     let looks = job.shared.book().look(&ids, now);
     let ways = job.shared.ways();
+    let notices = job.shared.notices();
     let shares = job.shared.shares();
     let instances = job.shared.instances(now);
+    let access = |id: EndpointId, seen: Access| match notices.of(id, now) {
+        Some(Notice::Resuming) if seen == Access::Full => Access::Trial,
+        _ => seen,
+    };
     let bar = |id: EndpointId| {
         if job.tried.contains(&id) {
             return Some(Bar::Tried);
@@ -184,7 +228,7 @@
             slots: one.slots,
             near: one.endpoint.zone == zone,
             clear: ways.clear(one.endpoint.zone, now),
-            access: look.access,
+            access: access(one.endpoint.id, look.access),
             bar: bar(one.endpoint.id),
         })
         .collect()
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -341,12 +341,19 @@
             );
         }
     }
+    let endpoint = flight.endpoint();
     if let Some(pause) = answer.retry_after {
         job.shared.metrics.notice("retry-after");
+        job.shared.notices().pauses(endpoint, pause, now);
         log::warn!(
             request:% = job.id(), endpoint:% = flight.name(), pause_ms = pause.as_millis();
             "the answer asks for no requests for a while"
         );
+    } else if !answer.not_run && job.shared.notices().answered(endpoint, now) {
+        log::info!(
+            request:% = job.id(), endpoint:% = flight.name();
+            "endpoint answers again after its pause"
+        );
     }
 }
 
--- a/crates/direct/src/relay/source.rs
+++ b/crates/direct/src/relay/source.rs
@@ -43,6 +43,7 @@
     job: &Job,
     view: &View,
     candidates: &[Candidate],
+    paused: &[&Registration],
     target: &Registration,
     draw: u64,
 ) -> Option<Source> {
@@ -64,12 +65,13 @@
         .iter()
         .filter(|one| one.bar != Some(Bar::Tried) && one.access == Access::Full)
         .map(|one| one.endpoint);
-    // What is leaving takes no requests any more and still holds what it read.
+    // What is leaving, or wants no requests for now, still holds what it read.
     let leaving = view
         .leaving(job.service)
         .iter()
         .filter(|one| job.may_run_in(one.endpoint.zone))
-        .map(|one| one.endpoint.id);
+        .map(|one| one.endpoint.id)
+        .chain(paused.iter().map(|one| one.endpoint.id));
     let others: Vec<EndpointId> = {
         let book = job.shared.book();
         let sound = |endpoint: &EndpointId| book.access(*endpoint) == Access::Full;
--- a/crates/direct/tests/instance/pauses.rs
+++ b/crates/direct/tests/instance/pauses.rs
@@ -2,8 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::endpoint::{Endpoint, Seen, Step, answer, says};
-use crate::fleet::Fleet;
+use crate::endpoint::{Endpoint, Seen, Step, answer, events, says, stream_head};
+use crate::fleet::{Fleet, until};
 
 /// The headers of a refusal that asks for two seconds without requests.
 const PAUSE: &str = "x-not-run: 1\r\nx-retry-after: 2000\r\n";
@@ -59,3 +59,130 @@
     assert!(start.elapsed() < Duration::from_millis(500));
     assert!(endpoint.seen().len() <= before + STILL);
 }
+
+// What the refusal says, in seconds.
+fn told(whole: &str) -> f64 {
+    let line = whole
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after: "));
+    line.expect("a time").parse().expect("seconds")
+}
+
+/// Guards against callers who are sent away for longer than they can wait, or come back
+/// while it is known that nothing has changed.
+#[tokio::test]
+async fn callers_of_paused_endpoints_come_back_when_it_helps() {
+    let endpoint = Endpoint::start(|_, seen| {
+        vec![answer(
+            seen,
+            "503 Busy",
+            "x-not-run: 1\r\nx-retry-after: 300\r\n",
+            "",
+        )]
+    })
+    .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    call_until_seen(&fleet, &endpoint, 1).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.contains("\"paused\""), "{whole}");
+    assert!((0.15..0.4).contains(&told(&whole)), "{whole}");
+    let long = Endpoint::start(refuses).await;
+    let fleet = Fleet::start(&[long.address]).await;
+    call_until_seen(&fleet, &long, 1).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    // A third of the route's 1.2 s, and what spreads callers.
+    assert!((0.3..0.53).contains(&told(&whole)), "{whole}");
+}
+
+/// Guards against an endpoint that is left out after its pause, or gets all that waited
+/// for it at once.
+#[tokio::test]
+async fn after_its_pause_an_endpoint_is_tried_and_used() {
+    let endpoint = Endpoint::start(|n, seen| match n {
+        0 => vec![answer(
+            seen,
+            "503 Busy",
+            "x-not-run: 1\r\nx-retry-after: 300\r\n",
+            "",
+        )],
+        1 => vec![Step::Wait(1_000), answer(seen, "200 OK", "", "ok")],
+        _ => vec![answer(seen, "200 OK", "", "ok")],
+    })
+    .await;
+    let other = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[endpoint.address, other.address]).await;
+    call_until_seen(&fleet, &endpoint, 1).await;
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let trial = async {
+        while endpoint.seen().len() < 2 {
+            fleet.call("POST", "/order/1", "").await;
+        }
+    };
+    let beside = async {
+        until(async || endpoint.seen().len() == 2).await;
+        for _ in 0..20 {
+            let whole = fleet.call("POST", "/order/1", "").await;
+            assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+        }
+        endpoint.seen().len()
+    };
+    let ((), seen) = tokio::join!(trial, beside);
+    assert_eq!(seen, 2);
+    call_until_seen(&fleet, &endpoint, 3).await;
+}
+
+/// Guards against a stream that goes on at an endpoint which wants nothing, since it broke
+/// at another.
+#[tokio::test]
+async fn a_broken_stream_does_not_go_on_at_a_paused_endpoint() {
+    let paused = Endpoint::start(refuses).await;
+    let breaking = Endpoint::start(|_, seen| {
+        let mut steps = vec![stream_head(seen, "s1")];
+        steps.extend(events(1, 2));
+        steps.push(Step::Close);
+        steps
+    })
+    .await;
+    let fleet = Fleet::start(&[paused.address, breaking.address]).await;
+    call_until_seen(&fleet, &paused, 1).await;
+    let before = paused.seen().len();
+    for _ in 0..6 {
+        fleet.call("GET", "/draft/1", "").await;
+    }
+    assert_eq!(paused.seen().len(), before);
+}
+
+/// Guards against an endpoint that is left alone for the word of whoever has its address
+/// now, or for one that came late.
+#[tokio::test]
+async fn a_pause_that_another_asks_for_is_not_kept() {
+    let endpoint = Endpoint::start(|n, seen| match n {
+        0 => vec![Step::Send(
+            "HTTP/1.1 503 Busy\r\nx-attempt: a0\r\nx-not-run: 1\r\n\
+             x-retry-after: 5000\r\ncontent-length: 0\r\n\r\n"
+                .to_owned(),
+        )],
+        _ => vec![answer(seen, "200 OK", "", "mine")],
+    })
+    .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 502"), "{whole}");
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.ends_with("mine"), "{whole}");
+}
+
+/// Guards against an order that is said not to have run, for an endpoint that ran it and
+/// then asked for a pause.
+#[tokio::test]
+async fn a_pause_is_no_promise_that_nothing_has_run() {
+    let endpoint =
+        Endpoint::start(|_, seen| vec![answer(seen, "503 Busy", "x-retry-after: 2000\r\n", "")])
+            .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 502"), "{whole}");
+    let whole = fleet.call("POST", "/order/2", "").await;
+    assert!(whole.contains("\"paused\""), "{whole}");
+    assert_eq!(endpoint.seen().len(), 1);
+}
