--- a/crates/direct/src/notices.rs
+++ b/crates/direct/src/notices.rs
@@ -7,7 +7,8 @@
 //! An endpoint that turns a request away may say for how long it wants none. It says so
 //! to this instance, and other instances are not told: that it has had enough of one is
 //! no word on the others. Afterwards it gets one request at a time until it has answered
-//! one, since all that waited would come back at once.
+//! one, since all that waited would come back at once. One that names no time is left for
+//! a short one, which grows while it turns everything away.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,6 +25,13 @@
 /// request.
 const LONGEST: Duration = Duration::from_mins(10);
 
+/// The pause after a refusal that names no time. Each further one without an answer in
+/// between doubles it.
+const UNNAMED: Duration = Duration::from_millis(50);
+
+/// How often it doubles, to less than two seconds.
+const DOUBLINGS: u32 = 5;
+
 /// What an endpoint may get by its own word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Notice {
@@ -45,6 +53,8 @@
     leaving: BTreeMap<EndpointId, Moment>,
     // Until when they want no requests, or wanted none.
     pauses: BTreeMap<EndpointId, Moment>,
+    // Refusals in a row that named no time.
+    refusals: BTreeMap<EndpointId, u32>,
     // Lives that the roster has not been told of.
     untold: Vec<Life>,
 }
@@ -67,9 +77,22 @@
         *known = until.max(*known);
     }
 
+    /// Takes in that an endpoint turned a request away and named no time; returns for how
+    /// long it gets nothing by that.
+    ///
+    /// One that turns everything away at once would look the emptier the more it was sent.
+    pub fn refused(&mut self, endpoint: EndpointId, now: Moment) -> Duration {
+        let refusals = self.refusals.entry(endpoint).or_default();
+        let pause = UNNAMED * 2_u32.pow(*refusals);
+        *refusals = (*refusals + 1).min(DOUBLINGS);
+        self.pauses(endpoint, pause, now);
+        pause
+    }
+
     /// Takes in that an endpoint answered a request; returns whether it is used again by
     /// that. What it was sent before its pause says nothing of it.
     pub fn answered(&mut self, endpoint: EndpointId, now: Moment) -> bool {
+        self.refusals.remove(&endpoint);
         let over = self.of(endpoint, now) == Some(Notice::Resuming);
         if over {
             self.pauses.remove(&endpoint);
@@ -103,6 +126,9 @@
     pub fn take_leaving(&mut self, now: Moment) -> Vec<Life> {
         self.leaving.retain(|_, at| since(now, *at) < KEPT);
         self.pauses.retain(|_, until| since(now, *until) < KEPT);
+        let pauses = &self.pauses;
+        self.refusals
+            .retain(|endpoint, _| pauses.contains_key(endpoint));
         std::mem::take(&mut self.untold)
     }
 }
--- a/crates/direct/src/notices/tests.rs
+++ b/crates/direct/src/notices/tests.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{LONGEST, Notice, Notices};
+use super::{DOUBLINGS, LONGEST, Notice, Notices};
 use crate::roster::Life;
 
 const fn at(seconds: u64) -> Duration {
@@ -99,3 +99,34 @@
     drop(notices.take_leaving(at(80)));
     assert_eq!(notices.of(1, at(80)), None);
 }
+
+#[test]
+fn refusals_without_a_time_pause_for_longer_each_time() {
+    let mut notices = Notices::default();
+    let mut last = Duration::ZERO;
+    for _ in 0..=DOUBLINGS {
+        let pause = notices.refused(1, at(10));
+        assert!(pause > last);
+        last = pause;
+    }
+    assert_eq!(notices.refused(1, at(10)), last);
+    assert!(last < at(2), "{last:?}");
+}
+
+/// Guards against an endpoint that is full now and then and is left for ever longer.
+#[test]
+fn an_answer_between_refusals_begins_anew() {
+    let mut notices = Notices::default();
+    let first = notices.refused(1, at(10));
+    assert!(notices.refused(1, at(11)) > first);
+    assert!(notices.answered(1, at(12)));
+    assert_eq!(notices.refused(1, at(13)), first);
+}
+
+#[test]
+fn a_refusal_without_a_time_does_not_shorten_a_pause() {
+    let mut notices = Notices::default();
+    notices.pauses(1, at(3), at(10));
+    notices.refused(1, at(11));
+    assert_eq!(notices.of(1, at(12)), Some(paused(13)));
+}
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -315,7 +315,7 @@
     let now = boot_time();
     flight.pulse.beat(now);
     if answer.is_own(status, &job.facts.attempt) {
-        take_notices(job, flight, answer, now);
+        take_notices(job, flight, status, answer, now);
     }
     let mut book = job.shared.book();
     if status == StatusCode::MISDIRECTED_REQUEST {
@@ -330,7 +330,7 @@
 }
 
 // Takes in what an endpoint says of itself beside its load.
-fn take_notices(job: &Job, flight: &Flight, answer: &Answer, now: Moment) {
+fn take_notices(job: &Job, flight: &Flight, status: StatusCode, answer: &Answer, now: Moment) {
     if answer.standing == Some(Standing::Leaving) {
         job.shared.metrics.notice("leaving");
         let life = flight.registration.life();
@@ -349,6 +349,13 @@
             request:% = job.id(), endpoint:% = flight.name(), pause_ms = pause.as_millis();
             "the answer asks for no requests for a while"
         );
+    } else if answer.not_run && turns_away(status) {
+        job.shared.metrics.notice("refused");
+        let pause = job.shared.notices().refused(endpoint, now);
+        log::info!(
+            request:% = job.id(), endpoint:% = flight.name(), pause_ms = pause.as_millis();
+            "endpoint turned a request away; it gets none for a while"
+        );
     } else if !answer.not_run && job.shared.notices().answered(endpoint, now) {
         log::info!(
             request:% = job.id(), endpoint:% = flight.name();
@@ -357,6 +364,15 @@
     }
 }
 
+// Whether a status says that its endpoint has no room, and not what is wrong with the
+// request.
+const fn turns_away(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    )
+}
+
 fn failed(job: &Job, flight: &Flight, error: &Error) -> Ending {
     log::warn!(request:% = job.id(), endpoint:% = flight.name(), error:% = error; "not answered");
     let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
--- a/crates/direct/tests/instance/pauses.rs
+++ b/crates/direct/tests/instance/pauses.rs
@@ -186,3 +186,39 @@
     assert!(whole.contains("\"paused\""), "{whole}");
     assert_eq!(endpoint.seen().len(), 1);
 }
+
+/// Guards against an endpoint that turns everything away, names no time, and draws the more
+/// requests the emptier it gets.
+#[tokio::test]
+async fn an_endpoint_that_turns_all_away_draws_few() {
+    let refusing =
+        Endpoint::start(|_, seen| vec![answer(seen, "503 Busy", "x-not-run: 1\r\n", "")]).await;
+    let other = Endpoint::start(says("ok")).await;
+    let fleet = Fleet::start(&[refusing.address, other.address]).await;
+    for _ in 0..60 {
+        fleet.call("POST", "/order/1", "").await;
+    }
+    // Half of them without a pause.
+    let seen = refusing.seen().len();
+    assert!((1..=10).contains(&seen), "{seen}");
+}
+
+/// Guards against callers who get nothing for long since an endpoint was full for a moment.
+#[tokio::test]
+async fn an_endpoint_that_was_full_for_a_moment_is_used_again() {
+    let endpoint = Endpoint::start(|n, seen| match n {
+        0 => vec![answer(seen, "503 Busy", "x-not-run: 1\r\n", "")],
+        _ => vec![answer(seen, "200 OK", "", "ok")],
+    })
+    .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let start = Instant::now();
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
+    until(async || {
+        let whole = fleet.call("POST", "/order/1", "").await;
+        whole.starts_with("HTTP/1.1 200")
+    })
+    .await;
+    assert!(start.elapsed() < Duration::from_millis(300));
+}
