direct: a late answer says nothing of its endpoint

A caller would be refused as full (a test: 90 of 8 places, told by a late answer, and the next order gets 503). It counts as a sign of life now and as nothing else.

--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -314,7 +314,11 @@
 fn note(job: &Job, flight: &Flight, status: StatusCode, answer: &Answer) {
     let now = boot_time();
     flight.pulse.beat(now);
-    if answer.is_own(status, &job.facts.attempt) {
+    let id = &job.facts.attempt;
+    if answer.is_crossed(id) {
+        return;
+    }
+    if answer.is_own(status, id) {
         take_notices(job, flight, status, answer, now);
     }
     let mut book = job.shared.book();
--- a/crates/direct/tests/instance/failures.rs
+++ b/crates/direct/tests/instance/failures.rs
@@ -111,6 +111,25 @@
     assert!(!whole.contains("other"), "{whole}");
 }
 
+/// Guards against callers who are refused since a late answer told an old load.
+#[tokio::test]
+async fn a_late_answer_tells_no_load() {
+    let endpoint = Endpoint::start(|n, seen| match n {
+        0 => vec![Step::Send(
+            "HTTP/1.1 200 OK\r\nx-attempt: a0\r\nx-signed: s1\r\nx-load: 90,10,8\r\n\
+             content-length: 5\r\n\r\nother"
+                .to_owned(),
+        )],
+        _ => vec![answer(seen, "200 OK", "", "mine")],
+    })
+    .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 502"), "{whole}");
+    let whole = fleet.call("POST", "/order/2", "").await;
+    assert!(whole.ends_with("mine"), "{whole}");
+}
+
 #[tokio::test]
 async fn an_answer_that_is_cut_is_not_passed_on() {
     let cut = |_, seen: &_| {
