direct: who is turned away while all endpoints want nothing is told until when

A caller whose request the last endpoint refused was told to come back in 0.4 s, when it was known that this was in vain; many have one more try. And a relayed 503 bore the endpoint's own time, which is for this instance alone: with one of several endpoints pausing, the caller stayed away for it. Now both say when the first endpoint wants requests again, or what the caller can spare. Two tests, failing before: 'refused' where it is 'paused', and 60 s passed on.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -23,7 +23,7 @@
 use godwitpost_types::id::Version;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::request::Parts;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -184,16 +184,23 @@
         CONTENT_TYPE,
         HeaderValue::from_static("application/problem+json"),
     );
-    if let Some(wait) = reason.retry_after() {
-        let wait = wait.mul_f64(rand::rng().random_range(reason.jitter()));
-        let value = (shared.dialect.retry_after)(wait);
-        if let Ok(value) = HeaderValue::try_from(value) {
-            headers.insert(RETRY_AFTER, value);
-        }
-    }
+    set_retry_after(shared, headers, reason);
     response
 }
 
+// Says when to come back, if that may help.
+fn set_retry_after(shared: &Shared, headers: &mut HeaderMap, reason: Reason) {
+    let Some(wait) = reason.retry_after() else {
+        return;
+    };
+    let wait = wait.mul_f64(rand::rng().random_range(reason.jitter()));
+    let value = (shared.dialect.retry_after)(wait);
+    match HeaderValue::try_from(value) {
+        Ok(value) => drop(headers.insert(RETRY_AFTER, value)),
+        Err(error) => log::error!(error:% = error; "time to come back can't be spelled"),
+    }
+}
+
 // Counts and logs a refusal of a request that was never resolved.
 fn unresolved(shared: &Shared, reason: Reason, id: Option<&str>, revoked_in: Option<Version>) {
     let metrics = shared.metrics.requests();
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -6,13 +6,14 @@
 
 use bytes::{Bytes, BytesMut};
 use godwitpost_client::connect::{Body, Received};
+use http::header::RETRY_AFTER;
 use http::response::Parts;
 use http::{Method, Response};
 use http_body_util::{BodyExt, Full};
 use tokio::time::timeout_at;
 
-use super::send::Gathered;
-use super::{End, Job, Refused, Sent, Who, dispatch, headers, refuse};
+use super::send::{Gathered, turns_away};
+use super::{End, Job, Refused, Sent, Who, choose, dispatch, headers, refuse, set_retry_after};
 use crate::attempt::{Ending, Next};
 use crate::refusal::Reason;
 use crate::stream::Stream;
@@ -89,6 +90,11 @@
     if job.method != Method::HEAD {
         headers::strip(&mut head.headers);
     }
+    // The endpoint's own time is for this instance: others may take the request before.
+    if turns_away(head.status) && head.headers.contains_key(RETRY_AFTER) {
+        let reason = choose::paused(job).unwrap_or(Reason::Refused);
+        set_retry_after(job.shared(), &mut head.headers, reason);
+    }
     job.answered(flight.name(), head.status.as_u16());
     job.ended(End::Whole);
     let body = Full::new(bytes).map_err(Into::into);
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -80,6 +80,23 @@
     }
 }
 
+/// Returns why a request that an endpoint refused can't go anywhere else now, if no other
+/// endpoint wants it: it is then in vain to come back before one does.
+pub(super) fn paused(job: &Job) -> Option<Reason> {
+    let view = job.shared.view();
+    let split = split(job, view.of(job.service));
+    let all = split.usable.is_empty();
+    split.back.filter(|_| all).map(|back| until(job, back))
+}
+
+// The refusal of a request that an endpoint wants again at `back` at the earliest. Another
+// instance may have endpoints that take it, so callers don't wait for longer than leaves
+// them time for that.
+fn until(job: &Job, back: Moment) -> Reason {
+    let left = since(back, boot_time()).min(job.left() / OF_LEFT);
+    Reason::Paused { left }
+}
+
 // Takes this instance's share of an endpoint if that is warming up; returns whether
 // there was one.
 fn spend(job: &Job, view: &View, registration: &Registration) -> bool {
@@ -101,10 +118,7 @@
 // Why there is no endpoint left, where some may want requests again at `back`.
 fn none(job: &Job, view: &View, back: Option<Moment>) -> Reason {
     if let Some(back) = back {
-        // Another instance may have endpoints that take it, so callers don't wait for
-        // longer than leaves them time for that.
-        let left = since(back, boot_time()).min(job.left() / OF_LEFT);
-        return Reason::Paused { left };
+        return until(job, back);
     }
     if !job.tried.is_empty() {
         return Reason::Unreachable;
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -18,7 +18,7 @@
 use tokio::time::sleep;
 
 use super::Job;
-use super::choose::{Chosen, RETURN, choose};
+use super::choose::{self, Chosen, RETURN, choose};
 use super::crash::{Broken, look};
 use super::source::{self, Source};
 use crate::attempt::{Ending, Next, Verdict, judge};
@@ -199,6 +199,7 @@
         return Err(job.attempts.late());
     }
     match next {
+        Next::GiveUp(Reason::Refused) => Err(choose::paused(job).unwrap_or(Reason::Refused)),
         Next::GiveUp(reason) => Err(reason),
         Next::Again { repeat: false } => Ok(()),
         Next::Again { repeat: true } => {
@@ -368,9 +369,9 @@
     }
 }
 
-// Whether a status says that its endpoint has no room, and not what is wrong with the
-// request.
-const fn turns_away(status: StatusCode) -> bool {
+/// Returns whether a status says that its endpoint has no room, and not what is wrong with
+/// the request.
+pub(super) const fn turns_away(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
--- a/crates/direct/tests/instance/pauses.rs
+++ b/crates/direct/tests/instance/pauses.rs
@@ -222,3 +222,33 @@
     .await;
     assert!(start.elapsed() < Duration::from_millis(300));
 }
+
+/// Guards against a caller that is told to come back while it is known that this is in vain:
+/// it may have one more try.
+#[tokio::test]
+async fn whoever_is_turned_away_by_the_last_endpoint_is_told_until_when() {
+    let endpoint = Endpoint::start(refuses).await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let whole = fleet.call("POST", "/order/1", "").await;
+    assert!(whole.starts_with("HTTP/1.1 503"), "{whole}");
+    assert!(whole.contains("\"paused\""), "{whole}");
+}
+
+/// Guards against a caller that is sent away for as long as one endpoint of several wants
+/// nothing of this instance.
+#[tokio::test]
+async fn what_an_endpoint_tells_this_instance_is_not_passed_on() {
+    let endpoint = Endpoint::start(|_, seen| {
+        vec![answer(
+            seen,
+            "503 Busy",
+            "retry-after: 60\r\nx-retry-after: 60000\r\n",
+            "",
+        )]
+    })
+    .await;
+    let fleet = Fleet::start(&[endpoint.address]).await;
+    let whole = fleet.call("GET", "/stock/1", "").await;
+    assert!(whole.contains("x-signed: s1"), "{whole}");
+    assert!(told(&whole) < 1.0, "{whole}");
+}
