types, platform: each life of an endpoint has an id of its own

What callers would see: requests kept away from a sound endpoint, or its load and health taken for another's, since a restarted endpoint e14 had the id of e15.

Cause: the id of a life was the hash of its name with the incarnation for a seed, and in that hash small seeds are lost in names of a few bytes; a test finds the same id for two of 100 names and 100 lives within the first dozen names, and incarnation 0 has the id of the name itself. On the users' platform, with names of twelve bytes and lives counted in milliseconds, none was seen.

Fix: the name's hash is mixed with the incarnation. Instances tell each other ids of endpoints, so peers' paths have a later version.

--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -39,7 +39,7 @@
 use crate::shared::Shared;
 use crate::standby::Peers;
 
-const PATH: &str = "/peer/v3/state";
+const PATH: &str = "/peer/v4/state";
 
 /// The most that a question or an answer may hold: a configuration of 8,900
 /// workspaces and 3,300 endpoints takes about 3 MB.
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -21,8 +21,8 @@
 use crate::shared::Shared;
 use crate::suspects::{Evidence, Sighting};
 
-pub(super) const EVIDENCE_PATH: &str = "/peer/v1/evidence";
-pub(super) const HEARD_PATH: &str = "/peer/v2/heard";
+pub(super) const EVIDENCE_PATH: &str = "/peer/v2/evidence";
+pub(super) const HEARD_PATH: &str = "/peer/v3/heard";
 
 /// How long evidence waits for more before it is passed on: an endpoint that
 /// ends breaks all its requests within a few milliseconds.
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -1,5 +1,7 @@
 //! Integer ids derived from names.
 
+use crate::hash;
+
 /// An instance of the router fleet, from its name.
 pub type InstanceId = u64;
 /// An endpoint: a model engine or a plain service's back end, from its name.
@@ -49,3 +51,13 @@
 pub fn scoped(scope: u64, name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), scope)
 }
+
+/// Returns the id of one life of an instance or endpoint.
+#[must_use]
+pub fn life(incarnation: Incarnation, name: &str) -> u64 {
+    // Seeds that are as small as incarnations are lost in the hash of a short name.
+    hash::score(of(name), incarnation)
+}
+
+#[cfg(test)]
+mod tests;
