direct: loads are asked for oftener while a good part of a service takes nothing

Cause: an endpoint that runs 17 to 27 requests is believed to run 11.5, what is usual, for a second and a half, since its load goes up with one question and down with another, and each waits for up to 1.4 s. With a quarter of the service out the bound is half as much again as what the others have, and not twice.

While a tenth of a service's endpoints or more are evacuated or warming up, questions wait for 5 ms for each instance, at least 0.4 s and at most as long as else.

--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -29,7 +29,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout};
 
-use self::age::{LONGEST_WAIT, PATIENCE, left, wait};
+use self::age::{LONGEST_WAIT, PATIENCE, left, wait, wait_while_partial};
 pub(super) use self::answer::answer;
 pub(super) use self::passing::exchange;
 pub(crate) use self::passing::pass_on;
@@ -207,7 +207,7 @@
             if self.events.send((self.event)(told.news)).await.is_err() {
                 return None;
             }
-            let wait = wait(shared.settings.news());
+            let wait = wait(shared.settings.news()).min(longest(&shared));
             told = match peer.question(wait).await {
                 Ok(told) => told,
                 Err(refusal) => return Some(refusal),
@@ -216,6 +216,15 @@
     }
 }
 
+// How long a question may wait by what loads are worth now.
+fn longest(shared: &Shared) -> Duration {
+    let now = boot_time();
+    let instances = shared.instances(now);
+    let partial = shared.view().is_partial(now);
+    let oftener = instances.filter(|_| partial).map(wait_while_partial);
+    oftener.unwrap_or(LONGEST_WAIT)
+}
+
 // Waits until a peer is to be asked: after a pause, or soon while the log is
 // lost or the process has just started. An instance that is to read the log waits
 // until it is lost. Returns whether the process goes on.
--- a/crates/direct/src/control/peers/age.rs
+++ b/crates/direct/src/control/peers/age.rs
@@ -10,6 +10,12 @@
 /// loads, is told no later.
 pub(super) const LONGEST_WAIT: Duration = Duration::from_millis(1_400);
 
+/// The shortest that it waits while loads are told oftener.
+const SHORTEST_WAIT: Duration = Duration::from_millis(400);
+
+/// The time between two questions that those that are asked bear then, all together.
+const BETWEEN: Duration = Duration::from_millis(5);
+
 /// What is kept back of the time within which news has to be acted on, for
 /// reading the log anew and a moment without the processor.
 pub(super) const SPARE: Duration = Duration::from_millis(150);
@@ -37,6 +43,16 @@
         .min(LONGEST_WAIT)
 }
 
+/// Returns how long a question waits at most while a part of a service takes nothing,
+/// where this many instances ask.
+///
+/// What is left of the service has more than the mean then, and so less room for what an
+/// instance doesn't know of it. With the loads told no oftener than else, endpoints that
+/// many prompts have for their home pass the bound before anybody hears.
+pub(super) fn wait_while_partial(instances: u32) -> Duration {
+    (BETWEEN * instances).clamp(SHORTEST_WAIT, LONGEST_WAIT)
+}
+
 /// Returns the age of its news from which on a peer counts as having lost the log,
 /// where news has to be acted on within `bound`: all that the wait leaves of it.
 ///
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::age::{LEAST_AGE, PATIENCE, SPARE, left, oldest, wait};
+use super::age::{
+    LEAST_AGE, LONGEST_WAIT, PATIENCE, SPARE, left, oldest, wait, wait_while_partial,
+};
 use super::peer::{Known, Refusal, news};
 use crate::board::{Board, Question};
 use crate::policy::Content;
@@ -129,3 +131,19 @@
     let news = news(told, at(9_000), at(1_200)).ok();
     assert_eq!(news.map(|news| news.policy_read), Some(at(8_800)));
 }
+
+/// Guards against loads that are told so late that endpoints pass the load bound unheard,
+/// and against instances by the hundred that ask more than those that are asked can bear.
+#[test]
+fn while_a_part_takes_nothing_loads_are_asked_for_oftener() {
+    for instances in [1, 6, 82] {
+        let wait = wait_while_partial(instances);
+        assert!(wait < at(500), "{instances}: {wait:?}");
+    }
+    for instances in [82, 200, 300, 3_300] {
+        let wait = wait_while_partial(instances);
+        let usual = f64::from(instances) / LONGEST_WAIT.as_secs_f64();
+        let questions = f64::from(instances) / wait.as_secs_f64();
+        assert!(questions <= usual.max(205.0), "{instances}: {questions}");
+    }
+}
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -60,6 +60,9 @@
 /// The part of the memory that callers' bodies may fill.
 const BODIES: usize = 4;
 
+/// One of how many endpoints of a service are a good part of it.
+const GOOD_PART: usize = 10;
+
 /// Endpoints by service.
 pub(crate) type Services = BTreeMap<ServiceId, Vec<Arc<Registration>>>;
 
@@ -102,6 +105,26 @@
         self.evacuated.get(&service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a good part of any service takes nothing or little: it is in
+    /// evacuated zones, or warming up.
+    pub(crate) fn is_partial(&self, now: Moment) -> bool {
+        let warms = |one: &&Arc<Registration>| {
+            let warm_at = self.warm_at.get(&one.endpoint.id);
+            warm_at.is_some_and(|warm_at| now < *warm_at)
+        };
+        let partial = |service: &ServiceId| {
+            let used = self.of(*service);
+            let evacuated = self.evacuated(*service).len();
+            let out = evacuated + used.iter().filter(warms).count();
+            out > 0 && out * GOOD_PART >= evacuated + used.len()
+        };
+        self.endpoints
+            .iter()
+            .flatten()
+            .any(|(service, _)| partial(service))
+            || self.evacuated.keys().any(partial)
+    }
+
     /// Returns the endpoints of a service that are being left.
     pub(crate) fn leaving(&self, service: ServiceId) -> &[Arc<Registration>] {
         self.leaving.get(&service).map_or(&[], Vec::as_slice)
@@ -447,3 +470,6 @@
             .fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/direct/src/shared/tests.rs
@@ -0,0 +1,55 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use godwitpost_types::endpoint::{Endpoint, Standing};
+
+use super::{Services, View};
+use crate::roster::Registration;
+
+const SERVICE: u64 = 1;
+const NOW: Duration = Duration::from_secs(9);
+
+fn endpoints(ids: std::ops::Range<u64>) -> Services {
+    let registration = |id: u64| Registration {
+        endpoint: Endpoint {
+            id,
+            name: format!("e{id}"),
+            incarnation: 1,
+            service: SERVICE,
+            models: BTreeSet::new(),
+            zone: 1,
+            region: 0,
+            address: "10.0.0.1:80".parse().expect("an address"),
+            standing: Standing::Live,
+        },
+        slots: 8,
+        warming: Duration::ZERO,
+    };
+    let all = ids.map(|id| Arc::new(registration(id))).collect();
+    BTreeMap::from([(SERVICE, all)])
+}
+
+fn view(used: u64, evacuated: u64, warming: u64) -> View {
+    View {
+        endpoints: Some(endpoints(0..used)),
+        evacuated: endpoints(used..used + evacuated),
+        warm_at: (0..warming).map(|id| (id, NOW * 2)).collect(),
+        ..View::default()
+    }
+}
+
+#[test]
+fn a_service_is_partial_while_a_good_part_takes_nothing() {
+    assert!(!view(20, 0, 0).is_partial(NOW));
+    assert!(view(15, 5, 0).is_partial(NOW));
+    assert!(view(0, 4, 0).is_partial(NOW));
+    assert!(!View::default().is_partial(NOW));
+}
+
+#[test]
+fn one_endpoint_that_starts_makes_no_service_partial() {
+    assert!(!view(20, 0, 1).is_partial(NOW));
+    assert!(view(20, 0, 5).is_partial(NOW));
+    assert!(!view(20, 0, 5).is_partial(NOW * 3));
+}
