--- a/crates/direct/src/notices.rs
+++ b/crates/direct/src/notices.rs
@@ -71,7 +71,7 @@
 
     /// Takes in that an endpoint wants no requests for a while. A shorter pause that it
     /// asks for later doesn't end a longer one.
-    pub fn pauses(&mut self, endpoint: EndpointId, pause: Duration, now: Moment) {
+    pub fn pause(&mut self, endpoint: EndpointId, pause: Duration, now: Moment) {
         let until = now + pause.min(LONGEST);
         let known = self.pauses.entry(endpoint).or_default();
         *known = until.max(*known);
@@ -85,7 +85,7 @@
         let refusals = self.refusals.entry(endpoint).or_default();
         let pause = UNNAMED * 2_u32.pow(*refusals);
         *refusals = (*refusals + 1).min(DOUBLINGS);
-        self.pauses(endpoint, pause, now);
+        self.pause(endpoint, pause, now);
         pause
     }
 
--- a/crates/direct/src/notices/tests.rs
+++ b/crates/direct/src/notices/tests.rs
@@ -43,7 +43,7 @@
 #[test]
 fn a_pause_ends_with_the_first_answer_after_it() {
     let mut notices = Notices::default();
-    notices.pauses(1, at(3), at(10));
+    notices.pause(1, at(3), at(10));
     assert_eq!(notices.of(1, at(12)), Some(paused(13)));
     assert_eq!(notices.of(1, at(13)), Some(Notice::Resuming));
     assert!(notices.answered(1, at(14)));
@@ -56,7 +56,7 @@
 #[test]
 fn an_answer_within_a_pause_does_not_end_it() {
     let mut notices = Notices::default();
-    notices.pauses(1, at(3), at(10));
+    notices.pause(1, at(3), at(10));
     assert!(!notices.answered(1, at(11)));
     assert_eq!(notices.of(1, at(12)), Some(paused(13)));
 }
@@ -65,18 +65,18 @@
 #[test]
 fn of_two_pauses_the_later_end_counts() {
     let mut notices = Notices::default();
-    notices.pauses(1, at(10), at(0));
-    notices.pauses(1, at(1), at(2));
+    notices.pause(1, at(10), at(0));
+    notices.pause(1, at(1), at(2));
     assert_eq!(notices.of(1, at(5)), Some(paused(10)));
-    notices.pauses(1, at(10), at(5));
+    notices.pause(1, at(10), at(5));
     assert_eq!(notices.of(1, at(12)), Some(paused(15)));
 }
 
 #[test]
 fn who_refuses_again_after_a_pause_is_paused_again() {
     let mut notices = Notices::default();
-    notices.pauses(1, at(3), at(10));
-    notices.pauses(1, at(3), at(14));
+    notices.pause(1, at(3), at(10));
+    notices.pause(1, at(3), at(14));
     assert_eq!(notices.of(1, at(16)), Some(paused(17)));
 }
 
@@ -84,14 +84,14 @@
 #[test]
 fn no_pause_is_longer_than_the_longest() {
     let mut notices = Notices::default();
-    notices.pauses(1, Duration::MAX, at(1));
+    notices.pause(1, Duration::MAX, at(1));
     assert_eq!(notices.of(1, at(1) + LONGEST), Some(Notice::Resuming));
 }
 
 #[test]
 fn pauses_of_endpoints_that_get_nothing_any_more_are_forgotten() {
     let mut notices = Notices::default();
-    notices.pauses(1, at(3), at(10));
+    notices.pause(1, at(3), at(10));
     assert_eq!(notices.paused(at(12)), 1);
     drop(notices.take_leaving(at(12)));
     assert_eq!(notices.of(1, at(12)), Some(paused(13)));
@@ -126,7 +126,7 @@
 #[test]
 fn a_refusal_without_a_time_does_not_shorten_a_pause() {
     let mut notices = Notices::default();
-    notices.pauses(1, at(3), at(10));
+    notices.pause(1, at(3), at(10));
     notices.refused(1, at(11));
     assert_eq!(notices.of(1, at(12)), Some(paused(13)));
 }
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -86,13 +86,16 @@
     let view = job.shared.view();
     let split = split(job, view.of(job.service));
     let all = split.usable.is_empty();
-    split.back.filter(|_| all).map(|back| until(job, back))
+    split
+        .back
+        .filter(|_| all)
+        .map(|back| paused_until(job, back))
 }
 
 // The refusal of a request that an endpoint wants again at `back` at the earliest. Another
 // instance may have endpoints that take it, so callers don't wait for longer than leaves
 // them time for that.
-fn until(job: &Job, back: Moment) -> Reason {
+fn paused_until(job: &Job, back: Moment) -> Reason {
     let left = since(back, boot_time()).min(job.left() / OF_LEFT);
     Reason::Paused { left }
 }
@@ -118,7 +121,7 @@
 // Why there is no endpoint left, where some may want requests again at `back`.
 fn none(job: &Job, view: &View, back: Option<Moment>) -> Reason {
     if let Some(back) = back {
-        return until(job, back);
+        return paused_until(job, back);
     }
     if !job.tried.is_empty() {
         return Reason::Unreachable;
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -349,7 +349,7 @@
     let endpoint = flight.endpoint();
     if let Some(pause) = answer.retry_after {
         job.shared.metrics.notice("retry-after");
-        job.shared.notices().pauses(endpoint, pause, now);
+        job.shared.notices().pause(endpoint, pause, now);
         log::warn!(
             request:% = job.id(), endpoint:% = flight.name(), pause_ms = pause.as_millis();
             "the answer asks for no requests for a while"
--- a/crates/direct/tests/instance/endpoint.rs
+++ b/crates/direct/tests/instance/endpoint.rs
@@ -201,6 +201,13 @@
     ))
 }
 
+/// Returns an answer that is late, to another attempt than any of the tests'.
+pub(crate) fn late_answer(status: &str, more: &str) -> Step {
+    Step::Send(format!(
+        "HTTP/1.1 {status}\r\nx-attempt: a0\r\nx-signed: s1\r\n{more}content-length: 5\r\n\r\nother"
+    ))
+}
+
 /// Returns a script that answers every request with this body.
 pub(crate) fn says(body: &'static str) -> impl Fn(usize, &Seen) -> Vec<Step> + Send + Sync {
     move |_, seen| vec![answer(seen, "200 OK", "", body)]
--- a/crates/direct/tests/instance/failures.rs
+++ b/crates/direct/tests/instance/failures.rs
@@ -1,6 +1,6 @@
 //! Endpoints that fail, and what of it callers see.
 
-use crate::endpoint::{Endpoint, Step, answer, says};
+use crate::endpoint::{Endpoint, Step, answer, late_answer, says};
 use crate::fleet::{Fleet, request, rest};
 
 /// A booking's endpoint crashes with the booking in its hands. Whether it ran
@@ -115,11 +115,7 @@
 #[tokio::test]
 async fn a_late_answer_tells_no_load() {
     let endpoint = Endpoint::start(|n, seen| match n {
-        0 => vec![Step::Send(
-            "HTTP/1.1 200 OK\r\nx-attempt: a0\r\nx-signed: s1\r\nx-load: 90,10,8\r\n\
-             content-length: 5\r\n\r\nother"
-                .to_owned(),
-        )],
+        0 => vec![late_answer("200 OK", "x-load: 90,10,8\r\n")],
         _ => vec![answer(seen, "200 OK", "", "mine")],
     })
     .await;
--- a/crates/direct/tests/instance/leaving.rs
+++ b/crates/direct/tests/instance/leaving.rs
@@ -4,7 +4,7 @@
 
 use godwitpost_direct::source::Value;
 
-use crate::endpoint::{Endpoint, Seen, Step, answer, says};
+use crate::endpoint::{Endpoint, Seen, Step, answer, late_answer, says};
 use crate::fleet::Fleet;
 
 /// The header by which an endpoint says so.
@@ -86,11 +86,7 @@
 #[tokio::test]
 async fn a_word_in_an_answer_to_another_attempt_says_nothing() {
     let endpoint = Endpoint::start(|n, seen| match n {
-        0 => vec![Step::Send(
-            "HTTP/1.1 200 OK\r\nx-attempt: a0\r\nx-signed: s1\r\nx-leaving: 1\r\n\
-             content-length: 5\r\n\r\nother"
-                .to_owned(),
-        )],
+        0 => vec![late_answer("200 OK", "x-leaving: 1\r\n")],
         _ => vec![answer(seen, "200 OK", "", "mine")],
     })
     .await;
--- a/crates/direct/tests/instance/pauses.rs
+++ b/crates/direct/tests/instance/pauses.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::endpoint::{Endpoint, Seen, Step, answer, events, says, stream_head};
+use crate::endpoint::{Endpoint, Seen, Step, answer, events, late_answer, says, stream_head};
 use crate::fleet::{Fleet, until};
 
 /// The headers of a refusal that asks for two seconds without requests.
@@ -157,10 +157,9 @@
 #[tokio::test]
 async fn a_pause_that_another_asks_for_is_not_kept() {
     let endpoint = Endpoint::start(|n, seen| match n {
-        0 => vec![Step::Send(
-            "HTTP/1.1 503 Busy\r\nx-attempt: a0\r\nx-not-run: 1\r\n\
-             x-retry-after: 5000\r\ncontent-length: 0\r\n\r\n"
-                .to_owned(),
+        0 => vec![late_answer(
+            "503 Busy",
+            "x-not-run: 1\r\nx-retry-after: 5000\r\n",
         )],
         _ => vec![answer(seen, "200 OK", "", "mine")],
     })
--- a/crates/direct/tests/notices/instance.rs
+++ b/crates/direct/tests/notices/instance.rs
@@ -126,7 +126,7 @@
         }
         match reply {
             Reply::Refused(_) if self.lacks(Guard::Pauses) => {}
-            Reply::Refused(Some(pause)) => self.notices.pauses(noted, pause, now),
+            Reply::Refused(Some(pause)) => self.notices.pause(noted, pause, now),
             Reply::Refused(None) => drop(self.notices.refused(noted, now)),
             Reply::Served | Reply::Misdirected => drop(self.notices.answered(noted, now)),
         }
