direct: a change of what an endpoint may get is logged and counted

An instance that stops using an endpoint said so nowhere, nor after which observation, nor when it tried it again. One line and one count for each change, with the observation.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -16,6 +16,7 @@
 
 use godwitpost_client::clock::{Clock, boot_time};
 use godwitpost_client::timer::Timer;
+use godwitpost_decide::health::Access;
 use godwitpost_process::logging::queue::Queue;
 use godwitpost_process::serve::{self, Port};
 use godwitpost_types::clock::{Moment, since};
@@ -32,6 +33,7 @@
 use crate::roster::{Origin, Registration, Roster};
 use crate::shared::{Shared, View, by_service};
 use crate::source::{Directive, Position, Source};
+use crate::stats::Observation;
 use crate::verification::{Verification, verified_era};
 
 /// The interval at which endpoints considered down and expired entries are
@@ -404,7 +406,8 @@
     }
 
     fn tick(&mut self, now: Moment) {
-        self.shared.endpoint_stats().tick(now);
+        let on_trial = self.shared.endpoint_stats().tick(now);
+        self.record_trials(&on_trial);
         self.shared
             .metrics
             .record_dropped_lines(self.lines.dropped());
@@ -443,6 +446,22 @@
         self.check_policy_current(now);
     }
 
+    // Logs and counts the endpoints that are tried again from now on.
+    fn record_trials(&self, on_trial: &[EndpointId]) {
+        if on_trial.is_empty() {
+            return;
+        }
+        let view = self.shared.view();
+        let known = view.endpoints.iter().flat_map(BTreeMap::values).flatten();
+        for one in known.filter(|one| on_trial.contains(&one.endpoint.id)) {
+            self.shared.record_access_change(
+                &one.endpoint,
+                Some(Access::Trial),
+                Observation::PauseOver,
+            );
+        }
+    }
+
     fn check_policy_current(&mut self, now: Moment) {
         let current = self.shared.is_policy_current();
         if current == self.policy_current {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -3,12 +3,14 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use godwitpost_decide::health::Access;
 use godwitpost_process::metrics::{Labels, Metrics as RequestMetrics};
 use godwitpost_types::id::Era;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 
 use crate::refusal::Reason;
+use crate::stats::Observation;
 
 /// An instance's use of the endpoints of one service.
 #[derive(Clone, Debug)]
@@ -38,6 +40,7 @@
     sources: Counter<u64>,
     shares: Counter<u64>,
     notices: Counter<u64>,
+    access_changes: Counter<u64>,
     calls: Counter<u64>,
     listed: Counter<u64>,
     ignored: Counter<u64>,
@@ -83,6 +86,10 @@
                 "godwitpost.endpoint_notices",
                 "Answers in which an endpoint says that it is leaving or wants no requests for a while, by which",
             ),
+            access_changes: counter(
+                "godwitpost.access_changes",
+                "Changes of what an endpoint may get, by what it may get now and what was observed",
+            ),
             sources: counter(
                 "godwitpost.prompt_sources",
                 "Requests with a shared prompt, by where their endpoint gets it from",
@@ -158,6 +165,14 @@
         self.notices.add(1, &[KeyValue::new("says", notice)]);
     }
 
+    pub(crate) fn count_access_change(&self, access: Access, observation: Observation) {
+        let set = [
+            KeyValue::new("access", access_name(access)),
+            KeyValue::new("observation", observation.to_string()),
+        ];
+        self.access_changes.add(1, &set);
+    }
+
     pub(crate) fn record_prompt_spans(&self, count: usize) {
         self.spans.record(count as u64, &[]);
     }
@@ -209,6 +224,14 @@
     }
 }
 
+const fn access_name(access: Access) -> &'static str {
+    match access {
+        Access::Full => "full",
+        Access::Trial => "trial",
+        Access::None => "none",
+    }
+}
+
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -19,6 +19,7 @@
 };
 use crate::attempt::{Failure, Next};
 use crate::refusal::Reason;
+use crate::stats::Observation;
 use crate::stream::Stream;
 
 /// The maximum size of a buffered response. Plain services respond with a few kilobytes.
@@ -41,7 +42,9 @@
             }
             BufferedBody::Broken => {
                 log::warn!(request:% = job.id(), endpoint:% = response.in_flight.name(); "response broke off");
-                response.in_flight.record_broken_response();
+                response
+                    .in_flight
+                    .record_failure(Observation::BrokenResponse);
                 response.in_flight.check_for_crash(job.id(), job.digest());
                 drop(response.in_flight);
                 match retry(&mut job).await {
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -11,13 +11,15 @@
 
 use godwitpost_client::clock::boot_time;
 use godwitpost_types::clock::Moment;
-use godwitpost_types::id::{BodyDigest, EndpointId};
+use godwitpost_types::id::BodyDigest;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::control::peers::forward_evidence;
 use crate::crashes::{Evidence, Observed};
+use crate::roster::Registration;
 use crate::shared::Shared;
+use crate::stats::Observation;
 
 /// How long to wait for a connection to be refused. A live machine refuses within a round
 /// trip.
@@ -28,30 +30,29 @@
     pub(super) request: String,
     pub(super) digest: BodyDigest,
     pub(super) sent_at: Moment,
-    pub(super) endpoint: EndpointId,
-    pub(super) name: String,
-    pub(super) address: SocketAddr,
+    pub(super) registration: Arc<Registration>,
 }
 
 /// Checks whether the endpoint crashed, and records the evidence if it did.
 pub(super) async fn check_for_crash(shared: Arc<Shared>, broken: BrokenRequest) {
     let at = boot_time();
-    if !refuses_connection(broken.address).await {
+    let endpoint = &broken.registration.endpoint;
+    if !refuses_connection(endpoint.address).await {
         return;
     }
     // Marks the endpoint as down now, as the next request to it would.
-    shared.mark_endpoint_down(broken.endpoint, broken.address);
+    shared.mark_endpoint_down(endpoint, Observation::RefusesAfterBreak);
     let mut crash_tracker = shared.crash_tracker();
     crash_tracker.record_local(Evidence {
         digest: broken.digest,
-        observed: Observed::Crashed(broken.endpoint),
+        observed: Observed::Crashed(endpoint.id),
         sent_at: broken.sent_at,
         observed_at: at,
     });
     let chain_length = crash_tracker.chain_length(&broken.digest);
     drop(crash_tracker);
     log::warn!(
-        request:% = broken.request, endpoint:% = broken.name, chain = chain_length;
+        request:% = broken.request, endpoint:% = endpoint.name, chain = chain_length;
         "endpoint crashed while it ran the request"
     );
     forward_evidence(&shared);
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -1,6 +1,5 @@
 //! Sends a request until an endpoint responds or all attempts are used up.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,7 +25,7 @@
 use crate::refusal::Reason;
 use crate::roster::Registration;
 use crate::shared::Shared;
-use crate::stats::Liveness;
+use crate::stats::{Liveness, Observation};
 
 /// How long to wait for the response head before trying another endpoint, as a multiple
 /// of the route's objective. This applies only where a retry is safe. An endpoint that is
@@ -80,16 +79,11 @@
         self.registration.endpoint.id
     }
 
-    fn address(&self) -> SocketAddr {
-        self.registration.endpoint.address
-    }
-
-    /// Records that the endpoint broke off a response.
-    pub(crate) fn record_broken_response(&self) {
-        let now = boot_time();
+    /// Records that the endpoint broke off a response, or sent none in time.
+    pub(crate) fn record_failure(&self, observation: Observation) {
+        let event = Event::Failure(boot_time());
         self.shared
-            .endpoint_stats()
-            .record_health_event(self.endpoint(), Event::Failure(now));
+            .record_health_event(&self.registration.endpoint, event, observation);
     }
 
     /// Records that data arrived from the endpoint.
@@ -112,7 +106,7 @@
     /// endpoint as down for that would keep new requests away for a second or more and
     /// make other endpoints read its prompts again. A machine that is really down is
     /// silent on all its connections.
-    pub(crate) fn record_unresponsive(&self) {
+    pub(crate) fn record_unresponsive(&self, observation: Observation) {
         let oldest = since(boot_time(), MAX_ACTIVITY_AGE);
         if self.liveness.alive_since(self.sent_at.max(oldest)) {
             log::info!(endpoint:% = self.name(); "a packet was lost; the endpoint responds to other requests");
@@ -120,7 +114,7 @@
             return;
         }
         self.shared
-            .mark_endpoint_down(self.endpoint(), self.address());
+            .mark_endpoint_down(&self.registration.endpoint, observation);
     }
 
     /// Starts a check of whether the endpoint crashed with this request, whose connection
@@ -130,9 +124,7 @@
             request: request.to_owned(),
             digest,
             sent_at: self.sent_at,
-            endpoint: self.endpoint(),
-            name: self.name().to_owned(),
-            address: self.address(),
+            registration: Arc::clone(&self.registration),
         };
         tokio::spawn(check_for_crash(Arc::clone(&self.shared), broken));
     }
@@ -349,16 +341,21 @@
     if fields.is_from_endpoint(status, id) {
         record_notices(job, in_flight, status, fields, now);
     }
+    let endpoint = &in_flight.registration.endpoint;
     let mut endpoint_stats = job.shared.endpoint_stats();
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        // Another server has the endpoint's address.
-        endpoint_stats.record_unreachable(in_flight.endpoint(), now);
-        return;
-    }
-    if let Some(report) = fields.report {
-        endpoint_stats.record_report(in_flight.endpoint(), report, now);
-    }
-    endpoint_stats.record_health_event(in_flight.endpoint(), Event::Success(now));
+    let (change, observation) = if status == StatusCode::MISDIRECTED_REQUEST {
+        let change = endpoint_stats.record_unreachable(endpoint.id, now);
+        (change, Observation::OtherServer)
+    } else {
+        if let Some(report) = fields.report {
+            endpoint_stats.record_report(endpoint.id, report, now);
+        }
+        let change = endpoint_stats.record_health_event(endpoint.id, Event::Success(now));
+        (change, Observation::Responded)
+    };
+    drop(endpoint_stats);
+    job.shared
+        .record_access_change(endpoint, change, observation);
 }
 
 // Applies the notices in a response: that the endpoint is leaving, or that it wants a
@@ -419,12 +416,14 @@
 fn handle_send_error(job: &Job, in_flight: &InFlightRequest, error: &Error) -> Failure {
     log::warn!(request:% = job.id(), endpoint:% = in_flight.name(), error:% = error; "not answered");
     let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
-    if cause.is_unreachable() {
-        in_flight.record_unresponsive();
+    if matches!(cause, Cause::Connect(_) | Cause::ConnectTimeout) {
+        in_flight.record_unresponsive(Observation::NoConnection);
+    } else if cause.is_unreachable() {
+        in_flight.record_unresponsive(Observation::NoAcknowledgement);
     } else if matches!(error, Error::Unknown(Cause::Connection(_))) {
         in_flight.check_for_crash(job.id(), job.digest());
     } else if matches!(cause, Cause::ResponseTimeout) {
-        in_flight.record_broken_response();
+        in_flight.record_failure(Observation::LateHead);
     }
     if error.may_have_run() {
         Failure::Lost
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -4,7 +4,6 @@
 //! waiting. Request counts are behind locks that are held briefly.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,7 +11,9 @@
 use arc_swap::ArcSwap;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{self, Connector};
+use godwitpost_decide::health::{Access, Event};
 use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::Endpoint;
 use godwitpost_types::id::{EndpointId, ServiceId};
 use rand::RngExt;
 use tokio::sync::watch;
@@ -33,7 +34,7 @@
 use crate::roster::Registration;
 use crate::settings::Settings;
 use crate::standby::Pollers;
-use crate::stats::{EndpointStats, LoadSample};
+use crate::stats::{EndpointStats, LoadSample, Observation};
 
 /// The round trip to an endpoint takes 2 ms, and an unreachable endpoint costs a request
 /// this much time. A lost packet is only resent after a second, so a longer timeout gains
@@ -418,10 +419,40 @@
 
     /// Records that nothing listens at an endpoint's address, or that its machine doesn't
     /// respond. Its other connections are dead as well, so none of them is reused.
-    pub(crate) fn mark_endpoint_down(&self, endpoint: EndpointId, address: SocketAddr) {
-        self.connector.close_idle(address);
-        self.endpoint_stats()
-            .record_unreachable(endpoint, boot_time());
+    pub(crate) fn mark_endpoint_down(&self, endpoint: &Endpoint, observation: Observation) {
+        self.connector.close_idle(endpoint.address);
+        let change = self
+            .endpoint_stats()
+            .record_unreachable(endpoint.id, boot_time());
+        self.record_access_change(endpoint, change, observation);
+    }
+
+    /// Records an event of an endpoint's health.
+    pub(crate) fn record_health_event(
+        &self,
+        endpoint: &Endpoint,
+        event: Event,
+        observation: Observation,
+    ) {
+        let change = self
+            .endpoint_stats()
+            .record_health_event(endpoint.id, event);
+        self.record_access_change(endpoint, change, observation);
+    }
+
+    /// Logs and counts that an endpoint may get more or less than before.
+    pub(crate) fn record_access_change(
+        &self,
+        endpoint: &Endpoint,
+        change: Option<Access>,
+        observation: Observation,
+    ) {
+        let Some(access) = change else { return };
+        self.metrics.count_access_change(access, observation);
+        log::info!(
+            endpoint:% = endpoint.name, access:? = access, observation:% = observation;
+            "endpoint's access changed"
+        );
     }
 
     /// Updates the gauges of the services.
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -11,6 +11,7 @@
 //! that each of many instances knows the load of endpoints that it rarely sends to.
 
 mod belief;
+mod observation;
 mod sample;
 
 use std::collections::BTreeMap;
@@ -25,6 +26,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::belief::{DurationStats, ReportHistory, WeightedMean};
+pub use self::observation::Observation;
 pub use self::sample::LoadSample;
 use crate::dialect::Part;
 use crate::place::Affinity;
@@ -148,6 +150,14 @@
         }
     }
 
+    // Returns what the endpoint may get after the event if that changed.
+    fn handle_health_event(&mut self, event: Event) -> Option<Access> {
+        let before = self.health.access();
+        self.health.handle(event);
+        let after = self.health.access();
+        (after != before).then_some(after)
+    }
+
     // Returns the own requests and what is left of the last report.
     fn observed_load(&self, now: Moment) -> f64 {
         f64::from(self.own) + f64::from(self.reports.last_others()) * self.report_weight(now)
@@ -259,23 +269,31 @@
         recent.collect()
     }
 
-    /// Records an event of an endpoint's health.
-    pub fn record_health_event(&mut self, endpoint: EndpointId, event: Event) {
-        self.entry(endpoint).health.handle(event);
+    /// Records an event of an endpoint's health. Returns what the endpoint may get now if
+    /// that changed.
+    pub fn record_health_event(&mut self, endpoint: EndpointId, event: Event) -> Option<Access> {
+        self.entry(endpoint).handle_health_event(event)
     }
 
     /// Records that an endpoint can't be reached. One refused connection counts as much
-    /// as two broken ones, so it alone is enough to stop sending to the endpoint.
-    pub fn record_unreachable(&mut self, endpoint: EndpointId, now: Moment) {
-        self.record_health_event(endpoint, Event::Failure(now));
-        self.record_health_event(endpoint, Event::Failure(now));
+    /// as two broken ones, so it alone is enough to stop sending to the endpoint. Returns
+    /// what the endpoint may get now if that changed.
+    pub fn record_unreachable(&mut self, endpoint: EndpointId, now: Moment) -> Option<Access> {
+        let first = self.record_health_event(endpoint, Event::Failure(now));
+        let second = self.record_health_event(endpoint, Event::Failure(now));
+        second.or(first)
     }
 
-    /// Advances the time for endpoints that count as down.
-    pub fn tick(&mut self, now: Moment) {
-        for entry in self.entries.values_mut() {
-            entry.health.handle(Event::Tick(now));
+    /// Advances the time for endpoints that count as down. Returns those that are on trial
+    /// from now on.
+    pub fn tick(&mut self, now: Moment) -> Vec<EndpointId> {
+        let mut on_trial = Vec::new();
+        for (endpoint, entry) in &mut self.entries {
+            if entry.handle_health_event(Event::Tick(now)).is_some() {
+                on_trial.push(*endpoint);
+            }
         }
+        on_trial
     }
 
     /// Returns the load estimates of the endpoints of one service, in order.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::paths::StallDetector;
 use crate::refusal::Reason;
 use crate::relay::{BodyEnd, EndpointResponse, InFlightRequest, Job, dispatch};
+use crate::stats::Observation;
 
 /// How long a stream may be silent before it is resumed elsewhere. Engines that are
 /// preempted or read a long prompt pause for some hundred milliseconds; callers give up
@@ -175,7 +176,7 @@
         } = *reading;
         // Closes the connection first, which makes the endpoint stop.
         drop(body);
-        in_flight.record_broken_response();
+        in_flight.record_failure(Observation::BrokenResponse);
         if matches!(cause, Interruption::Failed(_)) {
             in_flight.check_for_crash(job.id(), job.digest());
         }
--- a/crates/direct/tests/instance/metrics.rs
+++ b/crates/direct/tests/instance/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics under their documented names.
 
 use crate::endpoint::{Endpoint, Step, ok_with_body, response_to};
-use crate::fleet::{TestInstance, exchange, wait_until};
+use crate::fleet::{TestInstance, exchange, free_addresses, wait_until};
 
 /// A request for the metrics.
 pub(crate) const METRICS_REQUEST: &str =
@@ -89,3 +89,18 @@
     let line = text.lines().find(|line| line.starts_with(prefix))?;
     line.rsplit(' ').next()?.parse().ok()
 }
+
+/// Guards against an endpoint that is no longer used without a trace of why.
+#[tokio::test]
+async fn access_changes_are_counted_with_what_was_observed() {
+    let [address] = free_addresses();
+    let instance = TestInstance::start(&[address]).await;
+    instance.call("GET", "/stock/1", "").await;
+    let metrics = exchange(instance.running.metrics_address(), METRICS_REQUEST).await;
+    let closed = metrics.lines().find(|line| {
+        line.starts_with("godwitpost_access_changes_total")
+            && line.contains("access=\"none\"")
+            && line.contains("observation=\"no-connection\"")
+    });
+    assert!(closed.is_some(), "{metrics}");
+}
