direct: requests go through another instance where this one can't connect

Cause: the instance took its own view of a path for the state of the endpoint, and knew of no way but its own.

An endpoint that it can't connect to is now asked for at another instance, with the request itself: the other one checks key, route and version under its own configuration, sends once or says not sent, and never passes it on. What it reaches is out of reach, not down; connections are tried again beside the requests. Not answered by the hop is unknown; attempts, retry budget and load stay with the instance that took the request.

--- a/crates/bench/src/state/updates.rs
+++ b/crates/bench/src/state/updates.rs
@@ -146,6 +146,7 @@
         list_start: 0,
         digests: Vec::new(),
         peer_address: None,
+        forwards: None,
         link_rate: LINK_RATE,
         version: 0,
         evacuation: Position::START,
--- a/crates/client/src/connect.rs
+++ b/crates/client/src/connect.rs
@@ -41,8 +41,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use self::meter::{MeteredStream, TransferCounter};
-pub use self::pool::Settings;
-use self::pool::{Connection, Pool};
+use self::pool::Pool;
+pub use self::pool::{Connection, Settings};
 pub use self::received::ResponseBody;
 
 /// Number of unanswered keep-alive probes after which a peer counts as gone.
@@ -263,6 +263,45 @@
         self.pool.close_idle(address);
     }
 
+    /// Returns whether the pool has a usable connection to an address that was idle for less
+    /// than `max_idle`.
+    #[must_use]
+    pub fn has_recent(&self, address: SocketAddr, max_idle: Duration) -> bool {
+        self.pool.has_recent(address, max_idle)
+    }
+
+    /// Opens a connection within `wait`, but no longer than the limit in the settings. No
+    /// byte of a request is sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cause if there is no connection.
+    pub async fn connect(&self, address: SocketAddr, wait: Duration) -> Result<Connection, Cause> {
+        let wait = wait.min(self.pool.settings().connect_timeout);
+        self.open(address, Instant::now() + wait).await
+    }
+
+    /// Adds an unused connection to the pool.
+    pub fn keep(&self, connection: Connection) {
+        self.pool.release(connection);
+    }
+
+    /// Sends a request over an opened connection; otherwise works like [`Connector::send`].
+    ///
+    /// # Errors
+    ///
+    /// As [`Connector::send`].
+    pub async fn send_over(
+        &self,
+        connection: Connection,
+        mut request: Request<Body>,
+        wait: Duration,
+    ) -> Result<Response<ResponseBody>, Error> {
+        set_default_host(&mut request, connection.address);
+        self.exchange(connection, request, Instant::now() + wait)
+            .await
+    }
+
     async fn open(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Cause> {
         let settings = self.pool.settings();
         let deadline = deadline.min(Instant::now() + settings.connect_timeout);
--- a/crates/client/src/connect/pool.rs
+++ b/crates/client/src/connect/pool.rs
@@ -63,9 +63,9 @@
     }
 }
 
-/// One open connection.
+/// One open connection. Dropping it closes it.
 #[derive(Debug)]
-pub(super) struct Connection {
+pub struct Connection {
     pub(super) address: SocketAddr,
     pub(super) sender: SendRequest<Body>,
     // How long the server keeps it open while idle, if announced.
@@ -173,6 +173,19 @@
         connection
     }
 
+    /// Returns whether [`Self::take_recent`] would find a connection.
+    pub(super) fn has_recent(&self, address: SocketAddr, max_idle: Duration) -> bool {
+        let state = self.lock();
+        let idle = state.idle.get(&address);
+        let is_usable = |entry: &Idle| {
+            let age = entry.since.elapsed();
+            age < max_idle
+                && age < entry.connection.idle_timeout(&self.settings)
+                && entry.connection.sender.is_ready()
+        };
+        idle.is_some_and(|idle| idle.iter().rev().any(is_usable))
+    }
+
     /// Returns a connection to the pool after its exchange, as soon as hyper is
     /// ready for the next one.
     pub(super) fn release(&self, mut connection: Connection) {
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -408,6 +408,8 @@
     fn tick(&mut self, now: Moment) {
         let on_trial = self.shared.endpoint_stats().tick(now);
         self.record_trials(&on_trial);
+        let lost = self.shared.reach().lost_count();
+        self.shared.metrics.record_lost_endpoints(lost);
         self.shared
             .metrics
             .record_dropped_lines(self.lines.dropped());
@@ -543,5 +545,8 @@
         self.shared
             .endpoint_stats()
             .retain_endpoints(|id| known_ids.contains(&id));
+        self.shared
+            .reach()
+            .retain_endpoints(|id| known_ids.contains(&id));
     }
 }
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -14,7 +14,7 @@
 
 use super::age::MAX_POLL_WAIT;
 use super::passing::{
-    EVIDENCE_PATH, EXCHANGE_PATH, handle_evidence, handle_exchange, record_loads,
+    EVIDENCE_PATH, EXCHANGE_PATH, handle_evidence, handle_exchange, record_forwarders, record_loads,
 };
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body, status_response};
 use crate::replica::{Allowance, Update, UpdateRequest, Urgency};
@@ -58,6 +58,7 @@
         received_at,
     );
     record_loads(shared, &update_request.loads, received_at);
+    record_forwarders(shared, update_request.forwards.as_slice(), received_at);
     for holder in &update_request.holders {
         shared.directory().apply_and_forward(holder, received_at);
     }
@@ -129,13 +130,14 @@
     });
 }
 
-// Adds standbys and the number of instances to an update. Only seeds name
+// Adds standbys, the number of instances and some that take requests of others to an update. Only seeds name
 // standbys: the instances that poll a standby are no better informed than it
 // is.
 fn add_instances(shared: &Shared, update: &mut Update, now: Moment) {
     if shared.settings.is_seed() {
         update.standbys = shared.pollers().standbys(update.incarnation, now).to_vec();
     }
+    update.forwarders = shared.forwarders().sample(rand::rng().random(), now);
     update.instances = shared.instance_count(now);
     update.reads_log = shared.settings.is_seed() && !*shared.log_unavailable().borrow();
 }
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -12,6 +12,7 @@
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
 use http::{Request, Response, StatusCode};
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
 use super::age::ANSWER_TIMEOUT;
@@ -22,7 +23,7 @@
 use crate::stats::Load;
 
 pub(super) const EVIDENCE_PATH: &str = "/peer/v2/evidence";
-pub(super) const EXCHANGE_PATH: &str = "/peer/v3/heard";
+pub(super) const EXCHANGE_PATH: &str = "/peer/v4/heard";
 
 /// How long evidence waits for more before it is forwarded. An endpoint that
 /// terminates breaks all its requests within a few milliseconds.
@@ -42,6 +43,7 @@
             .pollers()
             .record_peer_count(address, exchange.count, now);
     }
+    record_forwarders(shared, &exchange.forwarders, now);
     for holder in exchange.holders {
         if shared.directory().apply_remote(&holder, now) {
             shared.update_replica(false, |replica| replica.add_holder(holder, now));
@@ -61,6 +63,8 @@
     /// Holders of prompts.
     #[serde(rename = "held")]
     holders: Vec<PrefixHolder>,
+    /// Instances that take requests of others, the seed among them.
+    forwarders: Vec<SocketAddr>,
 }
 
 /// Sends the other seeds, for as long as the process runs, the number of
@@ -78,6 +82,7 @@
             peer_address: shared.settings.listen.peers,
             count: shared.pollers().own_count(now),
             holders: shared.directory().take_unsent(now),
+            forwarders: shared.forwarders().sample(rand::rng().random(), now),
         };
         for holder in &exchange.holders {
             shared.update_replica(false, |replica| replica.add_holder(*holder, now));
@@ -165,6 +170,14 @@
     }
 }
 
+// Records instances that take requests of others.
+pub(super) fn record_forwarders(shared: &Shared, addresses: &[SocketAddr], now: Moment) {
+    let mut forwarders = shared.forwarders();
+    for address in addresses {
+        forwarders.record(*address, now);
+    }
+}
+
 // Records loads that another instance sent at `sent_at`.
 pub(super) fn record_loads(shared: &Shared, loads: &[Load], sent_at: Moment) {
     let mut stats = shared.endpoint_stats();
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 use super::age::{ANSWER_TIMEOUT, max_age};
-use super::passing::record_loads;
+use super::passing::{record_forwarders, record_loads};
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body};
 use crate::crashes::Evidence;
 use crate::evacuation::Evacuation;
@@ -236,6 +236,7 @@
             list_start: self.known.list_start,
             digests: digests.unwrap_or_default(),
             peer_address: self.shared.settings.listen.peers,
+            forwards: self.shared.settings.listen.forwards,
             link_rate: self.shared.settings.link_rate,
             version: self.known.version(in_force),
             evacuation: evacuation.max(self.known.evacuation),
@@ -250,6 +251,7 @@
         self.known.record(&update);
         let built_at = sent_at + update.waited;
         record_loads(self.shared, &update.loads, built_at);
+        record_forwarders(self.shared, &update.forwarders, built_at);
         if let Some(instances) = update.instances {
             self.shared.set_instance_count(instances, built_at);
         }
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -61,6 +61,7 @@
     list_start: 0,
     digests: Vec::new(),
     peer_address: None,
+    forwards: None,
     link_rate: 0,
     version: 0,
     evacuation: Position::START,
--- a/crates/direct/src/evacuation/tests.rs
+++ b/crates/direct/src/evacuation/tests.rs
@@ -195,6 +195,7 @@
             list_start: 0,
             digests: Vec::new(),
             peer_address: None,
+            forwards: None,
             link_rate: 0,
             version: 0,
             evacuation: self.known.as_of,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! The modules that make decisions use no clock, socket or randomness of their
 //! own: [`policy`], [`feed`], [`roster`], [`lease`], [`evacuation`], [`place`],
-//! [`ramp`], [`stats`], [`budget`], [`attempt`], [`notices`], [`holders`],
+//! [`ramp`], [`stats`], [`budget`], [`attempt`], [`notices`], [`holders`], [`reach`], [`forwarders`],
 //! [`fetch`], [`replica`], [`pace`], [`standby`] and [`verification`]. The others pass
 //! them the time and carry the bytes. `docs/design/platform.md` compares this design
 //! with sending requests through an endpoint's owner.
@@ -23,6 +23,7 @@
 pub mod evacuation;
 pub mod feed;
 pub mod fetch;
+pub mod forwarders;
 pub mod holders;
 pub mod lease;
 mod metrics;
@@ -32,6 +33,7 @@
 pub mod place;
 pub mod policy;
 pub mod ramp;
+pub mod reach;
 pub mod refusal;
 mod relay;
 pub mod replica;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -10,6 +10,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 
 use crate::refusal::Reason;
+use crate::relay::forward::Outcome;
 use crate::stats::Observation;
 
 /// An instance's use of the endpoints of one service.
@@ -41,6 +42,9 @@
     shares: Counter<u64>,
     notices: Counter<u64>,
     access_changes: Counter<u64>,
+    forwards: Counter<u64>,
+    taken: Counter<u64>,
+    lost: Gauge<u64>,
     calls: Counter<u64>,
     listed: Counter<u64>,
     ignored: Counter<u64>,
@@ -86,6 +90,18 @@
                 "godwitpost.endpoint_notices",
                 "Answers in which an endpoint says that it is leaving or wants no requests for a while, by which",
             ),
+            forwards: counter(
+                "godwitpost.forwards",
+                "Requests given to another instance to send on, by what came of it",
+            ),
+            taken: counter(
+                "godwitpost.forwards_taken",
+                "Requests of other instances, by what came of them",
+            ),
+            lost: gauge(
+                "godwitpost.endpoints_out_of_reach",
+                "Endpoints that other instances reach and this one can't connect to",
+            ),
             access_changes: counter(
                 "godwitpost.access_changes",
                 "Changes of what an endpoint may get, by what it may get now and what was observed",
@@ -173,6 +189,20 @@
         self.access_changes.add(1, &set);
     }
 
+    pub(crate) fn count_forward(&self, outcome: Outcome) {
+        self.forwards
+            .add(1, &[KeyValue::new("outcome", outcome.as_str())]);
+    }
+
+    pub(crate) fn count_taken_forward(&self, outcome: Outcome) {
+        self.taken
+            .add(1, &[KeyValue::new("outcome", outcome.as_str())]);
+    }
+
+    pub(crate) fn record_lost_endpoints(&self, count: usize) {
+        self.lost.record(count as u64, &[]);
+    }
+
     pub(crate) fn record_prompt_spans(&self, count: usize) {
         self.spans.record(count as u64, &[]);
     }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod choose;
 mod crash;
+pub(crate) mod forward;
 mod headers;
 mod job;
 mod send;
@@ -145,7 +146,9 @@
     arrived: Moment,
 ) -> Result<Box<Job>, Reason> {
     let admission = shared.admit().ok_or(Reason::Overloaded)?;
-    Job::new(shared, head, fields, arrived, admission).map(Box::new)
+    let job = Job::new(shared, head, fields, arrived, admission)?;
+    shared.budget().record_request(job.service(), arrived);
+    Ok(Box::new(job))
 }
 
 // Reads the whole request body before sending anything. This allows a retry, and an
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -114,7 +114,6 @@
         let workspace = resolved.workspace.as_deref();
         let workspace_name = workspace.map_or("(open)", |workspace| workspace.name.as_str());
         let service = pick_service(&resolved.route);
-        shared.budget().record_request(service, arrived);
         shared.metrics.requests().in_flight(1);
         Ok(Self {
             labels: shared.metrics.labels(workspace_name, kind.as_str()),
@@ -213,6 +212,16 @@
         policy::may_run(&self.route, self.workspace.as_deref(), region)
     }
 
+    /// Returns the host by which the caller addressed the service.
+    pub(super) fn host(&self) -> &str {
+        &self.host
+    }
+
+    /// Marks the request as one of another instance, which logs what its caller gets.
+    pub(super) fn set_forwarded(&self) {
+        self.responded.store(true, Ordering::Relaxed);
+    }
+
     pub(crate) fn shared(&self) -> &Arc<Shared> {
         &self.shared
     }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request until an endpoint responds or all attempts are used up.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,9 +20,12 @@
 use super::Job;
 use super::choose::{self, Chosen, RESPONSE_RETURN_TIME, choose_endpoint};
 use super::crash::{BrokenRequest, check_for_crash};
+use super::forward::{self, Sent};
 use super::source::{self, Source};
 use crate::attempt::{Failure, Next, Verdict, classify_response};
 use crate::dialect::{OutgoingFields, ResponseFields};
+use crate::forwarders::Fault;
+use crate::policy::Kind;
 use crate::refusal::Reason;
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -56,6 +60,12 @@
     registration: Arc<Registration>,
     sent_at: Moment,
     liveness: Liveness,
+    // The instance that sends the request on, if it is not sent directly. What happens to
+    // it then tells nothing of the endpoint, which that instance watches itself.
+    via: Option<SocketAddr>,
+    // Whether it counts towards the endpoint's load here. One of another instance counts
+    // there.
+    is_counted: bool,
 }
 
 impl InFlightRequest {
@@ -68,6 +78,21 @@
             shared: Arc::clone(shared),
             registration: Arc::clone(registration),
             sent_at: boot_time(),
+            via: None,
+            is_counted: true,
+        }
+    }
+
+    /// Returns a request of another instance, which counts towards the load there.
+    pub(super) fn uncounted(shared: &Arc<Shared>, registration: &Arc<Registration>) -> Self {
+        let liveness = shared.endpoint_stats().liveness(registration.endpoint.id);
+        Self {
+            liveness,
+            shared: Arc::clone(shared),
+            registration: Arc::clone(registration),
+            sent_at: boot_time(),
+            via: None,
+            is_counted: false,
         }
     }
 
@@ -81,6 +106,10 @@
 
     /// Records that the endpoint broke off a response, or sent none in time.
     pub(crate) fn record_failure(&self, observation: Observation) {
+        if let Some(via) = self.via {
+            forward::avoid(&self.shared, via, Fault::Declined);
+            return;
+        }
         let event = Event::Failure(boot_time());
         self.shared
             .record_health_event(&self.registration.endpoint, event, observation);
@@ -88,11 +117,16 @@
 
     /// Records that data arrived from the endpoint.
     pub(crate) fn record_activity(&self) {
-        self.liveness.record(boot_time());
+        if self.via.is_none() {
+            self.liveness.record(boot_time());
+        }
     }
 
     /// Records that the network path delayed the endpoint's response.
     pub(crate) fn record_stall(&self) {
+        if self.via.is_some() {
+            return;
+        }
         let zone = self.registration.endpoint.zone;
         if self.shared.paths().record_stall(zone, boot_time()) {
             log::warn!(endpoint:% = self.name(); "response was stalled; avoiding the network path to the endpoint's availability zone temporarily");
@@ -117,9 +151,32 @@
             .mark_endpoint_down(&self.registration.endpoint, observation);
     }
 
+    /// Records that the endpoint sent no response head, and returns how the attempt ended.
+    pub(super) fn record_send_error(&self, job: &Job, error: &Error) -> Failure {
+        log::warn!(request:% = job.id(), endpoint:% = self.name(), error:% = error; "not answered");
+        let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
+        if matches!(cause, Cause::Connect(_) | Cause::ConnectTimeout) {
+            self.record_unresponsive(Observation::NoConnection);
+        } else if cause.is_unreachable() {
+            self.record_unresponsive(Observation::NoAcknowledgement);
+        } else if matches!(error, Error::Unknown(Cause::Connection(_))) {
+            self.check_for_crash(job.id(), job.digest());
+        } else if matches!(cause, Cause::ResponseTimeout) {
+            self.record_failure(Observation::LateHead);
+        }
+        if error.may_have_run() {
+            Failure::Lost
+        } else {
+            Failure::NotSent
+        }
+    }
+
     /// Starts a check of whether the endpoint crashed with this request, whose connection
     /// broke.
     pub(crate) fn check_for_crash(&self, request: &str, digest: BodyDigest) {
+        if self.via.is_some() {
+            return;
+        }
         let broken = BrokenRequest {
             request: request.to_owned(),
             digest,
@@ -132,6 +189,9 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
+        if !self.is_counted {
+            return;
+        }
         let duration = since(boot_time(), self.sent_at);
         self.shared
             .endpoint_stats()
@@ -220,26 +280,26 @@
 async fn attempt(job: &mut Job, chosen: &Chosen, last_event_id: Option<u64>) -> AttemptResult {
     let registration = &chosen.registration;
     job.tried.push(registration.endpoint.id);
-    let request = build_request(job, chosen, last_event_id);
-    let head_timeout = head_timeout(job);
-    let in_flight = InFlightRequest::new(&job.shared, registration);
+    let mut in_flight = InFlightRequest::new(&job.shared, registration);
     log::info!(
         request:% = job.id(), route:% = job.route.name, endpoint:% = registration.endpoint.name,
         choice:% = chosen.choice.as_str(), load:% = chosen.load, part:? = job.fields.affinity_part().map(|part| part.id),
         source:% = display_source(chosen.source.as_ref()), version = job.version,
         confirmed_ms:% = job.shared.policy_age().as_millis(),
-        left_ms:% = job.remaining().as_millis(), wait_ms:% = head_timeout.as_millis();
+        left_ms:% = job.remaining().as_millis(), wait_ms:% = head_timeout(job).as_millis();
         "request sent"
     );
-    let address = registration.endpoint.address;
-    let max_idle = max_idle(job);
-    let connector = &job.shared.connector;
-    match connector
-        .send_with_max_idle(address, request, head_timeout, max_idle)
-        .await
-    {
-        Ok(response) => handle_response(job, in_flight, response),
-        Err(error) => AttemptResult::Failed(handle_send_error(job, &in_flight, &error)),
+    match forward::send(job, chosen, last_event_id).await {
+        Sent::Response(response, via) => {
+            in_flight.via = via;
+            handle_response(job, in_flight, *response)
+        }
+        Sent::Failed(error) => AttemptResult::Failed(in_flight.record_send_error(job, &error)),
+        Sent::Unreachable => {
+            in_flight.record_unresponsive(Observation::NoConnection);
+            AttemptResult::Failed(Failure::NotSent)
+        }
+        Sent::Lost => AttemptResult::Failed(Failure::Lost),
     }
 }
 
@@ -249,7 +309,7 @@
 }
 
 // Returns how long to wait for the response head.
-fn head_timeout(job: &Job) -> Duration {
+pub(super) fn head_timeout(job: &Job) -> Duration {
     let can_retry = job.route.kind.idempotent() && job.attempts.sent() + 1 < job.route.attempts;
     let remaining = job.remaining();
     if can_retry {
@@ -260,17 +320,27 @@
 }
 
 // Returns the maximum idle time of a connection for this attempt.
-fn max_idle(job: &Job) -> Duration {
-    let first_send = job.attempts.sent() == 0;
-    if first_send && job.route.kind.idempotent() {
+pub(super) fn max_idle(job: &Job) -> Duration {
+    max_idle_for(job.route.kind, job.attempts.sent() == 0)
+}
+
+/// Returns the maximum idle time of a connection for a request of this kind.
+pub(super) const fn max_idle_for(kind: Kind, is_first_send: bool) -> Duration {
+    if is_first_send && kind.idempotent() {
         Duration::MAX
     } else {
         MAX_IDLE_BEFORE_UNSAFE_SEND
     }
 }
 
-fn build_request(job: &Job, chosen: &Chosen, last_event_id: Option<u64>) -> Request<Body> {
-    let registration = &chosen.registration;
+/// Returns the request as an endpoint gets it. A missing part of its prompt can be fetched
+/// from `source`.
+pub(super) fn build_request(
+    job: &Job,
+    registration: &Registration,
+    source: Option<SocketAddr>,
+    last_event_id: Option<u64>,
+) -> Request<Body> {
     let mut headers = job.headers.clone();
     let outgoing = OutgoingFields {
         remaining: job.remaining().saturating_sub(RESPONSE_RETURN_TIME),
@@ -281,7 +351,7 @@
             .map(|workspace| workspace.name.as_str()),
         rank: job.rank(),
         last_event_id,
-        source: chosen.source.as_ref().and_then(Source::address),
+        source,
     };
     (job.shared.dialect.write_request)(&mut headers, &outgoing);
     let body = Full::new(job.body.clone()).map_err(Into::into);
@@ -325,15 +395,15 @@
     }
 }
 
-// Updates the endpoint's state from the head of its response.
-fn record_response(
+/// Updates the endpoint's state from the head of its response.
+pub(super) fn record_response(
     job: &Job,
     in_flight: &InFlightRequest,
     status: StatusCode,
     fields: &ResponseFields,
 ) {
     let now = boot_time();
-    in_flight.liveness.record(now);
+    in_flight.record_activity();
     let id = &job.fields.attempt_id;
     if fields.is_for_other_attempt(id) {
         return;
@@ -413,25 +483,6 @@
     )
 }
 
-fn handle_send_error(job: &Job, in_flight: &InFlightRequest, error: &Error) -> Failure {
-    log::warn!(request:% = job.id(), endpoint:% = in_flight.name(), error:% = error; "not answered");
-    let (Error::NotSent { cause, .. } | Error::Unknown(cause)) = error;
-    if matches!(cause, Cause::Connect(_) | Cause::ConnectTimeout) {
-        in_flight.record_unresponsive(Observation::NoConnection);
-    } else if cause.is_unreachable() {
-        in_flight.record_unresponsive(Observation::NoAcknowledgement);
-    } else if matches!(error, Error::Unknown(Cause::Connection(_))) {
-        in_flight.check_for_crash(job.id(), job.digest());
-    } else if matches!(cause, Cause::ResponseTimeout) {
-        in_flight.record_failure(Observation::LateHead);
-    }
-    if error.may_have_run() {
-        Failure::Lost
-    } else {
-        Failure::NotSent
-    }
-}
-
 /// A response body that is buffered before its head is passed to the caller.
 pub(super) enum BufferedBody {
     /// The whole body.
--- a/crates/direct/src/relay/source.rs
+++ b/crates/direct/src/relay/source.rs
@@ -1,7 +1,6 @@
 //! Selects the endpoint that another one fetches missing parts of a prompt from.
 
 use std::fmt;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use godwitpost_client::clock::boot_time;
@@ -21,9 +20,9 @@
 }
 
 impl Source {
-    /// Returns the source's address, if there is a source.
-    pub(super) fn address(&self) -> Option<SocketAddr> {
-        self.from.as_ref().map(|from| from.endpoint.address)
+    /// Returns the endpoint, if there is a source.
+    pub(super) fn registration(&self) -> Option<&Arc<Registration>> {
+        self.from.as_ref()
     }
 }
 
--- a/crates/direct/src/replica/message.rs
+++ b/crates/direct/src/replica/message.rs
@@ -37,6 +37,9 @@
     /// The address at which the peer itself can be polled.
     #[serde(rename = "own")]
     pub peer_address: Option<SocketAddr>,
+    /// The address at which the peer takes requests of instances that can't reach their
+    /// endpoints.
+    pub forwards: Option<SocketAddr>,
     /// How many bytes a second the peer's link carries; 0 if unknown.
     pub link_rate: u64,
     /// The policy version in force at the peer.
@@ -117,6 +120,8 @@
     pub holders: Vec<PrefixHolder>,
     /// Instances to poll when no seed can be reached.
     pub standbys: Vec<SocketAddr>,
+    /// Instances that take requests of others.
+    pub forwarders: Vec<SocketAddr>,
     /// The number of instances, if the answering instance has counted them.
     pub instances: Option<u32>,
 }
--- a/crates/direct/src/running.rs
+++ b/crates/direct/src/running.rs
@@ -81,6 +81,7 @@
     let ready = bind(settings.listen.ready)?;
     let metrics = bind(settings.listen.metrics)?;
     let peers = settings.listen.peers.map(bind).transpose()?;
+    let forwards = settings.listen.forwards.map(bind).transpose()?;
     let addresses = (callers.address, ready.address, metrics.address);
     let threads = settings.threads;
     let shared = Arc::new(Shared::new(settings, dialect));
@@ -89,6 +90,7 @@
     let ports = serve_ports(
         Arc::clone(&shared),
         [callers, ready, metrics],
+        forwards,
         closed,
         ended.clone(),
     );
@@ -146,6 +148,7 @@
 async fn serve_ports(
     shared: Arc<Shared>,
     [callers, ready_port, metrics]: [Port; 3],
+    forwards: Option<Port>,
     closed: watch::Receiver<bool>,
     ended: watch::Receiver<bool>,
 ) {
@@ -161,6 +164,12 @@
         ended.clone(),
         answer,
     ));
+    if let Some(port) = forwards {
+        let taking = Arc::clone(&shared);
+        let answer = move |request| relay::forward::handle_forwarded(Arc::clone(&taking), request);
+        let limits = serve::internal_limits();
+        tokio::spawn(run(port, limits, ended.clone(), answer));
+    }
     let answer = move |request| ready(serve::metrics(&shared, &request));
     tokio::spawn(run(
         metrics,
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -83,6 +83,9 @@
     pub metrics: SocketAddr,
     /// For other instances that poll this one; `None` if none do.
     pub peers: Option<SocketAddr>,
+    /// For requests of other instances that can't reach their endpoints; `None` if it takes
+    /// none.
+    pub forwards: Option<SocketAddr>,
 }
 
 const TOP_LEVEL_KEYS: [&str; 21] = [
@@ -108,7 +111,7 @@
     "threads",
     "log_level",
 ];
-const LISTEN_KEYS: [&str; 4] = ["callers", "ready", "metrics", "peers"];
+const LISTEN_KEYS: [&str; 5] = ["callers", "ready", "metrics", "peers", "forwards"];
 const RETRIES_KEYS: [&str; 3] = ["ratio", "allowance", "window"];
 
 const NAME_HINT: &str = "a name, such as otaru-1";
@@ -269,12 +272,19 @@
     let ready = level.required("ready", ADDRESS_HINT, parse_value::<SocketAddr>, mistakes);
     let metrics = level.required("metrics", ADDRESS_HINT, parse_value::<SocketAddr>, mistakes);
     let peers = level.optional("peers", ADDRESS_HINT, parse_value::<SocketAddr>, mistakes);
+    let forwards = level.optional(
+        "forwards",
+        ADDRESS_HINT,
+        parse_value::<SocketAddr>,
+        mistakes,
+    );
     level.finish(&LISTEN_KEYS, mistakes);
     Some(Listen {
         callers: callers?.value,
         ready: ready?.value,
         metrics: metrics?.value,
         peers: peers.map(|setting| setting.value),
+        forwards: forwards.map(|setting| setting.value),
     })
 }
 
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::budget::Budget;
 use crate::crashes::CrashTracker;
 use crate::dialect::Dialect;
+use crate::forwarders::Forwarders;
 use crate::holders::Directory;
 use crate::lease::Lease;
 use crate::metrics::{Metrics, ServiceUsage};
@@ -29,6 +30,7 @@
 use crate::paths::Paths;
 use crate::policy::{Policy, Ramp, Service};
 use crate::ramp::{InstanceCount, Shares};
+use crate::reach::Reach;
 use crate::replica::Replica;
 use crate::revoked::RevokedKeys;
 use crate::roster::Registration;
@@ -41,6 +43,10 @@
 /// nothing.
 const ENDPOINT_CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long a connection to an instance that is to send a request on may take, before
+/// another one is asked. A live one in another region accepts within 45 ms.
+const FORWARDER_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// How long sent data may stay unacknowledged by an endpoint's machine before the
 /// connection counts as broken. A lost packet is resent after 200 ms and again after 400
 /// ms, so two losses in a row are tolerated. On a machine that became unreachable, orders
@@ -160,7 +166,10 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) dialect: Dialect,
+    /// For connections to endpoints.
     pub(crate) connector: Connector,
+    /// For connections to instances that send requests on.
+    pub(crate) forward_connector: Connector,
     pub(crate) metrics: Metrics,
     view: ArcSwap<View>,
     lease: Lease,
@@ -178,6 +187,8 @@
     log_needs_reread: AtomicBool,
     endpoint_stats: Mutex<EndpointStats>,
     notices: Mutex<Notices>,
+    reach: Mutex<Reach>,
+    forwarders: Mutex<Forwarders>,
     directory: Mutex<Directory>,
     budget: Mutex<Budget>,
     load_sample: Mutex<LoadSample>,
@@ -200,7 +211,14 @@
             ack_timeout: Some(UNACKNOWLEDGED_TIMEOUT),
             ..connect::Settings::default()
         });
+        let forward_connector = Connector::new(connect::Settings {
+            connect_timeout: FORWARDER_CONNECT_TIMEOUT,
+            ack_timeout: Some(UNACKNOWLEDGED_TIMEOUT),
+            ..connect::Settings::default()
+        });
+        let forwarders = Forwarders::new(settings.listen.forwards, settings.is_seed());
         Self {
+            forward_connector,
             metrics: Metrics::new(&settings.name),
             lease: Lease::new(settings.revocation),
             budget: Mutex::new(Budget::new(settings.retries)),
@@ -218,6 +236,8 @@
             log_needs_reread: AtomicBool::new(false),
             endpoint_stats: Mutex::default(),
             notices: Mutex::default(),
+            reach: Mutex::default(),
+            forwarders: Mutex::new(forwarders),
             directory: Mutex::default(),
             load_sample: Mutex::default(),
             pollers: Mutex::default(),
@@ -346,6 +366,18 @@
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns which endpoints this instance can connect to.
+    pub(crate) fn reach(&self) -> MutexGuard<'_, Reach> {
+        self.reach.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the instances that can send requests on.
+    pub(crate) fn forwarders(&self) -> MutexGuard<'_, Forwarders> {
+        self.forwarders
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
         self.directory
             .lock()
@@ -507,7 +539,7 @@
 
     /// Reserves room for one request; returns `None` if there is none.
     pub(crate) fn admit(self: &Arc<Self>) -> Option<Admission> {
-        let limit = self.settings.memory_bytes / REQUEST_MEMORY_DIVISOR / BYTES_PER_REQUEST;
+        let limit = self.max_in_flight();
         let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
         let admission = Admission {
             shared: Arc::clone(self),
@@ -517,6 +549,21 @@
     }
 }
 
+impl Shared {
+    /// Reserves room for one request of another instance; returns `None` if more than the
+    /// whole room divided by `divisor` is in use.
+    pub(crate) fn admit_forwarded(self: &Arc<Self>, divisor: usize) -> Option<Admission> {
+        let limit = self.max_in_flight() / divisor;
+        let admission = self.admit()?;
+        (self.in_flight() <= limit).then_some(admission)
+    }
+
+    // Returns the number of requests that there is memory for.
+    fn max_in_flight(&self) -> usize {
+        self.settings.memory_bytes / REQUEST_MEMORY_DIVISOR / BYTES_PER_REQUEST
+    }
+}
+
 /// Room reserved for a request and its body, released when dropped.
 #[derive(Debug)]
 pub(crate) struct Admission {
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -209,6 +209,11 @@
         entry.liveness.clone()
     }
 
+    /// Returns the record of when an endpoint last sent data.
+    pub fn liveness(&mut self, endpoint: EndpointId) -> Liveness {
+        self.entry(endpoint).liveness.clone()
+    }
+
     /// Counts a request as ended, `duration` after it was sent.
     pub fn end_request(&mut self, endpoint: EndpointId, duration: Duration) {
         if let Some(entry) = self.entries.get_mut(&endpoint) {
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -163,6 +163,8 @@
 /// A running instance and its log.
 pub(crate) struct TestInstance {
     pub(crate) running: Running,
+    /// The port for requests of other instances.
+    pub(crate) forwards: Option<SocketAddr>,
     pub(crate) operator: Topic<Directive>,
     pub(crate) endpoints: Topic<Registration>,
 }
@@ -257,10 +259,12 @@
             endpoints: endpoints.source(),
         };
         let settings = Settings::parse(settings).expect("valid settings");
+        let forwards = settings.listen.forwards;
         let lines = Queue::start(std::io::sink());
         let running = start(settings, DIALECT, sources, lines).expect("free ports");
         Self {
             running,
+            forwards,
             operator,
             endpoints,
         }
@@ -330,7 +334,9 @@
 
 // Returns the settings of an instance that can be polled at `own`.
 fn peer_settings(seeds: &[SocketAddr], own: SocketAddr) -> String {
-    let text = SETTINGS.replace(" }\nready", &format!(", peers: \"{own}\" }}\nready"));
+    let [forwards] = free_addresses();
+    let ports = format!(", peers: \"{own}\", forwards: \"{forwards}\" }}\nready");
+    let text = SETTINGS.replace(" }\nready", &ports);
     let text = text.replace("900ms", "5s");
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!("{text}seeds: [{}]\n", seeds.join(","))
--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -2,8 +2,15 @@
 
 use std::time::Duration;
 
-use crate::endpoint::{Endpoint, events, last_chunk, ok_with_body, stream_head};
-use crate::fleet::{TestInstance, free_addresses, wait_until};
+use tokio::io::AsyncReadExt;
+
+use crate::endpoint::{
+    Endpoint, ReceivedRequest, Step, events, last_chunk, ok_with_body, response_to, stream_head,
+};
+use crate::fleet::{
+    TestInstance, content, exchange, free_addresses, read_rest, request, wait_until,
+};
+use crate::metrics::METRICS_REQUEST;
 use crate::path::Path;
 
 /// How long instances may take to learn of each other: two exchanges of seeds.
@@ -54,10 +61,7 @@
     endpoints
 }
 
-fn respond(
-    number: usize,
-    received: &crate::endpoint::ReceivedRequest,
-) -> Vec<crate::endpoint::Step> {
+fn respond(number: usize, received: &ReceivedRequest) -> Vec<Step> {
     if !received.head.starts_with("POST /draft/") {
         return ok_with_body("ok")(number, received);
     }
@@ -130,3 +134,240 @@
         .await;
     }
 }
+
+/// Starts an instance that reaches none of these endpoints, and one that does.
+async fn start_pair(endpoints: &[Endpoint]) -> [TestInstance; 2] {
+    let paths: Vec<Path> = endpoints
+        .iter()
+        .map(|one| Path::refused(one.address))
+        .collect();
+    let cut_off: Vec<_> = paths.iter().map(|path| path.address).collect();
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let seeds = free_addresses::<2>();
+    let [cut, other] = seeds;
+    let pair = [
+        TestInstance::start_with_seeds(&seeds, cut, &cut_off),
+        TestInstance::start_with_seeds(&seeds, other, &addresses),
+    ];
+    for instance in &pair {
+        instance.wait_until_ready().await;
+    }
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    pair
+}
+
+/// Guards against an answer that changes on its way through another instance: status,
+/// headers, and the length that `HEAD` asks for.
+#[tokio::test]
+async fn a_forwarded_answer_arrives_whole() {
+    let endpoint = Endpoint::start(|_, received| {
+        let text = if received.head.starts_with("HEAD") {
+            let attempt = received.header("x-attempt").unwrap_or_default();
+            format!("HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\nx-signed: s1\r\ncontent-length: 77\r\n\r\n")
+        } else {
+            return vec![response_to(received, "404 Not Found", "x-own: 1\r\n", "none")];
+        };
+        vec![Step::Send(text)]
+    })
+    .await;
+    let [cut_off, _other] = start_pair(std::slice::from_ref(&endpoint)).await;
+    let response = cut_off.call("GET", "/stock/1?a=b", "x-custom: c\r\n").await;
+    assert!(response.starts_with("HTTP/1.1 404"), "{response}");
+    assert!(
+        response.contains("x-own: 1") && response.ends_with("none"),
+        "{response}"
+    );
+    assert!(!response.contains("forward-"), "{response}");
+    let received = endpoint.received().pop().expect("a request");
+    assert!(
+        received.head.starts_with("GET /stock/1?a=b "),
+        "{}",
+        received.head
+    );
+    assert_eq!(received.header("x-custom"), Some("c"));
+    assert_eq!(received.header("x-workspace"), Some("franchise"));
+    assert_eq!(received.header("host"), Some("shop.example"));
+    assert_eq!(received.header("x-key"), None);
+    let patience: u64 = received
+        .header("x-patience")
+        .expect("a time")
+        .parse()
+        .expect("millis");
+    assert!(patience < 1_200, "{patience}");
+    let response = cut_off.call("HEAD", "/stock/1", "").await;
+    assert!(response.contains("content-length: 77"), "{response}");
+}
+
+/// Guards against an order that runs twice, or is said not to have run, when its connection
+/// breaks behind another instance.
+#[tokio::test]
+async fn an_order_that_breaks_behind_another_instance_is_unknown() {
+    let endpoint = Endpoint::start(|_, _| vec![Step::Close]).await;
+    let second = Endpoint::start(ok_with_body("ok")).await;
+    let [cut_off, _other] = start_pair(&[endpoint.clone(), second.clone()]).await;
+    for _ in 0..8 {
+        let before = endpoint.received().len() + second.received().len();
+        let response = cut_off.call("POST", "/order/1", "").await;
+        let runs = endpoint.received().len() + second.received().len() - before;
+        assert!(runs <= 1, "ran {runs} times");
+        let status = response.get(9..12).unwrap_or_default();
+        assert!(
+            matches!((status, runs), ("200" | "502", 1) | ("503", 0)),
+            "{status}, {runs}"
+        );
+    }
+    assert!(!endpoint.received().is_empty());
+}
+
+/// Guards against an endpoint that works on for a caller who has gone away from another
+/// instance.
+#[tokio::test]
+async fn a_callers_leaving_reaches_the_endpoint_through_another_instance() {
+    let endpoint = Endpoint::start(|_, _| vec![Step::Wait(5_000)]).await;
+    let [cut_off, _other] = start_pair(std::slice::from_ref(&endpoint)).await;
+    let caller = cut_off.open(&request("POST", "/caption/1", "", "")).await;
+    wait_until(async || endpoint.received().len() == 1).await;
+    let left_at = std::time::Instant::now();
+    drop(caller);
+    wait_until(async || endpoint.disconnects() == 1).await;
+    assert!(
+        left_at.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left_at.elapsed()
+    );
+}
+
+/// Guards against events that are held back, and against a break that looks like an end.
+#[tokio::test]
+async fn a_forwarded_stream_arrives_as_it_is_sent_and_breaks_as_it_breaks() {
+    let endpoint = Endpoint::start(|_, received| {
+        let mut steps = vec![stream_head(received, "s1")];
+        steps.extend(events(1, 1));
+        steps.push(Step::Wait(600));
+        steps.extend(events(2, 2));
+        steps.push(Step::Close);
+        steps
+    })
+    .await;
+    let [cut_off, _other] = start_pair(&[endpoint]).await;
+    let mut caller = cut_off.open(&request("POST", "/caption/1", "", "")).await;
+    let mut bytes = vec![0; 4_096];
+    let mut text = String::new();
+    let first_event = async {
+        while !text.contains("data: t1") {
+            let count = caller.read(&mut bytes).await.expect("an event");
+            text.push_str(str::from_utf8(&bytes[..count]).expect("text"));
+        }
+    };
+    tokio::time::timeout(Duration::from_millis(400), first_event)
+        .await
+        .expect("the first event before the second is sent");
+    let rest = read_rest(&mut caller).await;
+    assert!(rest.contains("data: t2"), "{rest}");
+    assert!(
+        !rest.ends_with("0\r\n\r\n"),
+        "a broken stream looks complete: {rest}"
+    );
+}
+
+/// Guards against a key that an older instance has forgotten, or a newer one revoked, and
+/// that still works through the other.
+#[tokio::test]
+async fn a_key_is_checked_again_by_the_instance_that_sends() {
+    let endpoint = Endpoint::start(ok_with_body("ok")).await;
+    let [cut_off, other] = start_pair(std::slice::from_ref(&endpoint)).await;
+    assert!(
+        cut_off
+            .call("GET", "/stock/1", "")
+            .await
+            .starts_with("HTTP/1.1 200")
+    );
+    let mut revoked = content(2);
+    revoked.keys = Some(std::collections::BTreeMap::new());
+    other.publish(revoked);
+    wait_until(async || {
+        other
+            .call("GET", "/stock/1", "")
+            .await
+            .starts_with("HTTP/1.1 401")
+    })
+    .await;
+    let before = endpoint.received().len();
+    let response = cut_off.call("GET", "/stock/1", "").await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert_eq!(endpoint.received().len(), before);
+}
+
+/// Guards against a request that is handled by an older version than the one in force where
+/// its caller sent it.
+#[tokio::test]
+async fn an_instance_with_an_older_version_sends_nothing_on() {
+    let endpoint = Endpoint::start(ok_with_body("ok")).await;
+    let [cut_off, other] = start_pair(std::slice::from_ref(&endpoint)).await;
+    cut_off.publish(content(3));
+    let declined = async || {
+        cut_off
+            .call("GET", "/stock/1", "")
+            .await
+            .starts_with("HTTP/1.1 503")
+    };
+    wait_until(declined).await;
+    let before = endpoint.received().len();
+    assert!(declined().await);
+    assert_eq!(endpoint.received().len(), before);
+    other.publish(content(3));
+    wait_until(async || !declined().await).await;
+}
+
+/// Guards against instances that hand a request round while nobody reaches its endpoints:
+/// it is refused at once, and was never sent.
+#[tokio::test]
+async fn a_request_is_refused_at_once_where_no_instance_reaches_an_endpoint() {
+    let nobody = free_addresses::<2>();
+    let seeds = free_addresses::<3>();
+    let fleet = seeds.map(|own| TestInstance::start_with_seeds(&seeds, own, &nobody));
+    for instance in &fleet {
+        instance.wait_until_ready().await;
+    }
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    for _ in 0..5 {
+        let sent_at = std::time::Instant::now();
+        let response = fleet[0].call("POST", "/order/1", "").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("retry-after"), "{response}");
+        assert!(
+            sent_at.elapsed() < Duration::from_millis(200),
+            "{:?}",
+            sent_at.elapsed()
+        );
+    }
+    let metrics = exchange(fleet[0].running.metrics_address(), METRICS_REQUEST).await;
+    let given: f64 = metrics
+        .lines()
+        .filter(|line| line.starts_with("godwitpost_forwards_total"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum();
+    // Two instances are asked for each of two endpoints, once a second.
+    assert!(given <= 8.0, "{metrics}");
+}
+
+/// Guards against what a stranger could do at the port for requests of other instances:
+/// without a key that holds, nothing runs.
+#[tokio::test]
+async fn strangers_at_the_port_for_forwarded_requests_run_nothing() {
+    let endpoint = Endpoint::start(ok_with_body("ok")).await;
+    let [_cut_off, other] = start_pair(std::slice::from_ref(&endpoint)).await;
+    let address = other.forwards.expect("a port for forwarded requests");
+    for body in ["", "nonsense", "\u{99}\u{2}e0"] {
+        let text = format!(
+            "POST /forward/v1/request HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let response = exchange(address, &text).await;
+        assert!(response.contains("forward-outcome: declined"), "{response}");
+    }
+    let direct = request("GET", "/stock/1", "", "");
+    let response = exchange(address, &direct).await;
+    assert!(response.starts_with("HTTP/1.1 404"), "{response}");
+    assert!(endpoint.received().is_empty());
+}
--- a/crates/direct/tests/restores/instance.rs
+++ b/crates/direct/tests/restores/instance.rs
@@ -308,6 +308,7 @@
                 Vec::new()
             },
             peer_address: None,
+            forwards: None,
             link_rate: 0,
             version: self.version,
             evacuation: self.replica.evacuation_position(),
