direct: what breaks with a path is held against neither endpoint nor request

Endpoints whose streams broke stayed closed for a second or more, though others reach them.

Before an endpoint counts as crashed, other instances are asked whether they can connect to it. Where one can, the path broke; failures of an endpoint that is found out of reach are forgotten.

Test what_a_cut_breaks_is_no_crash: failed before with 503, retry-after 31.3.

--- a/crates/direct/src/reach.rs
+++ b/crates/direct/src/reach.rs
@@ -93,13 +93,19 @@
     /// Returns the way by which to send a request first.
     #[must_use]
     pub fn way(&self, to: Destination) -> Way {
-        if self.lost.contains_key(&to.endpoint) || self.is_suspect(to.group()) {
+        if self.is_lost(to.endpoint) || self.is_suspect(to.group()) {
             Way::Forward
         } else {
             Way::Direct
         }
     }
 
+    /// Returns whether an endpoint is out of reach.
+    #[must_use]
+    pub fn is_lost(&self, endpoint: EndpointId) -> bool {
+        self.lost.contains_key(&endpoint)
+    }
+
     /// Returns whether to ask other instances for an endpoint that this one can't connect to.
     #[must_use]
     pub fn may_ask_others(&self, endpoint: EndpointId, now: Moment) -> bool {
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -2,7 +2,8 @@
 //!
 //! A broken connection alone is weak evidence: responses get lost, links fail and
 //! connections are reset. A crashed endpoint refuses the next connection, a live one
-//! accepts it, and one whose machine is down doesn't answer at all.
+//! accepts it, and one whose machine is down doesn't answer at all. Where the path to the
+//! endpoint is cut, its connections are refused as well, but not those of other instances.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::forward::is_reached_by_others;
 use crate::control::peers::forward_evidence;
 use crate::crashes::{Evidence, Observed};
 use crate::roster::Registration;
@@ -40,6 +42,14 @@
     if !refuses_connection(endpoint.address).await {
         return;
     }
+    // A path that is cut breaks connections and refuses new ones as a crash does.
+    if is_reached_by_others(&shared, &broken.registration).await {
+        log::info!(
+            request:% = broken.request, endpoint:% = endpoint.name;
+            "connection broke with the path; the endpoint did not crash"
+        );
+        return;
+    }
     // Marks the endpoint as down now, as the next request to it would.
     shared.mark_endpoint_down(endpoint, Observation::RefusesAfterBreak);
     let mut crash_tracker = shared.crash_tracker();
--- a/crates/direct/src/relay/forward.rs
+++ b/crates/direct/src/relay/forward.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod taken;
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,7 +24,7 @@
 use tokio::time::{Instant, timeout};
 
 pub(crate) use self::frame::Outcome;
-use self::frame::{FORWARD_PATH, Frame, HEAD_LENGTH_HEADER, encode_headers};
+use self::frame::{FORWARD_PATH, Frame, HEAD_LENGTH_HEADER, PROBE_PATH, encode_headers};
 pub(crate) use self::taken::handle_forwarded;
 use super::Job;
 use super::choose::{Chosen, RESPONSE_RETURN_TIME};
@@ -33,6 +34,7 @@
 use crate::reach::{Destination, Way};
 use crate::roster::Registration;
 use crate::shared::Shared;
+use crate::stats::Observation;
 
 /// How long a connection may take before the request is given to another instance. The
 /// connection goes on being opened meanwhile. A live endpoint in another region accepts
@@ -48,6 +50,10 @@
 const MAX_ASKED: usize = 3;
 const UNREACHABLE_FROM_TO_BE_DOWN: usize = 2;
 
+/// How long another instance may take to say whether it reaches an endpoint: its connection
+/// to the endpoint, and the way there and back.
+const MAX_QUESTION_TIME: Duration = Duration::from_millis(300);
+
 /// What came of sending a request.
 pub(super) enum Sent {
     /// The endpoint responded, to this instance itself or to the one that is named.
@@ -339,6 +345,53 @@
     log::info!(via:% = via, fault:% = fault; "instance passed over for a while");
 }
 
+/// Returns whether another instance can connect to an endpoint that this one can't connect
+/// to, and records that the endpoint is out of reach if so.
+pub(super) async fn is_reached_by_others(shared: &Shared, registration: &Registration) -> bool {
+    let endpoint = registration.endpoint.id;
+    if shared.reach().is_lost(endpoint) {
+        return true;
+    }
+    let mut asked = Vec::new();
+    while asked.len() < MAX_ASKED && shared.reach().may_ask_others(endpoint, boot_time()) {
+        let draw = rand::rng().random();
+        let Some(via) = shared.forwarders().pick(&asked, draw, boot_time()) else {
+            break;
+        };
+        asked.push(via);
+        let outcome = ask(shared, registration, via).await;
+        log::info!(
+            endpoint:% = registration.endpoint.name, via:% = via, outcome:% = outcome.as_str();
+            "another instance asked whether it reaches the endpoint"
+        );
+        if outcome == Outcome::Answered {
+            record_loss(shared, registration, &"connection refused after one broke");
+            return true;
+        }
+    }
+    if !asked.is_empty() {
+        shared.reach().record_down(endpoint, boot_time());
+    }
+    false
+}
+
+async fn ask(shared: &Shared, registration: &Registration, via: SocketAddr) -> Outcome {
+    let name = registration.endpoint.name.clone();
+    let body = Full::new(name.into()).map_err(Into::into);
+    let mut request = Request::new(body.boxed_unsync());
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = http::Uri::from_static(PROBE_PATH);
+    let connector = &shared.forward_connector;
+    match connector.send(via, request, MAX_QUESTION_TIME).await {
+        Ok(mut response) => Outcome::take(response.headers_mut()),
+        Err(error) => {
+            log::info!(via:% = via, error:% = error; "another instance did not answer");
+            avoid(shared, via, Fault::Gone);
+            Outcome::Declined
+        }
+    }
+}
+
 // Records that another instance reached the endpoint. Whether this one lost its path shows
 // when its own connection has failed.
 fn record_forwarded(shared: &Arc<Shared>, registration: &Arc<Registration>, own: Connecting) {
@@ -358,7 +411,8 @@
     }
 }
 
-fn record_loss(shared: &Shared, registration: &Registration, cause: &Cause) {
+// What broke with the path is not held against the endpoint any longer.
+fn record_loss(shared: &Shared, registration: &Registration, cause: &dyn fmt::Display) {
     let endpoint = &registration.endpoint;
     shared.connector.close_idle(endpoint.address);
     let draw = rand::rng().random();
@@ -366,6 +420,8 @@
         .reach()
         .record_loss(destination(registration), boot_time(), draw);
     if is_new {
+        let change = shared.endpoint_stats().forget_failures(endpoint.id);
+        shared.record_access_change(endpoint, change, Observation::ReachedByOthers);
         log::warn!(
             endpoint:% = endpoint.name, cause:% = cause;
             "endpoint out of reach: another instance reaches it"
--- a/crates/direct/src/relay/forward/frame.rs
+++ b/crates/direct/src/relay/forward/frame.rs
@@ -11,6 +11,9 @@
 /// The path of requests that are to be sent on.
 pub(crate) const FORWARD_PATH: &str = "/forward/v1/request";
 
+/// The path of questions whether the endpoint that the body names can be connected to.
+pub(crate) const PROBE_PATH: &str = "/forward/v1/probe";
+
 /// The header of a response that names the [`Outcome`].
 pub(super) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("forward-outcome");
 
@@ -112,7 +115,8 @@
 /// What came of a request that was given to another instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
-    /// The endpoint responded; the response is its own.
+    /// The endpoint responded; the response is its own. To a question: it accepts
+    /// connections.
     Answered,
     /// Not sent: the other instance can't connect to the endpoint, or holds it to be down.
     Unreachable,
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -1,5 +1,6 @@
 //! Takes requests of other instances and sends them on to the endpoint that they name.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -15,13 +16,15 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body::{Frame as BodyFrame, SizeHint};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
 use super::super::{EndpointResponse, Job, headers, source};
 use super::destination;
-use super::frame::{FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, OUTCOME_HEADER, Outcome};
+use super::frame::{
+    FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, OUTCOME_HEADER, Outcome, PROBE_PATH,
+};
 use crate::notices::Notice;
 use crate::reach::Way;
 use crate::refusal::Reason;
@@ -37,6 +40,9 @@
 /// The size of a frame beyond the caller's body: a head as long as hyper reads, encoded.
 const MAX_FRAME_HEAD_BYTES: usize = 96 << 10;
 
+/// The longest name of an endpoint that is asked for.
+const MAX_NAME_BYTES: usize = 1_024;
+
 /// Requests of other instances are taken only while no more than the room for requests
 /// divided by this is in use, so that they never displace those of this instance's own
 /// callers.
@@ -88,8 +94,10 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    if request.uri().path() != FORWARD_PATH {
-        return empty_response(StatusCode::NOT_FOUND, Outcome::Declined);
+    match request.uri().path() {
+        FORWARD_PATH => {}
+        PROBE_PATH => return answer_question(&shared, request).await,
+        _ => return empty_response(StatusCode::NOT_FOUND, Outcome::Declined),
     }
     let arrived = boot_time();
     match take(&shared, request, arrived).await {
@@ -110,6 +118,34 @@
     }
 }
 
+// Answers whether an endpoint can be connected to from here.
+async fn answer_question(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let body = Limited::new(request.into_body(), MAX_NAME_BYTES).collect();
+    let name = body.await.map(Collected::to_bytes).unwrap_or_default();
+    let view = shared.view();
+    let known = view.endpoints.iter().flat_map(BTreeMap::values).flatten();
+    let endpoint = known
+        .map(|one| &one.endpoint)
+        .find(|one| one.name.as_bytes() == name);
+    let outcome = match endpoint {
+        None => Outcome::Declined,
+        Some(endpoint) => {
+            let connecting = shared.connector.connect(endpoint.address, CONNECT_TIMEOUT);
+            match connecting.await {
+                Ok(connection) => {
+                    shared.connector.keep(connection);
+                    Outcome::Answered
+                }
+                Err(cause) => {
+                    log::info!(endpoint:% = endpoint.name, cause:% = cause; "endpoint asked for by another instance is not reached");
+                    Outcome::Unreachable
+                }
+            }
+        }
+    };
+    empty_response(StatusCode::OK, outcome)
+}
+
 // Reads a request and checks it as one of a caller's.
 async fn take(
     shared: &Arc<Shared>,
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -289,6 +289,15 @@
         second.or(first)
     }
 
+    /// Forgets failures of an endpoint, which turned out to be its path's. Returns what the
+    /// endpoint may get now if that changed.
+    pub fn forget_failures(&mut self, endpoint: EndpointId) -> Option<Access> {
+        let entry = self.entry(endpoint);
+        let before = entry.health.access();
+        entry.health = Machine::new(0);
+        (before != Access::Full).then_some(Access::Full)
+    }
+
     /// Advances the time for endpoints that count as down. Returns those that are on trial
     /// from now on.
     pub fn tick(&mut self, now: Moment) -> Vec<EndpointId> {
--- a/crates/direct/src/stats/observation.rs
+++ b/crates/direct/src/stats/observation.rs
@@ -17,6 +17,8 @@
     RefusesAfterBreak,
     /// other-server
     OtherServer,
+    /// reached-by-others
+    ReachedByOthers,
     /// pause-over
     PauseOver,
 }
--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -10,7 +10,7 @@
 use crate::fleet::{
     TestInstance, content, exchange, free_addresses, read_rest, request, wait_until,
 };
-use crate::metrics::METRICS_REQUEST;
+use crate::metrics::{METRICS_REQUEST, sample_value};
 use crate::path::Path;
 
 /// How long instances may take to learn of each other: two exchanges of seeds.
@@ -371,3 +371,60 @@
     assert!(response.starts_with("HTTP/1.1 404"), "{response}");
     assert!(endpoint.received().is_empty());
 }
+
+/// Guards against a request that is held back as one that crashes endpoints, and endpoints
+/// that count as down, since the paths to them were cut while they ran it.
+#[tokio::test]
+async fn what_a_cut_breaks_is_no_crash() {
+    let slow = |_: usize, received: &ReceivedRequest| {
+        let wait = if received.head.starts_with("POST /order/slow") {
+            500
+        } else {
+            0
+        };
+        vec![Step::Wait(wait), response_to(received, "200 OK", "", "ok")]
+    };
+    let mut endpoints = Vec::new();
+    for _ in 0..4 {
+        endpoints.push(Endpoint::start(slow).await);
+    }
+    let paths: Vec<Path> = endpoints
+        .iter()
+        .map(|one| Path::open(one.address))
+        .collect();
+    let [cut_off, _other, _third] = start_fleet(&paths, &endpoints).await;
+    let received = || {
+        endpoints
+            .iter()
+            .map(|one| one.received().len())
+            .sum::<usize>()
+    };
+    for _ in 0..3 {
+        let before = received();
+        let slow_call = cut_off.call("POST", "/order/slow", "");
+        let cut = async {
+            wait_until(async || received() > before).await;
+            for path in &paths {
+                path.reset().await;
+            }
+        };
+        let (response, ()) = tokio::join!(slow_call, cut);
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        // A crash is looked for after the break.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(count_served(&cut_off).await, REQUESTS * 3);
+        for path in &paths {
+            path.heal();
+        }
+        wait_until(async || {
+            cut_off.call("GET", "/stock/1", "").await;
+            let metrics = exchange(cut_off.running.metrics_address(), METRICS_REQUEST).await;
+            sample_value(&metrics, "godwitpost_endpoints_out_of_reach") == Some(0.0)
+        })
+        .await;
+    }
+    let response = cut_off.call("POST", "/order/slow", "").await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let metrics = exchange(cut_off.running.metrics_address(), METRICS_REQUEST).await;
+    assert!(!metrics.contains("refuses-after-break"), "{metrics}");
+}
