direct: an endpoint that counts as down here is tried for another instance

Where all instances had lost their paths and one got them back, it went on to tell the others that the endpoints are down: they had counted as down with it for seconds, and its own requests went through since none was left. Whether an endpoint counts as down is no answer to an instance that asks; only that others were asked half a second ago is.

--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{Body, BoxError, Error, ResponseBody};
-use godwitpost_decide::health::Access;
 use godwitpost_types::clock::Moment;
 use http::header::{CONNECTION, CONTENT_LENGTH};
 use http::request::Parts;
@@ -240,7 +239,9 @@
     if shared.reach().way(destination(registration)) == Way::Forward {
         return Err(Decline::OutOfReach);
     }
-    if shared.endpoint_stats().access(endpoint.id) == Access::None {
+    // Whether the endpoint counts as down here is no answer: it does for seconds after the
+    // paths to all of them were lost.
+    if !shared.reach().may_ask_others(endpoint.id, boot_time()) {
         return Err(Decline::Down);
     }
     Ok(Arc::clone(registration))
