direct: paths come back by service and zone, and instances that help are known

Schedules of cuts in driven time, with what they found: - An endpoint that no request asked for stayed out of reach for seconds after its path healed. One that has sent a request on is preferred, one that couldn't connect is passed over for 0.3 s. - An instance whose paths healed was passed over for two seconds; now one. - Others were not asked for a second after two that were cut off themselves had not reached an endpoint; now half a second.

10,000 schedules at 6 instances, 20 at 82, 6 at 300 hold; each of five guards taken out breaks some.

--- a/crates/direct/src/forwarders.rs
+++ b/crates/direct/src/forwarders.rs
@@ -25,9 +25,22 @@
 /// How long an instance is passed over that can't be connected to, that doesn't reach an
 /// endpoint which another one does, or that takes no requests now.
 const GONE_AVOIDANCE: Duration = Duration::from_secs(4);
-const OUT_OF_REACH_AVOIDANCE: Duration = Duration::from_secs(2);
+const OUT_OF_REACH_AVOIDANCE: Duration = Duration::from_secs(1);
 const DECLINED_AVOIDANCE: Duration = Duration::from_millis(500);
 
+/// How long one is passed over that doesn't reach an endpoint which may be down: long enough
+/// for others to be asked about the next endpoints.
+const UNREACHABLE_AVOIDANCE: Duration = Duration::from_millis(300);
+
+/// How long after it has sent a request on an instance is preferred to those of which
+/// nothing is known.
+const PROVEN_LIFETIME: Duration = Duration::from_secs(3);
+
+/// Of the requests of an instance that knows `n` others that have sent one on, one in
+/// `1 + n * PROVEN_WEIGHT` goes to any other, so that more of them become known and share
+/// the load.
+const PROVEN_WEIGHT: u64 = 2;
+
 /// Why an instance is passed over for a while.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum Fault {
@@ -37,6 +50,8 @@
     OutOfReach,
     /// declined
     Declined,
+    /// unreachable
+    Unreachable,
 }
 
 impl Fault {
@@ -45,6 +60,7 @@
             Self::Gone => GONE_AVOIDANCE,
             Self::OutOfReach => OUT_OF_REACH_AVOIDANCE,
             Self::Declined => DECLINED_AVOIDANCE,
+            Self::Unreachable => UNREACHABLE_AVOIDANCE,
         }
     }
 }
@@ -54,6 +70,8 @@
     address: SocketAddr,
     heard_at: Moment,
     avoided_until: Moment,
+    // When it last sent a request on, unless it failed since.
+    proven_at: Option<Moment>,
 }
 
 /// The known instances, by a hash of their addresses: neighbours in this order are of any
@@ -85,6 +103,7 @@
             address,
             heard_at: now,
             avoided_until: Moment::ZERO,
+            proven_at: None,
         });
         entry.heard_at = now;
         if self.known.len() > self.capacity {
@@ -99,11 +118,21 @@
     pub fn avoid(&mut self, address: SocketAddr, fault: Fault, now: Moment) {
         if let Some(one) = self.known.get_mut(&key(address)) {
             one.avoided_until = one.avoided_until.max(now + fault.avoidance());
+            one.proven_at = None;
+        }
+    }
+
+    /// Records that an instance has sent a request on.
+    pub fn record_sent_on(&mut self, address: SocketAddr, now: Moment) {
+        if let Some(one) = self.known.get_mut(&key(address)) {
+            one.avoided_until = Moment::ZERO;
+            one.proven_at = Some(now);
         }
     }
 
-    /// Returns an instance to ask that is not among `asked`: one that is not passed over, or
-    /// else the one that is passed over for the shortest time. `draw` selects among several.
+    /// Returns an instance to ask that is not among `asked`: mostly one that has sent requests
+    /// on, else one that is not passed over, else the one that is passed over for the
+    /// shortest time. `draw` selects among several.
     #[must_use]
     pub fn pick(&self, asked: &[SocketAddr], draw: u64, now: Moment) -> Option<SocketAddr> {
         let unasked = || {
@@ -112,8 +141,16 @@
                 .filter(|one| !asked.contains(&one.address))
         };
         let usable: Vec<&Forwarder> = unasked().filter(|one| one.avoided_until <= now).collect();
-        let index = draw.checked_rem(usable.len() as u64).unwrap_or(0);
-        let chosen = usable.get(usize::try_from(index).unwrap_or(0)).copied();
+        let is_proven = |one: &&Forwarder| {
+            one.proven_at
+                .is_some_and(|at| since(now, at) < PROVEN_LIFETIME)
+        };
+        let proven: Vec<&Forwarder> = usable.iter().copied().filter(is_proven).collect();
+        let (which, explore) = (draw >> 32, draw & u64::from(u32::MAX));
+        let explores = explore.is_multiple_of(1 + proven.len() as u64 * PROVEN_WEIGHT);
+        let among = if explores { usable } else { proven };
+        let index = which.checked_rem(among.len() as u64).unwrap_or(0);
+        let chosen = among.get(usize::try_from(index).unwrap_or(0)).copied();
         chosen
             .or_else(|| unasked().min_by_key(|one| one.avoided_until))
             .map(|one| one.address)
--- a/crates/direct/src/reach.rs
+++ b/crates/direct/src/reach.rs
@@ -32,7 +32,7 @@
 
 /// How long an endpoint that other instances don't reach either is taken to be down without
 /// asking them again.
-const DOWN_LIFETIME: Duration = Duration::from_secs(1);
+const DOWN_LIFETIME: Duration = Duration::from_millis(500);
 
 /// The endpoints of a service in one availability zone.
 type Group = (ServiceId, ZoneId);
@@ -67,7 +67,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Loss {
     group: Group,
-    since: Moment,
     next_probe: Moment,
     pause: Duration,
 }
@@ -76,8 +75,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct GroupState {
     lost: usize,
-    lost_at: Moment,
-    connected_at: Option<Moment>,
     next_probe: Moment,
 }
 
@@ -117,16 +114,14 @@
     /// Records that another instance reached an endpoint to which this one couldn't
     /// connect; returns whether the endpoint is newly out of reach.
     pub fn record_loss(&mut self, to: Destination, now: Moment, draw: f64) -> bool {
-        self.down.remove(&to.endpoint);
-        let group = self.groups.entry(to.group()).or_default();
-        group.lost_at = now;
-        if self.lost.contains_key(&to.endpoint) {
+        // Those that were asked for the others may be cut off as well.
+        self.down.clear();
+        if self.is_lost(to.endpoint) {
             return false;
         }
-        group.lost += 1;
+        self.groups.entry(to.group()).or_default().lost += 1;
         let loss = Loss {
             group: to.group(),
-            since: now,
             next_probe: now + jittered(MIN_PROBE_PAUSE, draw),
             pause: MIN_PROBE_PAUSE,
         };
@@ -134,22 +129,19 @@
         true
     }
 
-    /// Records that this instance connected to an endpoint; returns for how long the
-    /// endpoint was out of reach, if it was.
-    pub fn record_connected(&mut self, to: Destination, now: Moment) -> Option<Duration> {
+    /// Records that this instance connected to an endpoint, which may have been out of
+    /// reach; returns the endpoints that are within reach again.
+    ///
+    /// The paths of a group mostly heal together. One of it that is still lost costs one
+    /// request a short delay.
+    pub fn record_connected(&mut self, to: Destination) -> Vec<EndpointId> {
         self.down.remove(&to.endpoint);
-        if let Some(group) = self.groups.get_mut(&to.group()) {
-            group.connected_at = Some(now);
-        }
-        // The paths of a group mostly heal together.
-        for loss in self.lost.values_mut() {
-            if loss.group == to.group() {
-                loss.pause = MIN_PROBE_PAUSE;
-                loss.next_probe = loss.next_probe.min(now + MIN_PROBE_PAUSE);
-            }
+        let in_group = self.lost.iter().filter(|(_, one)| one.group == to.group());
+        let returned: Vec<EndpointId> = in_group.map(|(endpoint, _)| *endpoint).collect();
+        for endpoint in &returned {
+            self.remove_loss(*endpoint);
         }
-        let loss = self.remove_loss(to.endpoint)?;
-        Some(since(now, loss.since))
+        returned
     }
 
     /// Records that neither this instance nor others reach an endpoint.
@@ -210,13 +202,10 @@
         Some(loss)
     }
 
-    // Returns whether endpoints of a group are taken to be out of reach unless another of
-    // them was connected to since the last loss.
+    // Returns whether all endpoints of a group are taken to be out of reach.
     fn is_suspect(&self, group: Group) -> bool {
-        let Some(state) = self.groups.get(&group) else {
-            return false;
-        };
-        state.lost >= MIN_LOST_TO_SUSPECT && state.connected_at.is_none_or(|at| at < state.lost_at)
+        let group = self.groups.get(&group);
+        group.is_some_and(|group| group.lost >= MIN_LOST_TO_SUSPECT)
     }
 }
 
--- a/crates/direct/src/relay/forward.rs
+++ b/crates/direct/src/relay/forward.rs
@@ -242,10 +242,14 @@
                 for one in unreachable {
                     avoid(&job.shared, one, Fault::OutOfReach);
                 }
+                job.shared.forwarders().record_sent_on(via, boot_time());
                 return Forwarded::Response(Box::new(response), via);
             }
             (Outcome::Answered | Outcome::Lost, _) => return Forwarded::Lost,
-            (Outcome::Unreachable, _) => unreachable.push(via),
+            (Outcome::Unreachable, _) => {
+                avoid(&job.shared, via, Fault::Unreachable);
+                unreachable.push(via);
+            }
             (Outcome::OutOfReach, _) => avoid(&job.shared, via, Fault::OutOfReach),
             (Outcome::Declined, _) => avoid(&job.shared, via, Fault::Declined),
         }
@@ -456,10 +460,10 @@
         {
             Ok(connection) => {
                 shared.connector.keep(connection);
-                let lost_for = shared.reach().record_connected(to, boot_time());
+                let returned = shared.reach().record_connected(to);
                 log::info!(
-                    endpoint:% = endpoint.name, lost_ms:? = lost_for.map(|lost| lost.as_millis());
-                    "endpoint within reach again"
+                    endpoint:% = endpoint.name, returned = returned.len();
+                    "endpoint within reach again, and others of its service and zone"
                 );
             }
             Err(cause) => {
