--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use godwitpost_standin::path::Path;
 use tokio::io::AsyncReadExt;
 
 use crate::endpoint::{
@@ -11,7 +12,6 @@
     TestInstance, content, exchange, free_addresses, read_rest, request, wait_until,
 };
 use crate::metrics::{METRICS_REQUEST, sample_value};
-use crate::path::Path;
 
 /// How long instances may take to learn of each other: two exchanges of seeds.
 const INTRODUCTION_TIME: Duration = Duration::from_millis(2_200);
@@ -53,6 +53,21 @@
     served
 }
 
+// Returns refused paths to endpoints.
+fn refused_paths(endpoints: &[Endpoint]) -> Vec<Path> {
+    let path = |one: &Endpoint| {
+        let [address] = free_addresses();
+        Path::new(address, one.address)
+    };
+    endpoints.iter().map(path).collect()
+}
+
+async fn open_all(paths: &[Path]) {
+    for path in paths {
+        path.open().await.expect("a free address");
+    }
+}
+
 async fn start_endpoints() -> Vec<Endpoint> {
     let mut endpoints = Vec::new();
     for _ in 0..4 {
@@ -85,10 +100,7 @@
 #[tokio::test]
 async fn callers_are_served_where_endpoints_refuse_the_instance() {
     let endpoints = start_endpoints().await;
-    let paths: Vec<Path> = endpoints
-        .iter()
-        .map(|one| Path::refused(one.address))
-        .collect();
+    let paths = refused_paths(&endpoints);
     let [cut_off, other, _third] = start_fleet(&paths, &endpoints).await;
     assert_served_alike(count_served(&cut_off).await, count_served(&other).await);
 }
@@ -98,9 +110,9 @@
 #[tokio::test]
 async fn callers_are_served_where_endpoints_are_silent_to_the_instance() {
     let endpoints = start_endpoints().await;
-    let mut paths = Vec::new();
-    for one in &endpoints {
-        paths.push(Path::silent(one.address).await);
+    let paths = refused_paths(&endpoints);
+    for path in &paths {
+        path.silence().await.expect("a free address");
     }
     let [cut_off, other, _third] = start_fleet(&paths, &endpoints).await;
     assert_served_alike(count_served(&cut_off).await, count_served(&other).await);
@@ -111,10 +123,8 @@
 #[tokio::test]
 async fn healed_paths_are_used_again_by_themselves() {
     let endpoints = start_endpoints().await;
-    let paths: Vec<Path> = endpoints
-        .iter()
-        .map(|one| Path::open(one.address))
-        .collect();
+    let paths = refused_paths(&endpoints);
+    open_all(&paths).await;
     let [cut_off, other, _third] = start_fleet(&paths, &endpoints).await;
     for _ in 0..2 {
         assert_eq!(count_served(&cut_off).await, REQUESTS * 3);
@@ -122,11 +132,9 @@
             path.reset().await;
         }
         assert_served_alike(count_served(&cut_off).await, count_served(&other).await);
-        let connections = || paths.iter().map(Path::connections).sum::<usize>();
+        let connections = || paths.iter().map(Path::established).sum::<usize>();
         let before = connections();
-        for path in &paths {
-            path.heal();
-        }
+        open_all(&paths).await;
         wait_until(async || {
             cut_off.call("GET", "/stock/1", "").await;
             connections() > before
@@ -137,10 +145,7 @@
 
 /// Starts an instance that reaches none of these endpoints, and one that does.
 async fn start_pair(endpoints: &[Endpoint]) -> [TestInstance; 2] {
-    let paths: Vec<Path> = endpoints
-        .iter()
-        .map(|one| Path::refused(one.address))
-        .collect();
+    let paths = refused_paths(endpoints);
     let cut_off: Vec<_> = paths.iter().map(|path| path.address).collect();
     let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
     let seeds = free_addresses::<2>();
@@ -388,10 +393,8 @@
     for _ in 0..4 {
         endpoints.push(Endpoint::start(slow).await);
     }
-    let paths: Vec<Path> = endpoints
-        .iter()
-        .map(|one| Path::open(one.address))
-        .collect();
+    let paths = refused_paths(&endpoints);
+    open_all(&paths).await;
     let [cut_off, _other, _third] = start_fleet(&paths, &endpoints).await;
     let received = || {
         endpoints
@@ -413,9 +416,7 @@
         // A crash is looked for after the break.
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert_eq!(count_served(&cut_off).await, REQUESTS * 3);
-        for path in &paths {
-            path.heal();
-        }
+        open_all(&paths).await;
         wait_until(async || {
             cut_off.call("GET", "/stock/1", "").await;
             let metrics = exchange(cut_off.running.metrics_address(), METRICS_REQUEST).await;
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -14,7 +14,6 @@
 mod homes;
 mod leaving;
 mod metrics;
-mod path;
 mod pauses;
 mod peers;
 mod prompts;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod list;
 pub mod log;
 pub mod observe;
+pub mod path;
 pub mod plain;
 pub mod weights;
 
