direct: others are asked again under steady traffic

While nobody was asked for an endpoint, since two that were had not reached it either, each request for it counted as learning so anew. With requests coming oftener than twice a second an instance without paths never asked again, also when one of the others had its paths back. Only an answer counts now.

Test others_are_asked_again_under_steady_traffic: failed before, not served 2.5 s after the other instance's paths healed.

--- a/crates/direct/src/relay/forward.rs
+++ b/crates/direct/src/relay/forward.rs
@@ -99,7 +99,8 @@
     let forwarded = if may_ask {
         give_to_others(job, chosen, last_event_id).await
     } else {
-        Forwarded::NotSent { is_down: true }
+        // What was learned half a second ago is not learned anew.
+        Forwarded::NotSent { is_down: false }
     };
     match forwarded {
         Forwarded::Response(response, via) => {
--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -429,3 +429,33 @@
     let metrics = exchange(cut_off.running.metrics_address(), METRICS_REQUEST).await;
     assert!(!metrics.contains("refuses-after-break"), "{metrics}");
 }
+
+/// Guards against an instance that never asks others again while requests keep coming, after
+/// those that it asked had lost their paths too.
+#[tokio::test]
+async fn others_are_asked_again_under_steady_traffic() {
+    let endpoints = start_endpoints().await;
+    let paths = refused_paths(&endpoints);
+    let others_paths = refused_paths(&endpoints);
+    let addresses = |paths: &[Path]| paths.iter().map(|path| path.address).collect::<Vec<_>>();
+    let seeds = free_addresses::<2>();
+    let [cut, other] = seeds;
+    let cut_off = TestInstance::start_with_seeds(&seeds, cut, &addresses(&paths));
+    let other = TestInstance::start_with_seeds(&seeds, other, &addresses(&others_paths));
+    for instance in [&cut_off, &other] {
+        instance.wait_until_ready().await;
+    }
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    let is_served = async || {
+        let response = cut_off.call("GET", "/stock/1", "").await;
+        response.starts_with("HTTP/1.1 200")
+    };
+    for _ in 0..20 {
+        assert!(!is_served().await);
+    }
+    open_all(&others_paths).await;
+    let healed_at = std::time::Instant::now();
+    while !is_served().await {
+        assert!(healed_at.elapsed() < Duration::from_millis(2_500));
+    }
+}
