--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -19,11 +19,12 @@
 use hyper::body::Incoming;
 
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
-use super::super::{EndpointResponse, Job, headers, source};
+use super::super::{EndpointResponse, Job, headers, job, source};
 use super::destination;
 use super::frame::{
     FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, OUTCOME_HEADER, Outcome, PROBE_PATH,
 };
+use crate::dialect::RequestFields;
 use crate::notices::Notice;
 use crate::reach::Way;
 use crate::refusal::Reason;
@@ -80,6 +81,18 @@
     }
 }
 
+/// A request that is not taken, with its id if it could be read.
+struct Declined {
+    decline: Decline,
+    id: Option<String>,
+}
+
+impl From<Decline> for Declined {
+    fn from(decline: Decline) -> Self {
+        Self { decline, id: None }
+    }
+}
+
 /// A request that is taken.
 struct Taken {
     job: Box<Job>,
@@ -101,10 +114,14 @@
     let arrived = boot_time();
     match take(&shared, request, arrived).await {
         Ok(taken) => send_on(taken).await,
-        Err(decline) => {
+        Err(Declined { decline, id }) => {
             let outcome = decline.outcome();
             shared.metrics.count_taken_forward(outcome);
-            log::info!(reason:% = decline, outcome:% = outcome.as_str(); "request of another instance not taken");
+            log::info!(
+                request:% = id.as_deref().unwrap_or("(none)"), reason:% = decline,
+                outcome:% = outcome.as_str();
+                "request of another instance not taken"
+            );
             let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE, outcome);
             if shared.is_draining() {
                 // A request on a connection that is still open when the process ends would
@@ -150,9 +167,9 @@
     shared: &Arc<Shared>,
     request: Request<Incoming>,
     arrived: Moment,
-) -> Result<Taken, Decline> {
+) -> Result<Taken, Declined> {
     if shared.is_draining() || !shared.can_route() {
-        return Err(Decline::NotReady);
+        return Err(Decline::NotReady.into());
     }
     let mut admission = shared
         .admit_forwarded(ROOM_DIVISOR)
@@ -160,22 +177,30 @@
     let bytes = read_body(shared, request, &mut admission).await?;
     let (frame, body) = Frame::decode(&bytes).map_err(Decline::Malformed)?;
     let (method, uri, headers) = frame.head().map_err(Decline::Malformed)?;
-    let mut fields = (shared.dialect.read_request)(&headers);
-    if let Some(fields) = &mut fields {
-        fields.timeout = Some(
+    let fields = (shared.dialect.read_request)(&headers).map(|fields| RequestFields {
+        timeout: Some(
             fields
                 .timeout
-                .map_or(frame.remaining, |timeout| timeout.min(frame.remaining)),
-        );
-    }
+                .unwrap_or(frame.remaining)
+                .min(frame.remaining),
+        ),
+        ..fields
+    });
+    let id = fields
+        .as_ref()
+        .map(|fields| job::loggable_id(&fields.attempt_id));
+    let declined = |decline| Declined {
+        decline,
+        id: id.clone(),
+    };
     let mut head = Request::new(()).into_parts().0;
     (head.method, head.uri, head.headers) = (method, uri, headers);
-    let mut job = resolve(shared, head, fields, arrived, admission)?;
+    let mut job = resolve(shared, head, fields, arrived, admission).map_err(declined)?;
     if job.version < frame.version {
-        return Err(Decline::Behind);
+        return Err(declined(Decline::Behind));
     }
     job.set_body(body);
-    let registration = find_endpoint(&job, &frame.endpoint)?;
+    let registration = find_endpoint(&job, &frame.endpoint).map_err(declined)?;
     let source = frame
         .source
         .as_ref()
@@ -213,7 +238,7 @@
 fn resolve(
     shared: &Arc<Shared>,
     head: Parts,
-    fields: Option<crate::dialect::RequestFields>,
+    fields: Option<RequestFields>,
     arrived: Moment,
     admission: Admission,
 ) -> Result<Box<Job>, Decline> {
