decide, direct: how the body of an endpoint's response ended is logged and counted

Nothing told an answer with a length or chunks from one that ends with its connection, nor whether a stream ended inside an event.

Position follows an event stream and knows whether an event is unfinished; Payload is the body of an endpoint's response with it, read by all three readers of such bodies. One line for an end that the connection alone marks or that comes inside an event, one count for each end. What an end is taken for is unchanged.

--- a/crates/decide/src/resume/events.rs
+++ b/crates/decide/src/resume/events.rs
@@ -6,6 +6,8 @@
 //! limit. A stream is passed on unchanged from the point where it exceeds the
 //! limit or ends its lines in a way that hides the end of an event.
 
+pub mod position;
+
 use super::{EventOrder, Progress};
 use bytes::{Bytes, BytesMut};
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -11,6 +11,7 @@
 
 use crate::refusal::Reason;
 use crate::relay::forward::Outcome;
+use crate::relay::payload::Framing;
 use crate::stats::Observation;
 
 /// An instance's use of the endpoints of one service.
@@ -42,6 +43,7 @@
     shares: Counter<u64>,
     notices: Counter<u64>,
     access_changes: Counter<u64>,
+    response_ends: Counter<u64>,
     forwards: Counter<u64>,
     taken: Counter<u64>,
     lost: Gauge<u64>,
@@ -106,6 +108,10 @@
                 "godwitpost.access_changes",
                 "Changes of what an endpoint may get, by what it may get now and what was observed",
             ),
+            response_ends: counter(
+                "godwitpost.response_ends",
+                "Ends of endpoints' responses, by how the body is delimited, whether an event was unfinished, and whether it counts as whole",
+            ),
             sources: counter(
                 "godwitpost.prompt_sources",
                 "Requests with a shared prompt, by where their endpoint gets it from",
@@ -189,6 +195,15 @@
         self.access_changes.add(1, &set);
     }
 
+    pub(crate) fn count_response_end(&self, framing: Framing, inside_event: bool, whole: bool) {
+        let set = [
+            KeyValue::new("framing", framing.as_str()),
+            KeyValue::new("inside_event", inside_event),
+            KeyValue::new("whole", whole),
+        ];
+        self.response_ends.add(1, &set);
+    }
+
     pub(crate) fn count_forward(&self, outcome: Outcome) {
         self.forwards
             .add(1, &[KeyValue::new("outcome", outcome.as_str())]);
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -11,6 +11,7 @@
 pub(crate) mod forward;
 mod headers;
 mod job;
+pub(crate) mod payload;
 mod send;
 mod source;
 
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -5,13 +5,14 @@
 //! that the outcome is unknown. An event stream is relayed as it arrives.
 
 use bytes::{Bytes, BytesMut};
-use godwitpost_client::connect::{Body, ResponseBody};
+use godwitpost_client::connect::Body;
 use http::header::RETRY_AFTER;
 use http::response::Parts;
 use http::{Method, Response};
 use http_body_util::{BodyExt, Full};
 use tokio::time::timeout_at;
 
+use super::payload::{End, Part, Payload};
 use super::send::{BufferedBody, is_capacity_refusal};
 use super::{
     BodyEnd, EndpointResponse, Job, Refused, RefusedRequest, choose, dispatch, headers, refuse,
@@ -31,7 +32,8 @@
     }
     loop {
         let until = job.timer_deadline();
-        let buffered = timeout_at(until, buffer_body(response.body)).await;
+        let endpoint = response.in_flight.name();
+        let buffered = timeout_at(until, buffer_body(&job, endpoint, response.body)).await;
         match buffered.unwrap_or(BufferedBody::Broken) {
             BufferedBody::Whole(bytes) => {
                 return relay_buffered(&job, response.head, &response.in_flight, bytes);
@@ -76,20 +78,26 @@
     dispatch(job, None).await
 }
 
-async fn buffer_body(mut body: ResponseBody) -> BufferedBody {
+async fn buffer_body(job: &Job, endpoint: &str, mut body: Payload) -> BufferedBody {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else {
-            return BufferedBody::Broken;
-        };
-        if let Some(data) = frame.data_ref() {
-            bytes.extend_from_slice(data);
+    let end = loop {
+        match body.part().await {
+            Part::Frame(frame) => {
+                if let Some(data) = frame.data_ref() {
+                    bytes.extend_from_slice(data);
+                }
+            }
+            Part::End(end) => break end,
         }
         if bytes.len() > MAX_BUFFERED_BYTES {
             return BufferedBody::TooLong(bytes.freeze(), body);
         }
+    };
+    job.record_payload_end(endpoint, &body, &end);
+    match end {
+        End::Whole => BufferedBody::Whole(bytes.freeze()),
+        End::Broken(_) => BufferedBody::Broken,
     }
-    BufferedBody::Whole(bytes.freeze())
 }
 
 fn relay_buffered(
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -18,6 +18,7 @@
 use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 
+use super::super::payload::{End, Part, Payload};
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
 use super::super::{EndpointResponse, Job, headers, job, source};
 use super::destination;
@@ -344,8 +345,8 @@
     let fields = (shared.dialect.read_response)(head.status, &head.headers);
     record_response(&job, &in_flight, head.status, &fields);
     let mut response = EndpointResponse {
+        body: Payload::new(body, job.kind(), &head.headers),
         head,
-        body,
         in_flight,
     };
     source::record_holder(&job, &response);
@@ -384,7 +385,7 @@
 /// The body of a response on its way to the instance that gave the request. The request
 /// counts as in flight here until it ends.
 struct ForwardedBody {
-    body: ResponseBody,
+    body: Payload,
     in_flight: InFlightRequest,
     job: Box<Job>,
 }
@@ -398,19 +399,24 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<BodyFrame<Bytes>, BoxError>>> {
         let this = &mut *self;
-        match ready!(Pin::new(&mut this.body).poll_frame(cx)) {
-            Some(Ok(frame)) => {
+        let end = match ready!(this.body.poll_part(cx)) {
+            Part::Frame(frame) => {
                 this.in_flight.record_activity();
-                Poll::Ready(Some(Ok(frame)))
+                return Poll::Ready(Some(Ok(frame)));
             }
-            Some(Err(error)) => {
-                log::warn!(request:% = this.job.id(), endpoint:% = this.in_flight.name(), error:% = error; "response broke off");
+            Part::End(end) => end,
+        };
+        this.job
+            .record_payload_end(this.in_flight.name(), &this.body, &end);
+        match end {
+            End::Whole => Poll::Ready(None),
+            End::Broken(cause) => {
+                log::warn!(request:% = this.job.id(), endpoint:% = this.in_flight.name(), error:% = cause; "response broke off");
                 this.in_flight.record_failure(Observation::BrokenResponse);
                 this.in_flight
                     .check_for_crash(this.job.id(), this.job.digest());
-                Poll::Ready(Some(Err(error.into())))
+                Poll::Ready(Some(Err(cause.into())))
             }
-            None => Poll::Ready(None),
         }
     }
 
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -18,6 +18,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
+use super::payload::{End, Framing, Payload};
 use super::{crash, headers};
 use crate::attempt::Attempts;
 use crate::dialect::RequestFields;
@@ -311,6 +312,23 @@
         );
     }
 
+    /// Counts the end of an endpoint's response. The end is logged if only the end of the
+    /// connection marks it, or if an event is unfinished.
+    pub(crate) fn record_payload_end(&self, endpoint: &str, payload: &Payload, end: &End) {
+        let framing = payload.framing();
+        let inside_event = payload.is_inside_event();
+        let metrics = &self.shared.metrics;
+        metrics.count_response_end(framing, inside_event, matches!(end, End::Whole));
+        if framing == Framing::Delimited && !inside_event {
+            return;
+        }
+        log::info!(
+            request:% = self.id, endpoint:% = endpoint, framing:% = framing.as_str(),
+            inside_event = inside_event, unfinished_bytes = payload.unfinished_bytes(), end:% = end;
+            "endpoint's response ended"
+        );
+    }
+
     /// Counts and logs the end of a response body.
     pub(crate) fn record_end(&self, end: BodyEnd) {
         let took = self.age();
--- /dev/null
+++ b/crates/direct/src/relay/payload.rs
@@ -0,0 +1,144 @@
+//! The body of an endpoint's response, and how it ended.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use godwitpost_client::connect::ResponseBody;
+use godwitpost_decide::resume::events::position::Position;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
+use http_body::{Body, Frame, SizeHint};
+
+use crate::policy::Kind;
+
+/// The media type of event streams.
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By its length or its last chunk.
+    Delimited,
+    /// By the end of its connection.
+    CloseDelimited,
+}
+
+impl Framing {
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Delimited => "delimited",
+            Self::CloseDelimited => "close-delimited",
+        }
+    }
+}
+
+/// The next part of a body.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// More of it.
+    Frame(Frame<Bytes>),
+    /// Its end.
+    End(End),
+}
+
+/// How a body ended.
+#[derive(Debug, displaydoc::Display)]
+pub(crate) enum End {
+    /// whole
+    Whole,
+    /// {0}
+    Broken(Break),
+}
+
+/// Why a body is not whole.
+#[derive(Debug, displaydoc::Display)]
+pub(crate) enum Break {
+    /// {0}
+    Connection(hyper::Error),
+}
+
+impl std::error::Error for Break {}
+
+/// The body of an endpoint's response.
+#[derive(Debug)]
+pub(crate) struct Payload {
+    body: ResponseBody,
+    // Where an event stream ends; `None` for other bodies.
+    position: Option<Position>,
+}
+
+impl Payload {
+    pub(super) fn new(body: ResponseBody, kind: Kind, headers: &HeaderMap) -> Self {
+        Self {
+            position: is_event_stream(kind, headers).then(Position::default),
+            body,
+        }
+    }
+
+    pub(crate) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Part> {
+        let part = match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+            Some(Ok(frame)) => {
+                self.record_frame(&frame);
+                Part::Frame(frame)
+            }
+            Some(Err(error)) => Part::End(End::Broken(Break::Connection(error))),
+            None => Part::End(End::Whole),
+        };
+        Poll::Ready(part)
+    }
+
+    /// Waits for the next part.
+    pub(crate) async fn part(&mut self) -> Part {
+        std::future::poll_fn(|cx| self.poll_part(cx)).await
+    }
+
+    pub(crate) const fn framing(&self) -> Framing {
+        if self.body.is_framed() {
+            Framing::Delimited
+        } else {
+            Framing::CloseDelimited
+        }
+    }
+
+    /// Returns whether the part that was read ends inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        let position = self.position.as_ref();
+        position.is_some_and(|position| !position.is_between_events())
+    }
+
+    /// Returns the number of bytes that were read of an unfinished event.
+    pub(crate) fn unfinished_bytes(&self) -> usize {
+        self.position.as_ref().map_or(0, Position::unfinished_bytes)
+    }
+
+    pub(crate) fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    pub(crate) fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn record_frame(&mut self, frame: &Frame<Bytes>) {
+        if let (Some(position), Some(bytes)) = (&mut self.position, frame.data_ref()) {
+            position.advance(bytes);
+        }
+    }
+}
+
+// Some endpoints name no media type, so the response to a stream counts as one unless it
+// names another type.
+fn is_event_stream(kind: Kind, headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else {
+        return kind.is_stream();
+    };
+    let media_type = value.as_bytes().split(|byte| *byte == b';').next();
+    media_type.is_some_and(|name| {
+        name.trim_ascii()
+            .eq_ignore_ascii_case(EVENT_STREAM.as_bytes())
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -21,6 +21,7 @@
 use super::choose::{self, Chosen, RESPONSE_RETURN_TIME, choose_endpoint};
 use super::crash::{BrokenRequest, check_for_crash};
 use super::forward::{self, Sent};
+use super::payload::Payload;
 use super::source::{self, Source};
 use crate::attempt::{Failure, Next, Verdict, classify_response};
 use crate::dialect::{OutgoingFields, ResponseFields};
@@ -203,7 +204,7 @@
 #[derive(Debug)]
 pub(crate) struct EndpointResponse {
     pub(crate) head: Parts,
-    pub(crate) body: ResponseBody,
+    pub(crate) body: Payload,
     pub(crate) in_flight: InFlightRequest,
 }
 
@@ -373,8 +374,8 @@
     let idempotent = job.route.kind.idempotent();
     let verdict = classify_response(head.status, &fields, &job.fields.attempt_id, idempotent);
     let response = EndpointResponse {
+        body: Payload::new(body, job.kind(), &head.headers),
         head,
-        body,
         in_flight,
     };
     match verdict {
@@ -488,7 +489,7 @@
     /// The whole body.
     Whole(Bytes),
     /// The beginning of a body that is too long to buffer, and the rest of it.
-    TooLong(Bytes, ResponseBody),
+    TooLong(Bytes, Payload),
     /// The body broke off.
     Broken,
 }
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/stream.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_client::connect::{BoxError, ResponseBody};
+use godwitpost_client::connect::BoxError;
 use godwitpost_decide::resume::Progress;
 use godwitpost_decide::resume::events::EventSplitter;
 use http_body::{Body, Frame};
@@ -23,6 +23,7 @@
 use crate::attempt::{Failure, Next};
 use crate::paths::StallDetector;
 use crate::refusal::Reason;
+use crate::relay::payload::{Break, End, Part, Payload};
 use crate::relay::{BodyEnd, EndpointResponse, InFlightRequest, Job, dispatch};
 use crate::stats::Observation;
 
@@ -37,7 +38,7 @@
     /// silent
     Silent,
     /// {0}
-    Failed(BoxError),
+    Failed(Break),
 }
 
 /// Why a stream ended early.
@@ -64,7 +65,7 @@
 
 struct Reading {
     job: Box<Job>,
-    body: ResponseBody,
+    body: Payload,
     in_flight: InFlightRequest,
 }
 
@@ -94,7 +95,7 @@
 impl Stream {
     pub(crate) fn new(
         job: Box<Job>,
-        body: ResponseBody,
+        body: Payload,
         in_flight: InFlightRequest,
         buffered: Bytes,
     ) -> Self {
@@ -150,6 +151,13 @@
         Err(Box::new(reason))
     }
 
+    fn record_end(&self, end: &End) {
+        if let State::Reading(reading) = &self.state {
+            let endpoint = reading.in_flight.name();
+            reading.job.record_payload_end(endpoint, &reading.body, end);
+        }
+    }
+
     // Handles the end of the endpoint's response.
     fn finish(&mut self) -> NextFrame {
         if let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) {
@@ -295,19 +303,22 @@
                         .reset(Instant::now() + MAX_SILENCE);
                     error
                 }
-                State::Reading(reading) => match Pin::new(&mut reading.body).poll_frame(cx) {
+                State::Reading(reading) => match reading.body.poll_part(cx) {
                     Poll::Pending if this.is_silent(cx) => {
                         this.handle_failure(&Interruption::Silent)
                     }
                     Poll::Pending => return Poll::Pending,
-                    Poll::Ready(Some(Ok(frame))) => match this.accept_frame(frame) {
+                    Poll::Ready(Part::Frame(frame)) => match this.accept_frame(frame) {
                         None => None,
                         next_frame => return Poll::Ready(next_frame),
                     },
-                    Poll::Ready(Some(Err(error))) => {
-                        this.handle_failure(&Interruption::Failed(error.into()))
+                    Poll::Ready(Part::End(end)) => {
+                        this.record_end(&end);
+                        match end {
+                            End::Whole => return Poll::Ready(this.finish()),
+                            End::Broken(cause) => this.handle_failure(&Interruption::Failed(cause)),
+                        }
                     }
-                    Poll::Ready(None) => return Poll::Ready(this.finish()),
                 },
             };
             if let Some(error) = error {
--- a/crates/direct/tests/instance/metrics.rs
+++ b/crates/direct/tests/instance/metrics.rs
@@ -7,11 +7,12 @@
 pub(crate) const METRICS_REQUEST: &str =
     "GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
 
-const METRIC_NAMES: [&str; 16] = [
+const METRIC_NAMES: [&str; 17] = [
     "godwitpost_requests_total",
     "godwitpost_first_byte_seconds_bucket",
     "godwitpost_whole_seconds_bucket",
     "godwitpost_refusals_total",
+    "godwitpost_response_ends_total",
     "godwitpost_log_calls_total",
     "godwitpost_log_era",
     "godwitpost_log_era_age_ms",
