--- a/crates/direct/tests/instance/endpoint.rs
+++ b/crates/direct/tests/instance/endpoint.rs
@@ -17,6 +17,8 @@
     Wait(u64),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Stops the endpoint: it accepts no more connections and closes this one.
     Stop,
 }
@@ -158,6 +160,10 @@
                     }
                 }
                 Step::Close => return,
+                Step::Reset => {
+                    stream.set_zero_linger().expect("an open socket");
+                    return;
+                }
                 Step::Stop => {
                     if let Some(accepting) =
                         state.lock().expect("endpoint state lock").accepting.take()
@@ -243,6 +249,16 @@
     ))
 }
 
+/// Returns the head of an event stream that ends with its connection, with these headers
+/// beside the usual ones.
+pub(crate) fn close_delimited_head(received: &ReceivedRequest, extra_headers: &str) -> Step {
+    let attempt = received.header("x-attempt").unwrap_or_default();
+    Step::Send(format!(
+        "HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\nx-signed: s1\r\n\
+         content-type: text/event-stream\r\n{extra_headers}\r\n"
+    ))
+}
+
 /// Returns one chunk.
 pub(crate) fn chunk(text: &str) -> Step {
     Step::Send(format!("{:x}\r\n{text}\r\n", text.len()))
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -198,6 +198,16 @@
         instance
     }
 
+    /// Starts an instance that may repeat each request, with these endpoints in its log and
+    /// version 1 in force.
+    pub(crate) async fn start_without_retry_limit(addresses: &[SocketAddr]) -> Self {
+        let settings = SETTINGS.replace("allowance: 10", "allowance: 10000");
+        let (operator, endpoints) = topics(addresses);
+        let instance = Self::start_from_settings(&settings, operator, endpoints);
+        instance.wait_until_ready().await;
+        instance
+    }
+
     /// Starts an instance whose log is empty.
     pub(crate) fn start_with_empty_log() -> Self {
         Self::start_from_settings(SETTINGS, Topic::new(), Topic::new())
--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -144,7 +144,7 @@
 }
 
 /// Starts an instance that reaches none of these endpoints, and one that does.
-async fn start_pair(endpoints: &[Endpoint]) -> [TestInstance; 2] {
+pub(crate) async fn start_pair(endpoints: &[Endpoint]) -> [TestInstance; 2] {
     let paths = refused_paths(endpoints);
     let cut_off: Vec<_> = paths.iter().map(|path| path.address).collect();
     let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -20,3 +20,4 @@
 mod restored;
 mod shutdown;
 mod streams;
+mod truncation;
--- /dev/null
+++ b/crates/direct/tests/instance/truncation.rs
@@ -0,0 +1,360 @@
+//! Answers that end with their connection, whole or cut short.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+
+use crate::endpoint::{
+    Endpoint, ReceivedRequest, Step, chunk, close_delimited_head, response_to, stream_head,
+};
+use crate::fleet::{TestInstance, request};
+use crate::forwarding::start_pair;
+
+/// The events of a whole stream.
+const EVENTS: [&str; 3] = [
+    "id: 1\ndata: t1\n\n",
+    "id: 2\ndata: t2\n\n",
+    "id: 3\ndata: t3\n\n",
+];
+
+/// What a connection that breaks off after the first event has sent of the second one.
+const PARTS: [&str; 6] = [
+    "id: 2\nda",
+    "id: 2\ndata: t2",
+    "id: 2\ndata: t2\n",
+    "id: 2",
+    "id: 2\r\ndata: t2\r\n",
+    "i",
+];
+
+/// Time within which a break is noticed and the endpoint's state is checked.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(60);
+
+/// What a caller received.
+#[derive(Debug, PartialEq, Eq)]
+struct Received {
+    body: String,
+    /// Whether the answer had its last chunk.
+    whole: bool,
+}
+
+// Returns the body of a chunked response.
+fn decode(response: &str) -> Received {
+    let (_, mut rest) = response.split_once("\r\n\r\n").expect("a head");
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("the size of a chunk");
+        if size == 0 {
+            return Received { body, whole: true };
+        }
+        let Some(data) = after.get(..size) else {
+            break;
+        };
+        body.push_str(data);
+        rest = after.get(size + 2..).unwrap_or_default();
+    }
+    Received { body, whole: false }
+}
+
+async fn call(instance: &TestInstance, path: &str) -> Received {
+    decode(&instance.call("POST", path, "").await)
+}
+
+fn whole(body: &str) -> Received {
+    Received {
+        body: body.to_owned(),
+        whole: true,
+    }
+}
+
+fn cut(body: &str) -> Received {
+    Received {
+        body: body.to_owned(),
+        whole: false,
+    }
+}
+
+// Returns a stream that ends with its connection, from the event after which it is resumed.
+fn close_delimited_stream(received: &ReceivedRequest) -> Vec<Step> {
+    let after = received.header("x-after").map_or(0, |after| {
+        after.parse::<usize>().expect("the id of an event")
+    });
+    vec![
+        close_delimited_head(received, ""),
+        Step::Send(EVENTS[after..].concat()),
+        Step::Close,
+    ]
+}
+
+/// Starts two endpoints of which the one that is asked first sends these steps after its
+/// head, and whichever is asked later a whole stream.
+async fn start_breaking(steps: Vec<Step>) -> [Endpoint; 2] {
+    let broken = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let script = move |_: usize, received: &ReceivedRequest| {
+        if broken.swap(true, std::sync::atomic::Ordering::Relaxed) {
+            return close_delimited_stream(received);
+        }
+        let mut all = vec![close_delimited_head(received, "")];
+        all.extend(steps.clone());
+        all
+    };
+    let script = Arc::new(script);
+    let [first, second] = [Arc::clone(&script), script];
+    [
+        Endpoint::start(move |n, received| first(n, received)).await,
+        Endpoint::start(move |n, received| second(n, received)).await,
+    ]
+}
+
+fn received(endpoints: &[Endpoint]) -> Vec<ReceivedRequest> {
+    endpoints.iter().flat_map(Endpoint::received).collect()
+}
+
+fn resumed_after(endpoints: &[Endpoint]) -> Vec<String> {
+    let all = received(endpoints);
+    let after = all.iter().filter_map(|one| one.header("x-after"));
+    after.map(str::to_owned).collect()
+}
+
+async fn start_with(endpoints: &[Endpoint]) -> TestInstance {
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    TestInstance::start(&addresses).await
+}
+
+/// Guards against taking the end of a connection for the end of an answer.
+#[tokio::test]
+async fn resumable_stream_that_ends_inside_an_event_is_resumed() {
+    for part in PARTS {
+        let first = format!("{}{part}", EVENTS[0]);
+        let endpoints = start_breaking(vec![Step::Send(first), Step::Close]).await;
+        let instance = start_with(&endpoints).await;
+        let response = call(&instance, "/draft/1").await;
+        assert_eq!(response, whole(&EVENTS.concat()), "{part:?}");
+        assert_eq!(resumed_after(&endpoints), ["1"], "{part:?}");
+    }
+}
+
+/// Guards against a last chunk behind a part of an event.
+#[tokio::test]
+async fn unresumable_stream_that_ends_inside_an_event_is_visibly_truncated() {
+    for part in PARTS {
+        let first = format!("{}{part}", EVENTS[0]);
+        let endpoints = start_breaking(vec![Step::Send(first.clone()), Step::Close]).await;
+        let instance = start_with(&endpoints).await;
+        let response = call(&instance, "/caption/1").await;
+        assert_eq!(response, cut(&first), "{part:?}");
+        assert_eq!(received(&endpoints).len(), 1, "{part:?}");
+    }
+}
+
+/// Guards against judging ends by the events' numbers, which not all streams have.
+#[tokio::test]
+async fn unnumbered_stream_that_ends_inside_an_event_is_visibly_truncated() {
+    for path in ["/draft/1", "/caption/1"] {
+        let text = "data: a\n\ndata: b\n\ndata: c";
+        let endpoints = start_breaking(vec![Step::Send(text.to_owned()), Step::Close]).await;
+        let instance = start_with(&endpoints).await;
+        assert_eq!(call(&instance, path).await, cut(text), "{path}");
+        assert_eq!(received(&endpoints).len(), 1, "{path}");
+    }
+}
+
+/// Guards against holding a sound stream that ends with its connection to be broken.
+#[tokio::test]
+async fn close_delimited_stream_that_ends_after_an_event_is_whole() {
+    for (path, headers) in [
+        ("/draft/1", ""),
+        ("/caption/1", ""),
+        ("/draft/1", "connection: close\r\n"),
+        ("/caption/1", "connection: keep-alive\r\n"),
+    ] {
+        let endpoint = Endpoint::start(move |_, received| {
+            let head = close_delimited_head(received, headers);
+            vec![head, Step::Send(EVENTS.concat()), Step::Close]
+        })
+        .await;
+        let instance = start_with(std::slice::from_ref(&endpoint)).await;
+        let response = call(&instance, path).await;
+        assert_eq!(response, whole(&EVENTS.concat()), "{path}");
+        assert_eq!(endpoint.received().len(), 1, "{path}");
+    }
+}
+
+/// Guards against an empty answer in place of a stream whose endpoint ended before its first
+/// event.
+#[tokio::test]
+async fn close_delimited_stream_without_an_event_is_broken() {
+    for text in ["", ": alive\n", ": alive\n\n"] {
+        let endpoints = start_breaking(vec![Step::Send(text.to_owned()), Step::Close]).await;
+        let instance = start_with(&endpoints).await;
+        let response = call(&instance, "/draft/1").await;
+        assert!(response.whole, "{text:?}: {response:?}");
+        assert!(response.body.ends_with(&EVENTS.concat()), "{response:?}");
+        let endpoints = start_breaking(vec![Step::Send(text.to_owned()), Step::Close]).await;
+        let instance = start_with(&endpoints).await;
+        assert_eq!(call(&instance, "/caption/1").await, cut(text), "{text:?}");
+    }
+}
+
+/// Guards against a break that is lost on the way through another instance, which sends the
+/// answer on in chunks.
+#[tokio::test]
+async fn break_inside_an_event_is_noticed_through_another_instance() {
+    for (path, expected) in [
+        ("/draft/1", whole(&EVENTS.concat())),
+        ("/caption/1", cut(&format!("{}{}", EVENTS[0], PARTS[0]))),
+    ] {
+        let first = format!("{}{}", EVENTS[0], PARTS[0]);
+        let endpoints = start_breaking(vec![Step::Send(first), Step::Close]).await;
+        let [cut_off, _other] = start_pair(&endpoints).await;
+        assert_eq!(call(&cut_off, path).await, expected, "{path}");
+    }
+}
+
+/// Guards against a caller of HTTP/1.0, which gets no chunks, that takes the end of its
+/// connection for the end of the answer.
+#[tokio::test]
+async fn break_is_visible_to_callers_of_http_1_0() {
+    for (path, part, is_reset) in [
+        ("/caption/1", "", false),
+        ("/caption/1", PARTS[0], true),
+        ("/draft/1", PARTS[0], false),
+    ] {
+        let first = format!("{}{part}", EVENTS[0]);
+        let endpoints = start_breaking(vec![Step::Send(first), Step::Close]).await;
+        let instance = start_with(&endpoints).await;
+        let text = request("POST", path, "", "").replace("HTTP/1.1", "HTTP/1.0");
+        let mut stream = instance.open(&text).await;
+        let mut bytes = Vec::new();
+        let end = stream.read_to_end(&mut bytes).await;
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(text.starts_with("HTTP/1.0 200"), "{text}");
+        assert!(!text.contains("transfer-encoding"), "{text}");
+        assert_eq!(end.is_err(), is_reset, "{path} {part:?}: {end:?}, {text}");
+    }
+}
+
+/// Guards against counting a request as answered whose endpoints crash inside its stream.
+#[tokio::test]
+async fn request_that_crashes_endpoints_inside_an_event_is_held() {
+    let mut endpoints = Vec::new();
+    for _ in 0..6 {
+        let script = |_: usize, received: &ReceivedRequest| {
+            let first = format!("{}{}", EVENTS[0], PARTS[0]);
+            let head = close_delimited_head(received, "");
+            vec![head, Step::Send(first), Step::Stop]
+        };
+        endpoints.push(Endpoint::start(script).await);
+    }
+    let instance = start_with(&endpoints).await;
+    for _ in 0..3 {
+        let response = instance.call("POST", "/caption/1", "").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        tokio::time::sleep(CRASH_CHECK_TIME).await;
+    }
+    let held = instance.call("POST", "/caption/1", "").await;
+    assert!(held.starts_with("HTTP/1.1 503"), "{held}");
+    assert_eq!(received(&endpoints).len(), 3);
+}
+
+/// Guards against passing on bytes in a coding that the caller isn't told of.
+#[tokio::test]
+async fn answer_in_an_unknown_transfer_coding_is_not_relayed() {
+    for coding in ["gzip", "gzip, chunked"] {
+        for (path, status, runs) in [("/stock/1", "200", 2), ("/caption/1", "502", 1)] {
+            let broken = Arc::new(std::sync::atomic::AtomicBool::new(false));
+            let script = move |_: usize, received: &ReceivedRequest| {
+                if broken.swap(true, std::sync::atomic::Ordering::Relaxed) {
+                    return vec![response_to(received, "200 OK", "", "ok")];
+                }
+                let head =
+                    close_delimited_head(received, &format!("transfer-encoding: {coding}\r\n"));
+                let body = if coding == "gzip" {
+                    Step::Send("packed\n\n".to_owned())
+                } else {
+                    Step::Send("8\r\npacked\n\n\r\n0\r\n\r\n".to_owned())
+                };
+                vec![head, body, Step::Close]
+            };
+            let script = Arc::new(script);
+            let [first, second] = [Arc::clone(&script), script];
+            let endpoints = [
+                Endpoint::start(move |n, received| first(n, received)).await,
+                Endpoint::start(move |n, received| second(n, received)).await,
+            ];
+            let instance = start_with(&endpoints).await;
+            let method = if runs == 2 { "GET" } else { "POST" };
+            let response = instance.call(method, path, "").await;
+            assert_eq!(&response[9..12], status, "{coding} {path}: {response}");
+            assert_eq!(received(&endpoints).len(), runs, "{coding} {path}");
+        }
+    }
+}
+
+/// How an endpoint ends a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ending {
+    /// Closes the connection, without a length or chunks.
+    Close,
+    /// Resets the connection, without a length or chunks.
+    Reset,
+    /// Closes the connection without the last chunk.
+    NoLastChunk,
+}
+
+// Returns the steps of an endpoint that breaks off after `text`, sent in two parts.
+fn break_after(received: &ReceivedRequest, text: &str, ending: Ending) -> Vec<Step> {
+    let (first, second) = text.split_at(text.len() / 2);
+    let parts = [first, second].into_iter().filter(|part| !part.is_empty());
+    let (mut steps, as_step): (_, fn(&str) -> Step) = if ending == Ending::NoLastChunk {
+        (vec![stream_head(received, "s1")], chunk)
+    } else {
+        let head = close_delimited_head(received, "");
+        (vec![head], |part| Step::Send(part.to_owned()))
+    };
+    for part in parts {
+        steps.extend([as_step(part), Step::Wait(1)]);
+    }
+    let last = match ending {
+        Ending::Reset => Step::Reset,
+        Ending::Close | Ending::NoLastChunk => Step::Close,
+    };
+    steps.push(last);
+    steps
+}
+
+/// Guards against any place at which a break looks like an end: a stream is whole only if its
+/// connection is closed after an event, and else goes on after its last whole event or is
+/// visibly truncated.
+#[tokio::test]
+async fn stream_cut_at_any_byte_is_whole_only_after_an_event() {
+    let text = EVENTS.concat();
+    for ending in [Ending::Close, Ending::Reset, Ending::NoLastChunk] {
+        let script = move |_: usize, received: &ReceivedRequest| {
+            let Some(cut_at) = received
+                .header("x-cut-at")
+                .filter(|_| received.header("x-after").is_none())
+            else {
+                return close_delimited_stream(received);
+            };
+            let cut_at = cut_at.parse::<usize>().expect("a number of bytes");
+            break_after(received, &EVENTS.concat()[..cut_at], ending)
+        };
+        let endpoints = [Endpoint::start(script).await, Endpoint::start(script).await];
+        let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+        let instance = TestInstance::start_without_retry_limit(&addresses).await;
+        for cut_at in 0..=text.len() {
+            let header = format!("x-cut-at: {cut_at}\r\n");
+            let is_whole =
+                ending == Ending::Close && cut_at > 0 && text[..cut_at].ends_with("\n\n");
+            let draft = decode(&instance.call("POST", "/draft/1", &header).await);
+            let expected = if is_whole { &text[..cut_at] } else { &text };
+            assert_eq!(draft, whole(expected), "{ending:?} at {cut_at}");
+            let caption = decode(&instance.call("POST", "/caption/1", &header).await);
+            let Received { body, whole } = caption;
+            assert_eq!(whole, is_whole, "{ending:?} at {cut_at}");
+            assert!(text.starts_with(&body), "{ending:?} at {cut_at}: {body:?}");
+        }
+    }
+}
