direct: a stream whose connection ends inside an event has broken off

Callers got a part of a stream with a proper last chunk: the endpoint's answer had neither a length nor chunks, its connection was closed inside an event, and the end of the connection was taken for the end of the answer (Stream::finish; ResponseBody::is_framed was asked by nobody in this crate). The same end counted as an answered request, so one that crashes its endpoints inside its stream was never held back, and another instance that sent such an answer on framed it as whole.

Payload, which all readers of an endpoint's body use, now ends such a body as broken. What follows is what follows any break: the endpoint's failure counts, the crash is looked for, the stream is resumed after its last whole event or visibly truncated.

--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -345,7 +345,7 @@
     let fields = (shared.dialect.read_response)(head.status, &head.headers);
     record_response(&job, &in_flight, head.status, &fields);
     let mut response = EndpointResponse {
-        body: Payload::new(body, job.kind(), &head.headers),
+        body: Payload::new(body, job.kind(), &head),
         head,
         in_flight,
     };
--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use godwitpost_client::connect::ResponseBody;
 use godwitpost_decide::resume::events::position::Position;
-use http::HeaderMap;
 use http::header::CONTENT_TYPE;
+use http::response::Parts;
 use http_body::{Body, Frame, SizeHint};
 
 use crate::policy::Kind;
@@ -56,6 +56,8 @@
 pub(crate) enum Break {
     /// {0}
     Connection(hyper::Error),
+    /// the connection ended inside an event
+    InsideEvent,
 }
 
 impl std::error::Error for Break {}
@@ -69,9 +71,9 @@
 }
 
 impl Payload {
-    pub(super) fn new(body: ResponseBody, kind: Kind, headers: &HeaderMap) -> Self {
+    pub(super) fn new(body: ResponseBody, kind: Kind, head: &Parts) -> Self {
         Self {
-            position: is_event_stream(kind, headers).then(Position::default),
+            position: is_event_stream(kind, head).then(Position::default),
             body,
         }
     }
@@ -83,7 +85,7 @@
                 Part::Frame(frame)
             }
             Some(Err(error)) => Part::End(End::Broken(Break::Connection(error))),
-            None => Part::End(End::Whole),
+            None => Part::End(self.end()),
         };
         Poll::Ready(part)
     }
@@ -120,6 +122,15 @@
         self.body.size_hint()
     }
 
+    // Judges the end of a body that was read without an error.
+    fn end(&self) -> End {
+        if self.framing() == Framing::CloseDelimited && self.is_inside_event() {
+            End::Broken(Break::InsideEvent)
+        } else {
+            End::Whole
+        }
+    }
+
     fn record_frame(&mut self, frame: &Frame<Bytes>) {
         if let (Some(position), Some(bytes)) = (&mut self.position, frame.data_ref()) {
             position.advance(bytes);
@@ -127,11 +138,11 @@
     }
 }
 
-// Some endpoints name no media type, so the response to a stream counts as one unless it
-// names another type.
-fn is_event_stream(kind: Kind, headers: &HeaderMap) -> bool {
-    let Some(value) = headers.get(CONTENT_TYPE) else {
-        return kind.is_stream();
+// Some endpoints name no media type, so a success on the route of a stream counts as one
+// unless it names another type.
+fn is_event_stream(kind: Kind, head: &Parts) -> bool {
+    let Some(value) = head.headers.get(CONTENT_TYPE) else {
+        return kind.is_stream() && head.status.is_success();
     };
     let media_type = value.as_bytes().split(|byte| *byte == b';').next();
     media_type.is_some_and(|name| {
--- a/crates/direct/src/relay/payload/tests.rs
+++ b/crates/direct/src/relay/payload/tests.rs
@@ -1,5 +1,5 @@
+use http::Response;
 use http::header::CONTENT_TYPE;
-use http::{HeaderMap, HeaderValue};
 
 use super::is_event_stream;
 use crate::policy::Kind;
@@ -7,17 +7,22 @@
 #[test]
 fn event_streams_are_known_by_media_type_and_else_by_route() {
     let stream = Kind::Stream { resumable: false };
-    for (kind, media_type, expected) in [
-        (stream, None, true),
-        (stream, Some("text/event-stream"), true),
-        (stream, Some("Text/Event-Stream; charset=utf-8"), true),
-        (stream, Some("application/json"), false),
-        (Kind::Safe, None, false),
-        (Kind::Safe, Some("application/json"), false),
-        (Kind::Safe, Some("text/event-stream"), true),
+    for (kind, status, media_type, expected) in [
+        (stream, 200, "", true),
+        (stream, 200, "text/event-stream", true),
+        (stream, 200, "Text/Event-Stream; charset=utf-8", true),
+        (stream, 200, "application/json", false),
+        (stream, 500, "", false),
+        (Kind::Safe, 200, "", false),
+        (Kind::Safe, 200, "application/json", false),
+        (Kind::Safe, 200, "text/event-stream", true),
     ] {
-        let value = media_type.map(|value| (CONTENT_TYPE, HeaderValue::from_static(value)));
-        let headers: HeaderMap = value.into_iter().collect();
-        assert_eq!(is_event_stream(kind, &headers), expected, "{media_type:?}");
+        let mut response = Response::builder().status(status);
+        if !media_type.is_empty() {
+            response = response.header(CONTENT_TYPE, media_type);
+        }
+        let (head, ()) = response.body(()).expect("a valid head").into_parts();
+        let answer = is_event_stream(kind, &head);
+        assert_eq!(answer, expected, "{kind:?} {status} {media_type}");
     }
 }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -374,7 +374,7 @@
     let idempotent = job.route.kind.idempotent();
     let verdict = classify_response(head.status, &fields, &job.fields.attempt_id, idempotent);
     let response = EndpointResponse {
-        body: Payload::new(body, job.kind(), &head.headers),
+        body: Payload::new(body, job.kind(), &head),
         head,
         in_flight,
     };
--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -358,3 +358,45 @@
         }
     }
 }
+
+/// Guards against judging other answers by events: they may end with their connection
+/// anywhere, and are broken only by a reset.
+#[tokio::test]
+async fn close_delimited_answer_that_is_no_event_stream_is_whole_unless_reset() {
+    let long = "x".repeat(100 << 10);
+    for (method, path, head, body, expected) in [
+        ("GET", "/stock/1", "200 OK\r\n", "half a li", Some("200")),
+        ("GET", "/stock/1", "200 OK\r\n", long.as_str(), Some("200")),
+        ("POST", "/caption/1", "500 No\r\n", "no", Some("500")),
+        (
+            "POST",
+            "/caption/1",
+            "200 OK\r\ncontent-type: application/json\r\n",
+            "{\"a\":1}",
+            Some("200"),
+        ),
+        ("POST", "/order/1", "200 OK\r\n", "half a li", None),
+        ("POST", "/order/1", "200 OK\r\n", long.as_str(), None),
+    ] {
+        let (head, text) = (head.to_owned(), body.to_owned());
+        let last = if expected.is_some() {
+            Step::Close
+        } else {
+            Step::Reset
+        };
+        let script = move |_: usize, received: &ReceivedRequest| {
+            let attempt = received.header("x-attempt").unwrap_or_default();
+            let head = format!("HTTP/1.1 {head}x-attempt: {attempt}\r\nx-signed: s1\r\n\r\n{text}");
+            vec![Step::Send(head), Step::Wait(20), last.clone()]
+        };
+        let endpoint = Endpoint::start(script).await;
+        let instance = start_with(std::slice::from_ref(&endpoint)).await;
+        let response = instance.call(method, path, "").await;
+        let is_whole = response.ends_with(body) || response.ends_with("\r\n0\r\n\r\n");
+        assert_eq!(is_whole, expected.is_some(), "{path}: {response:.300}");
+        if let Some(status) = expected {
+            assert_eq!(&response[9..12], status, "{path}");
+        }
+        assert_eq!(endpoint.received().len(), 1, "{path}");
+    }
+}
