direct: an event stream that ends with its connection before any event has broken off

Callers got an empty answer, whole, where an endpoint had sent the head of a stream without a length or chunks and its connection was closed before the first event. The check for an unfinished event doesn't see it.

Such an end proves nothing: the endpoint crashed, or had nothing to send. It counts as broken, so that the request goes to another endpoint where it may and is visibly truncated elsewhere. The price is a stream that is resumed after its last event at an endpoint that answers this way: it ends as truncated, with all events passed on, and its caller can resume it.

--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -58,6 +58,8 @@
     Connection(hyper::Error),
     /// the connection ended inside an event
     InsideEvent,
+    /// the connection ended before the first event
+    NoEvent,
 }
 
 impl std::error::Error for Break {}
@@ -123,9 +125,20 @@
     }
 
     // Judges the end of a body that was read without an error.
+    //
+    // An event stream without a length, chunks or any event may come from an endpoint that
+    // had nothing left to send or from one that crashed. It counts as broken: a stream that
+    // is broken off can be resumed by its caller, one that looks whole is lost.
     fn end(&self) -> End {
-        if self.framing() == Framing::CloseDelimited && self.is_inside_event() {
+        let Some(position) = &self.position else {
+            return End::Whole;
+        };
+        if self.framing() == Framing::Delimited {
+            End::Whole
+        } else if !position.is_between_events() {
             End::Broken(Break::InsideEvent)
+        } else if !position.has_event() {
+            End::Broken(Break::NoEvent)
         } else {
             End::Whole
         }
