process: a truncated response is reset where the client speaks HTTP/1.0

A client of HTTP/1.0 gets no chunks and reads to the end of its connection. A response that broke off ended there with an orderly close, so that a part looked whole; the instance had noticed the break.

The connection is reset instead, by a linger time of zero when it is dropped. Clients of other versions see the break by the missing last chunk or a reset stream, and keep what was still on its way to them.

--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, Version};
+use http::{Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -168,7 +168,7 @@
     let requests = Arc::<Requests>::default();
     let tracked = Arc::clone(&requests);
     let service = service_fn(move |request: Request<Incoming>| {
-        let open = tracked.begin(request.version() == Version::HTTP_2);
+        let open = tracked.begin(request.version());
         // Boxed, because hyper reserves space for this future while the connection
         // is open. Without the box, 10,000 idle connections took 40 KB each.
         let answer = Box::pin(handle(request));
--- a/crates/process/src/serve/pace.rs
+++ b/crates/process/src/serve/pace.rs
@@ -5,14 +5,18 @@
 //! byte now and then could hold a connection and its buffers for as long as others
 //! may be idle. Therefore this stream observes when bytes arrive: the first byte
 //! outside a request starts a head, and the next request ends it.
+//!
+//! The stream also resets its connection where a response broke off and nothing else shows
+//! that to the client.
 
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -34,14 +38,21 @@
     // Whether several may be open at once, as with HTTP/2. Received bytes then don't
     // show when a head starts.
     multiplexed: AtomicBool,
+    // Whether the response to a client of HTTP/1.0 broke off. Such a client gets no chunks
+    // and takes an orderly close for the end of the response.
+    truncated: AtomicBool,
 }
 
 impl Requests {
     /// Records a request, which is open until the returned guard is dropped.
-    pub(super) fn begin(self: &Arc<Self>, multiplexed: bool) -> OpenRequest {
+    pub(super) fn begin(self: &Arc<Self>, version: Version) -> OpenRequest {
         self.begun.fetch_add(1, Ordering::Relaxed);
-        self.multiplexed.fetch_or(multiplexed, Ordering::Relaxed);
-        OpenRequest(Arc::clone(self))
+        self.multiplexed
+            .fetch_or(version == Version::HTTP_2, Ordering::Relaxed);
+        OpenRequest {
+            requests: Arc::clone(self),
+            version,
+        }
     }
 
     fn is_open(&self) -> bool {
@@ -52,25 +63,36 @@
 
 /// An open request.
 #[derive(Debug)]
-pub(super) struct OpenRequest(Arc<Requests>);
+pub(super) struct OpenRequest {
+    requests: Arc<Requests>,
+    version: Version,
+}
+
+impl OpenRequest {
+    fn record_truncation(&self) {
+        if self.version == Version::HTTP_10 {
+            self.requests.truncated.store(true, Ordering::Relaxed);
+        }
+    }
+}
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.ended.fetch_add(1, Ordering::Relaxed);
+        self.requests.ended.fetch_add(1, Ordering::Relaxed);
     }
 }
 
 /// A response body whose request is open until it is dropped.
 pub(super) struct TrackedBody<B> {
     body: Pin<Box<B>>,
-    _open: OpenRequest,
+    open: OpenRequest,
 }
 
 impl<B> TrackedBody<B> {
     pub(super) fn new(body: B, open: OpenRequest) -> Self {
         Self {
             body: Box::pin(body),
-            _open: open,
+            open,
         }
     }
 }
@@ -83,7 +105,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<B::Data>, B::Error>>> {
-        self.body.as_mut().poll_frame(cx)
+        let frame = ready!(self.body.as_mut().poll_frame(cx));
+        if let Some(Err(_)) = &frame {
+            self.open.record_truncation();
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -144,6 +170,17 @@
     }
 }
 
+impl Drop for HeadTimeoutStream {
+    fn drop(&mut self) {
+        if !self.requests.truncated.load(Ordering::Relaxed) {
+            return;
+        }
+        if let Err(error) = self.stream.set_zero_linger() {
+            log::warn!(error:% = error; "connection closed instead of reset; its client may take a truncated response for a whole one");
+        }
+    }
+}
+
 impl AsyncRead for HeadTimeoutStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/process/src/serve/tests.rs
+++ b/crates/process/src/serve/tests.rs
@@ -151,3 +151,53 @@
         assert!(bytes[..count].starts_with(b"HTTP/1.1 200"));
     }
 }
+
+/// A body that breaks off after its first frame.
+#[derive(Default)]
+struct Truncated {
+    sent: bool,
+}
+
+impl Body for Truncated {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        _cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let frame = if std::mem::replace(&mut self.sent, true) {
+            Err("broken off".into())
+        } else {
+            Ok(Frame::data(Bytes::from_static(b"half")))
+        };
+        std::task::Poll::Ready(Some(frame))
+    }
+}
+
+/// Guards against a truncated response that looks whole: a client of HTTP/1.0 gets no
+/// chunks and takes an orderly close for the end.
+#[tokio::test]
+async fn truncated_response_is_visible_to_each_version_of_http() {
+    let port = Port::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let address = port.address;
+    let (_close, closing) = watch::channel(false);
+    let limits = Limits {
+        head_bytes: 16 << 10,
+        head_time: IDLE,
+        head_timeout: None,
+    };
+    let answer = |_| async { Response::new(Truncated::default()) };
+    tokio::spawn(run(port, limits, closing, answer));
+    for (version, is_reset) in [("HTTP/1.0", true), ("HTTP/1.1", false)] {
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let request = format!("GET / {version}\r\nhost: a\r\n\r\n");
+        let written = stream.write_all(request.as_bytes()).await;
+        written.expect("an open connection");
+        let mut bytes = Vec::new();
+        let end = stream.read_to_end(&mut bytes).await;
+        let text = String::from_utf8_lossy(&bytes);
+        assert_eq!(end.is_err(), is_reset, "{version}: {end:?}, {text}");
+        assert!(!text.ends_with("0\r\n\r\n"), "{version}: {text}");
+    }
+}
