direct: an answer in an unknown transfer coding is not relayed

An answer whose transfer coding is not chunked, or not chunked alone, reached its caller as 200 in the coded form, without the header that names the coding: it is a hop-by-hop header and removed. hyper undoes chunks and nothing else, and no request of ours asks for a coding.

Such a response counts as lost: it is repeated where it may be, and else 502. Another instance that sends the request on says so too.

--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -18,7 +18,7 @@
 use http_body_util::{BodyExt, Collected, Full, Limited};
 use hyper::body::Incoming;
 
-use super::super::payload::{End, Part, Payload};
+use super::super::payload::{End, Part, Payload, has_unknown_coding};
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
 use super::super::{EndpointResponse, Job, headers, job, source};
 use super::destination;
@@ -344,6 +344,14 @@
     let (head, body) = response.into_parts();
     let fields = (shared.dialect.read_response)(head.status, &head.headers);
     record_response(&job, &in_flight, head.status, &fields);
+    if has_unknown_coding(&head.headers) {
+        log::warn!(
+            request:% = job.id(), endpoint:% = in_flight.name();
+            "response of another instance's request in an unknown transfer coding"
+        );
+        shared.metrics.count_taken_forward(Outcome::Lost);
+        return empty_response(StatusCode::BAD_GATEWAY, Outcome::Lost);
+    }
     let mut response = EndpointResponse {
         body: Payload::new(body, job.kind(), &head),
         head,
--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use godwitpost_client::connect::ResponseBody;
 use godwitpost_decide::resume::events::position::Position;
-use http::header::CONTENT_TYPE;
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
 use http::response::Parts;
 use http_body::{Body, Frame, SizeHint};
 
@@ -164,5 +165,15 @@
     })
 }
 
+/// Returns whether a body is in another transfer coding than `chunked`.
+///
+/// No request asks for one, and no reader of the body undoes it. A caller would get the
+/// coded bytes, without the header that names the coding.
+pub(super) fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut codings = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    codings.any(|coding| !coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/direct/src/relay/payload/tests.rs
+++ b/crates/direct/src/relay/payload/tests.rs
@@ -1,7 +1,7 @@
-use http::Response;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Response};
 
-use super::is_event_stream;
+use super::{has_unknown_coding, is_event_stream};
 use crate::policy::Kind;
 
 #[test]
@@ -26,3 +26,23 @@
         assert_eq!(answer, expected, "{kind:?} {status} {media_type}");
     }
 }
+
+#[test]
+fn only_chunks_are_a_known_transfer_coding() {
+    for (values, expected) in [
+        (vec![], false),
+        (vec!["chunked"], false),
+        (vec!["Chunked "], false),
+        (vec!["gzip"], true),
+        (vec!["gzip, chunked"], true),
+        (vec!["gzip", "chunked"], true),
+    ] {
+        let values = values.iter().map(|value| HeaderValue::from_static(value));
+        let headers = values.map(|value| (TRANSFER_ENCODING, value));
+        let mut map = HeaderMap::new();
+        for (name, value) in headers {
+            map.append(name, value);
+        }
+        assert_eq!(has_unknown_coding(&map), expected, "{map:?}");
+    }
+}
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -21,7 +21,7 @@
 use super::choose::{self, Chosen, RESPONSE_RETURN_TIME, choose_endpoint};
 use super::crash::{BrokenRequest, check_for_crash};
 use super::forward::{self, Sent};
-use super::payload::Payload;
+use super::payload::{Payload, has_unknown_coding};
 use super::source::{self, Source};
 use crate::attempt::{Failure, Next, Verdict, classify_response};
 use crate::dialect::{OutgoingFields, ResponseFields};
@@ -373,6 +373,12 @@
     record_response(job, &in_flight, head.status, &fields);
     let idempotent = job.route.kind.idempotent();
     let verdict = classify_response(head.status, &fields, &job.fields.attempt_id, idempotent);
+    let verdict = match verdict {
+        Verdict::Relay | Verdict::Fallback if has_unknown_coding(&head.headers) => {
+            Verdict::Failed(Failure::Lost)
+        }
+        verdict => verdict,
+    };
     let response = EndpointResponse {
         body: Payload::new(body, job.kind(), &head),
         head,
--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -442,3 +442,18 @@
         assert_eq!(received(&endpoints).len(), 2, "{second:?}");
     }
 }
+
+/// Guards against the same on the way through another instance, which names no coding of the
+/// endpoint either.
+#[tokio::test]
+async fn answer_in_an_unknown_transfer_coding_is_not_sent_on() {
+    let endpoint = Endpoint::start(|_, received| {
+        let head = close_delimited_head(received, "transfer-encoding: gzip\r\n");
+        vec![head, Step::Send("packed\n\n".to_owned()), Step::Close]
+    })
+    .await;
+    let [cut_off, _other] = start_pair(std::slice::from_ref(&endpoint)).await;
+    let response = cut_off.call("POST", "/caption/1", "").await;
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert_eq!(endpoint.received().len(), 1);
+}
