standin, platform: a reset passes through proxies as a reset

The proxies of the tests, one in the soak and one for the paths of instances, turned a reset into an orderly close: their halves own their socket, and such a half closes it in order when it is dropped, before the linger time of zero can reset it. For an answer with a length or chunks both are breaks; for one that ends with its connection an orderly close is the end.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod observe;
 pub mod path;
 pub mod plain;
+pub mod tunnel;
 pub mod weights;
 
 mod answer;
--- a/crates/standin/src/path.rs
+++ b/crates/standin/src/path.rs
@@ -8,13 +8,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
 
+use crate::tunnel;
+
 /// How long a connection is tried for until a listener's queue counts as full.
 const QUEUE_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -24,9 +24,6 @@
 /// The accept queue of an open path.
 const BACKLOG: u32 = 1_024;
 
-/// The bytes that are forwarded at a time.
-const BUFFER_BYTES: usize = 16 << 10;
-
 #[derive(Debug, Default)]
 struct State {
     accepting: Option<AbortHandle>,
@@ -144,34 +141,12 @@
 }
 
 async fn forward(stream: TcpStream, to: SocketAddr, silent: watch::Receiver<bool>) {
-    // With a linger time of zero, dropping a socket resets its connection.
-    let Ok(endpoint) = TcpStream::connect(to).await else {
-        return;
-    };
-    if stream.set_zero_linger().is_err() || endpoint.set_zero_linger().is_err() {
-        return;
+    if let Ok(endpoint) = TcpStream::connect(to).await {
+        tunnel::run(stream, endpoint, |_| wait_until_audible(silent.clone())).await;
     }
-    let (caller_read, caller_write) = stream.into_split();
-    let (endpoint_read, endpoint_write) = endpoint.into_split();
-    tokio::join!(
-        copy(caller_read, endpoint_write, silent.clone()),
-        copy(endpoint_read, caller_write, silent),
-    );
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut silent: watch::Receiver<bool>) {
-    let mut bytes = vec![0; BUFFER_BYTES];
-    while let Ok(count) = from.read(&mut bytes).await {
-        if silent.wait_for(|silent| !silent).await.is_err() {
-            return;
-        }
-        if count == 0 {
-            // Passes an orderly end on as such.
-            drop(to.shutdown().await);
-            return;
-        }
-        if to.write_all(&bytes[..count]).await.is_err() {
-            return;
-        }
-    }
+// Waits while the path is silent. Returns whether there still is one.
+async fn wait_until_audible(mut silent: watch::Receiver<bool>) -> bool {
+    silent.wait_for(|silent| !silent).await.is_ok()
 }
