process: a client of HTTP/1.0 is reset also where the process is killed

A process that is killed closes its connections in order, which a client of HTTP/1.0 takes for the end of its response. So the linger time is zero from the first byte written to such a client, and back to the default before an orderly close. Where a response broke off there is none.

The test of the port now has its body break off once the first frame is written, and checks that it arrives: before, nothing had been written, and the connection ended without a byte.

--- a/crates/process/src/serve/pace.rs
+++ b/crates/process/src/serve/pace.rs
@@ -6,8 +6,8 @@
 //! may be idle. Therefore this stream observes when bytes arrive: the first byte
 //! outside a request starts a head, and the next request ends it.
 //!
-//! The stream also resets its connection where a response broke off and nothing else shows
-//! that to the client.
+//! The stream also resets its connection where nothing else shows a client that a response
+//! broke off.
 
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
@@ -18,6 +18,7 @@
 
 use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
@@ -38,8 +39,10 @@
     // Whether several may be open at once, as with HTTP/2. Received bytes then don't
     // show when a head starts.
     multiplexed: AtomicBool,
-    // Whether the response to a client of HTTP/1.0 broke off. Such a client gets no chunks
-    // and takes an orderly close for the end of the response.
+    // Whether the client speaks HTTP/1.0. It gets no chunks and takes an orderly close for
+    // the end of a response.
+    reads_to_close: AtomicBool,
+    // Whether a response broke off.
     truncated: AtomicBool,
 }
 
@@ -49,10 +52,9 @@
         self.begun.fetch_add(1, Ordering::Relaxed);
         self.multiplexed
             .fetch_or(version == Version::HTTP_2, Ordering::Relaxed);
-        OpenRequest {
-            requests: Arc::clone(self),
-            version,
-        }
+        self.reads_to_close
+            .fetch_or(version == Version::HTTP_10, Ordering::Relaxed);
+        OpenRequest(Arc::clone(self))
     }
 
     fn is_open(&self) -> bool {
@@ -63,22 +65,17 @@
 
 /// An open request.
 #[derive(Debug)]
-pub(super) struct OpenRequest {
-    requests: Arc<Requests>,
-    version: Version,
-}
+pub(super) struct OpenRequest(Arc<Requests>);
 
 impl OpenRequest {
     fn record_truncation(&self) {
-        if self.version == Version::HTTP_10 {
-            self.requests.truncated.store(true, Ordering::Relaxed);
-        }
+        self.0.truncated.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.requests.ended.fetch_add(1, Ordering::Relaxed);
+        self.0.ended.fetch_add(1, Ordering::Relaxed);
     }
 }
 
@@ -129,6 +126,8 @@
     // The number of requests at the start of the current head.
     head: Option<u64>,
     timer: Pin<Box<Sleep>>,
+    // Whether the connection is reset when it is dropped.
+    resets: bool,
 }
 
 impl HeadTimeoutStream {
@@ -143,6 +142,7 @@
             head_timeout,
             head: None,
             timer: Box::pin(sleep_until(Instant::now())),
+            resets: false,
         }
     }
 
@@ -161,6 +161,30 @@
         }
     }
 
+    // Has the connection reset unless it is closed in order, also if the process is killed.
+    // Called before a response is written.
+    fn prepare_reset(&mut self) {
+        if self.resets || !self.requests.reads_to_close.load(Ordering::Relaxed) {
+            return;
+        }
+        self.resets = true;
+        self.set_linger(Some(Duration::ZERO));
+    }
+
+    fn cancel_reset(&mut self) {
+        if self.resets && !self.requests.truncated.load(Ordering::Relaxed) {
+            self.resets = false;
+            self.set_linger(None);
+        }
+    }
+
+    // With a linger time of zero, closing the socket resets its connection.
+    fn set_linger(&self, time: Option<Duration>) {
+        if let Err(error) = SockRef::from(&self.stream).set_linger(time) {
+            log::warn!(error:% = error; "linger time not set; a client of HTTP/1.0 may take a truncated response for a whole one, or lose the end of a whole one");
+        }
+    }
+
     // Returns whether the current head has exceeded its time limit.
     fn head_timed_out(&mut self, cx: &mut Context<'_>) -> bool {
         let begun = self.requests.begun.load(Ordering::Relaxed);
@@ -170,17 +194,6 @@
     }
 }
 
-impl Drop for HeadTimeoutStream {
-    fn drop(&mut self) {
-        if !self.requests.truncated.load(Ordering::Relaxed) {
-            return;
-        }
-        if let Err(error) = self.stream.set_zero_linger() {
-            log::warn!(error:% = error; "connection closed instead of reset; its client may take a truncated response for a whole one");
-        }
-    }
-}
-
 impl AsyncRead for HeadTimeoutStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -211,6 +224,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
+        self.prepare_reset();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -219,6 +233,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.cancel_reset();
+        if self.resets {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -227,6 +245,7 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
+        self.prepare_reset();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/process/src/serve/tests.rs
+++ b/crates/process/src/serve/tests.rs
@@ -152,10 +152,10 @@
     }
 }
 
-/// A body that breaks off after its first frame.
+/// A body that breaks off once its first frame is written.
 #[derive(Default)]
 struct Truncated {
-    sent: bool,
+    polls: u32,
 }
 
 impl Body for Truncated {
@@ -164,14 +164,17 @@
 
     fn poll_frame(
         mut self: std::pin::Pin<&mut Self>,
-        _cx: &mut std::task::Context<'_>,
+        cx: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let frame = if std::mem::replace(&mut self.sent, true) {
-            Err("broken off".into())
-        } else {
-            Ok(Frame::data(Bytes::from_static(b"half")))
-        };
-        std::task::Poll::Ready(Some(frame))
+        self.polls += 1;
+        match self.polls {
+            1 => std::task::Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"half"))))),
+            2 => {
+                cx.waker().wake_by_ref();
+                std::task::Poll::Pending
+            }
+            _ => std::task::Poll::Ready(Some(Err("broken off".into()))),
+        }
     }
 }
 
@@ -198,6 +201,7 @@
         let end = stream.read_to_end(&mut bytes).await;
         let text = String::from_utf8_lossy(&bytes);
         assert_eq!(end.is_err(), is_reset, "{version}: {end:?}, {text}");
+        assert!(text.contains("half"), "{version}: {text}");
         assert!(!text.ends_with("0\r\n\r\n"), "{version}: {text}");
     }
 }
