client, decide: tests of connections that end a body, and of streams whose events have no reliable ends

Both held before: a connection that ended a body is not pooled, and a stream with lone CRs or a byte order mark is passed on unchanged and not resumed.

--- a/crates/client/tests/connect.rs
+++ b/crates/client/tests/connect.rs
@@ -355,6 +355,28 @@
     }
 }
 
+/// Guards against a connection that is used again although its end was the end of a body.
+#[tokio::test]
+async fn a_connection_that_ended_a_body_is_not_pooled() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.expect("a caller");
+            read_request(&mut stream).await.expect("a request");
+            let answer = b"HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\nwhole";
+            stream.write_all(answer).await.expect("an open connection");
+        }
+    });
+    let connector = Connector::new(Settings::default());
+    for _ in 0..2 {
+        let response = connector.send(address, request("/"), LONG).await;
+        assert_eq!(text(response.expect("a response")).await, "whole");
+        tokio::task::yield_now().await;
+        assert_eq!(connector.idle_count(address), 0);
+    }
+    server.await.expect("two connections");
+}
+
 // A body of known length is truncated. Its reader must get an error instead of an
 // end, or the caller would take the part for the whole.
 #[tokio::test]
--- a/crates/decide/src/resume/events/tests.rs
+++ b/crates/decide/src/resume/events/tests.rs
@@ -39,3 +39,22 @@
     assert!(progress.is_unnumbered());
     assert_eq!(push(&mut events, &mut progress, "more"), "more");
 }
+
+/// Guards against an event that is held back for ever, or lost, where its end is hidden: lines
+/// that end in a lone CR, and a byte order mark before the first one.
+#[test]
+fn streams_whose_events_are_not_numbered_reliably_are_passed_on_unchanged() {
+    for text in [
+        "id: 1\rdata: a\r\rid: 2\n",
+        "\u{feff}id: 1\ndata: a\n\nid: 2",
+    ] {
+        for at in (0..=text.len()).filter(|at| text.is_char_boundary(*at)) {
+            let (mut events, mut progress) = (EventSplitter::default(), Progress::default());
+            let mut passed = push(&mut events, &mut progress, &text[..at]);
+            passed += &push(&mut events, &mut progress, &text[at..]);
+            passed += str::from_utf8(&events.take_partial()).unwrap();
+            assert_eq!(passed, text, "{at}");
+            assert!(progress.is_unnumbered(), "{at}");
+        }
+    }
+}
