direct: a stream that ends with its connection is whole only if its endpoint has not crashed

The system closes the connections of a process that crashes in order, and an endpoint writes whole events, so that a stream without a length or chunks mostly ends between two events when its endpoint crashes. Its caller got a part that looked whole.

At such an end the endpoint is connected to, as after a broken connection: one that refuses, is still listed as live and isn't reached by other instances either has crashed, and the stream has broken off. Answers with a length or chunks are not checked.

A test failed before (one event of three, whole). Another one, of an endpoint that leaves, fails if leaving endpoints are not exempt.

--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -19,6 +19,7 @@
 use super::forward::is_reached_by_others;
 use crate::control::peers::forward_evidence;
 use crate::crashes::{Evidence, Observed};
+use crate::notices::Notice;
 use crate::roster::Registration;
 use crate::shared::Shared;
 use crate::stats::Observation;
@@ -68,6 +69,24 @@
     forward_evidence(&shared);
 }
 
+/// Returns whether an endpoint that closed a connection in order has crashed: it refuses
+/// connections although it is not leaving. The system closes the connections of a process
+/// that crashes as the process itself does.
+pub(super) async fn has_crashed(shared: &Shared, registration: &Registration) -> bool {
+    refuses_connection(registration.endpoint.address).await
+        && is_live(shared, registration)
+        && !is_reached_by_others(shared, registration).await
+}
+
+// Returns whether an endpoint is still said to run and not to be leaving.
+fn is_live(shared: &Shared, registration: &Registration) -> bool {
+    let (id, service) = (registration.endpoint.id, registration.endpoint.service);
+    let view = shared.view();
+    let mut listed = view.usable(service).iter().chain(view.evacuated(service));
+    let is_listed = listed.any(|one| one.endpoint.id == id);
+    is_listed && shared.notices().get(id, boot_time()) != Some(Notice::Leaving)
+}
+
 /// Records that a request completed, which is evidence that it doesn't crash endpoints.
 pub(super) fn record_completed(shared: &Arc<Shared>, digest: BodyDigest, sent_at: Moment) {
     shared.crash_tracker().record_local(Evidence {
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -353,7 +353,7 @@
         return empty_response(StatusCode::BAD_GATEWAY, Outcome::Lost);
     }
     let mut response = EndpointResponse {
-        body: Payload::new(body, job.kind(), &head),
+        body: Payload::new(body, job.kind(), &head, &in_flight),
         head,
         in_flight,
     };
--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -1,6 +1,8 @@
 //! The body of an endpoint's response, and how it ended.
 
+use std::fmt;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -11,7 +13,11 @@
 use http::response::Parts;
 use http_body::{Body, Frame, SizeHint};
 
+use super::crash::has_crashed;
+use super::send::InFlightRequest;
 use crate::policy::Kind;
+use crate::roster::Registration;
+use crate::shared::Shared;
 
 /// The media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -61,36 +67,64 @@
     InsideEvent,
     /// the connection ended before the first event
     NoEvent,
+    /// the connection ended after an event, and the endpoint crashed
+    Crashed,
 }
 
 impl std::error::Error for Break {}
 
+/// A check of whether an endpoint has crashed.
+type CrashCheck = Pin<Box<dyn Future<Output = bool> + Send>>;
+
 /// The body of an endpoint's response.
-#[derive(Debug)]
 pub(crate) struct Payload {
     body: ResponseBody,
     // Where an event stream ends; `None` for other bodies.
     position: Option<Position>,
+    shared: Arc<Shared>,
+    registration: Arc<Registration>,
+    crash_check: Option<CrashCheck>,
+}
+
+impl fmt::Debug for Payload {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Payload")
+            .field("body", &self.body)
+            .field("position", &self.position)
+            .finish_non_exhaustive()
+    }
 }
 
 impl Payload {
-    pub(super) fn new(body: ResponseBody, kind: Kind, head: &Parts) -> Self {
+    pub(super) fn new(
+        body: ResponseBody,
+        kind: Kind,
+        head: &Parts,
+        in_flight: &InFlightRequest,
+    ) -> Self {
         Self {
             position: is_event_stream(kind, head).then(Position::default),
             body,
+            shared: Arc::clone(in_flight.shared()),
+            registration: Arc::clone(in_flight.registration()),
+            crash_check: None,
         }
     }
 
     pub(crate) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Part> {
-        let part = match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
-            Some(Ok(frame)) => {
-                self.record_frame(&frame);
-                Part::Frame(frame)
+        if self.crash_check.is_none() {
+            match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
+                Some(Ok(frame)) => {
+                    self.record_frame(&frame);
+                    return Poll::Ready(Part::Frame(frame));
+                }
+                Some(Err(error)) => {
+                    return Poll::Ready(Part::End(End::Broken(Break::Connection(error))));
+                }
+                None => {}
             }
-            Some(Err(error)) => Part::End(End::Broken(Break::Connection(error))),
-            None => Part::End(self.end()),
-        };
-        Poll::Ready(part)
+        }
+        self.poll_end(cx).map(Part::End)
     }
 
     /// Waits for the next part.
@@ -130,19 +164,34 @@
     // An event stream without a length, chunks or any event may come from an endpoint that
     // had nothing left to send or from one that crashed. It counts as broken: a stream that
     // is broken off can be resumed by its caller, one that looks whole is lost.
-    fn end(&self) -> End {
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<End> {
         let Some(position) = &self.position else {
-            return End::Whole;
+            return Poll::Ready(End::Whole);
         };
         if self.framing() == Framing::Delimited {
-            End::Whole
-        } else if !position.is_between_events() {
-            End::Broken(Break::InsideEvent)
-        } else if !position.has_event() {
-            End::Broken(Break::NoEvent)
+            return Poll::Ready(End::Whole);
+        }
+        if !position.is_between_events() {
+            return Poll::Ready(End::Broken(Break::InsideEvent));
+        }
+        if !position.has_event() {
+            return Poll::Ready(End::Broken(Break::NoEvent));
+        }
+        let has_crashed = ready!(self.poll_crash_check(cx));
+        Poll::Ready(if has_crashed {
+            End::Broken(Break::Crashed)
         } else {
             End::Whole
-        }
+        })
+    }
+
+    fn poll_crash_check(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        let (shared, registration) = (&self.shared, &self.registration);
+        let check = self.crash_check.get_or_insert_with(|| {
+            let (shared, registration) = (Arc::clone(shared), Arc::clone(registration));
+            Box::pin(async move { has_crashed(&shared, &registration).await })
+        });
+        check.as_mut().poll(cx)
     }
 
     fn record_frame(&mut self, frame: &Frame<Bytes>) {
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -101,6 +101,14 @@
         &self.registration.endpoint.name
     }
 
+    pub(super) const fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    pub(super) const fn registration(&self) -> &Arc<Registration> {
+        &self.registration
+    }
+
     pub(super) fn endpoint(&self) -> EndpointId {
         self.registration.endpoint.id
     }
@@ -380,7 +388,7 @@
         verdict => verdict,
     };
     let response = EndpointResponse {
-        body: Payload::new(body, job.kind(), &head),
+        body: Payload::new(body, job.kind(), &head, &in_flight),
         head,
         in_flight,
     };
--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -457,3 +457,37 @@
     assert!(response.starts_with("HTTP/1.1 502"), "{response}");
     assert_eq!(endpoint.received().len(), 1);
 }
+
+/// Guards against a stream without a length or chunks whose endpoint crashes after one of its
+/// events: the system closes the connection as in order.
+#[tokio::test]
+async fn close_delimited_stream_of_a_crashed_endpoint_is_broken() {
+    for (path, expected) in [
+        ("/draft/1", whole(&EVENTS.concat())),
+        ("/caption/1", cut(EVENTS[0])),
+    ] {
+        let endpoints = start_breaking(vec![Step::Send(EVENTS[0].to_owned()), Step::Stop]).await;
+        let instance = start_with(&endpoints).await;
+        assert_eq!(call(&instance, path).await, expected, "{path}");
+    }
+}
+
+/// Guards against holding the last stream of an endpoint that leaves to be broken.
+#[tokio::test]
+async fn close_delimited_stream_of_an_endpoint_that_leaves_is_whole() {
+    let endpoint = Endpoint::start(|_, received| {
+        let steps = close_delimited_stream(received);
+        let mut steps = steps[..steps.len() - 1].to_vec();
+        steps.extend([Step::Wait(300), Step::Stop]);
+        steps
+    })
+    .await;
+    let instance = start_with(std::slice::from_ref(&endpoint)).await;
+    let response = call(&instance, "/caption/1");
+    let leaving = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        instance.register_leaving("e0", endpoint.address);
+    };
+    let (response, ()) = tokio::join!(response, leaving);
+    assert_eq!(response, whole(&EVENTS.concat()));
+}
