--- a/crates/direct/tests/reach/main.rs
+++ b/crates/direct/tests/reach/main.rs
@@ -8,11 +8,14 @@
 mod instance;
 mod world;
 
-use world::{Guard, Size, run_schedule};
+use world::{Cuts, Guard, Size, run_schedule};
 
 /// Number of schedules that are checked with few instances.
 const SMALL_SCHEDULES: u64 = 10_000;
 
+/// Number of schedules that are checked with few instances and cuts of zones.
+const ZONE_SCHEDULES: u64 = 2_000;
+
 /// Number of schedules that are checked with many instances.
 const MEDIUM_SCHEDULES: u64 = 20;
 const LARGE_SCHEDULES: u64 = 6;
@@ -39,12 +42,12 @@
     per_second: 2_400,
 };
 
-fn run_schedules(size: Size, schedules: u64) {
+fn run_schedules(size: Size, cuts: Cuts, schedules: u64) {
     std::thread::scope(|scope| {
         for thread_number in 0..THREADS {
             scope.spawn(move || {
                 for seed in (0..schedules).filter(|seed| seed % THREADS == thread_number) {
-                    if let Err(violation) = run_schedule(seed, size, None) {
+                    if let Err(violation) = run_schedule(seed, size, cuts, None) {
                         panic!("seed {seed}: {violation}");
                     }
                 }
@@ -55,7 +58,7 @@
 
 fn count_failures(size: Size, guard: Guard) -> usize {
     (0..GUARD_SCHEDULES)
-        .filter(|seed| run_schedule(*seed, size, Some(guard)).is_err())
+        .filter(|seed| run_schedule(*seed, size, Cuts::Scattered, Some(guard)).is_err())
         .count()
 }
 
@@ -63,13 +66,28 @@
 /// as often as others, and against paths that stay unused after they healed.
 #[test]
 fn callers_are_served_beside_cuts() {
-    run_schedules(SMALL, SMALL_SCHEDULES);
+    run_schedules(SMALL, Cuts::Scattered, SMALL_SCHEDULES);
 }
 
 #[test]
 fn callers_are_served_beside_cuts_of_many_instances() {
-    run_schedules(MEDIUM, MEDIUM_SCHEDULES);
-    run_schedules(LARGE, LARGE_SCHEDULES);
+    run_schedules(MEDIUM, Cuts::Scattered, MEDIUM_SCHEDULES);
+    run_schedules(LARGE, Cuts::Scattered, LARGE_SCHEDULES);
+}
+
+/// Guards against the same where most or all instances of a zone are cut off together, and
+/// all of them turn to the other zones.
+#[test]
+fn callers_are_served_beside_cuts_of_zones() {
+    run_schedules(SMALL, Cuts::ByZone, ZONE_SCHEDULES);
+    run_schedules(MEDIUM, Cuts::ByZone, MEDIUM_SCHEDULES);
+    run_schedules(LARGE, Cuts::ByZone, LARGE_SCHEDULES);
+}
+
+#[test]
+fn schedules_of_zones_fail_without_other_instances() {
+    let fails = |seed| run_schedule(seed, SMALL, Cuts::ByZone, Some(Guard::Forwarding)).is_err();
+    assert!((0..GUARD_SCHEDULES).any(fails));
 }
 
 #[test]
--- a/crates/direct/tests/reach/world.rs
+++ b/crates/direct/tests/reach/world.rs
@@ -47,6 +47,9 @@
 const MAX_SHARE: usize = 6;
 const SHARE_SLACK: usize = 20;
 
+/// Zones over which instances are spread.
+const ZONES: u16 = 3;
+
 /// How long an endpoint is down, and when all of them are at times.
 const DOWNTIME: Duration = Duration::from_secs(3);
 const OUTAGE_START: Duration = Duration::from_secs(19);
@@ -71,6 +74,15 @@
     pub(crate) per_second: u32,
 }
 
+/// Which instances lose their paths together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cuts {
+    /// Any.
+    Scattered,
+    /// Most or all of those in one zone.
+    ByZone,
+}
+
 /// A part of the production behaviour that a test can disable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Guard {
@@ -145,8 +157,13 @@
 /// # Errors
 ///
 /// Returns the first violation.
-pub(crate) fn run_schedule(seed: u64, size: Size, disabled: Option<Guard>) -> Result<(), String> {
-    let mut world = World::new(seed, size, disabled);
+pub(crate) fn run_schedule(
+    seed: u64,
+    size: Size,
+    cuts: Cuts,
+    disabled: Option<Guard>,
+) -> Result<(), String> {
+    let mut world = World::new(seed, size, cuts, disabled);
     while world.now < SIMULATED_TIME {
         world.now += TIME_STEP;
         world.introduce();
@@ -159,7 +176,7 @@
 }
 
 impl World {
-    fn new(seed: u64, size: Size, disabled: Option<Guard>) -> Self {
+    fn new(seed: u64, size: Size, cuts: Cuts, disabled: Option<Guard>) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let endpoints: Vec<Destination> = (0..u64::from(size.endpoints))
             .map(|n| Destination {
@@ -178,7 +195,7 @@
             })
             .collect();
         let cuts = (0..rng.random_range(1..4))
-            .map(|_| random_cut(&mut rng, size))
+            .map(|_| random_cut(&mut rng, size, cuts))
             .collect();
         Self {
             size,
@@ -474,13 +491,22 @@
     SocketAddr::from(([10, 0, 0, 1], n))
 }
 
-fn random_cut(rng: &mut ChaCha8Rng, size: Size) -> Cut {
+fn random_cut(rng: &mut ChaCha8Rng, size: Size, cuts: Cuts) -> Cut {
     let from = Duration::from_millis(rng.random_range(1_500..8_000));
     let lasting = Duration::from_millis(rng.random_range(500..10_000));
-    let share = rng.random_range(0.1..0.6);
-    let instances = (0..size.instances)
-        .filter(|_| rng.random_bool(share))
-        .collect();
+    let instances = match cuts {
+        Cuts::Scattered => {
+            let share = rng.random_range(0.1..0.6);
+            let all = 0..size.instances;
+            all.filter(|_| rng.random_bool(share)).collect()
+        }
+        Cuts::ByZone => {
+            let zone = rng.random_range(0..ZONES);
+            let share = rng.random_range(0.7..=1.0);
+            let all = (0..size.instances).filter(|n| n % ZONES == zone);
+            all.filter(|_| rng.random_bool(share)).collect()
+        }
+    };
     Cut {
         from,
         until: from + lasting,
