direct, standin: a test of open connections that live on while new ones are refused

A path of the tests can refuse new connections and leave open ones alone. A stream that runs then ends whole, requests are served as elsewhere, and so they are when the last open connections are gone.

--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -143,6 +143,49 @@
     }
 }
 
+/// Guards against streams that are broken off, and requests that fail, where new connections
+/// are refused while open ones live on; and against a loss of paths that is not noticed when
+/// the last of them is gone.
+#[tokio::test]
+async fn open_connections_are_used_where_new_ones_are_refused() {
+    let slow_stream = |number: usize, received: &ReceivedRequest| {
+        if !received.head.starts_with("POST /caption/") {
+            return respond(number, received);
+        }
+        let mut steps = vec![stream_head(received, "s1")];
+        for id in 1..=6 {
+            steps.extend(events(id, id));
+            steps.push(Step::Wait(100));
+        }
+        steps.push(last_chunk());
+        steps
+    };
+    let mut endpoints = Vec::new();
+    for _ in 0..4 {
+        endpoints.push(Endpoint::start(slow_stream).await);
+    }
+    let paths = refused_paths(&endpoints);
+    open_all(&paths).await;
+    let [cut_off, other, _third] = start_fleet(&paths, &endpoints).await;
+    assert_eq!(count_served(&cut_off).await, REQUESTS * 3);
+    let stream = cut_off.call("POST", "/caption/1", "");
+    let cut = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        for path in &paths {
+            path.refuse().await;
+        }
+        count_served(&cut_off).await
+    };
+    let (stream, served) = tokio::join!(stream, cut);
+    assert!(stream.ends_with("0\r\n\r\n"), "{stream}");
+    assert_eq!(stream.matches("data: ").count(), 6, "{stream}");
+    assert_served_alike(served, count_served(&other).await);
+    for path in &paths {
+        path.reset().await;
+    }
+    assert_served_alike(count_served(&cut_off).await, count_served(&other).await);
+}
+
 /// Starts an instance that reaches none of these endpoints, and one that does.
 pub(crate) async fn start_pair(endpoints: &[Endpoint]) -> [TestInstance; 2] {
     let paths = refused_paths(endpoints);
--- a/crates/standin/src/path.rs
+++ b/crates/standin/src/path.rs
@@ -83,6 +83,11 @@
         Ok(())
     }
 
+    /// Refuses new connections. Those that are open live on.
+    pub async fn refuse(&self) {
+        self.close().await;
+    }
+
     /// Resets all connections and refuses new ones.
     pub async fn reset(&self) {
         self.close().await;
