direct, client: relay, metrics, control and shared no longer form a circle

forward.rs had tied metrics to relay by the outcome of a request that another instance sends on, and stream.rs stood beside the module that it is a part of. The message between two instances is hop.rs now, of which metrics knows the outcome; stream.rs is relay/stream.rs; and how a body is delimited is a type of the client crate in place of a truth value. What is left of circles in the crate is place, dialect and stats. Behaviour is unchanged; the test of framing compares the same answers by the new type.

--- a/crates/client/src/connect.rs
+++ b/crates/client/src/connect.rs
@@ -43,7 +43,7 @@
 use self::meter::{MeteredStream, TransferCounter};
 use self::pool::Pool;
 pub use self::pool::{Connection, Settings};
-pub use self::received::ResponseBody;
+pub use self::received::{Framing, ResponseBody};
 
 /// Number of unanswered keep-alive probes after which a peer counts as gone.
 /// More than one, so that a single lost packet does not end a stream.
--- a/crates/client/src/connect/received.rs
+++ b/crates/client/src/connect/received.rs
@@ -12,6 +12,28 @@
 
 use super::pool::{Connection, Pool};
 
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length or its last chunk.
+    Delimited,
+    /// By the end of its connection, as in HTTP/1.0. A truncated body of this kind can't be
+    /// distinguished from a complete one, so code that relays it must not present it as
+    /// complete without further evidence.
+    CloseDelimited,
+}
+
+impl Framing {
+    /// Returns its name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Delimited => "delimited",
+            Self::CloseDelimited => "close-delimited",
+        }
+    }
+}
+
 /// The body of a response.
 ///
 /// Reading it to the end returns the connection to the pool. Dropping it before
@@ -21,7 +43,7 @@
 pub struct ResponseBody {
     body: Incoming,
     connection: Option<(Connection, Pool)>,
-    framed: bool,
+    framing: Framing,
 }
 
 impl ResponseBody {
@@ -34,24 +56,24 @@
         if let Some(timeout) = parse_keep_alive_timeout(headers) {
             connection.set_server_idle_timeout(timeout);
         }
-        let framed = body.size_hint().exact().is_some() || is_chunked(headers);
+        let framing = if body.size_hint().exact().is_some() || is_chunked(headers) {
+            Framing::Delimited
+        } else {
+            Framing::CloseDelimited
+        };
         let mut received = Self {
             body,
             connection: Some((connection, pool)),
-            framed,
+            framing,
         };
         received.release_at_end();
         received
     }
 
-    /// Returns whether the end of the body is marked by a length or by chunks.
-    ///
-    /// Any other body ends with its connection, as in HTTP/1.0. A truncated body
-    /// of that kind can't be distinguished from a complete one, so code that
-    /// relays it must not present it as complete.
+    /// Returns how the end of the body is marked.
     #[must_use]
-    pub const fn is_framed(&self) -> bool {
-        self.framed
+    pub const fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Boxes it as the body of another message, such as the response to the
--- a/crates/client/tests/connect.rs
+++ b/crates/client/tests/connect.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_client::connect::{Cause, Connector, Error, ResponseBody, Settings};
+use godwitpost_client::connect::{Cause, Connector, Error, Framing, ResponseBody, Settings};
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -332,16 +332,19 @@
 // to report that it is not framed.
 #[tokio::test]
 async fn a_body_that_ends_with_its_connection_is_not_framed() {
-    let answers: [(&[u8], bool); 3] = [
-        (b"HTTP/1.1 200 OK\r\n\r\nhalf a ros", false),
-        (OK, true),
+    let answers: [(&[u8], Framing); 3] = [
+        (
+            b"HTTP/1.1 200 OK\r\n\r\nhalf a ros",
+            Framing::CloseDelimited,
+        ),
+        (OK, Framing::Delimited),
         (
             b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, Chunked\r\n\r\n0\r\n\r\n",
-            true,
+            Framing::Delimited,
         ),
     ];
     let connector = Connector::new(Settings::default());
-    for (answer, framed) in answers {
+    for (answer, framing) in answers {
         let (listener, address) = listen().await;
         tokio::spawn(async move {
             let (mut stream, _) = listener.accept().await.expect("a caller");
@@ -350,7 +353,7 @@
         });
         let response = connector.send(address, request("/"), LONG).await;
         let body = response.expect("a response").into_body();
-        assert_eq!(body.is_framed(), framed);
+        assert_eq!(body.framing(), framing);
         body.collect().await.expect("an end");
     }
 }
--- a/crates/direct/src/relay/forward/frame.rs
+++ b/crates/direct/src/hop.rs
@@ -15,39 +15,39 @@
 pub(crate) const PROBE_PATH: &str = "/forward/v1/probe";
 
 /// The header of a response that names the [`Outcome`].
-pub(super) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("forward-outcome");
+pub(crate) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("forward-outcome");
 
 /// The header that carries the length of a response that has no body, since it answers
 /// `HEAD`.
-pub(super) const HEAD_LENGTH_HEADER: HeaderName = HeaderName::from_static("forward-length");
+pub(crate) const HEAD_LENGTH_HEADER: HeaderName = HeaderName::from_static("forward-length");
 
 /// A request to be sent on to one endpoint. The caller's body follows the encoded frame.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(super) struct Frame {
+pub(crate) struct Frame {
     /// The name of the endpoint.
-    pub(super) endpoint: String,
+    pub(crate) endpoint: String,
     /// The version of the configuration by which the sender resolved the request. An older
     /// one must not be applied to it.
-    pub(super) version: Version,
+    pub(crate) version: Version,
     /// The time until the request's deadline.
-    pub(super) remaining: Duration,
+    pub(crate) remaining: Duration,
     /// Whether the request may have reached an endpoint before.
-    pub(super) repeated: bool,
+    pub(crate) repeated: bool,
     /// The event after which to resume, if a broken stream is requested again.
-    pub(super) last_event_id: Option<u64>,
+    pub(crate) last_event_id: Option<u64>,
     /// The name of the endpoint that missing parts of the prompt can be fetched from.
-    pub(super) source: Option<String>,
+    pub(crate) source: Option<String>,
     /// The caller's method.
-    pub(super) method: String,
+    pub(crate) method: String,
     /// The caller's target, as path and query.
-    pub(super) target: String,
+    pub(crate) target: String,
     /// The caller's headers.
-    pub(super) headers: Vec<(String, Vec<u8>)>,
+    pub(crate) headers: Vec<(String, Vec<u8>)>,
 }
 
 /// Why a frame can't be read or written.
 #[derive(Debug, displaydoc::Display)]
-pub(super) enum FrameError {
+pub(crate) enum FrameError {
     /// the frame can't be encoded ({0})
     Encode(rmp_serde::encode::Error),
     /// the frame can't be decoded ({0}); check that both instances run the same version
@@ -62,7 +62,7 @@
     /// # Errors
     ///
     /// Returns an error if it can't be encoded.
-    pub(super) fn encode(&self, body: &[u8]) -> Result<Bytes, FrameError> {
+    pub(crate) fn encode(&self, body: &[u8]) -> Result<Bytes, FrameError> {
         let mut bytes = rmp_serde::to_vec(self).map_err(FrameError::Encode)?;
         bytes.extend_from_slice(body);
         Ok(bytes.into())
@@ -73,7 +73,7 @@
     /// # Errors
     ///
     /// Returns an error if the bytes don't begin with a frame.
-    pub(super) fn decode(bytes: &Bytes) -> Result<(Self, Bytes), FrameError> {
+    pub(crate) fn decode(bytes: &Bytes) -> Result<(Self, Bytes), FrameError> {
         let mut rest: &[u8] = bytes;
         let frame = rmp_serde::from_read(&mut rest).map_err(FrameError::Decode)?;
         let body = bytes.slice(bytes.len() - rest.len()..);
@@ -85,7 +85,7 @@
     /// # Errors
     ///
     /// Returns an error if a part of it is malformed.
-    pub(super) fn head(&self) -> Result<(Method, Uri, HeaderMap), FrameError> {
+    pub(crate) fn head(&self) -> Result<(Method, Uri, HeaderMap), FrameError> {
         let head = || {
             let method = self.method.parse().ok()?;
             let target = self.target.parse().ok()?;
@@ -96,7 +96,7 @@
 }
 
 /// Returns headers as a frame holds them.
-pub(super) fn encode_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+pub(crate) fn encode_headers(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
     let pairs = headers.iter();
     pairs
         .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
@@ -150,7 +150,7 @@
 
     /// Takes the outcome out of a response's headers. A response without one doesn't come
     /// from an instance that knows whether the request ran.
-    pub(super) fn take(headers: &mut HeaderMap) -> Self {
+    pub(crate) fn take(headers: &mut HeaderMap) -> Self {
         let value = headers.remove(OUTCOME_HEADER);
         let named = |one: &Self| value.as_ref().is_some_and(|value| value == one.as_str());
         Self::ALL.into_iter().find(named).unwrap_or(Self::Lost)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod fetch;
 pub mod forwarders;
 pub mod holders;
+mod hop;
 pub mod lease;
 mod metrics;
 pub mod notices;
@@ -46,7 +47,6 @@
 pub mod source;
 pub mod standby;
 pub mod stats;
-mod stream;
 pub mod verification;
 
 pub use running::{Error, Running, ShutdownResult, start};
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -3,15 +3,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use godwitpost_client::connect::Framing;
 use godwitpost_decide::health::Access;
 use godwitpost_process::metrics::{Labels, Metrics as RequestMetrics};
 use godwitpost_types::id::Era;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 
+use crate::hop::Outcome;
 use crate::refusal::Reason;
-use crate::relay::forward::Outcome;
-use crate::relay::payload::Framing;
 use crate::stats::Observation;
 
 /// An instance's use of the endpoints of one service.
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -11,9 +11,10 @@
 pub(crate) mod forward;
 mod headers;
 mod job;
-pub(crate) mod payload;
+mod payload;
 mod send;
 mod source;
+mod stream;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,8 +32,8 @@
 use rand::RngExt;
 use tokio::time::{timeout, timeout_at};
 
-pub(crate) use self::job::{BodyEnd, Job};
-pub(crate) use self::send::{EndpointResponse, InFlightRequest, dispatch};
+use self::job::{BodyEnd, Job};
+use self::send::{EndpointResponse, InFlightRequest, dispatch};
 use crate::dialect::RequestFields;
 use crate::refusal::Reason;
 use crate::shared::{Admission, Shared};
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -14,6 +14,7 @@
 
 use super::payload::{End, Part, Payload};
 use super::send::{BufferedBody, is_capacity_refusal};
+use super::stream::Stream;
 use super::{
     BodyEnd, EndpointResponse, Job, Refused, RefusedRequest, choose, dispatch, headers, refuse,
     set_retry_after,
@@ -21,7 +22,6 @@
 use crate::attempt::{Failure, Next};
 use crate::refusal::Reason;
 use crate::stats::Observation;
-use crate::stream::Stream;
 
 /// The maximum size of a buffered response. Plain services respond with a few kilobytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
--- a/crates/direct/src/relay/forward.rs
+++ b/crates/direct/src/relay/forward.rs
@@ -6,7 +6,6 @@
 //! under its own configuration, sends it to the named endpoint once or not at all, and never
 //! gives it to a further instance.
 
-mod frame;
 mod taken;
 
 use std::fmt;
@@ -23,14 +22,15 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-pub(crate) use self::frame::Outcome;
-use self::frame::{FORWARD_PATH, Frame, HEAD_LENGTH_HEADER, PROBE_PATH, encode_headers};
 pub(crate) use self::taken::handle_forwarded;
 use super::Job;
 use super::choose::{Chosen, RESPONSE_RETURN_TIME};
 use super::send::{build_request, head_timeout, max_idle};
 use super::source::Source;
 use crate::forwarders::Fault;
+use crate::hop::{
+    FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, Outcome, PROBE_PATH, encode_headers,
+};
 use crate::reach::{Destination, Way};
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -312,7 +312,7 @@
     job: &Job,
     chosen: &Chosen,
     last_event_id: Option<u64>,
-) -> Result<Request<godwitpost_client::connect::Body>, frame::FrameError> {
+) -> Result<Request<godwitpost_client::connect::Body>, FrameError> {
     let mut headers = job.headers.clone();
     if let Ok(host) = HeaderValue::try_from(job.host()) {
         headers.insert(HOST, host);
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -22,10 +22,10 @@
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
 use super::super::{EndpointResponse, Job, headers, job, source};
 use super::destination;
-use super::frame::{
+use crate::dialect::RequestFields;
+use crate::hop::{
     FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, OUTCOME_HEADER, Outcome, PROBE_PATH,
 };
-use crate::dialect::RequestFields;
 use crate::notices::Notice;
 use crate::reach::Way;
 use crate::refusal::Reason;
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
+use godwitpost_client::connect::Framing;
 use godwitpost_decide::quarantine;
 use godwitpost_process::metrics::Labels;
 use godwitpost_types::clock::{Moment, since};
@@ -18,7 +19,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use super::payload::{End, Framing, Payload};
+use super::payload::{End, Payload};
 use super::{crash, headers};
 use crate::attempt::Attempts;
 use crate::dialect::RequestFields;
--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
-use godwitpost_client::connect::ResponseBody;
+use godwitpost_client::connect::{Framing, ResponseBody};
 use godwitpost_decide::resume::events::position::Position;
 use http::HeaderMap;
 use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
@@ -22,24 +22,6 @@
 /// The media type of event streams.
 const EVENT_STREAM: &str = "text/event-stream";
 
-/// How the end of a body is marked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
-    /// By its length or its last chunk.
-    Delimited,
-    /// By the end of its connection.
-    CloseDelimited,
-}
-
-impl Framing {
-    pub(crate) const fn as_str(self) -> &'static str {
-        match self {
-            Self::Delimited => "delimited",
-            Self::CloseDelimited => "close-delimited",
-        }
-    }
-}
-
 /// The next part of a body.
 #[derive(Debug)]
 pub(crate) enum Part {
@@ -133,11 +115,7 @@
     }
 
     pub(crate) const fn framing(&self) -> Framing {
-        if self.body.is_framed() {
-            Framing::Delimited
-        } else {
-            Framing::CloseDelimited
-        }
+        self.body.framing()
     }
 
     /// Returns whether the part that was read ends inside an event.
--- a/crates/direct/src/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -20,11 +20,11 @@
 use http_body::{Body, Frame};
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::payload::{Break, End, Part, Payload};
+use super::{BodyEnd, EndpointResponse, InFlightRequest, Job, dispatch};
 use crate::attempt::{Failure, Next};
 use crate::paths::StallDetector;
 use crate::refusal::Reason;
-use crate::relay::payload::{Break, End, Part, Payload};
-use crate::relay::{BodyEnd, EndpointResponse, InFlightRequest, Job, dispatch};
 use crate::stats::Observation;
 
 /// How long a stream may be silent before it is resumed elsewhere. Engines that are
--- a/crates/router/src/relay/answer.rs
+++ b/crates/router/src/relay/answer.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_client::connect::{Body, ResponseBody};
+use godwitpost_client::connect::{Body, Framing, ResponseBody};
 use godwitpost_decide::ending::Ending;
 use godwitpost_types::policy::Kind;
 use http::header::{CONTENT_ENCODING, CONTENT_TYPE};
@@ -65,7 +65,9 @@
                 EndDetection::Marked,
             ),
             Format::Json => (read_json(received, wait).await?, EndDetection::Framed),
-            Format::Other if received.is_framed() => (received.boxed(), EndDetection::Framed),
+            Format::Other if received.framing() == Framing::Delimited => {
+                (received.boxed(), EndDetection::Framed)
+            }
             Format::Other => (received.boxed(), EndDetection::Unknown),
         };
         Ok(Self {
--- a/crates/router/src/relay/once.rs
+++ b/crates/router/src/relay/once.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use godwitpost_client::connect::ResponseBody;
+use godwitpost_client::connect::{Framing, ResponseBody};
 use godwitpost_decide::ending::Ending;
 use godwitpost_state::claim::key::Key;
 use godwitpost_state::claim::{AbandonResult, Id, Item, Lookup, Refusal, Step, Verdict};
@@ -182,7 +182,7 @@
     let (mut parts, received) = response.into_parts();
     endpoint::strip_headers(&mut parts.headers);
     // A response that ends when its connection closes may be truncated.
-    if !received.is_framed() {
+    if received.framing() == Framing::CloseDelimited {
         return None;
     }
     let read = body::collect(received, MAX_RESPONSE_BYTES);
