standin: responses without length or chunks, truncated after any number of bytes

Engines and plain services can answer with neither a length nor chunks, as in HTTP/1.0, and an engine's stream can break off after any byte, in order or not. An aborted connection is reset: it was closed in order, which would be the end of such a response.

--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -1,10 +1,11 @@
 //! Reading of request bodies, and building of responses.
 
 use bytes::Bytes;
+use futures_util::TryStreamExt as _;
 use http::header::CONTENT_TYPE;
-use http::{Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
+use http::{Method, Request, Response, StatusCode, Version};
+use http_body_util::{BodyExt as _, Full, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -41,6 +42,17 @@
     response
 }
 
+/// Turns a response into one that has neither a length nor chunks and ends with its
+/// connection.
+pub(crate) fn close_delimited(response: Response<Body>) -> Response<Body> {
+    let mut response = response.map(|body| {
+        // A body of known length would get that length.
+        StreamBody::new(body.into_data_stream().map_ok(Frame::data)).boxed_unsync()
+    });
+    *response.version_mut() = Version::HTTP_10;
+    response
+}
+
 /// Builds a JSON response.
 pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
     let body = serde_json::to_vec(value).expect("stand-ins answer plain data");
--- a/crates/standin/src/cli/flags.rs
+++ b/crates/standin/src/cli/flags.rs
@@ -134,6 +134,12 @@
         help: "Calls that are executed and get no answer",
         set: |to, text| probability(text).map(|value| to.lose_answers = value),
     },
+    Flag {
+        name: "close-delimited",
+        value: "PROBABILITY",
+        help: "Answers without a length, which end with their connection",
+        set: |to, text| probability(text).map(|value| to.close_delimited = value),
+    },
     Flag {
         name: "refuse",
         value: "PROBABILITY",
--- a/crates/standin/src/cli/flags/engine.rs
+++ b/crates/standin/src/cli/flags/engine.rs
@@ -124,6 +124,18 @@
             Ok(())
         },
     },
+    Flag {
+        name: "truncate-after",
+        value: "BYTES",
+        help: "Broken-off streams end after this many bytes, wherever that is",
+        set: |to, text| parse_value(text).map(|value| to.truncate_after = Some(value)),
+    },
+    Flag {
+        name: "close-delimited",
+        value: "PROBABILITY",
+        help: "Answers without length or chunks, which end with their connection",
+        set: |to, text| probability(text).map(|value| to.close_delimited = value),
+    },
     Flag {
         name: "truncate-once",
         value: "",
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -110,8 +110,13 @@
     pub truncate_cleanly: bool,
     /// Streams are truncated within their second event, not between two events.
     pub truncate_within: bool,
+    /// Streams are truncated after this many bytes, wherever that is.
+    pub truncate_after: Option<usize>,
     /// Resumed streams are not truncated.
     pub truncate_once: bool,
+    /// Probability that a response has neither a length nor chunks and ends with its
+    /// connection, as in HTTP/1.0.
+    pub close_delimited: f64,
     /// Probability that a request gets the response to the previous one.
     pub cross: f64,
     /// A request whose body contains this text crashes the engine when it runs.
@@ -140,7 +145,9 @@
             truncate: 0.0,
             truncate_cleanly: false,
             truncate_within: false,
+            truncate_after: None,
             truncate_once: false,
+            close_delimited: 0.0,
             cross: 0.0,
             crash_marker: None,
             down_for: Duration::from_secs(1),
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -85,7 +85,8 @@
         let reader = Reader::new(self.clone(), Arc::clone(&job), 0);
         let task = tokio::spawn(self.clone().run(Arc::clone(&job), plan));
         job.set_task(task.abort_handle());
-        self.answer(reader, chat.stream).await
+        let response = self.answer(reader, chat.stream).await?;
+        Ok(self.with_drawn_framing(response))
     }
 
     fn request_id(&self, headers: &HeaderMap) -> String {
@@ -102,7 +103,8 @@
                 } else {
                     self.faults.get().truncate
                 };
-                self.stream(Reader::new(self.clone(), job, after), probability)
+                let response = self.stream(Reader::new(self.clone(), job, after), probability);
+                self.with_drawn_framing(response)
             }
             None => answer::error(
                 StatusCode::NOT_FOUND,
--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -43,10 +43,21 @@
         Ok(with_answer_id(response, &reader))
     }
 
+    pub(super) fn with_drawn_framing(&self, response: Response<Body>) -> Response<Body> {
+        if self.faults.occurs(self.faults.get().close_delimited) {
+            answer::close_delimited(response)
+        } else {
+            response
+        }
+    }
+
     /// Streams a response, truncated with probability `truncate`.
     pub(super) fn stream(&self, reader: Reader, truncate: f64) -> Response<Body> {
         let cut = if !self.faults.occurs(truncate) {
             Cut::Never
+        } else if let Some(left) = self.faults.get().truncate_after {
+            let cleanly = self.faults.get().truncate_cleanly;
+            Cut::After { left, cleanly }
         } else if self.faults.get().truncate_within {
             Cut::Within
         } else if self.faults.get().truncate_cleanly {
@@ -63,7 +74,8 @@
     }
 }
 
-/// Where a stream is truncated: after its first part, or within its second.
+/// Where a stream is truncated: after its first part, within its second, or after a number
+/// of bytes.
 #[derive(Clone, Copy)]
 enum Cut {
     Never,
@@ -71,6 +83,7 @@
     Abruptly,
     Within,
     Half,
+    After { left: usize, cleanly: bool },
     Now,
 }
 
@@ -85,7 +98,8 @@
     }
     match reader.next_part().await {
         Part::Events(events) => {
-            if !matches!(cut, Cut::Never | Cut::Within) {
+            let is_later = matches!(cut, Cut::After { left, .. } if events.len() <= left);
+            if !is_later && !matches!(cut, Cut::Never | Cut::Within) {
                 reader.notify_truncated();
             }
             let half = events.slice(..events.len() / 2);
@@ -94,6 +108,16 @@
                 Cut::Cleanly => (events, None),
                 Cut::Within => (events, Some((reader, Cut::Half))),
                 Cut::Half => (half, Some((reader, Cut::Now))),
+                Cut::After { left, cleanly } => {
+                    let part = events.slice(..left.min(events.len()));
+                    let next = if is_later {
+                        let left = left - events.len();
+                        Some((reader, Cut::After { left, cleanly }))
+                    } else {
+                        (!cleanly).then_some((reader, Cut::Now))
+                    };
+                    (part, next)
+                }
                 Cut::Abruptly | Cut::Now => (events, Some((reader, Cut::Now))),
             };
             Some((Ok(Frame::data(events)), next))
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -27,6 +27,8 @@
     pub slow: Duration,
     /// Probability that a call is executed but its response is lost.
     pub lose_answers: f64,
+    /// Probability that a response has no length and ends with its connection, as in HTTP/1.0.
+    pub close_delimited: f64,
     /// Probability that a call is refused with 503, without execution.
     pub refuse: f64,
     /// Refuse new requests and report the standing `leaving`.
@@ -43,6 +45,7 @@
         Self {
             slow: Duration::ZERO,
             lose_answers: 0.0,
+            close_delimited: 0.0,
             refuse: 0.0,
             leaving: false,
             crash_marker: None,
--- a/crates/standin/src/plain/core.rs
+++ b/crates/standin/src/plain/core.rs
@@ -161,11 +161,12 @@
         }
         running.end = End::Completed;
         drop(running);
-        Ok(answer::bytes(
-            StatusCode::OK,
-            "application/json",
-            correct_answer.into(),
-        ))
+        let json = "application/json";
+        let response = answer::bytes(StatusCode::OK, json, correct_answer.into());
+        if self.faults.occurs(faults.close_delimited) {
+            return Ok(answer::close_delimited(response));
+        }
+        Ok(response)
     }
 
     /// Records an execution; returns its number and its correct answer.
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -15,6 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinHandle, JoinSet};
@@ -198,11 +199,15 @@
 {
     // Without TCP_NODELAY small frames of a token stream wait for an acknowledgement.
     let _best_effort = stream.set_nodelay(true);
+    // Keeps the socket open until it is known how the connection ends.
+    let socket = SockRef::from(&stream).try_clone();
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service_fn(handler))
         .await;
     if let Err(error) = served {
         ::log::debug!(error:% = error; "connection ended");
+        // An orderly close would be the end of a response without length or chunks.
+        let _best_effort = socket.and_then(|socket| socket.set_linger(Some(Duration::ZERO)));
     }
 }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_client::connect::{Connector, Error, ResponseBody, Settings as Pool};
+use godwitpost_client::connect::{Connector, Error, Framing, ResponseBody, Settings as Pool};
 use godwitpost_standin::digest;
 use godwitpost_standin::engine::{self, End, Faults, Running, Settings};
 use http::{Method, Request, Response, StatusCode};
@@ -193,6 +193,42 @@
     text(cut).await.expect_err("a truncated stream");
 }
 
+/// Checks that a stream without length or chunks can end in order inside an event, where only
+/// its events show that it broke off, and by a reset.
+#[tokio::test]
+async fn close_delimited_streams_break_off_anywhere() {
+    let running = start(fast_settings(), Faults::default()).await;
+    running
+        .faults()
+        .change(|faults| faults.close_delimited = 1.0);
+    let response = chat(&running, "r1", STREAM).await.expect("an answer");
+    assert_eq!(response.body().framing(), Framing::CloseDelimited);
+    let whole = text(response).await.expect("an orderly end");
+    assert!(whole.ends_with("data: [DONE]\n\n"), "{whole}");
+    for cleanly in [true, false] {
+        for after in [0, 1, whole.len() / 2, whole.len() - 20] {
+            running.faults().set(Faults {
+                close_delimited: 1.0,
+                truncate: 1.0,
+                truncate_after: Some(after),
+                truncate_cleanly: cleanly,
+                ..Faults::default()
+            });
+            let response = chat(&running, "r2", STREAM).await;
+            // A reset may overtake the head.
+            let Ok(response) = response else {
+                assert!(!cleanly, "{after}");
+                continue;
+            };
+            assert_eq!(response.body().framing(), Framing::CloseDelimited);
+            match text(response).await {
+                Ok(part) => assert_eq!((part.len(), cleanly), (after, true)),
+                Err(_) => assert!(!cleanly, "{after}"),
+            }
+        }
+    }
+}
+
 #[tokio::test]
 async fn an_old_fencing_number_is_refused_or_ignored() {
     let running = start(fast_settings(), Faults::default()).await;
