--- a/crates/bench/benches/direct.rs
+++ b/crates/bench/benches/direct.rs
@@ -1,12 +1,12 @@
 //! Prints the figures of direct sending, each with its bound.
 //!
-//! `cargo bench --bench direct`, with `-- 6`, `-- 81`, `-- 320`, `-- memory`, `-- loss`
-//! or `-- storm`
+//! `cargo bench --bench direct`, with `-- 6`, `-- 81`, `-- 320`, `-- memory`, `-- loss`,
+//! `-- storm` or `-- events`
 //! for a part, and `seed=2` for other traffic. Exits with 1 if a bound is broken.
 
 use std::process::ExitCode;
 
-use godwitpost_bench::direct::{SIZES, cost, loss, memory, repeats, traffic};
+use godwitpost_bench::direct::{SIZES, cost, events, loss, memory, repeats, traffic};
 use godwitpost_bench::figure::Figure;
 
 /// The seed unless another is given.
@@ -37,6 +37,9 @@
             figures.extend(repeats(size.instances, seed));
         }
     }
+    if wanted("events") {
+        figures.extend(events::figures());
+    }
     for figure in &figures {
         println!("{figure}");
     }
--- a/crates/bench/src/direct.rs
+++ b/crates/bench/src/direct.rs
@@ -6,6 +6,7 @@
 //! time, which [`cost`] measures, never decides a test.
 
 pub mod cost;
+pub mod events;
 mod instance;
 mod loss;
 mod memory;
