direct: an entry that a peer retains is dropped where the log could be read all the time

Its logs: three instances, those that all others ask, were cut off from the log from 2.5 to 11.5 s while others read it. One of them reads the log again at 12.11, and at 12.37 the removal of 12.149, which it takes for an entry that expired while the log was away and retains till 14.497. Those that ask it keep the endpoint as well; and one of them, itself just informed again, passes it on as live at 13.40 to two instances that had dropped it at 12.63 and 12.73.

Two things are wrong, of one kind: an instance takes its peer's interruption for the log's, or for nobody's. An instance now retains what its peer retains only if its own knowledge was interrupted for a heartbeat or more, by the time of the reads or of the answers, and then marks it as retained for those that ask it. Otherwise some instance read the log all the time, and the endpoint is gone.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -333,11 +333,14 @@
             changed |= self.apply_evacuation(evacuation, "peer");
         }
         if let Some(confirmed_at) = update.endpoints_confirmed_at {
-            self.roster.record_read(confirmed_at);
+            self.roster.record_renewal(confirmed_at, boot_time());
         }
         for registration in update.set {
             changed |= self.apply_entry(registration, update.built_at, Roster::apply_from_peer);
         }
+        for name in &update.expired {
+            changed |= self.apply_expired(name, boot_time());
+        }
         for name in removed {
             changed |= self.remove_endpoint(&name);
         }
--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -18,7 +18,7 @@
         let now = boot_time();
         self.record_era(update.era, None);
         self.roster.set_origin(Origin::Log(update.mode.epoch));
-        self.roster.record_read(now);
+        self.roster.record_renewal(now, now);
         let first = update.complete && !self.endpoints_listed;
         let mut changed = first;
         for change in update.changes {
@@ -41,21 +41,10 @@
                 self.apply_entry(registration, now, Roster::apply_listed)
             }
             Change::Set(_, registration) => self.apply_entry(registration, now, Roster::apply),
-            Change::Removed(name) => match self.roster.remove(&name, now) {
-                RemoveResult::Removed => {
-                    log::info!(endpoint:% = name; "endpoint gone");
-                    self.shared
-                        .update_replica(true, |replica| replica.remove_endpoint(&name));
-                    true
-                }
-                RemoveResult::Retained => {
-                    log::info!(endpoint:% = name; "entry expired during a log outage; endpoint retained");
-                    self.shared
-                        .update_replica(true, |replica| replica.mark_expired(&name));
-                    false
-                }
-                RemoveResult::Unknown => false,
-            },
+            Change::Removed(name) => {
+                let result = self.roster.remove(&name, now);
+                self.report_removal(&name, result)
+            }
             Change::Unreadable(name, cause) => {
                 log::warn!(entry:% = name, cause:% = cause; "entry does not describe an endpoint");
                 false
@@ -63,6 +52,32 @@
         }
     }
 
+    // Passes a removal on to peers and logs it. Returns whether the view changed.
+    fn report_removal(&self, name: &str, result: RemoveResult) -> bool {
+        match result {
+            RemoveResult::Removed => {
+                log::info!(endpoint:% = name; "endpoint gone");
+                self.shared
+                    .update_replica(true, |replica| replica.remove_endpoint(name));
+                true
+            }
+            RemoveResult::Retained => {
+                log::info!(endpoint:% = name; "entry expired during a log outage; endpoint retained");
+                self.shared
+                    .update_replica(true, |replica| replica.mark_expired(name));
+                false
+            }
+            RemoveResult::Unknown => false,
+        }
+    }
+
+    // Applies the word of a peer that it retains an expired entry. Returns whether the view
+    // changed.
+    pub(super) fn apply_expired(&mut self, name: &str, now: Moment) -> bool {
+        let result = self.roster.expire(name, now);
+        self.report_removal(name, result)
+    }
+
     // Applies an entry learned at `learned_at` by way of `apply`. Returns
     // whether the view changed.
     pub(super) fn apply_entry(
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -8,6 +8,10 @@
 //! for a grace period, and dropped if they are still missing after it. An entry that said
 //! that its endpoint is leaving is never retained.
 //!
+//! An instance that asks a peer is told of entries that the peer retains. It retains them
+//! as well only if its own knowledge was interrupted: otherwise the log could be read by
+//! some instance all the time, only the peer could not, and the endpoint is gone.
+//!
 //! A log that was restored from a copy has lost the newest entries and serves older ones
 //! until they are written again. Entries that it lacks count as expired. Entries of one
 //! endpoint are ordered by their content: a later incarnation replaces an earlier one,
@@ -65,6 +69,10 @@
     // entries may have expired.
     last_read: Option<Moment>,
     recovered_at: Option<Moment>,
+    // When knowledge of the log was last renewed, and when that ended an interruption in
+    // which entries may have expired.
+    renewed_at: Option<Moment>,
+    interrupted_until: Option<Moment>,
     // When the last read was sent after which everything in the log was known.
     last_complete_read: Option<Moment>,
     // When this instance learned that the log was restored from a copy.
@@ -164,7 +172,7 @@
     Removed,
     /// The entry may only have expired; it is retained for the grace period.
     Retained,
-    /// There was no such entry.
+    /// There was no such entry, or it is retained already.
     Unknown,
 }
 
@@ -177,6 +185,8 @@
             entries: BTreeMap::new(),
             last_read: None,
             recovered_at: None,
+            renewed_at: None,
+            interrupted_until: None,
             last_complete_read: None,
             restored_at: None,
             unconfirmed: BTreeMap::new(),
@@ -186,6 +196,22 @@
         }
     }
 
+    /// Records that what is known at `now` is as of a read of the log at `read_at`, by this
+    /// instance or by the peer that it asks.
+    pub fn record_renewal(&mut self, read_at: Moment, now: Moment) {
+        if self.last_read.is_none_or(|last| read_at > last) {
+            let since_read = self.last_read.map(|last| since(read_at, last));
+            let since_renewal = self.renewed_at.map(|last| since(now, last));
+            // A peer's reads and its answers come with delays, so an interruption that
+            // was long enough for the peer may look shorter here.
+            if since_read.max(since_renewal) >= Some(self.heartbeat) {
+                self.interrupted_until = Some(now);
+            }
+            self.renewed_at = Some(now);
+        }
+        self.record_read(read_at);
+    }
+
     /// Records that the log was read.
     pub fn record_read(&mut self, now: Moment) {
         let outage = self.last_read.map(|read| since(now, read));
@@ -378,6 +404,23 @@
         RemoveResult::Removed
     }
 
+    /// Handles the word of a peer that it retains an expired entry.
+    pub fn expire(&mut self, name: &str, now: Moment) -> RemoveResult {
+        let Some(entry) = self.entries.get_mut(name).filter(|entry| !entry.expired) else {
+            return RemoveResult::Unknown;
+        };
+        let interrupted = self
+            .interrupted_until
+            .filter(|until| since(now, *until) < EXPIRED_ENTRY_GRACE);
+        if interrupted.is_none() {
+            self.remove_entry(name, now);
+            return RemoveResult::Removed;
+        }
+        entry.expired = true;
+        self.recovered_at = self.recovered_at.max(interrupted);
+        RemoveResult::Retained
+    }
+
     // Drops an entry and remembers the incarnation that ended.
     fn remove_entry(&mut self, name: &str, now: Moment) {
         if let Some(entry) = self.entries.remove(name) {
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -385,3 +385,41 @@
     let live = entry_of_a(2, Standing::Live);
     assert_eq!(roster.apply(live, minutes(40)), SetResult::Changed);
 }
+
+/// Guards against an endpoint that gets requests after it left, since the instance that is
+/// asked was cut off from the log and retains its entry. This one was informed all the time.
+#[test]
+fn entry_that_a_peer_retains_is_dropped_where_knowledge_was_not_interrupted() {
+    let mut roster = Roster::new(HEARTBEAT);
+    for now in (0..=6_000).step_by(1_000) {
+        roster.record_renewal(at(now), at(now + 300));
+        roster.apply(endpoint("a", Standing::Live), at(now));
+    }
+    assert_eq!(roster.expire("a", at(6_400)), RemoveResult::Removed);
+    assert_eq!(names(&roster), [""; 0]);
+    assert_eq!(roster.expire("a", at(6_500)), RemoveResult::Unknown);
+}
+
+/// Guards against refusals where the log was away and all entries expired: the instance that
+/// is asked retains them, and so does the one that asks, for as long.
+#[test]
+fn entry_that_a_peer_retains_is_retained_after_an_interruption() {
+    // The interruption shows in the time of reads, or in that of answers.
+    for (read_at, now) in [(6_000, 6_300), (900, 6_300)] {
+        let mut roster = Roster::new(HEARTBEAT);
+        roster.record_renewal(at(0), at(300));
+        roster.apply(endpoint("a", Standing::Live), at(0));
+        roster.apply(endpoint("b", Standing::Live), at(0));
+        roster.record_renewal(at(read_at), at(now));
+        assert_eq!(roster.expire("a", at(now)), RemoveResult::Retained);
+        assert_eq!(roster.expire("b", at(now)), RemoveResult::Retained);
+        assert_eq!(roster.expire("b", at(now)), RemoveResult::Unknown);
+        assert_eq!(names(&roster), ["a", "b"]);
+        let returned = roster.apply(endpoint("a", Standing::Live), at(now));
+        assert_eq!(returned, SetResult::Renewed);
+        roster.record_renewal(at(8_400), at(8_450));
+        assert_eq!(roster.remove_expired(at(8_450)), [""; 0]);
+        roster.record_renewal(at(8_600), at(8_650));
+        assert_eq!(roster.remove_expired(at(8_650)), ["b"]);
+    }
+}
--- a/crates/direct/tests/instance/peers.rs
+++ b/crates/direct/tests/instance/peers.rs
@@ -2,10 +2,15 @@
 
 use std::time::{Duration, Instant};
 
+use godwitpost_direct::source::Value;
+
 use crate::endpoint::{Endpoint, ReceivedRequest, ok_with_body, response_to};
 use crate::fleet::{TestInstance, content, exchange, free_addresses, wait_until};
 use crate::metrics::{METRICS_REQUEST, sample_value};
 
+/// How long the log is away: long enough for entries to expire.
+const LOG_OUTAGE: Duration = Duration::from_millis(900);
+
 /// Waits until the instance no longer reads its log.
 pub(crate) async fn wait_until_log_unread(instance: &TestInstance) {
     wait_until(async || {
@@ -253,3 +258,34 @@
         .await;
     }
 }
+
+/// Guards against an endpoint that is used again after it was gone: an instance kept it, since
+/// the one that it asks couldn't read the log and took its entry for expired, and told others
+/// that it was live.
+#[tokio::test]
+async fn expired_entry_is_not_handed_on_as_live() {
+    let endpoint = Endpoint::start(ok_with_body("ok")).await;
+    let [first, second, third] = free_addresses();
+    let reader = TestInstance::start_with_seeds(&[first], first, &[endpoint.address]);
+    let follower = TestInstance::start_with_seeds(&[first], second, &[endpoint.address]);
+    for instance in [&reader, &follower] {
+        instance.wait_until_ready().await;
+    }
+    wait_until_log_unread(&follower).await;
+    follower.operator.set_down(true);
+    follower.endpoints.set_down(true);
+    reader.endpoints.set_down(true);
+    tokio::time::sleep(LOG_OUTAGE).await;
+    reader.endpoints.append("e0", Value::Removed);
+    reader.endpoints.set_down(false);
+    let is_kept = async || status(&reader, "/stock/1").await == "200";
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(is_kept().await && status(&follower, "/stock/1").await == "200");
+    let before = endpoint.received().len();
+    let other = TestInstance::start_with_seeds(&[second], third, &[endpoint.address]);
+    wait_until(async || status(&other, "/nowhere/1").await == "404").await;
+    assert_eq!(status(&other, "/stock/1").await, "503");
+    assert_eq!(other.calls(), 0);
+    assert_eq!(endpoint.received().len(), before);
+    assert!(is_kept().await, "the test took too long");
+}
--- a/crates/direct/tests/restores/instance.rs
+++ b/crates/direct/tests/restores/instance.rs
@@ -233,7 +233,7 @@
         };
         self.update_era(self.endpoints_feed.era(), None, now);
         self.roster.set_origin(Origin::Log(self.epoch));
-        self.roster.record_read(now);
+        self.roster.record_renewal(now, now);
         let set = if listed && !self.is_disabled(Guard::UnconfirmedEntries) {
             Roster::apply_listed
         } else {
@@ -348,10 +348,17 @@
         if let Some(evacuation) = update.evacuation {
             self.apply_evacuation(evacuation, now);
         }
-        self.roster.record_read(read);
+        self.roster.record_renewal(read, now);
         for registration in update.set {
             self.apply_registration(registration, created_at, apply_entry);
         }
+        for name in &update.expired {
+            match self.roster.expire(name, now) {
+                RemoveResult::Removed => self.remove_from_replica(name),
+                RemoveResult::Retained => self.replica.mark_expired(name),
+                RemoveResult::Unknown => {}
+            }
+        }
         for name in removed {
             if self.roster.remove_confirmed(&name, now) {
                 self.remove_from_replica(&name);
