--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -417,9 +417,11 @@
         assert_eq!(names(&roster), ["a", "b"]);
         let returned = roster.apply(endpoint("a", Standing::Live), at(now));
         assert_eq!(returned, SetResult::Renewed);
-        roster.record_renewal(at(8_400), at(8_450));
-        assert_eq!(roster.remove_expired(at(8_450)), [""; 0]);
-        roster.record_renewal(at(8_600), at(8_650));
-        assert_eq!(roster.remove_expired(at(8_650)), ["b"]);
+        for read_at in [6_400, 7_400, 8_400] {
+            roster.record_renewal(at(read_at), at(read_at + 50));
+            assert_eq!(roster.remove_expired(at(read_at + 50)), [""; 0]);
+        }
+        roster.record_renewal(at(8_700), at(8_750));
+        assert_eq!(roster.remove_expired(at(8_750)), ["b"]);
     }
 }
