direct: prompts are spread while most loads are unknown

While less than half of all loads is known, the load of an endpoint is drawn from its distribution, as it was beside unavailable ones for the same reason: an instance then passes over a home as often as it may be above the bound.

--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -40,6 +40,10 @@
 /// for them.
 const UNKNOWN_LOAD_FRACTION: [f64; 2] = [0.3, 0.6];
 
+/// The fraction of all loads that has to be known for prompts to be placed by the most
+/// likely loads.
+const MIN_KNOWN_FRACTION: f64 = 0.5;
+
 /// How long a request stays at an endpoint, in seconds: most streams take one to two.
 const REQUEST_SECONDS: f64 = 1.5;
 
@@ -284,8 +288,11 @@
         // If some endpoints are unavailable, the others are about as loaded as the bound
         // allows. Without drawing the load, all instances would move from one endpoint to
         // the next at the same time, when they learn a second late that it has passed the
-        // bound.
-        let load_draw = (unavailable.count > 0).then_some(draw);
+        // bound. While most loads are unknown, as in the first seconds of a fleet, they
+        // would all send a prompt in demand to its home, whose load they believe to be the
+        // mean.
+        let is_uncertain = unavailable.count > 0 || !are_loads_known(candidates);
+        let load_draw = is_uncertain.then_some(draw);
         let within = |one: &&Candidate| one.draw_load(load_draw) + 1.0 <= bound;
         let within: Vec<&Candidate> = with_room.iter().copied().filter(within).collect();
         let clear: Vec<&Candidate> = within
@@ -338,6 +345,11 @@
     mean * factor + SLACK_REQUESTS * confidence
 }
 
+fn are_loads_known(candidates: &[Candidate]) -> bool {
+    let unknown = |one: &Candidate| MIN_KNOWN_FRACTION - one.known_fraction;
+    candidates.iter().map(unknown).sum::<f64>() <= 0.0
+}
+
 // Chooses by the prompt's ranking among endpoints within the bound.
 fn ranked(
     mut within: Vec<&Candidate>,
--- a/crates/direct/src/place/tests.rs
+++ b/crates/direct/src/place/tests.rs
@@ -157,6 +157,31 @@
     assert!(unknown < known && unknown > 4.0 + 1.0, "{unknown} {known}");
 }
 
+/// Guards against a fleet whose instances, all just started, send a prompt in demand to its
+/// home alone, since they know no load and believe each to be the mean.
+#[test]
+fn prompts_are_spread_while_most_loads_are_unknown() {
+    let mut candidates = loads(&[4.0; 9]);
+    for one in &mut candidates {
+        one.load_stddev = 3.0;
+        one.known_fraction = 0.2;
+    }
+    let home = home(&loads(&[0.0; 9]), 7);
+    let at_home = |candidates: &[Candidate]| {
+        let is_home = |draw: &u64| {
+            matches!(pick(candidates, Some(7), *draw),
+                Pick::Send { endpoint, .. } if endpoint == home)
+        };
+        (0..1_000).filter(is_home).count()
+    };
+    let spread = at_home(&candidates);
+    assert!((500..900).contains(&spread), "{spread}");
+    for one in &mut candidates {
+        one.known_fraction = 0.6;
+    }
+    assert_eq!(at_home(&candidates), 1_000);
+}
+
 /// Guards against refusing everything after a start. The instance knows only one
 /// endpoint's load, which a prompt in sudden demand has overloaded, and assumes the same
 /// of the others.
