--- a/crates/bench/src/direct/events.rs
+++ b/crates/bench/src/direct/events.rs
@@ -14,17 +14,17 @@
 use crate::figure::{Bound, Figure};
 
 /// Events that are timed.
-const EVENTS: u32 = 200_000;
+const TIMED_EVENTS: u32 = 200_000;
 
 /// The text of one event: five tokens.
-const TOKENS: &str = "the north wall takes the sun";
+const EVENT_TEXT: &str = "the north wall takes the sun";
 
 /// Returns the figures of events that each come in a frame of their own, and of events that
 /// are split between two.
 #[must_use]
 pub fn figures() -> Vec<Figure> {
-    let whole: Vec<Bytes> = (1..=EVENTS).map(|id| event(id).into()).collect();
-    let split: Vec<Bytes> = (1..=EVENTS)
+    let whole: Vec<Bytes> = (1..=TIMED_EVENTS).map(|id| event(id).into()).collect();
+    let split: Vec<Bytes> = (1..=TIMED_EVENTS)
         .flat_map(|id| {
             let text = Bytes::from(event(id));
             let half = text.len() / 2;
@@ -50,14 +50,14 @@
 }
 
 fn event(id: u32) -> String {
-    format!("id: {id}\ndata: {{\"text\":\"{TOKENS}\"}}\n\n")
+    format!("id: {id}\ndata: {{\"text\":\"{EVENT_TEXT}\"}}\n\n")
 }
 
 // Returns the mean time of an event.
 fn nanoseconds(run: impl Fn()) -> f64 {
     let start = Instant::now();
     run();
-    start.elapsed().as_secs_f64() * 1e9 / f64::from(EVENTS)
+    start.elapsed().as_secs_f64() * 1e9 / f64::from(TIMED_EVENTS)
 }
 
 fn cut(frames: &[Bytes]) {
--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -15,14 +15,14 @@
 use crate::forwarding::start_pair;
 
 /// The events of a whole stream.
-const EVENTS: [&str; 3] = [
+const STREAM_EVENTS: [&str; 3] = [
     "id: 1\ndata: t1\n\n",
     "id: 2\ndata: t2\n\n",
     "id: 3\ndata: t3\n\n",
 ];
 
 /// What a connection that breaks off after the first event has sent of the second one.
-const PARTS: [&str; 6] = [
+const EVENT_PARTS: [&str; 6] = [
     "id: 2\nda",
     "id: 2\ndata: t2",
     "id: 2\ndata: t2\n",
@@ -84,7 +84,7 @@
     let after = received.header("x-after").map_or(0, |after| {
         after.parse::<usize>().expect("the id of an event")
     });
-    &EVENTS[after..]
+    &STREAM_EVENTS[after..]
 }
 
 fn close_delimited_stream(received: &ReceivedRequest) -> Vec<Step> {
@@ -147,12 +147,12 @@
 /// Guards against taking the end of a connection for the end of an answer.
 #[tokio::test]
 async fn resumable_stream_that_ends_inside_an_event_is_resumed() {
-    for part in PARTS {
-        let first = format!("{}{part}", EVENTS[0]);
+    for part in EVENT_PARTS {
+        let first = format!("{}{part}", STREAM_EVENTS[0]);
         let endpoints = start_breaking(vec![Step::Send(first), Step::Close]).await;
         let instance = start_with(&endpoints).await;
         let response = call(&instance, "/draft/1").await;
-        assert_eq!(response, whole(&EVENTS.concat()), "{part:?}");
+        assert_eq!(response, whole(&STREAM_EVENTS.concat()), "{part:?}");
         assert_eq!(resumed_after(&endpoints), ["1"], "{part:?}");
     }
 }
@@ -160,8 +160,8 @@
 /// Guards against a last chunk behind a part of an event.
 #[tokio::test]
 async fn unresumable_stream_that_ends_inside_an_event_is_visibly_truncated() {
-    for part in PARTS {
-        let first = format!("{}{part}", EVENTS[0]);
+    for part in EVENT_PARTS {
+        let first = format!("{}{part}", STREAM_EVENTS[0]);
         let endpoints = start_breaking(vec![Step::Send(first.clone()), Step::Close]).await;
         let instance = start_with(&endpoints).await;
         let response = call(&instance, "/caption/1").await;
@@ -193,12 +193,12 @@
     ] {
         let endpoint = Endpoint::start(move |_, received| {
             let head = close_delimited_head(received, headers);
-            vec![head, Step::Send(EVENTS.concat()), Step::Close]
+            vec![head, Step::Send(STREAM_EVENTS.concat()), Step::Close]
         })
         .await;
         let instance = start_with(std::slice::from_ref(&endpoint)).await;
         let response = call(&instance, path).await;
-        assert_eq!(response, whole(&EVENTS.concat()), "{path}");
+        assert_eq!(response, whole(&STREAM_EVENTS.concat()), "{path}");
         assert_eq!(endpoint.received().len(), 1, "{path}");
     }
 }
@@ -212,7 +212,10 @@
         let instance = start_with(&endpoints).await;
         let response = call(&instance, "/draft/1").await;
         assert!(response.whole, "{text:?}: {response:?}");
-        assert!(response.body.ends_with(&EVENTS.concat()), "{response:?}");
+        assert!(
+            response.body.ends_with(&STREAM_EVENTS.concat()),
+            "{response:?}"
+        );
         let endpoints = start_breaking(vec![Step::Send(text.to_owned()), Step::Close]).await;
         let instance = start_with(&endpoints).await;
         assert_eq!(call(&instance, "/caption/1").await, cut(text), "{text:?}");
@@ -224,10 +227,13 @@
 #[tokio::test]
 async fn break_inside_an_event_is_noticed_through_another_instance() {
     for (path, expected) in [
-        ("/draft/1", whole(&EVENTS.concat())),
-        ("/caption/1", cut(&format!("{}{}", EVENTS[0], PARTS[0]))),
+        ("/draft/1", whole(&STREAM_EVENTS.concat())),
+        (
+            "/caption/1",
+            cut(&format!("{}{}", STREAM_EVENTS[0], EVENT_PARTS[0])),
+        ),
     ] {
-        let first = format!("{}{}", EVENTS[0], PARTS[0]);
+        let first = format!("{}{}", STREAM_EVENTS[0], EVENT_PARTS[0]);
         let endpoints = start_breaking(vec![Step::Send(first), Step::Close]).await;
         let [cut_off, _other] = start_pair(&endpoints).await;
         assert_eq!(call(&cut_off, path).await, expected, "{path}");
@@ -240,10 +246,10 @@
 async fn break_is_visible_to_callers_of_http_1_0() {
     for (path, part, is_reset) in [
         ("/caption/1", "", false),
-        ("/caption/1", PARTS[0], true),
-        ("/draft/1", PARTS[0], false),
+        ("/caption/1", EVENT_PARTS[0], true),
+        ("/draft/1", EVENT_PARTS[0], false),
     ] {
-        let first = format!("{}{part}", EVENTS[0]);
+        let first = format!("{}{part}", STREAM_EVENTS[0]);
         let endpoints = start_breaking(vec![Step::Send(first), Step::Close]).await;
         let instance = start_with(&endpoints).await;
         let text = request("POST", path, "", "").replace("HTTP/1.1", "HTTP/1.0");
@@ -263,7 +269,7 @@
     let mut endpoints = Vec::new();
     for _ in 0..6 {
         let script = |_: usize, received: &ReceivedRequest| {
-            let first = format!("{}{}", EVENTS[0], PARTS[0]);
+            let first = format!("{}{}", STREAM_EVENTS[0], EVENT_PARTS[0]);
             let head = close_delimited_head(received, "");
             vec![head, Step::Send(first), Step::Stop]
         };
@@ -346,7 +352,7 @@
 /// visibly truncated.
 #[tokio::test]
 async fn stream_cut_at_any_byte_is_whole_only_after_an_event() {
-    let text = EVENTS.concat();
+    let text = STREAM_EVENTS.concat();
     for ending in [Ending::Close, Ending::Reset, Ending::NoLastChunk] {
         let seen = Arc::<Mutex<BTreeSet<String>>>::default();
         let script = move |_: usize, received: &ReceivedRequest| {
@@ -359,7 +365,7 @@
                 return chunked_stream(received);
             }
             let cut_at = cut_at.parse::<usize>().expect("a number of bytes");
-            break_after(received, &EVENTS.concat()[..cut_at], ending)
+            break_after(received, &STREAM_EVENTS.concat()[..cut_at], ending)
         };
         let endpoints = start_both(script).await;
         let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
@@ -428,7 +434,7 @@
     for second in ["", "id: 2\ndat", "id: 2\ndata: t2\n\nid: 3"] {
         let script = move |_: usize, received: &ReceivedRequest| {
             let text = match received.header("x-after") {
-                None => format!("{}id: 2", EVENTS[0]),
+                None => format!("{}id: 2", STREAM_EVENTS[0]),
                 Some(_) => second.to_owned(),
             };
             let head = close_delimited_head(received, "");
@@ -437,7 +443,7 @@
         let endpoints = start_both(script).await;
         let instance = start_with(&endpoints).await;
         let events = if second.contains("\n\n") { 2 } else { 1 };
-        let expected = cut(&EVENTS[..events].concat());
+        let expected = cut(&STREAM_EVENTS[..events].concat());
         assert_eq!(call(&instance, "/draft/1").await, expected, "{second:?}");
         assert_eq!(received(&endpoints).len(), 2, "{second:?}");
     }
@@ -463,10 +469,11 @@
 #[tokio::test]
 async fn close_delimited_stream_of_a_crashed_endpoint_is_broken() {
     for (path, expected) in [
-        ("/draft/1", whole(&EVENTS.concat())),
-        ("/caption/1", cut(EVENTS[0])),
+        ("/draft/1", whole(&STREAM_EVENTS.concat())),
+        ("/caption/1", cut(STREAM_EVENTS[0])),
     ] {
-        let endpoints = start_breaking(vec![Step::Send(EVENTS[0].to_owned()), Step::Stop]).await;
+        let endpoints =
+            start_breaking(vec![Step::Send(STREAM_EVENTS[0].to_owned()), Step::Stop]).await;
         let instance = start_with(&endpoints).await;
         assert_eq!(call(&instance, path).await, expected, "{path}");
     }
@@ -489,5 +496,5 @@
         instance.register_leaving("e0", endpoint.address);
     };
     let (response, ()) = tokio::join!(response, leaving);
-    assert_eq!(response, whole(&EVENTS.concat()));
+    assert_eq!(response, whole(&STREAM_EVENTS.concat()));
 }
--- a/crates/direct/tests/reach/world.rs
+++ b/crates/direct/tests/reach/world.rs
@@ -48,7 +48,7 @@
 const SHARE_SLACK: usize = 20;
 
 /// Zones over which instances are spread.
-const ZONES: u16 = 3;
+const ZONE_COUNT: u16 = 3;
 
 /// How long an endpoint is down, and when all of them are at times.
 const DOWNTIME: Duration = Duration::from_secs(3);
@@ -501,9 +501,9 @@
             all.filter(|_| rng.random_bool(share)).collect()
         }
         Cuts::ByZone => {
-            let zone = rng.random_range(0..ZONES);
+            let zone = rng.random_range(0..ZONE_COUNT);
             let share = rng.random_range(0.7..=1.0);
-            let all = (0..size.instances).filter(|n| n % ZONES == zone);
+            let all = (0..size.instances).filter(|n| n % ZONE_COUNT == zone);
             all.filter(|_| rng.random_bool(share)).collect()
         }
     };
