direct: any answer that ends with its connection is whole only if its endpoint has not crashed

A plain answer without a length whose endpoint was killed reached its caller as whole, 200 with a part of the body: the system closes the connections of a process that is killed in order, and nothing in such an answer shows the break.

The check for a crash, made at the end of such event streams, is made at the end of every such answer: one connection for each. A request that may be repeated is, and another one is told that its outcome is unknown. The failing test: GET got 200 and half of the body after one run.

--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -49,7 +49,7 @@
     InsideEvent,
     /// the connection ended before the first event
     NoEvent,
-    /// the connection ended after an event, and the endpoint crashed
+    /// the connection ended, and the endpoint crashed
     Crashed,
 }
 
@@ -143,17 +143,17 @@
     // had nothing left to send or from one that crashed. It counts as broken: a stream that
     // is broken off can be resumed by its caller, one that looks whole is lost.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<End> {
-        let Some(position) = &self.position else {
-            return Poll::Ready(End::Whole);
-        };
         if self.framing() == Framing::Delimited {
             return Poll::Ready(End::Whole);
         }
-        if !position.is_between_events() {
-            return Poll::Ready(End::Broken(Break::InsideEvent));
-        }
-        if !position.has_event() {
-            return Poll::Ready(End::Broken(Break::NoEvent));
+        match &self.position {
+            Some(position) if !position.is_between_events() => {
+                return Poll::Ready(End::Broken(Break::InsideEvent));
+            }
+            Some(position) if !position.has_event() => {
+                return Poll::Ready(End::Broken(Break::NoEvent));
+            }
+            Some(_) | None => {}
         }
         let has_crashed = ready!(self.poll_crash_check(cx));
         Poll::Ready(if has_crashed {
--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -498,3 +498,29 @@
     let (response, ()) = tokio::join!(response, leaving);
     assert_eq!(response, whole(&STREAM_EVENTS.concat()));
 }
+
+/// Guards against a part of a plain answer without a length that its endpoint's system ends
+/// in order, since the endpoint crashed.
+#[tokio::test]
+async fn close_delimited_answer_of_a_crashed_endpoint_is_broken() {
+    for (method, path, status, runs) in [
+        ("GET", "/stock/1", "200", 2),
+        ("POST", "/order/1", "502", 1),
+    ] {
+        let crashed = Arc::new(AtomicBool::new(false));
+        let script = move |_: usize, received: &ReceivedRequest| {
+            if crashed.swap(true, Ordering::Relaxed) {
+                return vec![response_to(received, "200 OK", "", "whole")];
+            }
+            let attempt = received.header("x-attempt").unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\nx-signed: s1\r\n\r\n");
+            vec![Step::Send(head + "half"), Step::Stop]
+        };
+        let endpoints = start_both(script).await;
+        let instance = start_with(&endpoints).await;
+        let response = instance.call(method, path, "").await;
+        assert_eq!(&response[9..12], status, "{path}: {response}");
+        assert!(!response.ends_with("half"), "{path}: {response}");
+        assert_eq!(received(&endpoints).len(), runs, "{path}");
+    }
+}
