--- a/crates/decide/src/resume/events/position/tests.rs
+++ b/crates/decide/src/resume/events/position/tests.rs
@@ -82,3 +82,9 @@
         prop_assert_eq!(framed.unfinished_bytes(), by_byte.unfinished_bytes());
     }
 }
+
+/// A fleet follows tens of thousands of streams.
+#[test]
+fn a_position_takes_two_words() {
+    assert_eq!(size_of::<Position>(), 16);
+}
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -15,6 +15,7 @@
 use godwitpost_direct::stats::Report;
 use godwitpost_direct::{Running, start};
 use godwitpost_process::logging::queue::Queue;
+use godwitpost_standin::loopback::own_address;
 use godwitpost_types::endpoint::{Endpoint as ListedEndpoint, Standing};
 use godwitpost_types::id::{self, Era};
 use http::{HeaderMap, HeaderValue, StatusCode};
@@ -378,9 +379,8 @@
     let free = || {
         (0..COUNT).find_map(|_| {
             let used = USED_PORTS.fetch_add(1, Ordering::Relaxed);
-            let own = std::process::id().wrapping_mul(97).wrapping_add(used);
-            let port = u16::try_from(FIRST + own % COUNT).ok()?;
-            let address = SocketAddr::from(([127, 0, 0, 1], port));
+            let port = u16::try_from(FIRST + used % COUNT).ok()?;
+            let address = SocketAddr::from((own_address(), port));
             std::net::TcpListener::bind(address).ok().map(|_| address)
         })
     };
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod faults;
 pub mod list;
 pub mod log;
+pub mod loopback;
 pub mod observe;
 pub mod path;
 pub mod plain;
