--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -21,7 +21,7 @@
     "id: 3\ndata: t3\n\n",
 ];
 
-/// What a connection that breaks off after the first event has sent of the second one.
+/// Parts of a second event, after which a connection breaks off.
 const EVENT_PARTS: [&str; 6] = [
     "id: 2\nda",
     "id: 2\ndata: t2",
--- a/crates/standin/src/tunnel.rs
+++ b/crates/standin/src/tunnel.rs
@@ -1,4 +1,4 @@
-//! Forwards bytes between two connections and ends both as each of them ends.
+//! Forwards bytes between two connections, and the way in which each of them ends.
 
 use std::time::Duration;
 
