demo: the load waits for the next step, so a slow one meets as many requests

Steps were meant to come at parts of the load, but the load went on while a step took its time. The log of that run loses three of ten answers, and each lost answer to the operator's append costs its timeout of 2 s; with two or three of them the outage began when nearly all orders had been placed.

Sessions now start only up to two tenths beyond the part that the next step waits for. The test's checks are unchanged.

--- a/crates/demo/src/load.rs
+++ b/crates/demo/src/load.rs
@@ -52,6 +52,7 @@
     clock: Clock,
     seed: u64,
     next_call: AtomicU64,
+    permitted: watch::Sender<u64>,
     done: watch::Sender<u64>,
     report: Mutex<Report>,
 }
@@ -78,6 +79,7 @@
             seed,
             // A trace id of zero is invalid.
             next_call: AtomicU64::new(1),
+            permitted: watch::Sender::new(u64::MAX),
             done: watch::Sender::new(0),
             report: Mutex::new(report),
         }
@@ -89,6 +91,12 @@
         self.done.subscribe()
     }
 
+    /// Starts sessions only while fewer requests than these were started
+    /// before them, until told otherwise; those held go on.
+    pub fn permit(&self, requests: u64) {
+        self.permitted.send_replace(requests);
+    }
+
     /// Returns the figures so far.
     pub fn report(&self) -> MutexGuard<'_, Report> {
         self.report.lock().unwrap_or_else(PoisonError::into_inner)
@@ -100,22 +108,28 @@
     ///
     /// Panics if a session did, which is a bug of the demo.
     pub async fn run(self: &Arc<Self>, sessions: Vec<Session>, width: usize) {
-        let mut waiting = sessions.into_iter().zip(0_u64..);
         let mut held = JoinSet::new();
-        loop {
-            while held.len() < width
-                && let Some((session, number)) = waiting.next()
-            {
-                let load = Arc::clone(self);
-                held.spawn(async move { load.hold(session, number).await });
-            }
-            match held.join_next().await {
-                Some(ended) => ended.expect("a session doesn't panic"),
-                None => return,
+        let mut started = 0;
+        for (session, number) in sessions.into_iter().zip(0..) {
+            if held.len() >= width {
+                join(&mut held).await;
             }
+            self.wait_until_permitted(started).await;
+            started += session.requests();
+            let load = Arc::clone(self);
+            held.spawn(async move { load.hold(session, number).await });
+        }
+        while !held.is_empty() {
+            join(&mut held).await;
         }
     }
 
+    async fn wait_until_permitted(&self, started: u64) {
+        let mut permitted = self.permitted.subscribe();
+        let waited = permitted.wait_for(|permitted| started < *permitted).await;
+        waited.expect("the load holds the sender");
+    }
+
     async fn hold(&self, session: Session, number: u64) {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
         rng.set_stream(number + 1);
@@ -239,6 +253,12 @@
     }
 }
 
+async fn join(held: &mut JoinSet<()>) {
+    if let Some(ended) = held.join_next().await {
+        ended.expect("a session doesn't panic");
+    }
+}
+
 async fn pause(millis: RangeInclusive<u64>, rng: &mut ChaCha8Rng) {
     let millis = rng.random_range(millis);
     tokio::time::sleep(Duration::from_millis(millis)).await;
--- a/crates/demo/src/run.rs
+++ b/crates/demo/src/run.rs
@@ -30,6 +30,10 @@
 /// Sessions held side by side: a few requests on each engine.
 const WIDTH: usize = 40;
 
+/// Tenths of the requests that may be started beyond those that the next step
+/// waits for: they load that step, however long the ones before it take.
+const TENTHS_AHEAD: u64 = 2;
+
 /// The longest wait for a part of the load; it only ends a run that hangs.
 const LONGEST: Duration = Duration::from_secs(30);
 
@@ -75,6 +79,7 @@
         Arc::clone(&fleet.balancer),
         options.seed,
     ));
+    load.permit(0);
     let callers = callers(&load, deployment, options);
     let progress = progress(load.done(), options.requests, say.clone());
     steps(&mut fleet, &load, options, &say).await?;
@@ -131,40 +136,42 @@
     })
 }
 
-// Steps come at parts of the load, not at times, so a slow machine takes them
-// in the same order.
+// Steps come at parts of the load, not at times, and the load waits for them,
+// so a run in which a step is slow takes them under the same load.
 async fn steps(
     fleet: &mut Fleet,
     load: &Load,
     options: &Options,
     say: &impl Fn(String),
 ) -> Result<(), Error> {
-    let mut done = load.done();
-    reach(&mut done, options.requests / 10).await;
+    let requests = options.requests;
+    reach(load, requests, 1).await;
     let left = fleet.leave().await?;
     say(format!("{left} announced that it leaves; all routers know"));
 
-    reach(&mut done, options.requests * 3 / 10).await;
+    reach(load, requests, 3).await;
     let took = fleet.roll().await?.as_millis();
     say(format!("version 2 in force everywhere in {took} ms"));
 
-    reach(&mut done, options.requests * 4 / 10).await;
+    reach(load, requests, 4).await;
     let passing = options.faults.iter();
     join_all(passing.map(|fault| faults::passing(fleet, *fault))).await;
 
-    reach(&mut done, options.requests * 6 / 10).await;
+    reach(load, requests, 6).await;
     let names = fleet.instances();
     let stopped = fleet.stop(&names[0]).await?;
     say(format!("{} stopped gracefully: {stopped:?}", names[0]));
 
-    reach(&mut done, options.requests * 8 / 10).await;
+    reach(load, requests, 8).await;
     fleet.kill(&names[1])?;
     say(format!("{} killed", names[1]));
     Ok(())
 }
 
-async fn reach(done: &mut watch::Receiver<u64>, count: u64) {
-    let reached = done.wait_for(|done| *done >= count);
+async fn reach(load: &Load, requests: u64, tenths: u64) {
+    load.permit(requests * (tenths + TENTHS_AHEAD) / 10);
+    let mut done = load.done();
+    let reached = done.wait_for(|done| *done >= requests * tenths / 10);
     drop(timeout(LONGEST, reached).await);
 }
 
