client, direct: a lost keep-alive probe no longer ends a silent stream

A stream whose endpoint sent nothing for four seconds ended with "Connection timed out" if a single probe, or its answer, was lost on the way; a caption was cut short by that, a draft was sent to another endpoint.

Cause: TCP_USER_TIMEOUT, set to the 650 ms for which a request may stay unacknowledged, also decides when keep-alive gives up: with the first probe that stays unanswered. So the three probes meant to be lost before that never counted, and a machine counted as gone after 4 s, not the 8 s of dead_after.

The limit now holds from a write until twice its time later, when the data is acknowledged or the connection gone. dead_after of connections to endpoints and helping instances is 4 s, so a silent machine is told as early as before, after four probes.

The test, in which the peer's socket drops all that it receives for 1.5 s, failed before; two others hold before and after: a silent machine ends a stream after 4 s, an unacknowledged request ends within 650 ms and a retransmission. Connections of callers: 60 s of silence and one probe, 70 s in all (by the kernel's rule, not run); the comment said nine probes.

--- a/crates/client/src/connect.rs
+++ b/crates/client/src/connect.rs
@@ -21,6 +21,7 @@
 //! Dropping a response body before its end closes the connection at once. The
 //! endpoint learns from this that the caller has disconnected.
 
+mod ack;
 mod meter;
 mod pool;
 mod received;
@@ -385,16 +386,12 @@
     // one is acknowledged.
     stream.set_nodelay(true).map_err(Cause::Connect)?;
     enable_keepalive(&stream, settings.dead_after).map_err(Cause::Connect)?;
-    if settings.ack_timeout.is_some() {
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(settings.ack_timeout)
-            .map_err(Cause::Connect)?;
-    }
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(settings.buffer_bytes)
         .handshake(TokioIo::new(MeteredStream::new(
             stream,
             transferred.clone(),
+            settings.ack_timeout,
         )))
         .await
         .map_err(|error| Cause::Connection(error.into()))?;
--- a/crates/client/src/connect/meter.rs
+++ b/crates/client/src/connect/meter.rs
@@ -8,10 +8,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::ack::AckTimeout;
+
 /// Bytes of the IPv4 header (20), the TCP header (20) and the time stamp
 /// option (12).
 const PACKET_HEADER_BYTES: u64 = 52;
@@ -54,16 +57,28 @@
 pub(super) struct MeteredStream {
     stream: TcpStream,
     counter: TransferCounter,
+    ack_timeout: Option<AckTimeout>,
 }
 
 impl MeteredStream {
-    pub(super) const fn new(stream: TcpStream, counter: TransferCounter) -> Self {
-        Self { stream, counter }
+    pub(super) fn new(
+        stream: TcpStream,
+        counter: TransferCounter,
+        ack_timeout: Option<Duration>,
+    ) -> Self {
+        Self {
+            stream,
+            counter,
+            ack_timeout: ack_timeout.map(AckTimeout::new),
+        }
     }
 
-    fn record_write(&self, written: Poll<Result<usize>>) -> Poll<Result<usize>> {
+    fn record_write(&mut self, written: Poll<Result<usize>>) -> Poll<Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = written {
             self.counter.record_transfer(bytes);
+            if let Some(ack_timeout) = &mut self.ack_timeout {
+                ack_timeout.start(&self.stream)?;
+            }
         }
         written
     }
@@ -76,6 +91,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
+        let this = &mut *self;
+        if let Some(ack_timeout) = &mut this.ack_timeout {
+            ack_timeout.poll_end(&this.stream, cx)?;
+        }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         self.counter.record_transfer(buf.filled().len() - before);
         read
--- a/crates/client/src/connect/pool.rs
+++ b/crates/client/src/connect/pool.rs
@@ -33,7 +33,8 @@
     ///
     /// Requests can still be written to open connections to an unreachable
     /// machine, without any response. The kernel of a live machine acknowledges
-    /// them within a round trip, however busy the machine is.
+    /// them within a round trip, however busy the machine is. It doesn't limit how long
+    /// the machine may be silent, which `dead_after` does.
     pub ack_timeout: Option<Duration>,
     /// Bytes buffered per connection and direction, which is also the maximum
     /// size of a response head. hyper requires at least 8 KiB.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -54,6 +54,10 @@
 /// wait no longer than their callers do, which is 600 ms and more.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// How long an endpoint's machine may send nothing at all before the connection counts as
+/// broken: four keep-alive probes, each of which a live machine answers.
+const SILENT_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// How long an idle connection is reused, unless its endpoint names a time. Common
 /// servers close idle connections after 5 s to 75 s.
 const MAX_CONNECTION_IDLE: Duration = Duration::from_secs(4);
@@ -210,11 +214,13 @@
         let connector = Connector::new(connect::Settings {
             connect_timeout: ENDPOINT_CONNECT_TIMEOUT,
             idle_timeout: MAX_CONNECTION_IDLE,
+            dead_after: SILENT_TIMEOUT,
             ack_timeout: Some(UNACKNOWLEDGED_TIMEOUT),
             ..connect::Settings::default()
         });
         let forward_connector = Connector::new(connect::Settings {
             connect_timeout: FORWARDER_CONNECT_TIMEOUT,
+            dead_after: SILENT_TIMEOUT,
             ack_timeout: Some(UNACKNOWLEDGED_TIMEOUT),
             ..connect::Settings::default()
         });
--- a/crates/process/src/serve/silence.rs
+++ b/crates/process/src/serve/silence.rs
@@ -19,7 +19,8 @@
 /// How long a connection may be silent before the kernel probes the peer.
 const KEEP_ALIVE_IDLE: Duration = Duration::from_mins(1);
 
-/// The time between probes. By default the kernel gives up after nine.
+/// The time between probes. One that stays unanswered for this long ends the connection, as
+/// [`UNACKNOWLEDGED_TIMEOUT`] has passed by then and the kernel counts no probes beside it.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
 
 /// How long sent data may stay unacknowledged by the peer. A stream that nobody reads
