--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -302,19 +302,10 @@
     if open.is_empty() {
         return Pick::Wait;
     }
-    let not_full: Vec<&Candidate> = open.into_iter().filter(|one| !one.is_full()).collect();
-    if not_full.is_empty() {
-        return Pick::Full;
-    }
-    let with_room = |room: Room| -> Vec<&Candidate> {
-        let not_full = not_full.iter().copied();
-        not_full.filter(|one| one.room == room).collect()
-    };
-    let free = with_room(Room::Free);
+    let not_full = || open.iter().copied().filter(|one| !one.is_full());
+    let free: Vec<&Candidate> = not_full().filter(|one| one.room == Room::Free).collect();
     if free.is_empty() {
-        let unsure = with_room(Room::Unsure);
-        let one = least_loaded(&unsure, draw);
-        return one.map_or(Pick::NoRoom, |one| send(one, Choice::Unsure));
+        return pick_unsure(&not_full().collect::<Vec<_>>(), draw);
     }
     let within = affinity.and_then(|affinity| {
         let bound = load_bound(candidates, unavailable, allowed, affinity.cost);
@@ -347,6 +338,16 @@
     least_loaded(&free, draw).map_or(Pick::Full, |one| send(one, Choice::LeastLoaded))
 }
 
+// Chooses among endpoints none of which surely has room.
+fn pick_unsure(candidates: &[&Candidate], draw: u64) -> Pick {
+    if candidates.is_empty() {
+        return Pick::Full;
+    }
+    let is_unsure = |one: &&&Candidate| one.room == Room::Unsure;
+    let unsure: Vec<&Candidate> = candidates.iter().filter(is_unsure).copied().collect();
+    least_loaded(&unsure, draw).map_or(Pick::NoRoom, |one| send(one, Choice::Unsure))
+}
+
 const fn send(one: &Candidate, choice: Choice) -> Pick {
     Pick::Send {
         endpoint: one.endpoint,
