client: the limit for unacknowledged data ends also while nothing is read

A request that waited for its head in silence still ended at a lost probe: the timer that lifts the limit is created by a write, and nothing polled it before the next read. Found by reading the diff; the new test failed before. The write now polls the timer, which wakes the connection's task.

--- a/crates/client/src/connect/ack.rs
+++ b/crates/client/src/connect/ack.rs
@@ -31,22 +31,24 @@
         Self { limit, end: None }
     }
 
-    /// Has the limit hold for data that was just written.
+    /// Has the limit hold for data that was just written. The task is woken when its time is
+    /// over, though nothing is read until then.
     ///
     /// # Errors
     ///
     /// Returns an error if the system refuses the limit.
-    pub(super) fn start(&mut self, stream: &TcpStream) -> Result<()> {
+    pub(super) fn start(&mut self, stream: &TcpStream, cx: &mut Context<'_>) -> Result<()> {
         let end = Instant::now() + self.limit * HOLD_FACTOR;
         if let Some(sleep) = &mut self.end {
             sleep.as_mut().reset(end);
-            return Ok(());
+        } else {
+            self.end = Some(Box::pin(sleep_until(end)));
+            SockRef::from(stream).set_tcp_user_timeout(Some(self.limit))?;
         }
-        self.end = Some(Box::pin(sleep_until(end)));
-        SockRef::from(stream).set_tcp_user_timeout(Some(self.limit))
+        self.poll_end(stream, cx)
     }
 
-    /// Lifts the limit if its time is over.
+    /// Lifts the limit if its time is over; otherwise the task is woken then.
     ///
     /// # Errors
     ///
--- a/crates/client/src/connect/meter.rs
+++ b/crates/client/src/connect/meter.rs
@@ -73,11 +73,15 @@
         }
     }
 
-    fn record_write(&mut self, written: Poll<Result<usize>>) -> Poll<Result<usize>> {
+    fn record_write(
+        &mut self,
+        written: Poll<Result<usize>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = written {
             self.counter.record_transfer(bytes);
             if let Some(ack_timeout) = &mut self.ack_timeout {
-                ack_timeout.start(&self.stream)?;
+                ack_timeout.start(&self.stream, cx)?;
             }
         }
         written
@@ -108,7 +112,7 @@
         buf: &[u8],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(written)
+        self.record_write(written, cx)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
@@ -125,7 +129,7 @@
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(written)
+        self.record_write(written, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/client/tests/silence.rs
+++ b/crates/client/tests/silence.rs
@@ -52,6 +52,14 @@
     socket.attach_filter(&[DROP_ALL]).expect("a socket");
 }
 
+// Is silent for longer than two probes and loses the first of them.
+async fn lose_first_probe(stream: &TcpStream) {
+    drop_all(stream);
+    sleep(Duration::from_millis(1_500)).await;
+    SockRef::from(stream).detach_filter().expect("a filter");
+    sleep(Duration::from_millis(1_500)).await;
+}
+
 async fn body_of(connector: &Connector, address: SocketAddr) -> ResponseBody {
     let response = connector.send(address, request(), LONG).await;
     response.expect("a head").into_body()
@@ -87,11 +95,7 @@
     let (listener, address) = listen().await;
     let server = tokio::spawn(async move {
         let mut stream = answer_with_head(&listener).await;
-        drop_all(&stream);
-        // The first probe is lost, the second isn't.
-        sleep(Duration::from_millis(1_500)).await;
-        SockRef::from(&stream).detach_filter().expect("a filter");
-        sleep(Duration::from_millis(1_500)).await;
+        lose_first_probe(&stream).await;
         stream.write_all(b"ok").await.expect("an open connection");
         sleep(LONG).await;
     });
@@ -106,6 +110,31 @@
     server.abort();
 }
 
+/// Guards against the same where nothing came of the response yet.
+#[tokio::test]
+async fn lost_probe_ends_no_wait_for_a_head() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        let mut head = [0; 256];
+        let read = stream.read(&mut head).await.expect("a request");
+        assert!(read > 0);
+        lose_first_probe(&stream).await;
+        stream.write_all(HEAD).await.expect("an open connection");
+        stream.write_all(b"ok").await.expect("an open connection");
+        sleep(LONG).await;
+    });
+    let connector = Connector::new(Settings {
+        dead_after: DEAD_AFTER,
+        ack_timeout: Some(ACK_TIMEOUT),
+        ..Settings::default()
+    });
+    let body = body_of(&connector, address).await;
+    let whole = body.collect().await.expect("a whole response");
+    assert_eq!(whole.to_bytes(), "ok");
+    server.abort();
+}
+
 /// Guards against a request to a machine that is gone which counts as sent for longer than
 /// its settings say.
 #[tokio::test]
