--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -240,6 +240,29 @@
     }
 }
 
+/// Guards against an event that is too long to be held back, and looks whole when its
+/// connection closes inside it.
+#[tokio::test]
+async fn break_inside_a_long_event_is_visible() {
+    let part = format!("id: 2\ndata: {}", "t".repeat(80 << 10));
+    let first = format!("{}{part}", STREAM_EVENTS[0]);
+    for path in ["/draft/1", "/caption/1"] {
+        let steps = || vec![Step::Send(first.clone()), Step::Close];
+        let endpoints = start_breaking(steps()).await;
+        let instance = start_with(&endpoints).await;
+        let direct = call(&instance, path).await;
+        assert!(direct == cut(&first), "{path}: whole {}", direct.whole);
+        let endpoints = start_breaking(steps()).await;
+        let [cut_off, _other] = start_pair(&endpoints).await;
+        let forwarded = call(&cut_off, path).await;
+        assert!(
+            forwarded == cut(&first),
+            "{path}: whole {}",
+            forwarded.whole
+        );
+    }
+}
+
 /// Guards against a caller of HTTP/1.0, which gets no chunks, that takes the end of its
 /// connection for the end of the answer.
 #[tokio::test]
