direct, platform: logs tell the build of endpoints and streams that callers take up

The build is read from entries, and the attempt that began a stream from the caller's header; nothing decides by them yet.

--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -129,7 +129,7 @@
         let endpoint = &registration.endpoint;
         log::info!(
             endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
-            address:% = endpoint.address, standing:? = endpoint.standing,
+            build:% = registration.build, address:% = endpoint.address, standing:? = endpoint.standing,
             warming_ms = since(warm_at, boot_time()).as_millis(), told_by:% = source;
             "endpoint changed"
         );
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -43,7 +43,7 @@
 use crate::shared::Shared;
 use crate::standby::Peers;
 
-const STATE_PATH: &str = "/peer/v6/state";
+const STATE_PATH: &str = "/peer/v7/state";
 
 /// The largest accepted request or answer. A configuration of 8,900 workspaces
 /// takes about 2 MB; endpoints are sent in parts of some 60 KB.
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -52,6 +52,7 @@
         },
         slots: 8,
         warming: Duration::ZERO,
+        build: "v1".to_owned(),
     }
 }
 
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -49,6 +49,8 @@
     pub prompt: Vec<Part>,
     /// The last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
 }
 
 impl RequestFields {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -107,6 +107,13 @@
             return Err(Refused { reason, request });
         }
     };
+    if let Some(after) = job.last_event_id() {
+        log::info!(
+            request:% = job.id(), first_attempt:% = job.first_attempt().unwrap_or_default(),
+            after = after;
+            "stream taken up by its caller"
+        );
+    }
     let response = match read_body(&mut job, body).await {
         Ok(()) => dispatch(&mut job, None).await,
         Err(reason) => Err(reason),
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -241,6 +241,12 @@
         self.fields.last_event_id
     }
 
+    /// Returns the attempt that, as the caller says, brought the stream's first event, in the
+    /// form that logs show.
+    pub(super) fn first_attempt(&self) -> Option<String> {
+        self.fields.resumes.as_deref().map(loggable_id)
+    }
+
     pub(super) const fn limits(&self) -> Limits {
         self.limits
     }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -104,6 +104,10 @@
         &self.registration.endpoint.name
     }
 
+    pub(crate) fn build(&self) -> &str {
+        &self.registration.build
+    }
+
     pub(super) const fn shared(&self) -> &Arc<Shared> {
         &self.shared
     }
@@ -297,7 +301,7 @@
     let mut in_flight = InFlightRequest::new(&job.shared, registration);
     log::info!(
         request:% = job.id(), route:% = job.route.name, endpoint:% = registration.endpoint.name,
-        choice:% = chosen.choice.as_str(), load:% = chosen.load, part:? = job.fields.affinity_part().map(|part| part.id),
+        build:% = registration.build, choice:% = chosen.choice.as_str(), load:% = chosen.load, part:? = job.fields.affinity_part().map(|part| part.id),
         source:% = display_source(chosen.source.as_ref()), version = job.version,
         confirmed_ms:% = job.shared.policy_age().as_millis(),
         left_ms:% = job.remaining().as_millis(), wait_ms:% = head_timeout(job).as_millis();
--- a/crates/direct/src/relay/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -190,7 +190,8 @@
         }
         let resume_point = self.resume_point(&mut job);
         log::warn!(
-            request:% = job.id(), endpoint:% = in_flight.name(), cause:% = cause, after:? = resume_point,
+            request:% = job.id(), endpoint:% = in_flight.name(), build:% = in_flight.build(),
+            cause:% = cause, after:? = resume_point,
             left_ms:% = job.remaining().as_millis();
             "stream interrupted"
         );
@@ -235,7 +236,11 @@
     ) -> Option<BoxError> {
         match response {
             Ok(response) if response.head.status.is_success() => {
-                log::info!(request:% = job.id(), endpoint:% = response.in_flight.name(); "stream resumed");
+                log::info!(
+                    request:% = job.id(), endpoint:% = response.in_flight.name(),
+                    build:% = response.in_flight.build();
+                    "stream resumed"
+                );
                 self.last_event_at = Instant::now();
                 self.state = State::Reading(Box::new(Reading {
                     job,
--- a/crates/direct/src/replica/endpoints.rs
+++ b/crates/direct/src/replica/endpoints.rs
@@ -245,7 +245,10 @@
 // Returns a digest of what an endpoint's entry says, apart from the warm-up time.
 fn digest(registration: &Registration) -> u64 {
     let Registration {
-        endpoint, slots, ..
+        endpoint,
+        slots,
+        build,
+        ..
     } = registration;
     let identity = [
         endpoint.incarnation,
@@ -255,6 +258,7 @@
         id::from_name(&endpoint.address.to_string()),
         u64::from(endpoint.standing == Standing::Live),
         u64::from(*slots),
+        id::from_name(build),
     ];
     let parts = identity.into_iter().chain(endpoint.models.iter().copied());
     parts.fold(endpoint.id, hash::score)
--- a/crates/direct/src/replica/tests.rs
+++ b/crates/direct/src/replica/tests.rs
@@ -37,6 +37,7 @@
         },
         slots: 8,
         warming: Duration::ZERO,
+        build: "v1".to_owned(),
     }
 }
 
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -31,7 +31,7 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Standing};
-use godwitpost_types::id::Incarnation;
+use godwitpost_types::id::{self, BuildId, Incarnation};
 use serde::{Deserialize, Serialize};
 
 /// How long expired entries are retained after the log returns. Live endpoints renew
@@ -104,9 +104,17 @@
     pub slots: u32,
     /// The remaining warm-up time as of when this entry is sent.
     pub warming: Duration,
+    /// The build of its software; empty if the entry names none, which is a build of its own.
+    pub build: String,
 }
 
 impl Registration {
+    /// Returns the id of its build.
+    #[must_use]
+    pub fn build_id(&self) -> BuildId {
+        id::from_name(&self.build)
+    }
+
     /// Returns the incarnation that this entry belongs to.
     #[must_use]
     pub fn endpoint_incarnation(&self) -> EndpointIncarnation {
@@ -118,7 +126,7 @@
 
     // Returns whether the entries are equal apart from the warm-up time.
     fn same_except_warming(&self, other: &Self) -> bool {
-        self.endpoint == other.endpoint && self.slots == other.slots
+        self.endpoint == other.endpoint && self.slots == other.slots && self.build == other.build
     }
 
     // Returns whether this entry is older than another one of the same endpoint.
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -28,6 +28,7 @@
         endpoint,
         slots: 6,
         warming: Duration::ZERO,
+        build: "v1".to_owned(),
     }
 }
 
--- a/crates/direct/src/shared/tests.rs
+++ b/crates/direct/src/shared/tests.rs
@@ -25,6 +25,7 @@
         },
         slots: 8,
         warming: Duration::ZERO,
+        build: "v1".to_owned(),
     };
     let all = ids.map(|id| Arc::new(registration(id))).collect();
     BTreeMap::from([(SERVICE, all)])
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -439,6 +439,7 @@
         },
         slots: 8,
         warming: Duration::ZERO,
+        build: "v1".to_owned(),
     }
 }
 
@@ -510,6 +511,8 @@
         attempt_id: text(headers, "x-attempt")?,
         timeout: millis.map(Duration::from_millis),
         key: text(headers, "x-key"),
+        last_event_id: text(headers, "x-after").and_then(|text| text.parse().ok()),
+        resumes: text(headers, "x-resumes"),
         prompt: text(headers, "x-prompt").map_or_else(Vec::new, |text| parts(&text)),
         ..RequestFields::default()
     })
--- a/crates/direct/tests/notices/endpoint.rs
+++ b/crates/direct/tests/notices/endpoint.rs
@@ -74,6 +74,7 @@
             },
             slots: SLOTS,
             warming: Duration::ZERO,
+            build: "v1".to_owned(),
         }
     }
 
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -30,6 +30,10 @@
 pub type RequestId = u128;
 /// The version number of a bundle; the first is 1.
 pub type Version = u64;
+/// Identifies a build of an endpoint's software, by its text. Builds have no order.
+pub type BuildId = u64;
+/// Identifies a stream, by its workspace and the attempt that brought its first event.
+pub type StreamId = u64;
 /// An offset in a stream of the log service.
 pub type Offset = u64;
 /// How often a log was restored from a copy. Offsets of two eras can't be compared.
