--- /dev/null
+++ b/crates/direct/tests/instance/builds.rs
@@ -0,0 +1,304 @@
+//! Streams that go on only at the build of endpoints that began them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::endpoint::{Endpoint, ReceivedRequest, Step, events, last_chunk, stream_head};
+use crate::fleet::{TestInstance, exchange, free_addresses, request, wait_until};
+
+/// The events of a stream before its connection is lost.
+const FIRST_EVENTS: u64 = 3;
+
+/// The last event of a whole stream.
+const LAST_EVENT: u64 = 5;
+
+/// Streams of a test, each placed at random.
+const STREAMS: usize = 16;
+
+/// How long instances may take to learn of each other: two exchanges of seeds.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(2_200);
+
+/// How long other instances may take to be told of a stream that began.
+const TELLING_TIME: Duration = Duration::from_millis(100);
+
+/// How long a change of the list of endpoints may take to arrive.
+const LIST_TIME: Duration = Duration::from_millis(400);
+
+/// An endpoint and its build.
+struct Server {
+    endpoint: Endpoint,
+    build: &'static str,
+}
+
+impl Server {
+    // Starts an endpoint that sends the first events of a new stream and then these steps, and
+    // the rest of a stream that goes on.
+    async fn start(build: &'static str, then: &[Step]) -> Self {
+        let then = then.to_vec();
+        let script = move |_: usize, received: &ReceivedRequest| {
+            let mut steps = vec![stream_head(received, "s1")];
+            let Some(after) = received.header("x-after") else {
+                steps.extend(events(1, FIRST_EVENTS));
+                steps.extend(then.clone());
+                return steps;
+            };
+            let after: u64 = after.parse().expect("a number");
+            steps.extend(events(after + 1, LAST_EVENT));
+            steps.push(last_chunk());
+            steps
+        };
+        Self {
+            endpoint: Endpoint::start(script).await,
+            build,
+        }
+    }
+}
+
+// Starts two endpoints of each build that wait after the first events of a new stream.
+async fn start_servers(builds: &[&'static str]) -> Vec<Server> {
+    let mut servers = Vec::new();
+    for build in builds.iter().flat_map(|build| [*build; 2]) {
+        servers.push(Server::start(build, &[Step::Wait(10_000)]).await);
+    }
+    servers
+}
+
+fn listed(servers: &[Server]) -> Vec<(SocketAddr, &'static str)> {
+    let entry = |one: &Server| (one.endpoint.address, one.build);
+    servers.iter().map(entry).collect()
+}
+
+async fn start_instance(servers: &[Server]) -> TestInstance {
+    let [own] = free_addresses();
+    let instance = TestInstance::start_with_builds(&[own], own, &listed(servers));
+    instance.wait_until_ready().await;
+    instance
+}
+
+// Starts instances that know each other. All are seeds.
+async fn start_fleet<const N: usize>(servers: &[Server]) -> [TestInstance; N] {
+    let seeds = free_addresses::<N>();
+    let fleet = seeds.map(|own| TestInstance::start_with_builds(&seeds, own, &listed(servers)));
+    for instance in &fleet {
+        instance.wait_until_ready().await;
+    }
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    fleet
+}
+
+// Returns a request of an attempt with this id.
+fn attempt(id: &str, extra_headers: &str) -> String {
+    let text = request("POST", "/draft/1", extra_headers, "");
+    text.replace("x-attempt: a1", &format!("x-attempt: {id}"))
+}
+
+// Returns a request that goes on after the first events of the stream that `first` began.
+fn taken_up(id: &str, first: &str) -> String {
+    attempt(
+        id,
+        &format!("x-resumes: {first}\r\nx-after: {FIRST_EVENTS}\r\n"),
+    )
+}
+
+// Begins a stream at an instance and loses the connection after its first events.
+async fn begin(instance: &TestInstance, id: &str) {
+    let address = instance.running.callers_address();
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let text = attempt(id, "");
+    stream.write_all(text.as_bytes()).await.expect("a request");
+    let mut received = String::new();
+    while !received.contains(&format!("t{FIRST_EVENTS}")) {
+        let mut bytes = [0; 1024];
+        let count = stream.read(&mut bytes).await.expect("an event");
+        assert!(count > 0, "{received}");
+        received.push_str(str::from_utf8(&bytes[..count]).expect("text"));
+    }
+}
+
+async fn take_up(instance: &TestInstance, id: &str, first: &str) -> String {
+    exchange(instance.running.callers_address(), &taken_up(id, first)).await
+}
+
+fn is_served(response: &str) -> bool {
+    response.starts_with("HTTP/1.1 200") && response.ends_with("0\r\n\r\n")
+}
+
+// Returns the build of the endpoint that was sent the attempt, if any was.
+fn build_of(servers: &[Server], id: &str, goes_on: bool) -> Option<&'static str> {
+    let got = |one: &ReceivedRequest| {
+        one.header("x-attempt") == Some(id) && one.header("x-after").is_some() == goes_on
+    };
+    let server = servers
+        .iter()
+        .find(|one| one.endpoint.received().iter().any(got));
+    server.map(|one| one.build)
+}
+
+// Begins streams at one instance and returns their ids.
+async fn begin_all(instance: &TestInstance) -> Vec<String> {
+    let mut ids = Vec::new();
+    for n in 0..STREAMS {
+        let id = format!("first{n}");
+        begin(instance, &id).await;
+        ids.push(id);
+    }
+    ids
+}
+
+// Takes streams up at an instance. Returns how many went on; all of them at their build.
+async fn take_up_all(instance: &TestInstance, servers: &[Server], ids: &[String]) -> usize {
+    let mut went_on = 0;
+    for first in ids {
+        let id = format!("next-{first}");
+        let response = take_up(instance, &id, first).await;
+        if !is_served(&response) {
+            assert!(response.starts_with("HTTP/1.1 503"), "{first}: {response}");
+            continue;
+        }
+        went_on += 1;
+        let began = build_of(servers, first, false);
+        assert_eq!(build_of(servers, &id, true), began, "{first}");
+    }
+    went_on
+}
+
+/// Guards against a stream that the instance itself resumes at an endpoint of another build.
+#[tokio::test]
+async fn broken_stream_is_resumed_at_the_build_that_began_it() {
+    let mut servers = Vec::new();
+    for build in ["v1", "v1", "v2", "v2"] {
+        servers.push(Server::start(build, &[Step::Close]).await);
+    }
+    let instance = start_instance(&servers).await;
+    for n in 0..STREAMS {
+        let id = format!("a{n}");
+        let address = instance.running.callers_address();
+        let response = exchange(address, &attempt(&id, "")).await;
+        assert!(is_served(&response), "{response}");
+        let began = build_of(&servers, &id, false);
+        assert_eq!(build_of(&servers, &id, true), began, "{id}");
+    }
+}
+
+/// Guards against a stream that its caller takes up and that goes on at another build, at the
+/// instance that began it and at others.
+#[tokio::test]
+async fn stream_taken_up_by_its_caller_goes_on_at_the_build_that_began_it() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let fleet = start_fleet::<3>(&servers).await;
+    let ids = begin_all(&fleet[0]).await;
+    tokio::time::sleep(TELLING_TIME).await;
+    for instance in &fleet {
+        assert_eq!(take_up_all(instance, &servers, &ids).await, STREAMS);
+    }
+}
+
+/// Guards against streams of a killed instance that go on at another build, or don't go on.
+#[tokio::test]
+async fn streams_of_a_killed_instance_go_on_at_the_build_that_began_them() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let [killed, other, _third] = start_fleet::<3>(&servers).await;
+    let ids = begin_all(&killed).await;
+    tokio::time::sleep(TELLING_TIME).await;
+    drop(killed);
+    assert_eq!(take_up_all(&other, &servers, &ids).await, STREAMS);
+}
+
+/// Guards against a guess where builds serve side by side and nobody knows which one began the
+/// stream: it isn't named, it is another workspace's, or it isn't known.
+#[tokio::test]
+async fn unknown_stream_is_refused_while_builds_serve_side_by_side() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let [instance, other] = start_fleet::<2>(&servers).await;
+    begin(&instance, "first").await;
+    tokio::time::sleep(TELLING_TIME).await;
+    let unnamed = attempt("n1", &format!("x-after: {FIRST_EVENTS}\r\n"));
+    let of_another = taken_up("n2", "first").replace("x-key: k1", "x-key: k2");
+    for text in [unnamed, of_another, taken_up("n3", "unheard-of")] {
+        for instance in [&instance, &other] {
+            let response = exchange(instance.running.callers_address(), &text).await;
+            assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+            assert!(response.contains("retry-after"), "{response}");
+        }
+    }
+    for id in ["n1", "n2", "n3"] {
+        assert_eq!(build_of(&servers, id, true), None, "{id}");
+    }
+}
+
+/// Guards against refusing streams while one build serves alone.
+#[tokio::test]
+async fn any_stream_goes_on_while_one_build_serves() {
+    let servers = start_servers(&["v1"]).await;
+    let [instance, other] = start_fleet::<2>(&servers).await;
+    begin(&instance, "first").await;
+    let unnamed = attempt("n1", &format!("x-after: {FIRST_EVENTS}\r\n"));
+    for text in [
+        unnamed,
+        taken_up("n2", "first"),
+        taken_up("n3", "unheard-of"),
+    ] {
+        for instance in [&instance, &other] {
+            let response = exchange(instance.running.callers_address(), &text).await;
+            assert!(is_served(&response), "{response}");
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another build since none of its own is left, and
+/// against keeping its caller waiting.
+#[tokio::test]
+async fn stream_whose_build_is_gone_is_refused_at_once() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let instance = start_instance(&servers).await;
+    begin(&instance, "first").await;
+    let began = build_of(&servers, "first", false).expect("a build");
+    for (n, server) in servers.iter().enumerate() {
+        if server.build == began {
+            instance.register_leaving(&format!("e{n}"), server.endpoint.address);
+        }
+    }
+    tokio::time::sleep(LIST_TIME).await;
+    let start = std::time::Instant::now();
+    let response = take_up(&instance, "next", "first").await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(!response.contains("retry-after"), "{response}");
+    assert!(start.elapsed() < Duration::from_millis(100));
+    assert_eq!(build_of(&servers, "next", true), None);
+}
+
+/// Guards against a stream that goes on at an endpoint that is back, under its name and at its
+/// address, at another build.
+#[tokio::test]
+async fn endpoint_that_is_back_at_another_build_takes_up_no_stream() {
+    let servers = start_servers(&["v1"]).await;
+    let instance = start_instance(&servers).await;
+    begin(&instance, "first").await;
+    for (n, server) in servers.iter().enumerate() {
+        instance.register_build(&format!("e{n}"), server.endpoint.address, "v2");
+    }
+    tokio::time::sleep(LIST_TIME).await;
+    let response = take_up(&instance, "next", "first").await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert_eq!(build_of(&servers, "next", true), None);
+}
+
+/// Guards against an instance that sends another one's request on to an endpoint that, as only
+/// it knows, is at another build.
+#[tokio::test]
+async fn request_is_not_sent_on_to_an_endpoint_at_another_build() {
+    let servers = start_servers(&["v1"]).await;
+    let seeds = free_addresses::<2>();
+    let [unreached, _] = free_addresses::<2>();
+    let cut_off = TestInstance::start_with_builds(&seeds, seeds[0], &[(unreached, "v1")]);
+    let address = servers[0].endpoint.address;
+    let other = TestInstance::start_with_builds(&seeds, seeds[1], &[(address, "v2")]);
+    wait_until(async || cut_off.is_ready().await && other.is_ready().await).await;
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    let response = take_up(&cut_off, "next", "first").await;
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert_eq!(build_of(&servers, "next", true), None);
+}
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -250,6 +250,22 @@
         Self::start_from_settings(&peer_settings(seeds, own), operator, endpoints)
     }
 
+    /// Starts one of several instances, with a log of its own that holds version 1 and
+    /// endpoints of these builds, named by their place in the list.
+    pub(crate) fn start_with_builds(
+        seeds: &[SocketAddr],
+        own: SocketAddr,
+        builds: &[(SocketAddr, &str)],
+    ) -> Self {
+        let (operator, endpoints) = topics(&[]);
+        for (n, (address, build)) in builds.iter().enumerate() {
+            let name = format!("e{n}");
+            endpoints.append(&name, build_entry(&name, *address, build));
+        }
+        let settings = peer_settings(seeds, own).replace("allowance: 10", "allowance: 10000");
+        Self::start_from_settings(&settings, operator, endpoints)
+    }
+
     /// Starts a seed whose list of endpoints waits for its response.
     pub(crate) fn start_held_seed(seed: SocketAddr, addresses: &[SocketAddr]) -> Self {
         let (operator, endpoints) = topics(addresses);
@@ -304,6 +320,11 @@
         );
     }
 
+    pub(crate) fn register_build(&self, name: &str, address: SocketAddr, build: &str) {
+        self.endpoints
+            .append(name, build_entry(name, address, build));
+    }
+
     pub(crate) fn register_in_zone(&self, zone: &str, name: &str, address: SocketAddr) {
         let mut entry = registration(name, address, Standing::Live);
         entry.endpoint.zone = id::from_name(zone);
@@ -345,6 +366,14 @@
     }
 }
 
+// Returns the record of an endpoint of this build.
+fn build_entry(name: &str, address: SocketAddr, build: &str) -> Value<Registration> {
+    Value::Set(Registration {
+        build: build.to_owned(),
+        ..registration(name, address, Standing::Live)
+    })
+}
+
 // Returns the settings of an instance that can be polled at `own`.
 fn peer_settings(seeds: &[SocketAddr], own: SocketAddr) -> String {
     let [forwards] = free_addresses();
@@ -465,11 +494,14 @@
 
 /// Returns the policy content that tests use unless they need another.
 pub(crate) fn content(version: u64) -> Content {
-    let workspace = Arc::new(Workspace {
-        name: "franchise".to_owned(),
-        rank: None,
-        homes: BTreeSet::new(),
-    });
+    let workspace = |name: &str| {
+        Arc::new(Workspace {
+            name: name.to_owned(),
+            rank: None,
+            homes: BTreeSet::new(),
+        })
+    };
+    let keys = [("k1", workspace("franchise")), ("k2", workspace("guides"))];
     let service = Service {
         name: SERVICE.to_owned(),
         connections: 96,
@@ -485,7 +517,7 @@
             route("/open/", Kind::Safe, 2, true),
         ],
         services: BTreeMap::from([(id::from_name(SERVICE), service)]),
-        keys: Some(BTreeMap::from([("k1".to_owned(), workspace)])),
+        keys: Some(keys.map(|(key, one)| (key.to_owned(), one)).into()),
         limits: Some(Limits {
             head_bytes: 2_000,
             body_bytes: 10_000,
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -3,6 +3,7 @@
 //! Endpoints are scripted sockets, the log is a source in memory, and headers use a dialect
 //! defined by these tests.
 
+mod builds;
 mod callers;
 mod crashes;
 mod endpoint;
