direct: a stream goes on only at the build of endpoints that began it

An instance that resumes a broken stream picked any endpoint of the service, and a stream that its caller takes up was placed like a new one: nothing knew which build had begun it. The class: a fact that binds later requests was known to one connection only.

Now a stream is bound, from its first event on, to the build of the endpoint that wrote it. It goes on only at endpoints of that build, at the instance itself, through another instance, and where its caller takes it up. Instances find the build by what they recorded, by what the instances drawn for the stream were told of it, or since one build alone can have begun it; otherwise the caller is refused, never guessed for. New streams begin at a new build beside another one only when all instances whose list is no older than a second know it.

--- a/crates/bench/src/state/updates.rs
+++ b/crates/bench/src/state/updates.rs
@@ -137,6 +137,7 @@
         slots: 12,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: None,
     }
 }
 
--- /dev/null
+++ b/crates/direct/src/builds.rs
@@ -0,0 +1,220 @@
+//! Which builds of its endpoints each service has had lately.
+//!
+//! What endpoints of two builds write doesn't fit together, so a stream goes on only at the
+//! build that began it. Where all endpoints that can have begun a stream are of one build, it
+//! is that one, and instances need not tell each other anything. Two conditions make this
+//! certain:
+//!
+//! - An instance knows all builds of the last while, as long as a stream may last and its
+//!   caller may take to come back.
+//! - New streams begin at a build that is new beside another one only when it has been listed
+//!   for [`MAX_LIST_AGE`]. An instance whose list isn't older than that knows all builds that
+//!   have begun a stream.
+//!
+//! An instance that has started within that while doesn't know what served before. If all
+//! endpoints have run for longer, none can have replaced one of another build.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, SystemTime};
+
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{BuildId, ServiceId};
+
+use crate::roster::Registration;
+
+/// The age up to which a list of endpoints holds all builds that streams have begun at.
+pub const MAX_LIST_AGE: Duration = Duration::from_secs(1);
+
+/// How far the times of day of two machines may differ.
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
+
+/// The builds at which a service's streams may have begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Census {
+    /// No endpoint is known.
+    Empty,
+    /// All are of one build.
+    Sole(BuildId),
+    /// All known ones are of one build; ones that are gone may have been of another.
+    Unsure,
+    /// There is more than one.
+    Several,
+}
+
+// The endpoints of one build.
+#[derive(Clone, Copy, Debug)]
+struct Sighting {
+    // `None` if the first list held it, and it has been listed for an unknown time.
+    first_listed: Option<Moment>,
+    // When it was last listed; `None` if it is now.
+    gone_since: Option<Moment>,
+    // When the newest of its endpoints has started, if all say so.
+    newest_start: Option<SystemTime>,
+}
+
+// Since when all builds are known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum History {
+    /// No list was received.
+    #[default]
+    None,
+    /// Since the first list.
+    Since(Moment),
+    /// Since the first start of the system.
+    Whole,
+}
+
+/// The builds of all services.
+#[derive(Debug, Default)]
+pub struct Builds {
+    services: BTreeMap<ServiceId, BTreeMap<BuildId, Sighting>>,
+    history: History,
+    retention: Duration,
+}
+
+impl Builds {
+    /// Records how long after its first event a stream may be taken up. A shorter time than
+    /// before is ignored, since it doesn't hold for streams that have begun.
+    pub fn set_retention(&mut self, retention: Duration) {
+        self.retention = self.retention.max(retention);
+    }
+
+    /// Returns how long after its first event a stream may be taken up.
+    #[must_use]
+    pub const fn retention(&self) -> Duration {
+        self.retention
+    }
+
+    /// Returns how many builds a service has had lately.
+    #[must_use]
+    pub fn count(&self, service: ServiceId) -> usize {
+        self.services.get(&service).map_or(0, BTreeMap::len)
+    }
+
+    /// Records all endpoints that are known. `nothing_before` says that no endpoint can have
+    /// served before the first list.
+    pub fn record_list<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a Registration>,
+        nothing_before: bool,
+        now: Moment,
+    ) {
+        let is_first = self.history == History::None;
+        let mut present: BTreeMap<(ServiceId, BuildId), Option<SystemTime>> = BTreeMap::new();
+        for one in listed {
+            let newest = present
+                .entry((one.endpoint.service, one.build_id()))
+                .or_insert(one.started_at);
+            // An unknown start makes the newest one unknown.
+            *newest = newest.zip(one.started_at).map(|(a, b)| a.max(b));
+        }
+        if is_first {
+            self.history = if nothing_before && present.is_empty() {
+                History::Whole
+            } else {
+                History::Since(now)
+            };
+        }
+        let first_listed = (!is_first).then_some(now);
+        for (service, builds) in &mut self.services {
+            for (build, sighting) in builds {
+                if !present.contains_key(&(*service, *build)) {
+                    sighting.gone_since.get_or_insert(now);
+                }
+            }
+        }
+        for ((service, build), newest_start) in present {
+            let builds = self.services.entry(service).or_default();
+            let sighting = builds.entry(build).or_insert(Sighting {
+                first_listed,
+                gone_since: None,
+                newest_start,
+            });
+            sighting.gone_since = None;
+            sighting.newest_start = newest_start;
+        }
+        self.forget_old(now);
+    }
+
+    fn forget_old(&mut self, now: Moment) {
+        let retention = self.retention;
+        for builds in self.services.values_mut() {
+            builds.retain(|_, one| one.is_recent(retention, now));
+        }
+        self.services.retain(|_, builds| !builds.is_empty());
+    }
+
+    /// Returns the builds at which streams of any of these services may have begun, as of the
+    /// list that is known here. `time_of_day` is that of this machine.
+    #[must_use]
+    pub fn census(
+        &self,
+        services: impl Iterator<Item = ServiceId>,
+        now: Moment,
+        time_of_day: SystemTime,
+    ) -> Census {
+        let of_service = |service| self.services.get(&service).into_iter().flatten();
+        let recent: Vec<(BuildId, &Sighting)> = services
+            .flat_map(of_service)
+            .filter(|(_, one)| one.is_recent(self.retention, now))
+            .map(|(build, one)| (*build, one))
+            .collect();
+        let builds: BTreeSet<BuildId> = recent.iter().map(|(build, _)| *build).collect();
+        let (Some(build), None) = (builds.first(), builds.iter().nth(1)) else {
+            return if builds.is_empty() {
+                Census::Empty
+            } else {
+                Census::Several
+            };
+        };
+        let min_age = self.retention + MAX_CLOCK_SKEW;
+        let is_old = |one: &Sighting| {
+            let age = one.newest_start.map(|at| time_of_day.duration_since(at));
+            age.is_some_and(|age| age.is_ok_and(|age| age >= min_age))
+        };
+        if self.is_complete(now) || recent.iter().all(|(_, one)| is_old(one)) {
+            Census::Sole(*build)
+        } else {
+            Census::Unsure
+        }
+    }
+
+    // Returns whether all builds of the last while are known.
+    fn is_complete(&self, now: Moment) -> bool {
+        match self.history {
+            History::None => false,
+            History::Since(at) => since(now, at) >= self.retention,
+            History::Whole => true,
+        }
+    }
+
+    /// Returns whether new streams may begin at a build, as far as it is up to how long it has
+    /// been listed: other instances have to know it by then. `confirmed_at` is when the list
+    /// was last confirmed; a list that is not read tells nobody of a build.
+    #[must_use]
+    pub fn is_established(
+        &self,
+        service: ServiceId,
+        build: BuildId,
+        confirmed_at: Option<Moment>,
+    ) -> bool {
+        let sighting = self
+            .services
+            .get(&service)
+            .and_then(|builds| builds.get(&build));
+        sighting.is_some_and(|one| match one.first_listed {
+            None => true,
+            Some(at) => confirmed_at.is_some_and(|confirmed| confirmed >= at + MAX_LIST_AGE),
+        })
+    }
+}
+
+impl Sighting {
+    // Returns whether a stream that began at the build may still be taken up.
+    fn is_recent(&self, retention: Duration, now: Moment) -> bool {
+        self.gone_since.is_none_or(|at| since(now, at) < retention)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/direct/src/builds/tests.rs
@@ -0,0 +1,167 @@
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, SystemTime};
+
+use godwitpost_types::clock::Moment;
+use godwitpost_types::endpoint::{Endpoint, Standing};
+use godwitpost_types::id;
+
+use super::{Builds, Census, MAX_CLOCK_SKEW, MAX_LIST_AGE};
+use crate::roster::Registration;
+
+const SERVICE: u64 = 7;
+const OTHER_SERVICE: u64 = 8;
+const RETENTION: Duration = Duration::from_secs(20);
+
+fn at(millis: u64) -> Moment {
+    Duration::from_millis(millis)
+}
+
+// The time of day at a moment.
+fn time_of_day(now: Moment) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000) + now
+}
+
+fn endpoint(service: u64, build: &str, started_at: Option<SystemTime>) -> Registration {
+    Registration {
+        endpoint: Endpoint {
+            id: 1,
+            name: "e1".to_owned(),
+            incarnation: 1,
+            service,
+            models: BTreeSet::new(),
+            zone: 1,
+            region: 0,
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 80)),
+            standing: Standing::Live,
+        },
+        slots: 8,
+        warming: Duration::ZERO,
+        build: build.to_owned(),
+        started_at,
+    }
+}
+
+fn old(build: &str) -> Registration {
+    endpoint(SERVICE, build, Some(SystemTime::UNIX_EPOCH))
+}
+
+fn young(build: &str) -> Registration {
+    endpoint(SERVICE, build, Some(time_of_day(at(0))))
+}
+
+fn builds(listed: &[Registration], nothing_before: bool, now: Moment) -> Builds {
+    let mut builds = Builds::default();
+    builds.set_retention(RETENTION);
+    builds.record_list(listed.iter(), nothing_before, now);
+    builds
+}
+
+fn census(builds: &Builds, now: Moment) -> Census {
+    builds.census([SERVICE].into_iter(), now, time_of_day(now))
+}
+
+fn sole(build: &str) -> Census {
+    Census::Sole(id::from_name(build))
+}
+
+#[test]
+fn one_build_of_old_endpoints_is_the_sole_one_at_once() {
+    let known = builds(&[old("v1"), old("v1")], false, at(5_000));
+    assert_eq!(census(&known, at(5_000)), sole("v1"));
+    assert_eq!(census(&Builds::default(), at(5_000)), Census::Empty);
+}
+
+/// Guards against taking the build of a release that has just ended for the one that began a
+/// stream before it, at an instance that has started since.
+#[test]
+fn build_of_endpoints_that_may_have_replaced_others_is_unsure() {
+    for started_at in [Some(time_of_day(at(0))), None] {
+        let listed = [endpoint(SERVICE, "v2", started_at), old("v2")];
+        let known = builds(&listed, false, at(5_000));
+        assert_eq!(census(&known, at(5_000)), Census::Unsure);
+        assert_eq!(census(&known, at(5_000) + RETENTION), sole("v2"));
+    }
+    let known = builds(&[young("v2")], false, at(5_000));
+    let aged = RETENTION + MAX_CLOCK_SKEW;
+    assert_eq!(census(&known, aged), sole("v2"));
+    let almost = aged.saturating_sub(at(1));
+    assert_eq!(census(&known, almost), Census::Unsure);
+}
+
+/// Guards against taking a machine's time of day that has jumped back for a proof.
+#[test]
+fn endpoint_that_starts_in_the_future_is_unsure() {
+    let tomorrow = Some(time_of_day(at(0)) + Duration::from_hours(24));
+    let known = builds(&[endpoint(SERVICE, "v1", tomorrow)], false, at(0));
+    assert_eq!(census(&known, at(0)), Census::Unsure);
+}
+
+#[test]
+fn all_builds_are_known_from_the_first_start_of_the_system() {
+    let mut known = builds(&[], true, at(100));
+    known.record_list([young("v1")].iter(), true, at(1_000));
+    assert_eq!(census(&known, at(1_000)), sole("v1"));
+    // Endpoints that were there before may have had others beside them.
+    let known = builds(&[young("v1")], true, at(100));
+    assert_eq!(census(&known, at(1_000)), Census::Unsure);
+}
+
+/// Guards against forgetting a build while its streams can still be taken up.
+#[test]
+fn build_that_is_gone_counts_for_as_long_as_its_streams() {
+    let mut known = builds(&[old("v1")], false, at(0));
+    known.record_list([old("v1"), young("v2")].iter(), false, at(30_000));
+    assert_eq!(census(&known, at(30_000)), Census::Several);
+    known.record_list([young("v2")].iter(), false, at(40_000));
+    known.record_list([young("v2")].iter(), false, at(50_000));
+    let gone = at(40_000) + RETENTION;
+    assert_eq!(census(&known, gone.saturating_sub(at(1))), Census::Several);
+    assert_eq!(census(&known, gone), sole("v2"));
+    known.record_list([young("v2"), young("v1")].iter(), false, gone);
+    assert_eq!(census(&known, gone), Census::Several);
+}
+
+#[test]
+fn builds_of_all_services_of_a_route_count() {
+    let listed = [old("v1"), endpoint(OTHER_SERVICE, "v2", None)];
+    let known = builds(&listed, false, at(0));
+    let of = |services: &[u64]| {
+        let services = services.iter().copied();
+        known.census(services, at(0), time_of_day(at(0)))
+    };
+    assert_eq!(of(&[SERVICE]), sole("v1"));
+    assert_eq!(of(&[OTHER_SERVICE]), Census::Unsure);
+    assert_eq!(of(&[SERVICE, OTHER_SERVICE]), Census::Several);
+    assert_eq!((known.count(SERVICE), known.count(9)), (1, 0));
+}
+
+/// Guards against a stream that begins at a build which other instances don't know, and take
+/// it up at the one that they know.
+#[test]
+fn streams_begin_at_a_new_build_only_when_it_was_listed_for_a_while() {
+    let mut known = builds(&[old("v1")], false, at(0));
+    known.record_list([old("v1"), young("v2")].iter(), false, at(5_000));
+    let is_established = |build: &str, confirmed_at| {
+        known.is_established(SERVICE, id::from_name(build), confirmed_at)
+    };
+    assert!(is_established("v1", None));
+    let listed_for = at(5_000) + MAX_LIST_AGE;
+    for (confirmed_at, expected) in [
+        (None, false),
+        (Some(at(5_000)), false),
+        (Some(listed_for.saturating_sub(at(1))), false),
+        (Some(listed_for), true),
+    ] {
+        assert_eq!(is_established("v2", confirmed_at), expected);
+    }
+    assert!(!is_established("v3", Some(listed_for)));
+}
+
+#[test]
+fn retention_never_shrinks() {
+    let mut known = Builds::default();
+    known.set_retention(RETENTION);
+    known.set_retention(Duration::from_secs(1));
+    assert_eq!(known.retention(), RETENTION);
+}
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -29,6 +29,7 @@
 use crate::evacuation::{EvacuatedZones, Evacuation, TopicState};
 use crate::feed::Change;
 use crate::policy::Policy;
+use crate::relay::tell_origins;
 use crate::revoked::{KeyChanges, RevokedKeys};
 use crate::roster::{Origin, Registration, Roster};
 use crate::shared::{Shared, View, by_service};
@@ -40,6 +41,9 @@
 /// checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long after its request ended a caller may take a stream up again.
+const MAX_RETURN_TIME: Duration = Duration::from_secs(5);
+
 /// The topics of the log that an instance follows.
 #[derive(Debug)]
 pub struct Sources {
@@ -426,6 +430,12 @@
         }
         let spans = self.shared.directory().len();
         self.shared.metrics.record_prompt_spans(spans);
+        let (streams, dropped) = {
+            let origins = self.shared.origins();
+            (origins.len(), origins.dropped())
+        };
+        let metrics = &self.shared.metrics;
+        metrics.streams().record_origins(streams, dropped);
         let removed = self.roster.remove_expired(now);
         for name in &removed {
             log::info!(endpoint:% = name; "endpoint removed: its entry did not return after the log outage");
@@ -510,6 +520,23 @@
         ramp.map_or(Duration::ZERO, |ramp| ramp.time)
     }
 
+    // Records the builds of all known endpoints. Others are told of the streams that began
+    // while one build served alone as soon as it no longer does.
+    fn record_builds(&self) {
+        if !self.endpoints_listed {
+            return;
+        }
+        let listed = self.roster.registrations().map(|one| &**one);
+        let nothing_before = self.shared.settings.first_start;
+        let mut builds = self.shared.builds();
+        if let Some(policy) = &self.policy {
+            builds.set_retention(policy.longest_resumable() + MAX_RETURN_TIME);
+        }
+        builds.record_list(listed, nothing_before, boot_time());
+        drop(builds);
+        tell_origins(&self.shared);
+    }
+
     fn publish_view(&self) {
         let with_standing = |standing| {
             let all = self.roster.registrations();
@@ -532,6 +559,7 @@
             .map(|(_, endpoints)| endpoints.len())
             .sum();
         self.shared.metrics.record_endpoints(live);
+        self.record_builds();
         self.shared.publish(View {
             policy: self.policy.clone(),
             endpoints,
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -17,6 +17,7 @@
     EVIDENCE_PATH, EXCHANGE_PATH, handle_evidence, handle_exchange, record_forwarders, record_loads,
 };
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body, status_response};
+use crate::members;
 use crate::replica::{Allowance, Update, UpdateRequest, Urgency};
 use crate::shared::Shared;
 
@@ -59,6 +60,9 @@
     );
     record_loads(shared, &update_request.loads, received_at);
     record_forwarders(shared, update_request.forwards.as_slice(), received_at);
+    if let Some(address) = update_request.forwards {
+        shared.members().record_poll(address, received_at);
+    }
     for holder in &update_request.holders {
         shared.directory().apply_and_forward(holder, received_at);
     }
@@ -90,6 +94,7 @@
     let encoded = answer.and_then(|mut answer| {
         add_loads(shared, &mut answer.update, now);
         add_instances(shared, &mut answer.update, now);
+        add_members(shared, &update_request, &mut answer.update, now);
         answer.encode()
     });
     match encoded {
@@ -130,6 +135,15 @@
     });
 }
 
+// Adds the instances that keep the origins of streams, if the peer knows others.
+fn add_members(shared: &Shared, request: &UpdateRequest, update: &mut Update, now: Moment) {
+    let mut members = shared.members();
+    let list = members.list(now);
+    if members::digest(list) != request.members {
+        update.members = Some(list.to_vec());
+    }
+}
+
 // Adds standbys, the number of instances and some that take requests of others to an update. Only seeds name
 // standbys: the instances that poll a standby are no better informed than it
 // is.
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -23,7 +23,7 @@
 use crate::stats::Load;
 
 pub(super) const EVIDENCE_PATH: &str = "/peer/v2/evidence";
-pub(super) const EXCHANGE_PATH: &str = "/peer/v4/heard";
+pub(super) const EXCHANGE_PATH: &str = "/peer/v5/heard";
 
 /// How long evidence waits for more before it is forwarded. An endpoint that
 /// terminates breaks all its requests within a few milliseconds.
@@ -44,6 +44,9 @@
             .record_peer_count(address, exchange.count, now);
     }
     record_forwarders(shared, &exchange.forwarders, now);
+    if let Some(address) = exchange.peer_address {
+        shared.members().record_seed(address, exchange.members, now);
+    }
     for holder in exchange.holders {
         if shared.directory().apply_remote(&holder, now) {
             shared.update_replica(false, |replica| replica.add_holder(holder, now));
@@ -65,6 +68,8 @@
     holders: Vec<PrefixHolder>,
     /// Instances that take requests of others, the seed among them.
     forwarders: Vec<SocketAddr>,
+    /// Of the instances that poll the seed and itself, those that keep the origins of streams.
+    members: Vec<SocketAddr>,
 }
 
 /// Sends the other seeds, for as long as the process runs, the number of
@@ -83,6 +88,7 @@
             count: shared.pollers().own_count(now),
             holders: shared.directory().take_unsent(now),
             forwarders: shared.forwarders().sample(rand::rng().random(), now),
+            members: shared.members().polling(now),
         };
         for holder in &exchange.holders {
             shared.update_replica(false, |replica| replica.add_holder(*holder, now));
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -17,6 +17,7 @@
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body};
 use crate::crashes::Evidence;
 use crate::evacuation::Evacuation;
+use crate::members;
 use crate::policy::Content;
 use crate::replica::{Update, UpdateRequest};
 use crate::roster::Registration;
@@ -237,6 +238,7 @@
             digests: digests.unwrap_or_default(),
             peer_address: self.shared.settings.listen.peers,
             forwards: self.shared.settings.listen.forwards,
+            members: members::digest(self.shared.members().followed()),
             link_rate: self.shared.settings.link_rate,
             version: self.known.version(in_force),
             evacuation: evacuation.max(self.known.evacuation),
@@ -252,6 +254,9 @@
         let built_at = sent_at + update.waited;
         record_loads(self.shared, &update.loads, built_at);
         record_forwarders(self.shared, &update.forwarders, built_at);
+        if let Some(members) = update.members.take() {
+            self.shared.members().follow(members);
+        }
         if let Some(instances) = update.instances {
             self.shared.set_instance_count(instances, built_at);
         }
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -53,6 +53,7 @@
         slots: 8,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: None,
     }
 }
 
@@ -63,6 +64,7 @@
     digests: Vec::new(),
     peer_address: None,
     forwards: None,
+    members: 0,
     link_rate: 0,
     version: 0,
     evacuation: Position::START,
--- a/crates/direct/src/evacuation/tests.rs
+++ b/crates/direct/src/evacuation/tests.rs
@@ -196,6 +196,7 @@
             digests: Vec::new(),
             peer_address: None,
             forwards: None,
+            members: 0,
             link_rate: 0,
             version: 0,
             evacuation: self.known.as_of,
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod builds;
 pub mod cli;
 pub mod control;
 pub mod crashes;
@@ -28,8 +29,10 @@
 pub mod holders;
 mod hop;
 pub mod lease;
+pub mod members;
 mod metrics;
 pub mod notices;
+pub mod origins;
 pub mod pace;
 pub mod paths;
 pub mod place;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,5 +1,7 @@
 //! The metrics of one instance: those of its requests, and those of its own state.
 
+mod streams;
+
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -10,6 +12,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 
+use self::streams::Streams;
 use crate::hop::Outcome;
 use crate::refusal::Reason;
 use crate::stats::Observation;
@@ -38,7 +41,7 @@
     requests: RequestMetrics,
     refusals: Counter<u64>,
     repeats: Counter<u64>,
-    resumed: Counter<u64>,
+    streams: Streams,
     sources: Counter<u64>,
     shares: Counter<u64>,
     notices: Counter<u64>,
@@ -83,7 +86,7 @@
                 "godwitpost.repeats",
                 "Requests sent to a further endpoint, by whether the budget allowed it",
             ),
-            resumed: counter("godwitpost.resumed", "Streams resumed at another endpoint"),
+            streams: Streams::new(&meter),
             shares: counter(
                 "godwitpost.warming_shares",
                 "Requests placed at endpoints that are warming up, by whether a share was left",
@@ -171,8 +174,9 @@
         self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
     }
 
-    pub(crate) fn count_resumed_stream(&self) {
-        self.resumed.add(1, &[]);
+    /// Returns the metrics of streams that go on elsewhere.
+    pub(crate) const fn streams(&self) -> &Streams {
+        &self.streams
     }
 
     pub(crate) fn count_prompt_source(&self, basis: &'static str) {
--- /dev/null
+++ b/crates/direct/src/metrics/streams.rs
@@ -0,0 +1,62 @@
+//! The metrics of streams that go on at another endpoint or instance.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Meter};
+
+#[derive(Debug)]
+pub(crate) struct Streams {
+    resumed: Counter<u64>,
+    taken_up: Counter<u64>,
+    told: Counter<u64>,
+    origins: Gauge<u64>,
+    dropped: Gauge<u64>,
+}
+
+impl Streams {
+    pub(super) fn new(meter: &Meter) -> Self {
+        let counter = |name: &'static str, description: &'static str| {
+            let counter = meter.u64_counter(name);
+            counter.with_description(description).build()
+        };
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        Self {
+            resumed: counter("godwitpost.resumed", "Streams resumed at another endpoint"),
+            taken_up: counter(
+                "godwitpost.streams_taken_up",
+                "Streams that their callers take up, by how it is known which build began them",
+            ),
+            told: counter(
+                "godwitpost.streams_told",
+                "Streams that another instance was told of, by whether it took the message",
+            ),
+            origins: gauge(
+                "godwitpost.stream_origins",
+                "Streams whose build is remembered here",
+            ),
+            dropped: gauge(
+                "godwitpost.stream_origins_dropped",
+                "Streams whose build was forgotten early, as there were too many",
+            ),
+        }
+    }
+
+    pub(crate) fn count_resumed(&self) {
+        self.resumed.add(1, &[]);
+    }
+
+    pub(crate) fn count_taken_up(&self, known_by: &'static str) {
+        self.taken_up.add(1, &[KeyValue::new("known_by", known_by)]);
+    }
+
+    pub(crate) fn count_told(&self, streams: usize, taken: bool) {
+        self.told
+            .add(streams as u64, &[KeyValue::new("taken", taken)]);
+    }
+
+    pub(crate) fn record_origins(&self, count: usize, dropped: u64) {
+        self.origins.record(count as u64, &[]);
+        self.dropped.record(dropped, &[]);
+    }
+}
--- a/crates/direct/src/policy.rs
+++ b/crates/direct/src/policy.rs
@@ -215,6 +215,14 @@
         &self.content
     }
 
+    /// Returns the longest time that one request may take whose stream can be taken up.
+    #[must_use]
+    pub fn longest_resumable(&self) -> Duration {
+        let resumable = |route: &&Route| route.kind.is_stream() && route.kind.idempotent();
+        let routes = self.content.routes.iter().filter(resumable);
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Returns the number of routes.
     #[must_use]
     pub fn routes(&self) -> usize {
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -59,6 +59,10 @@
         /// The remaining pause, limited by the time that the caller has left.
         left: Duration,
     },
+    /// it is not known which build of the endpoints began the stream; send it again
+    UnknownOrigin,
+    /// no endpoint of the build that began the stream is left; begin a new stream
+    BuildGone,
     /// endpoints ended each time that they ran this request; send it later
     Held {
         /// How long the request is still held back.
@@ -111,6 +115,8 @@
             | Self::Refused
             | Self::Unreachable
             | Self::Overloaded
+            | Self::UnknownOrigin
+            | Self::BuildGone
             | Self::Held { .. }
             | Self::Paused { .. }
             | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
@@ -134,6 +140,7 @@
             | Self::Unconfirmed
             | Self::NoEndpoint
             | Self::Unreachable
+            | Self::UnknownOrigin
             | Self::Expired => Some(SHORT_RETRY_DELAY),
             Self::Full | Self::NoRoom | Self::Refused | Self::Overloaded | Self::Warming => {
                 Some(FULL_RETRY_DELAY)
@@ -178,6 +185,8 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
+            Self::UnknownOrigin => "unknown-origin",
+            Self::BuildGone => "build-gone",
             Self::Held { .. } => "held",
             Self::Paused { .. } => "paused",
         }
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -11,6 +11,7 @@
 pub(crate) mod forward;
 mod headers;
 mod job;
+mod origin;
 mod payload;
 mod send;
 mod source;
@@ -33,6 +34,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use self::job::{BodyEnd, Job};
+pub(crate) use self::origin::tell_origins;
 use self::send::{EndpointResponse, InFlightRequest, dispatch};
 use crate::dialect::RequestFields;
 use crate::refusal::Reason;
@@ -107,17 +109,12 @@
             return Err(Refused { reason, request });
         }
     };
-    if let Some(after) = job.last_event_id() {
-        log::info!(
-            request:% = job.id(), first_attempt:% = job.first_attempt().unwrap_or_default(),
-            after = after;
-            "stream taken up by its caller"
-        );
-    }
-    let response = match read_body(&mut job, body).await {
-        Ok(()) => dispatch(&mut job, None).await,
-        Err(reason) => Err(reason),
+    let response = async {
+        read_body(&mut job, body).await?;
+        origin::bind_taken_up(&mut job).await?;
+        dispatch(&mut job, None).await
     };
+    let response = response.await;
     match response {
         Ok(response) => Ok(answer::relay(job, response).await),
         Err(reason) => {
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -1,12 +1,13 @@
 //! Chooses the endpoint of an attempt.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use godwitpost_client::clock::boot_time;
 use godwitpost_decide::health::Access;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::EndpointId;
+use godwitpost_types::id::{BuildId, EndpointId};
 use rand::RngExt;
 
 use super::Job;
@@ -158,6 +159,9 @@
     if let Some(resume_at) = resume_at {
         return pause_reason_until(job, resume_at);
     }
+    if is_build_gone(job, view) {
+        return Reason::BuildGone;
+    }
     if !job.tried.is_empty() {
         return Reason::Unreachable;
     }
@@ -171,6 +175,17 @@
     }
 }
 
+// Returns whether no endpoint of the build that began the stream may get requests, now or
+// when its zone is used again.
+fn is_build_gone(job: &Job, view: &View) -> bool {
+    let Some(origin) = job.origin else {
+        return false;
+    };
+    let usable = view.usable(job.service).iter();
+    let mut all = usable.chain(view.evacuated(job.service));
+    !all.any(|one| one.build_id() == origin.build)
+}
+
 // Returns the request's affinity, if its route uses affinity.
 fn affinity(job: &Job, candidates: &[Candidate]) -> Option<Affinity> {
     let part = job.fields.affinity_part().filter(|_| job.route.affinity)?;
@@ -199,6 +214,53 @@
     excluded: Vec<&'a Registration>,
 }
 
+/// The builds of the endpoints that a request may be sent to.
+enum AllowedBuilds {
+    All,
+    /// The one that began its stream.
+    Only(BuildId),
+    /// All but those that other instances may not know yet.
+    AllBut(BTreeSet<BuildId>),
+}
+
+impl AllowedBuilds {
+    fn contains(&self, registration: &Registration) -> bool {
+        match self {
+            Self::All => true,
+            Self::Only(build) => registration.build_id() == *build,
+            Self::AllBut(excluded) => !excluded.contains(&registration.build_id()),
+        }
+    }
+}
+
+// A new stream begins at a build that is new itself only if there is no other.
+fn allowed_builds(
+    job: &Job,
+    registrations: &[Arc<Registration>],
+    suits: impl Fn(&Registration) -> bool,
+) -> AllowedBuilds {
+    if !job.is_resumable() {
+        return AllowedBuilds::All;
+    }
+    if let Some(origin) = job.origin {
+        return AllowedBuilds::Only(origin.build);
+    }
+    if job.shared.builds().count(job.service) <= 1 {
+        return AllowedBuilds::All;
+    }
+    let suitable = registrations.iter().filter(|one| suits(one));
+    let present: BTreeSet<BuildId> = suitable.map(|one| one.build_id()).collect();
+    let confirmed_at = job.shared.endpoints_confirmed_at();
+    let builds = job.shared.builds();
+    let is_new = |build: &BuildId| !builds.is_established(job.service, *build, confirmed_at);
+    let new: BTreeSet<BuildId> = present.iter().copied().filter(is_new).collect();
+    if new.len() == present.len() {
+        AllowedBuilds::All
+    } else {
+        AllowedBuilds::AllBut(new)
+    }
+}
+
 fn group_endpoints<'a>(job: &Job, registrations: &'a [Arc<Registration>]) -> EndpointGroups<'a> {
     let model = job
         .fields
@@ -209,7 +271,9 @@
         let models = &one.endpoint.models;
         models.is_empty() || model.is_none_or(|model| models.contains(&model))
     };
-    let may_run = |one: &Registration| job.may_run_in(one.endpoint.zone) && has_model(one);
+    let suits = |one: &Registration| job.may_run_in(one.endpoint.zone) && has_model(one);
+    let allowed = allowed_builds(job, registrations, suits);
+    let may_run = |one: &Registration| suits(one) && allowed.contains(one);
     let mut groups = EndpointGroups {
         usable: Vec::with_capacity(registrations.len()),
         paused: Vec::new(),
--- a/crates/direct/src/relay/forward.rs
+++ b/crates/direct/src/relay/forward.rs
@@ -320,6 +320,7 @@
     let source = chosen.source.as_ref().and_then(Source::registration);
     let frame = Frame {
         endpoint: chosen.registration.endpoint.name.clone(),
+        build: chosen.registration.build_id(),
         version: job.version,
         remaining: job.remaining().saturating_sub(RESPONSE_RETURN_TIME),
         repeated: job.attempts.sent() > 0,
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -20,11 +20,12 @@
 
 use super::super::payload::{End, Part, Payload, has_unknown_coding};
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
-use super::super::{EndpointResponse, Job, headers, job, source};
+use super::super::{EndpointResponse, Job, headers, job, origin, source};
 use super::destination;
 use crate::dialect::RequestFields;
 use crate::hop::{
-    FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, OUTCOME_HEADER, Outcome, PROBE_PATH,
+    FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, ORIGIN_PATH, ORIGINS_PATH, OUTCOME_HEADER,
+    Outcome, PROBE_PATH,
 };
 use crate::notices::Notice;
 use crate::reach::Way;
@@ -110,6 +111,7 @@
     match request.uri().path() {
         FORWARD_PATH => {}
         PROBE_PATH => return answer_question(&shared, request).await,
+        ORIGIN_PATH | ORIGINS_PATH => return handle_origins(&shared, request).await,
         _ => return empty_response(StatusCode::NOT_FOUND, Outcome::Declined),
     }
     let arrived = boot_time();
@@ -163,6 +165,23 @@
     empty_response(StatusCode::OK, outcome)
 }
 
+// Handles a question where a stream began, or what another instance tells of its streams.
+async fn handle_origins(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let is_question = request.uri().path() == ORIGIN_PATH;
+    let body = Limited::new(request.into_body(), origin::MAX_MESSAGE_BYTES).collect();
+    let body = body.await.map(Collected::to_bytes).unwrap_or_default();
+    let answer = if is_question {
+        origin::answer_question(shared, &body)
+    } else {
+        origin::record_told(shared, &body).map(|()| Vec::new())
+    };
+    let Some(answer) = answer else {
+        return empty_response(StatusCode::BAD_REQUEST, Outcome::Declined);
+    };
+    let body = Full::new(Bytes::from(answer)).map_err(Into::into);
+    Response::new(body.boxed_unsync())
+}
+
 // Reads a request and checks it as one of a caller's.
 async fn take(
     shared: &Arc<Shared>,
@@ -201,7 +220,7 @@
         return Err(declined(Decline::Behind));
     }
     job.set_body(body);
-    let registration = find_endpoint(&job, &frame.endpoint).map_err(declined)?;
+    let registration = find_endpoint(&job, &frame).map_err(declined)?;
     let source = frame
         .source
         .as_ref()
@@ -249,13 +268,14 @@
 }
 
 // Returns the named endpoint if this instance may and can send the request to it.
-fn find_endpoint(job: &Job, name: &str) -> Result<Arc<Registration>, Decline> {
+fn find_endpoint(job: &Job, frame: &Frame) -> Result<Arc<Registration>, Decline> {
     let shared = &job.shared;
     let view = shared.view();
     let targets = job.route.targets.iter();
     let registration = targets
         .flat_map(|target| view.usable(target.service))
-        .find(|one| one.endpoint.name == name && job.may_run_in(one.endpoint.zone))
+        .find(|one| one.endpoint.name == frame.endpoint && job.may_run_in(one.endpoint.zone))
+        .filter(|one| one.build_id() == frame.build)
         .ok_or(Decline::Endpoint)?;
     let endpoint = &registration.endpoint;
     match shared.notices().get(endpoint.id, boot_time()) {
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -10,7 +10,7 @@
 use godwitpost_decide::quarantine;
 use godwitpost_process::metrics::Labels;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId, ServiceId, Version, ZoneId};
+use godwitpost_types::id::{self, BodyDigest, EndpointId, ServiceId, StreamId, Version, ZoneId};
 use godwitpost_types::outcome::Outcome;
 use http::header::HOST;
 use http::request::Parts;
@@ -20,11 +20,13 @@
 use tokio::time::Instant;
 
 use super::payload::{End, Payload};
-use super::{crash, headers};
+use super::{crash, headers, origin};
 use crate::attempt::Attempts;
 use crate::dialect::RequestFields;
+use crate::origins::Origin;
 use crate::policy::{self, Caller, Kind, Limits, Policy, Route, Target, Workspace};
 use crate::refusal::Reason;
+use crate::roster::Registration;
 use crate::shared::{Admission, Shared, View};
 
 /// The size of a header line beyond its name and value: `: ` and the line ending.
@@ -52,6 +54,8 @@
     pub(super) version: Version,
     pub(super) attempts: Attempts,
     pub(super) tried: Vec<EndpointId>,
+    // Where the stream began, once its first event was passed on here or before.
+    pub(super) origin: Option<Origin>,
     limits: Limits,
     host: String,
     arrived: Moment,
@@ -133,6 +137,7 @@
             service,
             version: policy.version(),
             tried: Vec::new(),
+            origin: None,
             limits: policy.limits(),
             host,
             arrived,
@@ -236,6 +241,57 @@
         self.service
     }
 
+    /// Returns the id of its stream: that of the attempt that brought the first event, or of
+    /// this one.
+    pub(super) fn stream(&self) -> StreamId {
+        let first = self.fields.resumes.as_ref();
+        let workspace = self.workspace.as_ref().map(|one| one.name.as_str());
+        id::scoped(
+            id::from_name(workspace.unwrap_or_default()),
+            first.unwrap_or(&self.fields.attempt_id),
+        )
+    }
+
+    /// Returns whether its response is a stream that may go on at another endpoint.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.route.kind.is_stream() && self.route.kind.idempotent()
+    }
+
+    /// Returns whether the caller names the stream that it takes up.
+    pub(super) const fn names_stream(&self) -> bool {
+        self.fields.resumes.is_some()
+    }
+
+    /// Returns the services that its route sends to.
+    pub(super) fn target_services(&self) -> Vec<ServiceId> {
+        let targets = self.route.targets.iter();
+        targets.map(|target| target.service).collect()
+    }
+
+    /// Binds the request to the origin of the stream that it takes up.
+    pub(super) fn bind(&mut self, origin: Origin) {
+        self.origin = Some(origin);
+        if self.target_services().contains(&origin.service) {
+            self.service = origin.service;
+        }
+        if self.names_stream() {
+            origin::record_own(self, origin);
+        }
+    }
+
+    /// Binds the stream to the build of the endpoint whose first event is passed on.
+    pub(crate) fn record_first_event(&mut self, registration: &Registration) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = Origin {
+            service: registration.endpoint.service,
+            build: registration.build_id(),
+        };
+        self.origin = Some(origin);
+        origin::record_own(self, origin);
+    }
+
     /// Returns the last event that the caller says it has received.
     pub(crate) const fn last_event_id(&self) -> Option<u64> {
         self.fields.last_event_id
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -112,7 +112,7 @@
         &self.shared
     }
 
-    pub(super) const fn registration(&self) -> &Arc<Registration> {
+    pub(crate) const fn registration(&self) -> &Arc<Registration> {
         &self.registration
     }
 
--- a/crates/direct/src/relay/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -134,7 +134,14 @@
         };
         match events.push(bytes, progress) {
             Ok(bytes) if bytes.is_empty() => None,
-            Ok(bytes) => Some(Ok(Frame::data(bytes))),
+            Ok(bytes) => {
+                if let State::Reading(reading) = &mut self.state {
+                    reading
+                        .job
+                        .record_first_event(reading.in_flight.registration());
+                }
+                Some(Ok(Frame::data(bytes)))
+            }
             Err(error) => Some(self.abort(StreamError::UnexpectedEvent, &error.to_string())),
         }
     }
@@ -200,7 +207,7 @@
             job.record_end(BodyEnd::Broken);
             return Some(Box::new(StreamError::Truncated));
         };
-        job.shared().metrics.count_resumed_stream();
+        job.shared().metrics.streams().count_resumed();
         self.state = State::Resuming(Box::pin(async move {
             let response = dispatch(&mut job, last_event_id).await;
             (job, response)
--- a/crates/direct/src/replica/message.rs
+++ b/crates/direct/src/replica/message.rs
@@ -40,6 +40,8 @@
     /// The address at which the peer takes requests of instances that can't reach their
     /// endpoints.
     pub forwards: Option<SocketAddr>,
+    /// The digest of the peer's list of the instances that keep the origins of streams.
+    pub members: u64,
     /// How many bytes a second the peer's link carries; 0 if unknown.
     pub link_rate: u64,
     /// The policy version in force at the peer.
@@ -122,6 +124,8 @@
     pub standbys: Vec<SocketAddr>,
     /// Instances that take requests of others.
     pub forwarders: Vec<SocketAddr>,
+    /// The instances that keep the origins of streams, if the peer's list is another one.
+    pub members: Option<Vec<SocketAddr>>,
     /// The number of instances, if the answering instance has counted them.
     pub instances: Option<u32>,
 }
--- a/crates/direct/src/replica/tests.rs
+++ b/crates/direct/src/replica/tests.rs
@@ -38,6 +38,7 @@
         slots: 8,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: None,
     }
 }
 
@@ -56,6 +57,7 @@
         digests: Vec::new(),
         peer_address: None,
         forwards: None,
+        members: 0,
         link_rate: 0,
         version: 0,
         evacuation: Position::START,
@@ -72,6 +74,7 @@
     digests: Vec::new(),
     peer_address: None,
     forwards: None,
+    members: 0,
     link_rate: 0,
     version: 0,
     evacuation: Position::START,
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -27,7 +27,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Standing};
@@ -106,6 +106,8 @@
     pub warming: Duration,
     /// The build of its software; empty if the entry names none, which is a build of its own.
     pub build: String,
+    /// When it started, by its own clock; `None` if the entry doesn't say.
+    pub started_at: Option<SystemTime>,
 }
 
 impl Registration {
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -29,6 +29,7 @@
         slots: 6,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: None,
     }
 }
 
--- a/crates/direct/src/settings.rs
+++ b/crates/direct/src/settings.rs
@@ -46,6 +46,9 @@
     pub leaving: Duration,
     /// The time within which an evacuated zone gets no more requests.
     pub evacuation: Duration,
+    /// Whether the whole system starts for the first time, so that no endpoint can have served
+    /// before.
+    pub first_start: bool,
     /// The interval at which endpoints renew their entries.
     pub heartbeat: Duration,
     /// The interval at which the list of endpoints is read. A leaving endpoint
@@ -88,7 +91,7 @@
     pub forwards: Option<SocketAddr>,
 }
 
-const TOP_LEVEL_KEYS: [&str; 21] = [
+const TOP_LEVEL_KEYS: [&str; 22] = [
     "name",
     "zone",
     "regions",
@@ -100,6 +103,7 @@
     "versions",
     "leaving",
     "evacuation",
+    "first_start",
     "heartbeat",
     "refresh",
     "balancer_lag",
@@ -121,6 +125,7 @@
 const RATIO_HINT: &str = "a number of 0 or more, such as 0.2";
 const MULTIPLE_HINT: &str = "a number above 1, such as 2";
 const RATE_HINT: &str = "a number of Mbit/s above 0, such as 20";
+const SWITCH_HINT: &str = "true or false";
 const COUNT_HINT: &str = "a whole number above 0";
 const LEVEL_HINT: &str = "one of error, warn, info, debug, trace, off";
 
@@ -215,6 +220,7 @@
     let versions = top.optional("versions", DURATION_HINT, duration, mistakes);
     let leaving = top.optional("leaving", DURATION_HINT, duration, mistakes);
     let evacuation = top.optional("evacuation", DURATION_HINT, duration, mistakes);
+    let first_start = top.optional("first_start", SWITCH_HINT, parse_value::<bool>, mistakes);
     let heartbeat = top.required("heartbeat", DURATION_HINT, duration, mistakes);
     let refresh = top.optional("refresh", DURATION_HINT, positive_duration, mistakes);
     let balancer_lag = top.optional("balancer_lag", DURATION_HINT, duration, mistakes);
@@ -243,6 +249,7 @@
         versions: versions.map_or(DEFAULT_MAX_UPDATE_DELAY, |setting| setting.value),
         leaving: leaving.map_or(DEFAULT_MAX_UPDATE_DELAY, |setting| setting.value),
         evacuation: evacuation.map_or(DEFAULT_MAX_UPDATE_DELAY, |setting| setting.value),
+        first_start: first_start.is_some_and(|setting| setting.value),
         heartbeat: heartbeat?.value,
         refresh: refresh.map_or(DEFAULT_REFRESH, |setting| setting.value),
         balancer_lag: balancer_lag.map_or(DEFAULT_BALANCER_LAG, |setting| setting.value),
--- a/crates/direct/src/settings/tests.rs
+++ b/crates/direct/src/settings/tests.rs
@@ -79,7 +79,7 @@
         [
             "`zone` is missing; add it with a name, such as otaru-1",
             "line 3: `zon` is unknown; the keys here are name, zone, regions, listen, ready_path, log, \
-             seeds, revocation, versions, leaving, evacuation, heartbeat, refresh, balancer_lag, grace, retries, load_bound, \
+             seeds, revocation, versions, leaving, evacuation, first_start, heartbeat, refresh, balancer_lag, grace, retries, load_bound, \
              memory_mb, link_mbps, threads, log_level",
             "line 5: `listen.callers` wants an IP number and a port, such as 10.0.0.5:8080",
             "line 12: `grace` wants a number with ms, s, m or h, such as 90s",
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -19,14 +19,17 @@
 use tokio::sync::watch;
 
 use crate::budget::Budget;
+use crate::builds::Builds;
 use crate::crashes::CrashTracker;
 use crate::dialect::Dialect;
 use crate::forwarders::Forwarders;
 use crate::fragility::Fragility;
 use crate::holders::Directory;
 use crate::lease::Lease;
+use crate::members::Members;
 use crate::metrics::{Metrics, ServiceUsage};
 use crate::notices::Notices;
+use crate::origins::Origins;
 use crate::pace::Pace;
 use crate::paths::Paths;
 use crate::policy::{Policy, Ramp, Service};
@@ -203,6 +206,9 @@
     paths: Mutex<Paths>,
     shares: Mutex<Shares>,
     fragility: Mutex<Fragility>,
+    builds: Mutex<Builds>,
+    origins: Mutex<Origins>,
+    members: Mutex<Members>,
     instance_count: Mutex<InstanceCount>,
     in_flight: AtomicUsize,
     body_bytes: AtomicUsize,
@@ -225,6 +231,7 @@
             ..connect::Settings::default()
         });
         let forwarders = Forwarders::new(settings.listen.forwards, settings.is_seed());
+        let members = Members::new(settings.listen.forwards);
         Self {
             forward_connector,
             metrics: Metrics::new(&settings.name),
@@ -253,6 +260,9 @@
             paths: Mutex::default(),
             shares: Mutex::new(Shares::new(rand::rng().random())),
             fragility: Mutex::new(Fragility::new(rand::rng().random())),
+            builds: Mutex::default(),
+            origins: Mutex::default(),
+            members: Mutex::new(members),
             instance_count: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
@@ -439,6 +449,26 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns which builds each service has had lately.
+    pub(crate) fn builds(&self) -> MutexGuard<'_, Builds> {
+        self.builds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns where streams have begun.
+    pub(crate) fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the instances that keep the origins of streams.
+    pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns when the read was sent that last confirmed the list of endpoints.
+    pub(crate) fn endpoints_confirmed_at(&self) -> Option<Moment> {
+        self.update_replica(false, |replica| replica.endpoints_confirmed_at())
+    }
+
     /// Records the number of instances.
     pub(crate) fn set_instance_count(&self, instances: u32, now: Moment) {
         let mut count = self
--- a/crates/direct/src/shared/tests.rs
+++ b/crates/direct/src/shared/tests.rs
@@ -26,6 +26,7 @@
         slots: 8,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: None,
     };
     let all = ids.map(|id| Arc::new(registration(id))).collect();
     BTreeMap::from([(SERVICE, all)])
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use godwitpost_direct::control::Sources;
 use godwitpost_direct::dialect::{
@@ -469,6 +469,7 @@
         slots: 8,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: Some(SystemTime::UNIX_EPOCH),
     }
 }
 
--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -408,7 +408,7 @@
     let address = other.forwards.expect("a port for forwarded requests");
     for body in ["", "nonsense", "\u{99}\u{2}e0"] {
         let text = format!(
-            "POST /forward/v1/request HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            "POST /forward/v2/request HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
             body.len()
         );
         let response = exchange(address, &text).await;
--- a/crates/direct/tests/notices/endpoint.rs
+++ b/crates/direct/tests/notices/endpoint.rs
@@ -75,6 +75,7 @@
             slots: SLOTS,
             warming: Duration::ZERO,
             build: "v1".to_owned(),
+            started_at: None,
         }
     }
 
--- a/crates/direct/tests/restores/instance.rs
+++ b/crates/direct/tests/restores/instance.rs
@@ -309,6 +309,7 @@
             },
             peer_address: None,
             forwards: None,
+            members: 0,
             link_rate: 0,
             version: self.version,
             evacuation: self.replica.evacuation_position(),
--- a/crates/direct/tests/restores/platform.rs
+++ b/crates/direct/tests/restores/platform.rs
@@ -175,6 +175,7 @@
         slots: 8,
         warming: Duration::ZERO,
         build: "v1".to_owned(),
+        started_at: None,
     }
 }
 
