--- a/crates/bench/src/state/updates.rs
+++ b/crates/bench/src/state/updates.rs
@@ -149,6 +149,7 @@
         digests: Vec::new(),
         peer_address: None,
         forwards: None,
+        members: 0,
         link_rate: LINK_RATE,
         version: 0,
         evacuation: Position::START,
