direct: instances that have just started learn from others which build serves alone

Now an instance adopts what others with a fresh list have known for longer: with its first poll, each second among seeds, and with any answer. One that knows no other instance asks the seeds.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -19,6 +19,7 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{BuildId, ServiceId};
+use serde::{Deserialize, Serialize};
 
 use crate::roster::Registration;
 
@@ -29,18 +30,59 @@
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
 
 /// The builds at which a service's streams may have begun.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Census {
     /// No endpoint is known.
     Empty,
     /// All are of one build.
     Sole(BuildId),
-    /// All known ones are of one build; ones that are gone may have been of another.
-    Unsure,
+    /// All known ones are of this build; ones that are gone may have been of another.
+    Unsure(BuildId),
     /// There is more than one.
     Several,
 }
 
+/// What an instance says of the builds at which streams may have begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The builds.
+    pub census: Census,
+    /// How long ago its list of endpoints was confirmed; `None` if it never was.
+    pub list_age: Option<Duration>,
+}
+
+impl Statement {
+    /// Returns whether its list holds all builds that streams have begun at.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.list_age.is_some_and(|age| age <= MAX_LIST_AGE)
+    }
+}
+
+/// Returns the build that alone can have begun a stream, by what is known here and what others
+/// state: those whose lists are fresh or, if nobody can read the list, all. An instance that
+/// begins streams at another build has read the list since.
+#[must_use]
+pub fn agree(own: Census, statements: &[Statement]) -> Option<BuildId> {
+    let fresh: Vec<&Statement> = statements.iter().filter(|one| one.is_fresh()).collect();
+    let counted = if fresh.is_empty() {
+        statements.iter().collect()
+    } else {
+        fresh
+    };
+    let sole = counted.iter().find_map(|one| match one.census {
+        Census::Sole(build) => Some(build),
+        _ => None,
+    })?;
+    let allows = |census: Census| match census {
+        Census::Sole(build) | Census::Unsure(build) => build == sole,
+        Census::Empty => true,
+        Census::Several => false,
+    };
+    let agrees = allows(own) && counted.iter().all(|one| allows(one.census));
+    agrees.then_some(sole)
+}
+
 // The endpoints of one build.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
@@ -69,6 +111,8 @@
 pub struct Builds {
     services: BTreeMap<ServiceId, BTreeMap<BuildId, Sighting>>,
     history: History,
+    // Services of which another instance told what served before.
+    told: BTreeSet<ServiceId>,
     retention: Duration,
 }
 
@@ -144,6 +188,34 @@
         self.services.retain(|_, builds| !builds.is_empty());
     }
 
+    /// Records that, as an instance with a fresh list knows, one build alone can have begun the
+    /// streams of a service so far. What is listed here from now on is known here.
+    pub fn adopt(&mut self, service: ServiceId, build: BuildId, now: Moment) {
+        if self.history == History::None || !self.told.insert(service) {
+            return;
+        }
+        let builds = self.services.entry(service).or_default();
+        builds.entry(build).or_insert(Sighting {
+            first_listed: None,
+            gone_since: Some(now),
+            newest_start: None,
+        });
+    }
+
+    /// Returns the services of which one build alone can have begun streams, with it.
+    #[must_use]
+    pub fn sole(&self, now: Moment, time_of_day: SystemTime) -> Vec<(ServiceId, BuildId)> {
+        let services = self.services.keys();
+        services
+            .filter_map(
+                |service| match self.census(std::iter::once(*service), now, time_of_day) {
+                    Census::Sole(build) => Some((*service, build)),
+                    _ => None,
+                },
+            )
+            .collect()
+    }
+
     /// Returns the builds at which streams of any of these services may have begun, as of the
     /// list that is known here. `time_of_day` is that of this machine.
     #[must_use]
@@ -153,13 +225,15 @@
         now: Moment,
         time_of_day: SystemTime,
     ) -> Census {
-        let of_service = |service| self.services.get(&service).into_iter().flatten();
-        let recent: Vec<(BuildId, &Sighting)> = services
+        let of_service = |service| {
+            let builds = self.services.get(&service).into_iter().flatten();
+            builds.map(move |(build, sighting)| (service, *build, sighting))
+        };
+        let recent: Vec<(ServiceId, BuildId, &Sighting)> = services
             .flat_map(of_service)
-            .filter(|(_, one)| one.is_recent(self.retention, now))
-            .map(|(build, one)| (*build, one))
+            .filter(|(_, _, one)| one.is_recent(self.retention, now))
             .collect();
-        let builds: BTreeSet<BuildId> = recent.iter().map(|(build, _)| *build).collect();
+        let builds: BTreeSet<BuildId> = recent.iter().map(|(_, build, _)| *build).collect();
         let (Some(build), None) = (builds.first(), builds.iter().nth(1)) else {
             return if builds.is_empty() {
                 Census::Empty
@@ -172,10 +246,13 @@
             let age = one.newest_start.map(|at| time_of_day.duration_since(at));
             age.is_some_and(|age| age.is_ok_and(|age| age >= min_age))
         };
-        if self.is_complete(now) || recent.iter().all(|(_, one)| is_old(one)) {
+        let is_known = |(service, _, one): &(ServiceId, BuildId, &Sighting)| {
+            self.told.contains(service) || is_old(one)
+        };
+        if self.is_complete(now) || recent.iter().all(is_known) {
             Census::Sole(*build)
         } else {
-            Census::Unsure
+            Census::Unsure(*build)
         }
     }
 
--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -6,7 +6,7 @@
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
 
-use super::{Builds, Census, MAX_CLOCK_SKEW, MAX_LIST_AGE};
+use super::{Builds, Census, MAX_CLOCK_SKEW, MAX_LIST_AGE, Statement, agree};
 use crate::roster::Registration;
 
 const SERVICE: u64 = 7;
@@ -65,6 +65,10 @@
     Census::Sole(id::from_name(build))
 }
 
+fn unsure(build: &str) -> Census {
+    Census::Unsure(id::from_name(build))
+}
+
 #[test]
 fn one_build_of_old_endpoints_is_the_sole_one_at_once() {
     let known = builds(&[old("v1"), old("v1")], false, at(5_000));
@@ -79,14 +83,14 @@
     for started_at in [Some(time_of_day(at(0))), None] {
         let listed = [endpoint(SERVICE, "v2", started_at), old("v2")];
         let known = builds(&listed, false, at(5_000));
-        assert_eq!(census(&known, at(5_000)), Census::Unsure);
+        assert_eq!(census(&known, at(5_000)), unsure("v2"));
         assert_eq!(census(&known, at(5_000) + RETENTION), sole("v2"));
     }
     let known = builds(&[young("v2")], false, at(5_000));
     let aged = RETENTION + MAX_CLOCK_SKEW;
     assert_eq!(census(&known, aged), sole("v2"));
     let almost = aged.saturating_sub(at(1));
-    assert_eq!(census(&known, almost), Census::Unsure);
+    assert_eq!(census(&known, almost), unsure("v2"));
 }
 
 /// Guards against taking a machine's time of day that has jumped back for a proof.
@@ -94,7 +98,7 @@
 fn endpoint_that_starts_in_the_future_is_unsure() {
     let tomorrow = Some(time_of_day(at(0)) + Duration::from_hours(24));
     let known = builds(&[endpoint(SERVICE, "v1", tomorrow)], false, at(0));
-    assert_eq!(census(&known, at(0)), Census::Unsure);
+    assert_eq!(census(&known, at(0)), unsure("v1"));
 }
 
 #[test]
@@ -104,7 +108,7 @@
     assert_eq!(census(&known, at(1_000)), sole("v1"));
     // Endpoints that were there before may have had others beside them.
     let known = builds(&[young("v1")], true, at(100));
-    assert_eq!(census(&known, at(1_000)), Census::Unsure);
+    assert_eq!(census(&known, at(1_000)), unsure("v1"));
 }
 
 /// Guards against forgetting a build while its streams can still be taken up.
@@ -122,6 +126,28 @@
     assert_eq!(census(&known, gone), Census::Several);
 }
 
+/// Guards against refusals at instances that have just started while others know what served
+/// before, and against believing them more than the own list.
+#[test]
+fn what_served_before_is_learned_from_others() {
+    let v2 = id::from_name("v2");
+    let mut known = Builds::default();
+    known.adopt(SERVICE, v2, at(0));
+    assert_eq!(census(&known, at(0)), Census::Empty);
+    let mut known = builds(&[young("v2")], false, at(5_000));
+    known.adopt(SERVICE, v2, at(5_100));
+    assert_eq!(census(&known, at(5_100)), sole("v2"));
+    assert_eq!(
+        known.sole(at(5_100), time_of_day(at(5_100))),
+        [(SERVICE, v2)]
+    );
+    known.record_list([young("v2"), young("v3")].iter(), false, at(5_200));
+    assert_eq!(census(&known, at(5_200)), Census::Several);
+    let mut known = builds(&[young("v3")], false, at(5_000));
+    known.adopt(SERVICE, v2, at(5_100));
+    assert_eq!(census(&known, at(5_100)), Census::Several);
+}
+
 #[test]
 fn builds_of_all_services_of_a_route_count() {
     let listed = [old("v1"), endpoint(OTHER_SERVICE, "v2", None)];
@@ -131,7 +157,7 @@
         known.census(services, at(0), time_of_day(at(0)))
     };
     assert_eq!(of(&[SERVICE]), sole("v1"));
-    assert_eq!(of(&[OTHER_SERVICE]), Census::Unsure);
+    assert_eq!(of(&[OTHER_SERVICE]), unsure("v2"));
     assert_eq!(of(&[SERVICE, OTHER_SERVICE]), Census::Several);
     assert_eq!((known.count(SERVICE), known.count(9)), (1, 0));
 }
@@ -165,3 +191,34 @@
     known.set_retention(Duration::from_secs(1));
     assert_eq!(known.retention(), RETENTION);
 }
+
+/// Guards against joining streams by the word of an instance whose list is old, or against the
+/// word of one that knows better.
+#[test]
+fn only_those_with_a_fresh_list_count_if_there_are_any() {
+    let fresh = |census| Statement {
+        census,
+        list_age: Some(MAX_LIST_AGE),
+    };
+    let old = |census| Statement {
+        census,
+        list_age: Some(MAX_LIST_AGE + at(1)),
+    };
+    let (v1, v2, several) = (sole("v1"), sole("v2"), Census::Several);
+    let agreed = Some(id::from_name("v1"));
+    for (own, statements, expected) in [
+        (v1, vec![], None),
+        (v1, vec![fresh(v1), old(v2)], agreed),
+        (v1, vec![fresh(v1), fresh(several)], None),
+        (v1, vec![fresh(v2)], None),
+        (v1, vec![old(v1), old(v1)], agreed),
+        (v1, vec![old(v1), old(several)], None),
+        (v1, vec![fresh(unsure("v1"))], None),
+        (unsure("v1"), vec![fresh(v1)], agreed),
+        (unsure("v2"), vec![fresh(v1)], None),
+        (Census::Empty, vec![fresh(v1)], agreed),
+        (several, vec![fresh(v1)], None),
+    ] {
+        assert_eq!(agree(own, &statements), expected, "{own:?} {statements:?}");
+    }
+}
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -18,6 +18,7 @@
 };
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body, status_response};
 use crate::members;
+use crate::relay::{Handled, handle_message, sole_builds};
 use crate::replica::{Allowance, Update, UpdateRequest, Urgency};
 use crate::shared::Shared;
 
@@ -44,7 +45,11 @@
         STATE_PATH => handle_poll(&shared, &body, received_at).await,
         EVIDENCE_PATH => handle_evidence(&shared, &body, received_at),
         EXCHANGE_PATH => handle_exchange(&shared, &body, received_at),
-        _ => status_response(StatusCode::NOT_FOUND),
+        path => match handle_message(&shared, path, &body) {
+            Handled::Answered(answer) => Response::new(full_body(answer)),
+            Handled::Malformed => status_response(StatusCode::BAD_REQUEST),
+            Handled::NotFound => status_response(StatusCode::NOT_FOUND),
+        },
     }
 }
 
@@ -60,7 +65,7 @@
     );
     record_loads(shared, &update_request.loads, received_at);
     record_forwarders(shared, update_request.forwards.as_slice(), received_at);
-    if let Some(address) = update_request.forwards {
+    if let Some(address) = update_request.peer_address {
         shared.members().record_poll(address, received_at);
     }
     for holder in &update_request.holders {
@@ -135,13 +140,18 @@
     });
 }
 
-// Adds the instances that keep the origins of streams, if the peer knows others.
+// Adds the instances that keep the origins of streams, if the peer knows others, and at its
+// first poll which builds have served alone.
 fn add_members(shared: &Shared, request: &UpdateRequest, update: &mut Update, now: Moment) {
     let mut members = shared.members();
     let list = members.list(now);
     if members::digest(list) != request.members {
         update.members = Some(list.to_vec());
     }
+    drop(members);
+    if request.incarnation == 0 {
+        update.sole_builds = sole_builds(shared);
+    }
 }
 
 // Adds standbys, the number of instances and some that take requests of others to an update. Only seeds name
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -11,6 +11,7 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{BuildId, ServiceId};
 use http::{Request, Response, StatusCode};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,7 @@
 use super::{PeerError, STARTUP_PERIOD, full_body, status_response};
 use crate::crashes::{Evidence, ForwardedEvidence};
 use crate::holders::PrefixHolder;
+use crate::relay::{adopt_sole_builds, sole_builds};
 use crate::shared::Shared;
 use crate::stats::Load;
 
@@ -47,6 +49,7 @@
     if let Some(address) = exchange.peer_address {
         shared.members().record_seed(address, exchange.members, now);
     }
+    adopt_sole_builds(shared, &exchange.sole_builds);
     for holder in exchange.holders {
         if shared.directory().apply_remote(&holder, now) {
             shared.update_replica(false, |replica| replica.add_holder(holder, now));
@@ -70,6 +73,8 @@
     forwarders: Vec<SocketAddr>,
     /// Of the instances that poll the seed and itself, those that keep the origins of streams.
     members: Vec<SocketAddr>,
+    /// Services with a build that alone can have begun streams.
+    sole_builds: Vec<(ServiceId, BuildId)>,
 }
 
 /// Sends the other seeds, for as long as the process runs, the number of
@@ -89,6 +94,7 @@
             holders: shared.directory().take_unsent(now),
             forwarders: shared.forwarders().sample(rand::rng().random(), now),
             members: shared.members().polling(now),
+            sole_builds: sole_builds(&shared),
         };
         for holder in &exchange.holders {
             shared.update_replica(false, |replica| replica.add_holder(*holder, now));
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -19,6 +19,7 @@
 use crate::evacuation::Evacuation;
 use crate::members;
 use crate::policy::Content;
+use crate::relay::adopt_sole_builds;
 use crate::replica::{Update, UpdateRequest};
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -254,6 +255,7 @@
         let built_at = sent_at + update.waited;
         record_loads(self.shared, &update.loads, built_at);
         record_forwarders(self.shared, &update.forwarders, built_at);
+        adopt_sole_builds(self.shared, &update.sole_builds);
         if let Some(members) = update.members.take() {
             self.shared.members().follow(members);
         }
--- a/crates/direct/src/hop.rs
+++ b/crates/direct/src/hop.rs
@@ -4,26 +4,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_types::id::{BuildId, ServiceId, StreamId, Version};
+use godwitpost_types::id::{BuildId, Version};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 use serde::{Deserialize, Serialize};
 
-use crate::origins::Origin;
-
 /// The path of requests that are to be sent on.
 pub(crate) const FORWARD_PATH: &str = "/forward/v2/request";
 
 /// The path of questions whether the endpoint that the body names can be connected to.
 pub(crate) const PROBE_PATH: &str = "/forward/v2/probe";
 
-/// The path of messages that tell of streams, a list of [`Record`]s.
-///
-/// [`Record`]: crate::origins::Record
-pub(crate) const ORIGINS_PATH: &str = "/forward/v2/origins";
-
-/// The path of an [`OriginQuestion`], which is answered by an [`OriginAnswer`].
-pub(crate) const ORIGIN_PATH: &str = "/forward/v2/origin";
-
 /// The header of a response that names the [`Outcome`].
 pub(crate) const OUTCOME_HEADER: HeaderName = HeaderName::from_static("forward-outcome");
 
@@ -168,25 +158,3 @@
         Self::ALL.into_iter().find(named).unwrap_or(Self::Lost)
     }
 }
-
-/// A question where a stream began.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct OriginQuestion {
-    /// The stream, if the caller names it.
-    pub(crate) stream: Option<StreamId>,
-    /// The services that can have begun it.
-    pub(crate) services: Vec<ServiceId>,
-}
-
-/// What an instance knows of where a stream began.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct OriginAnswer {
-    /// Where it began, if the instance was told.
-    pub(crate) origin: Option<Origin>,
-    /// The build that alone can have begun it, if the instance is sure that there is one.
-    pub(crate) sole: Option<BuildId>,
-    /// Whether the instance knows of more than one build.
-    pub(crate) knows_several: bool,
-    /// How long ago its list of endpoints was confirmed.
-    pub(crate) list_age: Option<Duration>,
-}
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -34,7 +34,9 @@
 use tokio::time::{timeout, timeout_at};
 
 use self::job::{BodyEnd, Job};
-pub(crate) use self::origin::tell_origins;
+pub(crate) use self::origin::{
+    Handled, adopt_sole_builds, handle_message, sole_builds, tell_origins,
+};
 use self::send::{EndpointResponse, InFlightRequest, dispatch};
 use crate::dialect::RequestFields;
 use crate::refusal::Reason;
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -20,12 +20,11 @@
 
 use super::super::payload::{End, Part, Payload, has_unknown_coding};
 use super::super::send::{InFlightRequest, build_request, max_idle_for, record_response};
-use super::super::{EndpointResponse, Job, headers, job, origin, source};
+use super::super::{EndpointResponse, Job, headers, job, source};
 use super::destination;
 use crate::dialect::RequestFields;
 use crate::hop::{
-    FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, ORIGIN_PATH, ORIGINS_PATH, OUTCOME_HEADER,
-    Outcome, PROBE_PATH,
+    FORWARD_PATH, Frame, FrameError, HEAD_LENGTH_HEADER, OUTCOME_HEADER, Outcome, PROBE_PATH,
 };
 use crate::notices::Notice;
 use crate::reach::Way;
@@ -111,7 +110,6 @@
     match request.uri().path() {
         FORWARD_PATH => {}
         PROBE_PATH => return answer_question(&shared, request).await,
-        ORIGIN_PATH | ORIGINS_PATH => return handle_origins(&shared, request).await,
         _ => return empty_response(StatusCode::NOT_FOUND, Outcome::Declined),
     }
     let arrived = boot_time();
@@ -165,23 +163,6 @@
     empty_response(StatusCode::OK, outcome)
 }
 
-// Handles a question where a stream began, or what another instance tells of its streams.
-async fn handle_origins(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
-    let is_question = request.uri().path() == ORIGIN_PATH;
-    let body = Limited::new(request.into_body(), origin::MAX_MESSAGE_BYTES).collect();
-    let body = body.await.map(Collected::to_bytes).unwrap_or_default();
-    let answer = if is_question {
-        origin::answer_question(shared, &body)
-    } else {
-        origin::record_told(shared, &body).map(|()| Vec::new())
-    };
-    let Some(answer) = answer else {
-        return empty_response(StatusCode::BAD_REQUEST, Outcome::Declined);
-    };
-    let body = Full::new(Bytes::from(answer)).map_err(Into::into);
-    Response::new(body.boxed_unsync())
-}
-
 // Reads a request and checks it as one of a caller's.
 async fn take(
     shared: &Arc<Shared>,
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -14,19 +14,25 @@
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BuildId, ServiceId};
+use godwitpost_types::id::{BuildId, ServiceId, StreamId};
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Deserialize, Serialize};
 use tokio::task::JoinSet;
 
 use super::Job;
-use crate::builds::{Census, MAX_LIST_AGE};
-use crate::hop::{ORIGIN_PATH, ORIGINS_PATH, OriginAnswer, OriginQuestion};
+use crate::builds::{self, Census, MAX_LIST_AGE, Statement};
+use crate::members;
 use crate::origins::{Origin, Record};
 use crate::refusal::Reason;
 use crate::shared::Shared;
 
+/// The path of messages that tell of streams, a list of [`Record`]s.
+const ORIGINS_PATH: &str = "/peer/v1/origins";
+
+/// The path of an [`OriginQuestion`], which is answered by an [`OriginAnswer`].
+const ORIGIN_PATH: &str = "/peer/v1/origin";
+
 /// How long streams that begin wait for others, so that one message tells of all. Those of an
 /// instance that is killed meanwhile can't be taken up.
 const TELL_DELAY: Duration = Duration::from_millis(10);
@@ -35,7 +41,25 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The largest message: all streams that an instance remembers.
-pub(super) const MAX_MESSAGE_BYTES: usize = 2 << 20;
+const MAX_MESSAGE_BYTES: usize = 2 << 20;
+
+/// A question where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct OriginQuestion {
+    /// The stream, if the caller names it.
+    stream: Option<StreamId>,
+    /// The services that can have begun it.
+    services: Vec<ServiceId>,
+}
+
+/// What an instance knows of where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct OriginAnswer {
+    /// Where it began, if the instance was told.
+    origin: Option<Origin>,
+    /// Which builds can have begun it.
+    statement: Statement,
+}
 
 /// How the origin of a stream came to be known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,41 +128,44 @@
         stream: job.names_stream().then(|| job.stream()),
         services,
     };
-    let replicas = shared.members().replicas(job.stream(), boot_time());
+    let replicas = replicas(shared, job.stream());
     let question = Arc::new(question);
     let mut asked = JoinSet::new();
     for instance in replicas {
         asked.spawn(ask(Arc::clone(shared), instance, Arc::clone(&question)));
     }
-    let mut answers = Vec::new();
+    let mut statements = Vec::new();
     while let Some(answer) = asked.join_next().await {
         let Ok(Some(answer)) = answer else { continue };
         if let Some(origin) = answer.origin {
             return Some((origin, Evidence::Told));
         }
-        answers.push(answer);
+        if let (Census::Sole(build), true) = (answer.statement.census, answer.statement.is_fresh())
+        {
+            adopt(shared, &question.services, build);
+        }
+        statements.push(answer.statement);
     }
-    sole_build(own, &answers).map(|build| (sole(build), Evidence::SoleBuildElsewhere))
+    builds::agree(own, &statements).map(|build| (sole(build), Evidence::SoleBuildElsewhere))
 }
 
-/// Returns the build that alone can have begun a stream, by what others say: by one whose list
-/// is fresh, or by all if none can read the list. An instance that begins streams at another
-/// build has read the list since.
-pub(super) fn sole_build(own: Census, answers: &[OriginAnswer]) -> Option<BuildId> {
-    if own == Census::Several {
-        return None;
+// Records what another instance has known for longer, unless more is known here.
+fn adopt(shared: &Shared, services: &[ServiceId], build: BuildId) {
+    // Of several services, the answer doesn't tell which has the build.
+    if let [service] = services {
+        shared.builds().adopt(*service, build, boot_time());
     }
-    let is_fresh = |one: &&OriginAnswer| one.list_age.is_some_and(|age| age <= MAX_LIST_AGE);
-    let fresh = answers.iter().filter(is_fresh);
-    let counted: Vec<&OriginAnswer> = if fresh.clone().next().is_some() {
-        fresh.collect()
-    } else {
-        answers.iter().collect()
-    };
-    let sole = counted.iter().find_map(|one| one.sole)?;
-    let agrees = |one: &&OriginAnswer| one.sole == Some(sole) || !one.knows_several;
-    let own_agrees = own == Census::Sole(sole) || !matches!(own, Census::Sole(_));
-    (own_agrees && counted.iter().all(agrees)).then_some(sole)
+}
+
+// Returns the instances to ask. One that has just started may know only the seeds.
+fn replicas(shared: &Shared, stream: StreamId) -> Vec<SocketAddr> {
+    let mut replicas = shared.members().replicas(stream, boot_time());
+    let seeds = shared.settings.other_seeds();
+    let unnamed = seeds.into_iter().filter(|seed| !replicas.contains(seed));
+    let unnamed: Vec<SocketAddr> = unnamed.collect();
+    let missing = members::REPLICAS.saturating_sub(replicas.len());
+    replicas.extend(unnamed.into_iter().take(missing));
+    replicas
 }
 
 fn take_census(shared: &Shared, services: &[ServiceId]) -> Census {
@@ -148,6 +175,22 @@
         .census(services, boot_time(), SystemTime::now())
 }
 
+/// Returns the services of which one build alone can have begun streams, with it, if the list
+/// of endpoints is fresh.
+pub(crate) fn sole_builds(shared: &Shared) -> Vec<(ServiceId, BuildId)> {
+    if list_age(shared).is_none_or(|age| age > MAX_LIST_AGE) {
+        return Vec::new();
+    }
+    shared.builds().sole(boot_time(), SystemTime::now())
+}
+
+/// Records what another instance has known for longer.
+pub(crate) fn adopt_sole_builds(shared: &Shared, known: &[(ServiceId, BuildId)]) {
+    for (service, build) in known {
+        shared.builds().adopt(*service, *build, boot_time());
+    }
+}
+
 fn list_age(shared: &Shared) -> Option<Duration> {
     let confirmed_at = shared.endpoints_confirmed_at()?;
     Some(since(boot_time(), confirmed_at))
@@ -155,7 +198,7 @@
 
 fn is_list_fresh(shared: &Shared) -> bool {
     // An instance that shares its streams with nobody knows what all instances do.
-    let is_alone = shared.settings.listen.forwards.is_none();
+    let is_alone = shared.settings.listen.peers.is_none();
     is_alone || list_age(shared).is_some_and(|age| age <= MAX_LIST_AGE)
 }
 
@@ -175,27 +218,43 @@
     }
 }
 
-/// Answers where a stream began, and whether one build serves alone.
-pub(super) fn answer_question(shared: &Shared, body: &[u8]) -> Option<Vec<u8>> {
+/// What came of a message of another instance.
+pub(crate) enum Handled {
+    /// The bytes of its answer.
+    Answered(Vec<u8>),
+    /// It can't be read.
+    Malformed,
+    /// The path is none of messages about streams.
+    NotFound,
+}
+
+/// Handles a message about streams.
+pub(crate) fn handle_message(shared: &Shared, path: &str, body: &[u8]) -> Handled {
+    let answer = match path {
+        ORIGIN_PATH => answer_question(shared, body),
+        ORIGINS_PATH => record_told(shared, body).map(|()| Vec::new()),
+        _ => return Handled::NotFound,
+    };
+    answer.map_or(Handled::Malformed, Handled::Answered)
+}
+
+fn answer_question(shared: &Shared, body: &[u8]) -> Option<Vec<u8>> {
     let question: OriginQuestion = decode(body)?;
     let recorded = question
         .stream
         .and_then(|stream| shared.origins().get(stream));
-    let census = take_census(shared, &question.services);
     let answer = OriginAnswer {
         origin: recorded.map(|(origin, _)| origin),
-        sole: match census {
-            Census::Sole(build) => Some(build),
-            _ => None,
+        statement: Statement {
+            census: take_census(shared, &question.services),
+            list_age: list_age(shared),
         },
-        knows_several: census == Census::Several,
-        list_age: list_age(shared),
     };
     encode(&answer)
 }
 
-/// Records the streams that another instance tells of.
-pub(super) fn record_told(shared: &Shared, body: &[u8]) -> Option<()> {
+// Records the streams that another instance tells of.
+fn record_told(shared: &Shared, body: &[u8]) -> Option<()> {
     let records: Vec<Record> = decode(body)?;
     let now = boot_time();
     let retention = shared.builds().retention();
--- a/crates/direct/src/replica/message.rs
+++ b/crates/direct/src/replica/message.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes};
-use godwitpost_types::id::{Era, Version};
+use godwitpost_types::id::{BuildId, Era, ServiceId, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::crashes::ForwardedEvidence;
@@ -126,6 +126,8 @@
     pub forwarders: Vec<SocketAddr>,
     /// The instances that keep the origins of streams, if the peer's list is another one.
     pub members: Option<Vec<SocketAddr>>,
+    /// At the first poll, the services with a build that alone can have begun streams.
+    pub sole_builds: Vec<(ServiceId, BuildId)>,
     /// The number of instances, if the answering instance has counted them.
     pub instances: Option<u32>,
 }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -231,7 +231,7 @@
             ..connect::Settings::default()
         });
         let forwarders = Forwarders::new(settings.listen.forwards, settings.is_seed());
-        let members = Members::new(settings.listen.forwards);
+        let members = Members::new(settings.listen.peers);
         Self {
             forward_connector,
             metrics: Metrics::new(&settings.name),
--- a/crates/direct/tests/instance/builds.rs
+++ b/crates/direct/tests/instance/builds.rs
@@ -298,7 +298,9 @@
     let other = TestInstance::start_with_builds(&seeds, seeds[1], &[(address, "v2")]);
     wait_until(async || cut_off.is_ready().await && other.is_ready().await).await;
     tokio::time::sleep(INTRODUCTION_TIME).await;
-    let response = take_up(&cut_off, "next", "first").await;
-    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
-    assert_eq!(build_of(&servers, "next", true), None);
+    for path in ["/draft/1", "/stock/1"] {
+        let response = cut_off.call("POST", path, "").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    assert!(servers.iter().all(|one| one.endpoint.received().is_empty()));
 }
