direct: a build that came and went while the list could not be read is no longer overlooked

A list that was not confirmed for over three seconds now leaves a doubt, which another instance's word ends. If none could read the list, nothing served that nobody knew, and all agree.

With one of five guards taken out at a time each is missed.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -12,7 +12,9 @@
 //!   have begun a stream.
 //!
 //! An instance that has started within that while doesn't know what served before. If all
-//! endpoints have run for longer, none can have replaced one of another build.
+//! endpoints have run for longer, none can have replaced one of another build. Nor does an
+//! instance know what came and went while it could not read the list; if none could, there was
+//! nothing that streams could begin at.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
@@ -26,6 +28,11 @@
 /// The age up to which a list of endpoints holds all builds that streams have begun at.
 pub const MAX_LIST_AGE: Duration = Duration::from_secs(1);
 
+/// How long a list may go without being confirmed before a build can have come and gone
+/// unseen. Its endpoints are listed for a second before streams begin there, and for two more
+/// while they leave.
+const MAX_LIST_GAP: Duration = Duration::from_secs(3);
+
 /// How far the times of day of two machines may differ.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
 
@@ -38,10 +45,29 @@
     Sole(BuildId),
     /// All known ones are of this build; ones that are gone may have been of another.
     Unsure(BuildId),
+    /// All are of this build, unless another one came and went while the list could not be
+    /// read.
+    Gapped(BuildId),
     /// There is more than one.
     Several,
 }
 
+impl Census {
+    fn sole(self) -> Option<BuildId> {
+        match self {
+            Self::Sole(build) => Some(build),
+            _ => None,
+        }
+    }
+
+    fn gapped(self) -> Option<BuildId> {
+        match self {
+            Self::Gapped(build) => Some(build),
+            _ => None,
+        }
+    }
+}
+
 /// What an instance says of the builds at which streams may have begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Statement {
@@ -70,12 +96,11 @@
     } else {
         fresh
     };
-    let sole = counted.iter().find_map(|one| match one.census {
-        Census::Sole(build) => Some(build),
-        _ => None,
-    })?;
+    let of = |pick: fn(Census) -> Option<BuildId>| counted.iter().find_map(|one| pick(one.census));
+    // If none of them read the list for a while, nobody did.
+    let sole = of(Census::sole).or_else(|| of(Census::gapped))?;
     let allows = |census: Census| match census {
-        Census::Sole(build) | Census::Unsure(build) => build == sole,
+        Census::Sole(build) | Census::Gapped(build) | Census::Unsure(build) => build == sole,
         Census::Empty => true,
         Census::Several => false,
     };
@@ -106,13 +131,24 @@
     Whole,
 }
 
+// What is known of the builds that a service has had lately, from less to more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Knowledge {
+    Incomplete,
+    Gapped,
+    Complete,
+}
+
 /// The builds of all services.
 #[derive(Debug, Default)]
 pub struct Builds {
     services: BTreeMap<ServiceId, BTreeMap<BuildId, Sighting>>,
     history: History,
-    // Services of which another instance told what served before.
-    told: BTreeSet<ServiceId>,
+    // When another instance last told what had served a service.
+    told: BTreeMap<ServiceId, Moment>,
+    // When the list was last confirmed, and when that ended a gap.
+    confirmed_at: Option<Moment>,
+    gap_ended_at: Option<Moment>,
     retention: Duration,
 }
 
@@ -135,6 +171,15 @@
         self.services.get(&service).map_or(0, BTreeMap::len)
     }
 
+    /// Records that the list was confirmed as of `confirmed_at`.
+    pub fn record_confirmation(&mut self, confirmed_at: Moment) {
+        let gap = self.confirmed_at.map(|before| since(confirmed_at, before));
+        if gap.is_some_and(|gap| gap > MAX_LIST_GAP) {
+            self.gap_ended_at = Some(confirmed_at);
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+    }
+
     /// Records all endpoints that are known. `nothing_before` says that no endpoint can have
     /// served before the first list.
     pub fn record_list<'a>(
@@ -191,9 +236,10 @@
     /// Records that, as an instance with a fresh list knows, one build alone can have begun the
     /// streams of a service so far. What is listed here from now on is known here.
     pub fn adopt(&mut self, service: ServiceId, build: BuildId, now: Moment) {
-        if self.history == History::None || !self.told.insert(service) {
+        if self.history == History::None {
             return;
         }
+        self.told.insert(service, now);
         let builds = self.services.entry(service).or_default();
         builds.entry(build).or_insert(Sighting {
             first_listed: None,
@@ -246,22 +292,35 @@
             let age = one.newest_start.map(|at| time_of_day.duration_since(at));
             age.is_some_and(|age| age.is_ok_and(|age| age >= min_age))
         };
-        let is_known = |(service, _, one): &(ServiceId, BuildId, &Sighting)| {
-            self.told.contains(service) || is_old(one)
-        };
-        if self.is_complete(now) || recent.iter().all(is_known) {
-            Census::Sole(*build)
-        } else {
-            Census::Unsure(*build)
+        let knowledge = recent.iter().map(|(service, _, one)| {
+            if is_old(one) {
+                Knowledge::Complete
+            } else {
+                self.knowledge(*service, now)
+            }
+        });
+        match knowledge.min() {
+            Some(Knowledge::Complete) => Census::Sole(*build),
+            Some(Knowledge::Gapped) => Census::Gapped(*build),
+            Some(Knowledge::Incomplete) | None => Census::Unsure(*build),
         }
     }
 
-    // Returns whether all builds of the last while are known.
-    fn is_complete(&self, now: Moment) -> bool {
-        match self.history {
+    // Returns what is known of the builds that a service has had lately.
+    fn knowledge(&self, service: ServiceId, now: Moment) -> Knowledge {
+        let told_at = self.told.get(&service).copied();
+        let is_complete = match self.history {
             History::None => false,
             History::Since(at) => since(now, at) >= self.retention,
             History::Whole => true,
+        };
+        let recent = |at: &Moment| since(now, *at) < self.retention;
+        let gap_ended_at = self.gap_ended_at.filter(recent);
+        let is_gapped = gap_ended_at.is_some_and(|at| told_at.is_none_or(|told| told < at));
+        match (told_at.is_some() || is_complete, is_gapped) {
+            (false, _) => Knowledge::Incomplete,
+            (true, true) => Knowledge::Gapped,
+            (true, false) => Knowledge::Complete,
         }
     }
 
--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -148,6 +148,26 @@
     assert_eq!(census(&known, at(5_100)), Census::Several);
 }
 
+/// Guards against a build that came and went while this instance could not read the list.
+#[test]
+fn gap_in_the_list_counts_until_another_instance_knows_better() {
+    let v1 = id::from_name("v1");
+    let mut known = builds(&[], true, at(0));
+    known.record_list([young("v1")].iter(), true, at(100));
+    for confirmed_at in [100, 1_000, 3_900] {
+        known.record_confirmation(at(confirmed_at));
+        assert_eq!(census(&known, at(confirmed_at)), sole("v1"));
+    }
+    known.record_confirmation(at(6_901));
+    assert_eq!(census(&known, at(6_901)), Census::Gapped(v1));
+    let over = at(6_901) + RETENTION;
+    assert_eq!(census(&known, over), sole("v1"));
+    known.adopt(SERVICE, v1, at(7_000));
+    assert_eq!(census(&known, at(7_000)), sole("v1"));
+    known.record_confirmation(at(11_000));
+    assert_eq!(census(&known, at(11_000)), Census::Gapped(v1));
+}
+
 #[test]
 fn builds_of_all_services_of_a_route_count() {
     let listed = [old("v1"), endpoint(OTHER_SERVICE, "v2", None)];
@@ -205,6 +225,7 @@
         list_age: Some(MAX_LIST_AGE + at(1)),
     };
     let (v1, v2, several) = (sole("v1"), sole("v2"), Census::Several);
+    let gapped = Census::Gapped(id::from_name("v1"));
     let agreed = Some(id::from_name("v1"));
     for (own, statements, expected) in [
         (v1, vec![], None),
@@ -217,6 +238,10 @@
         (unsure("v1"), vec![fresh(v1)], agreed),
         (unsure("v2"), vec![fresh(v1)], None),
         (Census::Empty, vec![fresh(v1)], agreed),
+        (gapped, vec![fresh(gapped), fresh(unsure("v1"))], agreed),
+        (gapped, vec![fresh(several), fresh(gapped)], None),
+        (gapped, vec![], None),
+        (unsure("v2"), vec![fresh(gapped)], None),
         (several, vec![fresh(v1)], None),
     ] {
         assert_eq!(agree(own, &statements), expected, "{own:?} {statements:?}");
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -357,6 +357,7 @@
         }
         if let Some(confirmed_at) = update.endpoints_confirmed_at {
             self.roster.record_complete_read(confirmed_at);
+            self.shared.builds().record_confirmation(confirmed_at);
             self.shared
                 .update_replica(false, |replica| replica.confirm_endpoints(confirmed_at));
         }
--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -30,6 +30,7 @@
         }
         if update.complete {
             self.roster.record_complete_read(update.sent_at);
+            self.shared.builds().record_confirmation(update.sent_at);
             self.shared
                 .update_replica(first, |replica| replica.confirm_endpoints(update.sent_at));
         }
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -120,9 +120,18 @@
         service: job.service(),
         build,
     };
-    let own = take_census(shared, &services);
-    if let (Census::Sole(build), true) = (own, is_list_fresh(shared)) {
-        return Some((sole(build), Evidence::SoleBuild));
+    let own = Statement {
+        census: take_census(shared, &services),
+        list_age: list_age(shared),
+    };
+    // An instance that shares its streams with nobody knows what all instances do.
+    let is_alone = shared.settings.listen.peers.is_none();
+    match own.census {
+        Census::Sole(build) if is_alone || own.is_fresh() => {
+            return Some((sole(build), Evidence::SoleBuild));
+        }
+        Census::Gapped(build) if is_alone => return Some((sole(build), Evidence::SoleBuild)),
+        _ => {}
     }
     let question = OriginQuestion {
         stream: job.names_stream().then(|| job.stream()),
@@ -146,7 +155,7 @@
         }
         statements.push(answer.statement);
     }
-    builds::agree(own, &statements).map(|build| (sole(build), Evidence::SoleBuildElsewhere))
+    builds::agree(own.census, &statements).map(|build| (sole(build), Evidence::SoleBuildElsewhere))
 }
 
 // Records what another instance has known for longer, unless more is known here.
@@ -196,12 +205,6 @@
     Some(since(boot_time(), confirmed_at))
 }
 
-fn is_list_fresh(shared: &Shared) -> bool {
-    // An instance that shares its streams with nobody knows what all instances do.
-    let is_alone = shared.settings.listen.peers.is_none();
-    is_alone || list_age(shared).is_some_and(|age| age <= MAX_LIST_AGE)
-}
-
 async fn ask(
     shared: Arc<Shared>,
     instance: SocketAddr,
--- /dev/null
+++ b/crates/direct/tests/builds/instance.rs
@@ -0,0 +1,175 @@
+//! One simulated instance.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use godwitpost_direct::builds::{Builds, Census, MAX_LIST_AGE, Statement, agree};
+use godwitpost_direct::members::Members;
+use godwitpost_direct::origins::{Origin, Origins, Record};
+use godwitpost_direct::roster::Registration;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{BuildId, StreamId};
+
+use crate::world::{Guard, RETENTION, SERVICE, time_of_day};
+
+/// An instance, from its start to the next kill.
+pub(crate) struct Instance {
+    pub(crate) started_at: Moment,
+    pub(crate) address: SocketAddr,
+    pub(crate) members: Members,
+    pub(crate) origins: Origins,
+    builds: Builds,
+    guard: Option<Guard>,
+    // The builds of the endpoints that may get requests, as of the last list.
+    live: BTreeMap<BuildId, u32>,
+    confirmed_at: Option<Moment>,
+    pub(crate) next_read_at: Moment,
+}
+
+/// What an instance does with a stream that is taken up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    GoOn(BuildId),
+    Ask,
+    Refuse,
+}
+
+impl Instance {
+    pub(crate) fn start(address: SocketAddr, guard: Option<Guard>, now: Moment) -> Self {
+        let mut builds = Builds::default();
+        let retention = if guard == Some(Guard::History) {
+            Duration::ZERO
+        } else {
+            RETENTION
+        };
+        builds.set_retention(retention);
+        Self {
+            started_at: now,
+            address,
+            members: Members::new(Some(address)),
+            origins: Origins::default(),
+            builds,
+            guard,
+            live: BTreeMap::new(),
+            confirmed_at: None,
+            next_read_at: now,
+        }
+    }
+
+    pub(crate) const fn is_ready(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
+    /// Reads the list of endpoints.
+    pub(crate) fn read(
+        &mut self,
+        all: &[Registration],
+        live: BTreeMap<BuildId, u32>,
+        first_start: bool,
+        now: Moment,
+    ) {
+        self.builds.record_confirmation(now);
+        self.builds.record_list(all.iter(), first_start, now);
+        self.live = live;
+        self.confirmed_at = Some(now);
+    }
+
+    /// Returns what it knows of builds that serve alone.
+    pub(crate) fn sole_builds(&self, now: Moment) -> Vec<(u64, BuildId)> {
+        if self.statement(now).is_fresh() {
+            self.builds.sole(now, time_of_day(now))
+        } else {
+            Vec::new()
+        }
+    }
+
+    pub(crate) fn adopt(&mut self, known: &[(u64, BuildId)], now: Moment) {
+        for (service, build) in known {
+            self.builds.adopt(*service, *build, now);
+        }
+    }
+
+    pub(crate) fn statement(&self, now: Moment) -> Statement {
+        let census = self.census(now);
+        let age = self.confirmed_at.map(|at| since(now, at));
+        let list_age = if self.guard == Some(Guard::Freshness) {
+            Some(Duration::ZERO)
+        } else {
+            age
+        };
+        Statement { census, list_age }
+    }
+
+    fn census(&self, now: Moment) -> Census {
+        self.builds
+            .census([SERVICE].into_iter(), now, time_of_day(now))
+    }
+
+    /// Returns the builds at which a new stream may begin, by the number of their endpoints.
+    pub(crate) fn builds_for_new_stream(&self) -> BTreeMap<BuildId, u32> {
+        let is_new = |build: &BuildId| {
+            !self
+                .builds
+                .is_established(SERVICE, *build, self.confirmed_at)
+        };
+        let new: BTreeSet<BuildId> = self.live.keys().copied().filter(is_new).collect();
+        let excludes = new.len() < self.live.len() && self.guard != Some(Guard::Establishing);
+        let mut allowed = self.live.clone();
+        allowed.retain(|build, _| !excludes || !new.contains(build));
+        allowed
+    }
+
+    /// Returns the streams that others are to be told of.
+    pub(crate) fn take_records(&mut self, now: Moment) -> Vec<Record> {
+        self.origins.forget_old(RETENTION, now);
+        let census = self.census(now);
+        if self.guard == Some(Guard::Telling) || !self.origins.begin_telling() {
+            return Vec::new();
+        }
+        self.origins
+            .take_untold(|_| !matches!(census, Census::Sole(_)), now)
+    }
+
+    /// Decides without the help of others.
+    pub(crate) fn decide(&self, stream: Option<StreamId>, now: Moment) -> Decision {
+        if let Some((origin, _)) = stream.and_then(|stream| self.origins.get(stream)) {
+            return Decision::GoOn(origin.build);
+        }
+        let statement = self.statement(now);
+        match statement.census {
+            Census::Sole(build) if statement.is_fresh() => Decision::GoOn(build),
+            _ if self.guard == Some(Guard::Asking) => Decision::Refuse,
+            _ => Decision::Ask,
+        }
+    }
+
+    /// Decides by what others answer.
+    pub(crate) fn decide_by(
+        &mut self,
+        origins: &[Origin],
+        statements: &[Statement],
+        now: Moment,
+    ) -> Decision {
+        if let Some(origin) = origins.first() {
+            return Decision::GoOn(origin.build);
+        }
+        for one in statements.iter().filter(|one| one.is_fresh()) {
+            if let Census::Sole(build) = one.census {
+                self.builds.adopt(SERVICE, build, now);
+            }
+        }
+        agree(self.census(now), statements).map_or(Decision::Refuse, Decision::GoOn)
+    }
+
+    /// Returns whether it lists an endpoint of a build that may get requests.
+    pub(crate) fn lists(&self, build: BuildId) -> bool {
+        self.live.contains_key(&build)
+    }
+
+    /// Returns whether its list is one that it has read within the time that counts.
+    pub(crate) fn is_current(&self, now: Moment) -> bool {
+        self.confirmed_at
+            .is_some_and(|at| since(now, at) <= MAX_LIST_AGE * 2)
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/builds/main.rs
@@ -0,0 +1,118 @@
+//! Simulation of streams whose callers take them up while builds of their endpoints change.
+//!
+//! Time is simulated and random numbers are seeded. Releases go forward, back and overlap;
+//! instances are killed alone, by half and all together; the log is unavailable to some or to
+//! all, and instances can't reach each other. What is known of builds and streams, whom an
+//! instance tells and asks, and what it concludes are those of the production code.
+
+mod instance;
+mod world;
+
+use world::{Guard, Outcome, Size, run_schedule};
+
+/// The variable that names how many schedules with few instances are checked, and the number
+/// without it.
+const SCHEDULES_VARIABLE: &str = "BUILDS_SCHEDULES";
+const DEFAULT_SCHEDULES: u64 = 200;
+
+/// Number of schedules that are checked with many instances.
+const MEDIUM_SCHEDULES: u64 = 8;
+const LARGE_SCHEDULES: u64 = 2;
+
+/// Number of threads that run schedules.
+const THREADS: u64 = 4;
+
+/// Number of schedules of which at least one must fail when a guard is disabled.
+const GUARD_SCHEDULES: u64 = 400;
+
+/// The share of the streams taken up in calm that has to go on, of the share of new streams
+/// that begin.
+const MIN_SHARE: f64 = 0.9;
+
+const SMALL: Size = Size {
+    instances: 6,
+    per_second: 40,
+};
+const MEDIUM: Size = Size {
+    instances: 82,
+    per_second: 300,
+};
+const LARGE: Size = Size {
+    instances: 300,
+    per_second: 900,
+};
+
+fn run_schedules(size: Size, schedules: u64) -> Outcome {
+    let run = |thread_number: u64| {
+        let seeds = (0..schedules).filter(move |seed| seed % THREADS == thread_number);
+        let mut sum = Outcome::default();
+        for seed in seeds {
+            match run_schedule(seed, size, None) {
+                Ok(outcome) => sum.add(&outcome),
+                Err(violation) => panic!("seed {seed}: {violation}"),
+            }
+        }
+        sum
+    };
+    let mut sum = Outcome::default();
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|n| scope.spawn(move || run(n))).collect();
+        for thread in threads {
+            sum.add(&thread.join().expect("no violation"));
+        }
+    });
+    println!(
+        "{} instances, {schedules} schedules: {sum:?}",
+        size.instances
+    );
+    sum
+}
+
+fn assert_most_go_on(sum: &Outcome) {
+    let share = f64::from(sum.went_on_in_calm) / f64::from(sum.taken_up_in_calm);
+    assert!(share >= MIN_SHARE, "{share}: {sum:?}");
+}
+
+fn is_missed(guard: Guard) -> bool {
+    (0..GUARD_SCHEDULES).any(|seed| run_schedule(seed, SMALL, Some(guard)).is_err())
+}
+
+/// Guards against streams that go on at another build, and against refusing those that could
+/// go on.
+#[test]
+fn streams_go_on_at_their_build_alone() {
+    let number = std::env::var(SCHEDULES_VARIABLE).ok();
+    let number = number.map_or(DEFAULT_SCHEDULES, |text| text.parse().expect("a number"));
+    assert_most_go_on(&run_schedules(SMALL, number));
+}
+
+#[test]
+fn streams_go_on_at_their_build_alone_among_many_instances() {
+    assert_most_go_on(&run_schedules(MEDIUM, MEDIUM_SCHEDULES));
+    assert_most_go_on(&run_schedules(LARGE, LARGE_SCHEDULES));
+}
+
+#[test]
+fn schedules_fail_if_others_are_not_told() {
+    assert!(is_missed(Guard::Telling));
+}
+
+#[test]
+fn schedules_fail_if_others_are_not_asked() {
+    assert!(is_missed(Guard::Asking));
+}
+
+#[test]
+fn schedules_fail_if_streams_begin_at_new_builds_at_once() {
+    assert!(is_missed(Guard::Establishing));
+}
+
+#[test]
+fn schedules_fail_if_old_lists_count() {
+    assert!(is_missed(Guard::Freshness));
+}
+
+#[test]
+fn schedules_fail_if_builds_that_are_gone_do_not_count() {
+    assert!(is_missed(Guard::History));
+}
--- /dev/null
+++ b/crates/direct/tests/builds/world.rs
@@ -0,0 +1,521 @@
+//! The simulated fleet, its log, endpoints and callers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use godwitpost_direct::origins::Origin;
+use godwitpost_direct::roster::Registration;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::endpoint::{Endpoint, Standing};
+use godwitpost_types::id::{self, BuildId, StreamId};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::instance::{Decision, Instance};
+
+pub(crate) const SERVICE: u64 = 7;
+
+/// How long a stream may be taken up after its first event.
+pub(crate) const RETENTION: Duration = Duration::from_secs(12);
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// How long a schedule lasts, and how long its streams go on after the last one begins.
+const DURATION: Duration = Duration::from_secs(45);
+const LAST_STREAM_AT: Duration = Duration::from_secs(40);
+
+/// How long an instance and the log have to be without faults to count as calm.
+const CALM: Duration = Duration::from_secs(3);
+
+/// How long a killed instance takes to start.
+const RESTART: Duration = Duration::from_millis(400);
+
+/// How long a leaving endpoint stays listed.
+const LEAVING: Duration = Duration::from_millis(2_500);
+
+/// A stream is taken up at most this often.
+const MAX_TAKE_UPS: u32 = 3;
+
+/// The endpoints of the service.
+const ENDPOINTS: usize = 8;
+
+/// The streams taken up in calm from which on a share that goes on is judged.
+const MIN_JUDGED: u32 = 12;
+
+/// The size of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) instances: usize,
+    /// Streams that begin each second.
+    pub(crate) per_second: u32,
+}
+
+/// What is switched off to see whether schedules miss it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Guard {
+    /// Others are told of streams.
+    Telling,
+    /// Others are asked.
+    Asking,
+    /// New streams begin at a new build only after a while.
+    Establishing,
+    /// Only fresh lists tell which builds there are.
+    Freshness,
+    /// Builds that are gone count for a while.
+    History,
+}
+
+/// What became of streams.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) begun: u32,
+    pub(crate) taken_up: u32,
+    pub(crate) went_on: u32,
+    pub(crate) joined: u32,
+    pub(crate) taken_up_in_calm: u32,
+    pub(crate) went_on_in_calm: u32,
+    /// How often an instance was told of a stream.
+    pub(crate) told: u32,
+    pub(crate) questions: u32,
+}
+
+impl Outcome {
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.begun += other.begun;
+        self.taken_up += other.taken_up;
+        self.went_on += other.went_on;
+        self.joined += other.joined;
+        self.taken_up_in_calm += other.taken_up_in_calm;
+        self.went_on_in_calm += other.went_on_in_calm;
+        self.told += other.told;
+        self.questions += other.questions;
+    }
+}
+
+// An endpoint of the service.
+struct Server {
+    registration: Registration,
+    leaving_at: Option<Moment>,
+}
+
+// A stream that is taken up again at `next_at`.
+struct Stream {
+    id: StreamId,
+    build: BuildId,
+    began_at: Moment,
+    next_at: Moment,
+    take_ups: u32,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    size: Size,
+    guard: Option<Guard>,
+    now: Moment,
+    instances: Vec<Instance>,
+    // Until when an instance is down, can't read the log, or can't reach others.
+    down_until: Vec<Moment>,
+    unread_until: Vec<Moment>,
+    cut_until: Vec<Moment>,
+    log_down_until: Moment,
+    servers: Vec<Server>,
+    streams: Vec<Stream>,
+    next_id: u64,
+    next_build: u32,
+    release: Vec<(Moment, String)>,
+    outcome: Outcome,
+}
+
+pub(crate) fn time_of_day(now: Moment) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000) + now
+}
+
+/// Runs one schedule.
+pub(crate) fn run_schedule(seed: u64, size: Size, guard: Option<Guard>) -> Result<Outcome, String> {
+    let mut world = World::new(seed, size, guard);
+    while world.now < DURATION {
+        world.step();
+        if world.outcome.joined > 0 {
+            return Err(format!("a stream was joined at {:?}", world.now));
+        }
+    }
+    let outcome = world.outcome;
+    // The users' bound: half of the share of new streams that begin, which here is 1.
+    if outcome.taken_up_in_calm >= MIN_JUDGED
+        && outcome.went_on_in_calm * 2 < outcome.taken_up_in_calm
+    {
+        return Err(format!("streams were lost: {outcome:?}"));
+    }
+    Ok(outcome)
+}
+
+impl World {
+    fn new(seed: u64, size: Size, guard: Option<Guard>) -> Self {
+        let address = |n: usize| {
+            let port = u16::try_from(n).expect("a small number");
+            SocketAddr::from(([10, 0, 0, 1], 1_000 + port))
+        };
+        let all = 0..size.instances;
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            size,
+            guard,
+            now: Moment::ZERO,
+            instances: all
+                .map(|n| Instance::start(address(n), guard, Moment::ZERO))
+                .collect(),
+            down_until: vec![Moment::ZERO; size.instances],
+            unread_until: vec![Moment::ZERO; size.instances],
+            cut_until: vec![Moment::ZERO; size.instances],
+            log_down_until: Moment::ZERO,
+            servers: Vec::new(),
+            streams: Vec::new(),
+            next_id: 0,
+            next_build: 1,
+            release: Vec::new(),
+            outcome: Outcome::default(),
+        };
+        for _ in 0..ENDPOINTS {
+            world.add_server("v1", Moment::ZERO);
+        }
+        world
+    }
+
+    fn add_server(&mut self, build: &str, now: Moment) {
+        self.next_id += 1;
+        let name = format!("e{}", self.next_id);
+        let registration = Registration {
+            endpoint: Endpoint {
+                id: self.next_id,
+                name,
+                incarnation: self.next_id,
+                service: SERVICE,
+                models: BTreeSet::new(),
+                zone: 1,
+                region: 0,
+                address: SocketAddr::from(([10, 0, 0, 2], 80)),
+                standing: Standing::Live,
+            },
+            slots: 8,
+            warming: Duration::ZERO,
+            build: build.to_owned(),
+            started_at: Some(time_of_day(now)),
+        };
+        self.servers.push(Server {
+            registration,
+            leaving_at: None,
+        });
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        self.change_servers();
+        self.draw_faults();
+        self.exchange_members();
+        self.read_lists();
+        self.begin_streams();
+        self.tell();
+        self.kill();
+        self.take_up_streams();
+    }
+
+    // Starts releases, and goes on with one endpoint at a time.
+    fn change_servers(&mut self) {
+        let now = self.now;
+        if self.release.len() < 3 && self.rng.random_bool(0.006) {
+            let goes_back = self.next_build > 1 && self.rng.random_bool(0.3);
+            if !goes_back {
+                self.next_build += 1;
+            }
+            let build = if goes_back { 1 } else { self.next_build };
+            let count = self.rng.random_range(1..=ENDPOINTS);
+            let gap = Duration::from_millis(self.rng.random_range(100..600));
+            for n in 0..u32::try_from(count).expect("a small number") {
+                self.release.push((now + gap * n, format!("v{build}")));
+            }
+        }
+        let due: Vec<String> = self
+            .release
+            .extract_if(.., |(at, _)| *at <= now)
+            .map(|(_, build)| build)
+            .collect();
+        for build in due {
+            self.add_server(&build, now);
+            let others = self.servers.iter_mut();
+            let mut others =
+                others.filter(|one| one.leaving_at.is_none() && one.registration.build != build);
+            if let Some(other) = others.next() {
+                other.leaving_at = Some(now + Duration::from_millis(500));
+            }
+        }
+        self.servers
+            .retain(|one| one.leaving_at.is_none_or(|at| now < at + LEAVING));
+    }
+
+    fn draw_faults(&mut self) {
+        let now = self.now;
+        let for_ms = |rng: &mut ChaCha8Rng| Duration::from_millis(rng.random_range(500..6_000));
+        if self.rng.random_bool(0.002) {
+            self.log_down_until = now + for_ms(&mut self.rng);
+        }
+        for n in 0..self.instances.len() {
+            let once_in = u32::try_from(self.instances.len()).expect("a small number") * 50;
+            if self.rng.random_ratio(1, once_in) {
+                self.unread_until[n] = now + for_ms(&mut self.rng);
+            }
+            if self.rng.random_ratio(1, once_in) {
+                self.cut_until[n] = now + for_ms(&mut self.rng);
+            }
+        }
+    }
+
+    // Kills one instance, half of them or all, and breaks their streams.
+    fn kill(&mut self) {
+        if !self.rng.random_bool(0.004) {
+            return;
+        }
+        let share = [0.0, 0.3, 0.5, 1.0][self.rng.random_range(0..4)];
+        let first = self.rng.random_range(0..self.instances.len());
+        for n in 0..self.instances.len() {
+            if n == first || self.rng.random_bool(share) {
+                self.down_until[n] = self.now + RESTART;
+                let address = self.instances[n].address;
+                self.instances[n] = Instance::start(address, self.guard, self.now + RESTART);
+            }
+        }
+        for stream in &mut self.streams {
+            let delay = Duration::from_millis(self.rng.random_range(0..800));
+            stream.next_at = stream.next_at.min(self.now + delay);
+        }
+    }
+
+    fn is_up(&self, n: usize) -> bool {
+        self.down_until[n] <= self.now
+    }
+
+    fn can_read(&self, n: usize) -> bool {
+        self.is_up(n) && self.unread_until[n] <= self.now && self.log_down_until <= self.now
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.is_up(to) && self.cut_until[from] <= self.now && self.cut_until[to] <= self.now
+    }
+
+    fn index_of(&self, address: SocketAddr) -> Option<usize> {
+        self.instances.iter().position(|one| one.address == address)
+    }
+
+    // The first three instances are seeds. Once a second each learns from the others.
+    fn exchange_members(&mut self) {
+        let now = self.now;
+        if !now.as_millis().is_multiple_of(1_000) {
+            return;
+        }
+        let seeds = 0..3.min(self.instances.len());
+        for n in 0..self.instances.len() {
+            for seed in seeds.clone().filter(|seed| *seed != n) {
+                if !self.is_up(n) || !self.reaches(n, seed) {
+                    continue;
+                }
+                let address = self.instances[n].address;
+                if seeds.contains(&n) {
+                    let polling = self.instances[n].members.polling(now);
+                    let sole = self.instances[n].sole_builds(now);
+                    let other = &mut self.instances[seed];
+                    other.members.record_seed(address, polling, now);
+                    other.adopt(&sole, now);
+                } else if seed == n % seeds.len() {
+                    self.instances[seed].members.record_poll(address, now);
+                    let list = self.instances[seed].members.list(now).to_vec();
+                    let sole = self.instances[seed].sole_builds(now);
+                    self.instances[n].members.follow(list);
+                    self.instances[n].adopt(&sole, now);
+                }
+            }
+        }
+    }
+
+    fn live_builds(&self) -> BTreeMap<BuildId, u32> {
+        let mut live = BTreeMap::new();
+        for one in self.servers.iter().filter(|one| self.is_live(one)) {
+            *live.entry(one.registration.build_id()).or_default() += 1;
+        }
+        live
+    }
+
+    fn is_live(&self, server: &Server) -> bool {
+        server.leaving_at.is_none_or(|at| self.now < at)
+    }
+
+    fn read_lists(&mut self) {
+        let now = self.now;
+        let all: Vec<Registration> = self
+            .servers
+            .iter()
+            .map(|one| one.registration.clone())
+            .collect();
+        let live = self.live_builds();
+        for n in 0..self.instances.len() {
+            if !self.can_read(n) || self.instances[n].next_read_at > now {
+                continue;
+            }
+            let interval = Duration::from_millis(self.rng.random_range(300..1_300));
+            self.instances[n].next_read_at = now + interval;
+            self.instances[n].read(&all, live.clone(), false, now);
+        }
+    }
+
+    fn begin_streams(&mut self) {
+        if self.now > LAST_STREAM_AT {
+            return;
+        }
+        let ticks_per_second = 20;
+        for _ in 0..(self.size.per_second / ticks_per_second) {
+            let n = self.rng.random_range(0..self.instances.len());
+            if !self.is_up(n) || !self.instances[n].is_ready() {
+                continue;
+            }
+            let allowed = self.instances[n].builds_for_new_stream();
+            let serving = self.live_builds();
+            let choices: Vec<BuildId> = allowed
+                .into_keys()
+                .filter(|build| serving.contains_key(build))
+                .collect();
+            if choices.is_empty() {
+                continue;
+            }
+            let build = choices[self.rng.random_range(0..choices.len())];
+            self.next_id += 1;
+            let stream = id::incarnation_id(self.next_id, "stream");
+            let origin = Origin {
+                service: SERVICE,
+                build,
+            };
+            self.instances[n]
+                .origins
+                .record_own(stream, origin, self.now);
+            self.outcome.begun += 1;
+            if self.rng.random_bool(0.3) {
+                let delay = Duration::from_millis(self.rng.random_range(100..8_000));
+                self.streams.push(Stream {
+                    id: stream,
+                    build,
+                    began_at: self.now,
+                    next_at: self.now + delay,
+                    take_ups: 0,
+                });
+            }
+        }
+    }
+
+    fn tell(&mut self) {
+        let now = self.now;
+        for n in 0..self.instances.len() {
+            if !self.is_up(n) {
+                continue;
+            }
+            for record in self.instances[n].take_records(now) {
+                let mut was_told = false;
+                for address in self.instances[n].members.replicas(record.stream, now) {
+                    self.outcome.told += 1;
+                    let to = self.index_of(address).expect("an instance");
+                    if self.reaches(n, to) {
+                        self.instances[to].origins.record_told(&record, now);
+                        was_told = true;
+                    }
+                }
+                if !was_told {
+                    self.instances[n].origins.put_back(record.stream);
+                }
+            }
+        }
+    }
+
+    fn take_up_streams(&mut self) {
+        let now = self.now;
+        let due: Vec<Stream> = self
+            .streams
+            .extract_if(.., |one| one.next_at <= now)
+            .collect();
+        for stream in due {
+            self.take_up(stream);
+        }
+    }
+
+    fn take_up(&mut self, mut stream: Stream) {
+        let now = self.now;
+        let n = self.rng.random_range(0..self.instances.len());
+        let is_over = since(now, stream.began_at) >= RETENTION || stream.take_ups >= MAX_TAKE_UPS;
+        if is_over || !self.is_up(n) || !self.instances[n].is_ready() {
+            return;
+        }
+        stream.take_ups += 1;
+        let named = self.rng.random_bool(0.95).then_some(stream.id);
+        let decision = match self.instances[n].decide(named, now) {
+            Decision::Ask => self.ask(n, named, stream.id),
+            decision => decision,
+        };
+        self.outcome.taken_up += 1;
+        let serving = self.live_builds();
+        let of_its_build = serving.get(&stream.build).copied();
+        let serves = serving.len() > 1 && of_its_build >= Some(2);
+        let is_judged = named.is_some() && serves && self.is_calm(n);
+        self.outcome.taken_up_in_calm += u32::from(is_judged);
+        let Decision::GoOn(build) = decision else {
+            return;
+        };
+        if !self.instances[n].lists(build) {
+            return;
+        }
+        self.outcome.joined += u32::from(build != stream.build);
+        self.outcome.went_on += 1;
+        self.outcome.went_on_in_calm += u32::from(is_judged);
+        let origin = Origin {
+            service: SERVICE,
+            build,
+        };
+        if let Some(id) = named {
+            self.instances[n].origins.record_own(id, origin, now);
+        }
+        stream.next_at = now + Duration::from_millis(self.rng.random_range(100..6_000));
+        self.streams.push(stream);
+    }
+
+    fn is_calm(&self, n: usize) -> bool {
+        let ago = self.now.saturating_sub(CALM);
+        let instance = &self.instances[n];
+        self.log_down_until < ago
+            && self.unread_until[n] < ago
+            && self.cut_until[n] < ago
+            && instance.started_at < ago
+            && instance.is_current(self.now)
+    }
+
+    fn ask(&mut self, n: usize, named: Option<StreamId>, key: StreamId) -> Decision {
+        let now = self.now;
+        let mut replicas = self.instances[n].members.replicas(key, now);
+        let seeds = self.instances.iter().take(3).map(|one| one.address);
+        if replicas.is_empty() {
+            replicas = seeds
+                .filter(|one| *one != self.instances[n].address)
+                .collect();
+        }
+        let mut origins = Vec::new();
+        let mut statements = Vec::new();
+        for address in replicas {
+            self.outcome.questions += 1;
+            let to = self.index_of(address).expect("an instance");
+            if self.reaches(n, to) {
+                let asked = &self.instances[to];
+                origins.extend(
+                    named
+                        .and_then(|id| asked.origins.get(id))
+                        .map(|(one, _)| one),
+                );
+                statements.push(asked.statement(now));
+            }
+        }
+        self.instances[n].decide_by(&origins, &statements, now)
+    }
+}
