direct, platform: new streams begin at builds that all others know, and old lists count only if most agree

An instance that had just started took all builds of its first list for known to others; a build that came back kept the time of its first listing though others had forgotten it; and a few instances on one side of a partition agreed by old lists on what the other side knew better. Now a list that was just received names no build but the one whose endpoints started first, a build that comes back is new again, and three quarters of those asked have to say that the list can't be read. An instance that knows few others also tells the seeds.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -33,6 +33,9 @@
 /// while they leave.
 const MAX_LIST_GAP: Duration = Duration::from_secs(3);
 
+/// Of the instances asked, at most one in this many may fail to say that the list can't be read.
+const MIN_AGREEING_DIVISOR: usize = 4;
+
 /// How far the times of day of two machines may differ.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
 
@@ -88,14 +91,22 @@
 /// Returns the build that alone can have begun a stream, by what is known here and what others
 /// state: those whose lists are fresh or, if nobody can read the list, all. An instance that
 /// begins streams at another build has read the list since.
+///
+/// That nobody can read the list is certain only if most of the `asked` instances say so. Those
+/// that don't answer may be on the other side of a partition, where it is read.
 #[must_use]
-pub fn agree(own: Census, statements: &[Statement]) -> Option<BuildId> {
+pub fn agree(own: Census, statements: &[Statement], asked: usize) -> Option<BuildId> {
     let fresh: Vec<&Statement> = statements.iter().filter(|one| one.is_fresh()).collect();
-    let counted = if fresh.is_empty() {
-        statements.iter().collect()
+    let knows_any = |one: &&Statement| one.census != Census::Empty;
+    let counted: Vec<&Statement> = if fresh.is_empty() {
+        statements.iter().filter(knows_any).collect()
     } else {
         fresh
     };
+    let is_fresh = counted.iter().any(|one| one.is_fresh());
+    if !is_fresh && counted.len() * MIN_AGREEING_DIVISOR < asked * (MIN_AGREEING_DIVISOR - 1) {
+        return None;
+    }
     let of = |pick: fn(Census) -> Option<BuildId>| counted.iter().find_map(|one| pick(one.census));
     // If none of them read the list for a while, nobody did.
     let sole = of(Census::sole).or_else(|| of(Census::gapped))?;
@@ -111,12 +122,12 @@
 // The endpoints of one build.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
-    // `None` if the first list held it, and it has been listed for an unknown time.
+    // `None` if it was there at the first start of the system.
     first_listed: Option<Moment>,
     // When it was last listed; `None` if it is now.
     gone_since: Option<Moment>,
-    // When the newest of its endpoints has started, if all say so.
-    newest_start: Option<SystemTime>,
+    // When the first and the last of its endpoints have started, if all say so.
+    starts: Option<(SystemTime, SystemTime)>,
 }
 
 // Since when all builds are known.
@@ -189,13 +200,17 @@
         now: Moment,
     ) {
         let is_first = self.history == History::None;
-        let mut present: BTreeMap<(ServiceId, BuildId), Option<SystemTime>> = BTreeMap::new();
+        let mut present = BTreeMap::new();
         for one in listed {
-            let newest = present
+            let start = one.started_at.map(|at| (at, at));
+            let starts = present
                 .entry((one.endpoint.service, one.build_id()))
-                .or_insert(one.started_at);
-            // An unknown start makes the newest one unknown.
-            *newest = newest.zip(one.started_at).map(|(a, b)| a.max(b));
+                .or_insert(start);
+            // An unknown start leaves all unknown.
+            let range = |(first, last): (SystemTime, SystemTime)| {
+                start.map(|(at, _)| (first.min(at), last.max(at)))
+            };
+            *starts = starts.and_then(range);
         }
         if is_first {
             self.history = if nothing_before && present.is_empty() {
@@ -204,7 +219,7 @@
                 History::Since(now)
             };
         }
-        let first_listed = (!is_first).then_some(now);
+        let first_listed = (self.history != History::Whole || !is_first).then_some(now);
         for (service, builds) in &mut self.services {
             for (build, sighting) in builds {
                 if !present.contains_key(&(*service, *build)) {
@@ -212,15 +227,18 @@
                 }
             }
         }
-        for ((service, build), newest_start) in present {
+        for ((service, build), starts) in present {
             let builds = self.services.entry(service).or_default();
             let sighting = builds.entry(build).or_insert(Sighting {
                 first_listed,
                 gone_since: None,
-                newest_start,
+                starts,
             });
-            sighting.gone_since = None;
-            sighting.newest_start = newest_start;
+            // Others may have forgotten a build that comes back.
+            if sighting.gone_since.take().is_some() {
+                sighting.first_listed = Some(now);
+            }
+            sighting.starts = starts;
         }
         self.forget_old(now);
     }
@@ -242,9 +260,9 @@
         self.told.insert(service, now);
         let builds = self.services.entry(service).or_default();
         builds.entry(build).or_insert(Sighting {
-            first_listed: None,
+            first_listed: Some(now),
             gone_since: Some(now),
-            newest_start: None,
+            starts: None,
         });
     }
 
@@ -289,7 +307,7 @@
         };
         let min_age = self.retention + MAX_CLOCK_SKEW;
         let is_old = |one: &Sighting| {
-            let age = one.newest_start.map(|at| time_of_day.duration_since(at));
+            let age = one.starts.map(|(_, last)| time_of_day.duration_since(last));
             age.is_some_and(|age| age.is_ok_and(|age| age >= min_age))
         };
         let knowledge = recent.iter().map(|(service, _, one)| {
@@ -324,24 +342,39 @@
         }
     }
 
-    /// Returns whether new streams may begin at a build, as far as it is up to how long it has
-    /// been listed: other instances have to know it by then. `confirmed_at` is when the list
-    /// was last confirmed; a list that is not read tells nobody of a build.
+    /// Returns at which of some builds new streams may begin: those that other instances know,
+    /// since they have been listed for a while. `confirmed_at` is when the list was last
+    /// confirmed; a list that is not read tells nobody of a build. An instance that has just
+    /// started can't tell, but surely others know the one whose endpoints started first.
     #[must_use]
-    pub fn is_established(
+    pub fn established(
         &self,
         service: ServiceId,
-        build: BuildId,
+        builds: &BTreeSet<BuildId>,
         confirmed_at: Option<Moment>,
-    ) -> bool {
-        let sighting = self
-            .services
-            .get(&service)
-            .and_then(|builds| builds.get(&build));
-        sighting.is_some_and(|one| match one.first_listed {
-            None => true,
-            Some(at) => confirmed_at.is_some_and(|confirmed| confirmed >= at + MAX_LIST_AGE),
-        })
+    ) -> BTreeSet<BuildId> {
+        let sighting = |build: &BuildId| self.services.get(&service)?.get(build);
+        let is_established = |build: &&BuildId| {
+            sighting(build).is_some_and(|one| match one.first_listed {
+                None => true,
+                Some(at) => confirmed_at.is_some_and(|confirmed| confirmed >= at + MAX_LIST_AGE),
+            })
+        };
+        let established: BTreeSet<BuildId> =
+            builds.iter().filter(is_established).copied().collect();
+        if !established.is_empty() {
+            return established;
+        }
+        let first_start = |build: &&BuildId| {
+            let starts = sighting(build).and_then(|one| one.starts);
+            (starts.is_none(), starts.map(|(first, _)| first))
+        };
+        builds
+            .iter()
+            .min_by_key(first_start)
+            .copied()
+            .into_iter()
+            .collect()
     }
 }
 
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -217,23 +217,20 @@
 /// The builds of the endpoints that a request may be sent to.
 enum AllowedBuilds {
     All,
-    /// The one that began its stream.
-    Only(BuildId),
-    /// All but those that other instances may not know yet.
-    AllBut(BTreeSet<BuildId>),
+    Only(BTreeSet<BuildId>),
 }
 
 impl AllowedBuilds {
     fn contains(&self, registration: &Registration) -> bool {
         match self {
             Self::All => true,
-            Self::Only(build) => registration.build_id() == *build,
-            Self::AllBut(excluded) => !excluded.contains(&registration.build_id()),
+            Self::Only(builds) => builds.contains(&registration.build_id()),
         }
     }
 }
 
-// A new stream begins at a build that is new itself only if there is no other.
+// A stream goes on at the build that began it, and a new one begins at builds that other
+// instances know.
 fn allowed_builds(
     job: &Job,
     registrations: &[Arc<Registration>],
@@ -243,22 +240,16 @@
         return AllowedBuilds::All;
     }
     if let Some(origin) = job.origin {
-        return AllowedBuilds::Only(origin.build);
+        return AllowedBuilds::Only(BTreeSet::from([origin.build]));
     }
     if job.shared.builds().count(job.service) <= 1 {
         return AllowedBuilds::All;
     }
     let suitable = registrations.iter().filter(|one| suits(one));
-    let present: BTreeSet<BuildId> = suitable.map(|one| one.build_id()).collect();
+    let present = suitable.map(|one| one.build_id()).collect();
     let confirmed_at = job.shared.endpoints_confirmed_at();
     let builds = job.shared.builds();
-    let is_new = |build: &BuildId| !builds.is_established(job.service, *build, confirmed_at);
-    let new: BTreeSet<BuildId> = present.iter().copied().filter(is_new).collect();
-    if new.len() == present.len() {
-        AllowedBuilds::All
-    } else {
-        AllowedBuilds::AllBut(new)
-    }
+    AllowedBuilds::Only(builds.established(job.service, &present, confirmed_at))
 }
 
 fn group_endpoints<'a>(job: &Job, registrations: &'a [Arc<Registration>]) -> EndpointGroups<'a> {
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -138,6 +138,7 @@
         services,
     };
     let replicas = replicas(shared, job.stream());
+    let asked_count = replicas.len();
     let question = Arc::new(question);
     let mut asked = JoinSet::new();
     for instance in replicas {
@@ -155,7 +156,8 @@
         }
         statements.push(answer.statement);
     }
-    builds::agree(own.census, &statements).map(|build| (sole(build), Evidence::SoleBuildElsewhere))
+    builds::agree(own.census, &statements, asked_count)
+        .map(|build| (sole(build), Evidence::SoleBuildElsewhere))
 }
 
 // Records what another instance has known for longer, unless more is known here.
@@ -166,7 +168,7 @@
     }
 }
 
-// Returns the instances to ask. One that has just started may know only the seeds.
+// Returns the instances to tell or ask. One that has just started may know only the seeds.
 fn replicas(shared: &Shared, stream: StreamId) -> Vec<SocketAddr> {
     let mut replicas = shared.members().replicas(stream, boot_time());
     let seeds = shared.settings.other_seeds();
@@ -282,7 +284,7 @@
         let records = take_records(&shared, now);
         let mut by_instance: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in &records {
-            for instance in shared.members().replicas(record.stream, now) {
+            for instance in replicas(&shared, record.stream) {
                 by_instance.entry(instance).or_default().push(*record);
             }
         }
--- a/crates/direct/tests/instance/builds.rs
+++ b/crates/direct/tests/instance/builds.rs
@@ -207,6 +207,24 @@
     assert_eq!(take_up_all(&other, &servers, &ids).await, STREAMS);
 }
 
+/// Guards against refusals at an instance that has started after a stream began, and knows only
+/// the seeds.
+#[tokio::test]
+async fn instance_that_has_just_started_asks_where_a_stream_began() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let seeds = free_addresses::<2>();
+    let started = seeds.map(|own| TestInstance::start_with_builds(&seeds, own, &listed(&servers)));
+    for instance in &started {
+        instance.wait_until_ready().await;
+    }
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    let ids = begin_all(&started[0]).await;
+    let [own] = free_addresses();
+    let late = TestInstance::start_with_builds(&seeds, own, &listed(&servers));
+    late.wait_until_ready().await;
+    assert_eq!(take_up_all(&late, &servers, &ids).await, STREAMS);
+}
+
 /// Guards against a guess where builds serve side by side and nobody knows which one began the
 /// stream: it isn't named, it is another workspace's, or it isn't known.
 #[tokio::test]
