direct: a request that names a stream is bound to it, also without the event after which it goes on

Found by reading: such a request was placed anywhere, and recorded as the beginning of the stream that it names, whose later tries would then have gone to the wrong build.

--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -63,7 +63,7 @@
 
 /// How the origin of a stream came to be known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Evidence {
+enum Evidence {
     /// It was recorded here.
     Recorded,
     /// Another instance was told of it.
@@ -91,9 +91,11 @@
 ///
 /// Returns the reason to refuse it if that is unknown.
 pub(super) async fn bind_taken_up(job: &mut Job) -> Result<(), Reason> {
-    let Some(after) = job.last_event_id().filter(|_| job.is_resumable()) else {
+    let after = job.last_event_id();
+    let is_taken_up = after.is_some() || job.names_stream();
+    if !is_taken_up || !job.is_resumable() {
         return Ok(());
-    };
+    }
     let found = find(job).await;
     let source = found.map_or("unknown", |(_, evidence)| evidence.as_str());
     let origin = found.map(|(origin, _)| origin);
@@ -101,7 +103,7 @@
     let first_attempt = job.first_attempt();
     log::info!(
         request:% = job.id(), first_attempt:% = first_attempt.as_deref().unwrap_or("(none)"),
-        after = after, build:% = BuildName(job, origin), known_by:% = source,
+        after:? = after, build:% = BuildName(job, origin), known_by:% = source,
         took_ms:% = job.age().as_millis();
         "stream taken up by its caller"
     );
--- a/crates/direct/tests/instance/builds.rs
+++ b/crates/direct/tests/instance/builds.rs
@@ -235,15 +235,22 @@
     tokio::time::sleep(TELLING_TIME).await;
     let unnamed = attempt("n1", &format!("x-after: {FIRST_EVENTS}\r\n"));
     let of_another = taken_up("n2", "first").replace("x-key: k1", "x-key: k2");
-    for text in [unnamed, of_another, taken_up("n3", "unheard-of")] {
+    let without_event = attempt("n4", "x-resumes: unheard-of\r\n");
+    for text in [
+        unnamed,
+        of_another,
+        taken_up("n3", "unheard-of"),
+        without_event,
+    ] {
         for instance in [&instance, &other] {
             let response = exchange(instance.running.callers_address(), &text).await;
             assert!(response.starts_with("HTTP/1.1 503"), "{response}");
             assert!(response.contains("retry-after"), "{response}");
         }
     }
-    for id in ["n1", "n2", "n3"] {
+    for id in ["n1", "n2", "n3", "n4"] {
         assert_eq!(build_of(&servers, id, true), None, "{id}");
+        assert_eq!(build_of(&servers, id, false), None, "{id}");
     }
 }
 
