direct: which peer is polled next is decided by a module without I/O

The order of peers, the time that is left for them and the turn to the log stood inside the tasks that poll, and no schedule could drive them. They are polling::Round now, and the pauses after failed calls backoff::pause. No decision changes; one log line names the time since the start in place of the time left.

--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -11,23 +11,12 @@
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 
+use crate::backoff;
 use crate::feed::{Change, Feed, Query};
 use crate::roster::EXPIRED_ENTRY_GRACE;
 use crate::shared::Shared;
 use crate::source::{ReadError, Source, Tail};
 
-/// The pause after a failed call, before jitter. It doubles up to
-/// `MAX_BACKOFF`, or up to `MAX_BACKOFF_WITH_PEERS` at an instance that polls
-/// peers meanwhile.
-///
-/// A lost answer is soon requested again, and a log service in trouble gets at
-/// most one call a second from each instance, or two from those that serve
-/// peers. They notice the log's return within 0.6 s, which the grace period of
-/// expired entries relies on.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
-const MAX_BACKOFF: Duration = Duration::from_millis(500);
-const MAX_BACKOFF_WITH_PEERS: Duration = Duration::from_secs(2);
-
 /// The pause between reads while expired entries may return, or while the last
 /// read can't be relied on yet.
 const FAST_READ_PAUSE: Duration = Duration::from_millis(250);
@@ -216,14 +205,6 @@
     }
 }
 
-fn max_backoff(follower: &Follower) -> Duration {
-    if follower.polls_peers() && !follower.shared.serves_peers() {
-        MAX_BACKOFF_WITH_PEERS
-    } else {
-        MAX_BACKOFF
-    }
-}
-
 /// The current or last period in which the log couldn't be read.
 #[derive(Debug, Default)]
 struct Outage {
@@ -276,7 +257,8 @@
             self.since = Some(now);
             log::warn!(topic:% = topic, cause:% = error; "log lost");
         }
-        let pause = (INITIAL_BACKOFF * 2_u32.pow(self.failures.min(8))).min(max_backoff(follower));
+        let has_peers = follower.polls_peers() && !follower.shared.serves_peers();
+        let pause = backoff::pause(self.failures, has_peers);
         self.failures += 1;
         pause.mul_f64(rand::rng().random_range(0.75..1.25))
     }
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -10,13 +10,11 @@
 //! A peer's update is accepted only if it is not older than the state read
 //! here: an endpoint that was seen leaving must not come back.
 
-mod age;
 mod answer;
 mod overloads;
 mod passing;
 mod peer;
 
-use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,16 +23,13 @@
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::{self, Body, Connector};
-use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::clock::since;
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout};
 
-use self::age::{
-    ANSWER_TIMEOUT, MAX_POLL_WAIT, poll_wait, poll_wait_at_reduced_service, remaining_time,
-};
 pub(super) use self::answer::handle_request;
 pub(super) use self::overloads::send_overloads;
 pub(crate) use self::passing::forward_evidence;
@@ -42,6 +37,10 @@
 pub(super) use self::peer::PeerUpdate;
 use self::peer::{Peer, PeerError};
 use super::follow::Mode;
+use crate::polling::age::{
+    ANSWER_TIMEOUT, MAX_POLL_WAIT, poll_wait, poll_wait_at_reduced_service, remaining_time,
+};
+use crate::polling::{Knowledge, MAX_LIST_TIME, Next, Round, STARTUP_RETRY_PAUSE, first_wait};
 use crate::shared::Shared;
 use crate::standby::Peers;
 
@@ -64,25 +63,6 @@
 /// instance follows one of them it reads the log.
 const STARTUP_PERIOD: Duration = Duration::from_secs(5);
 
-/// How long a starting instance polls peers before it reads the log. This
-/// leaves time for a peer that is gone, and for one that is starting as well
-/// and answers once it has read the log.
-const STARTUP_POLL_TIME: Duration = Duration::from_millis(600);
-
-/// The pause before a starting instance polls again when no peer is listening
-/// yet.
-const STARTUP_RETRY_PAUSE: Duration = Duration::from_millis(50);
-
-/// How long after its start an instance waits for a peer that is reading the log
-/// for the first time. The instance itself would take as long for it, and if
-/// all of a large fleet read the log at once, each would take longer.
-const MAX_PEER_READ_TIME: Duration = Duration::from_secs(4);
-
-/// How long a peer may take to send its list of endpoints to an instance that
-/// has none. A seed sends ten thousand endpoints to a third of a thousand
-/// instances in about half of this, over a link of 1,000 Mbit/s.
-const MAX_LIST_TIME: Duration = Duration::from_secs(8);
-
 /// How long a poll for the next part of a list waits at a busy peer.
 const LIST_POLL_WAIT: Duration = Duration::from_secs(1);
 
@@ -109,10 +89,7 @@
     mode: watch::Sender<Mode>,
     events: mpsc::Sender<E>,
     event: fn(PeerUpdate) -> E,
-    peers: Peers,
-    // Until when, since the start of this process, a peer that is reading the log for the
-    // first time is waited for.
-    peer_read_deadline: Duration,
+    round: Round,
 }
 
 /// Follows one peer after another until the receiver of events is closed.
@@ -131,8 +108,7 @@
             connect_timeout: ANSWER_TIMEOUT,
             ..connect::Settings::default()
         }),
-        peers: Peers::new(seeds, shared.settings.listen.peers, first),
-        peer_read_deadline: STARTUP_POLL_TIME,
+        round: Round::new(Peers::new(seeds, shared.settings.listen.peers, first)),
         shared,
         mode,
         events,
@@ -158,22 +134,20 @@
     // is polled before the log is read, as long as the state known here doesn't
     // become too old.
     async fn poll_round(&mut self, is_seed: bool) -> RoundEnd {
-        let mut round = VecDeque::from(self.peers.next_round(rand::rng().random()));
+        self.round.begin(rand::rng().random());
         loop {
-            let Some(address) = round.pop_front() else {
-                // Peers that start at the same time may not be listening yet.
-                if self.has_state() || self.time_left() < ANSWER_TIMEOUT {
+            let next = self.round.next(&self.knowledge(), rand::rng().random());
+            let (address, time_left) = match next {
+                Next::Poll(address, time_left) => (address, time_left),
+                Next::Pause(pause) => {
+                    tokio::time::sleep(pause).await;
+                    continue;
+                }
+                Next::ReadLog => {
+                    log::info!(uptime_ms = self.shared.uptime().as_millis(); "no peer to poll in time; reading the log");
                     return RoundEnd::ReadLog;
                 }
-                tokio::time::sleep(STARTUP_RETRY_PAUSE).await;
-                round = self.peers.next_round(rand::rng().random()).into();
-                continue;
             };
-            let time_left = self.time_left();
-            if time_left < ANSWER_TIMEOUT {
-                log::info!(left_ms = time_left.as_millis(); "no time left to poll another peer; reading the log");
-                return RoundEnd::ReadLog;
-            }
             let started_at = Instant::now();
             let max_time = if is_seed {
                 MAX_SEED_POLL_TIME
@@ -181,63 +155,37 @@
                 Duration::MAX
             };
             let following = timeout(max_time, self.follow(address, time_left)).await;
-            match following {
+            let error = match following {
                 Ok(None) => return RoundEnd::Closed,
-                Ok(Some(error)) => {
-                    log::info!(peer:% = address, cause:% = error; "peer not followed");
-                    if self.waits_for_peer(&error) {
-                        round.push_front(address);
-                    }
-                }
+                Ok(Some(error)) => error,
                 Err(_elapsed) => {
                     log::info!(peer:% = address; "trying the log again");
                     return RoundEnd::ReadLog;
                 }
-            }
-            // A peer that was followed for a while is polled again only after
-            // all others.
-            if started_at.elapsed() > time_left {
-                round = self.peers.next_round(rand::rng().random()).into();
-                round.retain(|other| *other != address);
-            }
-        }
-    }
-
-    // Returns whether any state of the log is known here.
-    fn has_state(&self) -> bool {
-        self.mode.borrow().direct || self.confirmed_at().is_some()
-    }
-
-    // Returns when the less recently confirmed of the two topics was confirmed.
-    fn confirmed_at(&self) -> Option<Moment> {
-        self.shared
-            .update_replica(false, |replica| replica.confirmed_at())
-    }
-
-    // Returns how long polling may take before the log has to be read.
-    fn time_left(&self) -> Duration {
-        if self.mode.borrow().direct {
-            return MAX_POLL_WAIT;
-        }
-        match self.confirmed_at() {
-            Some(read) => remaining_time(
-                self.shared.settings.max_update_delay(),
-                since(boot_time(), read),
-            ),
-            None => self.peer_read_deadline.saturating_sub(self.shared.uptime()),
+            };
+            log::info!(peer:% = address, cause:% = error; "peer not followed");
+            let knowledge = self.knowledge();
+            self.round.record_failure(
+                address,
+                error.failure(),
+                started_at.elapsed(),
+                time_left,
+                &knowledge,
+                rand::rng().random(),
+            );
         }
     }
 
-    // Extends the time for polling peers if one is reading the log for the first time.
-    // Returns whether to poll that one again before any other: if each starting instance
-    // turned to the next, all would end up at the seed that has read the log first.
-    fn waits_for_peer(&mut self, error: &PeerError) -> bool {
-        if !matches!(error, PeerError::NotReady) {
-            return false;
+    fn knowledge(&self) -> Knowledge {
+        let confirmed_at = self
+            .shared
+            .update_replica(false, |replica| replica.confirmed_at());
+        Knowledge {
+            uptime: self.shared.uptime(),
+            reads_log: self.mode.borrow().direct,
+            age: confirmed_at.map(|at| since(boot_time(), at)),
+            max_update_delay: self.shared.settings.max_update_delay(),
         }
-        let uptime = self.shared.uptime();
-        self.peer_read_deadline = (uptime + STARTUP_POLL_TIME).min(MAX_PEER_READ_TIME);
-        uptime < MAX_PEER_READ_TIME / 2
     }
 
     // Returns how long a peer may still take to send its list of endpoints, `listing` after
@@ -262,11 +210,7 @@
         let shared = Arc::clone(&self.shared);
         let connector = self.connector.clone();
         let mut peer = Peer::new(&connector, address, &shared);
-        let first_wait = if self.has_state() {
-            Duration::ZERO
-        } else {
-            time_left.saturating_sub(ANSWER_TIMEOUT)
-        };
+        let first_wait = first_wait(&self.knowledge(), time_left);
         let first = timeout(time_left, peer.first_poll(first_wait)).await;
         let mut answer = match first.unwrap_or(Err(PeerError::Timeout)) {
             Ok(answer) => answer,
@@ -279,7 +223,7 @@
             if answer.has_loads {
                 loads_at = Instant::now();
             }
-            self.peers.set_standbys(address, answer.standbys);
+            self.round.set_standbys(address, answer.standbys);
             let is_busy = answer.is_busy;
             if self.events.send((self.event)(answer.update)).await.is_err() {
                 return None;
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -12,7 +12,6 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::age::MAX_POLL_WAIT;
 use super::overloads::{OVERLOADS_PATH, handle_overloads};
 use super::passing::{
     EVIDENCE_PATH, EXCHANGE_PATH, handle_evidence, handle_exchange, record_forwarders, record_loads,
@@ -21,6 +20,7 @@
 use crate::members;
 use crate::metrics::LoadSource;
 use crate::overloads;
+use crate::polling::age::MAX_POLL_WAIT;
 use crate::relay::{Handled, handle_message, sole_builds};
 use crate::replica::{Allowance, Update, UpdateRequest, Urgency};
 use crate::shared::Shared;
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -16,11 +16,11 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
-use super::age::ANSWER_TIMEOUT;
 use super::{PeerError, STARTUP_PERIOD, full_body, status_response};
 use crate::crashes::{Evidence, ForwardedEvidence};
 use crate::holders::PrefixHolder;
 use crate::metrics::LoadSource;
+use crate::polling::age::ANSWER_TIMEOUT;
 use crate::relay::{adopt_sole_builds, sole_builds};
 use crate::shared::Shared;
 use crate::stats::Load;
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -12,7 +12,6 @@
 use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 
-use super::age::{ANSWER_TIMEOUT, max_age};
 use super::overloads::record_overloads;
 use super::passing::{record_forwarders, record_loads};
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body};
@@ -21,6 +20,8 @@
 use crate::members;
 use crate::metrics::LoadSource;
 use crate::policy::Content;
+use crate::polling::Failure;
+use crate::polling::age::{ANSWER_TIMEOUT, max_age};
 use crate::relay::adopt_sole_builds;
 use crate::replica::{Update, UpdateRequest};
 use crate::roster::Registration;
@@ -80,6 +81,16 @@
     Behind,
 }
 
+impl PeerError {
+    /// Returns what the error means for the choice of the next peer.
+    pub(super) const fn failure(&self) -> Failure {
+        match self {
+            Self::NotReady => Failure::NotReady,
+            _ => Failure::Other,
+        }
+    }
+}
+
 /// An instance that is polled.
 pub(super) struct Peer<'a> {
     connector: &'a Connector,
--- a/crates/direct/src/control/peers/tests.rs
+++ b/crates/direct/src/control/peers/tests.rs
@@ -5,12 +5,12 @@
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
 
-use super::age::{
+use super::peer::{KnownState, PeerError, collect_list, peer_update};
+use crate::policy::Content;
+use crate::polling::age::{
     ANSWER_TIMEOUT, MAX_POLL_WAIT, MIN_STALE_AGE, RESERVED_TIME, max_age, poll_wait,
     poll_wait_at_reduced_service, remaining_time,
 };
-use super::peer::{KnownState, PeerError, collect_list, peer_update};
-use crate::policy::Content;
 use crate::replica::{MAX_CHANGES_PER_ANSWER, Replica, UpdateRequest};
 use crate::roster::Registration;
 use crate::source::Position;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,12 +9,13 @@
 //!
 //! The modules that make decisions use no clock, socket or randomness of their
 //! own: [`policy`], [`feed`], [`roster`], [`lease`], [`evacuation`], [`place`],
-//! [`ramp`], [`stats`], [`budget`], [`attempt`], [`notices`], [`holders`], [`reach`], [`forwarders`],
-//! [`fetch`], [`fragility`], [`replica`], [`pace`], [`standby`] and [`verification`]. The others pass
+//! [`ramp`], [`stats`], [`budget`], [`attempt`], [`backoff`], [`notices`], [`holders`], [`reach`], [`forwarders`],
+//! [`fetch`], [`fragility`], [`replica`], [`pace`], [`polling`], [`standby`] and [`verification`]. The others pass
 //! them the time and carry the bytes. `docs/design/platform.md` compares this design
 //! with sending requests through an endpoint's owner.
 
 pub mod attempt;
+pub mod backoff;
 pub mod budget;
 pub mod builds;
 pub mod cli;
@@ -38,6 +39,7 @@
 pub mod paths;
 pub mod place;
 pub mod policy;
+pub mod polling;
 pub mod ramp;
 pub mod reach;
 pub mod refusal;
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -15,7 +15,7 @@
 const LINK_FRACTION: f64 = 0.75;
 
 /// The size of one endpoint in a list, in bytes.
-const ENDPOINT_BYTES: f64 = 120.0;
+pub const ENDPOINT_BYTES: f64 = 120.0;
 
 /// The turns of the parts that this instance sends.
 #[derive(Debug)]
