direct: logs and metrics tell what a starting instance waits for

More than 64 changes at once are one line now. New: readiness changed, list of endpoints received or given up, the time since the start with each peer that isn't followed; a gauge of what an instance lacks, counters of peers not followed by cause, lists, and parts sent or put off.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -24,11 +24,13 @@
 use godwitpost_types::id::{self, EndpointId, Era, ServiceId, Version};
 use tokio::sync::{mpsc, watch};
 
+use self::entries::EntryChange;
 use self::follow::{Follower, Mode, Topic, TopicUpdate, follow};
 use self::peers::PeerUpdate;
 use crate::evacuation::{EvacuatedZones, Evacuation, TopicState};
 use crate::feed::Change;
 use crate::policy::Policy;
+use crate::readiness::Readiness;
 use crate::relay::tell_origins;
 use crate::revoked::{KeyChanges, RevokedKeys};
 use crate::roster::{Origin, Registration, Roster};
@@ -162,6 +164,9 @@
     policy_read: bool,
     endpoints_listed: bool,
     policy_current: bool,
+    readiness: Option<Readiness>,
+    // Endpoints that changed and are yet to be logged.
+    unlogged: Vec<EntryChange>,
 }
 
 impl Control {
@@ -182,6 +187,8 @@
             policy_read: false,
             endpoints_listed: false,
             policy_current: false,
+            readiness: None,
+            unlogged: Vec::new(),
         }
     }
 
@@ -205,6 +212,7 @@
         if update.complete {
             self.record_complete_read(update.era, update.sent_at);
         }
+        self.check_readiness();
     }
 
     // Records that the operator's topic was read completely.
@@ -368,6 +376,8 @@
         self.verification.record_peer_answer(verified);
         self.shared.set_log_needs_reread(false);
         self.confirm_policy(update.policy_confirmed_at, update.version);
+        self.log_changes();
+        self.check_readiness();
     }
 
     // Allows endpoints elsewhere to fetch the prompts held in an evacuated zone
@@ -463,6 +473,24 @@
             self.publish_view();
         }
         self.check_policy_current(now);
+        self.log_changes();
+        self.check_readiness();
+    }
+
+    // Logs what this instance lacks to serve callers, when that changes.
+    fn check_readiness(&mut self) {
+        let readiness = self.shared.readiness();
+        let before = self.readiness.replace(readiness);
+        if before == Some(readiness) {
+            return;
+        }
+        self.shared.metrics.start().record_readiness(readiness);
+        let endpoints = self.roster.registrations().count();
+        log::info!(
+            readiness:% = readiness, before:? = before, uptime_ms = self.shared.uptime().as_millis(),
+            policy_age_ms = self.shared.policy_age().as_millis(), endpoints = endpoints;
+            "readiness changed"
+        );
     }
 
     // Logs and counts the endpoints that are tried again from now on.
--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -1,6 +1,6 @@
 //! Applies what the log, peers and endpoints themselves report about endpoints.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use godwitpost_client::clock::boot_time;
@@ -13,6 +13,30 @@
 use crate::replica::bucket_of;
 use crate::roster::{Origin, Registration, RemoveResult, Roster, SetResult};
 
+/// How many endpoints that changed together get a line each. The list of thousands that a
+/// starting instance receives would displace all other lines.
+const MAX_SINGLE_LINES: usize = 64;
+
+/// A change of an endpoint's entry that is yet to be logged.
+#[derive(Debug)]
+pub(super) struct EntryChange {
+    entry: Arc<Registration>,
+    warm_at: Moment,
+    told_by: &'static str,
+}
+
+impl EntryChange {
+    fn log(&self) {
+        let endpoint = &self.entry.endpoint;
+        log::info!(
+            endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
+            build:% = self.entry.build, address:% = endpoint.address, standing:? = endpoint.standing,
+            warming_ms = since(self.warm_at, boot_time()).as_millis(), told_by:% = self.told_by;
+            "endpoint changed"
+        );
+    }
+}
+
 impl Control {
     pub(super) fn apply_endpoints_update(&mut self, update: TopicUpdate<Registration>) {
         let now = boot_time();
@@ -34,6 +58,24 @@
             self.shared
                 .update_replica(first, |replica| replica.confirm_endpoints(update.sent_at));
         }
+        self.log_changes();
+        self.check_readiness();
+    }
+
+    // Logs the endpoints that changed, one by one unless they are many.
+    pub(super) fn log_changes(&mut self) {
+        let changes = std::mem::take(&mut self.unlogged);
+        if changes.len() > MAX_SINGLE_LINES {
+            let mut builds = BTreeMap::<&str, usize>::new();
+            for change in &changes {
+                *builds.entry(&change.entry.build).or_default() += 1;
+            }
+            log::info!(endpoints = changes.len(), builds:? = builds; "endpoints changed");
+            return;
+        }
+        for change in &changes {
+            change.log();
+        }
     }
 
     fn apply_change(&mut self, change: Change<Registration>, from_list: bool, now: Moment) -> bool {
@@ -124,16 +166,14 @@
         warm_at
     }
 
-    // Sends a changed endpoint to peers and logs the change.
-    fn report_change(&self, registration: &Arc<Registration>, source: &str) {
+    // Sends a changed endpoint to peers, and notes it for the log.
+    fn report_change(&mut self, registration: &Arc<Registration>, told_by: &'static str) {
         let warm_at = self.publish_entry(Arc::clone(registration));
-        let endpoint = &registration.endpoint;
-        log::info!(
-            endpoint:% = endpoint.name, incarnation = endpoint.incarnation,
-            build:% = registration.build, address:% = endpoint.address, standing:? = endpoint.standing,
-            warming_ms = since(warm_at, boot_time()).as_millis(), told_by:% = source;
-            "endpoint changed"
-        );
+        self.unlogged.push(EntryChange {
+            entry: Arc::clone(registration),
+            warm_at,
+            told_by,
+        });
     }
 
     // Applies the notices of leaving that endpoints put in their responses.
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -163,7 +163,8 @@
                     return RoundEnd::ReadLog;
                 }
             };
-            log::info!(peer:% = address, cause:% = error; "peer not followed");
+            self.shared.metrics.start().count_failure(error.label());
+            log::info!(peer:% = address, cause:% = error, uptime_ms = self.shared.uptime().as_millis(); "peer not followed");
             let knowledge = self.knowledge();
             self.round.record_failure(
                 address,
@@ -219,7 +220,18 @@
         log::info!(peer:% = address; "following the peer instead of the log");
         let started_at = Instant::now();
         let mut loads_at = Instant::now();
+        let mut listing_parts = 0;
         loop {
+            let parts = peer.received_parts();
+            if parts == 0 && listing_parts > 0 {
+                shared.metrics.start().count_list(true);
+                log::info!(
+                    peer:% = address, answers = listing_parts + 1, took_ms = started_at.elapsed().as_millis(),
+                    uptime_ms = shared.uptime().as_millis();
+                    "list of endpoints received"
+                );
+            }
+            listing_parts = parts;
             if answer.has_loads {
                 loads_at = Instant::now();
             }
@@ -230,6 +242,7 @@
             }
             let wait = if peer.is_listing() {
                 if self.list_time_left(started_at.elapsed()).is_zero() {
+                    report_partial_list(&shared, address, listing_parts);
                     return Some(PeerError::Slow);
                 }
                 if is_busy {
@@ -246,12 +259,23 @@
             };
             answer = match peer.poll(wait).await {
                 Ok(answer) => answer,
-                Err(error) => return Some(error),
+                Err(error) => {
+                    report_partial_list(&shared, address, listing_parts);
+                    return Some(error);
+                }
             };
         }
     }
 }
 
+// Reports that a list of endpoints was given up after these many answers.
+fn report_partial_list(shared: &Shared, peer: SocketAddr, answers: usize) {
+    if answers > 0 {
+        shared.metrics.start().count_list(false);
+        log::warn!(peer:% = peer, answers = answers, uptime_ms = shared.uptime().as_millis(); "list of endpoints given up");
+    }
+}
+
 // Returns how long a poll may wait, given how quickly loads go out of date now.
 fn max_poll_wait(shared: &Shared) -> Duration {
     let now = boot_time();
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -138,6 +138,7 @@
     };
     let patience = deadline.saturating_duration_since(Instant::now());
     let turn = shared.list_pace().reserve(endpoints, boot_time(), patience);
+    shared.metrics.start().count_part(turn.is_some());
     match turn {
         Some(delay) => {
             tokio::time::sleep(delay).await;
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -82,6 +82,20 @@
 }
 
 impl PeerError {
+    /// Returns the error's name in metrics.
+    pub(super) const fn label(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::Timeout => "timeout",
+            Self::Status(_) => "status",
+            Self::Malformed(_) => "malformed",
+            Self::Stale => "stale",
+            Self::NotReady => "not-ready",
+            Self::Slow => "slow",
+            Self::Behind => "behind",
+        }
+    }
+
     /// Returns what the error means for the choice of the next peer.
     pub(super) const fn failure(&self) -> Failure {
         match self {
@@ -105,12 +119,14 @@
 /// named again, and the last mention counts.
 #[derive(Debug, Default)]
 pub(super) struct PartialList {
+    parts: usize,
     set: BTreeMap<String, Registration>,
     expired: BTreeSet<String>,
 }
 
 impl PartialList {
     fn add(&mut self, update: &mut PeerUpdate) {
+        self.parts += 1;
         for name in std::mem::take(&mut update.removed) {
             self.set.remove(&name);
             self.expired.remove(&name);
@@ -204,6 +220,12 @@
         }
     }
 
+    /// Returns how many answers with parts of the peer's list were received, while some are
+    /// still to come.
+    pub(super) fn received_parts(&self) -> usize {
+        self.list.as_ref().map_or(0, |list| list.parts)
+    }
+
     /// Returns whether only a part of the peer's list of endpoints was received so far.
     pub(super) const fn is_listing(&self) -> bool {
         self.list.is_some()
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod polling;
 pub mod ramp;
 pub mod reach;
+mod readiness;
 pub mod refusal;
 mod relay;
 pub mod replica;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,6 +1,7 @@
 //! The metrics of one instance: those of its requests, and those of its own state.
 
 mod loads;
+mod start;
 mod streams;
 
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,6 +16,7 @@
 
 pub(crate) use self::loads::LoadSource;
 use self::loads::Loads;
+use self::start::Start;
 use self::streams::Streams;
 use crate::hop::Outcome;
 use crate::refusal::Reason;
@@ -46,6 +48,7 @@
     repeats: Counter<u64>,
     streams: Streams,
     loads: Loads,
+    start: Start,
     sources: Counter<u64>,
     shares: Counter<u64>,
     notices: Counter<u64>,
@@ -92,6 +95,7 @@
             ),
             streams: Streams::new(&meter),
             loads: Loads::new(&meter),
+            start: Start::new(&meter),
             shares: counter(
                 "godwitpost.warming_shares",
                 "Requests placed at endpoints that are warming up, by whether a share was left",
@@ -189,6 +193,11 @@
         &self.loads
     }
 
+    /// Returns the metrics of how this instance and those that ask it start.
+    pub(crate) const fn start(&self) -> &Start {
+        &self.start
+    }
+
     pub(crate) fn count_prompt_source(&self, basis: &'static str) {
         self.sources.add(1, &[KeyValue::new("basis", basis)]);
     }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -36,6 +36,7 @@
 use crate::policy::{Policy, Ramp, Service};
 use crate::ramp::{InstanceCount, Shares};
 use crate::reach::Reach;
+use crate::readiness::Readiness;
 use crate::replica::Replica;
 use crate::revoked::RevokedKeys;
 use crate::roster::Registration;
@@ -321,13 +322,28 @@
 
     /// Returns whether a load balancer should send callers to this instance.
     pub(crate) fn is_ready(&self) -> bool {
-        self.can_route() && !self.is_draining()
+        self.readiness() == Readiness::Ready
+    }
+
+    /// Returns whether this instance can serve callers, and what it lacks if it can't.
+    pub(crate) fn readiness(&self) -> Readiness {
+        let view = self.view();
+        if view.policy.is_none() {
+            Readiness::NoConfiguration
+        } else if view.endpoints.is_none() {
+            Readiness::NoEndpoints
+        } else if !self.is_policy_current() {
+            Readiness::Outdated
+        } else if self.is_draining() {
+            Readiness::Draining
+        } else {
+            Readiness::Ready
+        }
     }
 
     /// Returns whether requests can be resolved and sent to an endpoint.
     pub(crate) fn can_route(&self) -> bool {
-        let view = self.view();
-        view.policy.is_some() && view.endpoints.is_some() && self.is_policy_current()
+        matches!(self.readiness(), Readiness::Ready | Readiness::Draining)
     }
 
     pub(crate) fn uptime(&self) -> Duration {
--- a/crates/direct/tests/instance/metrics.rs
+++ b/crates/direct/tests/instance/metrics.rs
@@ -7,7 +7,7 @@
 pub(crate) const METRICS_REQUEST: &str =
     "GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
 
-const METRIC_NAMES: [&str; 17] = [
+const METRIC_NAMES: [&str; 18] = [
     "godwitpost_requests_total",
     "godwitpost_first_byte_seconds_bucket",
     "godwitpost_whole_seconds_bucket",
@@ -15,6 +15,7 @@
     "godwitpost_response_ends_total",
     "godwitpost_log_calls_total",
     "godwitpost_log_era",
+    "godwitpost_readiness",
     "godwitpost_log_era_age_ms",
     "godwitpost_endpoints",
     "godwitpost_bundle_version",
@@ -44,6 +45,8 @@
     assert!(missing.is_empty(), "{missing:?} in {text}");
     assert!(text.contains("workspace=\"franchise\""), "{text}");
     assert!(text.contains("reason=\"no-route\""), "{text}");
+    let is_ready = |line: &str| line.contains("state=\"ready\"") && line.ends_with(" 1");
+    assert!(text.lines().any(is_ready), "{text}");
     assert!(!text.contains("k1"), "the metrics contain a key");
 }
 
--- a/crates/direct/tests/start/instance.rs
+++ b/crates/direct/tests/start/instance.rs
@@ -57,6 +57,10 @@
 
 /// An instance.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each tells something else of the instance"
+)]
 pub(crate) struct Instance {
     pub(crate) address: SocketAddr,
     pub(crate) is_seed: bool,
--- a/crates/direct/tests/start/world.rs
+++ b/crates/direct/tests/start/world.rs
@@ -55,6 +55,9 @@
 const MOST_READY_TIME: Duration = Duration::from_secs(5);
 const ALL_READY_TIME: Duration = Duration::from_secs(10);
 
+/// Instances that can learn of anything only later than this are not judged.
+const LAST_OWED_TIME: Duration = SIMULATED_TIME.saturating_sub(ALL_READY_TIME);
+
 /// How long an instance may make no progress.
 const MAX_STANDSTILL: Duration = Duration::from_secs(8);
 
@@ -677,9 +680,8 @@
     // How many calls it takes until everything is known.
     const fn calls_to_list(&self, topic: TopicName) -> usize {
         match topic {
-            TopicName::Operator => 1,
             TopicName::Endpoints if self.size.pages() > 1 => self.size.pages() + 1,
-            TopicName::Endpoints => 1,
+            TopicName::Operator | TopicName::Endpoints => 1,
         }
     }
 
@@ -785,7 +787,7 @@
         let mut never = 0_usize;
         for (n, one) in self.instances.iter().enumerate() {
             let from = self.owed_from(n).max(first);
-            if !one.is_alive || from > SIMULATED_TIME - ALL_READY_TIME {
+            if !one.is_alive || from > LAST_OWED_TIME {
                 continue;
             }
             match one.ready_at {
