direct: a list of endpoints takes a third of the bytes, and the policy waits for its turn

What callers saw: after a start of all 985 instances with one seed left, half of them knew nothing for 30 s (driven time). A list took 106 bytes an endpoint, a seed's link carried 985 of them in 12.6 s, and each instance gave up after 8 s; the policy, 100 KB with each first part, was not paced at all, so that parts which had a turn came too late.

Endpoints that share service, models, zone, region, standing, slots and build are encoded in groups now: 41 bytes each in a part of 512, 106 before (a_list_takes_few_bytes_for_each_endpoint failed with 54,464 bytes where 23,040 may be). The pace counts bytes, the policy's with them, and an instance that has no policy yet gets none with an answer that holds no part. The path is v9.

--- a/crates/bench/src/state/updates.rs
+++ b/crates/bench/src/state/updates.rs
@@ -258,8 +258,9 @@
         let patience = since(poller.arrived_at + poller.request.wait, now);
         let mut sent_at = now;
         let mut allowance = Allowance::Part;
-        if let Some(endpoints) = self.seed.list_part_len(&poller.request) {
-            match self.pace.reserve(endpoints, now, patience) {
+        let part = self.seed.list_part_bytes(&poller.request);
+        if let Some(bytes) = part.expect("an encoded policy") {
+            match self.pace.reserve(bytes, now, patience) {
                 Some(delay) => sent_at += delay,
                 None => allowance = Allowance::Nothing,
             }
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -44,7 +44,7 @@
 use crate::shared::Shared;
 use crate::standby::Peers;
 
-const STATE_PATH: &str = "/peer/v8/state";
+const STATE_PATH: &str = "/peer/v9/state";
 
 /// The largest accepted request or answer. A configuration of 8,900 workspaces
 /// takes about 2 MB; endpoints are sent in parts of some 60 KB.
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -132,12 +132,13 @@
     request: &UpdateRequest,
     deadline: Instant,
 ) -> Allowance {
-    let Some(endpoints) = shared.update_replica(false, |replica| replica.list_part_len(request))
-    else {
+    let bytes = shared.update_replica(false, |replica| replica.list_part_bytes(request));
+    // A policy that can't be encoded is reported when the answer is built.
+    let Ok(Some(bytes)) = bytes else {
         return Allowance::Part;
     };
     let patience = deadline.saturating_duration_since(Instant::now());
-    let turn = shared.list_pace().reserve(endpoints, boot_time(), patience);
+    let turn = shared.list_pace().reserve(bytes, boot_time(), patience);
     shared.metrics.start().count_part(turn.is_some());
     match turn {
         Some(delay) => {
--- a/crates/direct/src/pace.rs
+++ b/crates/direct/src/pace.rs
@@ -14,14 +14,11 @@
 /// in time, use the rest.
 const LINK_FRACTION: f64 = 0.75;
 
-/// The size of one endpoint in a list, in bytes.
-pub const ENDPOINT_BYTES: f64 = 120.0;
-
 /// The turns of the parts that this instance sends.
 #[derive(Debug)]
 pub struct Pace {
-    // Seconds that one endpoint takes.
-    endpoint_secs: f64,
+    // Bytes a second that lists may use.
+    rate: f64,
     next: Moment,
 }
 
@@ -33,20 +30,20 @@
         #[expect(clippy::cast_precision_loss, reason = "only a pause depends on it")]
         let rate = link_rate.max(1) as f64 * LINK_FRACTION;
         Self {
-            endpoint_secs: ENDPOINT_BYTES / rate,
+            rate,
             next: Duration::ZERO,
         }
     }
 
-    /// Reserves the next turn, for a part with this many endpoints. Returns how long to wait
-    /// for it, or `None` if that is longer than `patience`.
-    pub fn reserve(&mut self, endpoints: u32, now: Moment, patience: Duration) -> Option<Duration> {
+    /// Reserves the next turn, for a part of this many bytes. Returns how long to wait for it,
+    /// or `None` if that is longer than `patience`.
+    pub fn reserve(&mut self, bytes: u32, now: Moment, patience: Duration) -> Option<Duration> {
         let turn = self.next.max(now);
         let delay = since(turn, now);
         if delay > patience {
             return None;
         }
-        self.next = turn + Duration::from_secs_f64(self.endpoint_secs * f64::from(endpoints));
+        self.next = turn + Duration::from_secs_f64(f64::from(bytes) / self.rate);
         Some(delay)
     }
 }
--- a/crates/direct/src/pace/tests.rs
+++ b/crates/direct/src/pace/tests.rs
@@ -1,12 +1,11 @@
 use std::time::Duration;
 
-use super::{ENDPOINT_BYTES, Pace};
+use super::Pace;
 
 const PATIENCE: Duration = Duration::from_secs(1);
 
-// The endpoints of a part, and its bytes.
-const PART: u32 = 512;
-const PART_BYTES: f64 = 512.0 * ENDPOINT_BYTES;
+// The bytes of a part.
+const PART: u32 = 60_000;
 
 // Returns how many of `askers`, all at once, get a turn.
 fn turns(link_rate: u64, askers: u32) -> u32 {
@@ -22,9 +21,9 @@
 fn parts_fit_the_link_however_many_ask() {
     for link_rate in [1_250_000, 2_500_000, 125_000_000] {
         let turns = turns(link_rate, 5_000);
-        let bytes = f64::from(turns) * PART_BYTES;
+        let bytes = f64::from(turns) * f64::from(PART);
         let carried = f64::from(u32::try_from(link_rate).unwrap_or(u32::MAX));
-        assert!(bytes < carried + PART_BYTES, "{bytes} of {carried}");
+        assert!(bytes < carried + f64::from(PART), "{bytes} of {carried}");
         assert!(bytes > carried / 2.0, "{bytes} of {carried}");
     }
     assert_eq!(turns(125_000_000, 4), 4);
@@ -45,6 +44,6 @@
 fn short_lists_wait_for_less() {
     let mut pace = Pace::new(1_250_000);
     let now = Duration::from_secs(9);
-    let delays = (0..25).filter_map(|_| pace.reserve(63, now, PATIENCE));
+    let delays = (0..25).filter_map(|_| pace.reserve(63 * 120, now, PATIENCE));
     assert!(delays.max() < Some(Duration::from_millis(200)));
 }
--- a/crates/direct/src/replica.rs
+++ b/crates/direct/src/replica.rs
@@ -14,6 +14,7 @@
 //! policy and evacuated zones, comes with the first of them.
 
 mod endpoints;
+mod group;
 mod message;
 mod parts;
 
@@ -27,6 +28,7 @@
 
 use self::endpoints::Endpoints;
 pub use self::endpoints::bucket_of;
+use self::group::group;
 use self::message::EndpointChanges;
 pub use self::message::{Answer, Error, Update, UpdateRequest};
 use self::parts::{Part, Parts};
@@ -38,10 +40,13 @@
 use crate::source::Position;
 use crate::stats::Load;
 
-/// How many endpoint changes one answer holds at most, at about 120 bytes each: half a
-/// tenth of a second on a link of 10 Mbit/s.
+/// How many endpoint changes one answer holds at most, at some 40 bytes each: a sixtieth of
+/// a second on a link of 10 Mbit/s.
 pub const MAX_CHANGES_PER_ANSWER: usize = 512;
 
+/// The size of one endpoint in a list, in bytes, with some to spare.
+pub const ENDPOINT_BYTES: usize = 45;
+
 /// How much evidence is retained for peers. An endpoint that ends leaves up to a hundred
 /// pieces, and each peer polls every second or two.
 const MAX_EVIDENCE: usize = 1_000;
@@ -321,21 +326,27 @@
     /// Returns whether the answer to a request is a part of the full list of endpoints.
     #[must_use]
     pub fn is_listing(&self, request: &UpdateRequest) -> bool {
-        self.list_part_len(request).is_some()
+        let scope = self.scope(request);
+        scope.full || scope.list_start > 0
     }
 
-    /// Returns how many endpoints the answer to a request holds if it is a part of the full
-    /// list.
-    #[must_use]
-    pub fn list_part_len(&self, request: &UpdateRequest) -> Option<u32> {
+    /// Returns how many bytes the answer to a request takes, the policy with it, if it is a
+    /// part of the full list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the policy can't be encoded.
+    pub fn list_part_bytes(&mut self, request: &UpdateRequest) -> Result<Option<u32>, Error> {
         let scope = self.scope(request);
         if !scope.full && scope.list_start == 0 {
-            return None;
+            return Ok(None);
         }
         let changes = self
             .endpoints
             .changes_after(scope.endpoints_after, MAX_CHANGES_PER_ANSWER);
-        u32::try_from(changes.entries.len()).ok()
+        let endpoints = changes.entries.len() * ENDPOINT_BYTES;
+        let policy = self.policy_after(request.version)?.len();
+        Ok(Some(u32::try_from(endpoints + policy).unwrap_or(u32::MAX)))
     }
 
     /// Builds the update for a request that was received `waited` ago, as its recipient
@@ -417,9 +428,17 @@
             overloads: self.overloads_after(scope.after, now),
             ..Update::default()
         };
+        // An instance that has no policy yet can't use it without the list. One that has gets
+        // a newer one at once, however busy the link.
+        let defers_policy = allowance == Allowance::Nothing && request.version == 0;
+        let policy = if defers_policy {
+            Bytes::new()
+        } else {
+            self.policy_after(request.version)?
+        };
         Ok(Answer {
             update,
-            policy: self.policy_after(request.version)?,
+            policy,
             changes: part.bytes,
         })
     }
@@ -495,7 +514,7 @@
             .collect();
         let warming = set.iter().any(|one| !one.warming.is_zero());
         let bytes = message::encode(&EndpointChanges {
-            set,
+            set: group(set),
             expired: names(endpoints::Entry::has_expired),
             removed: names(endpoints::Entry::is_removed),
         })?;
--- a/crates/direct/src/replica/message.rs
+++ b/crates/direct/src/replica/message.rs
@@ -11,6 +11,7 @@
 use godwitpost_types::id::{BuildId, Era, ServiceId, Version};
 use serde::{Deserialize, Serialize};
 
+use super::group::{Group, ungroup};
 use crate::crashes::ForwardedEvidence;
 use crate::evacuation::Evacuation;
 use crate::holders::PrefixHolder;
@@ -137,7 +138,7 @@
 /// The endpoint changes of an update, as they are encoded.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct EndpointChanges {
-    pub(super) set: Vec<Registration>,
+    pub(super) set: Vec<Group>,
     #[serde(rename = "lapsed")]
     pub(super) expired: Vec<String>,
     #[serde(rename = "gone")]
@@ -195,7 +196,7 @@
         let changes: EndpointChanges = decode_part(&self.changes)?.unwrap_or_default();
         Ok(Update {
             policy: decode_part(&self.policy)?,
-            set: changes.set,
+            set: ungroup(changes.set),
             expired: changes.expired,
             removed: changes.removed,
             ..self.update
--- a/crates/direct/src/replica/tests.rs
+++ b/crates/direct/src/replica/tests.rs
@@ -8,8 +8,8 @@
 
 use super::endpoints::MIN_REMOVED_ENDPOINTS;
 use super::{
-    Allowance, MAX_CHANGES_PER_ANSWER, MAX_HOLDERS, Replica, Update, UpdateRequest, Urgency,
-    bucket_of,
+    Allowance, Answer, ENDPOINT_BYTES, MAX_CHANGES_PER_ANSWER, MAX_HOLDERS, Replica, Update,
+    UpdateRequest, Urgency, bucket_of,
 };
 use crate::crashes::{Evidence, Observed};
 use crate::evacuation::Evacuation;
@@ -627,3 +627,108 @@
     let update = replica.build_update(&request, at(0), at(2));
     assert!(update.full && update.more && update.buckets.is_empty());
 }
+
+// An entry as endpoints write it, with ids of the usual size.
+fn fleet_registration(n: u64) -> Registration {
+    let name = format!("i-{n:010x}");
+    let incarnation = 1_764_700_000_000 + n * 31;
+    Registration {
+        endpoint: Endpoint {
+            id: id::from_name(&name),
+            incarnation,
+            service: id::from_name("drafts"),
+            models: BTreeSet::from([id::from_name("m")]),
+            zone: id::from_name(["a", "b", "c"][usize::try_from(n % 3).unwrap_or(0)]),
+            region: id::from_name("north"),
+            address: format!("10.7.{}.{}:8464", n / 200 % 200, n % 200)
+                .parse()
+                .expect("an address"),
+            name,
+            ..registration("one").endpoint
+        },
+        slots: 12,
+        started_at: std::time::UNIX_EPOCH.checked_add(at(incarnation)),
+        ..registration("one")
+    }
+}
+
+/// Guards against lists that take more of a link than they need to: one seed that is left
+/// sends a thousand of them when all instances start.
+#[test]
+fn a_list_takes_few_bytes_for_each_endpoint() {
+    let mut replica = Replica::new(7);
+    for n in 0..512 {
+        replica.set_endpoint(fleet_registration(n), Duration::ZERO);
+    }
+    replica.confirm_policy(at(1_000));
+    replica.confirm_endpoints(at(1_000));
+    let answer = replica.build_answer(&FIRST_REQUEST, Allowance::Part, at(0), at(1_000));
+    let bytes = answer
+        .and_then(|answer| answer.encode())
+        .expect("an answer")
+        .len();
+    assert!(bytes < 512 * ENDPOINT_BYTES, "{bytes} bytes");
+}
+
+/// Guards against entries that change on the way, whatever their endpoints wrote.
+#[test]
+fn entries_arrive_as_they_were_sent() {
+    let unusual = Registration {
+        endpoint: Endpoint {
+            id: 5,
+            address: "[::1]:80".parse().expect("an address"),
+            standing: Standing::Leaving,
+            ..registration("unusual").endpoint
+        },
+        warming: at(1_234),
+        build: String::new(),
+        started_at: Some(std::time::UNIX_EPOCH + Duration::from_nanos(1_500_000_001)),
+        ..registration("unusual")
+    };
+    let unknown_start = registration("unknown start");
+    let sent = [
+        unusual,
+        unknown_start,
+        fleet_registration(1),
+        fleet_registration(2),
+    ];
+    let mut replica = Replica::new(7);
+    for one in &sent {
+        replica.set_endpoint(one.clone(), at(1_000) + one.warming);
+    }
+    replica.confirm_policy(at(1_000));
+    replica.confirm_endpoints(at(1_000));
+    let mut received = replica.build_update(&FIRST_REQUEST, at(0), at(1_000)).set;
+    received.sort_by_key(|one| one.endpoint.name.clone());
+    let mut sent = sent.to_vec();
+    sent.sort_by_key(|one| one.endpoint.name.clone());
+    assert_eq!(received, sent);
+}
+
+/// Guards against a link that is filled with configurations while hundreds start, so that
+/// the parts of lists which were given a turn arrive too late.
+#[test]
+fn a_busy_peer_sends_a_starting_instance_no_policy() {
+    let mut replica = Replica::new(7);
+    replica.set_policy(Content {
+        version: 3,
+        ..Content::default()
+    });
+    replica.set_endpoint(registration("a"), Duration::ZERO);
+    replica.confirm_policy(at(1_000));
+    replica.confirm_endpoints(at(1_000));
+    let part = replica.list_part_bytes(&FIRST_REQUEST).ok().flatten();
+    let policy = replica.policy_after(0).expect("an encoded policy").len();
+    let expected = u32::try_from(policy + ENDPOINT_BYTES).ok();
+    assert_eq!(part, expected);
+    let mut answer = |request: &UpdateRequest| {
+        let answer = replica.build_answer(request, Allowance::Nothing, at(0), at(1_000));
+        answer.and_then(Answer::into_update).expect("an answer")
+    };
+    assert!(answer(&FIRST_REQUEST).policy.is_none());
+    let has_older = UpdateRequest {
+        version: 2,
+        ..FIRST_REQUEST
+    };
+    assert!(answer(&has_older).policy.is_some());
+}
--- a/crates/direct/tests/start/world.rs
+++ b/crates/direct/tests/start/world.rs
@@ -5,10 +5,9 @@
 use std::time::Duration;
 
 use godwitpost_direct::backoff;
-use godwitpost_direct::pace::ENDPOINT_BYTES;
 use godwitpost_direct::polling::age::{ANSWER_TIMEOUT, max_age, poll_wait};
 use godwitpost_direct::polling::{Failure, MAX_LIST_TIME, Next, STARTUP_RETRY_PAUSE, first_wait};
-use godwitpost_direct::replica::MAX_CHANGES_PER_ANSWER;
+use godwitpost_direct::replica::{ENDPOINT_BYTES, MAX_CHANGES_PER_ANSWER};
 use godwitpost_types::clock::{Moment, since};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -567,22 +566,16 @@
             return self.push_answer(poll, delay, SMALL_ANSWER_BYTES, content);
         };
         let length = MAX_CHANGES_PER_ANSWER.min(endpoints - sent * MAX_CHANGES_PER_ANSWER);
-        let length = u32::try_from(length).expect("a part is short");
-        let turn = one.pace.reserve(length, now, since(deadline, now));
+        let policy = if sent == 0 { POLICY_BYTES } else { 0 };
+        let bytes = length * ENDPOINT_BYTES + policy;
+        let reserved = u32::try_from(bytes).expect("a part is short");
+        let turn = one.pace.reserve(reserved, now, since(deadline, now));
         let Some(delay) = turn else {
             return self.push_answer(poll, Duration::ZERO, SMALL_ANSWER_BYTES, content);
         };
         if let Content::State { has_part, .. } = &mut content {
             *has_part = true;
         }
-        let policy = if sent == 0 { POLICY_BYTES } else { 0 };
-        let bytes = f64::from(length) * ENDPOINT_BYTES;
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a part is short"
-        )]
-        let bytes = bytes as usize + policy;
         self.push_answer(poll, delay, bytes, content);
     }
 
