client: a connection that sends bytes without end is closed

What callers saw: beside a server that sends informational responses, or digits of a chunk's size, without end, a request took the whole of its time and longer (1.9 s and 2.7 s of 1.2 s), while 20 MB were read for nothing, at the full speed of the link.

Cause: each of these is valid so far, so hyper reads on: it bounds a head, chunk extensions and trailers, but neither informational responses nor a size with zeros in front. The class: a reader with no bound on what it reads in vain. The outcome is unknown, as it was, and the request isn't repeated.

Two tests of the client alone.

--- a/crates/client/src/connect.rs
+++ b/crates/client/src/connect.rs
@@ -25,6 +25,7 @@
 mod meter;
 mod pool;
 mod received;
+mod untaken;
 
 use std::error::Error as _;
 use std::fmt;
@@ -45,6 +46,7 @@
 use self::pool::Pool;
 pub use self::pool::{Connection, Settings};
 pub use self::received::{Framing, ResponseBody};
+use self::untaken::Untaken;
 
 /// Number of unanswered keep-alive probes after which a peer counts as gone.
 /// More than one, so that a single lost packet does not end a stream.
@@ -317,6 +319,7 @@
         request: Request<Body>,
         deadline: Instant,
     ) -> Result<Response<ResponseBody>, Error> {
+        connection.untaken.reset();
         let sent = connection.sender.try_send_request(request);
         // On a time-out the connection is dropped and closed, so a late
         // response can't be taken for that of another request.
@@ -325,6 +328,7 @@
         };
         match result {
             Ok(response) => {
+                connection.untaken.reset();
                 let (head, body) = response.into_parts();
                 let pool = self.pool.clone();
                 let body = ResponseBody::new(&head.headers, body, connection, pool);
@@ -386,12 +390,14 @@
     // one is acknowledged.
     stream.set_nodelay(true).map_err(Cause::Connect)?;
     enable_keepalive(&stream, settings.dead_after).map_err(Cause::Connect)?;
+    let untaken = Untaken::default();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(settings.buffer_bytes)
         .handshake(TokioIo::new(MeteredStream::new(
             stream,
             transferred.clone(),
             settings.ack_timeout,
+            untaken.clone(),
         )))
         .await
         .map_err(|error| Cause::Connection(error.into()))?;
@@ -400,5 +406,6 @@
             ::log::debug!(address:% = address, error:% = error; "connection ended");
         }
     });
-    Ok(Connection::new(address, sender, driver.abort_handle()))
+    let driver = driver.abort_handle();
+    Ok(Connection::new(address, sender, driver, untaken))
 }
--- a/crates/client/src/connect/meter.rs
+++ b/crates/client/src/connect/meter.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use super::ack::AckTimeout;
+use super::untaken::Untaken;
 
 /// Bytes of the IPv4 header (20), the TCP header (20) and the time stamp
 /// option (12).
@@ -58,6 +59,7 @@
     stream: TcpStream,
     counter: TransferCounter,
     ack_timeout: Option<AckTimeout>,
+    untaken: Untaken,
 }
 
 impl MeteredStream {
@@ -65,11 +67,13 @@
         stream: TcpStream,
         counter: TransferCounter,
         ack_timeout: Option<Duration>,
+        untaken: Untaken,
     ) -> Self {
         Self {
             stream,
             counter,
             ack_timeout: ack_timeout.map(AckTimeout::new),
+            untaken,
         }
     }
 
@@ -100,7 +104,9 @@
             ack_timeout.poll_end(&this.stream, cx)?;
         }
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.counter.record_transfer(buf.filled().len() - before);
+        let received = buf.filled().len() - before;
+        self.counter.record_transfer(received);
+        self.untaken.add(received)?;
         read
     }
 }
--- a/crates/client/src/connect/pool.rs
+++ b/crates/client/src/connect/pool.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::Body;
+use super::untaken::Untaken;
 
 /// Limits of a [`super::Connector`].
 #[derive(Clone, Debug)]
@@ -72,6 +73,7 @@
     // How long the server keeps it open while idle, if announced.
     server_idle_timeout: Option<Duration>,
     driver: AbortHandle,
+    pub(super) untaken: Untaken,
 }
 
 /// The server's idle time-out is divided by this to get the time after which a
@@ -81,12 +83,18 @@
 const SERVER_TIMEOUT_DIVISOR: u32 = 2;
 
 impl Connection {
-    pub(super) fn new(address: SocketAddr, sender: SendRequest<Body>, driver: AbortHandle) -> Self {
+    pub(super) fn new(
+        address: SocketAddr,
+        sender: SendRequest<Body>,
+        driver: AbortHandle,
+        untaken: Untaken,
+    ) -> Self {
         Self {
             address,
             sender,
             server_idle_timeout: None,
             driver,
+            untaken,
         }
     }
 
--- a/crates/client/src/connect/received.rs
+++ b/crates/client/src/connect/received.rs
@@ -124,7 +124,12 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         match &frame {
-            Some(Ok(_)) => self.release_at_end(),
+            Some(Ok(_)) => {
+                if let Some((connection, _)) = &self.connection {
+                    connection.untaken.reset();
+                }
+                self.release_at_end();
+            }
             Some(Err(_)) => self.connection = None,
             None => {
                 if let Some((connection, pool)) = self.connection.take() {
--- a/crates/client/tests/connect.rs
+++ b/crates/client/tests/connect.rs
@@ -447,3 +447,49 @@
     };
     assert!(cause.is_unreachable(), "{cause}");
 }
+
+/// Guards against a server whose informational responses never end: they are read at the full
+/// speed of the link for as long as the request may take.
+#[tokio::test]
+async fn informational_responses_without_end_are_cut_off() {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await.expect("a request");
+        let many = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(300);
+        while stream.write_all(&many).await.is_ok() {}
+    });
+    let connector = Connector::new(Settings::default());
+    let error = connector
+        .send(address, request("/a"), LONG)
+        .await
+        .expect_err("no response");
+    assert!(
+        matches!(error, Error::Unknown(Cause::Connection(_))),
+        "{error}"
+    );
+}
+
+/// Guards against a long body that is taken for bytes without end.
+#[tokio::test]
+async fn long_body_is_no_flood() {
+    const LENGTH: usize = 4 << 20;
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await.expect("a request");
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LENGTH}\r\n\r\n");
+        drop(stream.write_all(head.as_bytes()).await);
+        drop(stream.write_all(&vec![b'x'; LENGTH]).await);
+        drop(stream.read_u8().await);
+    });
+    let connector = Connector::new(Settings::default());
+    let response = connector
+        .send(address, request("/a"), LONG)
+        .await
+        .expect("a response");
+    // The reader takes its time, and much waits to be read meanwhile.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let body = response.into_body().collect().await.expect("a whole body");
+    assert_eq!(body.to_bytes().len(), LENGTH);
+}
--- a/crates/direct/tests/instance/endpoint.rs
+++ b/crates/direct/tests/instance/endpoint.rs
@@ -13,6 +13,9 @@
 pub(crate) enum Step {
     /// Sends bytes.
     Send(String),
+    /// Sends bytes again and again, with a pause of these milliseconds, until the other side
+    /// closes the connection.
+    SendWithoutEnd(String, u64),
     /// Waits this many milliseconds.
     Wait(u64),
     /// Closes the connection.
@@ -46,6 +49,8 @@
     received: Vec<ReceivedRequest>,
     connections: usize,
     disconnects: usize,
+    useless_bytes: usize,
+    ended_floods: usize,
     accepting: Option<AbortHandle>,
     paused: bool,
 }
@@ -122,6 +127,17 @@
         self.state.lock().expect("endpoint state lock").connections
     }
 
+    /// Returns how many bytes without end were taken, on all connections.
+    pub(crate) fn useless_bytes(&self) -> usize {
+        let state = self.state.lock().expect("endpoint state lock");
+        state.useless_bytes
+    }
+
+    /// Returns on how many connections bytes without end were sent until these closed.
+    pub(crate) fn ended_floods(&self) -> usize {
+        self.state.lock().expect("endpoint state lock").ended_floods
+    }
+
     /// Returns how many callers disconnected while a script waited.
     pub(crate) fn disconnects(&self) -> usize {
         self.state.lock().expect("endpoint state lock").disconnects
@@ -149,6 +165,10 @@
                         return;
                     }
                 }
+                Step::SendWithoutEnd(text, pause) => {
+                    send_without_end(&mut stream, &text, pause, &state).await;
+                    return;
+                }
                 Step::Wait(millis) => {
                     let mut byte = [0; 64];
                     let wait = Duration::from_millis(millis);
@@ -180,6 +200,22 @@
     }
 }
 
+// Sends bytes until the other side closes the connection, and counts what it took.
+async fn send_without_end(
+    stream: &mut TcpStream,
+    text: &str,
+    pause: u64,
+    state: &Mutex<EndpointState>,
+) {
+    while stream.write_all(text.as_bytes()).await.is_ok() {
+        state.lock().expect("endpoint state lock").useless_bytes += text.len();
+        if pause > 0 {
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+    state.lock().expect("endpoint state lock").ended_floods += 1;
+}
+
 async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
     loop {
         if let Some(received) = take_request(buffer) {
