--- a/crates/direct/src/polling.rs
+++ b/crates/direct/src/polling.rs
@@ -308,3 +308,6 @@
         time_left.saturating_sub(ANSWER_TIMEOUT)
     }
 }
+
+#[cfg(test)]
+mod tests;
