--- a/crates/direct/src/standby.rs
+++ b/crates/direct/src/standby.rs
@@ -155,9 +155,9 @@
             .is_some_and(|at| since(now, at) < POLLER_TIMEOUT)
     }
 
-    /// Returns the standbys that the instance of this incarnation names: of the
-    /// pollers that are no seeds, and of those with the fastest links, the ones that rank highest with it. They
-    /// change only when one of them stops polling or the number of pollers
+    /// Returns the standbys that the instance of this incarnation names: of the pollers that
+    /// are no seeds the ablest, and among equals those that rank highest with it. They change
+    /// only when one of them stops polling, an abler one polls, or the number of pollers
     /// changes much.
     pub fn standbys(&mut self, incarnation: u64, now: Moment) -> &[SocketAddr] {
         let pollers = self.last_polls.len();
