direct: logs and metrics tell the parts of requests that crash endpoints

The lines of the incident count crashes and can't tell which share a part of a prompt, how often a broken connection was not taken for a crash, which answer cleared a chain, or which evidence of others arrived. No decision changes.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -26,9 +26,10 @@
 
 use self::entries::EntryChange;
 use self::follow::{Follower, Mode, Topic, TopicUpdate, follow};
-use self::peers::PeerUpdate;
+use self::peers::{PeerUpdate, record_evidence};
 use crate::evacuation::{EvacuatedZones, Evacuation, TopicState};
 use crate::feed::Change;
+use crate::metrics::EvidenceSource;
 use crate::policy::Policy;
 use crate::readiness::Readiness;
 use crate::relay::tell_origins;
@@ -364,7 +365,7 @@
             self.publish_view();
         }
         for evidence in update.evidence {
-            self.shared.crash_tracker().record(evidence);
+            record_evidence(&self.shared, evidence, EvidenceSource::Poll);
         }
         if let Some(confirmed_at) = update.endpoints_confirmed_at {
             self.roster.record_complete_read(confirmed_at);
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -33,6 +33,7 @@
 pub(super) use self::answer::handle_request;
 pub(super) use self::overloads::send_overloads;
 pub(crate) use self::passing::forward_evidence;
+pub(super) use self::passing::record_evidence;
 pub(super) use self::passing::run_exchange;
 pub(super) use self::peer::PeerUpdate;
 use self::peer::{Peer, PeerError};
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -19,7 +19,7 @@
 use super::{PeerError, STARTUP_PERIOD, full_body, status_response};
 use crate::crashes::{Evidence, ForwardedEvidence};
 use crate::holders::PrefixHolder;
-use crate::metrics::LoadSource;
+use crate::metrics::{EvidenceSource, LoadSource};
 use crate::polling::age::ANSWER_TIMEOUT;
 use crate::relay::{adopt_sole_builds, sole_builds};
 use crate::shared::Shared;
@@ -120,13 +120,34 @@
     };
     for message in messages {
         let evidence = message.to_evidence(now);
-        if shared.crash_tracker().record(evidence) {
+        if record_evidence(shared, evidence, EvidenceSource::Message) {
             shared.update_replica(true, |replica| replica.add_evidence(evidence));
         }
     }
     status_response(StatusCode::OK)
 }
 
+/// Records evidence of another instance; returns whether it is new.
+pub(in crate::control) fn record_evidence(
+    shared: &Shared,
+    evidence: Evidence,
+    source: EvidenceSource,
+) -> bool {
+    let mut crash_tracker = shared.crash_tracker();
+    let is_new = crash_tracker.record(evidence);
+    let chain_length = crash_tracker.chain_length(&evidence.digest);
+    drop(crash_tracker);
+    if is_new {
+        shared.metrics.crashes().count_evidence(source);
+        log::info!(
+            observed:? = evidence.observed, chain = chain_length, source:% = source.as_str(),
+            age_ms:% = since(boot_time(), evidence.observed_at).as_millis();
+            "evidence received on a request that may crash endpoints"
+        );
+    }
+    is_new
+}
+
 /// Forwards the evidence that this instance has collected on requests that may
 /// crash endpoints to the seeds, each of which sends it to the instances that
 /// poll it.
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -9,7 +9,7 @@
 
 use godwitpost_types::endpoint::Standing;
 use godwitpost_types::hash;
-use godwitpost_types::id::{self, PrefixId};
+use godwitpost_types::id::{self, PartId, PrefixId};
 use http::{HeaderMap, StatusCode};
 
 use crate::fragility::{MAX_REFUSALS, MaxRefusals};
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
     /// The part's id; the same for all requests that share it.
-    pub id: u64,
+    pub id: PartId,
     /// The part's length.
     pub tokens: u32,
 }
@@ -88,6 +88,14 @@
             .collect()
     }
 
+    /// Returns the ids of the parts of the prompt that other requests may share: all but the
+    /// last one.
+    #[must_use]
+    pub fn parts_shared_with_others(&self) -> Vec<PartId> {
+        let own = self.prompt.len().saturating_sub(1);
+        self.prompt.iter().take(own).map(|part| part.id).collect()
+    }
+
     // Returns all parts but the last one, unless that is the only one.
     fn shared_parts(&self) -> &[Part] {
         let shared = self.prompt.len().saturating_sub(1);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of one instance: those of its requests, and those of its own state.
 
+mod crashes;
 mod loads;
 mod start;
 mod streams;
@@ -14,6 +15,8 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 
+use self::crashes::Crashes;
+pub(crate) use self::crashes::{CheckResult, EvidenceSource};
 pub(crate) use self::loads::LoadSource;
 use self::loads::Loads;
 use self::start::Start;
@@ -47,6 +50,7 @@
     refusals: Counter<u64>,
     repeats: Counter<u64>,
     streams: Streams,
+    crashes: Crashes,
     loads: Loads,
     start: Start,
     sources: Counter<u64>,
@@ -94,6 +98,7 @@
                 "Requests sent to a further endpoint, by whether the budget allowed it",
             ),
             streams: Streams::new(&meter),
+            crashes: Crashes::new(&meter),
             loads: Loads::new(&meter),
             start: Start::new(&meter),
             shares: counter(
@@ -188,6 +193,11 @@
         &self.streams
     }
 
+    /// Returns the metrics of crashed endpoints.
+    pub(crate) const fn crashes(&self) -> &Crashes {
+        &self.crashes
+    }
+
     /// Returns the metrics of endpoints' loads.
     pub(crate) const fn loads(&self) -> &Loads {
         &self.loads
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -16,8 +16,8 @@
 use super::send::{BufferedBody, is_capacity_refusal};
 use super::stream::Stream;
 use super::{
-    BodyEnd, EndpointResponse, Job, Refused, RefusedRequest, choose, dispatch, headers, refuse,
-    set_retry_after,
+    BodyEnd, EndpointResponse, InFlightRequest, Job, Refused, RefusedRequest, choose, dispatch,
+    headers, refuse, set_retry_after,
 };
 use crate::attempt::{Failure, Next};
 use crate::refusal::Reason;
@@ -32,8 +32,8 @@
     }
     loop {
         let until = job.timer_deadline();
-        let endpoint = response.in_flight.name();
-        let buffered = timeout_at(until, buffer_body(&job, endpoint, response.body)).await;
+        let body = buffer_body(&job, &response.in_flight, response.body);
+        let buffered = timeout_at(until, body).await;
         match buffered.unwrap_or(BufferedBody::Broken) {
             BufferedBody::Whole(bytes) => {
                 return relay_buffered(&job, response.head, &response.in_flight, bytes);
@@ -47,7 +47,7 @@
                 response
                     .in_flight
                     .record_failure(Observation::BrokenResponse);
-                response.in_flight.check_for_crash(job.id(), job.digest());
+                response.in_flight.check_for_crash(&job);
                 drop(response.in_flight);
                 match retry(&mut job).await {
                     Ok(next) => response = next,
@@ -78,11 +78,12 @@
     dispatch(job, None).await
 }
 
-async fn buffer_body(job: &Job, endpoint: &str, mut body: Payload) -> BufferedBody {
+async fn buffer_body(job: &Job, in_flight: &InFlightRequest, mut body: Payload) -> BufferedBody {
     let mut bytes = BytesMut::new();
     let end = loop {
         match body.part().await {
             Part::Frame(frame) => {
+                in_flight.record_data();
                 if let Some(data) = frame.data_ref() {
                     bytes.extend_from_slice(data);
                 }
@@ -93,7 +94,7 @@
             return BufferedBody::TooLong(bytes.freeze(), body);
         }
     };
-    job.record_payload_end(endpoint, &body, &end);
+    job.record_payload_end(in_flight.name(), &body, &end);
     match end {
         End::Whole => BufferedBody::Whole(bytes.freeze()),
         End::Broken(_) => BufferedBody::Broken,
@@ -103,7 +104,7 @@
 fn relay_buffered(
     job: &Job,
     mut head: Parts,
-    in_flight: &super::InFlightRequest,
+    in_flight: &InFlightRequest,
     bytes: Bytes,
 ) -> Response<Body> {
     // The response to HEAD keeps the Content-Length that GET would have returned.
@@ -118,6 +119,7 @@
     }
     job.record_response(in_flight.name(), head.status.as_u16());
     job.record_end(BodyEnd::Whole);
+    in_flight.record_completed(job);
     let body = Full::new(bytes).map_err(Into::into);
     Response::from_parts(head, body.boxed_unsync())
 }
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -11,14 +11,16 @@
 use std::time::Duration;
 
 use godwitpost_client::clock::boot_time;
-use godwitpost_types::clock::Moment;
-use godwitpost_types::id::BodyDigest;
+use godwitpost_types::clock::{Moment, since};
+use godwitpost_types::id::{BodyDigest, PartId};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::Job;
 use super::forward::is_reached_by_others;
 use crate::control::peers::forward_evidence;
 use crate::crashes::{Evidence, Observed};
+use crate::metrics::{CheckResult, EvidenceSource};
 use crate::notices::Notice;
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -32,7 +34,11 @@
 pub(super) struct BrokenRequest {
     pub(super) request: String,
     pub(super) digest: BodyDigest,
+    /// The parts of its prompt that other requests may share.
+    pub(super) parts: Vec<PartId>,
     pub(super) sent_at: Moment,
+    /// When the first data of its response's body arrived.
+    pub(super) began_at: Option<Moment>,
     pub(super) registration: Arc<Registration>,
 }
 
@@ -40,11 +46,18 @@
 pub(super) async fn check_for_crash(shared: Arc<Shared>, broken: BrokenRequest) {
     let at = boot_time();
     let endpoint = &broken.registration.endpoint;
+    let checks = &shared.metrics.crashes();
     if !refuses_connection(endpoint.address).await {
+        checks.count_check(CheckResult::Accepts);
+        log::info!(
+            request:% = broken.request, endpoint:% = endpoint.name;
+            "connection broke; the endpoint did not refuse another one and counts as running"
+        );
         return;
     }
     // A path that is cut breaks connections and refuses new ones as a crash does.
     if is_reached_by_others(&shared, &broken.registration).await {
+        checks.count_check(CheckResult::ReachedByOthers);
         log::info!(
             request:% = broken.request, endpoint:% = endpoint.name;
             "connection broke with the path; the endpoint did not crash"
@@ -58,12 +71,15 @@
         .fragility()
         .may_crash_of_load(endpoint.service, endpoint.id, at)
     {
+        checks.count_check(CheckResult::Overloaded);
         log::warn!(
             request:% = broken.request, endpoint:% = endpoint.name;
             "endpoint crashed while it was full; not counted against the request"
         );
         return;
     }
+    checks.count_check(CheckResult::Crashed);
+    checks.count_evidence(EvidenceSource::Own);
     let mut crash_tracker = shared.crash_tracker();
     crash_tracker.record_local(Evidence {
         digest: broken.digest,
@@ -74,7 +90,9 @@
     let chain_length = crash_tracker.chain_length(&broken.digest);
     drop(crash_tracker);
     log::warn!(
-        request:% = broken.request, endpoint:% = endpoint.name, chain = chain_length;
+        request:% = broken.request, endpoint:% = endpoint.name, chain = chain_length,
+        parts:? = broken.parts, sent_ms_ago:% = since(at, broken.sent_at).as_millis(),
+        wrote_ms:? = broken.began_at.map(|began_at| since(at, began_at).as_millis());
         "endpoint crashed while it ran the request"
     );
     forward_evidence(&shared);
@@ -99,11 +117,23 @@
 }
 
 /// Records that a request completed, which is evidence that it doesn't crash endpoints.
-pub(super) fn record_completed(shared: &Arc<Shared>, digest: BodyDigest, sent_at: Moment) {
+pub(super) fn record_completed(shared: &Arc<Shared>, job: &Job) {
+    if shared.crash_tracker().is_empty() {
+        return;
+    }
+    let digest = job.digest();
+    let chain_length = shared.crash_tracker().chain_length(&digest);
+    if chain_length == 0 {
+        return;
+    }
+    log::info!(
+        request:% = job.id(), chain = chain_length;
+        "request completed; earlier crashes are not counted against it"
+    );
     shared.crash_tracker().record_local(Evidence {
         digest,
         observed: Observed::Answered,
-        sent_at,
+        sent_at: job.arrived(),
         observed_at: boot_time(),
     });
     forward_evidence(shared);
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -410,7 +410,7 @@
         let this = &mut *self;
         let end = match ready!(this.body.poll_part(cx)) {
             Part::Frame(frame) => {
-                this.in_flight.record_activity();
+                this.in_flight.record_data();
                 return Poll::Ready(Some(Ok(frame)));
             }
             Part::End(end) => end,
@@ -422,8 +422,7 @@
             End::Broken(cause) => {
                 log::warn!(request:% = this.job.id(), endpoint:% = this.in_flight.name(), error:% = cause; "response broke off");
                 this.in_flight.record_failure(Observation::BrokenResponse);
-                this.in_flight
-                    .check_for_crash(this.job.id(), this.job.digest());
+                this.in_flight.check_for_crash(&this.job);
                 Poll::Ready(Some(Err(cause.into())))
             }
         }
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::payload::{End, Payload};
-use super::{crash, headers, origin};
+use super::{headers, origin};
 use crate::attempt::Attempts;
 use crate::dialect::RequestFields;
 use crate::origins::Origin;
@@ -329,6 +329,11 @@
         since(self.deadline, boot_time())
     }
 
+    /// Returns when the request arrived.
+    pub(super) const fn arrived(&self) -> Moment {
+        self.arrived
+    }
+
     /// Returns the time since the request arrived.
     pub(crate) fn age(&self) -> Duration {
         since(boot_time(), self.arrived)
@@ -397,12 +402,7 @@
         let took = self.age();
         godwitpost_process::metrics::Metrics::record_response_end(&self.labels, took);
         let level = match end {
-            BodyEnd::Whole => {
-                if !self.shared.crash_tracker().is_empty() {
-                    crash::record_completed(&self.shared, self.digest(), self.arrived);
-                }
-                return;
-            }
+            BodyEnd::Whole => return,
             BodyEnd::Left => Level::Info,
             BodyEnd::Broken => Level::Warn,
         };
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request until an endpoint responds or all attempts are used up.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +10,7 @@
 use godwitpost_decide::health::Event;
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Standing;
-use godwitpost_types::id::{BodyDigest, EndpointId};
+use godwitpost_types::id::EndpointId;
 use http::request::Request;
 use http::response::Parts;
 use http::{Response, StatusCode};
@@ -19,7 +19,7 @@
 
 use super::Job;
 use super::choose::{self, Belief, Chosen, RESPONSE_RETURN_TIME, choose_endpoint};
-use super::crash::{BrokenRequest, check_for_crash};
+use super::crash::{BrokenRequest, check_for_crash, record_completed};
 use super::forward::{self, Sent};
 use super::payload::{Payload, has_unknown_coding};
 use super::source::{self, Source};
@@ -64,6 +64,8 @@
     shared: Arc<Shared>,
     registration: Arc<Registration>,
     sent_at: Moment,
+    // When the first data of the response's body arrived.
+    began_at: OnceLock<Moment>,
     liveness: Liveness,
     // The instance that sends the request on, if it is not sent directly. What happens to
     // it then tells nothing of the endpoint, which that instance watches itself.
@@ -84,6 +86,7 @@
             shared: Arc::clone(shared),
             registration: Arc::clone(registration),
             sent_at: boot_time(),
+            began_at: OnceLock::new(),
             via: None,
             belief: Some(belief),
             service: shared
@@ -101,6 +104,7 @@
             shared: Arc::clone(shared),
             registration: Arc::clone(registration),
             sent_at: boot_time(),
+            began_at: OnceLock::new(),
             via: None,
             belief: None,
             service: String::new(),
@@ -209,7 +213,7 @@
         } else if cause.is_unreachable() {
             self.record_unresponsive(Observation::NoAcknowledgement);
         } else if matches!(error, Error::Unknown(Cause::Connection(_))) {
-            self.check_for_crash(job.id(), job.digest());
+            self.check_for_crash(job);
         } else if matches!(cause, Cause::ResponseTimeout) {
             self.record_failure(Observation::LateHead);
         }
@@ -220,16 +224,29 @@
         }
     }
 
+    /// Records that data of the response's body arrived.
+    pub(crate) fn record_data(&self) {
+        self.began_at.get_or_init(boot_time);
+        self.record_activity();
+    }
+
+    /// Records that the response was relayed completely.
+    pub(crate) fn record_completed(&self, job: &Job) {
+        record_completed(&self.shared, job);
+    }
+
     /// Starts a check of whether the endpoint crashed with this request, whose connection
     /// broke.
-    pub(crate) fn check_for_crash(&self, request: &str, digest: BodyDigest) {
+    pub(crate) fn check_for_crash(&self, job: &Job) {
         if self.via.is_some() {
             return;
         }
         let broken = BrokenRequest {
-            request: request.to_owned(),
-            digest,
+            request: job.id().to_owned(),
+            digest: job.digest(),
+            parts: job.fields.parts_shared_with_others(),
             sent_at: self.sent_at,
+            began_at: self.began_at.get().copied(),
             registration: Arc::clone(&self.registration),
         };
         tokio::spawn(check_for_crash(Arc::clone(&self.shared), broken));
--- a/crates/direct/src/relay/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -120,7 +120,7 @@
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> NextFrame {
         let now = Instant::now();
         if let State::Reading(reading) = &self.state {
-            reading.in_flight.record_activity();
+            reading.in_flight.record_data();
             if self.stall_detector.observe_event(now - self.last_event_at) {
                 reading.in_flight.record_stall();
             }
@@ -169,6 +169,7 @@
     fn finish(&mut self) -> NextFrame {
         if let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) {
             reading.job.record_end(BodyEnd::Whole);
+            reading.in_flight.record_completed(&reading.job);
         }
         let rest = self
             .events
@@ -193,7 +194,7 @@
         drop(body);
         in_flight.record_failure(Observation::BrokenResponse);
         if matches!(cause, Interruption::Failed(_)) {
-            in_flight.check_for_crash(job.id(), job.digest());
+            in_flight.check_for_crash(&job);
         }
         let resume_point = self.resume_point(&mut job);
         log::warn!(
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -24,6 +24,8 @@
 pub type RegionId = u64;
 /// Identifies a prefix of a prompt, by its model and its parts.
 pub type PrefixId = u64;
+/// Identifies a part of a prompt.
+pub type PartId = u64;
 /// Identifies a chat, by its workspace and its id or prompt prefix.
 pub type ChatId = u64;
 /// Identifies a request; random, chosen by the entry instance.
