--- a/crates/direct/tests/instance/endpoint.rs
+++ b/crates/direct/tests/instance/endpoint.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 /// One step of an endpoint's script.
@@ -24,6 +25,16 @@
     Reset,
     /// Stops the endpoint: it accepts no more connections and closes this one.
     Stop,
+    /// Crashes the endpoint: it accepts no more connections, and all of its connections end,
+    /// by a reset or in order.
+    Crash(Ending),
+}
+
+/// How the connections of an endpoint that crashes end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    Reset,
+    InOrder,
 }
 
 /// A request received by an endpoint.
@@ -53,6 +64,7 @@
     ended_floods: usize,
     accepting: Option<AbortHandle>,
     paused: bool,
+    crashed: watch::Sender<Option<Ending>>,
 }
 
 /// Size of the accept queue; the system drops the first packets of connections beyond it.
@@ -98,7 +110,7 @@
                     .lock()
                     .expect("endpoint state lock")
                     .connections += 1;
-                tokio::spawn(serve(
+                tokio::spawn(serve_until_crash(
                     stream,
                     Arc::clone(&script),
                     Arc::clone(&accept_state),
@@ -138,6 +150,11 @@
         self.state.lock().expect("endpoint state lock").ended_floods
     }
 
+    pub(crate) fn has_crashed(&self) -> bool {
+        let state = self.state.lock().expect("endpoint state lock");
+        state.crashed.borrow().is_some()
+    }
+
     /// Returns how many callers disconnected while a script waited.
     pub(crate) fn disconnects(&self) -> usize {
         self.state.lock().expect("endpoint state lock").disconnects
@@ -150,9 +167,27 @@
     socket.listen(backlog)
 }
 
-async fn serve(mut stream: TcpStream, script: Script, state: Arc<Mutex<EndpointState>>) {
+async fn serve_until_crash(
+    mut stream: TcpStream,
+    script: Script,
+    state: Arc<Mutex<EndpointState>>,
+) {
+    let mut crashed = {
+        let state = state.lock().expect("endpoint state lock");
+        state.crashed.subscribe()
+    };
+    let ending = tokio::select! {
+        () = serve(&mut stream, script, state) => return,
+        ending = crashed.wait_for(Option::is_some) => ending.map(|ending| *ending),
+    };
+    if let Ok(Some(Ending::Reset)) = ending {
+        stream.set_zero_linger().expect("an open socket");
+    }
+}
+
+async fn serve(stream: &mut TcpStream, script: Script, state: Arc<Mutex<EndpointState>>) {
     let mut buffer = Vec::new();
-    while let Some(received) = read(&mut stream, &mut buffer).await {
+    while let Some(received) = read(stream, &mut buffer).await {
         let steps = {
             let mut state = state.lock().expect("endpoint state lock");
             state.received.push(received.clone());
@@ -166,7 +201,7 @@
                     }
                 }
                 Step::SendWithoutEnd(text, pause) => {
-                    send_without_end(&mut stream, &text, pause, &state).await;
+                    send_without_end(stream, &text, pause, &state).await;
                     return;
                 }
                 Step::Wait(millis) => {
@@ -185,21 +220,29 @@
                     return;
                 }
                 Step::Stop => {
-                    if let Some(accepting) =
-                        state.lock().expect("endpoint state lock").accepting.take()
-                    {
-                        accepting.abort();
-                    }
-                    // The listener is closed when its aborted task has been polled once
-                    // more.
-                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    stop_accepting(&state).await;
                     return;
                 }
+                Step::Crash(ending) => {
+                    stop_accepting(&state).await;
+                    let state = state.lock().expect("endpoint state lock");
+                    state.crashed.send_replace(Some(ending));
+                    break;
+                }
             }
         }
     }
 }
 
+async fn stop_accepting(state: &Mutex<EndpointState>) {
+    let accepting = state.lock().expect("endpoint state lock").accepting.take();
+    if let Some(accepting) = accepting {
+        accepting.abort();
+    }
+    // The listener is closed when its aborted task has been polled once more.
+    tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
 // Sends bytes until the other side closes the connection, and counts what it took.
 async fn send_without_end(
     stream: &mut TcpStream,
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -320,6 +320,11 @@
         );
     }
 
+    /// Removes the entry of an endpoint that has ended.
+    pub(crate) fn unregister(&self, name: &str) {
+        self.endpoints.append(name, Value::Removed);
+    }
+
     pub(crate) fn register_build(&self, name: &str, address: SocketAddr, build: &str) {
         self.endpoints
             .append(name, build_entry(name, address, build));
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -6,6 +6,7 @@
 mod builds;
 mod callers;
 mod crashes;
+mod crashing_parts;
 mod endless;
 mod endpoint;
 mod evacuation;
