direct: a failure that was relayed whole doesn't clear a chain of crashes

A request that crashes endpoints was taken for sound again as soon as an endpoint answered it with a 504 or another failure, as any response that was relayed whole counted as an answer. An endpoint that ran out of time may not have begun to answer. Only a success counts now. The test crashes endpoints beside two 504s: without the change the fourth call reaches another one (502), with it it is held (503).

--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -119,7 +119,9 @@
     }
     job.record_response(in_flight.name(), head.status.as_u16());
     job.record_end(BodyEnd::Whole);
-    in_flight.record_completed(job);
+    if head.status.is_success() {
+        in_flight.record_completed(job);
+    }
     let body = Full::new(bytes).map_err(Into::into);
     Response::from_parts(head, body.boxed_unsync())
 }
@@ -141,6 +143,7 @@
             head.headers.insert(http::header::CONTENT_LENGTH, length);
         }
     }
-    let body = Stream::new(job, body, in_flight, buffered);
+    let succeeded = head.status.is_success();
+    let body = Stream::new(job, body, in_flight, buffered, succeeded);
     Response::from_parts(head, body.boxed_unsync())
 }
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -117,6 +117,7 @@
 }
 
 /// Records that a request completed, which is evidence that it doesn't crash endpoints.
+/// A failure is none: an endpoint that ran out of time may not have begun to answer.
 pub(super) fn record_completed(shared: &Arc<Shared>, job: &Job) {
     if shared.crash_tracker().is_empty() {
         return;
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -230,7 +230,7 @@
         self.record_activity();
     }
 
-    /// Records that the response was relayed completely.
+    /// Records that a successful response was relayed completely.
     pub(crate) fn record_completed(&self, job: &Job) {
         record_completed(&self.shared, job);
     }
--- a/crates/direct/src/relay/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -74,6 +74,8 @@
     state: State,
     // Data that was buffered before the head was passed on.
     buffered: Option<Bytes>,
+    // Whether the endpoint responded with a success.
+    succeeded: bool,
     // Splits and counts events if the stream may be resumed.
     events: Option<(EventSplitter, Progress)>,
     last_event_at: Instant,
@@ -98,12 +100,14 @@
         body: Payload,
         in_flight: InFlightRequest,
         buffered: Bytes,
+        succeeded: bool,
     ) -> Self {
         let resumable = job.kind().is_stream() && job.kind().idempotent();
         let now = Instant::now();
         Self {
             events: (resumable && buffered.is_empty()).then(Default::default),
             buffered: (!buffered.is_empty()).then_some(buffered),
+            succeeded,
             last_event_at: now,
             stall_detector: StallDetector::default(),
             silence_timer: Box::pin(sleep_until(now + MAX_SILENCE)),
@@ -169,7 +173,9 @@
     fn finish(&mut self) -> NextFrame {
         if let State::Reading(reading) = std::mem::replace(&mut self.state, State::Ended) {
             reading.job.record_end(BodyEnd::Whole);
-            reading.in_flight.record_completed(&reading.job);
+            if self.succeeded {
+                reading.in_flight.record_completed(&reading.job);
+            }
         }
         let rest = self
             .events
--- a/crates/direct/tests/instance/crashes.rs
+++ b/crates/direct/tests/instance/crashes.rs
@@ -1,5 +1,7 @@
 //! Requests that crash the endpoints that run them.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
 use crate::endpoint::{Endpoint, ReceivedRequest, Step, response_to};
@@ -72,6 +74,30 @@
     assert_eq!(status(&send(&instance, "/stock/1").await), "200");
 }
 
+/// Guards against a request that is taken for sound since endpoints failed to run it in time
+/// between two crashes.
+#[tokio::test]
+async fn failed_runs_do_not_clear_a_chain_of_crashes() {
+    let received = Arc::<AtomicUsize>::default();
+    let mut endpoints = Vec::new();
+    for _ in 0..8 {
+        let received = Arc::clone(&received);
+        let script = move |_, request: &ReceivedRequest| match received.fetch_add(1, Relaxed) {
+            2 | 3 => vec![response_to(request, "504 Too Late", "", "")],
+            _ => vec![Step::Stop],
+        };
+        endpoints.push(Endpoint::start(script).await);
+    }
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let instance = TestInstance::start(&addresses).await;
+    let mut statuses = Vec::new();
+    for _ in 0..4 {
+        let response = send(&instance, POISON_PATH).await;
+        statuses.push(status(&response).to_owned());
+    }
+    assert_eq!(statuses, ["502", "504", "502", "503"]);
+}
+
 /// Guards against holding a request whose responses are lost while its endpoints stay
 /// alive: a lost response is no sign of a crash.
 #[tokio::test]
