direct: requests with a part under which endpoints crash are held

Callers saw over a tenth of their streams fail while 65 engines ended in a minute: requests that share one part of their prompts, and nothing else, each crashed the engine that began to answer them. The class: evidence by a key that is narrower than the cause.

Evidence is kept by the parts that other requests may share as well. A part is held once three endpoints ended one after the other under it (four over two seconds if it was answered before) and no answer that began since is complete; only requests that have all parts which were there each time are refused, and a crash that a held part explains doesn't count against others. Answers travel as crashes do, if they change what is known. From one crash before that on, such a request is not repeated and is placed apart. What waits for a head when its part comes to be held is withdrawn (502). After the hold time one instance of the fleet lets one request through.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -365,7 +365,7 @@
             self.publish_view();
         }
         for evidence in update.evidence {
-            record_evidence(&self.shared, evidence, EvidenceSource::Poll);
+            record_evidence(&self.shared, &evidence, EvidenceSource::Poll);
         }
         if let Some(confirmed_at) = update.endpoints_confirmed_at {
             self.roster.record_complete_read(confirmed_at);
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -11,6 +11,7 @@
 //! here: an endpoint that was seen leaving must not come back.
 
 mod answer;
+mod evidence;
 mod overloads;
 mod passing;
 mod peer;
@@ -31,9 +32,9 @@
 use tokio::time::{Instant, timeout};
 
 pub(super) use self::answer::handle_request;
+pub(super) use self::evidence::record_evidence;
+pub(crate) use self::evidence::{record_own_evidence, tell_answers};
 pub(super) use self::overloads::send_overloads;
-pub(crate) use self::passing::forward_evidence;
-pub(super) use self::passing::record_evidence;
 pub(super) use self::passing::run_exchange;
 pub(super) use self::peer::PeerUpdate;
 use self::peer::{Peer, PeerError};
@@ -47,7 +48,7 @@
 use crate::shared::Shared;
 use crate::standby::Peers;
 
-const STATE_PATH: &str = "/peer/v9/state";
+const STATE_PATH: &str = "/peer/v10/state";
 
 /// The largest accepted request or answer. A configuration of 8,900 workspaces
 /// takes about 2 MB; endpoints are sent in parts of some 60 KB.
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -12,10 +12,9 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::evidence::{EVIDENCE_PATH, handle_evidence};
 use super::overloads::{OVERLOADS_PATH, handle_overloads};
-use super::passing::{
-    EVIDENCE_PATH, EXCHANGE_PATH, handle_evidence, handle_exchange, record_forwarders, record_loads,
-};
+use super::passing::{EXCHANGE_PATH, handle_exchange, record_forwarders, record_loads};
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body, status_response};
 use crate::members;
 use crate::metrics::LoadSource;
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -1,7 +1,6 @@
 //! Messages that instances send to seeds without being polled.
 //!
-//! Evidence on requests that crash endpoints is sent to the seeds at once. Each
-//! seed receives holders of prompts from the instances that poll it, and seeds
+//! Each seed receives holders of prompts from the instances that poll it, and seeds
 //! exchange them once a second.
 
 use std::net::SocketAddr;
@@ -17,21 +16,15 @@
 use serde::{Deserialize, Serialize};
 
 use super::{PeerError, STARTUP_PERIOD, full_body, status_response};
-use crate::crashes::{Evidence, ForwardedEvidence};
 use crate::holders::PrefixHolder;
-use crate::metrics::{EvidenceSource, LoadSource};
+use crate::metrics::LoadSource;
 use crate::polling::age::ANSWER_TIMEOUT;
 use crate::relay::{adopt_sole_builds, sole_builds};
 use crate::shared::Shared;
 use crate::stats::Load;
 
-pub(super) const EVIDENCE_PATH: &str = "/peer/v2/evidence";
 pub(super) const EXCHANGE_PATH: &str = "/peer/v5/heard";
 
-/// How long evidence waits for more before it is forwarded. An endpoint that
-/// terminates breaks all its requests within a few milliseconds.
-const EVIDENCE_BATCH_DELAY: Duration = Duration::from_millis(30);
-
 /// The interval at which seeds exchange prompt holders: about as often as they
 /// are polled.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -112,76 +105,6 @@
     }
 }
 
-// Applies evidence from another instance and publishes it to all instances that
-// poll this one.
-pub(super) fn handle_evidence(shared: &Shared, body: &[u8], now: Moment) -> Response<Body> {
-    let Ok(messages) = rmp_serde::from_slice::<Vec<ForwardedEvidence>>(body) else {
-        return status_response(StatusCode::BAD_REQUEST);
-    };
-    for message in messages {
-        let evidence = message.to_evidence(now);
-        if record_evidence(shared, evidence, EvidenceSource::Message) {
-            shared.update_replica(true, |replica| replica.add_evidence(evidence));
-        }
-    }
-    status_response(StatusCode::OK)
-}
-
-/// Records evidence of another instance; returns whether it is new.
-pub(in crate::control) fn record_evidence(
-    shared: &Shared,
-    evidence: Evidence,
-    source: EvidenceSource,
-) -> bool {
-    let mut crash_tracker = shared.crash_tracker();
-    let is_new = crash_tracker.record(evidence);
-    let chain_length = crash_tracker.chain_length(&evidence.digest);
-    drop(crash_tracker);
-    if is_new {
-        shared.metrics.crashes().count_evidence(source);
-        log::info!(
-            observed:? = evidence.observed, chain = chain_length, source:% = source.as_str(),
-            age_ms:% = since(boot_time(), evidence.observed_at).as_millis();
-            "evidence received on a request that may crash endpoints"
-        );
-    }
-    is_new
-}
-
-/// Forwards the evidence that this instance has collected on requests that may
-/// crash endpoints to the seeds, each of which sends it to the instances that
-/// poll it.
-pub(crate) fn forward_evidence(shared: &Arc<Shared>) {
-    if shared.crash_tracker().begin_forwarding() {
-        let shared = Arc::clone(shared);
-        tokio::spawn(async move {
-            tokio::time::sleep(EVIDENCE_BATCH_DELAY).await;
-            let evidence = shared.crash_tracker().take_unforwarded();
-            for one in &evidence {
-                shared.update_replica(true, |replica| replica.add_evidence(*one));
-            }
-            for peer in shared.settings.other_seeds() {
-                if let Err(error) = send_evidence(&shared, peer, &evidence).await {
-                    log::info!(peer:% = peer, cause:% = error; "evidence not forwarded");
-                }
-            }
-        });
-    }
-}
-
-async fn send_evidence(
-    shared: &Shared,
-    peer: SocketAddr,
-    evidence: &[Evidence],
-) -> Result<(), PeerError> {
-    let now = boot_time();
-    let messages: Vec<ForwardedEvidence> = evidence
-        .iter()
-        .map(|one| ForwardedEvidence::from_evidence(one, now))
-        .collect();
-    post(shared, peer, EVIDENCE_PATH, &messages).await
-}
-
 /// Sends a message to another instance.
 ///
 /// # Errors
--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -11,16 +11,34 @@
 //! of the endpoint is, and the instance whose connection broke looks for it. Evidence is
 //! forwarded to the instances that peers poll, and by them to all others.
 //!
+//! The parts of prompts that requests share are tracked as well, since one of them may
+//! crash endpoints in whichever request it is.
+//!
 //! From the third crash of a chain on, the request is rejected for a hold time that grows
 //! with each further crash. The rejection names the time after which to retry and says
 //! that the request has not run.
 
+mod answers;
+mod evidence;
+mod history;
+mod parts;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId};
-use serde::{Deserialize, Serialize};
+use godwitpost_types::id::{BodyDigest, EndpointId, PartId, ServiceId};
+
+use self::answers::Answer;
+use self::evidence::MAX_TRANSIT;
+pub use self::evidence::{Evidence, ForwardedEvidence, Observed};
+pub use self::history::Suspicion;
+use self::parts::Parts;
+pub use self::parts::{Change, PartKey, Ruling};
+
+/// How long after it began to answer a request an endpoint crashes of it at most. One that
+/// has written for longer crashed of something else.
+pub const MAX_CRASH_TIME: Duration = Duration::from_secs(1);
 
 /// The number of chained crashes from which on a request is held. Requests that are
 /// retried at an endpoint that also happens to go down see two; a third in a row costs
@@ -43,74 +61,17 @@
 /// leaves up to a hundred.
 const MAX_TRACKED_REQUESTS: usize = 4_096;
 
-/// By how much times from another instance may be off, because of the transit time of the
-/// message.
-const MAX_TRANSIT: Duration = Duration::from_millis(5);
-
-/// One observation of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Evidence {
-    /// The digest of the request's body.
-    pub digest: BodyDigest,
-    /// What was observed.
-    pub observed: Observed,
-    /// When the request was sent.
-    pub sent_at: Moment,
-    /// When it was observed.
-    pub observed_at: Moment,
-}
-
-/// What happened to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Observed {
-    /// The endpoint that was running it ended.
-    Crashed(EndpointId),
-    /// It was answered.
-    Answered,
-}
-
-/// Evidence as sent to other instances, with ages instead of times since clocks differ.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ForwardedEvidence {
-    digest: BodyDigest,
-    #[serde(rename = "fate")]
-    observed: Observed,
-    sent_ago: Duration,
-    seen_ago: Duration,
-}
-
-impl ForwardedEvidence {
-    /// Returns evidence in the form in which it is sent at `now`.
-    #[must_use]
-    pub fn from_evidence(evidence: &Evidence, now: Moment) -> Self {
-        Self {
-            digest: evidence.digest,
-            observed: evidence.observed,
-            sent_ago: since(now, evidence.sent_at),
-            seen_ago: since(now, evidence.observed_at),
-        }
-    }
-
-    /// Returns the evidence from a message received at `then`.
-    #[must_use]
-    pub fn to_evidence(&self, received_at: Moment) -> Evidence {
-        Evidence {
-            digest: self.digest,
-            observed: self.observed,
-            sent_at: since(received_at, self.sent_ago),
-            observed_at: since(received_at, self.seen_ago),
-        }
-    }
-}
-
 /// Tracks which requests crash endpoints.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     histories: BTreeMap<BodyDigest, History>,
+    parts: Parts,
     // Evidence observed here and not yet forwarded.
     unforwarded: Vec<Evidence>,
     // Whether a task is about to forward it.
     forwarding: bool,
+    // Whether a task is about to tell of answers.
+    telling: bool,
 }
 
 #[derive(Debug, Default)]
@@ -143,10 +104,10 @@
 }
 
 impl CrashTracker {
-    /// Returns whether there is no evidence on any request.
+    /// Returns whether there is no evidence on any request or part.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.histories.is_empty()
+        self.histories.is_empty() && self.parts.is_empty()
     }
 
     /// Records evidence observed here and queues it for forwarding. An answer is only
@@ -155,13 +116,34 @@
         if evidence.observed == Observed::Answered && self.chain_length(&evidence.digest) == 0 {
             return;
         }
-        if self.record(evidence) {
+        if self.record(&evidence) {
             self.unforwarded.push(evidence);
         }
     }
 
+    /// Records that an answer to a request with these parts was observed here at `seen_at`,
+    /// complete or after it had gone on for longer than a crash takes.
+    pub fn record_answered_parts(
+        &mut self,
+        service: ServiceId,
+        parts: &[PartId],
+        began_at: Moment,
+        seen_at: Moment,
+    ) {
+        let answer = Answer { began_at, seen_at };
+        self.parts.record_own_answer(service, parts, answer);
+    }
+
     /// Records evidence; returns whether it is new.
-    pub fn record(&mut self, evidence: Evidence) -> bool {
+    pub fn record(&mut self, evidence: &Evidence) -> bool {
+        let is_new = self.record_request(evidence);
+        self.parts.record(evidence) || is_new
+    }
+
+    fn record_request(&mut self, evidence: &Evidence) -> bool {
+        if evidence.observed == Observed::PartsAnswered {
+            return false;
+        }
         let history = self.histories.entry(evidence.digest).or_default();
         history.latest = history.latest.max(evidence.observed_at);
         let new = match evidence.observed {
@@ -176,6 +158,7 @@
                 history.answered = history.answered.max(Some(evidence.observed_at));
                 newer
             }
+            Observed::PartsAnswered => false,
         };
         self.histories
             .retain(|_, history| since(evidence.observed_at, history.latest) < EVIDENCE_RETENTION);
@@ -183,6 +166,51 @@
         new
     }
 
+    /// Returns what may be done with a request that has these parts.
+    #[must_use]
+    pub fn rule(&self, service: ServiceId, parts: &[PartId], now: Moment) -> Ruling {
+        self.parts.rule(service, parts, now)
+    }
+
+    /// Returns the part for which a request should not be sent again after a failure, nor
+    /// beside others, if there is one.
+    #[must_use]
+    pub fn suspect_part(&self, service: ServiceId, parts: &[PartId]) -> Option<PartId> {
+        self.parts.suspect(service, parts)
+    }
+
+    /// Returns whether this instance may let one request with a part through in this
+    /// period. If so, it counts as let through.
+    pub fn begin_trial(&mut self, part: PartKey, now: Moment) -> bool {
+        self.parts.begin_trial(part, now)
+    }
+
+    /// Returns the numbers of suspect and of held parts.
+    #[must_use]
+    pub fn part_counts(&self) -> (usize, usize) {
+        self.parts.counts()
+    }
+
+    /// Takes the changes of what parts are suspected of since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        self.parts.take_changes()
+    }
+
+    /// Returns whether others have to be told of answers and no task is about to. If so,
+    /// the caller has to tell them.
+    pub fn begin_telling(&mut self) -> bool {
+        let begin = !self.telling && self.parts.has_untold();
+        self.telling |= begin;
+        begin
+    }
+
+    /// Takes the answers that others have to be told of, as far as nobody else has told
+    /// them meanwhile.
+    pub fn take_untold_answers(&mut self) -> Vec<Evidence> {
+        self.telling = false;
+        self.parts.take_untold()
+    }
+
     /// Returns how many endpoints in a chain ended with this request since it was last
     /// answered.
     #[must_use]
--- a/crates/direct/src/crashes/tests.rs
+++ b/crates/direct/src/crashes/tests.rs
@@ -9,12 +9,16 @@
 
 const DIGEST: [u8; 16] = [7; 16];
 
+const SERVICE: u64 = 1;
+
 const fn ms(millis: u64) -> Moment {
     Duration::from_millis(millis)
 }
 
 const fn crashed(endpoint: u64, sent: u64, at: u64) -> Evidence {
     Evidence {
+        service: SERVICE,
+        parts: Vec::new(),
         digest: DIGEST,
         observed: Observed::Crashed(endpoint),
         sent_at: ms(sent),
@@ -24,6 +28,8 @@
 
 const fn answered(sent: u64, at: u64) -> Evidence {
     Evidence {
+        service: SERVICE,
+        parts: Vec::new(),
         digest: DIGEST,
         observed: Observed::Answered,
         sent_at: ms(sent),
@@ -34,7 +40,7 @@
 fn remaining_hold(evidence: &[Evidence], now: u64) -> Option<Duration> {
     let mut tracker = CrashTracker::default();
     for one in evidence {
-        tracker.record(*one);
+        tracker.record(one);
     }
     tracker.remaining_hold(&DIGEST, ms(now))
 }
@@ -94,14 +100,14 @@
 fn evidence_is_bounded_and_expires() {
     let mut tracker = CrashTracker::default();
     for n in 0..=MAX_TRACKED_REQUESTS as u64 {
-        tracker.record(Evidence {
+        tracker.record(&Evidence {
             digest: u128::from(n).to_le_bytes(),
             ..crashed(1, 0, 10 + n)
         });
     }
     assert_eq!(tracker.chain_length(&0_u128.to_le_bytes()), 0);
     assert_eq!(tracker.chain_length(&1_u128.to_le_bytes()), 1);
-    tracker.record(crashed(1, 3 * 3_600_000, 3 * 3_600_000));
+    tracker.record(&crashed(1, 3 * 3_600_000, 3 * 3_600_000));
     assert_eq!(tracker.chain_length(&1_u128.to_le_bytes()), 0);
 }
 
@@ -115,7 +121,7 @@
             crashed(1, 0, 100), crashed(2, 110, 200), answered(210, 220),
             crashed(3, 300, 310), crashed(4, 320, 330), crashed(5, 340, 350),
         ];
-        let shuffled: Vec<_> = order.iter().map(|n| records[*n]).collect();
+        let shuffled: Vec<_> = order.iter().map(|n| records[*n].clone()).collect();
         prop_assert_eq!(remaining_hold(&shuffled, 400), remaining_hold(&records, 400));
     }
 
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -109,6 +109,13 @@
         first_by_rank(polling.into_iter().chain(others))
     }
 
+    /// Returns whether this instance is the one of the list that a key draws. One that knows
+    /// no others is.
+    pub fn is_chosen(&mut self, key: u64, now: Moment) -> bool {
+        let own = self.own;
+        chosen(self.list(now), key).is_none_or(|one| Some(one) == own)
+    }
+
     /// Returns the instances other than this one that are told of a stream, the first to ask
     /// first.
     pub fn replicas(&mut self, stream: StreamId, now: Moment) -> Vec<SocketAddr> {
@@ -121,6 +128,13 @@
     }
 }
 
+/// Returns the instance that a key draws from a list.
+#[must_use]
+pub fn chosen(list: &[SocketAddr], key: u64) -> Option<SocketAddr> {
+    let score = |one: &&SocketAddr| hash::score(key, rank(**one));
+    list.iter().max_by_key(score).copied()
+}
+
 /// Returns a digest of a list.
 #[must_use]
 pub fn digest(list: &[SocketAddr]) -> u64 {
--- a/crates/direct/src/metrics/crashes.rs
+++ b/crates/direct/src/metrics/crashes.rs
@@ -1,7 +1,7 @@
 //! The metrics of crashed endpoints and of the requests that may have crashed them.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Meter};
+use opentelemetry::metrics::{Counter, Gauge, Meter};
 
 /// What a connection's break during a request was taken for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +53,9 @@
 pub(crate) struct Crashes {
     checks: Counter<u64>,
     evidence: Counter<u64>,
+    parts: Gauge<u64>,
+    refused: Counter<u64>,
+    trials: Counter<u64>,
 }
 
 impl Crashes {
@@ -70,9 +73,39 @@
                 "godwitpost.crash_evidence",
                 "New evidence on requests that may crash endpoints, by source",
             ),
+            parts: meter
+                .u64_gauge("godwitpost.crashing_parts")
+                .with_description(
+                    "Parts of prompts that are suspected of crashing endpoints, or held for it",
+                )
+                .build(),
+            refused: counter(
+                "godwitpost.crashing_part_refusals",
+                "Requests refused or withdrawn for a part of their prompts that crashes endpoints, by route",
+            ),
+            trials: counter(
+                "godwitpost.crashing_part_trials",
+                "Requests let through after a hold time to try a part of prompts again",
+            ),
+        }
+    }
+
+    pub(crate) fn record_parts(&self, suspects: usize, held: usize) {
+        for (state, count) in [("suspect", suspects), ("held", held)] {
+            let state = [KeyValue::new("state", state)];
+            self.parts.record(count as u64, &state);
         }
     }
 
+    pub(crate) fn count_refusal(&self, route: &str) {
+        self.refused
+            .add(1, &[KeyValue::new("route", route.to_owned())]);
+    }
+
+    pub(crate) fn count_trial(&self) {
+        self.trials.add(1, &[]);
+    }
+
     pub(crate) fn count_check(&self, result: CheckResult) {
         self.checks
             .add(1, &[KeyValue::new("result", result.as_str())]);
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -68,6 +68,7 @@
     if let Some(left) = job.quarantine_remaining() {
         return Err(Reason::Held { left });
     }
+    job.check_parts()?;
     if job.remaining() <= RESPONSE_RETURN_TIME {
         return Err(job.attempts.deadline_reason());
     }
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -16,10 +16,10 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::Job;
 use super::forward::is_reached_by_others;
-use crate::control::peers::forward_evidence;
-use crate::crashes::{Evidence, Observed};
+use super::{InFlightRequest, Job};
+use crate::control::peers::{record_own_evidence, tell_answers};
+use crate::crashes::{Evidence, MAX_CRASH_TIME, Observed};
 use crate::metrics::{CheckResult, EvidenceSource};
 use crate::notices::Notice;
 use crate::roster::Registration;
@@ -80,22 +80,30 @@
     }
     checks.count_check(CheckResult::Crashed);
     checks.count_evidence(EvidenceSource::Own);
-    let mut crash_tracker = shared.crash_tracker();
-    crash_tracker.record_local(Evidence {
-        digest: broken.digest,
-        observed: Observed::Crashed(endpoint.id),
-        sent_at: broken.sent_at,
-        observed_at: at,
-    });
-    let chain_length = crash_tracker.chain_length(&broken.digest);
-    drop(crash_tracker);
+    let is_writing = |began_at| since(at, began_at) > MAX_CRASH_TIME;
+    let parts = if broken.began_at.is_some_and(is_writing) {
+        Vec::new()
+    } else {
+        broken.parts
+    };
+    record_own_evidence(
+        &shared,
+        Evidence {
+            service: endpoint.service,
+            digest: broken.digest,
+            parts: parts.clone(),
+            observed: Observed::Crashed(endpoint.id),
+            sent_at: broken.sent_at,
+            observed_at: at,
+        },
+    );
+    let chain_length = shared.crash_tracker().chain_length(&broken.digest);
     log::warn!(
         request:% = broken.request, endpoint:% = endpoint.name, chain = chain_length,
-        parts:? = broken.parts, sent_ms_ago:% = since(at, broken.sent_at).as_millis(),
+        parts:? = parts, sent_ms_ago:% = since(at, broken.sent_at).as_millis(),
         wrote_ms:? = broken.began_at.map(|began_at| since(at, began_at).as_millis());
         "endpoint crashed while it ran the request"
     );
-    forward_evidence(&shared);
 }
 
 /// Returns whether an endpoint that closed a connection in order has crashed: it refuses
@@ -118,7 +126,9 @@
 
 /// Records that a request completed, which is evidence that it doesn't crash endpoints.
 /// A failure is none: an endpoint that ran out of time may not have begun to answer.
-pub(super) fn record_completed(shared: &Arc<Shared>, job: &Job) {
+pub(super) fn record_completed(in_flight: &InFlightRequest, job: &Job) {
+    record_answered_parts(in_flight, job);
+    let shared = in_flight.shared();
     if shared.crash_tracker().is_empty() {
         return;
     }
@@ -131,13 +141,35 @@
         request:% = job.id(), chain = chain_length;
         "request completed; earlier crashes are not counted against it"
     );
-    shared.crash_tracker().record_local(Evidence {
-        digest,
-        observed: Observed::Answered,
-        sent_at: job.arrived(),
-        observed_at: boot_time(),
-    });
-    forward_evidence(shared);
+    record_own_evidence(
+        shared,
+        Evidence {
+            service: in_flight.registration().endpoint.service,
+            digest,
+            parts: Vec::new(),
+            observed: Observed::Answered,
+            sent_at: in_flight.began_at(),
+            observed_at: boot_time(),
+        },
+    );
+}
+
+/// Records that an endpoint answered a request without crashing, which is evidence that
+/// the parts of its prompt don't crash endpoints.
+pub(super) fn record_answered_parts(in_flight: &InFlightRequest, job: &Job) {
+    let parts = job.fields.parts_shared_with_others();
+    if parts.is_empty() {
+        return;
+    }
+    let shared = in_flight.shared();
+    let service = in_flight.registration().endpoint.service;
+    shared.crash_tracker().record_answered_parts(
+        service,
+        &parts,
+        in_flight.began_at(),
+        boot_time(),
+    );
+    tell_answers(shared);
 }
 
 async fn refuses_connection(address: SocketAddr) -> bool {
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request until an endpoint responds or all attempts are used up.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use super::payload::{Payload, has_unknown_coding};
 use super::source::{self, Source};
 use crate::attempt::{Failure, Next, Verdict, classify_response};
+use crate::crashes::MAX_CRASH_TIME;
 use crate::dialect::{OutgoingFields, RefusalLimit, ResponseFields};
 use crate::forwarders::Fault;
 use crate::fragility::Change;
@@ -232,7 +234,18 @@
 
     /// Records that a successful response was relayed completely.
     pub(crate) fn record_completed(&self, job: &Job) {
-        record_completed(&self.shared, job);
+        record_completed(self, job);
+    }
+
+    /// Returns when the endpoint began to answer, as far as that is known.
+    pub(super) fn began_at(&self) -> Moment {
+        self.began_at.get().copied().unwrap_or(self.sent_at)
+    }
+
+    /// Returns whether the endpoint has been answering for longer than a crash takes.
+    pub(super) fn outlasted_crash(&self) -> bool {
+        let began_at = self.began_at.get();
+        began_at.is_some_and(|began_at| since(boot_time(), *began_at) > MAX_CRASH_TIME)
     }
 
     /// Starts a check of whether the endpoint crashed with this request, whose connection
@@ -281,6 +294,8 @@
     /// A response that is worth a retry; it is relayed if there is none.
     Fallback(EndpointResponse),
     Failed(Failure),
+    /// It was withdrawn from the endpoint, since a part of its prompt is held.
+    Withdrawn,
 }
 
 /// Sends a request to one endpoint after another, as the retry rules allow, until there
@@ -312,6 +327,7 @@
                 Failure::Failed
             }
             AttemptResult::Failed(failure) => failure,
+            AttemptResult::Withdrawn => return Err(Reason::Broken),
         };
         let next = check_retry(job, failure);
         log::warn!(
@@ -362,7 +378,10 @@
         left_ms:% = job.remaining().as_millis(), wait_ms:% = head_timeout(job).as_millis();
         "request sent"
     );
-    match forward::send(job, chosen, last_event_id).await {
+    let Some(sent) = send_unless_held(job, chosen, last_event_id).await else {
+        return AttemptResult::Withdrawn;
+    };
+    match sent {
         Sent::Response(response, via) => {
             in_flight.via = via;
             let is_unsure = chosen.choice == Choice::Unsure;
@@ -377,6 +396,28 @@
     }
 }
 
+// Sends a request, and withdraws it if a part of its prompt is held before the endpoint
+// responds: it most likely waits there, and would crash one endpoint more.
+async fn send_unless_held(job: &Job, chosen: &Chosen, last_event_id: Option<u64>) -> Option<Sent> {
+    let mut sending = pin!(forward::send(job, chosen, last_event_id));
+    loop {
+        let mut part_held = pin!(job.shared.part_held().notified());
+        part_held.as_mut().enable();
+        if job.has_held_part() {
+            log::info!(
+                request:% = job.id(), endpoint:% = chosen.registration.endpoint.name;
+                "request withdrawn: a part of its prompt crashes endpoints"
+            );
+            job.shared.metrics.crashes().count_refusal(&job.route.name);
+            return None;
+        }
+        tokio::select! {
+            sent = &mut sending => return Some(sent),
+            () = part_held => {}
+        }
+    }
+}
+
 // Returns a source as logs show it.
 fn display_source(source: Option<&Source>) -> &dyn std::fmt::Display {
     source.map_or(&"none", |source| source)
--- a/crates/direct/src/relay/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -20,6 +20,7 @@
 use http_body::{Body, Frame};
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use super::crash::record_answered_parts;
 use super::payload::{Break, End, Part, Payload};
 use super::{BodyEnd, EndpointResponse, InFlightRequest, Job, dispatch};
 use crate::attempt::{Failure, Next};
@@ -76,6 +77,8 @@
     buffered: Option<Bytes>,
     // Whether the endpoint responded with a success.
     succeeded: bool,
+    // Whether its answer was recorded as one that goes on for longer than a crash takes.
+    outlasted_crash: bool,
     // Splits and counts events if the stream may be resumed.
     events: Option<(EventSplitter, Progress)>,
     last_event_at: Instant,
@@ -108,6 +111,7 @@
             events: (resumable && buffered.is_empty()).then(Default::default),
             buffered: (!buffered.is_empty()).then_some(buffered),
             succeeded,
+            outlasted_crash: false,
             last_event_at: now,
             stall_detector: StallDetector::default(),
             silence_timer: Box::pin(sleep_until(now + MAX_SILENCE)),
@@ -125,6 +129,10 @@
         let now = Instant::now();
         if let State::Reading(reading) = &self.state {
             reading.in_flight.record_data();
+            if self.succeeded && !self.outlasted_crash && reading.in_flight.outlasted_crash() {
+                self.outlasted_crash = true;
+                record_answered_parts(&reading.in_flight, &reading.job);
+            }
             if self.stall_detector.observe_event(now - self.last_event_at) {
                 reading.in_flight.record_stall();
             }
--- a/crates/direct/src/replica/tests.rs
+++ b/crates/direct/src/replica/tests.rs
@@ -321,6 +321,8 @@
                     ..Evacuation::NONE
                 }),
                 5 => replica.add_evidence(Evidence {
+                    service: 1,
+                    parts: Vec::new(),
                     digest: [7; 16],
                     observed: Observed::Answered,
                     sent_at: at(0),
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -215,6 +215,8 @@
     list_pace: Mutex<Pace>,
     pollers: Mutex<Pollers>,
     crash_tracker: Mutex<CrashTracker>,
+    // Signals that a part of prompts is held from now on.
+    part_held: Notify,
     overloads: Mutex<Overloads>,
     overload_added: Notify,
     paths: Mutex<Paths>,
@@ -275,6 +277,7 @@
             load_sample: Mutex::default(),
             pollers: Mutex::new(pollers),
             crash_tracker: Mutex::default(),
+            part_held: Notify::new(),
             overloads: Mutex::default(),
             overload_added: Notify::new(),
             paths: Mutex::default(),
@@ -488,6 +491,11 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Signals that a part of prompts is held from now on.
+    pub(crate) const fn part_held(&self) -> &Notify {
+        &self.part_held
+    }
+
     pub(crate) fn overloads(&self) -> MutexGuard<'_, Overloads> {
         self.overloads
             .lock()
--- a/crates/direct/tests/instance/crashing_parts.rs
+++ b/crates/direct/tests/instance/crashing_parts.rs
@@ -71,6 +71,9 @@
     reached: Vec<Instant>,
 }
 
+/// The fewest requests by which a period is judged.
+const MIN_JUDGED: u32 = 20;
+
 /// What a sound request came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -161,9 +164,11 @@
 }
 
 async fn send(instances: &[TestInstance], chosen: usize, number: u64, prompt: &str) -> Outcome {
+    let body = format!("request {number}");
     let text = format!(
         "POST /draft/1 HTTP/1.1\r\nhost: shop.example\r\nx-attempt: a{number}\r\nx-key: k1\r\n\
-         x-patience: 1500\r\nconnection: close\r\nx-prompt: {prompt}\r\ncontent-length: 0\r\n\r\n"
+         x-patience: 1500\r\nconnection: close\r\nx-prompt: {prompt}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
     );
     let mut stream = instances[chosen].open(&text).await;
     let response = read_rest(&mut stream).await;
@@ -251,12 +256,15 @@
     }
 }
 
-fn served_fraction(outcomes: &[(Instant, Outcome)], from: Instant, to: Instant) -> f64 {
+// Returns the fraction of the sound requests sent in a period that were served, or `None` if
+// too few were sent.
+fn served_fraction(outcomes: &[(Instant, Outcome)], from: Instant, to: Instant) -> Option<f64> {
     let sent = outcomes.iter().filter(|(at, _)| *at >= from && *at < to);
     let sent: Vec<_> = sent.collect();
     let served = sent.iter().filter(|(_, one)| *one == Outcome::Served);
     let served = u32::try_from(served.count()).expect("few requests");
-    f64::from(served) / f64::from(u32::try_from(sent.len()).expect("few requests"))
+    let sent = u32::try_from(sent.len()).expect("few requests");
+    (sent >= MIN_JUDGED).then(|| f64::from(served) / f64::from(sent))
 }
 
 // Plays the day and checks the users' bounds on it.
@@ -274,17 +282,21 @@
     let later = log.reached.iter().filter(|at| **at > fifth + CONTACT_TIME);
     let later = later.count();
     let before = served_fraction(&outcomes, begin, begin + CALM);
-    let after = served_fraction(&outcomes, fifth + 2 * CONTACT_TIME, end);
+    // Earlier than the users' bound, which counts from the fifth crash.
+    let first = *log.crashed.first().expect("endpoints crashed");
+    let after = served_fraction(&outcomes, first + 2 * CONTACT_TIME, end);
     let held = outcomes.iter().filter(|(_, one)| *one == Outcome::Held);
     let held = held.count();
     let told = format!(
-        "{place:?}, {written:?}: {} ended, {} reached, {later} later, sound served {before:.3} \
-         and {after:.3}, {held} held",
+        "{place:?}, {written:?}: {} ended, {} reached, {later} later, sound served {before:.3?} \
+         and {after:.3?}, {held} held",
         log.crashed.len(),
         log.reached.len(),
     );
     println!("{told}");
     assert!(later <= MAX_LATER, "{told}");
+    let before = before.expect("requests before the trouble");
+    let after = after.expect("requests during the trouble");
     assert!(after >= before / 2.0, "{told}");
     assert_eq!(held, 0, "{told}");
 }
