direct: evidence on crashes reaches seeds that were away

Evidence was sent to each seed once, to one after the other, and nobody sent it again: what one instance alone had seen while the seeds were away, nobody else learned of, and a seed that started later knew nothing of what the others held, nor did the instances that poll it. So requests that crash endpoints went on through these.

It is sent to all seeds at the same time now, and again for five seconds to those that don't take it; seeds tell each other each second what they hold, and tell it to instances that begin to ask them. Both tests failed before (502 where 503 is due).

--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::evidence::{EVIDENCE_PATH, handle_evidence};
+use super::evidence::{EVIDENCE_PATH, evidence_on_held, handle_evidence};
 use super::overloads::{OVERLOADS_PATH, handle_overloads};
 use super::passing::{EXCHANGE_PATH, handle_exchange, record_forwarders, record_loads};
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body, status_response};
@@ -183,7 +183,7 @@
 }
 
 // Adds the instances that keep the origins of streams, if the peer knows others, and at its
-// first poll which builds have served alone.
+// first poll which builds have served alone and what is held.
 fn add_members(shared: &Shared, request: &UpdateRequest, update: &mut Update, now: Moment) {
     let mut members = shared.members();
     let list = members.list(now);
@@ -193,6 +193,7 @@
     drop(members);
     if request.incarnation == 0 {
         update.sole_builds = sole_builds(shared);
+        update.evidence.extend(evidence_on_held(shared, now));
     }
 }
 
--- a/crates/direct/src/control/peers/evidence.rs
+++ b/crates/direct/src/control/peers/evidence.rs
@@ -24,6 +24,12 @@
 /// terminates breaks all its requests within a few milliseconds.
 const EVIDENCE_BATCH_DELAY: Duration = Duration::from_millis(30);
 
+/// The pause after which evidence is sent again to a seed that didn't take it.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// How often evidence is sent to a seed. One that is killed is back within some seconds.
+const MAX_TRIES: u32 = 10;
+
 /// The time over which all instances spread what they tell of answers, for each of them.
 /// Many know that a part which many requests share is answered, and whoever hears it
 /// from another one in time keeps quiet.
@@ -54,46 +60,63 @@
         tokio::time::sleep(EVIDENCE_BATCH_DELAY + spread).await;
         let answers = shared.crash_tracker().take_untold_answers();
         report_changes(&shared);
-        send_to_seeds(&shared, &answers).await;
+        send_to_seeds(&shared, answers);
     });
 }
 
-/// Records evidence of another instance; returns whether it is new.
+/// Records evidence of another instance, and publishes it to the instances that poll this
+/// one if it is new.
 pub(in crate::control) fn record_evidence(
     shared: &Arc<Shared>,
     evidence: &Evidence,
     source: EvidenceSource,
-) -> bool {
+) {
     let mut crash_tracker = shared.crash_tracker();
     let is_new = crash_tracker.record(evidence);
     let chain_length = crash_tracker.chain_length(&evidence.digest);
     drop(crash_tracker);
-    if is_new {
-        shared.metrics.crashes().count_evidence(source);
-        log::info!(
-            observed:? = evidence.observed, parts:? = evidence.parts, chain = chain_length,
-            source:% = source.as_str(), age_ms:% = since(boot_time(), evidence.observed_at).as_millis();
-            "evidence received on a request that may crash endpoints"
-        );
-        report_changes(shared);
-        tell_answers(shared);
+    if !is_new {
+        return;
     }
-    is_new
+    shared.metrics.crashes().count_evidence(source);
+    log::info!(
+        observed:? = evidence.observed, parts:? = evidence.parts, chain = chain_length,
+        source:% = source.as_str(), age_ms:% = since(boot_time(), evidence.observed_at).as_millis();
+        "evidence received on a request that may crash endpoints"
+    );
+    report_changes(shared);
+    shared.update_replica(true, |replica| replica.add_evidence(evidence.clone()));
+    tell_answers(shared);
 }
 
-// Applies evidence from another instance and publishes it to all instances that
-// poll this one.
+// Applies evidence from another instance.
 pub(super) fn handle_evidence(shared: &Arc<Shared>, body: &[u8], now: Moment) -> Response<Body> {
     let Ok(messages) = rmp_serde::from_slice::<Vec<ForwardedEvidence>>(body) else {
         return status_response(StatusCode::BAD_REQUEST);
     };
+    record_messages(shared, &messages, now);
+    status_response(StatusCode::OK)
+}
+
+/// Records evidence that another instance sent.
+pub(super) fn record_messages(
+    shared: &Arc<Shared>,
+    messages: &[ForwardedEvidence],
+    received_at: Moment,
+) {
     for message in messages {
-        let evidence = message.to_evidence(now);
-        if record_evidence(shared, &evidence, EvidenceSource::Message) {
-            shared.update_replica(true, |replica| replica.add_evidence(evidence));
-        }
+        let evidence = message.to_evidence(received_at);
+        record_evidence(shared, &evidence, EvidenceSource::Message);
     }
-    status_response(StatusCode::OK)
+}
+
+/// Returns the evidence on what is held, for instances that may have missed it.
+pub(super) fn evidence_on_held(shared: &Shared, now: Moment) -> Vec<ForwardedEvidence> {
+    let evidence = shared.crash_tracker().evidence_on_held();
+    let evidence = evidence.iter();
+    evidence
+        .map(|one| ForwardedEvidence::from_evidence(one, now))
+        .collect()
 }
 
 // Forwards the evidence that this instance has collected to the seeds, each of which sends
@@ -104,22 +127,34 @@
         tokio::spawn(async move {
             tokio::time::sleep(EVIDENCE_BATCH_DELAY).await;
             let evidence = shared.crash_tracker().take_unforwarded();
-            send_to_seeds(&shared, &evidence).await;
+            send_to_seeds(&shared, evidence);
         });
     }
 }
 
-async fn send_to_seeds(shared: &Shared, evidence: &[Evidence]) {
+fn send_to_seeds(shared: &Arc<Shared>, evidence: Vec<Evidence>) {
     if evidence.is_empty() {
         return;
     }
-    for one in evidence {
+    for one in &evidence {
         shared.update_replica(true, |replica| replica.add_evidence(one.clone()));
     }
-    for peer in shared.settings.other_seeds() {
-        if let Err(error) = send_evidence(shared, peer, evidence).await {
-            log::info!(peer:% = peer, cause:% = error; "evidence not forwarded");
-        }
+    let evidence = Arc::new(evidence);
+    for seed in shared.settings.other_seeds() {
+        let (shared, evidence) = (Arc::clone(shared), Arc::clone(&evidence));
+        tokio::spawn(async move { send_until_taken(&shared, seed, &evidence).await });
+    }
+}
+
+// Sends evidence to a seed, again for a while if the seed doesn't take it. Seeds are killed
+// and cut off like others, and nobody else has seen these crashes.
+async fn send_until_taken(shared: &Shared, seed: SocketAddr, evidence: &[Evidence]) {
+    for tries in 1..=MAX_TRIES {
+        let Err(error) = send_evidence(shared, seed, evidence).await else {
+            return;
+        };
+        log::info!(peer:% = seed, cause:% = error, tries = tries; "evidence not forwarded");
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
 }
 
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -15,7 +15,9 @@
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
+use super::evidence::{evidence_on_held, record_messages};
 use super::{PeerError, STARTUP_PERIOD, full_body, status_response};
+use crate::crashes::ForwardedEvidence;
 use crate::holders::PrefixHolder;
 use crate::metrics::LoadSource;
 use crate::polling::age::ANSWER_TIMEOUT;
@@ -23,14 +25,14 @@
 use crate::shared::Shared;
 use crate::stats::Load;
 
-pub(super) const EXCHANGE_PATH: &str = "/peer/v5/heard";
+pub(super) const EXCHANGE_PATH: &str = "/peer/v6/heard";
 
 /// The interval at which seeds exchange prompt holders: about as often as they
 /// are polled.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
 
 // Applies a message that another seed sent.
-pub(super) fn handle_exchange(shared: &Shared, body: &[u8], now: Moment) -> Response<Body> {
+pub(super) fn handle_exchange(shared: &Arc<Shared>, body: &[u8], now: Moment) -> Response<Body> {
     let Ok(exchange) = rmp_serde::from_slice::<Exchange>(body) else {
         return status_response(StatusCode::BAD_REQUEST);
     };
@@ -40,6 +42,7 @@
             .record_peer_count(address, exchange.count, now);
     }
     record_forwarders(shared, &exchange.forwarders, now);
+    record_messages(shared, &exchange.evidence, now);
     if let Some(address) = exchange.peer_address {
         shared.members().record_seed(address, exchange.members, now);
     }
@@ -69,6 +72,8 @@
     members: Vec<SocketAddr>,
     /// Services with a build that alone can have begun streams.
     sole_builds: Vec<(ServiceId, BuildId)>,
+    /// Evidence on requests and parts of prompts that are held.
+    evidence: Vec<ForwardedEvidence>,
 }
 
 /// Sends the other seeds, for as long as the process runs, the number of
@@ -89,6 +94,7 @@
             forwarders: shared.forwarders().sample(rand::rng().random(), now),
             members: shared.members().polling(now),
             sole_builds: sole_builds(&shared),
+            evidence: evidence_on_held(&shared, now),
         };
         for holder in &exchange.holders {
             shared.update_replica(false, |replica| replica.add_holder(*holder, now));
--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -30,15 +30,15 @@
 use godwitpost_types::id::{BodyDigest, EndpointId, PartId, ServiceId};
 
 use self::answers::Answer;
-use self::evidence::MAX_TRANSIT;
 pub use self::evidence::{Evidence, ForwardedEvidence, Observed};
+use self::evidence::{MAX_TRANSIT, NO_DIGEST};
 pub use self::history::Suspicion;
 use self::parts::Parts;
 pub use self::parts::{Change, PartKey, Ruling};
 
 /// How long after it began to answer a request an endpoint crashes of it at most. One that
 /// has written for longer crashed of something else.
-pub const MAX_CRASH_TIME: Duration = Duration::from_secs(1);
+pub const MAX_CRASH_TIME: Duration = Duration::from_millis(500);
 
 /// The number of chained crashes from which on a request is held. Requests that are
 /// retried at an endpoint that also happens to go down see two; a third in a row costs
@@ -54,6 +54,10 @@
 /// within this time.
 const MAX_HOLD: Duration = Duration::from_hours(1);
 
+/// How many crashes are told of that made this instance hold something. With those of each
+/// part and request it is at most some 30 KB.
+const MAX_EVIDENCE_ON_HELD: usize = 256;
+
 /// How long evidence counts: longer than the longest hold time.
 const EVIDENCE_RETENTION: Duration = Duration::from_hours(2);
 
@@ -84,6 +88,19 @@
 }
 
 impl History {
+    // Returns the crashes as evidence on the request alone.
+    fn evidence(&self, digest: BodyDigest) -> impl Iterator<Item = Evidence> {
+        let crashes = self.crashes.iter();
+        crashes.map(move |(endpoint, (sent_at, observed_at))| Evidence {
+            service: ServiceId::default(),
+            digest,
+            parts: Vec::new(),
+            observed: Observed::Crashed(*endpoint),
+            sent_at: *sent_at,
+            observed_at: *observed_at,
+        })
+    }
+
     // Returns the length of the longest chain, and when its last crash was observed.
     // Taking the earliest crash at each step leaves the most crashes for the rest of the
     // chain.
@@ -141,7 +158,7 @@
     }
 
     fn record_request(&mut self, evidence: &Evidence) -> bool {
-        if evidence.observed == Observed::PartsAnswered {
+        if evidence.digest == NO_DIGEST {
             return false;
         }
         let history = self.histories.entry(evidence.digest).or_default();
@@ -232,6 +249,18 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
+    /// Returns evidence by which another instance holds what is held here, on so many crashes
+    /// at most.
+    #[must_use]
+    pub fn evidence_on_held(&self) -> Vec<Evidence> {
+        let parts = self.parts.evidence_on_held();
+        let requests = self.histories.iter();
+        let requests = requests
+            .filter(|(_, history)| history.chain_length().0 >= HOLD_CHAIN_LENGTH)
+            .flat_map(|(digest, history)| history.evidence(*digest));
+        parts.chain(requests).take(MAX_EVIDENCE_ON_HELD).collect()
+    }
+
     /// Returns whether there is evidence to forward and no task is about to. If so, the
     /// caller has to forward it.
     pub fn begin_forwarding(&mut self) -> bool {
--- a/crates/direct/src/crashes/evidence.rs
+++ b/crates/direct/src/crashes/evidence.rs
@@ -10,12 +10,15 @@
 /// message.
 pub(super) const MAX_TRANSIT: Duration = Duration::from_millis(5);
 
+/// The digest in evidence that is not on one request.
+pub(super) const NO_DIGEST: BodyDigest = [0; 16];
+
 /// One observation of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Evidence {
     /// The service whose endpoint ran it.
     pub service: ServiceId,
-    /// The digest of the request's body.
+    /// The digest of the request's body, or zeros if this is not on one request.
     pub digest: BodyDigest,
     /// The parts of its prompt that count: those of its own request only don't.
     pub parts: Vec<PartId>,
--- a/crates/direct/src/crashes/history.rs
+++ b/crates/direct/src/crashes/history.rs
@@ -17,6 +17,11 @@
 /// some crashes may follow each other.
 const HOLD_CHAIN_LENGTH_ANSWERED: u32 = 4;
 
+/// How many crashes of a part that was answered before weigh as much as one of a part that
+/// was not. Two parts that crash endpoints are each at half of the crashes at which a part
+/// is that all requests share.
+const UNANSWERED_FACTOR: u32 = 2;
+
 /// The least time from the first crash to the last one for holding such a part: an answer
 /// of a sound part is observed within it.
 const MIN_HOLD_SPAN_ANSWERED: Duration = Duration::from_secs(2);
@@ -52,7 +57,7 @@
     /// Nothing, or no more than any part that was at a crash.
     #[default]
     None,
-    /// One more crash and it is held.
+    /// It was never answered, and is held after one more crash.
     Suspect,
     /// It crashes endpoints.
     Held,
@@ -60,14 +65,22 @@
 
 /// A crash while requests with the part were at the endpoint.
 #[derive(Clone, Debug)]
-struct Crash {
+pub(super) struct Crash {
     /// When the last one of them was sent.
-    sent_at: Moment,
-    observed_at: Moment,
+    pub(super) sent_at: Moment,
+    pub(super) observed_at: Moment,
     /// The other parts of these requests.
     companions: BTreeSet<PartId>,
 }
 
+impl Crash {
+    /// Returns a part and the others of the same requests.
+    pub(super) fn parts_with(&self, part: PartId) -> Vec<PartId> {
+        let companions = self.companions.iter().copied();
+        std::iter::once(part).chain(companions).collect()
+    }
+}
+
 /// Crashes that follow each other without an answer in between.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Chain {
@@ -100,11 +113,28 @@
         &self.chain
     }
 
+    /// Returns the crashes that no answer has cleared.
+    pub(super) fn crashes(&self) -> impl Iterator<Item = (EndpointId, &Crash)> {
+        self.crashes
+            .iter()
+            .map(|(endpoint, crash)| (*endpoint, crash))
+    }
+
     /// Returns whether the part was answered before.
     pub(super) const fn was_answered(&self) -> bool {
         self.answer.is_some()
     }
 
+    /// Returns how strongly it is suspected beside other parts of the same service.
+    pub(super) fn strength(&self) -> u32 {
+        let factor = if self.was_answered() {
+            1
+        } else {
+            UNANSWERED_FACTOR
+        };
+        self.chain.links * factor
+    }
+
     /// Returns whether another answer changes what is known.
     pub(super) fn is_news(&self, answer: Answer) -> bool {
         match (self.answer, self.first_crash()) {
@@ -238,7 +268,7 @@
         };
         if chain.links >= length && span >= min_span {
             Suspicion::Held
-        } else if chain.links + 1 >= length && span >= min_span / 2 {
+        } else if chain.links + 1 >= length && !self.was_answered() {
             Suspicion::Suspect
         } else {
             Suspicion::None
--- a/crates/direct/src/crashes/parts.rs
+++ b/crates/direct/src/crashes/parts.rs
@@ -23,7 +23,7 @@
 use godwitpost_types::id::{EndpointId, PartId, ServiceId};
 
 use super::answers::{Answer, Answers};
-use super::evidence::{Evidence, Observed};
+use super::evidence::{Evidence, NO_DIGEST, Observed};
 use super::history::{Chain, History, Suspicion};
 
 /// A part of prompts at one service, as engines of another one may bear it.
@@ -46,8 +46,11 @@
 const MAX_PARTS_PER_REQUEST: usize = 16;
 
 /// After a hold time, each of these periods has one instance that may let a request
-/// through. What comes of it is known to all within one.
-const TRIAL_PERIOD: Duration = Duration::from_secs(10);
+/// through. Mostly all know what came of it within one.
+const TRIAL_PERIOD: Duration = Duration::from_secs(4);
+
+/// The least time between two trials of one instance.
+const TRIAL_SPACING: Duration = Duration::from_secs(10);
 
 /// A change of what a part is suspected of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -183,7 +186,7 @@
         told.into_iter()
             .map(|((service, sent_at, observed_at), parts)| Evidence {
                 service,
-                digest: <_>::default(),
+                digest: NO_DIGEST,
                 parts,
                 observed: Observed::PartsAnswered,
                 sent_at,
@@ -220,20 +223,36 @@
     }
 
     /// Returns whether this instance may let a request with the part through now, which it
-    /// may once in a period.
+    /// may once in a while.
     pub(super) fn begin_trial(&mut self, part: PartKey, now: Moment) -> bool {
         let Some(history) = self.histories.get_mut(&part) else {
             return true;
         };
         let is_due = history
             .tried_at
-            .is_none_or(|tried_at| since(now, tried_at) >= TRIAL_PERIOD);
+            .is_none_or(|tried_at| since(now, tried_at) >= TRIAL_SPACING);
         if is_due {
             history.tried_at = Some(now);
         }
         is_due
     }
 
+    /// Returns the crashes for which parts are held.
+    pub(super) fn evidence_on_held(&self) -> impl Iterator<Item = Evidence> {
+        let held = self.held.iter();
+        let held = held.filter_map(|key| Some((*key, self.histories.get(key)?)));
+        held.flat_map(|((service, part), history)| {
+            history.crashes().map(move |(endpoint, crash)| Evidence {
+                service,
+                digest: NO_DIGEST,
+                parts: crash.parts_with(part),
+                observed: Observed::Crashed(endpoint),
+                sent_at: crash.sent_at,
+                observed_at: crash.observed_at,
+            })
+        })
+    }
+
     /// Returns the numbers of suspect and of held parts.
     pub(super) fn counts(&self) -> (usize, usize) {
         let histories = self.histories.values();
@@ -278,11 +297,10 @@
     // others would not do for holding this part.
     fn is_explained(&self, key: PartKey, history: &History) -> bool {
         let chain = history.chain();
-        let strength = |one: &History| (!one.was_answered(), one.chain().links);
         let stronger = self.held.iter().filter_map(|other| {
             let other_history = self.histories.get(other)?;
             let is_stronger =
-                other.0 == key.0 && *other != key && strength(other_history) > strength(history);
+                other.0 == key.0 && *other != key && other_history.strength() > history.strength();
             is_stronger.then_some(&other_history.chain().endpoints)
         });
         let stronger: Vec<_> = stronger.collect();
--- a/crates/direct/src/crashes/parts/tests.rs
+++ b/crates/direct/src/crashes/parts/tests.rs
@@ -6,7 +6,7 @@
 
 use super::super::answers::Answer;
 use super::super::evidence::{Evidence, Observed};
-use super::{MAX_PARTS, Parts, Ruling, Suspicion, TRIAL_PERIOD};
+use super::{MAX_PARTS, Parts, Ruling, Suspicion, TRIAL_PERIOD, TRIAL_SPACING};
 
 const SERVICE: u64 = 1;
 
@@ -194,7 +194,8 @@
         }
     );
     assert!(parts.begin_trial(part, after));
-    assert!(!parts.begin_trial(part, after + TRIAL_PERIOD / 2));
+    assert!(!parts.begin_trial(part, after + TRIAL_SPACING / 2));
+    assert!(parts.begin_trial(part, after + TRIAL_SPACING));
     let later = parts.rule(SERVICE, &[CRASHING], after + TRIAL_PERIOD);
     assert!(matches!(later, Ruling::Trial { period: 1, .. }));
 }
--- a/crates/direct/tests/instance/crashes.rs
+++ b/crates/direct/tests/instance/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::endpoint::{Endpoint, ReceivedRequest, Step, response_to};
-use crate::fleet::TestInstance;
+use crate::fleet::{TestInstance, free_addresses, read_rest, request, wait_until};
 use crate::peers::wait_until_log_unread;
 
 const POISON_PATH: &str = "/stock/poison";
@@ -133,3 +133,72 @@
         assert_eq!(crashed_count(&endpoints), before, "from {from}");
     }
 }
+
+// Sends requests that share a part which crashes endpoints, until they are held.
+async fn send_until_part_is_held(instance: &TestInstance) {
+    let mut sent = 0;
+    wait_until(async || {
+        sent += 1;
+        status(&send_with_part(instance, sent).await) == "503"
+    })
+    .await;
+}
+
+async fn send_with_part(instance: &TestInstance, own: u64) -> String {
+    let headers = format!("x-prompt: 909,{}\r\n", 1_000 + own);
+    let text = request("POST", "/draft/1", &headers, &format!("{own}"));
+    let mut stream = instance.open(&text).await;
+    let response = read_rest(&mut stream).await;
+    // Endpoints that end within 100 ms may have ended together.
+    tokio::time::sleep(Duration::from_millis(120)).await;
+    response
+}
+
+async fn crashing_endpoints(count: usize) -> Vec<Endpoint> {
+    let mut endpoints = Vec::new();
+    for _ in 0..count {
+        endpoints.push(Endpoint::start(|_, _: &ReceivedRequest| vec![Step::Stop]).await);
+    }
+    endpoints
+}
+
+/// Guards against crashes that nobody else learns of, since the seeds were away when they
+/// happened.
+#[tokio::test]
+async fn crash_evidence_reaches_a_seed_that_was_away() {
+    let endpoints = crashing_endpoints(8).await;
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let [seed, own, third] = free_addresses();
+    let first = TestInstance::start_with_seeds(&[seed], own, &addresses);
+    first.wait_until_ready().await;
+    send_until_part_is_held(&first).await;
+    let _seed = TestInstance::start_with_seeds(&[seed], seed, &addresses);
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    let last = TestInstance::start_with_seeds(&[seed], third, &addresses);
+    last.wait_until_ready().await;
+    wait_until_log_unread(&last).await;
+    let response = send_with_part(&last, 50).await;
+    assert_eq!(status(&response), "503", "{response}");
+}
+
+/// Guards against a seed that started after crashes and neither knows nor tells of them.
+#[tokio::test]
+async fn started_seed_learns_what_is_held() {
+    let endpoints = crashing_endpoints(8).await;
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let [one, other, own] = free_addresses();
+    let first = TestInstance::start_with_seeds(&[one, other], one, &addresses);
+    first.wait_until_ready().await;
+    send_until_part_is_held(&first).await;
+    // Longer than evidence is sent again to a seed that is away.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let second = TestInstance::start_with_seeds(&[one, other], other, &addresses);
+    second.wait_until_ready().await;
+    let poller = TestInstance::start_with_seeds(&[other], own, &addresses);
+    poller.wait_until_ready().await;
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    for instance in [&second, &poller] {
+        let response = send_with_part(instance, 50).await;
+        assert_eq!(status(&response), "503", "{response}");
+    }
+}
