process, direct: connections that can't be read in time are closed unread

Where a balancer sent an instance of an eighth of a core 400 new connections a second, it served 284 of 1,986, where it serves 970 of 981 at 200: all were taken at once, each step of a request waited for all others, and requests were read after their clients had left. The class is congestion collapse: work for nobody displaces all other.

Few connections are taken before the first requests of others are read, and those that waited in the system's queue for over 150 ms behind at least 16 others are closed unread.

--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -48,6 +48,7 @@
 pub(crate) struct Metrics {
     requests: RequestMetrics,
     refusals: Counter<u64>,
+    turned_away: Counter<u64>,
     repeats: Counter<u64>,
     streams: Streams,
     crashes: Crashes,
@@ -93,6 +94,10 @@
                 "godwitpost.refusals",
                 "Requests that got an answer of the instance's own, by reason",
             ),
+            turned_away: counter(
+                "godwitpost.connections_turned_away",
+                "New connections that were closed with their requests unread",
+            ),
             repeats: counter(
                 "godwitpost.repeats",
                 "Requests sent to a further endpoint, by whether the budget allowed it",
@@ -184,6 +189,10 @@
             .add(1, &[KeyValue::new("reason", reason.as_str())]);
     }
 
+    pub(crate) fn count_turned_away(&self) {
+        self.turned_away.add(1, &[]);
+    }
+
     pub(crate) fn count_repeat(&self, allowed: bool) {
         self.repeats.add(1, &[KeyValue::new("allowed", allowed)]);
     }
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -1,11 +1,13 @@
 //! The limits of an instance's ports, and the answers to probes and collectors.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Body;
-use godwitpost_process::serve::Limits;
+use godwitpost_process::serve::{IntakeWait, Limits};
+use godwitpost_types::clock::since;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -25,20 +27,28 @@
 /// is checked once the head is complete. Buffers grow only as needed.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// How long new connections of callers may wait to be taken. A client gives one up after a
+/// third of the time that it has left, which for a plain request is two tenths of a second.
+const MAX_INTAKE_WAIT: Duration = Duration::from_millis(150);
+
+/// How often connections that were closed unread are logged.
+const TURNED_AWAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Returns the limits of the ports that only the system's own components use.
 pub(crate) const fn internal_limits() -> Limits {
     Limits {
         head_bytes: MAX_HEAD_BYTES,
         head_time: IDLE_AND_HEAD_TIMEOUT,
         head_timeout: None,
+        intake_wait: None,
     }
 }
 
 /// Returns the limits of the callers' port under the configuration in force.
 pub(crate) fn caller_limits(shared: &Arc<Shared>) -> Limits {
-    let shared = Arc::clone(shared);
+    let for_timeout = Arc::clone(shared);
     let head_timeout = move || {
-        let view = shared.view();
+        let view = for_timeout.view();
         let policy = view.policy.as_ref();
         policy
             .map_or_else(policy::Limits::default, |policy| policy.limits())
@@ -46,10 +56,34 @@
     };
     Limits {
         head_timeout: Some(Arc::new(head_timeout)),
+        intake_wait: Some(IntakeWait {
+            max_wait: MAX_INTAKE_WAIT,
+            turned_away: Arc::new(turned_away(shared)),
+        }),
         ..internal_limits()
     }
 }
 
+// Counts connections that are closed unread, and logs them once in a while.
+fn turned_away(shared: &Arc<Shared>) -> impl Fn() + Send + Sync + 'static {
+    let shared = Arc::clone(shared);
+    let unlogged = Mutex::new((0_u64, None));
+    move || {
+        shared.metrics.count_turned_away();
+        let now = boot_time();
+        let mut unlogged = unlogged.lock().unwrap_or_else(PoisonError::into_inner);
+        let (count, logged_at) = &mut *unlogged;
+        *count += 1;
+        if logged_at.is_none_or(|logged_at| since(now, logged_at) >= TURNED_AWAY_LOG_INTERVAL) {
+            log::warn!(
+                connections = *count;
+                "new connections closed unread: they waited for longer than clients do"
+            );
+            *unlogged = (0, Some(now));
+        }
+    }
+}
+
 /// Answers whether the balancer should send callers here.
 pub(crate) fn readiness(shared: &Shared, request: &Request<Incoming>) -> Response<Body> {
     if request.uri().path() != shared.settings.ready_path {
--- a/crates/process/src/serve.rs
+++ b/crates/process/src/serve.rs
@@ -4,13 +4,15 @@
 //! heads, and a graceful shutdown. At a shutdown idle connections are closed, and a
 //! busy one finishes its request, whose response has `Connection: close`.
 
+mod intake;
 mod pace;
 mod silence;
 
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::pin;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,8 +23,9 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, watch};
 
+use self::intake::{Intake, Taken};
 pub use self::pace::HeadTimeout;
 use self::pace::{HeadTimeoutStream, Requests, TrackedBody};
 
@@ -40,6 +43,26 @@
     /// How long a head may take after its first byte; `None` if only the other limit
     /// applies.
     pub head_timeout: Option<HeadTimeout>,
+    /// How long new connections may wait to be taken. When others have waited for longer,
+    /// they are closed unread. `None` if none is.
+    pub intake_wait: Option<IntakeWait>,
+}
+
+/// How long new connections may wait, and what is called for each that is closed unread.
+#[derive(Clone)]
+pub struct IntakeWait {
+    /// The longest wait.
+    pub max_wait: Duration,
+    /// Is called for each connection that is closed unread.
+    pub turned_away: Arc<dyn Fn() + Send + Sync>,
+}
+
+impl fmt::Debug for IntakeWait {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("IntakeWait")
+            .field("max_wait", &self.max_wait)
+            .finish_non_exhaustive()
+    }
 }
 
 impl fmt::Debug for Limits {
@@ -51,6 +74,7 @@
                 "head_timeout",
                 &self.head_timeout.as_ref().map(|timeout| timeout()),
             )
+            .field("intake_wait", &self.intake_wait)
             .finish()
     }
 }
@@ -120,18 +144,28 @@
     };
     let builder = Arc::new(builder(&limits));
     let head_timeout = limits.head_timeout;
+    let intake_wait = limits.intake_wait;
+    let max_wait = intake_wait.as_ref().map(|intake| intake.max_wait);
+    let mut intake = Intake::new(listener, max_wait);
     let graceful = GracefulShutdown::new();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let taken = tokio::select! {
+            taken = intake.next() => taken,
             _ = closing.wait_for(|closing| *closing) => break,
         };
-        match accepted {
-            Ok((stream, _)) => {
+        match taken {
+            Ok(Taken::TurnAway(stream)) => {
+                drop(stream);
+                if let Some(intake) = &intake_wait {
+                    (intake.turned_away)();
+                }
+            }
+            Ok(Taken::Serve(stream, unread)) => {
                 let closing = closing.clone();
                 let timeout = head_timeout.clone();
                 spawn_connection(
                     stream,
+                    unread,
                     closing,
                     &builder,
                     &graceful,
@@ -145,12 +179,13 @@
             }
         }
     }
-    drop(listener);
+    drop(intake);
     graceful.shutdown().await;
 }
 
 fn spawn_connection<H, F, B>(
     stream: TcpStream,
+    unread: Option<OwnedSemaphorePermit>,
     closing: watch::Receiver<bool>,
     builder: &Arc<auto::Builder<TokioExecutor>>,
     graceful: &GracefulShutdown,
@@ -167,7 +202,10 @@
     silence::enable_keep_alive(&stream, silence::UNACKNOWLEDGED_TIMEOUT);
     let requests = Arc::<Requests>::default();
     let tracked = Arc::clone(&requests);
+    let unread = Arc::new(Mutex::new(unread));
+    let first = Arc::clone(&unread);
     let service = service_fn(move |request: Request<Incoming>| {
+        release(&first);
         let open = tracked.begin(request.version());
         // Boxed, because hyper reserves space for this future while the connection
         // is open. Without the box, 10,000 idle connections took 40 KB each.
@@ -177,8 +215,20 @@
     let builder = Arc::clone(builder);
     let watcher = graceful.watcher();
     tokio::spawn(async move {
-        if !silence::first_byte(&stream, FIRST_BYTE_TIMEOUT, closing).await {
-            return;
+        {
+            let mut first_byte = pin!(silence::first_byte(&stream, FIRST_BYTE_TIMEOUT, closing));
+            let has_sent = tokio::select! {
+                biased;
+                has_sent = &mut first_byte => has_sent,
+                () = std::future::ready(()) => {
+                    // Nothing is there to be read; a client may open connections in advance.
+                    release(&unread);
+                    first_byte.await
+                }
+            };
+            if !has_sent {
+                return;
+            }
         }
         let connection = builder
             .serve_connection(
@@ -192,6 +242,11 @@
     });
 }
 
+// Ends the time in which a connection counts as unread.
+fn release(unread: &Mutex<Option<OwnedSemaphorePermit>>) {
+    drop(unread.lock().unwrap_or_else(PoisonError::into_inner).take());
+}
+
 fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
--- a/crates/process/src/serve/tests.rs
+++ b/crates/process/src/serve/tests.rs
@@ -1,6 +1,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::{BoxError, Limits, Port, run};
+use super::{BoxError, IntakeWait, Limits, Port, run};
 
 /// The idle time of the connections below.
 const IDLE: Duration = Duration::from_secs(1);
@@ -38,6 +39,10 @@
 }
 
 fn serve() -> (SocketAddr, watch::Sender<bool>) {
+    serve_with(None)
+}
+
+fn serve_with(intake_wait: Option<IntakeWait>) -> (SocketAddr, watch::Sender<bool>) {
     let port = Port::bind(([127, 0, 0, 1], 0).into()).expect("a free port");
     let address = port.address;
     let (close, closing) = watch::channel(false);
@@ -45,6 +50,7 @@
         head_bytes: 16 << 10,
         head_time: IDLE,
         head_timeout: Some(Arc::new(|| WITHIN)),
+        intake_wait,
     };
     let answer = |_| async { Response::new(Nothing) };
     tokio::spawn(async move {
@@ -129,6 +135,7 @@
         head_bytes: 16 << 10,
         head_time: IDLE,
         head_timeout: Some(Arc::new(|| WITHIN)),
+        intake_wait: None,
     };
     let answer = |_| async {
         tokio::time::sleep(WITHIN * 2).await;
@@ -189,6 +196,7 @@
         head_bytes: 16 << 10,
         head_time: IDLE,
         head_timeout: None,
+        intake_wait: None,
     };
     let answer = |_| async { Response::new(Truncated::default()) };
     tokio::spawn(run(port, limits, closing, answer));
@@ -205,3 +213,73 @@
         assert!(!text.ends_with("0\r\n\r\n"), "{version}: {text}");
     }
 }
+
+fn short_wait() -> (IntakeWait, Arc<AtomicUsize>) {
+    let turned_away = Arc::<AtomicUsize>::default();
+    let count = Arc::clone(&turned_away);
+    let wait = IntakeWait {
+        max_wait: WITHIN / 3,
+        turned_away: Arc::new(move || {
+            count.fetch_add(1, Relaxed);
+        }),
+    };
+    (wait, turned_away)
+}
+
+// Opens connections that send a request each, while the server has no time for them.
+async fn crowd(address: SocketAddr, count: usize) -> Vec<std::net::TcpStream> {
+    let mut clients = Vec::new();
+    for _ in 0..count {
+        let mut client = std::net::TcpStream::connect(address).expect("a connection");
+        let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+        std::io::Write::write_all(&mut client, request).expect("a request");
+        clients.push(client);
+    }
+    std::thread::sleep(WITHIN);
+    tokio::time::sleep(WITHIN).await;
+    clients
+}
+
+/// Guards against connections that wait for each other until all of their clients have left.
+#[tokio::test]
+async fn crowd_that_waited_for_too_long_is_turned_away() {
+    let (wait, turned_away) = short_wait();
+    let (address, _open) = serve_with(Some(wait));
+    tokio::task::yield_now().await;
+    let clients = crowd(address, 60).await;
+    let turned_away = turned_away.load(Relaxed);
+    assert!(turned_away > 0 && turned_away < 60, "{turned_away}");
+    let mut answered = 0;
+    for mut client in clients {
+        let mut bytes = [0; 12];
+        if std::io::Read::read_exact(&mut client, &mut bytes).is_ok() {
+            answered += 1;
+        }
+    }
+    assert_eq!(answered + turned_away, 60);
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    assert!(asks(&mut stream).await);
+}
+
+/// Guards against closing the few connections that came while the process was suspended.
+#[tokio::test]
+async fn few_connections_that_waited_are_served() {
+    let (wait, turned_away) = short_wait();
+    let (address, _open) = serve_with(Some(wait));
+    tokio::task::yield_now().await;
+    crowd(address, 16).await;
+    assert_eq!(turned_away.load(Relaxed), 0);
+}
+
+/// Guards against connections opened in advance that keep others from being taken.
+#[tokio::test]
+async fn idle_connections_do_not_count_as_unread() {
+    let (wait, _) = short_wait();
+    let (address, _open) = serve_with(Some(wait));
+    let mut idle = Vec::new();
+    for _ in 0..30 {
+        idle.push(TcpStream::connect(address).await.expect("a connection"));
+    }
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    assert!(asks(&mut stream).await);
+}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -19,6 +19,7 @@
 pub(crate) const fn limits(head_bytes: usize) -> Limits {
     Limits {
         head_timeout: None,
+        intake_wait: None,
         head_bytes,
         head_time: HEAD_TIMEOUT,
     }
