--- a/crates/direct/src/control/peers/evidence.rs
+++ b/crates/direct/src/control/peers/evidence.rs
@@ -10,11 +10,12 @@
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
 use http::{Response, StatusCode};
+use log::Level;
 use rand::RngExt;
 
 use super::passing::post;
 use super::{PeerError, status_response};
-use crate::crashes::{Change, Evidence, ForwardedEvidence, Suspicion};
+use crate::crashes::{Change, Evidence, ForwardedEvidence, Observed, Suspicion};
 use crate::metrics::EvidenceSource;
 use crate::shared::Shared;
 
@@ -79,7 +80,15 @@
         return;
     }
     shared.metrics.crashes().count_evidence(source);
-    log::info!(
+    // An endpoint that ends leaves a line for each of its requests; those that were at one
+    // end alone would displace all others.
+    let level = if chain_length > 1 || evidence.observed == Observed::PartsAnswered {
+        Level::Info
+    } else {
+        Level::Debug
+    };
+    log::log!(
+        level,
         observed:? = evidence.observed, parts:? = evidence.parts, chain = chain_length,
         source:% = source.as_str(), age_ms:% = since(boot_time(), evidence.observed_at).as_millis();
         "evidence received on a request that may crash endpoints"
