--- a/crates/direct/src/shared/tests.rs
+++ b/crates/direct/src/shared/tests.rs
@@ -4,7 +4,8 @@
 
 use godwitpost_types::endpoint::{Endpoint, Standing};
 
-use super::{Services, View};
+use super::View;
+use super::view::Services;
 use crate::roster::Registration;
 
 const SERVICE: u64 = 1;
--- a/crates/direct/tests/parts/world.rs
+++ b/crates/direct/tests/parts/world.rs
@@ -1,5 +1,8 @@
 //! Runs one schedule.
 
+mod evidence;
+mod faults;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,32 +15,17 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use self::evidence::Message;
 use crate::endpoint::{Endpoint, RequestNumber};
-use crate::instance::{Decision, Instance, SERVICE, transfer};
+use crate::instance::{Decision, Instance, SERVICE};
 use crate::schedule::{
-    COMPANION, CONTACT_TIME, CRASHING, CRASHING_TOO, END, FaultKind, START, Schedule, Trouble,
+    COMPANION, CONTACT_TIME, CRASHING, CRASHING_TOO, END, START, Schedule, Trouble,
 };
 use crate::{Form, Size};
 
 /// The first instances are the seeds.
 const SEEDS: usize = 3;
 
-/// How long evidence waits for more before it is sent.
-const BATCH_DELAY: Duration = Duration::from_millis(30);
-
-/// For each instance of the fleet, the time over which they spread what they tell of answers.
-const TELLING_SPREAD: Duration = Duration::from_millis(1);
-
-/// When and how often evidence is sent again to a seed that didn't take it.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
-const MAX_TRIES: u32 = 10;
-
-/// How long an answer of a seed is on its way.
-const POLL_TRANSIT: Duration = Duration::from_millis(2);
-
-/// How much evidence a seed keeps for instances that ask later.
-const KEPT_EVIDENCE: usize = 1_000;
-
 /// So many endpoints end before the bound on later requests applies.
 const FREE_CRASHES: usize = 5;
 
@@ -82,15 +70,6 @@
     FaultOver(usize),
 }
 
-/// Evidence that an instance sends to a seed.
-#[derive(Clone, Debug)]
-struct Message {
-    instance: usize,
-    seed: usize,
-    evidence: Vec<Evidence>,
-    tries: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Request {
     instance: usize,
@@ -554,195 +533,6 @@
             .collect()
     }
 
-    fn begin_sending(&mut self, instance: usize) {
-        let one = &mut self.instances[instance];
-        if one.tracker.begin_forwarding() {
-            self.after(BATCH_DELAY, Event::SendEvidence(instance));
-        }
-    }
-
-    fn begin_telling(&mut self, instance: usize) {
-        let one = &mut self.instances[instance];
-        if one.tracker.begin_telling() {
-            let count = u32::try_from(self.instances.len()).expect("few instances");
-            let spread = (TELLING_SPREAD * count).as_secs_f64();
-            let delay = BATCH_DELAY + self.draw(0.0, spread);
-            self.after(delay, Event::TellAnswers(instance));
-        }
-    }
-
-    fn send_evidence(&mut self, instance: usize) {
-        let evidence = self.instances[instance].tracker.take_unforwarded();
-        if self.form != Form::NothingShared {
-            self.send_to_seeds(instance, &evidence);
-        }
-    }
-
-    fn tell_answers(&mut self, instance: usize) {
-        let answers = self.instances[instance].tracker.take_untold_answers();
-        if !matches!(self.form, Form::NothingShared | Form::NoAnswersShared) {
-            self.send_to_seeds(instance, &answers);
-        }
-    }
-
-    fn send_to_seeds(&mut self, instance: usize, evidence: &[Evidence]) {
-        if evidence.is_empty() {
-            return;
-        }
-        for seed in 0..SEEDS {
-            if seed == instance {
-                self.publish(seed, evidence.to_vec());
-            } else {
-                let message = Message {
-                    instance,
-                    seed,
-                    evidence: evidence.to_vec(),
-                    tries: 1,
-                };
-                self.send_message(message);
-            }
-        }
-    }
-
-    // Sends evidence to a seed, and again if the seed doesn't take it.
-    fn send_message(&mut self, mut message: Message) {
-        if !self.instances[message.instance].up {
-            return;
-        }
-        self.outcome.messages += 1;
-        let taken = |one: &Instance| one.up && !one.cut_off;
-        let lost = !taken(&self.instances[message.instance])
-            || !taken(&self.instances[message.seed])
-            || self.is_lost();
-        if !lost {
-            let delay = self.draw(0.001, 0.02);
-            let evidence = Box::new((message.evidence, self.now));
-            self.after(delay, Event::Receive(message.seed, evidence));
-        } else if message.tries < MAX_TRIES {
-            message.tries += 1;
-            self.after(RETRY_PAUSE, Event::Resend(Box::new(message)));
-        }
-    }
-
-    fn is_lost(&mut self) -> bool {
-        let (when, fraction) = self.schedule.losses.clone();
-        when.contains(&self.now) && self.rng.random_bool(fraction)
-    }
-
-    fn receive(&mut self, seed: usize, evidence: &[Evidence], sent_at: Moment) {
-        if !self.instances[seed].up || self.instances[seed].cut_off {
-            return;
-        }
-        let evidence = evidence.iter().map(|one| transfer(one, sent_at, self.now));
-        let evidence: Vec<_> = evidence.collect();
-        let fresh = evidence
-            .into_iter()
-            .filter(|one| self.instances[seed].record(one))
-            .collect();
-        self.publish(seed, fresh);
-        self.begin_telling(seed);
-    }
-
-    fn publish(&mut self, seed: usize, evidence: Vec<Evidence>) {
-        if evidence.is_empty() {
-            return;
-        }
-        self.published[seed].extend(evidence);
-        for instance in SEEDS..self.instances.len() {
-            if instance % SEEDS == seed {
-                let delay = self.draw(0.002, 0.2);
-                self.after(delay, Event::Poll(instance));
-            }
-        }
-    }
-
-    fn poll(&mut self, instance: usize) {
-        let seed = instance % SEEDS;
-        let one = &self.instances[instance];
-        if !one.up || one.cut_off || !self.instances[seed].up || self.instances[seed].cut_off {
-            return;
-        }
-        let published = &self.published[seed];
-        let oldest = published.len().saturating_sub(KEPT_EVIDENCE);
-        let from = one.known.max(oldest);
-        if from >= published.len() {
-            return;
-        }
-        let now = self.now;
-        let fresh: Vec<_> = published[from..]
-            .iter()
-            .map(|one| transfer(one, now, now + POLL_TRANSIT))
-            .collect();
-        self.outcome.messages += 1;
-        let one = &mut self.instances[instance];
-        one.known = published.len();
-        for evidence in &fresh {
-            one.record(evidence);
-        }
-        self.begin_telling(instance);
-    }
-
-    fn begin_fault(&mut self, number: usize) {
-        let fault = self.schedule.faults[number].clone();
-        let now = self.now;
-        let one = &mut self.instances[fault.instance];
-        one.harmed_at = Some(now);
-        match fault.kind {
-            FaultKind::CutOff => one.cut_off = true,
-            FaultKind::Slow => one.slow = true,
-            FaultKind::Killed => {
-                *one = Instance::new(fault.instance);
-                one.up = false;
-                one.harmed_at = Some(now);
-                let seed = fault.instance;
-                if seed < SEEDS {
-                    self.published[seed].clear();
-                    for other in self
-                        .instances
-                        .iter_mut()
-                        .skip(SEEDS)
-                        .skip(seed)
-                        .step_by(SEEDS)
-                    {
-                        other.known = 0;
-                    }
-                }
-                let requests: Vec<_> = self
-                    .requests
-                    .iter()
-                    .filter(|(_, one)| one.instance == fault.instance)
-                    .map(|(number, _)| *number)
-                    .collect();
-                for request in requests {
-                    self.requests.remove(&request);
-                }
-            }
-        }
-    }
-
-    fn end_fault(&mut self, number: usize) {
-        let fault = self.schedule.faults[number].clone();
-        let one = &mut self.instances[fault.instance];
-        one.harmed_at = Some(self.now);
-        one.cut_off = false;
-        one.slow = false;
-        one.up = true;
-        if fault.instance >= SEEDS {
-            self.after(Duration::from_millis(50), Event::Poll(fault.instance));
-            return;
-        }
-        // A seed learns from another one what it has missed, and its pollers from it.
-        let other = (fault.instance + 1) % SEEDS;
-        let known = self.published[other].clone();
-        let oldest = known.len().saturating_sub(KEPT_EVIDENCE);
-        let fresh: Vec<_> = known.into_iter().skip(oldest).collect();
-        let fresh: Vec<_> = fresh
-            .into_iter()
-            .filter(|one| self.instances[fault.instance].record(one))
-            .collect();
-        self.publish(fault.instance, fresh);
-    }
-
     fn judge(mut self) -> Outcome {
         let mut all_know = None;
         for (part, reached) in &self.reached {
