Review case 1: streams cut by a leaving runner are framed as complete

Tried: one of four runners reports that it is draining and exits 2.2 s later in the middle of streams that end with their connection.

--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -24,6 +24,18 @@
     fn prctl(option: i32, ...) -> i32;
 }
 
+/// Has a process that is about to start end with this one. To be called between fork and exec,
+/// where the one call that it makes is allowed.
+///
+/// # Errors
+///
+/// Returns none.
+pub fn end_with_parent() -> std::io::Result<()> {
+    // SAFETY: the call takes numbers only.
+    unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+    Ok(())
+}
+
 /// The addresses of one instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -122,13 +134,8 @@
                 .create(true)
                 .open(self.folder.join(format!("log-{index}.txt")));
             let mut command = Command::new(PROGRAM);
-            // SAFETY: the call takes numbers only and may be made between fork and exec.
-            unsafe {
-                command.pre_exec(|| {
-                    prctl(PR_SET_PDEATHSIG, SIGKILL);
-                    Ok(())
-                });
-            }
+            // SAFETY: see `end_with_parent`.
+            unsafe { command.pre_exec(end_with_parent) };
             let child = command
                 .env("GODWITPOST_CONFIG", self.settings_path(index))
                 .env("MIMALLOC_ALLOW_THP", "0")
@@ -207,7 +214,10 @@
          \"Public\":false,\"Affinity\":false,\"Resumable\":false}},\
          {{\"Name\":\"stock-check\",\"Host\":\"shop.example\",\"PathPrefix\":\"/stock/\",\"Type\":\"safe\",\
          \"TimeoutMs\":600,\"SloMs\":100,\"Priority\":2,\"Service\":\"franchise-desk\",\"Attempts\":2,\
-         \"Public\":false,\"Affinity\":false,\"Resumable\":false}}],\
+         \"Public\":false,\"Affinity\":false,\"Resumable\":false}},\
+         {{\"Name\":\"route-chapter-draft\",\"Host\":\"shop.example\",\"PathPrefix\":\"/draft/\",\"Type\":\"stream\",\
+         \"TimeoutMs\":15000,\"SloMs\":800,\"Priority\":0,\"Service\":\"franchise-desk\",\"Attempts\":2,\
+         \"Public\":false,\"Affinity\":false,\"Resumable\":true,\"ItlTargetMs\":400}}],\
          \"Services\":[{{\"Name\":\"franchise-desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":96,\
          \"Protocol\":\"h1\",\"Tls\":false}}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\
