--- a/review/standins/src/bin/leaving.rs
+++ b/review/standins/src/bin/leaving.rs
@@ -1,5 +1,6 @@
 //! A runner leaves: it has said so, serves for `DrainMs` and a little longer, and exits in the
-//! middle of streams that end with their connection.
+//! middle of streams that end with their connection. With a second argument, `crash`, it says
+//! nothing and crashes, with more streams.
 
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -16,8 +17,15 @@
 
 const RUNNERS: usize = 4;
 
-/// Streams, the events of each, and the time between two.
-const STREAMS: usize = 16;
+/// Streams to a fleet of which a runner leaves, and of which one crashes: sixty of it, where
+/// the site's runners have 128 slots.
+const STREAMS: u32 = 16;
+const STREAMS_AT_CRASH: u32 = 240;
+
+/// The time within which all streams are sent.
+const SENDING: Duration = Duration::from_millis(480);
+
+/// The events of each stream, and the time between two.
 const EVENTS: u64 = 160;
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -51,12 +59,14 @@
         return ExitCode::from(2);
     };
     thread::sleep(Duration::from_secs(4));
-    let clients: Vec<_> = (0..STREAMS)
+    let crashes = std::env::args().nth(2).as_deref() == Some("crash");
+    let streams = if crashes { STREAMS_AT_CRASH } else { STREAMS };
+    let clients: Vec<_> = (0..streams)
         .map(|index| {
-            let front = fleet.addresses[index % fleet.addresses.len()].front;
+            let front = fleet.addresses[index as usize % fleet.addresses.len()].front;
             let record = record.clone();
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(30) * index as u32);
+                thread::sleep(SENDING * index / streams);
                 follow(front, &format!("c{index:07x}"), &record)
             })
         })
@@ -64,7 +74,8 @@
     thread::sleep(Duration::from_millis(700));
     if has_trouble() {
         // With NOTICE=removed its entry is removed instead, with NOTICE=none nothing is said.
-        let notice = std::env::var("NOTICE").unwrap_or_else(|_| "draining".to_owned());
+        let usual = if crashes { "none" } else { "draining" };
+        let notice = std::env::var("NOTICE").unwrap_or_else(|_| usual.to_owned());
         match notice.as_str() {
             "draining" => {
                 states.lock().expect("the states")[0] = "draining";
@@ -121,7 +132,7 @@
         return ExitCode::from(2);
     }
     record.line(&format!(
-        "{broken} of {STREAMS} streams end as complete before their last piece"
+        "{broken} of {streams} streams end as complete before their last piece"
     ));
     ExitCode::from(u8::from(broken > 0))
 }
