--- a/review/standins/src/bin/extra.rs
+++ b/review/standins/src/bin/extra.rs
@@ -19,8 +19,8 @@
 
 /// How long each disruption lasts, the pause after it, and how many there are.
 const GARBLE: Duration = Duration::from_secs(5);
-const CALM: Duration = Duration::from_secs(3);
-const GARBLES: usize = 10;
+const CALM: Duration = Duration::from_secs(2);
+const GARBLES: usize = 13;
 
 /// One in so many answers of the runners that spoil any is spoiled.
 const SPOILED_ONE_IN: u64 = 34;
