--- a/crates/direct/src/metrics/loads.rs
+++ b/crates/direct/src/metrics/loads.rs
@@ -11,6 +11,10 @@
     0.01, 0.03, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 3.0, 5.0, 15.0,
 ];
 
+/// Upper bounds of the histogram of reported loads, as a part of the load bound. Close around
+/// 1, where the margin is.
+const BUCKET_BOUND_PARTS: [f64; 10] = [0.25, 0.5, 0.7, 0.8, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0];
+
 /// How an instance learned of a load that an endpoint reported to another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LoadSource {
@@ -35,6 +39,7 @@
     report_age: Histogram<f64>,
     poll_time: Histogram<f64>,
     reports: Counter<u64>,
+    bound_part: Histogram<f64>,
     overloads: Counter<u64>,
 }
 
@@ -64,6 +69,13 @@
                     "Loads reported in responses to this instance, by whether they were above the load bound as believed when the request was sent",
                 )
                 .build(),
+            bound_part: meter
+                .f64_histogram("godwitpost.endpoint_load_bound_part")
+                .with_description(
+                    "Loads reported in responses to this instance, as a part of the load bound as believed when the request was sent",
+                )
+                .with_boundaries(BUCKET_BOUND_PARTS.to_vec())
+                .build(),
             overloads: meter
                 .u64_counter("godwitpost.overloads_learned")
                 .with_description(
@@ -92,7 +104,13 @@
         self.poll_time.record(time.as_secs_f64(), &[]);
     }
 
-    pub(crate) fn count_reported_load(&self, service: &str, above: bool) {
+    /// Records a reported load, of which no endpoint of the service should have more than
+    /// `limit`.
+    pub(crate) fn record_reported_load(&self, service: &str, load: u32, limit: f64) {
+        let part = f64::from(load) / limit.max(1.0);
+        let service_label = KeyValue::new("service", service.to_owned());
+        self.bound_part.record(part, &[service_label]);
+        let above = f64::from(load) > limit;
         let set = [
             KeyValue::new("service", service.to_owned()),
             KeyValue::new("above", above),
--- a/crates/direct/src/relay/in_flight.rs
+++ b/crates/direct/src/relay/in_flight.rs
@@ -197,7 +197,7 @@
         }
         let above = f64::from(load) > belief.limit;
         let metrics = self.shared.metrics.loads();
-        metrics.count_reported_load(&self.service, above);
+        metrics.record_reported_load(&self.service, load, belief.limit);
         if above {
             log::info!(
                 request:% = request, service:% = self.service, endpoint:% = self.name(), load = load, limit:% = belief.limit,
