direct tests: responses cut in their head, at every byte

Reported by other operators: a runner stopped in the middle of its answer's head and closed, and clients got a 200 framed as whole. It doesn't happen here as far as shown: heads with a length, chunks or neither are cut at every byte, closed in order and reset, with and without a pause, after a 100 Continue, on plain routes that may run again or once and on streams that may be resumed or not, and on a connection that has served an answer. Not cut: the way through another instance, and second attempts at a sound endpoint.

--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -15,6 +15,7 @@
 mod forwarding;
 mod fragile;
 mod freshness;
+mod heads;
 mod homes;
 mod leaving;
 mod metrics;
