direct tests: streams joined after their build has left and all were killed, failing

Reported by other operators, and it happens here: two builds serve, streams begin at both, the endpoints of one leave, all instances are killed.

--- a/crates/direct/tests/instance/builds.rs
+++ b/crates/direct/tests/instance/builds.rs
@@ -329,3 +329,29 @@
     }
     assert!(servers.iter().all(|one| one.endpoint.received().is_empty()));
 }
+
+/// Guards against a stream that goes on at another build after all instances were lost, since
+/// those that start see that build alone: the stream's own has left.
+#[tokio::test]
+async fn stream_whose_build_has_left_goes_on_nowhere_after_all_instances_were_killed() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let instance = start_instance(&servers).await;
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    let ids = begin_all(&instance).await;
+    drop(instance);
+    let began_at = |first: &String| build_of(&servers, first, false);
+    let of_gone_build: Vec<&String> = ids
+        .iter()
+        .filter(|first| began_at(first) == Some("v1"))
+        .collect();
+    assert!(!of_gone_build.is_empty());
+    let is_left = |one: &Server| one.build == "v2";
+    let left: Vec<Server> = servers.into_iter().filter(is_left).collect();
+    let instance = start_instance(&left).await;
+    let mut joined = 0;
+    for first in &of_gone_build {
+        let response = take_up(&instance, &format!("next-{first}"), first).await;
+        joined += usize::from(is_served(&response));
+    }
+    assert_eq!(joined, 0, "of {} streams", of_gone_build.len());
+}
