--- a/crates/direct/src/stats/silence.rs
+++ b/crates/direct/src/stats/silence.rs
@@ -11,14 +11,14 @@
 /// wait for it to find it again.
 const SILENCE_LIFETIME: Duration = Duration::from_millis(400);
 
-/// How long after it was found to be silent others need not be told again.
+/// The shortest time between two messages that an endpoint is silent, of one instance.
 pub const SILENCE_TOLD_INTERVAL: Duration = Duration::from_millis(200);
 
 /// A response is late if it takes this many times as long to begin as others of its service.
 const LATE_HEAD_FACTOR: f64 = 2.0;
 
-/// The shortest time after which a response is late: some times that of a round trip and a
-/// first event.
+/// The shortest time after which a response is late. A short prompt's first event takes some
+/// 30 ms.
 const MIN_LATE_HEAD: Duration = Duration::from_millis(100);
 
 /// The time that responses are assumed to take to begin before any has.
