--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -176,6 +176,16 @@
         self.retention
     }
 
+    /// Returns for how long all builds that serve have been known here.
+    #[must_use]
+    pub fn known_for(&self, now: Moment) -> Option<Duration> {
+        match self.history {
+            History::None => None,
+            History::Since(at) => Some(since(now, at)),
+            History::Whole => Some(Duration::MAX),
+        }
+    }
+
     /// Returns how many builds a service has had lately.
     #[must_use]
     pub fn count(&self, service: ServiceId) -> usize {
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -101,10 +101,14 @@
     let origin = found.map(|(origin, _)| origin);
     job.shared.metrics.streams().count_taken_up(source);
     let first_attempt = job.first_attempt();
+    let (builds, known_for) = {
+        let known = job.shared.builds();
+        (known.count(job.service()), known.known_for(boot_time()))
+    };
     log::info!(
         request:% = job.id(), first_attempt:% = first_attempt.as_deref().unwrap_or("(none)"),
-        after:? = after, build:% = BuildName(job, origin), known_by:% = source,
-        took_ms:% = job.age().as_millis();
+        after:? = after, build:% = BuildName(job, origin), known_by:% = source, builds = builds,
+        builds_known_for_ms:? = known_for.map(|time| time.as_millis()), took_ms:% = job.age().as_millis();
         "stream taken up by its caller"
     );
     job.bind(origin.ok_or(Reason::UnknownOrigin)?);
--- a/crates/direct/tests/builds/main.rs
+++ b/crates/direct/tests/builds/main.rs
@@ -8,7 +8,7 @@
 mod instance;
 mod world;
 
-use world::{Guard, Outcome, Size, run_schedule, simulate};
+use world::{Guard, Outcome, Scenario, Size, run_schedule, simulate};
 
 /// The variable that names how many schedules with few instances are checked, and the number
 /// without it.
@@ -45,61 +45,86 @@
     per_second: 900,
 };
 
-fn run_schedules(size: Size, schedules: u64) -> Outcome {
+// Runs all schedules and returns what became of their streams.
+//
+// # Panics
+//
+// Panics with the seeds that break what must hold, once all have been run.
+fn run_schedules(size: Size, scenario: Scenario, schedules: u64) -> Outcome {
     let run = |thread_number: u64| {
         let seeds = (0..schedules).filter(move |seed| seed % THREADS == thread_number);
         let mut sum = Outcome::default();
+        let mut violations = Vec::new();
         for seed in seeds {
-            match run_schedule(seed, size, None) {
+            match run_schedule(seed, size, scenario, None) {
                 Ok(outcome) => sum.add(&outcome),
-                Err(violation) => panic!("seed {seed}: {violation}"),
+                Err(violation) => violations.push(format!("seed {seed}: {violation}")),
             }
         }
-        sum
+        (sum, violations)
     };
     let mut sum = Outcome::default();
+    let mut violations = Vec::new();
     std::thread::scope(|scope| {
         let threads: Vec<_> = (0..THREADS).map(|n| scope.spawn(move || run(n))).collect();
         for thread in threads {
-            sum.add(&thread.join().expect("no violation"));
+            let (part, found) = thread.join().expect("a thread that ends");
+            sum.add(&part);
+            violations.extend(found);
         }
     });
     println!(
-        "{} instances, {schedules} schedules: {sum:?}",
+        "{} instances, {scenario:?}, {schedules} schedules: {sum:?}",
         size.instances
     );
+    assert!(
+        violations.is_empty(),
+        "{} schedules: {violations:#?}",
+        violations.len()
+    );
     sum
 }
 
+fn schedules() -> u64 {
+    let number = std::env::var(SCHEDULES_VARIABLE).ok();
+    number.map_or(DEFAULT_SCHEDULES, |text| text.parse().expect("a number"))
+}
+
 fn assert_most_go_on(sum: &Outcome) {
     let share = f64::from(sum.went_on_in_calm) / f64::from(sum.taken_up_in_calm);
     assert!(share >= MIN_SHARE, "{share}: {sum:?}");
 }
 
 fn is_missed(guard: Guard) -> bool {
-    (0..GUARD_SCHEDULES).any(|seed| run_schedule(seed, SMALL, Some(guard)).is_err())
+    (0..GUARD_SCHEDULES)
+        .any(|seed| run_schedule(seed, SMALL, Scenario::Releases, Some(guard)).is_err())
 }
 
 /// Guards against streams that go on at another build, and against refusing those that could
 /// go on.
 #[test]
 fn streams_go_on_at_their_build_alone() {
-    let number = std::env::var(SCHEDULES_VARIABLE).ok();
-    let number = number.map_or(DEFAULT_SCHEDULES, |text| text.parse().expect("a number"));
-    assert_most_go_on(&run_schedules(SMALL, number));
+    assert_most_go_on(&run_schedules(SMALL, Scenario::Releases, schedules()));
+}
+
+/// Guards against instances that start after all were lost and take the build that they see for
+/// the only one, since another one has left.
+#[test]
+fn streams_go_on_at_their_build_alone_where_builds_leave_beside_a_kill_of_all() {
+    run_schedules(SMALL, Scenario::BuildsLeave, schedules());
 }
 
 #[test]
 fn streams_go_on_at_their_build_alone_among_many_instances() {
-    assert_most_go_on(&run_schedules(MEDIUM, MEDIUM_SCHEDULES));
-    assert_most_go_on(&run_schedules(LARGE, LARGE_SCHEDULES));
+    assert_most_go_on(&run_schedules(MEDIUM, Scenario::Releases, MEDIUM_SCHEDULES));
+    assert_most_go_on(&run_schedules(LARGE, Scenario::Releases, LARGE_SCHEDULES));
 }
 
 // Returns what becomes of streams with a guard or in another way.
 fn sum(size: Size, schedules: u64, guard: Option<Guard>) -> Outcome {
     let mut sum = Outcome::default();
     for seed in 0..schedules {
-        sum.add(&simulate(seed, size, guard));
+        sum.add(&simulate(seed, size, Scenario::Releases, guard));
     }
     println!("{} instances, {guard:?}: {sum:?}", size.instances);
     sum
--- a/crates/direct/tests/builds/world.rs
+++ b/crates/direct/tests/builds/world.rs
@@ -55,6 +55,16 @@
     pub(crate) per_second: u32,
 }
 
+/// What happens in a schedule beside drawn faults and releases.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Scenario {
+    /// Nothing.
+    Releases,
+    /// All endpoints of a build leave without others in their place, and around that moment all
+    /// instances are killed.
+    BuildsLeave,
+}
+
 /// What is switched off to see whether schedules miss it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Guard {
@@ -119,6 +129,7 @@
 struct World {
     rng: ChaCha8Rng,
     size: Size,
+    scenario: Scenario,
     guard: Option<Guard>,
     now: Moment,
     instances: Vec<Instance>,
@@ -132,6 +143,8 @@
     next_id: u64,
     next_build: u32,
     release: Vec<(Moment, String)>,
+    // When all instances are killed, as their endpoints of a build leave.
+    kill_all_at: Option<Moment>,
     outcome: Outcome,
     // How often each instance was told of a stream.
     told: Vec<u32>,
@@ -142,8 +155,8 @@
 }
 
 /// Runs one schedule to its end.
-pub(crate) fn simulate(seed: u64, size: Size, guard: Option<Guard>) -> Outcome {
-    let mut world = World::new(seed, size, guard);
+pub(crate) fn simulate(seed: u64, size: Size, scenario: Scenario, guard: Option<Guard>) -> Outcome {
+    let mut world = World::new(seed, size, scenario, guard);
     while world.now < DURATION {
         world.step();
     }
@@ -152,8 +165,13 @@
 }
 
 /// Runs one schedule and checks what must hold.
-pub(crate) fn run_schedule(seed: u64, size: Size, guard: Option<Guard>) -> Result<Outcome, String> {
-    let outcome = simulate(seed, size, guard);
+pub(crate) fn run_schedule(
+    seed: u64,
+    size: Size,
+    scenario: Scenario,
+    guard: Option<Guard>,
+) -> Result<Outcome, String> {
+    let outcome = simulate(seed, size, scenario, guard);
     if outcome.joined > 0 {
         return Err(format!("{} streams were joined", outcome.joined));
     }
@@ -167,7 +185,7 @@
 }
 
 impl World {
-    fn new(seed: u64, size: Size, guard: Option<Guard>) -> Self {
+    fn new(seed: u64, size: Size, scenario: Scenario, guard: Option<Guard>) -> Self {
         let address = |n: usize| {
             let port = u16::try_from(n).expect("a small number");
             SocketAddr::from(([10, 0, 0, 1], 1_000 + port))
@@ -176,6 +194,7 @@
         let mut world = Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             size,
+            scenario,
             guard,
             now: Moment::ZERO,
             instances: all
@@ -190,6 +209,7 @@
             next_id: 0,
             next_build: 1,
             release: Vec::new(),
+            kill_all_at: None,
             outcome: Outcome::default(),
             told: vec![0; size.instances],
         };
@@ -228,6 +248,9 @@
     fn step(&mut self) {
         self.now += TICK;
         self.change_servers();
+        if self.scenario == Scenario::BuildsLeave {
+            self.retire_build();
+        }
         self.draw_faults();
         self.exchange_members();
         self.read_lists();
@@ -270,6 +293,25 @@
             .retain(|one| one.leaving_at.is_none_or(|at| now < at + LEAVING));
     }
 
+    // Takes the endpoints of one build away if another one is left, and sets when all instances
+    // are killed.
+    fn retire_build(&mut self) {
+        let live = self.live_builds();
+        if live.len() < 2 || !self.release.is_empty() || !self.rng.random_bool(0.01) {
+            return;
+        }
+        let retired = self.rng.random_range(0..live.len());
+        let retired = live.into_keys().nth(retired);
+        let leaving_at = self.now + Duration::from_millis(500);
+        for one in &mut self.servers {
+            if Some(one.registration.build_id()) == retired {
+                one.leaving_at.get_or_insert(leaving_at);
+            }
+        }
+        let delay = Duration::from_millis(self.rng.random_range(0..6_000));
+        self.kill_all_at.get_or_insert(self.now + delay);
+    }
+
     fn draw_faults(&mut self) {
         let now = self.now;
         let for_ms = |rng: &mut ChaCha8Rng| Duration::from_millis(rng.random_range(500..6_000));
@@ -289,10 +331,15 @@
 
     // Kills one instance, half of them or all, and breaks their streams.
     fn kill(&mut self) {
-        if !self.rng.random_bool(0.004) {
+        let all = self.kill_all_at.take_if(|at| *at <= self.now).is_some();
+        if !all && !self.rng.random_bool(0.004) {
             return;
         }
-        let share = [0.0, 0.3, 0.5, 1.0][self.rng.random_range(0..4)];
+        let share = if all {
+            1.0
+        } else {
+            [0.0, 0.3, 0.5, 1.0][self.rng.random_range(0..4)]
+        };
         let first = self.rng.random_range(0..self.instances.len());
         for n in 0..self.instances.len() {
             if n == first || self.rng.random_bool(share) {
--- a/crates/direct/tests/instance/builds.rs
+++ b/crates/direct/tests/instance/builds.rs
@@ -330,28 +330,61 @@
     assert!(servers.iter().all(|one| one.endpoint.received().is_empty()));
 }
 
+// Begins streams at a lone instance, takes the endpoints of some builds away, kills the instance
+// and starts another beside the same log. Returns it with the streams, or without the log's
+// history if that is gone.
+async fn replace_only_instance(
+    servers: &[Server],
+    gone: &[&str],
+    forgets_history: bool,
+) -> (TestInstance, Vec<String>) {
+    let killed = start_instance(servers).await;
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    let ids = begin_all(&killed).await;
+    for (n, server) in servers.iter().enumerate() {
+        if gone.contains(&server.build) {
+            killed.unregister(&format!("e{n}"));
+        }
+    }
+    let (operator, endpoints) = (killed.operator.clone(), killed.endpoints.clone());
+    drop(killed);
+    if forgets_history {
+        endpoints.forget_history();
+    }
+    let [own] = free_addresses();
+    let instance = TestInstance::start_beside_log(&[own], own, operator, endpoints);
+    instance.wait_until_ready().await;
+    tokio::time::sleep(LIST_TIME).await;
+    (instance, ids)
+}
+
 /// Guards against a stream that goes on at another build after all instances were lost, since
 /// those that start see that build alone: the stream's own has left.
 #[tokio::test]
 async fn stream_whose_build_has_left_goes_on_nowhere_after_all_instances_were_killed() {
-    let servers = start_servers(&["v1", "v2"]).await;
-    let instance = start_instance(&servers).await;
-    tokio::time::sleep(INTRODUCTION_TIME).await;
-    let ids = begin_all(&instance).await;
-    drop(instance);
-    let began_at = |first: &String| build_of(&servers, first, false);
-    let of_gone_build: Vec<&String> = ids
-        .iter()
-        .filter(|first| began_at(first) == Some("v1"))
-        .collect();
-    assert!(!of_gone_build.is_empty());
-    let is_left = |one: &Server| one.build == "v2";
-    let left: Vec<Server> = servers.into_iter().filter(is_left).collect();
-    let instance = start_instance(&left).await;
-    let mut joined = 0;
-    for first in &of_gone_build {
-        let response = take_up(&instance, &format!("next-{first}"), first).await;
-        joined += usize::from(is_served(&response));
+    for forgets_history in [false, true] {
+        let servers = start_servers(&["v1", "v2"]).await;
+        let (instance, ids) = replace_only_instance(&servers, &["v1"], forgets_history).await;
+        let began_at = |first: &String| build_of(&servers, first, false);
+        let of_gone_build: Vec<&String> = ids
+            .iter()
+            .filter(|first| began_at(first) == Some("v1"))
+            .collect();
+        assert!(!of_gone_build.is_empty());
+        let mut joined = 0;
+        for first in &of_gone_build {
+            let response = take_up(&instance, &format!("next-{first}"), first).await;
+            joined += usize::from(is_served(&response));
+        }
+        assert_eq!(joined, 0, "of {} streams", of_gone_build.len());
     }
-    assert_eq!(joined, 0, "of {} streams", of_gone_build.len());
+}
+
+/// Guards against refusing the streams of the only build after all instances were lost, since
+/// those that start don't know that it was the only one.
+#[tokio::test]
+async fn streams_of_the_only_build_go_on_after_all_instances_were_killed() {
+    let servers = start_servers(&["v1"]).await;
+    let (instance, ids) = replace_only_instance(&servers, &[], false).await;
+    assert_eq!(take_up_all(&instance, &servers, &ids).await, STREAMS);
 }
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -39,6 +39,8 @@
 
 struct State<T> {
     records: Vec<(String, Value<T>)>,
+    // The offset of the first record that can still be read.
+    first: u64,
     down: bool,
     held: bool,
     calls: usize,
@@ -58,6 +60,7 @@
         Self {
             state: Arc::new(Mutex::new(State {
                 records: Vec::new(),
+                first: 0,
                 down: false,
                 held: false,
                 calls: 0,
@@ -84,6 +87,16 @@
         self.state.lock().expect("topic lock").held
     }
 
+    /// Deletes all records but the newest of each key.
+    pub(crate) fn forget_history(&self) {
+        let mut state = self.state.lock().expect("topic lock");
+        state.first = state.records.len() as u64;
+    }
+
+    fn is_deleted(&self, offset: u64) -> bool {
+        offset < self.state.lock().expect("topic lock").first
+    }
+
     /// Restores the topic from a backup that holds only the first `retained` records.
     pub(crate) fn restore(&self, retained: usize) {
         let mut state = self.state.lock().expect("topic lock");
@@ -147,7 +160,7 @@
                         era,
                         body: TopicRecords { records, end },
                     } = reader.records_since(from)?;
-                    let body = if from > end {
+                    let body = if from > end || reader.is_deleted(from) {
                         Tail::Expired
                     } else {
                         Tail::Records {
@@ -172,6 +185,10 @@
     pub(crate) endpoints: Topic<Registration>,
 }
 
+/// How often each endpoint of a log has written its entry: for longer than a stream lasts and its
+/// caller takes to come back.
+const HEARTBEATS: usize = 50;
+
 const SETTINGS: &str = "
 name: one
 zone: otaru
@@ -258,10 +275,22 @@
         builds: &[(SocketAddr, &str)],
     ) -> Self {
         let (operator, endpoints) = topics(&[]);
-        for (n, (address, build)) in builds.iter().enumerate() {
-            let name = format!("e{n}");
-            endpoints.append(&name, build_entry(&name, *address, build));
+        for _ in 0..HEARTBEATS {
+            for (n, (address, build)) in builds.iter().enumerate() {
+                let name = format!("e{n}");
+                endpoints.append(&name, build_entry(&name, *address, build));
+            }
         }
+        Self::start_beside_log(seeds, own, operator, endpoints)
+    }
+
+    /// Starts one of several instances beside a log that is there already.
+    pub(crate) fn start_beside_log(
+        seeds: &[SocketAddr],
+        own: SocketAddr,
+        operator: Topic<Directive>,
+        endpoints: Topic<Registration>,
+    ) -> Self {
         let settings = peer_settings(seeds, own).replace("allowance: 10", "allowance: 10000");
         Self::start_from_settings(&settings, operator, endpoints)
     }
