direct: what served before a start is read from the log's records

Callers got text joined from two versions: all endpoints of one version had left, all instances were killed, and those that started took the version that was left for the only one, as its endpoints had run for longer than a stream lasts. That proves only that none of them replaced another, not that none has left.

The age of endpoints proves nothing now. An instance that others poll reads the records of endpoints' entries that the log still holds, once after a start, unless others tell it what served. Builds that the records name count until a stream's time after their last mention. If none was deleted before them they tell everything; else the heartbeats in them tell how far back they go. What they don't tell is waited for, and a refused caller is told how long that takes; instances that don't know ask the seeds as well.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -11,10 +11,10 @@
 //!   for [`MAX_LIST_AGE`]. An instance whose list isn't older than that knows all builds that
 //!   have begun a stream.
 //!
-//! An instance that has started within that while doesn't know what served before. If all
-//! endpoints have run for longer, none can have replaced one of another build. Nor does an
-//! instance know what came and went while it could not read the list; if none could, there was
-//! nothing that streams could begin at.
+//! An instance that has started within that while doesn't know what served before, unless
+//! another one tells or the log still holds it. Endpoints that have run for longer prove nothing:
+//! others beside them may have left. Nor does an instance know what came and went while it could
+//! not read the list; if none could, there was nothing that streams could begin at.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime};
@@ -36,9 +36,6 @@
 /// Of the instances asked, at most one in this many may fail to say that the list can't be read.
 const MIN_AGREEING_DIVISOR: usize = 4;
 
-/// How far the times of day of two machines may differ.
-const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
-
 /// The builds at which a service's streams may have begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Census {
@@ -78,6 +75,8 @@
     pub census: Census,
     /// How long ago its list of endpoints was confirmed; `None` if it never was.
     pub list_age: Option<Duration>,
+    /// How long it takes until it knows all builds, if it will.
+    pub complete_in: Option<Duration>,
 }
 
 impl Statement {
@@ -126,8 +125,8 @@
     first_listed: Option<Moment>,
     // When it was last listed; `None` if it is now.
     gone_since: Option<Moment>,
-    // When the first and the last of its endpoints have started, if all say so.
-    starts: Option<(SystemTime, SystemTime)>,
+    // When the first of its endpoints has started, if all say so.
+    first_start: Option<SystemTime>,
 }
 
 // Since when all builds are known.
@@ -136,8 +135,8 @@
     /// No list was received.
     #[default]
     None,
-    /// Since the first list.
-    Since(Moment),
+    /// Since the first list, and for a time before that.
+    Since { listed: Moment, earlier: Duration },
     /// Since the first start of the system.
     Whole,
 }
@@ -181,7 +180,7 @@
     pub fn known_for(&self, now: Moment) -> Option<Duration> {
         match self.history {
             History::None => None,
-            History::Since(at) => Some(since(now, at)),
+            History::Since { listed, earlier } => Some(since(now, listed).saturating_add(earlier)),
             History::Whole => Some(Duration::MAX),
         }
     }
@@ -212,21 +211,20 @@
         let is_first = self.history == History::None;
         let mut present = BTreeMap::new();
         for one in listed {
-            let start = one.started_at.map(|at| (at, at));
-            let starts = present
+            let first_start = present
                 .entry((one.endpoint.service, one.build_id()))
-                .or_insert(start);
+                .or_insert(one.started_at);
             // An unknown start leaves all unknown.
-            let range = |(first, last): (SystemTime, SystemTime)| {
-                start.map(|(at, _)| (first.min(at), last.max(at)))
-            };
-            *starts = starts.and_then(range);
+            *first_start = (*first_start).min(one.started_at);
         }
         if is_first {
             self.history = if nothing_before && present.is_empty() {
                 History::Whole
             } else {
-                History::Since(now)
+                History::Since {
+                    listed: now,
+                    earlier: Duration::ZERO,
+                }
             };
         }
         let first_listed = (self.history != History::Whole || !is_first).then_some(now);
@@ -237,18 +235,18 @@
                 }
             }
         }
-        for ((service, build), starts) in present {
+        for ((service, build), first_start) in present {
             let builds = self.services.entry(service).or_default();
             let sighting = builds.entry(build).or_insert(Sighting {
                 first_listed,
                 gone_since: None,
-                starts,
+                first_start,
             });
             // Others may have forgotten a build that comes back.
             if sighting.gone_since.take().is_some() {
                 sighting.first_listed = Some(now);
             }
-            sighting.starts = starts;
+            sighting.first_start = first_start;
         }
         self.forget_old(now);
     }
@@ -272,33 +270,64 @@
         builds.entry(build).or_insert(Sighting {
             first_listed: Some(now),
             gone_since: Some(now),
-            starts: None,
+            first_start: None,
         });
     }
 
+    /// Records which builds have served within `reach` before now, as the log still tells, and
+    /// how long before now each was last mentioned there.
+    pub fn record_past(
+        &mut self,
+        reach: Duration,
+        builds: &BTreeMap<(ServiceId, BuildId), Duration>,
+        now: Moment,
+    ) {
+        let History::Since { listed, earlier } = &mut self.history else {
+            return;
+        };
+        *earlier = (*earlier).max(reach.saturating_sub(since(now, *listed)));
+        for ((service, build), age) in builds {
+            let of_service = self.services.entry(*service).or_default();
+            of_service.entry(*build).or_insert(Sighting {
+                first_listed: Some(now),
+                gone_since: Some(since(now, *age)),
+                first_start: None,
+            });
+        }
+        self.forget_old(now);
+    }
+
+    /// Returns whether it isn't known for all services which builds have served lately, as this
+    /// instance has just started and no other one told.
+    #[must_use]
+    pub fn lacks_past(&self, now: Moment) -> bool {
+        let is_unknown = |service: &ServiceId| !self.told.contains_key(service);
+        !self.is_history_complete(now) && self.services.keys().any(is_unknown)
+    }
+
+    /// Returns how long it takes until all builds of the last while are known, without the help
+    /// of others; `None` before the first list.
+    #[must_use]
+    pub fn time_to_know(&self, now: Moment) -> Option<Duration> {
+        Some(self.retention.saturating_sub(self.known_for(now)?))
+    }
+
     /// Returns the services of which one build alone can have begun streams, with it.
     #[must_use]
-    pub fn sole(&self, now: Moment, time_of_day: SystemTime) -> Vec<(ServiceId, BuildId)> {
+    pub fn sole(&self, now: Moment) -> Vec<(ServiceId, BuildId)> {
         let services = self.services.keys();
         services
-            .filter_map(
-                |service| match self.census(std::iter::once(*service), now, time_of_day) {
-                    Census::Sole(build) => Some((*service, build)),
-                    _ => None,
-                },
-            )
+            .filter_map(|service| match self.census([*service].into_iter(), now) {
+                Census::Sole(build) => Some((*service, build)),
+                _ => None,
+            })
             .collect()
     }
 
     /// Returns the builds at which streams of any of these services may have begun, as of the
-    /// list that is known here. `time_of_day` is that of this machine.
+    /// list that is known here.
     #[must_use]
-    pub fn census(
-        &self,
-        services: impl Iterator<Item = ServiceId>,
-        now: Moment,
-        time_of_day: SystemTime,
-    ) -> Census {
+    pub fn census(&self, services: impl Iterator<Item = ServiceId>, now: Moment) -> Census {
         let of_service = |service| {
             let builds = self.services.get(&service).into_iter().flatten();
             builds.map(move |(build, sighting)| (service, *build, sighting))
@@ -315,18 +344,9 @@
                 Census::Several
             };
         };
-        let min_age = self.retention + MAX_CLOCK_SKEW;
-        let is_old = |one: &Sighting| {
-            let age = one.starts.map(|(_, last)| time_of_day.duration_since(last));
-            age.is_some_and(|age| age.is_ok_and(|age| age >= min_age))
-        };
-        let knowledge = recent.iter().map(|(service, _, one)| {
-            if is_old(one) {
-                Knowledge::Complete
-            } else {
-                self.knowledge(*service, now)
-            }
-        });
+        let knowledge = recent
+            .iter()
+            .map(|(service, _, _)| self.knowledge(*service, now));
         match knowledge.min() {
             Some(Knowledge::Complete) => Census::Sole(*build),
             Some(Knowledge::Gapped) => Census::Gapped(*build),
@@ -337,11 +357,7 @@
     // Returns what is known of the builds that a service has had lately.
     fn knowledge(&self, service: ServiceId, now: Moment) -> Knowledge {
         let told_at = self.told.get(&service).copied();
-        let is_complete = match self.history {
-            History::None => false,
-            History::Since(at) => since(now, at) >= self.retention,
-            History::Whole => true,
-        };
+        let is_complete = self.is_history_complete(now);
         let recent = |at: &Moment| since(now, *at) < self.retention;
         let gap_ended_at = self.gap_ended_at.filter(recent);
         let is_gapped = gap_ended_at.is_some_and(|at| told_at.is_none_or(|told| told < at));
@@ -352,6 +368,11 @@
         }
     }
 
+    fn is_history_complete(&self, now: Moment) -> bool {
+        self.known_for(now)
+            .is_some_and(|time| time >= self.retention)
+    }
+
     /// Returns at which of some builds new streams may begin: those that other instances know,
     /// since they have been listed for a while. `confirmed_at` is when the list was last
     /// confirmed; a list that is not read tells nobody of a build. An instance that has just
@@ -376,8 +397,8 @@
             return established;
         }
         let first_start = |build: &&BuildId| {
-            let starts = sighting(build).and_then(|one| one.starts);
-            (starts.is_none(), starts.map(|(first, _)| first))
+            let first_start = sighting(build).and_then(|one| one.first_start);
+            (first_start.is_none(), first_start)
         };
         builds
             .iter()
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -8,6 +8,7 @@
 
 mod entries;
 mod follow;
+mod past;
 pub(crate) mod peers;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -82,14 +83,15 @@
         topic,
         modes: modes.clone(),
     };
+    let endpoints = Arc::new(sources.endpoints);
     tokio::spawn(follow(
-        sources.operator,
+        Arc::new(sources.operator),
         follower(Topic::Operator),
         sender.clone(),
         Event::Operator,
     ));
     tokio::spawn(follow(
-        sources.endpoints,
+        Arc::clone(&endpoints),
         follower(Topic::Endpoints),
         sender.clone(),
         Event::Endpoints,
@@ -118,7 +120,7 @@
     if shared.settings.is_seed() {
         tokio::spawn(peers::run_exchange(Arc::clone(&shared)));
     }
-    let mut control = Control::new(shared, lines);
+    let mut control = Control::new(shared, endpoints, lines);
     let mut ticks = timer.every(TICK_INTERVAL);
     loop {
         tokio::select! {
@@ -144,6 +146,7 @@
 
 struct Control {
     shared: Arc<Shared>,
+    endpoints_source: Arc<Source<Registration>>,
     lines: Queue,
     policy: Option<Arc<Policy>>,
     evacuated: EvacuatedZones,
@@ -164,6 +167,7 @@
     // Whether the operator's topic has been read completely at least once.
     policy_read: bool,
     endpoints_listed: bool,
+    past_reading: past::Reading,
     policy_current: bool,
     readiness: Option<Readiness>,
     // Endpoints that changed and are yet to be logged.
@@ -171,10 +175,11 @@
 }
 
 impl Control {
-    fn new(shared: Arc<Shared>, lines: Queue) -> Self {
+    fn new(shared: Arc<Shared>, endpoints: Arc<Source<Registration>>, lines: Queue) -> Self {
         Self {
             roster: Roster::new(shared.settings.heartbeat),
             shared,
+            endpoints_source: endpoints,
             lines,
             policy: None,
             evacuated: EvacuatedZones::default(),
@@ -187,6 +192,7 @@
             log_behind_at: None,
             policy_read: false,
             endpoints_listed: false,
+            past_reading: past::Reading::default(),
             policy_current: false,
             readiness: None,
             unlogged: Vec::new(),
@@ -213,6 +219,7 @@
         if update.complete {
             self.record_complete_read(update.era, update.sent_at);
         }
+        self.read_past_if_needed();
         self.check_readiness();
     }
 
@@ -571,6 +578,25 @@
         tell_origins(&self.shared);
     }
 
+    // Reads, once after a start, what the log still holds of endpoints that have left, unless
+    // others tell what served before. Instances that nobody polls are told.
+    fn read_past_if_needed(&mut self) {
+        let is_polled = self.shared.serves_peers() || self.shared.settings.listen.peers.is_none();
+        let past::Reading::Possible { end } = self.past_reading else {
+            return;
+        };
+        if !is_polled || !self.shared.builds().lacks_past(boot_time()) {
+            return;
+        }
+        self.past_reading = past::Reading::Begun;
+        let extent = past::Extent {
+            end,
+            endpoints: self.roster.registrations().count(),
+        };
+        let source = Arc::clone(&self.endpoints_source);
+        tokio::spawn(past::read(source, Arc::clone(&self.shared), extent));
+    }
+
     fn publish_view(&self) {
         let with_standing = |standing| {
             let all = self.roster.registrations();
--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -49,6 +49,9 @@
             changed |= self.apply_change(change, update.from_list, now);
         }
         self.endpoints_listed |= update.complete;
+        if let Some(end) = update.position {
+            self.past_reading.record_end(end);
+        }
         if changed {
             self.publish_view();
         }
@@ -58,6 +61,7 @@
             self.shared
                 .update_replica(first, |replica| replica.confirm_endpoints(update.sent_at));
         }
+        self.read_past_if_needed();
         self.log_changes();
         self.check_readiness();
     }
--- a/crates/direct/src/control/follow.rs
+++ b/crates/direct/src/control/follow.rs
@@ -141,7 +141,7 @@
 
 /// Follows a topic until the receiver of its events is closed.
 pub(super) async fn follow<T, E>(
-    source: Source<T>,
+    source: Arc<Source<T>>,
     mut follower: Follower,
     events: mpsc::Sender<E>,
     event: fn(TopicUpdate<T>) -> E,
--- a/crates/direct/src/control/follow/notes.rs
+++ b/crates/direct/src/control/follow/notes.rs
@@ -27,7 +27,7 @@
 pub(super) fn log_tail<T>(follower: &Follower, from: Offset, tail: &Tail<T>) {
     let topic = follower.topic.as_str();
     match tail {
-        Tail::Expired => {
+        Tail::Expired { .. } => {
             follower.shared.metrics.count_log_listing(topic);
             log::warn!(topic:% = topic, from = from; "the next records have been deleted from the log; listing the topic again");
         }
--- a/crates/direct/src/evacuation/tests.rs
+++ b/crates/direct/src/evacuation/tests.rs
@@ -125,7 +125,7 @@
     // Returns at most two records, so that readers lag behind.
     fn read(&self, from: u64) -> Tail<String> {
         if from < self.first_retained {
-            return Tail::Expired;
+            return Tail::Expired { first: None };
         }
         let from = usize::try_from(from).expect("a short log");
         let records: Vec<_> = self.records.iter().skip(from).take(2).cloned().collect();
--- a/crates/direct/src/feed.rs
+++ b/crates/direct/src/feed.rs
@@ -193,7 +193,7 @@
             return Vec::new();
         };
         match reply.body {
-            Tail::Expired => {
+            Tail::Expired { .. } => {
                 self.state = State::listing();
                 Vec::new()
             }
--- a/crates/direct/src/feed/tests.rs
+++ b/crates/direct/src/feed/tests.rs
@@ -35,7 +35,7 @@
     })
 }
 
-const EXPIRED: Reply<Tail<String>> = first_era(Tail::Expired);
+const EXPIRED: Reply<Tail<String>> = first_era(Tail::Expired { first: None });
 
 fn gone(key: &str) -> Change<String> {
     Change::Removed(key.to_owned())
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod origins;
 pub mod overloads;
 pub mod pace;
+pub mod past;
 pub mod paths;
 pub mod place;
 pub mod policy;
--- a/crates/direct/src/metrics/streams.rs
+++ b/crates/direct/src/metrics/streams.rs
@@ -8,6 +8,7 @@
     resumed: Counter<u64>,
     taken_up: Counter<u64>,
     told: Counter<u64>,
+    past_reads: Counter<u64>,
     ended: Counter<u64>,
     slow_readers: Counter<u64>,
     unread_aborts: Counter<u64>,
@@ -35,6 +36,10 @@
                 "godwitpost.streams_told",
                 "Streams that another instance was told of, by whether it took the message",
             ),
+            past_reads: counter(
+                "godwitpost.past_reads",
+                "Attempts to read from the log which builds served before the start",
+            ),
             ended: counter(
                 "godwitpost.streams_ended",
                 "Streams that were relayed completely, by whether their events were in time",
@@ -75,6 +80,10 @@
             .add(streams as u64, &[KeyValue::new("taken", taken)]);
     }
 
+    pub(crate) fn count_past_read(&self, was_read: bool) {
+        self.past_reads.add(1, &[KeyValue::new("read", was_read)]);
+    }
+
     pub(crate) fn count_timeliness(&self, route: &str, timeliness: &'static str) {
         let set = [
             KeyValue::new("route", route.to_owned()),
--- a/crates/direct/src/refusal.rs
+++ b/crates/direct/src/refusal.rs
@@ -60,7 +60,10 @@
         left: Duration,
     },
     /// it is not known which build of the endpoints began the stream; send it again
-    UnknownOrigin,
+    UnknownOrigin {
+        /// How long it takes until that is known, if it will be.
+        left: Option<Duration>,
+    },
     /// no endpoint of the build that began the stream is left; begin a new stream
     BuildGone,
     /// endpoints ended each time that they ran this request; send it later
@@ -115,7 +118,7 @@
             | Self::Refused
             | Self::Unreachable
             | Self::Overloaded
-            | Self::UnknownOrigin
+            | Self::UnknownOrigin { .. }
             | Self::BuildGone
             | Self::Held { .. }
             | Self::Paused { .. }
@@ -140,14 +143,16 @@
             | Self::Unconfirmed
             | Self::NoEndpoint
             | Self::Unreachable
-            | Self::UnknownOrigin
+            | Self::UnknownOrigin { left: None }
             | Self::Expired => Some(SHORT_RETRY_DELAY),
             Self::Full | Self::NoRoom | Self::Refused | Self::Overloaded | Self::Warming => {
                 Some(FULL_RETRY_DELAY)
             }
             Self::Evacuated | Self::NoHome => Some(NO_ZONE_RETRY_DELAY),
             Self::Held { left } => Some(left),
-            Self::Paused { left } => Some(left.max(SHORT_RETRY_DELAY)),
+            Self::Paused { left } | Self::UnknownOrigin { left: Some(left) } => {
+                Some(left.max(SHORT_RETRY_DELAY))
+            }
             _ => None,
         }
     }
@@ -156,7 +161,9 @@
     #[must_use]
     pub const fn jitter(self) -> Range<f64> {
         match self {
-            Self::Held { .. } | Self::Paused { .. } => RETRY_JITTER_NOT_EARLIER,
+            Self::Held { .. } | Self::Paused { .. } | Self::UnknownOrigin { left: Some(_) } => {
+                RETRY_JITTER_NOT_EARLIER
+            }
             _ => RETRY_JITTER,
         }
     }
@@ -185,7 +192,7 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Broken => "broken",
-            Self::UnknownOrigin => "unknown-origin",
+            Self::UnknownOrigin { .. } => "unknown-origin",
             Self::BuildGone => "build-gone",
             Self::Held { .. } => "held",
             Self::Paused { .. } => "paused",
--- a/crates/direct/src/refusal/tests.rs
+++ b/crates/direct/src/refusal/tests.rs
@@ -4,7 +4,7 @@
 
 use super::Reason;
 
-const ALL: [Reason; 18] = [
+const ALL: [Reason; 20] = [
     Reason::Malformed,
     Reason::HeadTooLarge,
     Reason::BodyTooLarge,
@@ -27,6 +27,10 @@
     Reason::Paused {
         left: Duration::from_secs(3),
     },
+    Reason::UnknownOrigin { left: None },
+    Reason::UnknownOrigin {
+        left: Some(Duration::ZERO),
+    },
 ];
 
 /// Guards against a status that promises that nothing ran for a request of unknown
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -29,9 +29,8 @@
 /// response's way back.
 pub(super) const RESPONSE_RETURN_TIME: Duration = Duration::from_millis(3);
 
-/// A caller is asked to wait for paused endpoints for at most its remaining time divided
-/// by this.
-const PAUSE_WAIT_DIVISOR: u32 = 3;
+/// A caller is asked to wait for at most its remaining time divided by this.
+pub(super) const WAIT_DIVISOR: u32 = 3;
 
 /// The endpoint chosen for an attempt, and why.
 pub(super) struct Chosen {
@@ -156,7 +155,7 @@
 // Another instance may have endpoints that accept it, so the wait leaves the caller time
 // for a retry there.
 fn pause_reason_until(job: &Job, resume_at: Moment) -> Reason {
-    let left = since(resume_at, boot_time()).min(job.remaining() / PAUSE_WAIT_DIVISOR);
+    let left = since(resume_at, boot_time()).min(job.remaining() / WAIT_DIVISOR);
     Reason::Paused { left }
 }
 
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
@@ -21,6 +21,7 @@
 use tokio::task::JoinSet;
 
 use super::Job;
+use super::choose::WAIT_DIVISOR;
 use crate::builds::{self, Census, MAX_LIST_AGE, Statement};
 use crate::members;
 use crate::origins::{Origin, Record};
@@ -98,7 +99,7 @@
     }
     let found = find(job).await;
     let source = found.map_or("unknown", |(_, evidence)| evidence.as_str());
-    let origin = found.map(|(origin, _)| origin);
+    let origin = found.ok().map(|(origin, _)| origin);
     job.shared.metrics.streams().count_taken_up(source);
     let first_attempt = job.first_attempt();
     let (builds, known_for) = {
@@ -111,39 +112,57 @@
         builds_known_for_ms:? = known_for.map(|time| time.as_millis()), took_ms:% = job.age().as_millis();
         "stream taken up by its caller"
     );
-    job.bind(origin.ok_or(Reason::UnknownOrigin)?);
+    let (origin, _) = found.map_err(|unknown| unknown.reason(job))?;
+    job.bind(origin);
     Ok(())
 }
 
-async fn find(job: &Job) -> Option<(Origin, Evidence)> {
+/// Where a stream began isn't known.
+#[derive(Clone, Copy, Debug)]
+struct Unknown {
+    /// How long it takes until some instance knows, if one will.
+    complete_in: Option<Duration>,
+}
+
+impl Unknown {
+    // Returns the reason to refuse the request. Its caller is to come back while it has time left.
+    fn reason(self, job: &Job) -> Reason {
+        let longest = job.remaining() / WAIT_DIVISOR;
+        Reason::UnknownOrigin {
+            left: self.complete_in.map(|time| time.min(longest)),
+        }
+    }
+}
+
+async fn find(job: &Job) -> Result<(Origin, Evidence), Unknown> {
     let shared = &job.shared;
     let recorded = || shared.origins().get(job.stream());
     if let Some((origin, _)) = recorded().filter(|_| job.names_stream()) {
-        return Some((origin, Evidence::Recorded));
+        return Ok((origin, Evidence::Recorded));
     }
     let services = job.target_services();
     let sole = |build| Origin {
         service: job.service(),
         build,
     };
-    let own = Statement {
-        census: take_census(shared, &services),
-        list_age: list_age(shared),
-    };
+    let own = state(shared, &services);
     // An instance that shares its streams with nobody knows what all instances do.
     let is_alone = shared.settings.listen.peers.is_none();
     match own.census {
         Census::Sole(build) if is_alone || own.is_fresh() => {
-            return Some((sole(build), Evidence::SoleBuild));
+            return Ok((sole(build), Evidence::SoleBuild));
         }
-        Census::Gapped(build) if is_alone => return Some((sole(build), Evidence::SoleBuild)),
+        Census::Gapped(build) if is_alone => return Ok((sole(build), Evidence::SoleBuild)),
         _ => {}
     }
     let question = OriginQuestion {
         stream: job.names_stream().then(|| job.stream()),
         services,
     };
-    let replicas = replicas(shared, job.stream());
+    let mut replicas = replicas(shared, job.stream());
+    if matches!(own.census, Census::Unsure(_)) {
+        add_seeds(shared, &mut replicas);
+    }
     let asked_count = replicas.len();
     let question = Arc::new(question);
     let mut asked = JoinSet::new();
@@ -154,7 +173,7 @@
     while let Some(answer) = asked.join_next().await {
         let Ok(Some(answer)) = answer else { continue };
         if let Some(origin) = answer.origin {
-            return Some((origin, Evidence::Told));
+            return Ok((origin, Evidence::Told));
         }
         if let (Census::Sole(build), true) = (answer.statement.census, answer.statement.is_fresh())
         {
@@ -162,8 +181,13 @@
         }
         statements.push(answer.statement);
     }
+    let all = std::iter::once(&own).chain(&statements);
+    let unknown = Unknown {
+        complete_in: all.filter_map(|one| one.complete_in).min(),
+    };
     builds::agree(own.census, &statements, asked_count)
         .map(|build| (sole(build), Evidence::SoleBuildElsewhere))
+        .ok_or(unknown)
 }
 
 // Records what another instance has known for longer, unless more is known here.
@@ -185,11 +209,31 @@
     replicas
 }
 
+// Adds the seeds, which read from the log what served before they started.
+fn add_seeds(shared: &Shared, replicas: &mut Vec<SocketAddr>) {
+    for seed in shared.settings.other_seeds() {
+        if !replicas.contains(&seed) {
+            replicas.push(seed);
+        }
+    }
+}
+
+// Returns what this instance knows of the builds at which streams may have begun.
+fn state(shared: &Shared, services: &[ServiceId]) -> Statement {
+    let census = take_census(shared, services);
+    let time_to_know = || shared.builds().time_to_know(boot_time());
+    Statement {
+        census,
+        list_age: list_age(shared),
+        complete_in: matches!(census, Census::Unsure(_))
+            .then(time_to_know)
+            .flatten(),
+    }
+}
+
 fn take_census(shared: &Shared, services: &[ServiceId]) -> Census {
     let services = services.iter().copied();
-    shared
-        .builds()
-        .census(services, boot_time(), SystemTime::now())
+    shared.builds().census(services, boot_time())
 }
 
 /// Returns the services of which one build alone can have begun streams, with it, if the list
@@ -198,7 +242,7 @@
     if list_age(shared).is_none_or(|age| age > MAX_LIST_AGE) {
         return Vec::new();
     }
-    shared.builds().sole(boot_time(), SystemTime::now())
+    shared.builds().sole(boot_time())
 }
 
 /// Records what another instance has known for longer.
@@ -256,10 +300,7 @@
         .and_then(|stream| shared.origins().get(stream));
     let answer = OriginAnswer {
         origin: recorded.map(|(origin, _)| origin),
-        statement: Statement {
-            census: take_census(shared, &question.services),
-            list_age: list_age(shared),
-        },
+        statement: state(shared, &question.services),
     };
     encode(&answer)
 }
@@ -311,9 +352,8 @@
     let builds = shared.builds();
     let mut origins = shared.origins();
     origins.forget_old(builds.retention(), now);
-    let time_of_day = SystemTime::now();
     let is_needed = |service| {
-        let census = builds.census(std::iter::once(service), now, time_of_day);
+        let census = builds.census(std::iter::once(service), now);
         !matches!(census, Census::Sole(_))
     };
     origins.take_untold(is_needed, now)
--- a/crates/direct/src/source.rs
+++ b/crates/direct/src/source.rs
@@ -112,7 +112,10 @@
         end: Offset,
     },
     /// The records at the offset have been deleted.
-    Expired,
+    Expired {
+        /// The offset of the first record that is left, if the log names it.
+        first: Option<Offset>,
+    },
 }
 
 /// An answer with the era of the log that sent it.
