direct: callers are told when to come back only where some instance will know

Since what served before a start is read from the log, a refused caller was told how long its instance takes to know which build began its stream, also if another instance that was asked knew of two. No instance will know then.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -118,6 +118,17 @@
     agrees.then_some(sole)
 }
 
+/// Returns how long it takes until some instance knows that one build alone can have begun a
+/// stream, unless one knows of several: those can't be told apart later either.
+#[must_use]
+pub fn time_to_know(own: &Statement, others: &[Statement]) -> Option<Duration> {
+    let all = || std::iter::once(own).chain(others);
+    if all().any(|one| one.census == Census::Several) {
+        return None;
+    }
+    all().filter_map(|one| one.complete_in).min()
+}
+
 // The endpoints of one build.
 #[derive(Clone, Copy, Debug)]
 struct Sighting {
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -181,9 +181,8 @@
         }
         statements.push(answer.statement);
     }
-    let all = std::iter::once(&own).chain(&statements);
     let unknown = Unknown {
-        complete_in: all.filter_map(|one| one.complete_in).min(),
+        complete_in: builds::time_to_know(&own, &statements),
     };
     builds::agree(own.census, &statements, asked_count)
         .map(|build| (sole(build), Evidence::SoleBuildElsewhere))
