direct tests: responses cut in their head, at a second attempt and behind another instance

At every byte of a head: two endpoints of which the second cuts too or is sound, and an instance that reaches its endpoint only through another one, with a length and without, plain and streams, closed and reset. None is framed as whole; behind the other instance at least one request reached the endpoint for each place.

--- a/crates/direct/tests/instance/forwarding.rs
+++ b/crates/direct/tests/instance/forwarding.rs
@@ -20,7 +20,7 @@
 const REQUESTS: usize = 10;
 
 /// Starts an instance with these paths to its endpoints, and two that reach them directly.
-async fn start_fleet(paths: &[Path], endpoints: &[Endpoint]) -> [TestInstance; 3] {
+pub(crate) async fn start_fleet(paths: &[Path], endpoints: &[Endpoint]) -> [TestInstance; 3] {
     let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
     let cut_off: Vec<_> = paths.iter().map(|path| path.address).collect();
     let seeds = free_addresses::<3>();
--- a/crates/direct/tests/instance/heads.rs
+++ b/crates/direct/tests/instance/heads.rs
@@ -1,7 +1,10 @@
 //! Responses whose endpoint stops in the middle of their head.
 
+use godwitpost_standin::path::Path;
+
 use crate::endpoint::{Endpoint, ReceivedRequest, Step};
-use crate::fleet::TestInstance;
+use crate::fleet::{TestInstance, free_addresses};
+use crate::forwarding::start_fleet;
 
 /// How an endpoint says where its response ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,3 +144,76 @@
     }
     assert!(endpoint.connections() < endpoint.received().len());
 }
+
+/// Guards against the same where a second endpoint is tried: one that cuts its head too, or one that
+/// answers.
+#[tokio::test]
+async fn second_attempt_cut_in_its_head_is_not_whole() {
+    const BODY: &str = "twelve bytes";
+    let sound = |_: usize, received: &ReceivedRequest| {
+        let attempt = received.header("x-attempt").unwrap_or_default();
+        let head = head(attempt, Framing::Length, "text/plain");
+        vec![Step::Send(format!("{head}{BODY}"))]
+    };
+    for last in [Step::Close, Step::Reset] {
+        for is_second_sound in [false, true] {
+            let start = || start_endpoint(Framing::Length, "text/plain", "", last.clone());
+            let first = start().await;
+            let second = if is_second_sound {
+                Endpoint::start(sound).await
+            } else {
+                start().await
+            };
+            let addresses = [first.address, second.address];
+            let instance = TestInstance::start_without_retry_limit(&addresses).await;
+            for cut_at in 0..=head("a1", Framing::Length, "text/plain").len() {
+                let headers = format!("x-cut-at: {cut_at}\r\nx-pause: 0\r\n");
+                let response = instance.call("GET", "/stock/1", &headers).await;
+                let is_sound = is_second_sound && response.ends_with(BODY);
+                assert!(
+                    is_sound || !is_framed_as_whole(&response),
+                    "{last:?} at {cut_at}: {response}"
+                );
+            }
+            assert!(!first.received().is_empty() && !second.received().is_empty());
+        }
+    }
+}
+
+/// Guards against the same through another instance.
+#[tokio::test]
+async fn answer_cut_in_its_head_behind_another_instance_is_not_whole() {
+    for (framing, media_type, paths) in [
+        (
+            Framing::Length,
+            "text/plain",
+            [("GET", "/stock/1"), ("POST", "/order/1")],
+        ),
+        (
+            Framing::None,
+            "text/event-stream",
+            [("POST", "/draft/1"), ("POST", "/caption/1")],
+        ),
+    ] {
+        for last in [Step::Close, Step::Reset] {
+            let endpoint = start_endpoint(framing, media_type, "", last.clone()).await;
+            let [refused] = free_addresses();
+            let cut_off = Path::new(refused, endpoint.address);
+            let endpoints = [endpoint];
+            let [instance, _second, _third] = start_fleet(&[cut_off], &endpoints).await;
+            for cut_at in 0..=head("a1", framing, media_type).len() {
+                for (method, path) in paths {
+                    let headers = format!("x-cut-at: {cut_at}\r\nx-pause: 0\r\n");
+                    let response = instance.call(method, path, &headers).await;
+                    assert!(
+                        !is_framed_as_whole(&response),
+                        "{framing:?} {last:?} {path} at {cut_at}: {response}"
+                    );
+                }
+            }
+            let received = endpoints[0].received().len();
+            let places = head("a1", framing, media_type).len();
+            assert!(received >= places, "{framing:?} {last:?}: {received}");
+        }
+    }
+}
