direct: a response that says "not run" is believed only if it names the attempt

Callers were told 503, not run and never will be, for orders that ran: bytes that belong to nobody came in place of the response and said so, and nothing ties them to the request. Class: a promise to the caller rests on a response that nothing ties to its request.

"Not run" and 421 need the attempt's id, on new and used connections and behind another instance, which runs the same code; otherwise the outcome is unknown. A response without it tells no load, pause, leaving, pace or health either; the table of fields is in docs/design/ends-of-answers.md.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -46,6 +46,8 @@
 /// - For a request that must not run twice, a status which promises that the request has
 ///   not run is relayed only if the endpoint confirms it. Some endpoints respond 503
 ///   after they ran a request.
+/// - A statement that the request was not run counts only if it names the attempt. Bytes that
+///   belong to nobody may arrive in place of the response, while the request runs.
 /// - A success without the endpoint's signature, or with an encoded body, doesn't come
 ///   from the endpoint unchanged.
 #[must_use]
@@ -59,7 +61,12 @@
         return Verdict::Failed(Failure::Lost);
     }
     if fields.not_run || status == StatusCode::MISDIRECTED_REQUEST {
-        return Verdict::Failed(Failure::Refused);
+        let failure = if fields.names_attempt(id) {
+            Failure::Refused
+        } else {
+            Failure::Lost
+        };
+        return Verdict::Failed(failure);
     }
     let claims_not_run = matches!(status.as_u16(), 408 | 429 | 503);
     match (fields.signed, idempotent) {
--- a/crates/direct/src/attempt/tests.rs
+++ b/crates/direct/src/attempt/tests.rs
@@ -46,6 +46,30 @@
     );
 }
 
+/// Guards against a refusal that rests on bytes which belong to nobody: the order runs, and its
+/// caller sends it again.
+#[test]
+fn refusal_that_names_no_attempt_is_no_promise() {
+    let unnamed = ResponseFields {
+        attempt_id: None,
+        not_run: true,
+        ..ResponseFields::default()
+    };
+    for (status, fields) in [
+        (503, &unnamed),
+        (429, &unnamed),
+        (408, &unnamed),
+        (421, &ResponseFields::default()),
+    ] {
+        for idempotent in [false, true] {
+            let lost = Verdict::Failed(Failure::Lost);
+            assert_eq!(verdict(status, fields, idempotent), lost, "{status}");
+        }
+    }
+    let misdirected = verdict(421, &response_fields("a1"), false);
+    assert_eq!(misdirected, Verdict::Failed(Failure::Refused));
+}
+
 #[test]
 fn unsigned_or_encoded_success_is_not_relayed() {
     let unsigned = ResponseFields {
--- a/crates/direct/src/dialect.rs
+++ b/crates/direct/src/dialect.rs
@@ -219,13 +219,19 @@
             .is_some_and(|echoed| echoed != id)
     }
 
+    /// Returns whether it names the attempt `id`. Other bytes on the connection may belong to
+    /// nobody.
+    #[must_use]
+    pub fn names_attempt(&self, id: &str) -> bool {
+        self.attempt_id.as_deref() == Some(id)
+    }
+
     /// Returns whether it was written by the endpoint that the attempt `id` was sent to:
     /// it echoes the attempt id, no intermediary has encoded its body, and the status
     /// doesn't say that another server has the address.
     #[must_use]
     pub fn is_from_endpoint(&self, status: StatusCode, id: &str) -> bool {
-        let echoes = self.attempt_id.as_deref() == Some(id);
-        echoes && !self.content_encoded && status != StatusCode::MISDIRECTED_REQUEST
+        self.names_attempt(id) && !self.content_encoded && status != StatusCode::MISDIRECTED_REQUEST
     }
 }
 
--- a/crates/direct/src/relay/response.rs
+++ b/crates/direct/src/relay/response.rs
@@ -22,7 +22,7 @@
     let now = boot_time();
     in_flight.record_activity();
     let id = &job.fields.attempt_id;
-    if fields.is_for_other_attempt(id) {
+    if !fields.names_attempt(id) {
         return;
     }
     if fields.is_from_endpoint(status, id) {
--- a/crates/direct/tests/instance/failures.rs
+++ b/crates/direct/tests/instance/failures.rs
@@ -118,6 +118,32 @@
     assert!(!response.contains("other"), "{response}");
 }
 
+/// Guards against an order that runs and is refused as not run, by bytes of its endpoint that
+/// belong to nobody; on a new connection and on a used one.
+#[tokio::test]
+async fn refusal_that_names_no_attempt_is_not_believed() {
+    for (status, header) in [
+        ("503 Busy", "x-not-run: 1\r\n"),
+        ("429 Busy", "x-not-run: 1\r\n"),
+        ("421 Misdirected", ""),
+    ] {
+        for is_used in [false, true] {
+            let bytes = format!("HTTP/1.1 {status}\r\n{header}content-length: 0\r\n\r\n");
+            let endpoint = Endpoint::start(move |n, received| match n {
+                0 if is_used => vec![response_to(received, "200 OK", "", "mine")],
+                _ => vec![Step::Send(bytes.clone())],
+            })
+            .await;
+            let instance = TestInstance::start(&[endpoint.address]).await;
+            if is_used {
+                instance.call("GET", "/stock/1", "").await;
+            }
+            let response = instance.call("POST", "/order/1", "").await;
+            assert!(response.starts_with("HTTP/1.1 502"), "{status}: {response}");
+        }
+    }
+}
+
 /// Guards against refusals caused by an outdated load report in a late response.
 #[tokio::test]
 async fn load_in_a_late_response_is_ignored() {
