direct: a build of the log's past serves until its endpoint is back at another

Found on reading the diff: where an endpoint is back under its name at another build, its former one counted as gone since its last record, though it served until the next. With entries at each heartbeat that is one interval; where endpoints write changes alone it may be long, and a stream could have been joined.

Names and comments on the way: earliest_knowledge, own_statement; lines say no time where the log is whole.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -121,7 +121,7 @@
 /// Returns how long it takes until some instance knows that one build alone can have begun a
 /// stream, unless one knows of several: those can't be told apart later either.
 #[must_use]
-pub fn time_to_know(own: &Statement, others: &[Statement]) -> Option<Duration> {
+pub fn earliest_knowledge(own: &Statement, others: &[Statement]) -> Option<Duration> {
     let all = || std::iter::once(own).chain(others);
     if all().any(|one| one.census == Census::Several) {
         return None;
@@ -186,7 +186,8 @@
         self.retention
     }
 
-    /// Returns for how long all builds that serve have been known here.
+    /// Returns how far back all builds that have served are known here; `None` before the first
+    /// list.
     #[must_use]
     pub fn known_for(&self, now: Moment) -> Option<Duration> {
         match self.history {
--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -6,7 +6,7 @@
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
 
-use super::{Builds, Census, MAX_LIST_AGE, Statement, agree, time_to_know};
+use super::{Builds, Census, MAX_LIST_AGE, Statement, agree, earliest_knowledge};
 use crate::roster::Registration;
 
 const SERVICE: u64 = 7;
@@ -351,7 +351,7 @@
 /// Guards against callers that are told to come back later for a stream of which nobody will know
 /// where it began.
 #[test]
-fn time_to_know_is_told_only_where_one_build_is_left() {
+fn earliest_knowledge_is_told_only_where_one_build_is_left() {
     let in_seconds = |census, seconds| Statement {
         census,
         list_age: Some(MAX_LIST_AGE),
@@ -362,10 +362,10 @@
         ..in_seconds(Census::Several, 0)
     };
     let (v1, own) = (unsure("v1"), in_seconds(unsure("v1"), 9));
-    let time = |others: &[Statement]| time_to_know(&own, others);
+    let time = |others: &[Statement]| earliest_knowledge(&own, others);
     assert_eq!(time(&[]), Some(Duration::from_secs(9)));
     let sooner = in_seconds(v1, 3);
     assert_eq!(time(&[sooner]), Some(Duration::from_secs(3)));
     assert_eq!(time(&[sooner, several]), None);
-    assert_eq!(time_to_know(&several, &[sooner]), None);
+    assert_eq!(earliest_knowledge(&several, &[sooner]), None);
 }
--- a/crates/direct/src/control/past.rs
+++ b/crates/direct/src/control/past.rs
@@ -12,18 +12,20 @@
 use crate::shared::Shared;
 use crate::source::{ReadError, Source, Tail};
 
-/// The pause between two calls, each of which reads a megabyte or so, beside instances that read
-/// the log in order to start.
+/// The pause between two calls, each of which returns up to a megabyte. Other instances read the
+/// log at the same time, in order to start.
 const READ_PAUSE: Duration = Duration::from_millis(250);
 
 /// The pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
-/// How often the past is read before the time since the start has to do.
+/// How often reading the past is tried. After that, only the time since the start tells more.
 const MAX_ATTEMPTS: u32 = 5;
 
-/// How many more heartbeats than a stream's time holds are read: a quarter, and two.
+/// How much more than the time in which a stream may be taken up is read, as a fraction of it.
 const SPARE_FRACTION: f64 = 0.25;
+
+/// Heartbeats read beyond that: the first and the last interval may be cut.
 const SPARE_HEARTBEATS: u64 = 2;
 
 /// Whether the past is read, which is done once.
@@ -141,8 +143,9 @@
     let builds = past.builds(shared.settings.heartbeat);
     shared.builds().record_past(reach, &builds, now);
     shared.metrics.streams().count_past_read(true);
+    let reach_ms = (!past.is_whole()).then_some(reach.as_millis());
     log::info!(
-        records = past.len(), reach_ms = reach.as_millis(), is_whole = past.is_whole(), builds = builds.len(), calls = calls,
+        records = past.len(), reach_ms:? = reach_ms, is_whole = past.is_whole(), builds = builds.len(), calls = calls,
         took_ms = since(now, started_at).as_millis();
         "records of past endpoints read"
     );
--- a/crates/direct/src/past.rs
+++ b/crates/direct/src/past.rs
@@ -90,16 +90,16 @@
         let mut of_endpoint = BTreeMap::new();
         let mut last = BTreeMap::new();
         for (index, one) in self.mentions.iter().enumerate() {
+            let before = of_endpoint.get(&one.endpoint).copied();
             let build = match one.entry {
-                Entry::Set(service, build) => {
-                    of_endpoint.insert(one.endpoint, (service, build));
-                    Some((service, build))
-                }
-                Entry::Unreadable | Entry::Removed => of_endpoint.get(&one.endpoint).copied(),
+                Entry::Set(service, build) => Some((service, build)),
+                Entry::Unreadable | Entry::Removed => None,
             };
             if let Some(build) = build {
-                last.insert(build, index);
+                of_endpoint.insert(one.endpoint, build);
             }
+            // The build that an endpoint had until now served until now.
+            last.extend(before.into_iter().chain(build).map(|build| (build, index)));
         }
         let age = |index: usize| min_time(&self.mentions[index + 1..], heartbeat);
         last.into_iter()
--- a/crates/direct/src/past/tests.rs
+++ b/crates/direct/src/past/tests.rs
@@ -100,6 +100,20 @@
     assert_eq!(past.reach(HEARTBEAT), reach_of(6));
 }
 
+/// Guards against counting a build as gone since its last record where its endpoint is back at
+/// another one, which nothing but that endpoint's next record tells.
+#[test]
+fn build_serves_until_its_endpoint_is_back_at_another_one() {
+    let past = past(&[
+        vec![set("a", "v1")],
+        heartbeats(8, &["c"], "v2"),
+        vec![set("a", "v2")],
+        heartbeats(3, &["c"], "v2"),
+    ]);
+    let gone_for = past.builds(HEARTBEAT);
+    assert_eq!(gone_for, builds_of(&[("v1", 2), ("v2", 0)]));
+}
+
 /// Guards against records that seem to tell all builds although one endpoint's are deleted
 /// already, and only its removal is left.
 #[test]
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -104,7 +104,12 @@
     let first_attempt = job.first_attempt();
     let (builds, known_for) = {
         let known = job.shared.builds();
-        (known.count(job.service()), known.known_for(boot_time()))
+        let known_for = known.known_for(boot_time());
+        let longest = known.retention();
+        (
+            known.count(job.service()),
+            known_for.map(|time| time.min(longest)),
+        )
     };
     log::info!(
         request:% = job.id(), first_attempt:% = first_attempt.as_deref().unwrap_or("(none)"),
@@ -145,7 +150,7 @@
         service: job.service(),
         build,
     };
-    let own = state(shared, &services);
+    let own = own_statement(shared, &services);
     // An instance that shares its streams with nobody knows what all instances do.
     let is_alone = shared.settings.listen.peers.is_none();
     match own.census {
@@ -182,7 +187,7 @@
         statements.push(answer.statement);
     }
     let unknown = Unknown {
-        complete_in: builds::time_to_know(&own, &statements),
+        complete_in: builds::earliest_knowledge(&own, &statements),
     };
     builds::agree(own.census, &statements, asked_count)
         .map(|build| (sole(build), Evidence::SoleBuildElsewhere))
@@ -218,7 +223,7 @@
 }
 
 // Returns what this instance knows of the builds at which streams may have begun.
-fn state(shared: &Shared, services: &[ServiceId]) -> Statement {
+fn own_statement(shared: &Shared, services: &[ServiceId]) -> Statement {
     let census = take_census(shared, services);
     let time_to_know = || shared.builds().time_to_know(boot_time());
     Statement {
@@ -299,7 +304,7 @@
         .and_then(|stream| shared.origins().get(stream));
     let answer = OriginAnswer {
         origin: recorded.map(|(origin, _)| origin),
-        statement: state(shared, &question.services),
+        statement: own_statement(shared, &question.services),
     };
     encode(&answer)
 }
