--- a/crates/direct/tests/load_bound/main.rs
+++ b/crates/direct/tests/load_bound/main.rs
@@ -137,9 +137,10 @@
 /// Shows that the scenarios pass the margin if nobody tells of endpoints that begin no responses.
 #[test]
 fn scenarios_break_instances_that_tell_no_silences() {
-    let scenario = Scenario {
+    let without_silences = |instances| Scenario {
         tells_silences: false,
-        ..Scenario::prompts_in_three_zones(69).disturbed()
+        ..Scenario::prompts_in_three_zones(instances).evacuated()
     };
-    assert!(worst_share(&scenario) > MAX_SHARE_WITH_MARGIN);
+    let shares = [69, 300].map(|instances| worst_share(&without_silences(instances)));
+    assert!(shares.iter().any(|share| *share > MAX_SHARE_WITH_MARGIN));
 }
