direct tests: two changed checks as strict as before

Read in the diff: builds_of_all_services_of_a_route_count no longer told what is known of one service from what is known of the other, and silences had to be missed at 69 or 300 instances. The first asks for both again, the second for both sizes.

--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -202,13 +202,14 @@
 #[test]
 fn builds_of_all_services_of_a_route_count() {
     let listed = [old("v1"), endpoint(OTHER_SERVICE, "v2", None)];
-    let known = builds(&listed, false, at(0));
+    let mut known = builds(&listed, false, at(0));
+    known.adopt(SERVICE, id::from_name("v1"), at(0));
     let of = |services: &[u64]| {
         let services = services.iter().copied();
-        known.census(services, RETENTION)
+        known.census(services, at(0))
     };
     assert_eq!(of(&[SERVICE]), sole("v1"));
-    assert_eq!(of(&[OTHER_SERVICE]), sole("v2"));
+    assert_eq!(of(&[OTHER_SERVICE]), unsure("v2"));
     assert_eq!(of(&[SERVICE, OTHER_SERVICE]), Census::Several);
     assert_eq!((known.count(SERVICE), known.count(9)), (1, 0));
 }
--- a/crates/direct/tests/load_bound/main.rs
+++ b/crates/direct/tests/load_bound/main.rs
@@ -142,5 +142,5 @@
         ..Scenario::prompts_in_three_zones(instances).evacuated()
     };
     let shares = [69, 300].map(|instances| worst_share(&without_silences(instances)));
-    assert!(shares.iter().any(|share| *share > MAX_SHARE_WITH_MARGIN));
+    assert!(shares.iter().all(|share| *share > MAX_SHARE_WITH_MARGIN));
 }
