direct: a server that answers 421 without naming the attempt is set aside again

Callers' look-ups reached a server that had the address of an endpoint that left, again and again: each cost a retry of its budget. The class: one guard for two questions, what a caller is promised and where the next request is sent.

Such a 421 promises nothing, as before, and takes the endpoint out of use until it is tried again. One that names another attempt still says nothing.

--- a/crates/direct/src/relay/response.rs
+++ b/crates/direct/src/relay/response.rs
@@ -22,7 +22,9 @@
     let now = boot_time();
     in_flight.record_activity();
     let id = &job.fields.attempt_id;
-    if !fields.names_attempt(id) {
+    // Another server at the address may not know the header that names the attempt.
+    let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if fields.is_for_other_attempt(id) || !(is_misdirected || fields.names_attempt(id)) {
         return;
     }
     if fields.is_from_endpoint(status, id) {
@@ -32,7 +34,7 @@
     let endpoint = &in_flight.registration().endpoint;
     let mut endpoint_stats = job.shared.endpoint_stats();
     let mut expected = Vec::new();
-    let (change, observation) = if status == StatusCode::MISDIRECTED_REQUEST {
+    let (change, observation) = if is_misdirected {
         let change = endpoint_stats.record_unreachable(endpoint.id, now);
         (change, Observation::OtherServer)
     } else {
--- a/crates/direct/tests/instance/failures.rs
+++ b/crates/direct/tests/instance/failures.rs
@@ -3,6 +3,9 @@
 use crate::endpoint::{Endpoint, Step, ok_with_body, response_to, response_to_other_attempt};
 use crate::fleet::{TestInstance, read_rest, request};
 
+/// Enough for a server that is one of two to get more than one.
+const MISDIRECTED_REQUESTS: u32 = 8;
+
 /// Guards against an unsafe request that is run twice: its endpoint crashes while it
 /// handles the request, so the outcome is unknown and it must not be sent again.
 #[tokio::test]
@@ -80,23 +83,29 @@
     assert!(!response.contains("x-signed"), "{response}");
 }
 
-/// Another server has the address of an endpoint that left, and answers with status 421.
+/// Another server has the address of an endpoint that left, and answers with status 421, with or
+/// without the header that names the attempt. After one request no more get there.
 #[tokio::test]
 async fn misdirected_request_is_retried_at_the_right_endpoint() {
-    let wrong_server = Endpoint::start(|_, _| {
-        vec![Step::Send(
-            "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n".to_owned(),
-        )]
-    })
-    .await;
-    let registered = Endpoint::start(ok_with_body("ok")).await;
-    let instance = TestInstance::start(&[wrong_server.address, registered.address]).await;
-    for _ in 0..4 {
-        let response = instance.call("GET", "/stock/1", "").await;
-        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    for names_attempt in [false, true] {
+        let wrong_server = Endpoint::start(move |_, received| {
+            if names_attempt {
+                return vec![response_to(received, "421 Misdirected", "", "")];
+            }
+            vec![Step::Send(
+                "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n".to_owned(),
+            )]
+        })
+        .await;
+        let registered = Endpoint::start(ok_with_body("ok")).await;
+        let instance = TestInstance::start(&[wrong_server.address, registered.address]).await;
+        for _ in 0..MISDIRECTED_REQUESTS {
+            let response = instance.call("GET", "/stock/1", "").await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+        let misdirected = wrong_server.received().len();
+        assert!(misdirected <= 1, "{misdirected} requests");
     }
-    // After at most one request it is known to be the wrong server.
-    assert!(wrong_server.received().len() <= 1);
 }
 
 /// Guards against relaying a second response to an earlier request, which arrives while the
