direct tests: streams are to go on after a kill of all beside two builds

Callers that come back some seconds after all instances were killed, while two builds served side by side, are refused until their time is over.

The simulated log has a file of its own; schedules drawn before are the same.

--- a/crates/direct/tests/builds/main.rs
+++ b/crates/direct/tests/builds/main.rs
@@ -6,6 +6,7 @@
 //! instance tells and asks, and what it concludes are those of the production code.
 
 mod instance;
+mod log;
 mod world;
 
 use world::{Guard, Outcome, Scenario, Size, run_schedule, simulate};
@@ -32,6 +33,9 @@
 /// that begin.
 const MIN_SHARE: f64 = 0.9;
 
+/// The streams taken up after a kill of all that schedules must have to judge anything.
+const MIN_TAKEN_UP_AFTER_KILL: u32 = 100;
+
 const SMALL: Size = Size {
     instances: 6,
     per_second: 40,
@@ -113,6 +117,17 @@
     run_schedules(SMALL, Scenario::BuildsLeave, schedules());
 }
 
+/// Guards against refusing streams since nobody is left who knows where they began: all instances
+/// were killed while builds served side by side.
+#[test]
+fn streams_go_on_where_all_instances_are_killed_while_builds_serve_side_by_side() {
+    let sum = run_schedules(SMALL, Scenario::KillsSideBySide, schedules());
+    assert!(
+        sum.taken_up_after_kill >= MIN_TAKEN_UP_AFTER_KILL,
+        "{sum:?}"
+    );
+}
+
 #[test]
 fn streams_go_on_at_their_build_alone_among_many_instances() {
     assert_most_go_on(&run_schedules(MEDIUM, Scenario::Releases, MEDIUM_SCHEDULES));
--- a/crates/direct/tests/builds/world.rs
+++ b/crates/direct/tests/builds/world.rs
@@ -6,9 +6,7 @@
 
 use godwitpost_direct::members::REPLICAS;
 use godwitpost_direct::origins::Origin;
-use godwitpost_direct::past::Past;
 use godwitpost_direct::roster::Registration;
-use godwitpost_direct::source::{Record, Value};
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id::{self, BuildId, StreamId};
@@ -16,6 +14,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::instance::{Decision, Instance};
+use crate::log::Log;
 
 pub(crate) const SERVICE: u64 = 7;
 
@@ -25,12 +24,15 @@
 const TICK: Duration = Duration::from_millis(50);
 
 /// How long a schedule lasts, and how long its streams go on after the last one begins.
-const DURATION: Duration = Duration::from_secs(45);
+pub(crate) const DURATION: Duration = Duration::from_secs(45);
 const LAST_STREAM_AT: Duration = Duration::from_secs(40);
 
 /// How long an instance and the log have to be without faults to count as calm.
 const CALM: Duration = Duration::from_secs(3);
 
+/// How much later than that callers may come back whose streams broke as all were killed.
+const MAX_CALM_RETURN: Duration = Duration::from_secs(3);
+
 /// How long a killed instance takes to start.
 const RESTART: Duration = Duration::from_millis(400);
 
@@ -40,16 +42,6 @@
 /// The interval at which endpoints write their entries.
 pub(crate) const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
-/// What the log keeps of endpoints' entries, in one schedule and the next.
-const LOGS: [Log; 4] = [
-    Log::Heartbeats(Duration::from_secs(12)),
-    Log::Heartbeats(Duration::from_secs(30)),
-    Log::Changes {
-        is_forgotten: false,
-    },
-    Log::Changes { is_forgotten: true },
-];
-
 /// A stream is taken up at most this often.
 const MAX_TAKE_UPS: u32 = 3;
 
@@ -78,15 +70,9 @@
     /// All endpoints of a build leave without others in their place, and around that moment all
     /// instances are killed.
     BuildsLeave,
-}
-
-/// What the log keeps of endpoints' entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Log {
-    /// A record of each heartbeat, for this long.
-    Heartbeats(Duration),
-    /// A record of each change, until all but the newest are forgotten at some moment.
-    Changes { is_forgotten: bool },
+    /// All instances are killed while builds serve side by side, and callers come back once the
+    /// instances have run for a while.
+    KillsSideBySide,
 }
 
 /// What is switched off to see whether schedules miss it.
@@ -119,6 +105,10 @@
     pub(crate) joined: u32,
     pub(crate) taken_up_in_calm: u32,
     pub(crate) went_on_in_calm: u32,
+    /// The same of streams that broke as all instances were killed while builds served side by
+    /// side.
+    pub(crate) taken_up_after_kill: u32,
+    pub(crate) went_on_after_kill: u32,
     /// How often an instance was told of a stream, and the most often that one was.
     pub(crate) told: u32,
     pub(crate) told_most: u32,
@@ -133,6 +123,8 @@
         self.joined += other.joined;
         self.taken_up_in_calm += other.taken_up_in_calm;
         self.went_on_in_calm += other.went_on_in_calm;
+        self.taken_up_after_kill += other.taken_up_after_kill;
+        self.went_on_after_kill += other.went_on_after_kill;
         self.told += other.told;
         self.told_most += other.told_most;
         self.questions += other.questions;
@@ -153,22 +145,8 @@
     began_at: Moment,
     next_at: Moment,
     take_ups: u32,
-}
-
-fn entry(registration: &Registration) -> Record<Registration> {
-    Record {
-        key: registration.endpoint.name.clone(),
-        offset: 0,
-        value: Value::Set(registration.clone()),
-    }
-}
-
-fn removal(name: String) -> Record<Registration> {
-    Record {
-        key: name,
-        offset: 0,
-        value: Value::Removed,
-    }
+    // Whether it broke as all instances were killed while builds served side by side.
+    broke_side_by_side: bool,
 }
 
 struct World {
@@ -183,11 +161,7 @@
     unread_until: Vec<Moment>,
     cut_until: Vec<Moment>,
     log_down_until: Moment,
-    // The records of endpoints' entries that the log keeps.
-    log: Vec<(Moment, Record<Registration>)>,
-    log_keeps: Log,
-    forgotten_at: Moment,
-    is_log_whole: bool,
+    log: Log,
     servers: Vec<Server>,
     streams: Vec<Stream>,
     next_id: u64,
@@ -226,8 +200,9 @@
         return Err(format!("{} streams were joined", outcome.joined));
     }
     // The users' bound: half of the share of new streams that begin, which here is 1.
-    if outcome.taken_up_in_calm >= MIN_JUDGED
-        && outcome.went_on_in_calm * 2 < outcome.taken_up_in_calm
+    let is_lost = |taken_up, went_on| taken_up >= MIN_JUDGED && went_on * 2 < taken_up;
+    if is_lost(outcome.taken_up_in_calm, outcome.went_on_in_calm)
+        || is_lost(outcome.taken_up_after_kill, outcome.went_on_after_kill)
     {
         return Err(format!("streams were lost: {outcome:?}"));
     }
@@ -254,10 +229,7 @@
             unread_until: vec![Moment::ZERO; size.instances],
             cut_until: vec![Moment::ZERO; size.instances],
             log_down_until: Moment::ZERO,
-            log: Vec::new(),
-            log_keeps: LOGS[usize::try_from(seed).expect("a small number") % LOGS.len()],
-            forgotten_at: Duration::from_millis(seed * 7_919 % 45_000),
-            is_log_whole: true,
+            log: Log::new(seed),
             servers: Vec::new(),
             streams: Vec::new(),
             next_id: 0,
@@ -303,8 +275,10 @@
     fn step(&mut self) {
         self.now += TICK;
         self.change_servers();
-        if self.scenario == Scenario::BuildsLeave {
-            self.retire_build();
+        match self.scenario {
+            Scenario::Releases => {}
+            Scenario::BuildsLeave => self.retire_build(),
+            Scenario::KillsSideBySide => self.draw_kill_of_all(),
         }
         self.draw_faults();
         self.write_entries();
@@ -347,43 +321,23 @@
         }
         let is_left = |one: &mut Server| one.leaving_at.is_some_and(|at| now >= at + LEAVING);
         for one in self.servers.extract_if(.., is_left) {
-            self.log
-                .push((now, removal(one.registration.endpoint.name)));
+            self.log.remove(one.registration.endpoint.name, now);
         }
     }
 
     // Endpoints renew their entries, and the log forgets old records.
     fn write_entries(&mut self) {
         let now = self.now;
-        let interval = match self.log_keeps {
-            Log::Heartbeats(_) => HEARTBEAT,
-            Log::Changes { .. } => DURATION,
-        };
+        let interval = self.log.entry_interval();
         if self.log_down_until <= now {
             for one in &mut self.servers {
                 if one.next_heartbeat_at <= now {
                     one.next_heartbeat_at = now + interval;
-                    self.log.push((now, entry(&one.registration)));
+                    self.log.set(&one.registration, now);
                 }
             }
         }
-        let forgotten = match self.log_keeps {
-            Log::Heartbeats(time) => now.saturating_sub(time),
-            Log::Changes { is_forgotten: true } if now >= self.forgotten_at => self.forgotten_at,
-            Log::Changes { .. } => Moment::ZERO,
-        };
-        let count = self.log.len();
-        self.log.retain(|(at, _)| *at >= forgotten);
-        self.is_log_whole &= self.log.len() == count;
-    }
-
-    // Returns what the log holds of endpoints' entries.
-    fn past(&self) -> Past {
-        let mut past = Past::new(self.is_log_whole);
-        for (_, record) in &self.log {
-            past.add(std::slice::from_ref(record));
-        }
-        past
+        self.log.forget_old(now);
     }
 
     // Takes the endpoints of one build away if another one is left, and sets when all instances
@@ -405,6 +359,12 @@
         self.kill_all_at.get_or_insert(self.now + delay);
     }
 
+    fn draw_kill_of_all(&mut self) {
+        if self.live_builds().len() > 1 && self.rng.random_bool(0.01) {
+            self.kill_all_at = Some(self.now);
+        }
+    }
+
     fn draw_faults(&mut self) {
         let now = self.now;
         let for_ms = |rng: &mut ChaCha8Rng| Duration::from_millis(rng.random_range(500..6_000));
@@ -441,9 +401,16 @@
                 self.instances[n] = Instance::start(address, self.guard, self.now + RESTART);
             }
         }
+        let is_side_by_side = all && self.scenario == Scenario::KillsSideBySide;
         for stream in &mut self.streams {
-            let delay = Duration::from_millis(self.rng.random_range(0..800));
-            stream.next_at = stream.next_at.min(self.now + delay);
+            stream.broke_side_by_side |= is_side_by_side;
+            if is_side_by_side {
+                let delay = self.rng.random_range(Duration::ZERO..MAX_CALM_RETURN);
+                stream.next_at = self.now + RESTART + CALM + TICK + delay;
+            } else {
+                let delay = Duration::from_millis(self.rng.random_range(0..800));
+                stream.next_at = stream.next_at.min(self.now + delay);
+            }
         }
     }
 
@@ -545,8 +512,8 @@
             self.instances[n].next_read_at = now + interval;
             self.instances[n].read(&all, live.clone(), false, now);
             if n < SEEDS && self.instances[n].lacks_past(now) {
-                let past = self.past();
-                let oldest = self.log.first().map_or(now, |(at, _)| *at);
+                let past = self.log.past();
+                let oldest = self.log.oldest().unwrap_or(now);
                 assert!(past.is_whole() || past.reach(HEARTBEAT) <= since(now, oldest));
                 self.instances[n].read_past(&past, now);
             }
@@ -592,6 +559,7 @@
                     began_at: self.now,
                     next_at: self.now + delay,
                     take_ups: 0,
+                    broke_side_by_side: false,
                 });
             }
         }
@@ -650,7 +618,9 @@
         let of_its_build = serving.get(&stream.build).copied();
         let serves = serving.len() > 1 && of_its_build >= Some(2);
         let is_judged = named.is_some() && serves && self.is_calm(n);
+        let is_judged_after_kill = is_judged && stream.broke_side_by_side;
         self.outcome.taken_up_in_calm += u32::from(is_judged);
+        self.outcome.taken_up_after_kill += u32::from(is_judged_after_kill);
         let Decision::GoOn(build) = decision else {
             return;
         };
@@ -660,6 +630,7 @@
         self.outcome.joined += u32::from(build != stream.build);
         self.outcome.went_on += 1;
         self.outcome.went_on_in_calm += u32::from(is_judged);
+        self.outcome.went_on_after_kill += u32::from(is_judged_after_kill);
         let origin = Origin {
             service: SERVICE,
             build,
