direct, platform: where streams began outlasts all instances

Callers whose streams broke as all instances were killed while two builds served were refused until their time was over: LOST, if they come back later than 3 s after the start. Cause: only the instances that were told knew where a stream began. The class: state that has to outlive all instances lived in them.

While more than one build can have begun a service's streams, one seed, drawn by the stream, writes its origin to a topic of the log that instances alone use, at most a batch each 250 ms; if the log refuses it, the others are asked too. A seed that starts reads the batches, and an instance that is younger than a stream's time asks the seeds. An origin never changes, so late and double writes harm nothing. While one build serves nothing is written; the soak's stand-in still rejects any other write.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -8,6 +8,7 @@
 
 mod entries;
 mod follow;
+mod kept;
 mod past;
 pub(crate) mod peers;
 
@@ -37,7 +38,7 @@
 use crate::revoked::{KeyChanges, RevokedKeys};
 use crate::roster::{Origin, Registration, Roster};
 use crate::shared::{Shared, View, by_service};
-use crate::source::{Directive, Position, Source};
+use crate::source::{Directive, OwnTopic, Position, Source};
 use crate::stats::Observation;
 use crate::verification::{Verification, verified_era};
 
@@ -48,13 +49,15 @@
 /// How long after its request ended a caller may take a stream up again.
 const MAX_RETURN_TIME: Duration = Duration::from_secs(5);
 
-/// The topics of the log that an instance follows.
+/// The topics of the log that an instance follows, and the one that instances write.
 #[derive(Debug)]
 pub struct Sources {
     /// The operator's topic. Versions of the configuration only ever increase.
     pub operator: Source<Directive>,
     /// The topic in which endpoints register themselves.
     pub endpoints: Source<Registration>,
+    /// The topic in which instances keep where streams began.
+    pub streams: OwnTopic,
 }
 
 enum Event {
@@ -84,6 +87,8 @@
         modes: modes.clone(),
     };
     let endpoints = Arc::new(sources.endpoints);
+    let streams = Arc::new(sources.streams);
+    tokio::spawn(kept::write(Arc::clone(&streams), Arc::clone(&shared)));
     tokio::spawn(follow(
         Arc::new(sources.operator),
         follower(Topic::Operator),
@@ -120,7 +125,7 @@
     if shared.settings.is_seed() {
         tokio::spawn(peers::run_exchange(Arc::clone(&shared)));
     }
-    let mut control = Control::new(shared, endpoints, lines);
+    let mut control = Control::new(shared, endpoints, streams, lines);
     let mut ticks = timer.every(TICK_INTERVAL);
     loop {
         tokio::select! {
@@ -147,6 +152,7 @@
 struct Control {
     shared: Arc<Shared>,
     endpoints_source: Arc<Source<Registration>>,
+    streams_topic: Arc<OwnTopic>,
     lines: Queue,
     policy: Option<Arc<Policy>>,
     evacuated: EvacuatedZones,
@@ -175,11 +181,17 @@
 }
 
 impl Control {
-    fn new(shared: Arc<Shared>, endpoints: Arc<Source<Registration>>, lines: Queue) -> Self {
+    fn new(
+        shared: Arc<Shared>,
+        endpoints: Arc<Source<Registration>>,
+        streams: Arc<OwnTopic>,
+        lines: Queue,
+    ) -> Self {
         Self {
             roster: Roster::new(shared.settings.heartbeat),
             shared,
             endpoints_source: endpoints,
+            streams_topic: streams,
             lines,
             policy: None,
             evacuated: EvacuatedZones::default(),
@@ -578,8 +590,8 @@
         tell_origins(&self.shared);
     }
 
-    // Reads, once after a start, what the log still holds of endpoints that have left, unless
-    // others tell what served before. Instances that nobody polls are told.
+    // Reads, once after a start, what the log still holds of endpoints that have left and of where
+    // streams began, unless others tell what served before. Instances that nobody polls ask.
     fn read_past_if_needed(&mut self) {
         let is_polled = self.shared.serves_peers() || self.shared.settings.listen.peers.is_none();
         let past::Reading::Possible { end } = self.past_reading else {
@@ -595,6 +607,8 @@
         };
         let source = Arc::clone(&self.endpoints_source);
         tokio::spawn(past::read(source, Arc::clone(&self.shared), extent));
+        let streams = Arc::clone(&self.streams_topic);
+        tokio::spawn(kept::read(streams, Arc::clone(&self.shared)));
     }
 
     fn publish_view(&self) {
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod fragility;
 pub mod holders;
 mod hop;
+pub mod kept;
 pub mod lease;
 pub mod members;
 mod metrics;
--- a/crates/direct/src/members.rs
+++ b/crates/direct/src/members.rs
@@ -121,8 +121,7 @@
     pub fn replicas(&mut self, stream: StreamId, now: Moment) -> Vec<SocketAddr> {
         let own = self.own;
         let others = self.list(now).iter().filter(|one| Some(**one) != own);
-        let mut others: Vec<SocketAddr> = others.copied().collect();
-        others.sort_by_cached_key(|one| Reverse(hash::score(stream, rank(*one))));
+        let mut others = drawn(others.copied().collect(), stream);
         others.truncate(REPLICAS);
         others
     }
@@ -135,6 +134,13 @@
     list.iter().max_by_key(score).copied()
 }
 
+/// Returns instances in the order in which a key draws them.
+#[must_use]
+pub fn drawn(mut instances: Vec<SocketAddr>, key: u64) -> Vec<SocketAddr> {
+    instances.sort_by_cached_key(|one| Reverse(hash::score(key, rank(*one))));
+    instances
+}
+
 /// Returns a digest of a list.
 #[must_use]
 pub fn digest(list: &[SocketAddr]) -> u64 {
--- a/crates/direct/src/metrics/streams.rs
+++ b/crates/direct/src/metrics/streams.rs
@@ -9,6 +9,9 @@
     taken_up: Counter<u64>,
     told: Counter<u64>,
     past_reads: Counter<u64>,
+    written: Counter<u64>,
+    kept_read: Counter<u64>,
+    unwritten_dropped: Gauge<u64>,
     ended: Counter<u64>,
     slow_readers: Counter<u64>,
     unread_aborts: Counter<u64>,
@@ -40,6 +43,18 @@
                 "godwitpost.past_reads",
                 "Attempts to read from the log which builds served before the start",
             ),
+            written: counter(
+                "godwitpost.streams_written",
+                "Streams whose origin was to be written to the log, by whether the log took it",
+            ),
+            kept_read: counter(
+                "godwitpost.streams_read",
+                "Streams whose origin was read from the log after the start",
+            ),
+            unwritten_dropped: gauge(
+                "godwitpost.streams_unwritten_dropped",
+                "Streams whose origin was never written, as there were too many",
+            ),
             ended: counter(
                 "godwitpost.streams_ended",
                 "Streams that were relayed completely, by whether their events were in time",
@@ -84,6 +99,19 @@
         self.past_reads.add(1, &[KeyValue::new("read", was_read)]);
     }
 
+    pub(crate) fn count_written(&self, streams: usize, taken: bool) {
+        self.written
+            .add(streams as u64, &[KeyValue::new("taken", taken)]);
+    }
+
+    pub(crate) fn count_kept_read(&self, streams: usize) {
+        self.kept_read.add(streams as u64, &[]);
+    }
+
+    pub(crate) fn record_unwritten_dropped(&self, count: u64) {
+        self.unwritten_dropped.record(count, &[]);
+    }
+
     pub(crate) fn count_timeliness(&self, route: &str, timeliness: &'static str) {
         let set = [
             KeyValue::new("route", route.to_owned()),
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -13,6 +13,7 @@
 mod headers;
 mod in_flight;
 mod job;
+mod keep;
 mod origin;
 mod payload;
 mod response;
@@ -40,6 +41,7 @@
 
 use self::in_flight::InFlightRequest;
 use self::job::{BodyEnd, Job};
+pub(crate) use self::keep::pass_on;
 pub(crate) use self::origin::{
     Handled, adopt_sole_builds, handle_message, sole_builds, tell_origins,
 };
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -1,5 +1,5 @@
 //! Finds where a stream began that its caller takes up, and tells other instances of streams
-//! that begin here.
+//! that begin here, some of which keep them in the log.
 //!
 //! No stream goes on at a guess. Its origin is known here, or another instance was told of it,
 //! or all endpoints that can have begun it are of one build. Otherwise the caller is refused.
@@ -22,7 +22,9 @@
 
 use super::Job;
 use super::choose::WAIT_DIVISOR;
+use super::keep::{KEEP_PATH, keep, keep_here};
 use crate::builds::{self, Census, MAX_LIST_AGE, Statement};
+use crate::kept::KeepRequest;
 use crate::members;
 use crate::origins::{Origin, Record};
 use crate::refusal::Reason;
@@ -165,7 +167,7 @@
         services,
     };
     let mut replicas = replicas(shared, job.stream());
-    if matches!(own.census, Census::Unsure(_)) {
+    if matches!(own.census, Census::Unsure(_)) || has_just_started(shared) {
         add_seeds(shared, &mut replicas);
     }
     let asked_count = replicas.len();
@@ -213,7 +215,12 @@
     replicas
 }
 
-// Adds the seeds, which read from the log what served before they started.
+// Returns whether streams may be taken up here that began before this instance started.
+fn has_just_started(shared: &Shared) -> bool {
+    shared.uptime() < shared.builds().retention()
+}
+
+// Adds the seeds, which read from the log what served and where streams began before they started.
 fn add_seeds(shared: &Shared, replicas: &mut Vec<SocketAddr>) {
     for seed in shared.settings.other_seeds() {
         if !replicas.contains(&seed) {
@@ -291,7 +298,15 @@
 pub(crate) fn handle_message(shared: &Shared, path: &str, body: &[u8]) -> Handled {
     let answer = match path {
         ORIGIN_PATH => answer_question(shared, body),
-        ORIGINS_PATH => record_told(shared, body).map(|()| Vec::new()),
+        ORIGINS_PATH => decode(body).map(|records: Vec<Record>| {
+            record_told(shared, &records);
+            Vec::new()
+        }),
+        KEEP_PATH => decode(body).map(|request: KeepRequest| {
+            record_told(shared, &request.streams);
+            keep_here(shared, &request);
+            Vec::new()
+        }),
         _ => return Handled::NotFound,
     };
     answer.map_or(Handled::Malformed, Handled::Answered)
@@ -310,16 +325,14 @@
 }
 
 // Records the streams that another instance tells of.
-fn record_told(shared: &Shared, body: &[u8]) -> Option<()> {
-    let records: Vec<Record> = decode(body)?;
+fn record_told(shared: &Shared, records: &[Record]) {
     let now = boot_time();
     let retention = shared.builds().retention();
     let mut origins = shared.origins();
     origins.forget_old(retention, now);
-    for record in &records {
+    for record in records {
         origins.record_told(record, now);
     }
-    Some(())
 }
 
 /// Tells other instances of the streams that began here at services where more than one build
@@ -333,6 +346,7 @@
         tokio::time::sleep(TELL_DELAY).await;
         let now = boot_time();
         let records = take_records(&shared, now);
+        tokio::spawn(keep(Arc::clone(&shared), records.clone()));
         let mut by_instance: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in &records {
             for instance in replicas(&shared, record.stream) {
@@ -392,7 +406,7 @@
 
 /// Why a message got no answer.
 #[derive(Debug, displaydoc::Display)]
-enum SendError {
+pub(super) enum SendError {
     /// it can't be encoded
     Encode,
     /// no answer: {0}
@@ -403,7 +417,7 @@
     Truncated,
 }
 
-async fn send<T: Serialize>(
+pub(super) async fn send<T: Serialize>(
     shared: &Shared,
     instance: SocketAddr,
     path: &'static str,
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::forwarders::Forwarders;
 use crate::fragility::Fragility;
 use crate::holders::Directory;
+use crate::kept::Unwritten;
 use crate::lease::Lease;
 use crate::members::Members;
 use crate::metrics::{Metrics, ServiceUsage};
@@ -132,6 +133,9 @@
     fragility: Mutex<Fragility>,
     builds: Mutex<Builds>,
     origins: Mutex<Origins>,
+    unwritten: Mutex<Unwritten>,
+    // Signals that streams are to be written.
+    unwritten_added: Notify,
     members: Mutex<Members>,
     instance_count: Mutex<InstanceCount>,
     in_flight: AtomicUsize,
@@ -196,6 +200,8 @@
             fragility: Mutex::new(Fragility::new(rand::rng().random())),
             builds: Mutex::default(),
             origins: Mutex::default(),
+            unwritten: Mutex::default(),
+            unwritten_added: Notify::new(),
             members: Mutex::new(members),
             instance_count: Mutex::default(),
             in_flight: AtomicUsize::new(0),
@@ -448,6 +454,18 @@
         self.origins.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the streams that this instance is to write to the log.
+    pub(crate) fn unwritten(&self) -> MutexGuard<'_, Unwritten> {
+        self.unwritten
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what signals that streams are to be written.
+    pub(crate) const fn unwritten_added(&self) -> &Notify {
+        &self.unwritten_added
+    }
+
     /// Returns the instances that keep the origins of streams.
     pub(crate) fn members(&self) -> MutexGuard<'_, Members> {
         self.members.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/direct/src/source.rs
+++ b/crates/direct/src/source.rs
@@ -1,7 +1,7 @@
-//! The interface to the log that holds the configuration and the list of
-//! endpoints.
+//! The interface to the log that holds the configuration, the list of endpoints
+//! and what instances keep there.
 //!
-//! Both are topics of a log that keeps the newest record of each key. A topic
+//! The first two are topics that keep the newest record of each key. Such a topic
 //! can be listed, in pages ordered by key, or read from an offset. The
 //! functions that implement the interface decode the values of records. A value
 //! that can't be decoded is a [`Value::Unreadable`], never an error of the
@@ -145,6 +145,24 @@
     pub read: ReadFn<T>,
 }
 
+/// Appends a record to a topic. It may have been appended also if the call fails.
+pub type AppendFn = Box<dyn Fn(Vec<u8>) -> Call<()> + Send + Sync>;
+
+/// The functions of a topic that instances write themselves. Its records have no keys. The log
+/// deletes old ones.
+pub struct OwnTopic {
+    /// Appends a record.
+    pub append: AppendFn,
+    /// Reads the records that follow an offset. A topic without records can be read.
+    pub read: ReadFn<Vec<u8>>,
+}
+
+impl fmt::Debug for OwnTopic {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OwnTopic").finish_non_exhaustive()
+    }
+}
+
 impl<T> fmt::Debug for Source<T> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Source").finish_non_exhaustive()
--- a/crates/direct/tests/builds/instance.rs
+++ b/crates/direct/tests/builds/instance.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use godwitpost_direct::builds::{Builds, Census, MAX_LIST_AGE, Statement, agree};
+use godwitpost_direct::kept::{
+    KeepRequest, Next, Reading, Unwritten, WRITE_INTERVAL, encode, streams_of,
+};
 use godwitpost_direct::members::Members;
 use godwitpost_direct::origins::{Origin, Origins, Record};
 use godwitpost_direct::past::Past;
@@ -12,7 +15,11 @@
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{BuildId, StreamId};
 
-use crate::world::{Guard, HEARTBEAT, RETENTION, SERVICE};
+use crate::log::Log;
+use crate::world::{Guard, HEARTBEAT, RETENTION, SEEDS, SERVICE, time_of_day};
+
+/// The pause after the log refused a batch.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// An instance, from its start to the next kill.
 pub(crate) struct Instance {
@@ -27,6 +34,8 @@
     confirmed_at: Option<Moment>,
     pub(crate) next_read_at: Moment,
     has_read_past: bool,
+    unwritten: Unwritten,
+    next_write_at: Moment,
 }
 
 /// What an instance does with a stream that is taken up.
@@ -57,6 +66,8 @@
             confirmed_at: None,
             next_read_at: now,
             has_read_past: false,
+            unwritten: Unwritten::default(),
+            next_write_at: now,
         }
     }
 
@@ -94,6 +105,49 @@
         self.builds.record_past(past.reach(HEARTBEAT), &builds, now);
     }
 
+    /// Reads where streams began before this instance did.
+    pub(crate) fn read_kept(&mut self, log: &Log, now: Moment) {
+        let mut reading = Reading::new(SEEDS, RETENTION);
+        let mut from = reading.start();
+        loop {
+            let tail = log.read_kept(from);
+            let (streams, undecoded) = streams_of(&tail, time_of_day(now));
+            assert_eq!(undecoded, 0);
+            for record in &streams {
+                self.origins.record_told(record, now);
+            }
+            match reading.handle(&tail) {
+                Next::Read(offset) => from = offset,
+                Next::Done => return,
+                Next::GiveUp => panic!("the log can be read"),
+            }
+        }
+    }
+
+    /// Records streams that it is to write to the log.
+    pub(crate) fn keep(&mut self, request: &KeepRequest, now: Moment) {
+        for record in &request.streams {
+            self.origins.record_told(record, now);
+        }
+        self.unwritten.add(request, now);
+    }
+
+    /// Writes the streams that it was told to keep. Returns those to pass on, if it can't.
+    pub(crate) fn write(&mut self, log: &mut Log, can_write: bool, now: Moment) -> Vec<Record> {
+        if self.unwritten.is_empty() || self.next_write_at > now {
+            return Vec::new();
+        }
+        if !can_write {
+            self.next_write_at = now + RETRY_PAUSE;
+            return self.unwritten.take_to_pass_on(now);
+        }
+        let batch = self.unwritten.batch(now);
+        log.keep(encode(&batch, time_of_day(now)).expect("a batch"), now);
+        self.unwritten.record_written(&batch);
+        self.next_write_at = now + WRITE_INTERVAL;
+        Vec::new()
+    }
+
     /// Returns what it knows of builds that serve alone.
     pub(crate) fn sole_builds(&self, now: Moment) -> Vec<(u64, BuildId)> {
         if self.statement(now).is_fresh() {
--- a/crates/direct/tests/builds/main.rs
+++ b/crates/direct/tests/builds/main.rs
@@ -202,3 +202,8 @@
 fn schedules_fail_if_builds_that_the_log_names_do_not_count() {
     assert!(is_missed(Scenario::BuildsLeave, Guard::PastBuilds));
 }
+
+#[test]
+fn schedules_fail_if_nothing_outlasts_all_instances() {
+    assert!(is_missed(Scenario::KillsSideBySide, Guard::Keeping));
+}
