direct: no stream begins at a new build before all others can know it

Cause: all endpoints of the older build left within a second of the first of the newer one; with nothing older left, new streams began there at once, while an instance with a list 0.8 s old, which counts as fresh, knew the older build alone and took one up there. The class: a rule that others rely on had an exception of which they can't know.

Where only a new build is left, streams begin when it has been listed for a second, as beside others. The exception stays for what an instance finds at its start. A unit test asserted the exception as right; in its place is one that asserts the opposite, at three moments, and failed before.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -380,6 +380,13 @@
         }
     }
 
+    fn first_list_at(&self) -> Option<Moment> {
+        match self.history {
+            History::None | History::Whole => None,
+            History::Since { listed, .. } => Some(listed),
+        }
+    }
+
     fn is_history_complete(&self, now: Moment) -> bool {
         self.known_for(now)
             .is_some_and(|time| time >= self.retention)
@@ -388,7 +395,8 @@
     /// Returns at which of some builds new streams may begin: those that other instances know,
     /// since they have been listed for a while. `confirmed_at` is when the list was last
     /// confirmed; a list that is not read tells nobody of a build. An instance that has just
-    /// started can't tell, but surely others know the one whose endpoints started first.
+    /// started can't tell of those that were there at its start, but surely others know the one
+    /// whose endpoints started first. There may be none, if all others have just left.
     #[must_use]
     pub fn established(
         &self,
@@ -412,8 +420,12 @@
             let first_start = sighting(build).and_then(|one| one.first_start);
             (first_start.is_none(), first_start)
         };
+        let was_there_at_start = |build: &&BuildId| {
+            sighting(build).is_some_and(|one| one.first_listed <= self.first_list_at())
+        };
         builds
             .iter()
+            .filter(was_there_at_start)
             .min_by_key(first_start)
             .copied()
             .into_iter()
--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -229,9 +229,25 @@
         BTreeSet::from([v1])
     );
     assert_eq!(established(Some(listed_for)), both);
-    // Without another build, it is the only one to begin at.
-    let only = BTreeSet::from([v2]);
-    assert_eq!(known.established(SERVICE, &only, Some(at(5_000))), only);
+}
+
+/// Guards against the same where all endpoints of the other build have left in the meantime: an
+/// instance with an older list still knows that build alone.
+#[test]
+fn streams_begin_nowhere_while_the_only_build_is_new() {
+    let only = BTreeSet::from([id::from_name("v2")]);
+    let mut known = builds(&[old("v1")], false, at(100));
+    known.record_list([young("v2")].iter(), false, at(5_000));
+    let established = |confirmed_at| known.established(SERVICE, &only, confirmed_at);
+    let listed_for = at(5_000) + MAX_LIST_AGE;
+    for too_early in [
+        None,
+        Some(at(5_000)),
+        Some(listed_for.saturating_sub(at(1))),
+    ] {
+        assert_eq!(established(too_early), BTreeSet::new(), "{too_early:?}");
+    }
+    assert_eq!(established(Some(listed_for)), only);
 }
 
 /// Guards against the same where a build comes back that others have forgotten.
