direct: an end without a length counts only if its endpoint outlives it

Callers were told that streams without a length were complete which their endpoint had not finished: it had said that it leaves and exited, or it was killed and its system took one more connection. Cause: such an end counted as whole unless a crash showed in that moment, by one connection that was refused. The class: silence is taken for success.

A second connection, the witness, is opened with the head of such a response. Open 2 ms after the end, the process runs; closed with the end, it has ended, also if it was leaving or another one has taken its place. Where nothing can tell of a leaving endpoint, callers see a break. Its end is no evidence of a crash. The refused connection still counts as before. The same holds for plain answers without a length.

It costs two connections an answer where it was one; other answers cost nothing. A restart before the witness is connected isn't seen.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -22,6 +22,7 @@
 mod stream;
 mod timing;
 mod unread;
+mod witness;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/direct/src/relay/answer.rs
+++ b/crates/direct/src/relay/answer.rs
@@ -22,7 +22,6 @@
 };
 use crate::attempt::{Failure, Next};
 use crate::refusal::Reason;
-use crate::stats::Observation;
 
 /// The maximum size of a buffered response. Plain services respond with a few kilobytes.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -35,7 +34,7 @@
         let until = job.timer_deadline();
         let body = buffer_body(&job, &response.in_flight, response.body);
         let buffered = timeout_at(until, body).await;
-        match buffered.unwrap_or(BufferedBody::Broken) {
+        match buffered.unwrap_or(BufferedBody::Broken(None)) {
             BufferedBody::Whole(bytes) => {
                 return relay_buffered(job, response.head, &response.in_flight, bytes);
             }
@@ -43,12 +42,9 @@
                 response.body = *rest;
                 return relay_stream(job, response, buffered);
             }
-            BufferedBody::Broken => {
+            BufferedBody::Broken(cause) => {
                 log::warn!(request:% = job.id(), endpoint:% = response.in_flight.name(); "response broke off");
-                response
-                    .in_flight
-                    .record_failure(Observation::BrokenResponse);
-                response.in_flight.check_for_crash(&job);
+                response.in_flight.record_break(&job, cause.as_ref());
                 drop(response.in_flight);
                 match retry(&mut job).await {
                     Ok(next) => response = next,
@@ -98,7 +94,7 @@
     job.record_payload_end(in_flight.name(), &body, &end);
     match end {
         End::Whole => BufferedBody::Whole(bytes.freeze()),
-        End::Broken(_) => BufferedBody::Broken,
+        End::Broken(cause) => BufferedBody::Broken(Some(cause)),
     }
 }
 
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use super::forward::is_reached_by_others;
+use super::payload::Refusal;
 use super::{InFlightRequest, Job};
 use crate::control::peers::{record_own_evidence, tell_answers};
 use crate::crashes::{Evidence, MAX_CRASH_TIME, Observed};
@@ -106,13 +107,20 @@
     );
 }
 
-/// Returns whether an endpoint that closed a connection in order has crashed: it refuses
-/// connections although it is not leaving. The system closes the connections of a process
-/// that crashes as the process itself does.
-pub(super) async fn has_crashed(shared: &Shared, registration: &Registration) -> bool {
-    refuses_connection(registration.endpoint.address).await
-        && is_live(shared, registration)
-        && !is_reached_by_others(shared, registration).await
+/// Returns whether an endpoint that closed a connection in order refuses others, and whether it
+/// is leaving. The system closes the connections of a process that crashes as the process
+/// itself does.
+pub(super) async fn judge_refusal(shared: &Shared, registration: &Registration) -> Refusal {
+    if !refuses_connection(registration.endpoint.address).await {
+        return Refusal::None;
+    }
+    if !is_live(shared, registration) {
+        return Refusal::Leaving;
+    }
+    if is_reached_by_others(shared, registration).await {
+        return Refusal::None;
+    }
+    Refusal::Unexpected
 }
 
 // Returns whether an endpoint is still said to run and not to be leaving.
--- a/crates/direct/src/relay/forward/taken.rs
+++ b/crates/direct/src/relay/forward/taken.rs
@@ -33,7 +33,6 @@
 use crate::refusal::Reason;
 use crate::roster::Registration;
 use crate::shared::{Admission, Shared};
-use crate::stats::Observation;
 
 /// How long a connection to the endpoint may take. The asking instance has waited for a
 /// connection of its own before, and has time left for another endpoint if this one is
@@ -423,8 +422,7 @@
             End::Whole => Poll::Ready(None),
             End::Broken(cause) => {
                 log::warn!(request:% = this.job.id(), endpoint:% = this.in_flight.name(), error:% = cause; "response broke off");
-                this.in_flight.record_failure(Observation::BrokenResponse);
-                this.in_flight.check_for_crash(&this.job);
+                this.in_flight.record_break(&this.job, Some(&cause));
                 Poll::Ready(Some(Err(cause.into())))
             }
         }
--- a/crates/direct/src/relay/in_flight.rs
+++ b/crates/direct/src/relay/in_flight.rs
@@ -16,6 +16,7 @@
 use super::crash::{BrokenRequest, check_for_crash, record_completed};
 use super::expected::Expected;
 use super::forward;
+use super::payload::Break;
 use crate::attempt::Failure;
 use crate::crashes::MAX_CRASH_TIME;
 use crate::forwarders::Fault;
@@ -343,6 +344,15 @@
 
     /// Starts a check of whether the endpoint crashed with this request, whose connection
     /// broke.
+    /// Records that the response broke off, and checks whether the endpoint crashed. One that was
+    /// leaving and has ended didn't.
+    pub(crate) fn record_break(&self, job: &Job, cause: Option<&Break>) {
+        if !matches!(cause, Some(Break::Left)) {
+            self.record_failure(Observation::BrokenResponse);
+            self.check_for_crash(job);
+        }
+    }
+
     pub(crate) fn check_for_crash(&self, job: &Job) {
         if self.via.is_some() {
             return;
--- a/crates/direct/src/relay/payload.rs
+++ b/crates/direct/src/relay/payload.rs
@@ -13,8 +13,9 @@
 use http::response::Parts;
 use http_body::{Body, Frame, SizeHint};
 
-use super::crash::has_crashed;
+use super::crash::judge_refusal;
 use super::in_flight::InFlightRequest;
+use super::witness::{Fate, Witness};
 use crate::policy::Kind;
 use crate::roster::Registration;
 use crate::shared::Shared;
@@ -51,12 +52,25 @@
     NoEvent,
     /// the connection ended, and the endpoint crashed
     Crashed,
+    /// the connection ended, and so did the endpoint, which was leaving
+    Left,
 }
 
 impl std::error::Error for Break {}
 
-/// A check of whether an endpoint has crashed.
-type CrashCheck = Pin<Box<dyn Future<Output = bool> + Send>>;
+/// A check of whether an endpoint accepts connections, and what it means if it doesn't.
+type RefusalCheck = Pin<Box<dyn Future<Output = Refusal> + Send>>;
+
+/// Whether an endpoint whose response has ended accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refusal {
+    /// It does, it can't be told, or only the path to it is cut.
+    None,
+    /// It doesn't, although it isn't leaving.
+    Unexpected,
+    /// It doesn't, and is leaving.
+    Leaving,
+}
 
 /// The body of an endpoint's response.
 pub(crate) struct Payload {
@@ -65,7 +79,11 @@
     position: Option<Position>,
     shared: Arc<Shared>,
     registration: Arc<Registration>,
-    crash_check: Option<CrashCheck>,
+    // For a body whose end only its connection marks.
+    witness: Option<Witness>,
+    fate: Option<Fate>,
+    refusal_check: Option<RefusalCheck>,
+    refusal: Option<Refusal>,
 }
 
 impl fmt::Debug for Payload {
@@ -84,17 +102,22 @@
         head: &Parts,
         in_flight: &InFlightRequest,
     ) -> Self {
+        let registration = Arc::clone(in_flight.registration());
+        let has_visible_end = body.framing() == Framing::Delimited;
         Self {
             position: is_event_stream(kind, head).then(Position::default),
             body,
             shared: Arc::clone(in_flight.shared()),
-            registration: Arc::clone(in_flight.registration()),
-            crash_check: None,
+            witness: (!has_visible_end).then(|| Witness::start(registration.endpoint.address)),
+            fate: None,
+            registration,
+            refusal_check: None,
+            refusal: None,
         }
     }
 
     pub(crate) fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Part> {
-        if self.crash_check.is_none() {
+        if self.refusal_check.is_none() {
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                 Some(Ok(frame)) => {
                     self.record_frame(&frame);
@@ -155,21 +178,38 @@
             }
             Some(_) | None => {}
         }
-        let has_crashed = ready!(self.poll_crash_check(cx));
-        Poll::Ready(if has_crashed {
-            End::Broken(Break::Crashed)
-        } else {
-            End::Whole
+        let refusal = self.poll_refusal(cx);
+        let fate = ready!(self.poll_fate(cx));
+        let refusal = ready!(refusal);
+        Poll::Ready(match (fate, refusal) {
+            (_, Refusal::Unexpected) | (Fate::Ended, Refusal::None) => End::Broken(Break::Crashed),
+            (Fate::Ended | Fate::Refuses | Fate::Unknown, Refusal::Leaving) => {
+                End::Broken(Break::Left)
+            }
+            (Fate::Runs | Fate::Refuses | Fate::Unknown, Refusal::None)
+            | (Fate::Runs, Refusal::Leaving) => End::Whole,
         })
     }
 
-    fn poll_crash_check(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+    fn poll_fate(&mut self, cx: &mut Context<'_>) -> Poll<Fate> {
+        if let (None, Some(witness)) = (self.fate, &mut self.witness) {
+            self.fate = Some(ready!(witness.poll_fate(cx)));
+        }
+        Poll::Ready(self.fate.unwrap_or(Fate::Unknown))
+    }
+
+    fn poll_refusal(&mut self, cx: &mut Context<'_>) -> Poll<Refusal> {
+        if let Some(refusal) = self.refusal {
+            return Poll::Ready(refusal);
+        }
         let (shared, registration) = (&self.shared, &self.registration);
-        let check = self.crash_check.get_or_insert_with(|| {
+        let check = self.refusal_check.get_or_insert_with(|| {
             let (shared, registration) = (Arc::clone(shared), Arc::clone(registration));
-            Box::pin(async move { has_crashed(&shared, &registration).await })
+            Box::pin(async move { judge_refusal(&shared, &registration).await })
         });
-        check.as_mut().poll(cx)
+        let refusal = ready!(check.as_mut().poll(cx));
+        self.refusal = Some(refusal);
+        Poll::Ready(refusal)
     }
 
     fn record_frame(&mut self, frame: &Frame<Bytes>) {
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -18,7 +18,7 @@
 use super::expected::Expected;
 use super::forward::{self, Sent};
 use super::in_flight::InFlightRequest;
-use super::payload::{Payload, has_unknown_coding};
+use super::payload::{Break, Payload, has_unknown_coding};
 use super::response::record_response;
 use super::source::{self, Source};
 use crate::attempt::{Failure, Next, Verdict, classify_response};
@@ -315,5 +315,5 @@
     /// The beginning of a body that is too long to buffer, and the rest of it.
     TooLong(Bytes, Box<Payload>),
     /// The body broke off.
-    Broken,
+    Broken(Option<Break>),
 }
--- a/crates/direct/src/relay/stream.rs
+++ b/crates/direct/src/relay/stream.rs
@@ -243,9 +243,10 @@
         let has_failed = matches!(cause, Interruption::Failed(_));
         // One that was seen to crash didn't only abort the response.
         let has_crashed = matches!(cause, Interruption::Failed(Break::Crashed));
+        let has_left = matches!(cause, Interruption::Failed(Break::Left));
         if has_failed && !has_crashed && self.pauses.explain_abort(Instant::now()) {
             job.shared().metrics.streams().count_unread_abort();
-        } else {
+        } else if !has_left {
             in_flight.record_failure(Observation::BrokenResponse);
             if has_failed {
                 in_flight.check_for_crash(&job);
--- a/crates/direct/tests/instance/endpoint.rs
+++ b/crates/direct/tests/instance/endpoint.rs
@@ -28,6 +28,11 @@
     /// Crashes the endpoint: it accepts no more connections, and all of its connections end,
     /// by a reset or in order.
     Crash(Ending),
+    /// Crashes the endpoint: all of its connections end in order, and for a few ms more the
+    /// system accepts connections.
+    CrashSlowly,
+    /// Ends the endpoint, whose connections end in order, and starts it again at once.
+    Restart,
 }
 
 /// How the connections of an endpoint that crashes end.
@@ -70,6 +75,9 @@
 /// Size of the accept queue; the system drops the first packets of connections beyond it.
 const LISTEN_BACKLOG: u32 = 1_024;
 
+/// How long the system accepts connections of an endpoint that crashes slowly.
+const SLOW_CRASH_TIME: Duration = Duration::from_millis(2);
+
 /// Interval at which a paused endpoint checks whether it may accept again.
 const PAUSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -223,6 +231,20 @@
                     stop_accepting(&state).await;
                     return;
                 }
+                Step::CrashSlowly => {
+                    end_connections(&state);
+                    tokio::time::sleep(SLOW_CRASH_TIME).await;
+                    stop_accepting(&state).await;
+                    return;
+                }
+                Step::Restart => {
+                    let ended = {
+                        let mut state = state.lock().expect("endpoint state lock");
+                        std::mem::take(&mut state.crashed)
+                    };
+                    ended.send_replace(Some(Ending::InOrder));
+                    return;
+                }
                 Step::Crash(ending) => {
                     stop_accepting(&state).await;
                     let state = state.lock().expect("endpoint state lock");
@@ -234,6 +256,11 @@
     }
 }
 
+fn end_connections(state: &Mutex<EndpointState>) {
+    let state = state.lock().expect("endpoint state lock");
+    state.crashed.send_replace(Some(Ending::InOrder));
+}
+
 async fn stop_accepting(state: &Mutex<EndpointState>) {
     let accepting = state.lock().expect("endpoint state lock").accepting.take();
     if let Some(accepting) = accepting {
--- a/crates/direct/tests/instance/truncation.rs
+++ b/crates/direct/tests/instance/truncation.rs
@@ -8,8 +8,8 @@
 use tokio::io::AsyncReadExt;
 
 use crate::endpoint::{
-    Endpoint, ReceivedRequest, Step, chunk, close_delimited_head, last_chunk, response_to,
-    stream_head,
+    Ending as EndpointEnding, Endpoint, ReceivedRequest, Step, chunk, close_delimited_head,
+    last_chunk, response_to, stream_head,
 };
 use crate::fleet::{TestInstance, request};
 use crate::forwarding::start_pair;
@@ -502,6 +502,83 @@
     }
 }
 
+/// How an endpoint ends in the middle of a stream.
+const ENDPOINT_ENDS: [Step; 3] = [
+    Step::Crash(EndpointEnding::InOrder),
+    Step::CrashSlowly,
+    Step::Restart,
+];
+
+/// How many streams each way to end is tried with; `TRUNCATION_STREAMS` sets another number.
+fn streams() -> usize {
+    let text = std::env::var("TRUNCATION_STREAMS").ok();
+    text.map_or(4, |text| text.parse().expect("a number"))
+}
+
+// Has an endpoint end in the middle of streams without a length or chunks, with a pause after the
+// first event. Returns how many of them are framed as whole.
+async fn count_framed_as_whole(end: &Step, pause_ms: u64, is_leaving: bool) -> usize {
+    let mut framed_as_whole = 0;
+    for _ in 0..streams() {
+        let end = end.clone();
+        let endpoint = Endpoint::start(move |_, received| {
+            let head = close_delimited_head(received, "");
+            let event = Step::Send(STREAM_EVENTS[0].to_owned());
+            vec![head, event, Step::Wait(pause_ms), end.clone()]
+        })
+        .await;
+        let instance = start_with(std::slice::from_ref(&endpoint)).await;
+        let leaving = async {
+            if is_leaving {
+                tokio::time::sleep(Duration::from_millis(pause_ms / 4)).await;
+                instance.register_leaving("e0", endpoint.address);
+            }
+        };
+        let (response, ()) = tokio::join!(call(&instance, "/caption/1"), leaving);
+        framed_as_whole += usize::from(response.whole);
+    }
+    framed_as_whole
+}
+
+/// Guards against a part of a stream that looks whole since its endpoint, which was killed, still
+/// seems to accept connections, or another one has taken its place.
+#[tokio::test]
+async fn close_delimited_stream_of_an_endpoint_that_ends_is_never_whole() {
+    for end in ENDPOINT_ENDS {
+        assert_eq!(count_framed_as_whole(&end, 30, false).await, 0, "{end:?}");
+    }
+}
+
+/// Guards against the same of an endpoint that has said that it leaves.
+#[tokio::test]
+async fn close_delimited_stream_of_a_leaving_endpoint_that_ends_is_never_whole() {
+    for end in ENDPOINT_ENDS {
+        assert_eq!(count_framed_as_whole(&end, 200, true).await, 0, "{end:?}");
+    }
+}
+
+/// Guards against evidence on crashes of endpoints that only left.
+#[tokio::test]
+async fn end_of_a_leaving_endpoint_is_no_evidence() {
+    let mut endpoints = Vec::new();
+    for _ in 0..6 {
+        let script = |_: usize, received: &ReceivedRequest| {
+            let head = close_delimited_head(received, "x-leaving: 1\r\n");
+            let event = Step::Send(STREAM_EVENTS[0].to_owned());
+            let end = Step::Crash(EndpointEnding::InOrder);
+            vec![head, event, Step::Wait(20), end]
+        };
+        endpoints.push(Endpoint::start(script).await);
+    }
+    let instance = start_with(&endpoints).await;
+    for _ in 0..4 {
+        let response = instance.call("POST", "/caption/1", "").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        tokio::time::sleep(CRASH_CHECK_TIME).await;
+    }
+    assert_eq!(received(&endpoints).len(), 4);
+}
+
 /// Guards against holding the last stream of an endpoint that leaves to be broken.
 #[tokio::test]
 async fn close_delimited_stream_of_an_endpoint_that_leaves_is_whole() {
