direct, platform: a version that can't be read confirms no keys

A key that a version had taken away was served for good: the version couldn't be read, as a whole number in it was written 3000.0, and each read of the log renewed the lease on the version before. Two causes, the class of both: a failed read counts as a confirmed one, and too much can't be read.

The lease is no longer renewed while the newest version can't be read: keys are refused, with time to come back, from the bound of a revocation on, at instances that poll others too; routes without keys go on. One entry that can't be understood still makes its whole version unreadable.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -240,9 +240,10 @@
         let before = self.verification;
         let reliable = self.verification.record_read(era, sent_at);
         self.shared.set_log_needs_reread(!reliable);
-        if reliable {
+        // A version that can't be read may take keys away.
+        if reliable && !self.topic_state.is_policy_unreadable {
             self.confirm_policy(sent_at, self.topic_state.version);
-        } else if self.verification != before {
+        } else if !reliable && self.verification != before {
             log::info!(era = era, version = self.topic_state.version; "the log may have just been restored from a copy; reading it again before acting on keys");
         }
     }
@@ -287,6 +288,7 @@
         match change {
             Change::Set(_, Directive::Policy(policy)) => {
                 self.topic_state.version = policy.version();
+                self.topic_state.is_policy_unreadable = false;
                 self.apply_policy(policy)
             }
             Change::Set(key, Directive::Evacuate(zone)) => {
@@ -298,8 +300,13 @@
                 false
             }
             Change::Unreadable(key, cause) => {
-                log::error!(key:% = key, cause:% = cause; "operator's record is unreadable; keeping the last version");
-                self.topic_state.version = self.version_in_force();
+                let in_force = self.version_in_force();
+                log::error!(
+                    key:% = key, cause:% = cause, in_force = in_force;
+                    "operator's record is unreadable; the version in force is no longer confirmed by the log"
+                );
+                self.topic_state.version = in_force;
+                self.topic_state.is_policy_unreadable = true;
                 false
             }
         }
--- a/crates/direct/src/evacuation.rs
+++ b/crates/direct/src/evacuation.rs
@@ -144,6 +144,8 @@
     era: Era,
     /// The version of the policy; 0 if none was read.
     pub version: Version,
+    /// Whether the newest policy can't be read. What is known may then have been replaced.
+    pub is_policy_unreadable: bool,
     zones: BTreeMap<String, String>,
 }
 
--- a/crates/direct/tests/instance/freshness.rs
+++ b/crates/direct/tests/instance/freshness.rs
@@ -9,6 +9,9 @@
 use crate::endpoint::{Endpoint, ok_with_body};
 use crate::fleet::{TestInstance, content, exchange, request, wait_until};
 
+/// How long after a version that can't be read instances of a fleet may serve a key at most.
+const REVOCATION_OF_PEERS: Duration = Duration::from_secs(5);
+
 #[tokio::test]
 async fn revoked_key_stops_working() {
     let endpoint = Endpoint::start(ok_with_body("ok")).await;
@@ -101,6 +104,32 @@
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
 
+/// Guards against a key that is served for good though a version that can't be read may have
+/// taken it away, at the instance that reads it and at one that polls that one.
+#[tokio::test]
+async fn version_that_cant_be_read_confirms_no_keys() {
+    let endpoint = Endpoint::start(ok_with_body("ok")).await;
+    let fleet = TestInstance::start_seed_and_poller(&[endpoint.address]).await;
+    for instance in &fleet {
+        let unreadable = Value::Unreadable("HeaderTimeoutMs".to_owned());
+        instance.operator.append("config", unreadable);
+    }
+    tokio::time::sleep(REVOCATION_OF_PEERS).await;
+    for instance in &fleet {
+        let response = instance.call("GET", "/stock/1", "").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("unconfirmed"), "{response}");
+        let response = instance.call("GET", "/open/1", "").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    for instance in &fleet {
+        instance.publish(content(9));
+        instance.wait_until_ready().await;
+        let response = instance.call("GET", "/stock/1", "").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+}
+
 /// Guards against refusals after a log outage that is longer than the lifetime of entries.
 /// When the log returns, all entries are removed and set again a moment later.
 #[tokio::test]
