direct: a witness counts as closed with the end within 10 ms of it, not 50

A stream that ended in calm within 50 ms of an endpoint's closing an idle connection would have been reported broken. Connections of a process that ends are closed in the same moment.

--- a/crates/direct/src/relay/witness.rs
+++ b/crates/direct/src/relay/witness.rs
@@ -24,7 +24,7 @@
 
 /// How long before the end of the response the connection may have been lost as the process
 /// ended.
-const SAME_TIME: Duration = Duration::from_millis(50);
+const SAME_TIME: Duration = Duration::from_millis(10);
 
 /// The pause before a lost connection is replaced.
 const REPLACEMENT_PAUSE: Duration = Duration::from_millis(200);
