direct: each stream is kept in the log once

An instance that reached no other one, as a lone one, wrote all of its streams again with each new one while builds served side by side: priced bytes and a queue that drops streams. Cause: who is to be told and what is to be kept was one list, and what nobody could be told was put back. The lists are two now; a stream goes back to the second if no seed could be asked.

--- a/crates/direct/src/origins.rs
+++ b/crates/direct/src/origins.rs
@@ -41,6 +41,8 @@
     by_time: BTreeSet<(Moment, StreamId)>,
     // Streams that began here and that no other instance was told of.
     untold: BTreeSet<StreamId>,
+    // Streams that began here and that no seed was asked to keep.
+    unkept: BTreeSet<StreamId>,
     is_telling: bool,
     dropped: u64,
 }
@@ -50,6 +52,7 @@
     pub fn record_own(&mut self, stream: StreamId, origin: Origin, began_at: Moment) {
         if self.insert(stream, origin, began_at) {
             self.untold.insert(stream);
+            self.unkept.insert(stream);
         }
     }
 
@@ -76,6 +79,7 @@
         if let Some((_, stream)) = self.by_time.pop_first() {
             self.streams.remove(&stream);
             self.untold.remove(&stream);
+            self.unkept.remove(&stream);
         }
     }
 
@@ -128,22 +132,24 @@
         now: Moment,
     ) -> Vec<Record> {
         self.is_telling = false;
-        let mut taken = Vec::new();
-        self.untold.retain(|stream| {
-            let Some((origin, began_at)) = self.streams.get(stream) else {
-                return false;
-            };
-            let is_taken = is_needed(origin.service);
-            if is_taken {
-                taken.push(Record {
-                    stream: *stream,
-                    origin: *origin,
-                    age: since(now, *began_at),
-                });
-            }
-            !is_taken
-        });
-        taken
+        take(&mut self.untold, &self.streams, is_needed, now)
+    }
+
+    /// Takes the streams that began here and are to be kept: those of the services for which
+    /// `is_needed` holds.
+    pub fn take_unkept(
+        &mut self,
+        is_needed: impl Fn(ServiceId) -> bool,
+        now: Moment,
+    ) -> Vec<Record> {
+        take(&mut self.unkept, &self.streams, is_needed, now)
+    }
+
+    /// Records that no seed could be asked to keep a stream.
+    pub fn put_back_unkept(&mut self, stream: StreamId) {
+        if self.streams.contains_key(&stream) {
+            self.unkept.insert(stream);
+        }
     }
 
     /// Records that nobody could be told of a stream.
@@ -154,5 +160,30 @@
     }
 }
 
+// Takes the streams of the services for which `is_needed` holds out of a set.
+fn take(
+    set: &mut BTreeSet<StreamId>,
+    streams: &BTreeMap<StreamId, (Origin, Moment)>,
+    is_needed: impl Fn(ServiceId) -> bool,
+    now: Moment,
+) -> Vec<Record> {
+    let mut taken = Vec::new();
+    set.retain(|stream| {
+        let Some((origin, began_at)) = streams.get(stream) else {
+            return false;
+        };
+        let is_taken = is_needed(origin.service);
+        if is_taken {
+            taken.push(Record {
+                stream: *stream,
+                origin: *origin,
+                age: since(now, *began_at),
+            });
+        }
+        !is_taken
+    });
+    taken
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/direct/src/origins/tests.rs
+++ b/crates/direct/src/origins/tests.rs
@@ -99,3 +99,22 @@
     assert_eq!((origins.len(), origins.dropped()), (MAX_STREAMS, 1));
     assert!(origins.get(0).is_none() && origins.get(1).is_some());
 }
+
+/// Guards against writing all streams again and again where nobody can be told of them.
+#[test]
+fn stream_is_kept_once_though_nobody_could_be_told() {
+    let mut origins = Origins::default();
+    origins.record_own(3, V1, at(10));
+    assert_eq!(origins.take_unkept(|_| false, at(20)), []);
+    for _ in 0..2 {
+        assert_eq!(origins.take_untold(|_| true, at(20)).len(), 1);
+        origins.put_back(3);
+    }
+    assert_eq!(origins.take_unkept(|_| true, at(20)).len(), 1);
+    assert_eq!(origins.take_unkept(|_| true, at(30)), []);
+    origins.put_back_unkept(3);
+    assert_eq!(origins.take_unkept(|_| true, at(30)).len(), 1);
+    origins.record_own(4, V1, at(30));
+    origins.forget_old(at(5), at(60));
+    assert_eq!(origins.take_unkept(|_| true, at(60)), []);
+}
--- a/crates/direct/src/relay/keep.rs
+++ b/crates/direct/src/relay/keep.rs
@@ -24,12 +24,12 @@
     let mut left = records;
     for turn in 0..MAX_SEEDS_ASKED {
         let mut by_seed: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
-        let mut own = Vec::new();
+        let (mut own, mut unasked) = (Vec::new(), Vec::new());
         for record in left.drain(..) {
             match keeper(&shared, &record, turn) {
                 Keeper::This => own.push(record),
                 Keeper::Other(seed) => by_seed.entry(seed).or_default().push(record),
-                Keeper::None => {}
+                Keeper::None => unasked.push(record),
             }
         }
         keep_here(&shared, &told(own));
@@ -39,11 +39,16 @@
         }
         let refused = askings.join_all().await.into_iter().flatten();
         left.extend(refused.flat_map(|request| request.streams));
+        left.extend(unasked);
         if left.is_empty() {
             return;
         }
     }
     log::info!(streams = left.len(); "no seed could be asked to keep where streams began");
+    let mut origins = shared.origins();
+    for record in &left {
+        origins.put_back_unkept(record.stream);
+    }
 }
 
 /// Asks the other seeds to write streams that this one could not.
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -345,8 +345,8 @@
     tokio::spawn(async move {
         tokio::time::sleep(TELL_DELAY).await;
         let now = boot_time();
-        let records = take_records(&shared, now);
-        tokio::spawn(keep(Arc::clone(&shared), records.clone()));
+        let (records, unkept) = take_records(&shared, now);
+        tokio::spawn(keep(Arc::clone(&shared), unkept));
         let mut by_instance: BTreeMap<SocketAddr, Vec<Record>> = BTreeMap::new();
         for record in &records {
             for instance in replicas(&shared, record.stream) {
@@ -366,7 +366,8 @@
     });
 }
 
-fn take_records(shared: &Shared, now: Moment) -> Vec<Record> {
+// Returns the streams that others are to be told of, and those that a seed is to keep.
+fn take_records(shared: &Shared, now: Moment) -> (Vec<Record>, Vec<Record>) {
     let builds = shared.builds();
     let mut origins = shared.origins();
     origins.forget_old(builds.retention(), now);
@@ -374,7 +375,8 @@
         let census = builds.census(std::iter::once(service), now);
         !matches!(census, Census::Sole(_))
     };
-    origins.take_untold(is_needed, now)
+    let untold = origins.take_untold(is_needed, now);
+    (untold, origins.take_unkept(is_needed, now))
 }
 
 /// Records where a stream of this instance began, and tells others of it if more than one build
--- a/crates/direct/tests/builds/instance.rs
+++ b/crates/direct/tests/builds/instance.rs
@@ -207,6 +207,13 @@
             .take_untold(|_| !matches!(census, Census::Sole(_)), now)
     }
 
+    /// Returns the streams that a seed is to keep.
+    pub(crate) fn take_unkept(&mut self, now: Moment) -> Vec<Record> {
+        let census = self.census(now);
+        let is_needed = |_| !matches!(census, Census::Sole(_));
+        self.origins.take_unkept(is_needed, now)
+    }
+
     /// Decides without the help of others.
     pub(crate) fn decide(&self, stream: Option<StreamId>, now: Moment) -> Decision {
         if let Some((origin, _)) = stream.and_then(|stream| self.origins.get(stream)) {
--- a/crates/direct/tests/builds/world.rs
+++ b/crates/direct/tests/builds/world.rs
@@ -605,6 +605,8 @@
                 if !was_told {
                     self.instances[n].origins.put_back(record.stream);
                 }
+            }
+            for record in self.instances[n].take_unkept(now) {
                 self.keep(n, &record);
             }
         }
@@ -626,6 +628,7 @@
                 return;
             }
         }
+        self.instances[n].origins.put_back_unkept(record.stream);
     }
 
     fn write_kept(&mut self) {
--- a/crates/direct/tests/instance/builds.rs
+++ b/crates/direct/tests/instance/builds.rs
@@ -1,5 +1,6 @@
 //! Streams that go on only at the build of endpoints that began them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -477,3 +478,19 @@
     tokio::time::sleep(WRITING_TIME).await;
     assert_eq!(instance.streams.calls(), calls_before);
 }
+
+/// Guards against streams that are written again and again where no other instance can be told
+/// of them.
+#[tokio::test]
+async fn each_stream_is_written_once() {
+    let servers = start_servers(&["v1", "v2"]).await;
+    let instance = start_instance(&servers).await;
+    tokio::time::sleep(INTRODUCTION_TIME).await;
+    for _ in 0..2 {
+        begin_all(&instance).await;
+        tokio::time::sleep(WRITING_TIME).await;
+    }
+    let written = instance.streams.written_streams();
+    let streams: BTreeSet<_> = written.iter().collect();
+    assert_eq!((written.len(), streams.len()), (STREAMS, STREAMS));
+}
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -10,6 +10,7 @@
 use godwitpost_direct::dialect::{
     Dialect, OutgoingFields, Part, RefusalLimit, RequestFields, ResponseFields, Slowdown,
 };
+use godwitpost_direct::kept::streams_of;
 use godwitpost_direct::policy::{Content, Kind, Limits, Policy, Route, Service, Target, Workspace};
 use godwitpost_direct::roster::Registration;
 use godwitpost_direct::settings::Settings;
@@ -21,7 +22,7 @@
 use godwitpost_process::logging::queue::Queue;
 use godwitpost_standin::loopback::own_address;
 use godwitpost_types::endpoint::{Endpoint as ListedEndpoint, Standing};
-use godwitpost_types::id::{self, Era};
+use godwitpost_types::id::{self, Era, StreamId};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -184,6 +185,14 @@
 }
 
 impl Topic<Vec<u8>> {
+    /// Returns the streams whose origin was written, each as often as it was.
+    pub(crate) fn written_streams(&self) -> Vec<StreamId> {
+        let tail = self.read(0).expect("a topic that can be read").body;
+        let (streams, undecoded) = streams_of(&tail, SystemTime::now());
+        assert_eq!(undecoded, 0);
+        streams.iter().map(|record| record.stream).collect()
+    }
+
     fn own_topic(&self) -> OwnTopic {
         let (writer, reader) = (self.clone(), self.clone());
         OwnTopic {
