--- a/crates/direct/tests/builds/main.rs
+++ b/crates/direct/tests/builds/main.rs
@@ -128,6 +128,16 @@
     );
 }
 
+/// Guards against the same where a build has just appeared or the log is away.
+#[test]
+fn streams_go_on_where_all_instances_are_killed_at_any_time_beside_two_builds() {
+    let sum = run_schedules(SMALL, Scenario::KillsAtAnyTime, schedules());
+    assert!(
+        sum.taken_up_after_kill >= MIN_TAKEN_UP_AFTER_KILL,
+        "{sum:?}"
+    );
+}
+
 #[test]
 fn streams_go_on_at_their_build_alone_among_many_instances() {
     assert_most_go_on(&run_schedules(MEDIUM, Scenario::Releases, MEDIUM_SCHEDULES));
--- a/crates/direct/tests/builds/world.rs
+++ b/crates/direct/tests/builds/world.rs
@@ -80,6 +80,8 @@
     /// All instances are killed when builds have served side by side and the log has been there
     /// for a while, and callers come back once the instances have run for a while.
     KillsSideBySide,
+    /// The same at any moment at which builds serve side by side.
+    KillsAtAnyTime,
 }
 
 /// What is switched off to see whether schedules miss it.
@@ -289,7 +291,7 @@
         match self.scenario {
             Scenario::Releases => {}
             Scenario::BuildsLeave => self.retire_build(),
-            Scenario::KillsSideBySide => self.draw_kill_of_all(),
+            Scenario::KillsSideBySide | Scenario::KillsAtAnyTime => self.draw_kill_of_all(),
         }
         self.draw_faults();
         self.write_entries();
@@ -378,8 +380,10 @@
             return;
         }
         let since_when = *self.side_by_side_since.get_or_insert(now);
+        let is_any_time = self.scenario == Scenario::KillsAtAnyTime;
         let is_settled = since(now, since_when.max(self.log_down_until)) >= SETTLING_TIME;
-        if is_settled && self.log_down_until <= now && self.rng.random_bool(0.01) {
+        let is_calm = is_settled && self.log_down_until <= now;
+        if (is_any_time || is_calm) && self.rng.random_bool(0.01) {
             self.kill_all_at = Some(now);
         }
     }
@@ -420,7 +424,7 @@
                 self.instances[n] = Instance::start(address, self.guard, self.now + RESTART);
             }
         }
-        let is_side_by_side = all && self.scenario == Scenario::KillsSideBySide;
+        let is_side_by_side = all && self.scenario != Scenario::BuildsLeave;
         for stream in &mut self.streams {
             stream.broke_side_by_side |= is_side_by_side;
             if is_side_by_side {
