direct: lines on crashes name the workspace and the request's digest

A request crashed endpoint after endpoint and was never held. The lines named an attempt and the length of the chain, so they couldn't tell a chain cleared by the request's own answer from one cleared by somebody else's, or evidence that didn't arrive from evidence on another request.

"endpoint crashed while it ran the request", "request completed; earlier crashes are not counted against it" and "evidence received" now have the digest by which repeats are recognized, the first two the workspace too.

--- a/crates/direct/src/control/peers/evidence.rs
+++ b/crates/direct/src/control/peers/evidence.rs
@@ -15,7 +15,7 @@
 
 use super::passing::post;
 use super::{PeerError, status_response};
-use crate::crashes::{Change, Evidence, ForwardedEvidence, Observed, Suspicion};
+use crate::crashes::{Change, Evidence, ForwardedEvidence, Observed, Suspicion, loggable_digest};
 use crate::metrics::EvidenceSource;
 use crate::shared::Shared;
 
@@ -90,6 +90,7 @@
     log::log!(
         level,
         observed:? = evidence.observed, parts:? = evidence.parts, chain = chain_length,
+        digest:% = loggable_digest(&evidence.digest),
         source:% = source.as_str(), age_ms:% = since(boot_time(), evidence.observed_at).as_millis();
         "evidence received on a request that may crash endpoints"
     );
--- a/crates/direct/src/crashes.rs
+++ b/crates/direct/src/crashes.rs
@@ -30,7 +30,7 @@
 use godwitpost_types::id::{BodyDigest, EndpointId, PartId, ServiceId};
 
 use self::answers::Answer;
-pub use self::evidence::{Evidence, ForwardedEvidence, Observed};
+pub use self::evidence::{Evidence, ForwardedEvidence, Observed, loggable_digest};
 use self::evidence::{MAX_TRANSIT, NO_DIGEST};
 pub use self::history::Suspicion;
 use self::parts::Parts;
--- a/crates/direct/src/crashes/evidence.rs
+++ b/crates/direct/src/crashes/evidence.rs
@@ -13,6 +13,13 @@
 /// The digest in evidence that is not on one request.
 pub(super) const NO_DIGEST: BodyDigest = [0; 16];
 
+/// Returns the form of a digest that logs show: enough of it to tell requests apart.
+#[must_use]
+pub fn loggable_digest(digest: &BodyDigest) -> String {
+    let shown = digest.first_chunk().copied().map(u64::from_be_bytes);
+    format!("{:016x}", shown.unwrap_or_default())
+}
+
 /// One observation of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Evidence {
--- a/crates/direct/src/relay/crash.rs
+++ b/crates/direct/src/relay/crash.rs
@@ -20,7 +20,7 @@
 use super::payload::Refusal;
 use super::{InFlightRequest, Job};
 use crate::control::peers::{record_own_evidence, tell_answers};
-use crate::crashes::{Evidence, MAX_CRASH_TIME, Observed};
+use crate::crashes::{Evidence, MAX_CRASH_TIME, Observed, loggable_digest};
 use crate::metrics::{CheckResult, EvidenceSource};
 use crate::notices::Notice;
 use crate::roster::Registration;
@@ -34,6 +34,8 @@
 /// A request that was in flight when its connection to the endpoint broke.
 pub(super) struct BrokenRequest {
     pub(super) request: String,
+    /// The name of its workspace, or what logs show in its place.
+    pub(super) workspace: String,
     pub(super) digest: BodyDigest,
     /// The parts of its prompt that other requests may share.
     pub(super) parts: Vec<PartId>,
@@ -101,6 +103,7 @@
     let chain_length = shared.crash_tracker().chain_length(&broken.digest);
     log::warn!(
         request:% = broken.request, endpoint:% = endpoint.name, chain = chain_length,
+        workspace:% = broken.workspace, digest:% = loggable_digest(&broken.digest),
         parts:? = parts, sent_ms_ago:% = since(at, broken.sent_at).as_millis(),
         wrote_ms:? = broken.began_at.map(|began_at| since(at, began_at).as_millis());
         "endpoint crashed while it ran the request"
@@ -146,7 +149,8 @@
         return;
     }
     log::info!(
-        request:% = job.id(), chain = chain_length;
+        request:% = job.id(), chain = chain_length, workspace:% = job.workspace_name(),
+        digest:% = loggable_digest(&digest);
         "request completed; earlier crashes are not counted against it"
     );
     record_own_evidence(
--- a/crates/direct/src/relay/in_flight.rs
+++ b/crates/direct/src/relay/in_flight.rs
@@ -359,6 +359,7 @@
         }
         let broken = BrokenRequest {
             request: job.id().to_owned(),
+            workspace: job.workspace_name().to_owned(),
             digest: job.digest(),
             parts: job.fields.parts_shared_with_others(),
             sent_at: self.sent_at,
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -38,6 +38,9 @@
 /// The maximum length of a caller's attempt id in logs.
 const MAX_LOGGED_ID_CHARS: usize = 40;
 
+/// What logs and metrics show as the workspace of a request without one.
+const NO_WORKSPACE: &str = "(open)";
+
 /// A request under the configuration by which it was last resolved.
 pub(crate) struct Job {
     pub(super) shared: Arc<Shared>,
@@ -119,8 +122,7 @@
         let timeout = requested.min(resolved.route.timeout);
         headers::remove_hop_by_hop(&mut headers);
         let kind = resolved.route.kind;
-        let workspace = resolved.workspace.as_deref();
-        let workspace_name = workspace.map_or("(open)", |workspace| workspace.name.as_str());
+        let workspace_name = workspace_name(resolved.workspace.as_deref());
         let service = pick_service(&resolved.route);
         shared.metrics.requests().in_flight(1);
         Ok(Self {
@@ -183,6 +185,11 @@
         &self.id
     }
 
+    /// Returns the name of its workspace, or what logs and metrics show in its place.
+    pub(super) fn workspace_name(&self) -> &str {
+        workspace_name(self.workspace.as_deref())
+    }
+
     /// Returns the digest that identifies the request if it is sent again. Computing it
     /// takes some microseconds, so it is done on first use only.
     pub(crate) fn digest(&self) -> BodyDigest {
@@ -459,6 +466,10 @@
     })
 }
 
+fn workspace_name(workspace: Option<&Workspace>) -> &str {
+    workspace.map_or(NO_WORKSPACE, |workspace| workspace.name.as_str())
+}
+
 // Picks one of the route's services at random, by their weights.
 fn pick_service(route: &Route) -> ServiceId {
     let weight = |target: &Target| u64::from(target.weight);
