--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -5,14 +5,14 @@
 //! other request can be the cause, and the suspect is quarantined after two
 //! endpoints. A harmless request completes alone and is cleared. Evidence is a
 //! set of records keyed by the request's digest, so a new request key or
-//! another entry instance makes no difference, and merging is a union in any
-//! order. `docs/design/quarantine.md` compares the alternatives.
+//! another entry instance makes no difference, but another caller does, and
+//! merging is a union in any order. `docs/design/quarantine.md` compares the alternatives.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{BodyDigest, EndpointId, Incarnation};
+use godwitpost_types::id::{BodyDigest, EndpointId, Incarnation, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
 /// How long evidence counts.
@@ -54,11 +54,29 @@
     Survived,
 }
 
+/// What a request that is sent again has in common with the one before.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity<'a> {
+    /// The workspace whose request it is; `None` for all callers that are not known.
+    ///
+    /// An endpoint may crash of one workspace's request and answer the same one of another.
+    pub workspace: Option<WorkspaceId>,
+    /// The method.
+    pub method: &'a str,
+    /// The path with its query.
+    pub path: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
 /// Returns the digest that identifies a request in evidence.
 #[must_use]
-pub fn digest(method: &str, path: &str, body: &[u8]) -> BodyDigest {
+pub fn digest(identity: &Identity<'_>) -> BodyDigest {
+    let workspace = identity.workspace.map(WorkspaceId::to_le_bytes);
+    let workspace = workspace.as_ref().map_or(&[][..], |bytes| &bytes[..]);
+    let method = identity.method.as_bytes();
     let mut hasher = blake3::Hasher::new();
-    for part in [method.as_bytes(), path.as_bytes(), body] {
+    for part in [workspace, method, identity.path.as_bytes(), identity.body] {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
--- a/crates/decide/tests/traps/quarantine.rs
+++ b/crates/decide/tests/traps/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use godwitpost_decide::quarantine::{Evidence, Kind, Table, Verdict};
+use godwitpost_decide::quarantine::{Evidence, Identity, Kind, Table, Verdict, digest};
 use proptest::prelude::*;
 
 const DIGEST: [u8; 16] = [7; 16];
@@ -26,6 +26,45 @@
     table.verdict(&DIGEST, NOW)
 }
 
+/// Guards against two requests that share evidence, since their digest leaves out a part of what
+/// they are, or runs two parts together.
+#[test]
+fn requests_that_differ_have_other_digests() {
+    let request = Identity {
+        workspace: Some(1),
+        method: "GET",
+        path: "/stock/7",
+        body: b"two",
+    };
+    let others = [
+        Identity {
+            workspace: Some(2),
+            ..request
+        },
+        Identity {
+            workspace: None,
+            ..request
+        },
+        Identity {
+            method: "POST",
+            ..request
+        },
+        Identity {
+            path: "/stock/7t",
+            body: b"wo",
+            ..request
+        },
+        Identity {
+            body: b"three",
+            ..request
+        },
+    ];
+    assert_eq!(digest(&request), digest(&request.clone()));
+    for other in others {
+        assert_ne!(digest(&request), digest(&other), "{other:?}");
+    }
+}
+
 // A partition cuts off an engine for seconds. Every request in flight on it
 // breaks, is retried on the next engine, breaks there too, and is quarantined
 // although nothing crashed. Both engines later report that they stayed alive.
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Framing;
-use godwitpost_decide::quarantine;
+use godwitpost_decide::quarantine::{self, Identity};
 use godwitpost_process::metrics::Labels;
 use godwitpost_process::serve::Backlog;
 use godwitpost_types::clock::{Moment, since};
-use godwitpost_types::id::{self, BodyDigest, EndpointId, ServiceId, StreamId, Version, ZoneId};
+use godwitpost_types::id::{
+    self, BodyDigest, EndpointId, ServiceId, StreamId, Version, WorkspaceId, ZoneId,
+};
 use godwitpost_types::outcome::Outcome;
 use http::header::HOST;
 use http::request::Parts;
@@ -175,6 +177,10 @@
         if moved {
             self.service = pick_service(&resolved.route);
         }
+        let workspace = resolved.workspace.as_deref();
+        if workspace_id(workspace) != workspace_id(self.workspace.as_deref()) {
+            self.digest = OnceLock::new();
+        }
         self.route = resolved.route;
         self.workspace = resolved.workspace;
         self.version = policy.version();
@@ -195,8 +201,12 @@
     pub(crate) fn digest(&self) -> BodyDigest {
         *self.digest.get_or_init(|| {
             let path = self.target.path_and_query();
-            let path = path.map_or("/", |path| path.as_str());
-            quarantine::digest(self.method.as_str(), path, &self.body)
+            quarantine::digest(&Identity {
+                workspace: workspace_id(self.workspace.as_deref()),
+                method: self.method.as_str(),
+                path: path.map_or("/", |path| path.as_str()),
+                body: &self.body,
+            })
         })
     }
 
@@ -466,6 +476,10 @@
     })
 }
 
+fn workspace_id(workspace: Option<&Workspace>) -> Option<WorkspaceId> {
+    workspace.map(|workspace| id::from_name(&workspace.name))
+}
+
 fn workspace_name(workspace: Option<&Workspace>) -> &str {
     workspace.map_or(NO_WORKSPACE, |workspace| workspace.name.as_str())
 }
--- a/crates/direct/tests/instance/crashes.rs
+++ b/crates/direct/tests/instance/crashes.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::endpoint::{Endpoint, ReceivedRequest, Step, events, response_to, stream_head};
-use crate::fleet::{TestInstance, free_addresses, read_rest, request, wait_until};
+use crate::fleet::{TestInstance, content, free_addresses, read_rest, request, wait_until};
 use crate::peers::wait_until_log_unread;
 
 const POISON_PATH: &str = "/stock/poison";
@@ -134,6 +134,105 @@
     }
 }
 
+// Stops at requests of one workspace and answers those of others.
+fn crash_on_franchise(_: usize, received: &ReceivedRequest) -> Vec<Step> {
+    if received.header("x-workspace") == Some("franchise") {
+        vec![Step::Stop]
+    } else {
+        vec![response_to(received, "200 OK", "", "ok")]
+    }
+}
+
+async fn endpoints_that_crash_on_franchise(count: usize) -> Vec<Endpoint> {
+    let mut endpoints = Vec::new();
+    for _ in 0..count {
+        endpoints.push(Endpoint::start(crash_on_franchise).await);
+    }
+    endpoints
+}
+
+// Sends a look-up with a key and this path, the same whatever the key, and returns the status.
+async fn look_up(instance: &TestInstance, key: &str, path: &str) -> String {
+    let text = request("GET", path, "", "").replace("x-key: k1", &format!("x-key: {key}"));
+    let mut stream = instance.open(&text).await;
+    let response = read_rest(&mut stream).await;
+    // A crash is detected a moment after the connection broke.
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    status(&response).to_owned()
+}
+
+// Returns how many endpoints received a request of a workspace.
+fn count_reached(endpoints: &[Endpoint], workspace: &str) -> usize {
+    let of_workspace =
+        |received: &ReceivedRequest| received.header("x-workspace") == Some(workspace);
+    let reached = |one: &&Endpoint| one.received().iter().any(of_workspace);
+    endpoints.iter().filter(reached).count()
+}
+
+/// Guards against a request that crashes endpoint after endpoint since another workspace is
+/// answered the same request in between, and against holding that one for it.
+#[tokio::test]
+async fn chains_of_two_workspaces_are_apart() {
+    let endpoints = endpoints_that_crash_on_franchise(8).await;
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let instance = TestInstance::start(&addresses).await;
+    for _ in 0..4 {
+        look_up(&instance, "k1", "/stock/7").await;
+        assert_eq!(look_up(&instance, "k2", "/stock/7").await, "200");
+    }
+    assert_eq!(look_up(&instance, "k1", "/stock/7").await, "503");
+    assert_eq!(look_up(&instance, "k2", "/stock/7").await, "200");
+    let crashed = count_reached(&endpoints, "franchise");
+    assert!(crashed <= 4, "{crashed} endpoints crashed");
+}
+
+/// Guards against evidence told by one instance that another one applies to the same request of
+/// another workspace.
+#[tokio::test]
+async fn chains_of_two_workspaces_are_apart_at_other_instances() {
+    let endpoints = endpoints_that_crash_on_franchise(8).await;
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let [seed, poller] = TestInstance::start_seed_and_poller(&addresses).await;
+    wait_until_log_unread(&poller).await;
+    for _ in 0..2 {
+        look_up(&seed, "k1", "/stock/7").await;
+        assert_eq!(look_up(&poller, "k2", "/stock/7").await, "200");
+    }
+    tokio::time::sleep(PROPAGATION_TIME).await;
+    assert_eq!(look_up(&poller, "k1", "/stock/7").await, "503");
+    assert_eq!(look_up(&poller, "k2", "/stock/7").await, "200");
+}
+
+/// Guards against a chain that ends as the workspace sends the request with another of its keys.
+#[tokio::test]
+async fn two_keys_of_a_workspace_share_a_chain() {
+    let endpoints = endpoints(8).await;
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let instance = TestInstance::start(&addresses).await;
+    let mut changed = content(2);
+    let keys = changed.keys.as_mut().expect("keys");
+    let franchise = Arc::clone(&keys["k1"]);
+    keys.insert("k3".to_owned(), franchise);
+    instance.publish(changed);
+    wait_until(async || look_up(&instance, "k3", "/stock/1").await == "200").await;
+    look_up(&instance, "k1", POISON_PATH).await;
+    look_up(&instance, "k3", POISON_PATH).await;
+    assert_eq!(look_up(&instance, "k1", POISON_PATH).await, "503");
+    assert_eq!(look_up(&instance, "k3", POISON_PATH).await, "503");
+}
+
+/// Guards against an open route on which a request comes again without a key each time and is
+/// never held: its callers are unknown and count as one.
+#[tokio::test]
+async fn unknown_callers_of_an_open_route_share_a_chain() {
+    let endpoints = crashing_endpoints(8).await;
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let instance = TestInstance::start(&addresses).await;
+    look_up(&instance, "unknown-1", "/open/7").await;
+    look_up(&instance, "unknown-2", "/open/7").await;
+    assert_eq!(look_up(&instance, "unknown-3", "/open/7").await, "503");
+}
+
 // Sends requests that share a part which crashes endpoints, until they are held.
 async fn send_until_part_is_held(instance: &TestInstance) {
     let mut sent = 0;
