direct, decide: a request's digest includes its host

What callers saw: a workspace that sends the same path to two hosts had one chain of crashes for both. A request that crashes endpoints was cleared by answers of the other host, and the other host's was held with it.

Cause: as with the caller, two requests shared one digest.

Change: the digest has the host in the form in which routes are looked up, so letter case and port change nothing. The router selects routes by path alone and passes none. The service stays out: a moved route takes its chain along.

Measured: chains_of_two_hosts_are_apart failed before (502 where 503 is due) and passes, as do the other tests of crashes.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -61,6 +61,8 @@
     ///
     /// An endpoint may crash of one workspace's request and answer the same one of another.
     pub workspace: Option<WorkspaceId>,
+    /// The host in the form that routes are looked up by; empty if no route depends on it.
+    pub host: &'a str,
     /// The method.
     pub method: &'a str,
     /// The path with its query.
@@ -74,9 +76,15 @@
 pub fn digest(identity: &Identity<'_>) -> BodyDigest {
     let workspace = identity.workspace.map(WorkspaceId::to_le_bytes);
     let workspace = workspace.as_ref().map_or(&[][..], |bytes| &bytes[..]);
-    let method = identity.method.as_bytes();
+    let parts = [
+        workspace,
+        identity.host.as_bytes(),
+        identity.method.as_bytes(),
+        identity.path.as_bytes(),
+        identity.body,
+    ];
     let mut hasher = blake3::Hasher::new();
-    for part in [workspace, method, identity.path.as_bytes(), identity.body] {
+    for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
--- a/crates/decide/tests/traps/quarantine.rs
+++ b/crates/decide/tests/traps/quarantine.rs
@@ -32,6 +32,7 @@
 fn requests_that_differ_have_other_digests() {
     let request = Identity {
         workspace: Some(1),
+        host: "shop.example",
         method: "GET",
         path: "/stock/7",
         body: b"two",
@@ -45,6 +46,10 @@
             workspace: None,
             ..request
         },
+        Identity {
+            host: "desk.example",
+            ..request
+        },
         Identity {
             method: "POST",
             ..request
--- a/crates/direct/src/policy.rs
+++ b/crates/direct/src/policy.rs
@@ -284,8 +284,8 @@
     }
 }
 
-// Returns a request's host in the form that routes are looked up by.
-fn normalized_host(host: &str) -> String {
+/// Returns a request's host in the form that routes are looked up by.
+pub(crate) fn normalized_host(host: &str) -> String {
     strip_port(host).to_ascii_lowercase()
 }
 
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -203,6 +203,7 @@
             let path = self.target.path_and_query();
             quarantine::digest(&Identity {
                 workspace: workspace_id(self.workspace.as_deref()),
+                host: &policy::normalized_host(&self.host),
                 method: self.method.as_str(),
                 path: path.map_or("/", |path| path.as_str()),
                 body: &self.body,
--- a/crates/direct/tests/instance/crashes.rs
+++ b/crates/direct/tests/instance/crashes.rs
@@ -233,6 +233,43 @@
     assert_eq!(look_up(&instance, "unknown-3", "/open/7").await, "503");
 }
 
+/// Guards against a chain that another request of the workspace clears, since it has the same
+/// path at another host, and against holding that one. A host counts however it is written.
+#[tokio::test]
+async fn chains_of_two_hosts_are_apart() {
+    let script = |_, received: &ReceivedRequest| match received.header("host") {
+        Some("desk.example") => vec![response_to(received, "200 OK", "", "ok")],
+        _ => vec![Step::Stop],
+    };
+    let mut endpoints = Vec::new();
+    for _ in 0..8 {
+        endpoints.push(Endpoint::start(script).await);
+    }
+    let addresses: Vec<_> = endpoints.iter().map(|one| one.address).collect();
+    let instance = TestInstance::start(&addresses).await;
+    let mut changed = content(2);
+    for mut route in content(2).routes {
+        route.host = "desk.example".to_owned();
+        changed.routes.push(route);
+    }
+    instance.publish(changed);
+    let call = async |host: &str| {
+        let text = request("GET", "/stock/7", "", "").replace("shop.example", host);
+        let mut stream = instance.open(&text).await;
+        let response = read_rest(&mut stream).await;
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        status(&response).to_owned()
+    };
+    wait_until(async || call("desk.example").await == "200").await;
+    for host in ["shop.example", "Shop.example:80"] {
+        call(host).await;
+        assert_eq!(call("desk.example").await, "200");
+    }
+    assert_eq!(call("shop.example").await, "503");
+    assert_eq!(call("SHOP.EXAMPLE").await, "503");
+    assert_eq!(call("desk.example").await, "200");
+}
+
 // Sends requests that share a part which crashes endpoints, until they are held.
 async fn send_until_part_is_held(instance: &TestInstance) {
     let mut sent = 0;
--- a/crates/router/src/resolve.rs
+++ b/crates/router/src/resolve.rs
@@ -116,6 +116,7 @@
         .map_or("/", http::uri::PathAndQuery::as_str);
     let digest = quarantine::digest(&Identity {
         workspace: Some(head.workspace),
+        host: "",
         method: parts.method.as_str(),
         path,
         body: &body,
