platform, direct: an odd entry no longer ends the following of the list

What callers saw: nothing at first. Another writer left an entry that was cold for 1.8e22 ms; both instances, the one that read the log and the one that polled it, followed no change of the list any more and said that they were ready. Endpoints that came later got none of 40 requests, and the configuration was no longer confirmed.

Cause: the decoder took any number of milliseconds that a Duration holds, and Roster::apply added it to the time of receipt, which overflows. The panic ended the control thread.

--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -149,7 +149,7 @@
 // Records loads that another instance sent at `sent_at`.
 pub(super) fn record_loads(shared: &Shared, loads: &[Load], sent_at: Moment, source: LoadSource) {
     if let Some(oldest) = loads.iter().map(|load| load.age).max() {
-        let age = oldest + since(boot_time(), sent_at);
+        let age = oldest.saturating_add(since(boot_time(), sent_at));
         shared.metrics.loads().record_report_age(source, age);
     }
     let mut stats = shared.endpoint_stats();
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -310,7 +310,7 @@
             .await
             .map_err(|_elapsed| PeerError::Timeout)??;
         self.known.record(&update);
-        let built_at = sent_at + update.waited;
+        let built_at = sent_at.saturating_add(update.waited);
         let metrics = self.shared.metrics.loads();
         metrics.record_poll(since(boot_time(), sent_at));
         record_loads(self.shared, &update.loads, built_at, LoadSource::Answer);
@@ -386,7 +386,7 @@
     // The peer built its answer no earlier than `waited` after the request was
     // sent. With ages counted from then, no state ever looks younger than it
     // is.
-    let built_at = sent_at + update.waited;
+    let built_at = sent_at.saturating_add(update.waited);
     let (Some(policy_age), Some(endpoints_age)) = (update.policy_age, update.endpoints_age) else {
         return Err(PeerError::NotReady(update.progress, update.standbys));
     };
--- a/crates/direct/src/roster.rs
+++ b/crates/direct/src/roster.rs
@@ -321,7 +321,7 @@
         }
         self.ended.remove(&name);
         let entry = Entry {
-            warm_at: received_at + registration.warming,
+            warm_at: received_at.saturating_add(registration.warming),
             registration: Arc::new(registration),
             expired: false,
         };
@@ -331,7 +331,7 @@
             }
             Some(known) if known.registration.same_except_warming(&entry.registration) => {
                 let warms_again = entry.registration.warming > Duration::ZERO
-                    && entry.warm_at > known.warm_at + self.heartbeat;
+                    && entry.warm_at > known.warm_at.saturating_add(self.heartbeat);
                 // Every entry is older than its time of receipt, so the earliest time is
                 // the most accurate.
                 known.warm_at = if warms_again {
--- a/crates/direct/src/roster/tests.rs
+++ b/crates/direct/src/roster/tests.rs
@@ -3,6 +3,7 @@
 
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
+use proptest::prelude::*;
 
 use super::{Origin, Registration, RemoveResult, Roster, SetResult};
 
@@ -427,3 +428,30 @@
         assert_eq!(roster.remove_expired(at(8_750)), ["b"]);
     }
 }
+
+fn any_time() -> impl Strategy<Value = Duration> {
+    let limits = prop_oneof![Just(Duration::ZERO), Just(Duration::MAX)];
+    prop_oneof![limits, any::<u64>().prop_map(Duration::from_millis)]
+}
+
+proptest! {
+    /// Guards against a panic of the thread that keeps the list, by whatever an entry holds.
+    #[test]
+    fn no_entry_ends_the_list(
+        entries in prop::collection::vec((any_time(), any::<u32>(), any::<u64>(), any::<bool>()), 1..6),
+        received in prop::collection::vec(0_u64..10_000_000, 6),
+    ) {
+        let mut roster = Roster::new(HEARTBEAT);
+        for ((warming, slots, incarnation, is_leaving), millis) in entries.iter().zip(received) {
+            let standing = if *is_leaving { Standing::Leaving } else { Standing::Live };
+            let mut entry = Registration { warming: *warming, slots: *slots, ..endpoint("a", standing) };
+            entry.endpoint.incarnation = *incarnation;
+            roster.apply(entry, at(millis));
+            let warming: Vec<_> = roster.warming(at(millis)).map(|(_, warm_at)| warm_at).collect();
+            prop_assert!(warming.iter().all(|warm_at| *warm_at > at(millis)));
+        }
+        prop_assert!(roster.get("a").is_some());
+        roster.apply(endpoint("b", Standing::Live), at(0));
+        prop_assert!(roster.get("b").is_some());
+    }
+}
--- /dev/null
+++ b/crates/direct/tests/instance/entries.rs
@@ -0,0 +1,68 @@
+//! Records with values at the limits of their types, as another writer may leave them.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime};
+
+use godwitpost_direct::roster::Registration;
+use godwitpost_direct::source::Value;
+use godwitpost_types::endpoint::Standing;
+
+use crate::endpoint::{Endpoint, ok_with_body};
+use crate::fleet::{TestInstance, registration, wait_until};
+use crate::peers::wait_until_log_unread;
+
+/// An address at which nobody listens.
+const UNUSED: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+// Waits until an instance that follows its list sends requests to an endpoint.
+async fn wait_until_used(instance: &TestInstance, endpoint: &Endpoint) {
+    wait_until(async || {
+        instance.call("GET", "/stock/1", "").await;
+        !endpoint.received().is_empty()
+    })
+    .await;
+}
+
+// Returns entries that are sound but for one field.
+fn odd_entries() -> Vec<Registration> {
+    let sound = |n: usize| registration(&format!("odd-{n}"), UNUSED, Standing::Live);
+    let endless = Registration {
+        warming: Duration::MAX,
+        ..sound(0)
+    };
+    let many_slots = Registration {
+        slots: u32::MAX,
+        ..sound(1)
+    };
+    let late_start = Registration {
+        started_at: SystemTime::UNIX_EPOCH.checked_add(Duration::from_secs(i64::MAX as u64)),
+        ..sound(2)
+    };
+    let mut last_incarnation = sound(3);
+    last_incarnation.endpoint.incarnation = u64::MAX;
+    vec![endless, many_slots, late_start, last_incarnation]
+}
+
+/// Guards against an instance that follows no change of the list any more, since one entry has a
+/// value that can't be added to a time, and says that it is ready all the same.
+#[tokio::test]
+async fn list_is_followed_after_odd_entries() {
+    let first = Endpoint::start(ok_with_body("ok")).await;
+    let later = Endpoint::start(ok_with_body("ok")).await;
+    let instances = TestInstance::start_seed_and_poller(&[first.address]).await;
+    let [seed, poller] = &instances;
+    wait_until_log_unread(poller).await;
+    for entry in odd_entries() {
+        let name = entry.endpoint.name.clone();
+        seed.endpoints.append(&name, Value::Set(entry.clone()));
+        seed.endpoints.append(&name, Value::Set(entry));
+    }
+    seed.register("later", later.address);
+    wait_until_used(seed, &later).await;
+    let before = later.received().len();
+    wait_until(async || {
+        poller.call("GET", "/stock/1", "").await;
+        later.received().len() > before
+    })
+    .await;
+}
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -9,6 +9,7 @@
 mod crashing_parts;
 mod endless;
 mod endpoint;
+mod entries;
 mod evacuation;
 mod failures;
 mod fleet;
