platform, direct: endless times of the configuration end nothing

The same cause as with entries, on a related path: a version with a route's timeout or a service's warm-up time near the largest Duration was read, and record_builds and the end of an evacuation added to it. The control thread ended by a panic, the instance went on saying that it was ready.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -564,8 +564,9 @@
             let zone = id::from_name(name);
             let all = self.roster.registrations();
             for one in all.filter(|one| one.endpoint.zone == zone) {
+                let warm_up_time = self.warm_up_time(one.endpoint.service);
                 let until = warm_at.entry(one.endpoint.id).or_default();
-                *until = (*until).max(*returned_at + self.warm_up_time(one.endpoint.service));
+                *until = (*until).max(returned_at.saturating_add(warm_up_time));
             }
         }
         warm_at.retain(|_, at| *at > now);
@@ -590,7 +591,7 @@
         let nothing_before = self.shared.settings.first_start;
         let mut builds = self.shared.builds();
         if let Some(policy) = &self.policy {
-            builds.set_retention(policy.longest_resumable() + MAX_RETURN_TIME);
+            builds.set_retention(policy.longest_resumable().saturating_add(MAX_RETURN_TIME));
         }
         builds.record_list(listed, nothing_before, boot_time());
         drop(builds);
--- a/crates/direct/tests/instance/entries.rs
+++ b/crates/direct/tests/instance/entries.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
+use godwitpost_direct::policy::{Ramp, Service};
 use godwitpost_direct::roster::Registration;
 use godwitpost_direct::source::Value;
 use godwitpost_types::endpoint::Standing;
 
 use crate::endpoint::{Endpoint, ok_with_body};
-use crate::fleet::{TestInstance, registration, wait_until};
+use crate::fleet::{TestInstance, content, registration, wait_until};
 use crate::peers::wait_until_log_unread;
 
 /// An address at which nobody listens.
@@ -66,3 +67,32 @@
     })
     .await;
 }
+
+/// Guards against an instance that follows no change any more, since a time of the configuration
+/// can't be added to another one.
+#[tokio::test]
+async fn list_is_followed_after_a_version_with_endless_times() {
+    let first = Endpoint::start(ok_with_body("ok")).await;
+    let later = Endpoint::start(ok_with_body("ok")).await;
+    let instance = TestInstance::start(&[first.address]).await;
+    let mut changed = content(2);
+    for route in &mut changed.routes {
+        route.timeout = Duration::MAX;
+    }
+    let services = changed.services.into_iter();
+    let with_ramp = services.map(|(id, service)| {
+        let ramp = Some(Ramp {
+            time: Duration::MAX,
+            spacing: Duration::ZERO,
+        });
+        (id, Service { ramp, ..service })
+    });
+    changed.services = with_ramp.collect();
+    instance.publish(changed);
+    instance.set_evacuated("otaru", true);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    instance.set_evacuated("otaru", false);
+    instance.register("later", later.address);
+    wait_until_used(&instance, &later).await;
+    assert!(instance.is_ready().await);
+}
