direct, platform: an instance that needs a task that has panicked stops

What callers saw: with an odd entry the control thread ended by a panic and the instance went on saying that it was ready: no list, no configuration, no lease was renewed, and the balancer sent callers.

Change: the threads and the tasks that an instance needs (control, traffic, operator, endpoints, polling, exchange, overloads, streams, timer and the ports) run under a supervisor. If one panics, a line at error names it with the panic's message, godwitpost_failed_tasks_total counts it, and the instance isn't ready from that moment. The process then stops as on SIGTERM, so that no request is cut, and ends with code 3, to be started again. Not restarted within the process: what the task has left behind isn't known to be sound.

Measured: instance_whose_list_is_not_followed_is_not_ready failed before (still ready after 5 s) and passes.

--- a/crates/direct/src/cli.rs
+++ b/crates/direct/src/cli.rs
@@ -44,6 +44,8 @@
 /// Exit code when the instance can't start, for instance because a port is in
 /// use.
 pub const EXIT_START: u8 = 1;
+/// Exit code after a shutdown since a part of the instance ended by a fault of the program.
+pub const EXIT_FAULT: u8 = 3;
 /// Exit code for a wrong command line, or for settings with mistakes.
 pub const EXIT_USAGE: u8 = 2;
 /// Exit code of a check of a configuration that found something.
@@ -68,6 +70,8 @@
   0  ended by a graceful shutdown; or --check found no mistake
   1  could not start: a port is taken, say
   2  wrong command line, or settings with mistakes (all are listed)
+  3  shut down, since a part of it ended by a fault of the program; start it
+     again, and report the line at error
 
 SIGTERM or SIGINT begins a graceful shutdown. SIGHUP has the settings read
 again; what can't change while the instance runs is said in the log.
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -40,6 +40,7 @@
 use crate::shared::{Shared, View, by_service};
 use crate::source::{Directive, OwnTopic, Position, Source};
 use crate::stats::Observation;
+use crate::supervision::Supervisor;
 use crate::verification::{Verification, verified_era};
 
 /// The interval at which endpoints considered down and expired entries are
@@ -69,6 +70,7 @@
 /// Follows both topics. Returns only if all tasks that send events have ended.
 pub(crate) async fn run(
     shared: Arc<Shared>,
+    supervisor: Supervisor,
     sources: Sources,
     lines: Queue,
     peers_port: Option<Port>,
@@ -78,7 +80,10 @@
     // backlog builds up.
     let (sender, mut events) = mpsc::channel(3);
     let timer = Timer::new(Duration::ZERO);
-    tokio::spawn(timer.clone().drive(Clock::start_at(Duration::ZERO)));
+    supervisor.spawn(
+        "timer",
+        timer.clone().drive(Clock::start_at(Duration::ZERO)),
+    );
     let polls_peers = shared.settings.polls_peers();
     let (mode, modes) = watch::channel(Mode::at_start(polls_peers));
     let follower = |topic| Follower {
@@ -88,42 +93,39 @@
     };
     let endpoints = Arc::new(sources.endpoints);
     let streams = Arc::new(sources.streams);
-    tokio::spawn(kept::write(Arc::clone(&streams), Arc::clone(&shared)));
-    tokio::spawn(follow(
+    supervisor.spawn(
+        "streams",
+        kept::write(Arc::clone(&streams), Arc::clone(&shared)),
+    );
+    let operator = follow(
         Arc::new(sources.operator),
         follower(Topic::Operator),
         sender.clone(),
         Event::Operator,
-    ));
-    tokio::spawn(follow(
+    );
+    supervisor.spawn("operator", operator);
+    let listing = follow(
         Arc::clone(&endpoints),
         follower(Topic::Endpoints),
         sender.clone(),
         Event::Endpoints,
-    ));
+    );
+    supervisor.spawn("endpoints", listing);
     if let Some(port) = peers_port {
         let served = Arc::clone(&shared);
         let handler = move |request| peers::handle_request(Arc::clone(&served), request);
-        tokio::spawn(serve::run(
-            port,
-            crate::serve::internal_limits(),
-            ended,
-            handler,
-        ));
+        let limits = crate::serve::internal_limits();
+        supervisor.spawn("peers", serve::run(port, limits, ended, handler));
     }
     if !shared.settings.other_seeds().is_empty() {
-        tokio::spawn(peers::poll_peers(
-            Arc::clone(&shared),
-            mode,
-            sender,
-            peer_event,
-        ));
+        let polling = peers::poll_peers(Arc::clone(&shared), mode, sender, peer_event);
+        supervisor.spawn("polling", polling);
     }
     if shared.settings.is_seed() || !shared.settings.other_seeds().is_empty() {
-        tokio::spawn(peers::send_overloads(Arc::clone(&shared)));
+        supervisor.spawn("overloads", peers::send_overloads(Arc::clone(&shared)));
     }
     if shared.settings.is_seed() {
-        tokio::spawn(peers::run_exchange(Arc::clone(&shared)));
+        supervisor.spawn("exchange", peers::run_exchange(Arc::clone(&shared)));
     }
     let mut control = Control::new(shared, endpoints, streams, lines);
     let mut ticks = timer.every(TICK_INTERVAL);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod source;
 pub mod standby;
 pub mod stats;
+mod supervision;
 pub mod verification;
 pub mod work;
 
--- a/crates/direct/src/metrics/start.rs
+++ b/crates/direct/src/metrics/start.rs
@@ -11,6 +11,7 @@
     failures: Counter<u64>,
     lists: Counter<u64>,
     parts: Counter<u64>,
+    failed_tasks: Counter<u64>,
 }
 
 impl Start {
@@ -37,6 +38,10 @@
                 "godwitpost.list_parts",
                 "Requests of others for a part of the list, by whether it was sent or the link was busy",
             ),
+            failed_tasks: counter(
+                "godwitpost.failed_tasks",
+                "Tasks that the instance needs and that ended by a fault of the program",
+            ),
         }
     }
 
@@ -55,6 +60,10 @@
         self.lists.add(1, &[KeyValue::new("complete", complete)]);
     }
 
+    pub(crate) fn count_failed_task(&self, task: &'static str) {
+        self.failed_tasks.add(1, &[KeyValue::new("task", task)]);
+    }
+
     pub(crate) fn count_part(&self, sent: bool) {
         self.parts.add(1, &[KeyValue::new("sent", sent)]);
     }
--- a/crates/direct/src/running.rs
+++ b/crates/direct/src/running.rs
@@ -22,6 +22,7 @@
 use crate::serve;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::supervision::Supervisor;
 
 /// How often a shutdown checks for in-flight requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -61,6 +62,7 @@
     callers: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
+    supervisor: Supervisor,
     // Dropping the sender ends the traffic threads.
     traffic: Option<watch::Sender<bool>>,
 }
@@ -85,24 +87,35 @@
     let addresses = (callers.address, ready.address, metrics.address);
     let threads = settings.threads;
     let shared = Arc::new(Shared::new(settings, dialect));
+    let supervisor = Supervisor::new(Arc::clone(&shared));
     let (closing, closed) = watch::channel(false);
     let (traffic, ended) = watch::channel(false);
     let ports = serve_ports(
         Arc::clone(&shared),
+        supervisor.clone(),
         [callers, ready, metrics],
         forwards,
         closed,
         ended.clone(),
     );
-    spawn_thread("traffic", build_runtime(threads)?, ports)?;
-    let control = control::run(Arc::clone(&shared), sources, lines, peers, ended.clone());
+    spawn_thread("traffic", &supervisor, build_runtime(threads)?, ports)?;
+    let control = control::run(
+        Arc::clone(&shared),
+        supervisor.clone(),
+        sources,
+        lines,
+        peers,
+        ended.clone(),
+    );
     spawn_thread(
         "control",
+        &supervisor,
         build_runtime(1)?,
         run_until_ended(control, ended),
     )?;
     Ok(Running {
         shared,
+        supervisor,
         closing,
         callers: addresses.0,
         ready: addresses.1,
@@ -126,13 +139,15 @@
 }
 
 fn spawn_thread(
-    name: &str,
+    name: &'static str,
+    supervisor: &Supervisor,
     runtime: Runtime,
     task: impl Future<Output = ()> + Send + 'static,
 ) -> Result<(), Error> {
+    let supervisor = supervisor.clone();
     std::thread::Builder::new()
         .name(name.to_owned())
-        .spawn(move || runtime.block_on(task))
+        .spawn(move || supervisor.block_on(name, &runtime, task))
         .map(drop)
         .map_err(Error::Threads)
 }
@@ -147,6 +162,7 @@
 
 async fn serve_ports(
     shared: Arc<Shared>,
+    supervisor: Supervisor,
     [callers, ready_port, metrics]: [Port; 3],
     forwards: Option<Port>,
     closed: watch::Receiver<bool>,
@@ -155,28 +171,20 @@
     let answering = Arc::clone(&shared);
     let answer = move |request| relay::handle_request(Arc::clone(&answering), request);
     let limits = serve::caller_limits(&shared);
-    tokio::spawn(run(callers, limits, closed, answer));
+    supervisor.spawn("callers", run(callers, limits, closed, answer));
     let asked = Arc::clone(&shared);
     let answer = move |request| ready(serve::readiness(&asked, &request));
-    tokio::spawn(run(
-        ready_port,
-        serve::internal_limits(),
-        ended.clone(),
-        answer,
-    ));
+    let limits = serve::internal_limits();
+    supervisor.spawn("ready", run(ready_port, limits, ended.clone(), answer));
     if let Some(port) = forwards {
         let taking = Arc::clone(&shared);
         let answer = move |request| relay::forward::handle_forwarded(Arc::clone(&taking), request);
         let limits = serve::internal_limits();
-        tokio::spawn(run(port, limits, ended.clone(), answer));
+        supervisor.spawn("forwards", run(port, limits, ended.clone(), answer));
     }
     let answer = move |request| ready(serve::metrics(&shared, &request));
-    tokio::spawn(run(
-        metrics,
-        serve::internal_limits(),
-        ended.clone(),
-        answer,
-    ));
+    let limits = serve::internal_limits();
+    supervisor.spawn("metrics", run(metrics, limits, ended.clone(), answer));
     run_until_ended(std::future::pending(), ended).await;
 }
 
@@ -199,6 +207,12 @@
         self.metrics
     }
 
+    /// Waits until a task that the instance needs has ended by a panic; returns its name. The
+    /// instance isn't ready from then on, and is to be stopped.
+    pub async fn wait_for_failure(&self) -> &'static str {
+        self.supervisor.wait_for_failure().await
+    }
+
     /// Shuts down gracefully: reports that it isn't ready, serves until the load balancer
     /// has noticed, and returns when no request is in flight or the grace period is over.
     ///
--- a/crates/direct/tests/instance/entries.rs
+++ b/crates/direct/tests/instance/entries.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
+use godwitpost_direct::ShutdownResult;
 use godwitpost_direct::policy::{Ramp, Service};
 use godwitpost_direct::roster::Registration;
 use godwitpost_direct::source::Value;
 use godwitpost_types::endpoint::Standing;
 
-use crate::endpoint::{Endpoint, ok_with_body};
-use crate::fleet::{TestInstance, content, registration, wait_until};
+use crate::endpoint::{Endpoint, ReceivedRequest, Step, ok_with_body, response_to};
+use crate::fleet::{TestInstance, content, read_rest, registration, request, wait_until};
 use crate::peers::wait_until_log_unread;
 
 /// An address at which nobody listens.
@@ -96,3 +97,24 @@
     wait_until_used(&instance, &later).await;
     assert!(instance.is_ready().await);
 }
+
+/// Guards against an instance that goes on saying that it is ready after a task that renews what
+/// it knows has ended by a fault of the program. Requests in flight are finished.
+#[tokio::test]
+async fn instance_whose_list_is_not_followed_is_not_ready() {
+    let slow = |_: usize, received: &ReceivedRequest| {
+        vec![Step::Wait(600), response_to(received, "200 OK", "", "ok")]
+    };
+    let endpoint = Endpoint::start(slow).await;
+    let instance = TestInstance::start(&[endpoint.address]).await;
+    let mut open = instance.open(&request("POST", "/order/1", "", "")).await;
+    wait_until(async || !endpoint.received().is_empty()).await;
+    instance.endpoints.set_faulty();
+    wait_until(async || !instance.is_ready().await).await;
+    assert_eq!(instance.running.wait_for_failure().await, "endpoints");
+    let stopping = tokio::spawn(instance.running.stop());
+    let response = read_rest(&mut open).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let stopped = stopping.await.expect("a shutdown");
+    assert_eq!(stopped, ShutdownResult::Drained);
+}
--- a/crates/direct/tests/instance/fleet.rs
+++ b/crates/direct/tests/instance/fleet.rs
@@ -46,6 +46,7 @@
     first: u64,
     down: bool,
     held: bool,
+    faulty: bool,
     calls: usize,
     era: Era,
 }
@@ -66,6 +67,7 @@
                 first: 0,
                 down: false,
                 held: false,
+                faulty: false,
                 calls: 0,
                 era: 0,
             })),
@@ -86,6 +88,16 @@
         self.state.lock().expect("topic lock").held = held;
     }
 
+    /// Makes each read of the topic panic, as by a fault of the program.
+    pub(crate) fn set_faulty(&self) {
+        self.state.lock().expect("topic lock").faulty = true;
+    }
+
+    fn assert_sound(&self) {
+        let faulty = self.state.lock().expect("topic lock").faulty;
+        assert!(!faulty, "a fault of the program");
+    }
+
     fn is_held(&self) -> bool {
         self.state.lock().expect("topic lock").held
     }
@@ -159,6 +171,7 @@
                 Box::pin(async move {
                     // Waits a tenth of the requested time to keep the tests short.
                     tokio::time::sleep(wait / 10).await;
+                    reader.assert_sound();
                     reader.read(from)
                 })
             }),
