direct: the word of another instance counts as of when it was asked for

Cause: what another instance says of builds that serve alone carries no age and counted as said at the moment of receipt. A seed's message of the exchange waited in the socket of an instance that stood still; as the instance went on, it read the list, saw that it had missed over 3 s (a gap), and then applied the message, which was older than the gap and closed it. With a list that was fresh again it took the one build that it knew for the only one.

Change: Builds::adopt takes the moment before which the other one can't have said so: when it was asked, or, of a poll, when the answer can have been built at the earliest. Seeds no longer push what serves alone; they tell it in their answer to the exchange (its path has a new version). A word from over 3 s before the first list doesn't count either.

Two unit tests guard the same and assert what the old adopt didn't do. Not shown by real processes.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -165,9 +165,10 @@
 pub struct Builds {
     services: BTreeMap<ServiceId, BTreeMap<BuildId, Sighting>>,
     history: History,
-    // When another instance last told what had served a service.
+    // As of when another instance last told what had served a service.
     told: BTreeMap<ServiceId, Moment>,
-    // When the list was last confirmed, and when that ended a gap.
+    // When the list was first and last confirmed, and when that ended a gap.
+    first_confirmed_at: Option<Moment>,
     confirmed_at: Option<Moment>,
     gap_ended_at: Option<Moment>,
     retention: Duration,
@@ -209,6 +210,7 @@
         if gap.is_some_and(|gap| gap > MAX_LIST_GAP) {
             self.gap_ended_at = Some(confirmed_at);
         }
+        self.first_confirmed_at.get_or_insert(confirmed_at);
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
 
@@ -271,17 +273,21 @@
         self.services.retain(|_, builds| !builds.is_empty());
     }
 
-    /// Records that, as an instance with a fresh list knows, one build alone can have begun the
-    /// streams of a service so far. What is listed here from now on is known here.
-    pub fn adopt(&mut self, service: ServiceId, build: BuildId, now: Moment) {
+    /// Records that, as an instance with a fresh list knew at `as_of`, one build alone can have
+    /// begun the streams of a service until then. What is listed here since is known here.
+    ///
+    /// `as_of` is a moment before which the other instance can't have said so, not the moment of
+    /// receipt: the words of others wait while this instance stands still.
+    pub fn adopt(&mut self, service: ServiceId, build: BuildId, as_of: Moment) {
         if self.history == History::None {
             return;
         }
-        self.told.insert(service, now);
+        let told = self.told.entry(service).or_default();
+        *told = as_of.max(*told);
         let builds = self.services.entry(service).or_default();
         builds.entry(build).or_insert(Sighting {
-            first_listed: Some(now),
-            gone_since: Some(now),
+            first_listed: Some(as_of),
+            gone_since: Some(as_of),
             first_start: None,
         });
     }
@@ -369,6 +375,10 @@
     // Returns what is known of the builds that a service has had lately.
     fn knowledge(&self, service: ServiceId, now: Moment) -> Knowledge {
         let told_at = self.told.get(&service).copied();
+        // Told of a time long before the first list, an instance doesn't know what came and went
+        // in between.
+        let first = self.first_confirmed_at.unwrap_or_default();
+        let told_at = told_at.filter(|told| since(first, *told) <= MAX_LIST_GAP);
         let is_complete = self.is_history_complete(now);
         let recent = |at: &Moment| since(now, *at) < self.retention;
         let gap_ended_at = self.gap_ended_at.filter(recent);
--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -199,6 +199,34 @@
     assert_eq!(census(&known, at(11_000)), Census::Gapped(v1));
 }
 
+/// Guards against the word of another instance that waited here during a gap and counts for all
+/// of it: a build can have come and gone since it was said.
+#[test]
+fn what_was_said_before_the_end_of_a_gap_does_not_close_it() {
+    let v1 = id::from_name("v1");
+    let mut known = builds(&[], true, at(0));
+    known.record_list([young("v1")].iter(), true, at(100));
+    known.record_confirmation(at(1_000));
+    known.record_confirmation(at(6_000));
+    known.adopt(SERVICE, v1, at(1_200));
+    assert_eq!(census(&known, at(6_100)), Census::Gapped(v1));
+    known.adopt(SERVICE, v1, at(6_000));
+    known.adopt(SERVICE, v1, at(1_200));
+    assert_eq!(census(&known, at(6_100)), sole("v1"));
+}
+
+/// Guards against the same at an instance that stood still before it had its first list.
+#[test]
+fn what_was_said_long_before_the_first_list_does_not_count() {
+    let v1 = id::from_name("v1");
+    let mut known = builds(&[young("v1")], false, at(9_000));
+    known.record_confirmation(at(8_900));
+    known.adopt(SERVICE, v1, at(4_000));
+    assert_eq!(census(&known, at(9_000)), unsure("v1"));
+    known.adopt(SERVICE, v1, at(8_800));
+    assert_eq!(census(&known, at(9_000)), sole("v1"));
+}
+
 #[test]
 fn builds_of_all_services_of_a_route_count() {
     let listed = [old("v1"), endpoint(OTHER_SERVICE, "v2", None)];
--- a/crates/direct/src/control/peers/evidence.rs
+++ b/crates/direct/src/control/peers/evidence.rs
@@ -178,7 +178,7 @@
         .iter()
         .map(|one| ForwardedEvidence::from_evidence(one, now))
         .collect();
-    post(shared, peer, EVIDENCE_PATH, &messages).await
+    post(shared, peer, EVIDENCE_PATH, &messages).await.map(drop)
 }
 
 // Logs which parts are suspected of crashing endpoints from now on, and wakes the requests
--- a/crates/direct/src/control/peers/passing.rs
+++ b/crates/direct/src/control/peers/passing.rs
@@ -7,16 +7,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Body;
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{BuildId, ServiceId};
 use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use super::evidence::{evidence_on_held, record_messages};
-use super::{PeerError, STARTUP_PERIOD, full_body, status_response};
+use super::{MAX_MESSAGE_BYTES, PeerError, STARTUP_PERIOD, full_body, status_response};
 use crate::crashes::ForwardedEvidence;
 use crate::holders::PrefixHolder;
 use crate::metrics::LoadSource;
@@ -25,7 +28,7 @@
 use crate::shared::Shared;
 use crate::stats::Load;
 
-pub(super) const EXCHANGE_PATH: &str = "/peer/v6/heard";
+pub(super) const EXCHANGE_PATH: &str = "/peer/v7/heard";
 
 /// The interval at which seeds exchange prompt holders: about as often as they
 /// are polled.
@@ -46,13 +49,21 @@
     if let Some(address) = exchange.peer_address {
         shared.members().record_seed(address, exchange.members, now);
     }
-    adopt_sole_builds(shared, &exchange.sole_builds);
     for holder in exchange.holders {
         if shared.directory().apply_remote(&holder, now) {
             shared.update_replica(false, |replica| replica.add_holder(holder, now));
         }
     }
-    status_response(StatusCode::OK)
+    let answer = ExchangeAnswer {
+        sole_builds: sole_builds(shared),
+    };
+    match rmp_serde::to_vec(&answer) {
+        Ok(bytes) => Response::new(full_body(bytes)),
+        Err(error) => {
+            log::error!(error:% = error; "answer to another seed can't be encoded");
+            status_response(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
 }
 
 /// What a seed has received from the instances that poll it.
@@ -70,12 +81,20 @@
     forwarders: Vec<SocketAddr>,
     /// Of the instances that poll the seed and itself, those that keep the origins of streams.
     members: Vec<SocketAddr>,
-    /// Services with a build that alone can have begun streams.
-    sole_builds: Vec<(ServiceId, BuildId)>,
     /// Evidence on requests and parts of prompts that are held.
     evidence: Vec<ForwardedEvidence>,
 }
 
+/// What a seed answers to an [`Exchange`].
+///
+/// It holds what may be wrong by the time at which it is read: whoever asked knows how long ago it
+/// can have been said at most, which a message that nobody asked for doesn't tell.
+#[derive(Debug, Serialize, Deserialize)]
+struct ExchangeAnswer {
+    /// Services with a build that alone can have begun streams.
+    sole_builds: Vec<(ServiceId, BuildId)>,
+}
+
 /// Sends the other seeds, for as long as the process runs, the number of
 /// instances that poll this one and the prompt holders received from them. Each
 /// instance polls only one seed, so without this exchange it would learn only
@@ -93,7 +112,6 @@
             holders: shared.directory().take_unsent(now),
             forwarders: shared.forwarders().sample(rand::rng().random(), now),
             members: shared.members().polling(now),
-            sole_builds: sole_builds(&shared),
             evidence: evidence_on_held(&shared, now),
         };
         for holder in &exchange.holders {
@@ -104,24 +122,37 @@
             shared.set_instance_count(count, now);
         }
         for peer in shared.settings.other_seeds() {
-            if let Err(error) = post(&shared, peer, EXCHANGE_PATH, &exchange).await {
-                log::debug!(peer:% = peer, cause:% = error; "prompt holders not sent to the seed");
+            if let Err(error) = exchange_with(&shared, peer, &exchange).await {
+                log::debug!(peer:% = peer, cause:% = error; "nothing exchanged with the seed");
             }
         }
     }
 }
 
-/// Sends a message to another instance.
+async fn exchange_with(
+    shared: &Shared,
+    peer: SocketAddr,
+    exchange: &Exchange,
+) -> Result<(), PeerError> {
+    let asked_at = boot_time();
+    let bytes = post(shared, peer, EXCHANGE_PATH, exchange).await?;
+    let answer: ExchangeAnswer =
+        rmp_serde::from_slice(&bytes).map_err(|error| PeerError::Malformed(error.to_string()))?;
+    adopt_sole_builds(shared, &answer.sole_builds, asked_at);
+    Ok(())
+}
+
+/// Sends a message to another instance and returns the bytes of its answer.
 ///
 /// # Errors
 ///
-/// Returns an error if it was not accepted.
+/// Returns an error if it was not accepted or not answered in time.
 pub(super) async fn post<T: Serialize>(
     shared: &Shared,
     peer: SocketAddr,
     path: &str,
     message: &T,
-) -> Result<(), PeerError> {
+) -> Result<Bytes, PeerError> {
     let body =
         rmp_serde::to_vec(message).map_err(|error| PeerError::Malformed(error.to_string()))?;
     let request = Request::post(path)
@@ -132,10 +163,15 @@
         .send(peer, request, ANSWER_TIMEOUT)
         .await
         .map_err(|error| PeerError::Unreachable(error.to_string()))?;
-    match response.status() {
-        StatusCode::OK => Ok(()),
-        status => Err(PeerError::Status(status)),
+    if response.status() != StatusCode::OK {
+        return Err(PeerError::Status(response.status()));
     }
+    let reading = Limited::new(response.into_body(), MAX_MESSAGE_BYTES).collect();
+    let read = timeout(ANSWER_TIMEOUT, reading)
+        .await
+        .map_err(|_elapsed| PeerError::Timeout)?;
+    let body = read.map_err(|error| PeerError::Unreachable(error.to_string()))?;
+    Ok(body.to_bytes())
 }
 
 // Records instances that take requests of others.
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -316,7 +316,7 @@
         record_loads(self.shared, &update.loads, built_at, LoadSource::Answer);
         record_overloads(self.shared, &update.overloads, built_at, LoadSource::Answer);
         record_forwarders(self.shared, &update.forwarders, built_at);
-        adopt_sole_builds(self.shared, &update.sole_builds);
+        adopt_sole_builds(self.shared, &update.sole_builds, built_at);
         if let Some(members) = update.members.take() {
             self.shared.members().follow(members);
         }
--- a/crates/direct/src/relay/origin.rs
+++ b/crates/direct/src/relay/origin.rs
@@ -172,6 +172,7 @@
     }
     let asked_count = replicas.len();
     let question = Arc::new(question);
+    let asked_at = boot_time();
     let mut asked = JoinSet::new();
     for instance in replicas {
         asked.spawn(ask(Arc::clone(shared), instance, Arc::clone(&question)));
@@ -184,7 +185,7 @@
         }
         if let (Census::Sole(build), true) = (answer.statement.census, answer.statement.is_fresh())
         {
-            adopt(shared, &question.services, build);
+            adopt(shared, &question.services, build, asked_at);
         }
         statements.push(answer.statement);
     }
@@ -196,11 +197,12 @@
         .ok_or(unknown)
 }
 
-// Records what another instance has known for longer, unless more is known here.
-fn adopt(shared: &Shared, services: &[ServiceId], build: BuildId) {
+// Records what another instance that was asked at `asked_at` has known for longer, unless more is
+// known here.
+fn adopt(shared: &Shared, services: &[ServiceId], build: BuildId, asked_at: Moment) {
     // Of several services, the answer doesn't tell which has the build.
     if let [service] = services {
-        shared.builds().adopt(*service, build, boot_time());
+        shared.builds().adopt(*service, build, asked_at);
     }
 }
 
@@ -256,10 +258,10 @@
     shared.builds().sole(boot_time())
 }
 
-/// Records what another instance has known for longer.
-pub(crate) fn adopt_sole_builds(shared: &Shared, known: &[(ServiceId, BuildId)]) {
+/// Records what another instance has known for longer, and said at `as_of` or later.
+pub(crate) fn adopt_sole_builds(shared: &Shared, known: &[(ServiceId, BuildId)], as_of: Moment) {
     for (service, build) in known {
-        shared.builds().adopt(*service, *build, boot_time());
+        shared.builds().adopt(*service, *build, as_of);
     }
 }
 
--- a/crates/direct/tests/builds/instance.rs
+++ b/crates/direct/tests/builds/instance.rs
@@ -89,6 +89,25 @@
         self.confirmed_at = Some(now);
     }
 
+    /// Receives a list that it asked for at `sent_at`.
+    pub(crate) fn read_sent(
+        &mut self,
+        all: &[Registration],
+        live: BTreeMap<BuildId, u32>,
+        sent_at: Moment,
+        now: Moment,
+    ) {
+        self.builds.record_confirmation(sent_at);
+        self.builds.record_list(all.iter(), false, now);
+        self.live = live;
+        self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+    }
+
+    /// Returns whether its newest list was asked for at `now`.
+    pub(crate) fn has_read_at(&self, now: Moment) -> bool {
+        self.confirmed_at == Some(now)
+    }
+
     /// Returns whether it would read what the log still holds of endpoints that have left.
     pub(crate) fn lacks_past(&self, now: Moment) -> bool {
         self.guard != Some(Guard::Past) && !self.has_read_past && self.builds.lacks_past(now)
--- a/crates/direct/tests/builds/main.rs
+++ b/crates/direct/tests/builds/main.rs
@@ -138,6 +138,15 @@
     );
 }
 
+/// Guards against streams that an instance takes up and has go on at another build, since it
+/// stood still or was cut off while endpoints of a new build joined.
+#[test]
+fn streams_go_on_at_their_build_alone_where_an_instance_is_out_of_step() {
+    assert_most_go_on(&run_schedules(SMALL, Scenario::OutOfStep, schedules()));
+    run_schedules(MEDIUM, Scenario::OutOfStep, MEDIUM_SCHEDULES);
+    run_schedules(LARGE, Scenario::OutOfStep, LARGE_SCHEDULES);
+}
+
 #[test]
 fn streams_go_on_at_their_build_alone_among_many_instances() {
     assert_most_go_on(&run_schedules(MEDIUM, Scenario::Releases, MEDIUM_SCHEDULES));
--- a/crates/direct/tests/builds/world.rs
+++ b/crates/direct/tests/builds/world.rs
@@ -1,5 +1,7 @@
 //! The simulated fleet, its log, endpoints and callers.
 
+mod pauses;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
@@ -17,6 +19,8 @@
 use crate::instance::{Decision, Instance};
 use crate::log::Log;
 
+use self::pauses::{Arriving, Episode};
+
 pub(crate) const SERVICE: u64 = 7;
 
 /// How long a stream may be taken up after its first event.
@@ -82,6 +86,9 @@
     KillsSideBySide,
     /// The same at any moment at which builds serve side by side.
     KillsAtAnyTime,
+    /// Instances stand still or are cut off while endpoints of a new build join, and their callers
+    /// come back there.
+    OutOfStep,
 }
 
 /// What is switched off to see whether schedules miss it.
@@ -158,6 +165,8 @@
     take_ups: u32,
     // Whether it broke as all instances were killed while builds served side by side.
     broke_side_by_side: bool,
+    // The instance to which its caller comes back; otherwise any.
+    at: Option<usize>,
 }
 
 struct World {
@@ -171,6 +180,10 @@
     down_until: Vec<Moment>,
     unread_until: Vec<Moment>,
     cut_until: Vec<Moment>,
+    // Until when an instance stands still, and what arrives as it goes on.
+    paused_until: Vec<Moment>,
+    arriving: Vec<Arriving>,
+    episode: Option<Episode>,
     log_down_until: Moment,
     log: Log,
     servers: Vec<Server>,
@@ -240,6 +253,9 @@
             down_until: vec![Moment::ZERO; size.instances],
             unread_until: vec![Moment::ZERO; size.instances],
             cut_until: vec![Moment::ZERO; size.instances],
+            paused_until: vec![Moment::ZERO; size.instances],
+            arriving: (0..size.instances).map(|_| Arriving::default()).collect(),
+            episode: None,
             log_down_until: Moment::ZERO,
             log: Log::new(seed),
             servers: Vec::new(),
@@ -292,6 +308,7 @@
             Scenario::Releases => {}
             Scenario::BuildsLeave => self.retire_build(),
             Scenario::KillsSideBySide | Scenario::KillsAtAnyTime => self.draw_kill_of_all(),
+            Scenario::OutOfStep => self.draw_pauses(),
         }
         self.draw_faults();
         self.write_entries();
@@ -420,6 +437,7 @@
         for n in 0..self.instances.len() {
             if n == first || self.rng.random_bool(share) {
                 self.down_until[n] = self.now + RESTART;
+                self.paused_until[n] = Moment::ZERO;
                 let address = self.instances[n].address;
                 self.instances[n] = Instance::start(address, self.guard, self.now + RESTART);
             }
@@ -438,7 +456,7 @@
     }
 
     fn is_up(&self, n: usize) -> bool {
-        self.down_until[n] <= self.now
+        self.down_until[n] <= self.now && !self.is_paused(n)
     }
 
     fn can_read(&self, n: usize) -> bool {
@@ -486,10 +504,10 @@
                 let address = self.instances[n].address;
                 if seeds.contains(&n) {
                     let polling = self.instances[n].members.polling(now);
-                    let sole = self.instances[n].sole_builds(now);
                     let other = &mut self.instances[seed];
                     other.members.record_seed(address, polling, now);
-                    other.adopt(&sole, now);
+                    let sole = other.sole_builds(now);
+                    self.instances[n].adopt(&sole, now);
                 } else if self.followed_seed(n) == Some(seed) {
                     self.instances[seed].members.record_poll(address, now);
                     let list = self.instances[seed].members.list(now).to_vec();
@@ -521,11 +539,7 @@
 
     fn read_lists(&mut self) {
         let now = self.now;
-        let all: Vec<Registration> = self
-            .servers
-            .iter()
-            .map(|one| one.registration.clone())
-            .collect();
+        let all = self.listed();
         let live = self.live_builds();
         for n in 0..self.instances.len() {
             if !self.can_read(n) || self.instances[n].next_read_at > now {
@@ -544,6 +558,11 @@
         }
     }
 
+    fn listed(&self) -> Vec<Registration> {
+        let servers = self.servers.iter();
+        servers.map(|one| one.registration.clone()).collect()
+    }
+
     fn begin_streams(&mut self) {
         if self.now > LAST_STREAM_AT {
             return;
@@ -584,6 +603,7 @@
                     next_at: self.now + delay,
                     take_ups: 0,
                     broke_side_by_side: false,
+                    at: None,
                 });
             }
         }
@@ -673,7 +693,8 @@
 
     fn take_up(&mut self, mut stream: Stream) {
         let now = self.now;
-        let n = self.rng.random_range(0..self.instances.len());
+        let drawn = self.rng.random_range(0..self.instances.len());
+        let n = stream.at.take().unwrap_or(drawn);
         let is_over = since(now, stream.began_at) >= RETENTION || stream.take_ups >= MAX_TAKE_UPS;
         if is_over || !self.is_up(n) || !self.instances[n].is_ready() {
             return;
