decide, router: the digest of an order's content is as it was

The router also keeps that digest with the claim of an order's key, in the log, to tell a key that was used for another body.

Change: Request::digest is of method, path and body again. The digest that evidence is kept by is made of it with caller and host (quarantine::identity), at the owner and in the direct instance. Evidence of the version before is kept by the content alone and meets nothing.

--- a/crates/bench/src/decisions/poison.rs
+++ b/crates/bench/src/decisions/poison.rs
@@ -120,7 +120,7 @@
         let index = self.rng.random_range(0..self.size.instances);
         let entry = self.size.instance(index);
         let view = Arc::clone(&self.views[&entry.id]);
-        let evidence = self.owners[&entry.id].evidence_for(&request.digest);
+        let evidence = self.owners[&entry.id].evidence_for(request);
         let attempts = entry::Attempts::default();
         match entry::route(&view, &self.policy, request, entry.zone) {
             entry::Next::Local { endpoint } => {
--- a/crates/bench/src/decisions/world/request.rs
+++ b/crates/bench/src/decisions/world/request.rs
@@ -97,12 +97,12 @@
     }
 
     pub(super) fn go(&mut self, job: usize, next: entry::Next) {
-        let (entry, attempts, digest) = {
+        let (entry, attempts, request) = {
             let known = self.job(job);
-            (known.entry, known.attempts.clone(), known.request.digest)
+            (known.entry, known.attempts.clone(), known.request.clone())
         };
         let zone = self.nodes[entry].zone;
-        let evidence = self.nodes[entry].owner.evidence_for(&digest);
+        let evidence = self.nodes[entry].owner.evidence_for(&request);
         match next {
             entry::Next::Local { endpoint } => {
                 let hop = attempts.hop(zone, endpoint, evidence);
--- a/crates/decide/src/owner.rs
+++ b/crates/decide/src/owner.rs
@@ -23,7 +23,7 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Report;
-use godwitpost_types::id::{BodyDigest, ChatId, EndpointId, InstanceId};
+use godwitpost_types::id::{ChatId, EndpointId, InstanceId};
 use godwitpost_types::policy::Policy;
 use godwitpost_types::request::Request;
 
@@ -394,10 +394,11 @@
         std::mem::take(&mut self.unsent_evidence)
     }
 
-    /// Returns the evidence on one digest, to send along with the request.
+    /// Returns the evidence on a request, to send along with it.
     #[must_use]
-    pub fn evidence_for(&self, digest: &BodyDigest) -> Vec<Evidence> {
-        self.quarantine.evidence_for(digest)
+    pub fn evidence_for(&self, request: &Request) -> Vec<Evidence> {
+        self.quarantine
+            .evidence_for(&quarantine::identity_of(request))
     }
 
     /// Returns the quarantine table, for operators to inspect.
--- a/crates/decide/src/owner/job.rs
+++ b/crates/decide/src/owner/job.rs
@@ -7,6 +7,7 @@
 
 use crate::chats::Location;
 use crate::hop::Hop;
+use crate::quarantine;
 use crate::queue::{Flow, Rank};
 use crate::refusal::Reason;
 use crate::view::Pool;
@@ -39,7 +40,7 @@
     pub pool: Pool,
     /// The chat it belongs to.
     pub chat: ChatId,
-    /// The digest of its content.
+    /// The digest that identifies it in evidence.
     pub digest: BodyDigest,
     /// Tokens in the prompt.
     pub prompt_tokens: u32,
@@ -86,7 +87,7 @@
         Ok(Self {
             pool: Pool::for_request(request),
             chat: request.chat,
-            digest: request.digest,
+            digest: quarantine::identity_of(request),
             prompt_tokens: request.prompt_tokens,
             answer_tokens: request.answer_tokens,
             slots: service.slots,
--- a/crates/decide/src/owner/place.rs
+++ b/crates/decide/src/owner/place.rs
@@ -39,7 +39,7 @@
         if request.deadline <= now {
             return Err(Reason::Deadline);
         }
-        match self.quarantine.verdict(&request.digest, now) {
+        match self.quarantine.verdict(&job.digest, now) {
             Verdict::Quarantined => return Err(Reason::Quarantined),
             Verdict::Suspect => job.suspect = true,
             Verdict::Clear => {}
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -13,6 +13,7 @@
 
 use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::id::{BodyDigest, EndpointId, Incarnation, WorkspaceId};
+use godwitpost_types::request::Request;
 use serde::{Deserialize, Serialize};
 
 /// How long evidence counts.
@@ -30,7 +31,7 @@
 /// What one crash or one clean run shows about a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Evidence {
-    /// The request's digest.
+    /// The digest that identifies the request.
     pub digest: BodyDigest,
     /// The endpoint that ran it.
     pub endpoint: EndpointId,
@@ -54,35 +55,33 @@
     Survived,
 }
 
-/// What a request that is sent again has in common with the one before.
-#[derive(Clone, Copy, Debug)]
-pub struct Identity<'a> {
-    /// The workspace whose request it is; `None` for all callers that are not known.
-    ///
-    /// An endpoint may crash of one workspace's request and answer the same one of another.
-    pub workspace: Option<WorkspaceId>,
-    /// The host in the form that routes are looked up by; empty if no route depends on it.
-    pub host: &'a str,
-    /// The method.
-    pub method: &'a str,
-    /// The path with its query.
-    pub path: &'a str,
-    /// The whole body.
-    pub body: &'a [u8],
+/// Returns the digest of a request's content.
+#[must_use]
+pub fn digest(method: &str, path: &str, body: &[u8]) -> BodyDigest {
+    digest_of_parts(&[method.as_bytes(), path.as_bytes(), body])
 }
 
-/// Returns the digest that identifies a request in evidence.
+/// Returns the digest that identifies a request in evidence: that of its content with whose request
+/// it is and to which host.
+///
+/// An endpoint may crash of one workspace's request and answer the same one of another. Without a
+/// `workspace` it is the request of all callers that are not known. `host` is in the form that
+/// routes are looked up by, and empty if no route depends on it.
 #[must_use]
-pub fn digest(identity: &Identity<'_>) -> BodyDigest {
-    let workspace = identity.workspace.map(WorkspaceId::to_le_bytes);
+pub fn identity(workspace: Option<WorkspaceId>, host: &str, content: &BodyDigest) -> BodyDigest {
+    let workspace = workspace.map(WorkspaceId::to_le_bytes);
     let workspace = workspace.as_ref().map_or(&[][..], |bytes| &bytes[..]);
-    let parts = [
-        workspace,
-        identity.host.as_bytes(),
-        identity.method.as_bytes(),
-        identity.path.as_bytes(),
-        identity.body,
-    ];
+    digest_of_parts(&[workspace, host.as_bytes(), content])
+}
+
+/// Returns the digest that identifies a request of a bundle's workspace in evidence.
+#[must_use]
+pub fn identity_of(request: &Request) -> BodyDigest {
+    identity(Some(request.workspace), "", &request.digest)
+}
+
+// Each part is preceded by its length, so that no two lists of parts are hashed alike.
+fn digest_of_parts(parts: &[&[u8]]) -> BodyDigest {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
--- a/crates/decide/tests/traps/quarantine.rs
+++ b/crates/decide/tests/traps/quarantine.rs
@@ -2,9 +2,17 @@
 
 use std::time::Duration;
 
-use godwitpost_decide::quarantine::{Evidence, Identity, Kind, Table, Verdict, digest};
+use godwitpost_decide::hop::Hop;
+use godwitpost_decide::owner::{Next, Owner};
+use godwitpost_decide::quarantine::{
+    Evidence, Kind, Table, Verdict, digest, identity, identity_of,
+};
+use godwitpost_decide::refusal::Reason;
+use godwitpost_types::id;
 use proptest::prelude::*;
 
+use crate::fleet;
+
 const DIGEST: [u8; 16] = [7; 16];
 const NOW: Duration = Duration::from_secs(1_000);
 
@@ -30,44 +38,63 @@
 /// they are, or runs two parts together.
 #[test]
 fn requests_that_differ_have_other_digests() {
-    let request = Identity {
-        workspace: Some(1),
-        host: "shop.example",
-        method: "GET",
-        path: "/stock/7",
-        body: b"two",
-    };
+    let content = digest("GET", "/stock/7", b"two");
+    let request = identity(Some(1), "shop.example", &content);
     let others = [
-        Identity {
-            workspace: Some(2),
-            ..request
-        },
-        Identity {
-            workspace: None,
-            ..request
-        },
-        Identity {
-            host: "desk.example",
-            ..request
-        },
-        Identity {
-            method: "POST",
-            ..request
-        },
-        Identity {
-            path: "/stock/7t",
-            body: b"wo",
-            ..request
-        },
-        Identity {
-            body: b"three",
-            ..request
-        },
+        identity(Some(2), "shop.example", &content),
+        identity(None, "shop.example", &content),
+        identity(Some(1), "desk.example", &content),
+        identity(Some(1), "shop.example", &digest("POST", "/stock/7", b"two")),
+        identity(Some(1), "shop.example", &digest("GET", "/stock/7t", b"wo")),
+        identity(
+            Some(1),
+            "shop.example",
+            &digest("GET", "/stock/7", b"three"),
+        ),
     ];
-    assert_eq!(digest(&request), digest(&request.clone()));
+    assert_eq!(request, identity(Some(1), "shop.example", &content));
     for other in others {
-        assert_ne!(digest(&request), digest(&other), "{other:?}");
+        assert_ne!(request, other);
+    }
+    // Instances of a version that kept evidence by the content alone.
+    assert_ne!(request, content);
+    assert_ne!(identity(None, "", &content), content);
+}
+
+/// Guards against an order whose claim is in the log, made by an earlier version, and which is
+/// refused as another body under the same key.
+#[test]
+fn digest_of_the_content_never_changes() {
+    let expected = 0xf2e5_1a9a_2dd2_3728_e57c_a87e_34ef_dcdb_u128;
+    assert_eq!(
+        u128::from_be_bytes(digest("POST", "/order/1", b"two books")),
+        expected
+    );
+}
+
+/// Guards against a workspace's request that is refused since another one's same request crashes
+/// engines.
+#[test]
+fn quarantine_of_one_workspace_spares_another() {
+    let view = fleet::view(0, 1, 4);
+    let mut owner = Owner::new(view, fleet::policy());
+    let crashing = fleet::request(1);
+    let mut sound = fleet::request(1);
+    sound.workspace = id::from_name("sounkyo");
+    for endpoint in [1, 2] {
+        owner.record_evidence(&[Evidence {
+            digest: identity_of(&crashing),
+            ..evidence(endpoint, Kind::Crashed, 900)
+        }]);
     }
+    let mut offer = |request| owner.offer(Duration::from_secs(950), request, &Hop::first(0, 1));
+    let refused = offer(&crashing);
+    assert!(
+        matches!(&refused, Next::Refuse(refusal) if refusal.reason == Reason::Quarantined),
+        "{refused:?}"
+    );
+    let placed = offer(&sound);
+    assert!(matches!(placed, Next::Dispatch(_)), "{placed:?}");
 }
 
 // A partition cuts off an engine for seconds. Every request in flight on it
--- a/crates/direct/src/relay/job.rs
+++ b/crates/direct/src/relay/job.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use godwitpost_client::clock::boot_time;
 use godwitpost_client::connect::Framing;
-use godwitpost_decide::quarantine::{self, Identity};
+use godwitpost_decide::quarantine;
 use godwitpost_process::metrics::Labels;
 use godwitpost_process::serve::Backlog;
 use godwitpost_types::clock::{Moment, since};
@@ -201,13 +201,10 @@
     pub(crate) fn digest(&self) -> BodyDigest {
         *self.digest.get_or_init(|| {
             let path = self.target.path_and_query();
-            quarantine::digest(&Identity {
-                workspace: workspace_id(self.workspace.as_deref()),
-                host: &policy::normalized_host(&self.host),
-                method: self.method.as_str(),
-                path: path.map_or("/", |path| path.as_str()),
-                body: &self.body,
-            })
+            let path = path.map_or("/", |path| path.as_str());
+            let content = quarantine::digest(self.method.as_str(), path, &self.body);
+            let workspace = workspace_id(self.workspace.as_deref());
+            quarantine::identity(workspace, &policy::normalized_host(&self.host), &content)
         })
     }
 
--- a/crates/router/src/relay/endpoint.rs
+++ b/crates/router/src/relay/endpoint.rs
@@ -106,11 +106,11 @@
 fn attempt_failed(shared: &Shared, permit: Permit, job: &Job, ending: Ending) -> AttemptResult {
     let endpoint = permit.grant().endpoint;
     permit.finish(ending);
-    let digest = job.head.request.digest;
+    let request = &job.head.request;
     AttemptResult::Reply(Reply::Failed {
         endpoint,
         ending,
-        evidence: shared.owner.with(|owner| owner.evidence_for(&digest)),
+        evidence: shared.owner.with(|owner| owner.evidence_for(request)),
     })
 }
 
--- a/crates/router/src/relay/entry.rs
+++ b/crates/router/src/relay/entry.rs
@@ -103,10 +103,7 @@
     /// the error.
     async fn send_evidence_to_home(&self) {
         let request = &self.job.head.request;
-        let evidence = self
-            .shared
-            .owner
-            .with(|owner| owner.evidence_for(&request.digest));
+        let evidence = self.shared.owner.with(|owner| owner.evidence_for(request));
         let view = &self.snapshot.view;
         let zone = self.shared.settings.zone_id();
         let home = view
@@ -136,8 +133,8 @@
 
     /// Makes one attempt and follows the forwards of owners.
     async fn attempt(&mut self, instance: InstanceId, endpoint: EndpointId) -> Step {
-        let digest = self.job.head.request.digest;
-        let evidence = self.shared.owner.with(|owner| owner.evidence_for(&digest));
+        let request = &self.job.head.request;
+        let evidence = self.shared.owner.with(|owner| owner.evidence_for(request));
         let zone = self.shared.settings.zone_id();
         self.job.head.hop = self.attempts.hop(zone, endpoint, evidence);
         let mut instance = instance;
--- a/crates/router/src/resolve.rs
+++ b/crates/router/src/resolve.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use godwitpost_decide::quarantine::{self, Identity};
+use godwitpost_decide::quarantine;
 use godwitpost_decide::refusal::{Reason, Refusal};
 use godwitpost_state::claim::key::{self, Key};
 use godwitpost_types::clock::Moment;
@@ -114,13 +114,7 @@
         .uri
         .path_and_query()
         .map_or("/", http::uri::PathAndQuery::as_str);
-    let digest = quarantine::digest(&Identity {
-        workspace: Some(head.workspace),
-        host: "",
-        method: parts.method.as_str(),
-        path,
-        body: &body,
-    });
+    let digest = quarantine::digest(parts.method.as_str(), path, &body);
     let mut request = Request {
         id,
         version: policy.version,
