direct: a build counts that came and went between two lists

What callers would see: the same as before, rarer: a stream goes on at another build, at an instance that stood still for less than 3 s.

Cause: up to 3 s without a list an instance took itself to have missed nothing, since endpoints would be listed for a second before streams begin there and for two more while they leave. What the log or a peer told in between was thrown away: builds were recorded from the list that resulted, not from the changes.

Change: each build that a record names is recorded. With each answer an instance tells those that poll it which builds a service has had lately, if more than one (the path of polls has a new version). Where only a list is known, a second without one is a gap.

Unit tests: build_that_came_and_went_between_two_lists_counts, mentions_of_a_build_that_is_gone_end.

--- a/crates/direct/src/builds.rs
+++ b/crates/direct/src/builds.rs
@@ -29,10 +29,33 @@
 pub const MAX_LIST_AGE: Duration = Duration::from_secs(1);
 
 /// How long a list may go without being confirmed before a build can have come and gone
-/// unseen. Its endpoints are listed for a second before streams begin there, and for two more
-/// while they leave.
+/// unseen, where all changes in between are told.
 const MAX_LIST_GAP: Duration = Duration::from_secs(3);
 
+/// The same where only the list at its end is told. A build is listed for [`MAX_LIST_AGE`] before
+/// streams begin there, and its entries may be removed while its endpoints go on serving.
+const MAX_UNTOLD_GAP: Duration = MAX_LIST_AGE;
+
+/// How a list is known that was confirmed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Continuity {
+    /// By all changes since it was confirmed before, or by an instance that knows them.
+    Changes,
+    /// By the list alone.
+    List,
+}
+
+/// A build that a service has had lately, as one instance tells another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mention {
+    /// The service.
+    pub service: ServiceId,
+    /// The build.
+    pub build: BuildId,
+    /// How long ago it was last listed; zero if it is.
+    pub gone_for: Duration,
+}
+
 /// Of the instances asked, at most one in this many may fail to say that the list can't be read.
 const MIN_AGREEING_DIVISOR: usize = 4;
 
@@ -161,7 +184,7 @@
 }
 
 /// The builds of all services.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Builds {
     services: BTreeMap<ServiceId, BTreeMap<BuildId, Sighting>>,
     history: History,
@@ -204,10 +227,14 @@
         self.services.get(&service).map_or(0, BTreeMap::len)
     }
 
-    /// Records that the list was confirmed as of `confirmed_at`.
-    pub fn record_confirmation(&mut self, confirmed_at: Moment) {
+    /// Records that a list was confirmed as of `confirmed_at`, and how it is known.
+    pub fn record_confirmation(&mut self, confirmed_at: Moment, continuity: Continuity) {
+        let longest = match continuity {
+            Continuity::Changes => MAX_LIST_GAP,
+            Continuity::List => MAX_UNTOLD_GAP,
+        };
         let gap = self.confirmed_at.map(|before| since(confirmed_at, before));
-        if gap.is_some_and(|gap| gap > MAX_LIST_GAP) {
+        if gap.is_some_and(|gap| gap > longest) {
             self.gap_ended_at = Some(confirmed_at);
         }
         self.first_confirmed_at.get_or_insert(confirmed_at);
@@ -265,6 +292,50 @@
         self.forget_old(now);
     }
 
+    /// Records that endpoints of a build were listed until `listed_at`, and may be gone since.
+    pub fn record_listed(&mut self, service: ServiceId, build: BuildId, listed_at: Moment) {
+        // What the first list holds is recorded as a whole.
+        if self.history == History::None {
+            return;
+        }
+        let builds = self.services.entry(service).or_default();
+        let sighting = builds.entry(build).or_insert(Sighting {
+            first_listed: Some(listed_at),
+            gone_since: Some(listed_at),
+            first_start: None,
+        });
+        if let Some(gone_since) = &mut sighting.gone_since {
+            *gone_since = listed_at.max(*gone_since);
+        }
+    }
+
+    /// Records the builds that another instance knew at `as_of`.
+    pub fn record_mentions(&mut self, mentions: &[Mention], as_of: Moment) {
+        for one in mentions {
+            let listed_at = since(as_of, one.gone_for);
+            self.record_listed(one.service, one.build, listed_at);
+        }
+        self.forget_old(as_of);
+    }
+
+    /// Returns the builds of services that have had more than one lately.
+    #[must_use]
+    pub fn mentions(&self, now: Moment) -> Vec<Mention> {
+        let several = self.services.iter().filter(|(_, builds)| builds.len() > 1);
+        let of_service = |(service, builds): (&ServiceId, &BTreeMap<BuildId, Sighting>)| {
+            let service = *service;
+            let mention = |(build, sighting): (&BuildId, &Sighting)| Mention {
+                service,
+                build: *build,
+                gone_for: sighting
+                    .gone_since
+                    .map_or(Duration::ZERO, |at| since(now, at)),
+            };
+            builds.iter().map(mention).collect::<Vec<_>>()
+        };
+        several.flat_map(of_service).collect()
+    }
+
     fn forget_old(&mut self, now: Moment) {
         let retention = self.retention;
         for builds in self.services.values_mut() {
--- a/crates/direct/src/builds/tests.rs
+++ b/crates/direct/src/builds/tests.rs
@@ -6,7 +6,9 @@
 use godwitpost_types::endpoint::{Endpoint, Standing};
 use godwitpost_types::id;
 
-use super::{Builds, Census, MAX_LIST_AGE, Statement, agree, earliest_knowledge};
+use super::{
+    Builds, Census, Continuity, MAX_LIST_AGE, Mention, Statement, agree, earliest_knowledge,
+};
 use crate::roster::Registration;
 
 const SERVICE: u64 = 7;
@@ -186,19 +188,70 @@
     let mut known = builds(&[], true, at(0));
     known.record_list([young("v1")].iter(), true, at(100));
     for confirmed_at in [100, 1_000, 3_900] {
-        known.record_confirmation(at(confirmed_at));
+        known.record_confirmation(at(confirmed_at), Continuity::Changes);
         assert_eq!(census(&known, at(confirmed_at)), sole("v1"));
     }
-    known.record_confirmation(at(6_901));
+    known.record_confirmation(at(6_901), Continuity::Changes);
     assert_eq!(census(&known, at(6_901)), Census::Gapped(v1));
     let over = at(6_901) + RETENTION;
     assert_eq!(census(&known, over), sole("v1"));
     known.adopt(SERVICE, v1, at(7_000));
     assert_eq!(census(&known, at(7_000)), sole("v1"));
-    known.record_confirmation(at(11_000));
+    known.record_confirmation(at(11_000), Continuity::Changes);
     assert_eq!(census(&known, at(11_000)), Census::Gapped(v1));
 }
 
+/// Guards against a build that was listed for a while between two lists, each of which lacks it:
+/// its entries were removed while its endpoints went on serving.
+#[test]
+fn build_that_came_and_went_between_two_lists_counts() {
+    let (v1, v2) = (id::from_name("v1"), id::from_name("v2"));
+    let mut known = builds(&[], true, at(0));
+    known.record_list([young("v1")].iter(), true, at(100));
+    known.record_confirmation(at(1_000), Continuity::Changes);
+    let mut told = known.clone();
+    // All changes in between are known.
+    known.record_listed(SERVICE, v2, at(3_900));
+    known.record_list([young("v1")].iter(), true, at(3_900));
+    known.record_confirmation(at(3_900), Continuity::Changes);
+    assert_eq!(census(&known, at(3_900)), Census::Several);
+    // Another instance knows them.
+    let mentions = known.mentions(at(3_950));
+    let gone = Mention {
+        service: SERVICE,
+        build: v2,
+        gone_for: at(50),
+    };
+    assert!(mentions.contains(&gone), "{mentions:?}");
+    let mut listing = told.clone();
+    told.record_mentions(&mentions, at(4_000));
+    told.record_confirmation(at(3_950), Continuity::Changes);
+    assert_eq!(census(&told, at(4_000)), Census::Several);
+    assert_eq!(census(&told, at(3_950) + RETENTION), sole("v1"));
+    // Only the list is known.
+    listing.record_confirmation(at(3_900), Continuity::List);
+    assert_eq!(census(&listing, at(3_900)), Census::Gapped(v1));
+}
+
+/// Guards against builds that are told of for ever, as each instance takes what it is told for
+/// what it saw.
+#[test]
+fn mentions_of_a_build_that_is_gone_end() {
+    let v2 = id::from_name("v2");
+    let mut first = builds(&[old("v1")], false, at(0));
+    first.record_listed(SERVICE, v2, at(1_000));
+    let mut second = builds(&[old("v1")], false, at(0));
+    for millis in (1_000..=20_900).step_by(100) {
+        second.record_mentions(&first.mentions(at(millis)), at(millis));
+        first.record_mentions(&second.mentions(at(millis)), at(millis));
+    }
+    assert_eq!(second.count(SERVICE), 2);
+    let over = at(1_000) + RETENTION;
+    first.record_mentions(&[], over);
+    second.record_mentions(&[], over);
+    assert_eq!((first.count(SERVICE), second.count(SERVICE)), (1, 1));
+}
+
 /// Guards against the word of another instance that waited here during a gap and counts for all
 /// of it: a build can have come and gone since it was said.
 #[test]
@@ -206,8 +259,8 @@
     let v1 = id::from_name("v1");
     let mut known = builds(&[], true, at(0));
     known.record_list([young("v1")].iter(), true, at(100));
-    known.record_confirmation(at(1_000));
-    known.record_confirmation(at(6_000));
+    known.record_confirmation(at(1_000), Continuity::Changes);
+    known.record_confirmation(at(6_000), Continuity::Changes);
     known.adopt(SERVICE, v1, at(1_200));
     assert_eq!(census(&known, at(6_100)), Census::Gapped(v1));
     known.adopt(SERVICE, v1, at(6_000));
@@ -220,7 +273,7 @@
 fn what_was_said_long_before_the_first_list_does_not_count() {
     let v1 = id::from_name("v1");
     let mut known = builds(&[young("v1")], false, at(9_000));
-    known.record_confirmation(at(8_900));
+    known.record_confirmation(at(8_900), Continuity::Changes);
     known.adopt(SERVICE, v1, at(4_000));
     assert_eq!(census(&known, at(9_000)), unsure("v1"));
     known.adopt(SERVICE, v1, at(8_800));
--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -397,7 +397,10 @@
         }
         if let Some(confirmed_at) = update.endpoints_confirmed_at {
             self.roster.record_complete_read(confirmed_at);
-            self.shared.builds().record_confirmation(confirmed_at);
+            let mut builds = self.shared.builds();
+            builds.record_mentions(&update.builds, update.built_at);
+            builds.record_confirmation(confirmed_at, update.continuity);
+            drop(builds);
             self.shared
                 .update_replica(false, |replica| replica.confirm_endpoints(confirmed_at));
         }
--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -9,6 +9,7 @@
 use super::Control;
 use super::follow::TopicUpdate;
 use super::peers::PeerUpdate;
+use crate::builds::Continuity;
 use crate::feed::Change;
 use crate::replica::bucket_of;
 use crate::roster::{Origin, Registration, RemoveResult, Roster, SetResult};
@@ -45,6 +46,7 @@
         self.roster.record_renewal(now, now);
         let first = update.complete && !self.endpoints_listed;
         let mut changed = first;
+        self.record_listed_builds(&update.changes, now);
         for change in update.changes {
             changed |= self.apply_change(change, update.from_list, now);
         }
@@ -57,7 +59,14 @@
         }
         if update.complete {
             self.roster.record_complete_read(update.sent_at);
-            self.shared.builds().record_confirmation(update.sent_at);
+            let continuity = if update.from_list {
+                Continuity::List
+            } else {
+                Continuity::Changes
+            };
+            self.shared
+                .builds()
+                .record_confirmation(update.sent_at, continuity);
             self.shared
                 .update_replica(first, |replica| replica.confirm_endpoints(update.sent_at));
         }
@@ -66,6 +75,16 @@
         self.check_readiness();
     }
 
+    // Records the builds that changes name, as a later one of the same changes may remove them.
+    fn record_listed_builds(&self, changes: &[Change<Registration>], now: Moment) {
+        let mut builds = self.shared.builds();
+        for change in changes {
+            if let Change::Set(_, one) = change {
+                builds.record_listed(one.endpoint.service, one.build_id(), now);
+            }
+        }
+    }
+
     // Logs the endpoints that changed, one by one unless they are many.
     pub(super) fn log_changes(&mut self) {
         let changes = std::mem::take(&mut self.unlogged);
--- a/crates/direct/src/control/peers.rs
+++ b/crates/direct/src/control/peers.rs
@@ -48,7 +48,7 @@
 use crate::shared::Shared;
 use crate::standby::Peers;
 
-const STATE_PATH: &str = "/peer/v11/state";
+const STATE_PATH: &str = "/peer/v12/state";
 
 /// The largest accepted request or answer. A configuration of 8,900 workspaces
 /// takes about 2 MB; endpoints are sent in parts of some 60 KB.
--- a/crates/direct/src/control/peers/answer.rs
+++ b/crates/direct/src/control/peers/answer.rs
@@ -182,8 +182,9 @@
     });
 }
 
-// Adds the instances that keep the origins of streams, if the peer knows others, and at its
-// first poll which builds have served alone and what is held.
+// Adds the builds of services that have had several, the instances that keep the origins of
+// streams, if the peer knows others, and at its first poll which builds have served alone and what
+// is held.
 fn add_members(shared: &Shared, request: &UpdateRequest, update: &mut Update, now: Moment) {
     let mut members = shared.members();
     let list = members.list(now);
@@ -191,6 +192,7 @@
         update.members = Some(list.to_vec());
     }
     drop(members);
+    update.builds = shared.builds().mentions(now);
     if request.incarnation == 0 {
         update.sole_builds = sole_builds(shared);
         update.evidence.extend(evidence_on_held(shared, now));
--- a/crates/direct/src/control/peers/peer.rs
+++ b/crates/direct/src/control/peers/peer.rs
@@ -15,6 +15,7 @@
 use super::overloads::record_overloads;
 use super::passing::{record_forwarders, record_loads};
 use super::{MAX_MESSAGE_BYTES, STATE_PATH, full_body};
+use crate::builds::{Continuity, Mention};
 use crate::crashes::Evidence;
 use crate::evacuation::Evacuation;
 use crate::members;
@@ -58,6 +59,10 @@
     pub(in crate::control) expired: Vec<String>,
     pub(in crate::control) removed: Vec<String>,
     pub(in crate::control) evidence: Vec<Evidence>,
+    /// The builds of services that have had more than one lately, as the peer knows.
+    pub(in crate::control) builds: Vec<Mention>,
+    /// Whether the peer tells all changes since its last answer, or its list.
+    pub(in crate::control) continuity: Continuity,
 }
 
 /// Why a peer is not followed.
@@ -178,6 +183,7 @@
     } else {
         let complete = list.take().unwrap_or_default();
         update.full = true;
+        update.continuity = Continuity::List;
         update.set = complete.set.into_values().collect();
         update.expired = complete.expired.into_iter().collect();
     }
@@ -393,6 +399,11 @@
     if policy_age.max(endpoints_age) > age_limit {
         return Err(PeerError::Stale);
     }
+    let continuity = if update.full || !update.buckets.is_empty() {
+        Continuity::List
+    } else {
+        Continuity::Changes
+    };
     Ok(PeerUpdate {
         incarnation: update.incarnation,
         era: update.era,
@@ -413,5 +424,7 @@
             .iter()
             .map(|evidence| evidence.to_evidence(built_at))
             .collect(),
+        continuity,
+        builds: update.builds,
     })
 }
--- a/crates/direct/src/replica/message.rs
+++ b/crates/direct/src/replica/message.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::group::{Group, ungroup};
+use crate::builds::Mention;
 use crate::crashes::ForwardedEvidence;
 use crate::evacuation::Evacuation;
 use crate::holders::PrefixHolder;
@@ -145,6 +146,8 @@
     pub members: Option<Vec<SocketAddr>>,
     /// At the first poll, the services with a build that alone can have begun streams.
     pub sole_builds: Vec<(ServiceId, BuildId)>,
+    /// The builds of services that have had more than one lately.
+    pub builds: Vec<Mention>,
     /// The number of instances, if the answering instance has counted them.
     pub instances: Option<u32>,
 }
--- a/crates/direct/tests/builds/instance.rs
+++ b/crates/direct/tests/builds/instance.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use godwitpost_direct::builds::{Builds, Census, MAX_LIST_AGE, Statement, agree};
+use godwitpost_direct::builds::{Builds, Census, Continuity, MAX_LIST_AGE, Statement, agree};
 use godwitpost_direct::kept::{
     KeepRequest, Next, Reading, Unwritten, WRITE_INTERVAL, encode, streams_of,
 };
@@ -83,12 +83,29 @@
         first_start: bool,
         now: Moment,
     ) {
-        self.builds.record_confirmation(now);
+        self.builds.record_confirmation(now, Continuity::List);
         self.builds.record_list(all.iter(), first_start, now);
         self.live = live;
         self.confirmed_at = Some(now);
     }
 
+    /// Learns all changes since its last list, by the builds that were listed meanwhile.
+    pub(crate) fn follow(
+        &mut self,
+        listed: &[BuildId],
+        all: &[Registration],
+        live: BTreeMap<BuildId, u32>,
+        now: Moment,
+    ) {
+        for build in listed {
+            self.builds.record_listed(SERVICE, *build, now);
+        }
+        self.builds.record_confirmation(now, Continuity::Changes);
+        self.builds.record_list(all.iter(), false, now);
+        self.live = live;
+        self.confirmed_at = Some(now);
+    }
+
     /// Receives a list that it asked for at `sent_at`.
     pub(crate) fn read_sent(
         &mut self,
@@ -97,12 +114,18 @@
         sent_at: Moment,
         now: Moment,
     ) {
-        self.builds.record_confirmation(sent_at);
+        self.builds
+            .record_confirmation(sent_at, Continuity::Changes);
         self.builds.record_list(all.iter(), false, now);
         self.live = live;
         self.confirmed_at = self.confirmed_at.max(Some(sent_at));
     }
 
+    /// Returns when its newest list was asked for.
+    pub(crate) const fn confirmed_at(&self) -> Option<Moment> {
+        self.confirmed_at
+    }
+
     /// Returns whether its newest list was asked for at `now`.
     pub(crate) fn has_read_at(&self, now: Moment) -> bool {
         self.confirmed_at == Some(now)
--- a/crates/direct/tests/builds/world.rs
+++ b/crates/direct/tests/builds/world.rs
@@ -187,6 +187,8 @@
     log_down_until: Moment,
     log: Log,
     servers: Vec<Server>,
+    // When endpoints were listed, and of which build.
+    listings: Vec<(Moment, BuildId)>,
     streams: Vec<Stream>,
     next_id: u64,
     next_build: u32,
@@ -259,6 +261,7 @@
             log_down_until: Moment::ZERO,
             log: Log::new(seed),
             servers: Vec::new(),
+            listings: Vec::new(),
             streams: Vec::new(),
             next_id: 0,
             next_build: 1,
@@ -294,6 +297,7 @@
             build: build.to_owned(),
             started_at: Some(time_of_day(now)),
         };
+        self.listings.push((now, registration.build_id()));
         self.servers.push(Server {
             registration,
             leaving_at: None,
@@ -547,7 +551,7 @@
             }
             let interval = Duration::from_millis(self.rng.random_range(300..1_300));
             self.instances[n].next_read_at = now + interval;
-            self.instances[n].read(&all, live.clone(), false, now);
+            self.read_list(n, &all, live.clone());
             if n < SEEDS && self.instances[n].lacks_past(now) {
                 let past = self.log.past();
                 let oldest = self.log.oldest().unwrap_or(now);
@@ -558,6 +562,25 @@
         }
     }
 
+    // An instance that follows the log, or polls one that does, learns all changes since its last
+    // list. One that was cut off has changed whom it asks, and receives the list alone.
+    fn read_list(&mut self, n: usize, all: &[Registration], live: BTreeMap<BuildId, u32>) {
+        let now = self.now;
+        let instance = &mut self.instances[n];
+        let Some(before) = instance.confirmed_at() else {
+            instance.read(all, live, false, now);
+            return;
+        };
+        let is_seed = n < SEEDS;
+        if is_seed || self.cut_until[n].max(self.unread_until[n]) <= before {
+            let since_then = self.listings.iter().filter(|(at, _)| *at >= before);
+            let listed: Vec<BuildId> = since_then.map(|(_, build)| *build).collect();
+            instance.follow(&listed, all, live, now);
+        } else {
+            instance.read(all, live, false, now);
+        }
+    }
+
     fn listed(&self) -> Vec<Registration> {
         let servers = self.servers.iter();
         servers.map(|one| one.registration.clone()).collect()
--- a/crates/direct/tests/builds/world/pauses.rs
+++ b/crates/direct/tests/builds/world/pauses.rs
@@ -166,7 +166,7 @@
         }
         if self.can_read(n) && self.rng.random_bool(0.5) {
             let (all, live) = (self.listed(), self.live_builds());
-            self.instances[n].read(&all, live, false, now);
+            self.read_list(n, &all, live);
         }
         if let Some((asked_at, sole)) = sole_builds {
             self.instances[n].adopt(&sole, asked_at);
