direct: a list read in several pages counts as a list

The first confirmation after a list of several pages comes with the records that follow it and counted as known by changes, so up to 3 s without a list counted as nothing missed where the log had been listed anew.

Change: the loop remembers that it was sent a page until the list is confirmed.

Measured: tests of builds, control, peers and restores pass. No test of its own.

--- a/crates/direct/src/control.rs
+++ b/crates/direct/src/control.rs
@@ -29,6 +29,7 @@
 use self::entries::EntryChange;
 use self::follow::{Follower, Mode, Topic, TopicUpdate, follow};
 use self::peers::{PeerUpdate, record_evidence};
+use crate::builds::Continuity;
 use crate::evacuation::{EvacuatedZones, Evacuation, TopicState};
 use crate::feed::Change;
 use crate::metrics::EvidenceSource;
@@ -175,6 +176,8 @@
     // Whether the operator's topic has been read completely at least once.
     policy_read: bool,
     endpoints_listed: bool,
+    // Whether the list was read anew since it was last confirmed, in one page or more.
+    continuity: Continuity,
     past_reading: past::Reading,
     policy_current: bool,
     readiness: Option<Readiness>,
@@ -206,6 +209,7 @@
             log_behind_at: None,
             policy_read: false,
             endpoints_listed: false,
+            continuity: Continuity::List,
             past_reading: past::Reading::default(),
             policy_current: false,
             readiness: None,
--- a/crates/direct/src/control/entries.rs
+++ b/crates/direct/src/control/entries.rs
@@ -47,6 +47,9 @@
         let first = update.complete && !self.endpoints_listed;
         let mut changed = first;
         self.record_listed_builds(&update.changes, now);
+        if update.from_list {
+            self.continuity = Continuity::List;
+        }
         for change in update.changes {
             changed |= self.apply_change(change, update.from_list, now);
         }
@@ -59,11 +62,7 @@
         }
         if update.complete {
             self.roster.record_complete_read(update.sent_at);
-            let continuity = if update.from_list {
-                Continuity::List
-            } else {
-                Continuity::Changes
-            };
+            let continuity = std::mem::replace(&mut self.continuity, Continuity::Changes);
             self.shared
                 .builds()
                 .record_confirmation(update.sent_at, continuity);
