direct: lines that tell what an endpoint holds, and what was known of it

The hypotheses on the load bound in calm couldn't be told apart: no line told when an endpoint was rid of a request, so what it held at an arrival was known to nobody but its own process, and "request sent" didn't tell which part of the believed load were the instance's own requests, nor whether the endpoint counted as silent.

"request left its endpoint" gives how long it was held and how many of the instance's own are left; "request sent" has `own` and `silent`.

--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -51,6 +51,10 @@
     pub(super) limit: f64,
     /// The age of the endpoint's last report, if there is one.
     pub(super) report_age: Option<Duration>,
+    /// This instance's requests at the endpoint.
+    pub(super) own_requests: u32,
+    /// Whether the endpoint was found to begin no responses.
+    pub(super) is_silent: bool,
     /// The estimated number of requests for the same prompt part at endpoints; `None` if the
     /// request is not placed by its prompt.
     pub(super) demand: Option<f64>,
@@ -128,6 +132,8 @@
                     service,
                     limit: service.limit(shared.settings.load_bound),
                     report_age: candidate.and_then(|one| one.report_age),
+                    own_requests: candidate.map_or(0, |one| one.own_requests),
+                    is_silent: candidate.is_some_and(|one| one.is_silent),
                     demand: affinity.map(|one| one.demand),
                 },
             })
--- a/crates/direct/src/relay/in_flight.rs
+++ b/crates/direct/src/relay/in_flight.rs
@@ -97,13 +97,15 @@
     // it towards the endpoint's load.
     belief: Option<Belief>,
     service: String,
+    request: String,
     // `None` unless the endpoint runs a model and the caller states the request's lengths.
     progress: Option<Progress>,
 }
 
 impl InFlightRequest {
     /// Returns a request that is sent to the chosen endpoint.
-    pub(super) fn new(shared: &Arc<Shared>, chosen: &Chosen) -> Self {
+    pub(super) fn new(job: &Job, chosen: &Chosen) -> Self {
+        let shared = &job.shared;
         let registration = &chosen.registration;
         let now = boot_time();
         let start = |expected: &Expected| {
@@ -126,6 +128,7 @@
                 .view()
                 .service_name(registration.endpoint.service)
                 .to_owned(),
+            request: job.id().to_owned(),
             progress,
         }
     }
@@ -142,6 +145,7 @@
             via: None,
             belief: None,
             service: String::new(),
+            request: String::new(),
             progress: None,
         }
     }
@@ -382,8 +386,13 @@
         let duration = since(now, self.sent_at);
         let metrics = self.shared.metrics.loads();
         metrics.record_endpoint_time(&self.service, duration);
-        self.shared
-            .endpoint_stats()
-            .end_request(self.endpoint(), duration);
+        let mut stats = self.shared.endpoint_stats();
+        stats.end_request(self.endpoint(), duration);
+        let own = stats.own_requests(self.endpoint());
+        drop(stats);
+        log::info!(
+            request:% = self.request, endpoint:% = self.name(), held_ms:% = duration.as_millis(), own = own;
+            "request left its endpoint"
+        );
     }
 }
--- a/crates/direct/src/relay/send.rs
+++ b/crates/direct/src/relay/send.rs
@@ -133,11 +133,12 @@
 async fn attempt(job: &mut Job, chosen: &Chosen, last_event_id: Option<u64>) -> AttemptResult {
     let registration = &chosen.registration;
     job.tried.push(registration.endpoint.id);
-    let mut in_flight = InFlightRequest::new(&job.shared, chosen);
+    let mut in_flight = InFlightRequest::new(job, chosen);
     log::info!(
         request:% = job.id(), route:% = job.route.name, endpoint:% = registration.endpoint.name,
         build:% = registration.build, choice:% = chosen.choice.as_str(), load:% = chosen.load,
         load_age_ms:? = chosen.belief.report_age.map(|age| age.as_millis()),
+        own = chosen.belief.own_requests, silent = chosen.belief.is_silent,
         mean:% = chosen.belief.service.mean, limit:% = chosen.belief.limit,
         known:% = chosen.belief.service.known_fraction, demand:? = chosen.belief.demand, part:? = job.fields.affinity_part().map(|part| part.id),
         source:% = display_source(chosen.source.as_ref()),
