direct: an endpoint that is late with all responses is busy, not failing

Callers saw prompts at endpoints that held far more than twice the mean, in calm, where six instances shared nine endpoints that read one prompt after the other.

Cause: a response that had not begun after twice the objective was a failure of its endpoint, and two in a row close one. Where all that are left are above the bound, prompts go to the lightest of them. The class: load taken for failure.

A late response is no failure now while the endpoint sends anything, and begins none for anyone, or late ones to earlier requests, and has passed this one over for none. An endpoint that begins none for three times as long as a request has waited fails all the same, as it answers nobody although it writes what it has begun. The line "endpoint is busy" and the counter late_responses by service and busy tell one from the other.

The unit tests use new calls.

--- a/crates/direct/src/metrics/loads.rs
+++ b/crates/direct/src/metrics/loads.rs
@@ -41,6 +41,7 @@
     reports: Counter<u64>,
     bound_part: Histogram<f64>,
     overloads: Counter<u64>,
+    late_responses: Counter<u64>,
 }
 
 impl Loads {
@@ -82,6 +83,12 @@
                     "Endpoints that others found near the load bound, by how this instance learned it",
                 )
                 .build(),
+            late_responses: meter
+                .u64_counter("godwitpost.late_responses")
+                .with_description(
+                    "Attempts given up as no response had begun in time, by whether the endpoint counts as busy or as failing",
+                )
+                .build(),
         }
     }
 
@@ -90,6 +97,12 @@
         self.overloads.add(count as u64, &[source]);
     }
 
+    pub(crate) fn count_late_response(&self, service: &str, is_busy: bool) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.late_responses
+            .add(1, &[service, KeyValue::new("busy", is_busy)]);
+    }
+
     pub(crate) fn record_endpoint_time(&self, service: &str, time: Duration) {
         let service = KeyValue::new("service", service.to_owned());
         self.endpoint_time.record(time.as_secs_f64(), &[service]);
--- a/crates/direct/src/relay/in_flight.rs
+++ b/crates/direct/src/relay/in_flight.rs
@@ -181,9 +181,33 @@
             .record_health_event(&self.registration.endpoint, event, observation);
     }
 
-    /// Returns how long ago it was sent.
-    pub(super) fn age(&self, now: Moment) -> Duration {
-        since(now, self.sent_at)
+    // Records that the response has not begun in the time allowed. An endpoint that works and is
+    // late in turn is busy, with a long prompt for example. Counted as a failure, that closed
+    // one endpoint after the other and sent everything to those left.
+    fn record_no_head(&self, job: &Job) {
+        let is_busy = self.via.is_none() && self.was_active() && self.is_late_in_turn();
+        let metrics = self.shared.metrics.loads();
+        metrics.count_late_response(&self.service, is_busy);
+        if is_busy {
+            log::info!(request:% = job.id(), endpoint:% = self.name(); "endpoint is busy: it works, and is late with other responses too");
+        } else {
+            self.record_failure(Observation::LateHead);
+        }
+    }
+
+    fn is_late_in_turn(&self) -> bool {
+        let mut stats = self.shared.endpoint_stats();
+        stats.record_late_response(self.endpoint(), self.sent_at, boot_time())
+    }
+
+    // Returns whether the endpoint sent anything lately and after this request was sent.
+    fn was_active(&self) -> bool {
+        let oldest = since(boot_time(), MAX_ACTIVITY_AGE);
+        self.liveness.alive_since(self.sent_at.max(oldest))
+    }
+
+    pub(super) const fn sent_at(&self) -> Moment {
+        self.sent_at
     }
 
     /// Returns how long this request waits for its response before its endpoint may be silent;
@@ -278,8 +302,7 @@
     /// make other endpoints read its prompts again. A machine that is really down is
     /// silent on all its connections.
     pub(crate) fn record_unresponsive(&self, observation: Observation) {
-        let oldest = since(boot_time(), MAX_ACTIVITY_AGE);
-        if self.liveness.alive_since(self.sent_at.max(oldest)) {
+        if self.was_active() {
             log::info!(endpoint:% = self.name(); "a packet was lost; the endpoint responds to other requests");
             self.record_stall();
             return;
@@ -299,7 +322,7 @@
         } else if matches!(error, Error::Unknown(Cause::Connection(_))) {
             self.check_for_crash(job);
         } else if matches!(cause, Cause::ResponseTimeout) {
-            self.record_failure(Observation::LateHead);
+            self.record_no_head(job);
         }
         if error.may_have_run() {
             Failure::Lost
--- a/crates/direct/src/relay/response.rs
+++ b/crates/direct/src/relay/response.rs
@@ -2,7 +2,7 @@
 
 use godwitpost_client::clock::boot_time;
 use godwitpost_decide::health::Event;
-use godwitpost_types::clock::Moment;
+use godwitpost_types::clock::{Moment, since};
 use godwitpost_types::endpoint::Standing;
 use http::StatusCode;
 
@@ -41,8 +41,9 @@
         if let Some(report) = fields.report {
             expected = endpoint_stats.estimate(&[endpoint.id], now);
             endpoint_stats.record_report(endpoint.id, report, now);
-            endpoint_stats.record_head_time(endpoint.service, in_flight.age(now));
+            endpoint_stats.record_head_time(endpoint.service, since(now, in_flight.sent_at()));
         }
+        endpoint_stats.record_response(endpoint.id, in_flight.sent_at(), now);
         let change = endpoint_stats.record_health_event(endpoint.id, Event::Success(now));
         (change, Observation::Responded)
     };
--- a/crates/direct/src/stats.rs
+++ b/crates/direct/src/stats.rs
@@ -14,6 +14,7 @@
 mod observation;
 mod sample;
 mod silence;
+mod turns;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -31,6 +32,7 @@
 pub use self::sample::LoadSample;
 pub use self::silence::SILENCE_TOLD_INTERVAL;
 use self::silence::{HeadTimes, Silence};
+use self::turns::Turns;
 use crate::dialect::Part;
 use crate::place::Affinity;
 
@@ -143,6 +145,7 @@
     liveness: Liveness,
     reports: ReportHistory,
     silence: Silence,
+    turns: Turns,
     durations: DurationStats,
     health: Machine,
 }
@@ -155,6 +158,7 @@
             .field("liveness", &self.liveness)
             .field("reports", &self.reports)
             .field("silence", &self.silence)
+            .field("turns", &self.turns)
             .field("durations", &self.durations)
             .field("health", &self.health)
             .finish()
@@ -169,6 +173,7 @@
             liveness: Liveness::default(),
             reports: ReportHistory::default(),
             silence: Silence::default(),
+            turns: Turns::default(),
             durations: DurationStats::default(),
             // Each incarnation of an endpoint has its own id, and so its own entry.
             health: Machine::new(0),
@@ -332,6 +337,30 @@
         self.head_times.entry(service).or_default().add(time);
     }
 
+    /// Records that an endpoint begins the response to a request sent at `sent_at`.
+    pub fn record_response(&mut self, endpoint: EndpointId, sent_at: Moment, now: Moment) {
+        self.entry(endpoint).turns.record(sent_at, now);
+    }
+
+    /// Records that the response to a request sent at `sent_at` is late. Returns whether it is
+    /// so in turn: the endpoint begins late ones to earlier requests, or none for anyone, but
+    /// not for long yet.
+    pub fn record_late_response(
+        &mut self,
+        endpoint: EndpointId,
+        sent_at: Moment,
+        now: Moment,
+    ) -> bool {
+        let entry = self.entry(endpoint);
+        let answered_at = entry.reports.last_at().max(entry.turns.last_at());
+        let is_in_turn = if answered_at < Some(sent_at) {
+            entry.turns.record_none_begun(sent_at, answered_at, now)
+        } else {
+            entry.turns.is_late_in_turn(sent_at, now)
+        };
+        is_in_turn && !entry.turns.has_passed_over(sent_at)
+    }
+
     /// Returns how long a request waits for its response before its endpoint may be silent.
     #[must_use]
     pub fn late_head(&self, service: ServiceId) -> Duration {
--- a/crates/direct/src/stats/tests.rs
+++ b/crates/direct/src/stats/tests.rs
@@ -45,6 +45,40 @@
     assert_eq!(load(&stats, at(0)), 40);
 }
 
+/// Guards against an endpoint that is taken for broken while it reads a long prompt.
+#[test]
+fn late_head_is_in_turn_while_nobody_gets_one() {
+    let mut stats = EndpointStats::default();
+    stats.record_report(1, report(5), at(900));
+    assert!(stats.record_late_response(1, at(1_000), at(1_300)));
+    stats.record_peer_load(1, 5, at(1_100));
+    assert!(!stats.record_late_response(1, at(1_000), at(1_300)));
+}
+
+/// Guards against an endpoint that answers nobody any more and gets requests as long as it
+/// streams earlier responses.
+#[test]
+fn late_head_is_a_failure_once_nobody_has_got_one_for_long() {
+    let mut stats = EndpointStats::default();
+    stats.record_report(1, report(5), at(900));
+    assert!(stats.record_late_response(1, at(1_000), at(1_300)));
+    assert!(stats.record_late_response(1, at(1_500), at(1_800)));
+    assert!(!stats.record_late_response(1, at(1_700), at(2_000)));
+    stats.record_report(1, report(5), at(2_100));
+    assert!(stats.record_late_response(1, at(2_200), at(2_500)));
+}
+
+/// Guards against the same while it works through what came meanwhile.
+#[test]
+fn late_head_is_in_turn_behind_other_late_ones() {
+    let mut stats = EndpointStats::default();
+    stats.record_report(1, report(5), at(1_200));
+    stats.record_response(1, at(900), at(1_200));
+    assert!(stats.record_late_response(1, at(1_000), at(1_300)));
+    stats.record_response(1, at(1_050), at(1_250));
+    assert!(!stats.record_late_response(1, at(1_000), at(1_300)));
+}
+
 /// Guards against an endpoint that was busy when it last responded, has got nothing
 /// since, and idles beside full ones because it counts as busy for ever.
 #[test]
--- a/crates/direct/tests/instance/main.rs
+++ b/crates/direct/tests/instance/main.rs
@@ -4,6 +4,7 @@
 //! defined by these tests.
 
 mod builds;
+mod busy;
 mod callers;
 mod crashes;
 mod crashing_parts;
