--- a/crates/direct/src/relay/in_flight.rs
+++ b/crates/direct/src/relay/in_flight.rs
@@ -369,8 +369,6 @@
         began_at.is_some_and(|began_at| since(boot_time(), *began_at) > MAX_CRASH_TIME)
     }
 
-    /// Starts a check of whether the endpoint crashed with this request, whose connection
-    /// broke.
     /// Records that the response broke off, and checks whether the endpoint crashed. One that was
     /// leaving and has ended didn't.
     pub(crate) fn record_break(&self, job: &Job, cause: Option<&Break>) {
@@ -380,6 +378,8 @@
         }
     }
 
+    /// Starts a check of whether the endpoint crashed with this request, whose connection
+    /// broke.
     pub(crate) fn check_for_crash(&self, job: &Job) {
         if self.via.is_some() {
             return;
