direct tests, standin: the load bound in the shape of each small deployment

Driven time judged the bound for 69 to 300 instances before 60 endpoints that read nothing or one prompt after another. Six instances before nine endpoints, nine before twelve, and plain requests of few instances at three or four endpoints are scenarios now, at the rates of their sheets and at bursts of 1.7 to 2.5 times. standin::batch is an engine that reads prompts in chunks between the steps of those that run, by the sheets' figures; it may stand still.

--- a/crates/direct/tests/load_bound/main.rs
+++ b/crates/direct/tests/load_bound/main.rs
@@ -8,6 +8,7 @@
 mod instance;
 mod judge;
 mod scenario;
+mod small;
 mod world;
 
 use scenario::Scenario;
@@ -150,3 +151,37 @@
     let shares = [69, 300].map(|instances| worst_share(&without_silences(instances)));
     assert!(shares.iter().all(|share| *share > MAX_SHARE_WITH_MARGIN));
 }
+
+/// Guards against prompts that fill the endpoints that are home to the most of them while
+/// these read, where six instances share a service of nine endpoints.
+#[test]
+fn prompts_of_few_instances_stay_within_the_bound_at_any_rate() {
+    let rates = [81.0, 138.0, 160.0, 200.0];
+    let prompts = rates.map(Scenario::prompts_of_few_instances);
+    let batches = rates.map(Scenario::batches_of_few_instances);
+    let more = rates.map(Scenario::batches_of_more_prompts);
+    let stalling = batches.clone().map(Scenario::stalling);
+    let all = [prompts, batches, more, stalling];
+    assert_share_is_below(MAX_SHARE_WITH_MARGIN, all.into_iter().flatten());
+}
+
+/// Guards against the same where nine instances share twelve endpoints.
+#[test]
+fn prompts_of_nine_instances_stay_within_the_bound_at_any_rate() {
+    let rates = [94.0, 160.0, 188.0, 235.0];
+    let batches = rates.map(Scenario::batches_of_dense_models);
+    let stalling = batches.clone().map(Scenario::stalling);
+    assert_share_is_below(
+        MAX_SHARE_WITH_MARGIN,
+        [batches, stalling].into_iter().flatten(),
+    );
+}
+
+/// Guards against plain requests that coincide at one of three or four endpoints, where few
+/// instances share them.
+#[test]
+fn plain_requests_of_few_instances_stay_within_the_bound_at_any_rate() {
+    let fours = [28.0, 48.0, 100.0].map(|rate| Scenario::plain_of_few_instances(6, 4, rate));
+    let threes = [33.0, 56.0, 110.0].map(|rate| Scenario::plain_of_few_instances(9, 3, rate));
+    assert_share_is_below(MAX_SHARE_WITH_MARGIN, [fours, threes].into_iter().flatten());
+}
--- a/crates/direct/tests/load_bound/scenario.rs
+++ b/crates/direct/tests/load_bound/scenario.rs
@@ -3,6 +3,11 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use godwitpost_standin::batch::Speed;
+
+/// The tokens of a long prompt that it shares with none.
+const LONG_OWN_TOKENS: f64 = 40_000.0;
+
 /// A service, its callers, and what happens to the instances.
 #[derive(Clone, Debug)]
 pub(crate) struct Scenario {
@@ -29,9 +34,15 @@
     /// How many tokens of prompts an endpoint reads in a second. It answers no other request
     /// meanwhile. Infinite if reading takes no time.
     pub(crate) read_rate: f64,
-    /// The share of requests with a long prompt.
-    pub(crate) long_share: f64,
+    /// Prompts that are longer than others: their share of the requests, and the tokens that
+    /// one shares with none.
+    pub(crate) long_prompts: Vec<(f64, f64)>,
     pub(crate) kinds: Vec<Kind>,
+    /// The engine at each endpoint, if its steps are simulated. Its requests take the time that
+    /// their tokens need.
+    pub(crate) engine: Option<Engine>,
+    /// How long an engine stands still at a time, at most, without being down.
+    pub(crate) max_stall: Duration,
     /// How late endpoints report what they hold.
     pub(crate) report_lag: Duration,
     /// When zone 0 is evacuated.
@@ -60,6 +71,42 @@
     pub(crate) parts: u64,
 }
 
+/// A model engine and the lengths of its requests.
+#[derive(Clone, Debug)]
+pub(crate) struct Engine {
+    pub(crate) speed: Speed,
+    /// The lengths of each kind.
+    pub(crate) lengths: Vec<Lengths>,
+}
+
+/// How long the requests of a kind are, in tokens.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lengths {
+    /// What a prompt shares with others.
+    pub(crate) shared: Length,
+    /// What it shares with none.
+    pub(crate) own: Length,
+    /// Its answer.
+    pub(crate) answer: Length,
+}
+
+/// A length that is distributed log-normally.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Length {
+    pub(crate) mean: f64,
+    /// The standard deviation of its logarithm.
+    pub(crate) spread: f64,
+    pub(crate) max: f64,
+}
+
+impl Length {
+    /// Returns the length for a draw of mean 0 and standard deviation 1.
+    pub(crate) fn at(self, deviate: f64) -> f64 {
+        let exponent = self.spread * deviate - self.spread * self.spread / 2.0;
+        (self.mean * exponent.exp()).min(self.max)
+    }
+}
+
 /// Instances that are killed at the same moment and start anew together.
 #[derive(Clone, Debug)]
 pub(crate) struct Kill {
@@ -88,7 +135,7 @@
             callers: 0,
             last_zone_slowness: 1.0,
             read_rate: f64::INFINITY,
-            long_share: 0.0,
+            long_prompts: vec![(0.0, LONG_OWN_TOKENS)],
             kinds: vec![
                 Kind {
                     share: 0.19,
@@ -109,6 +156,8 @@
                     parts: 400,
                 },
             ],
+            engine: None,
+            max_stall: Duration::ZERO,
             report_lag: Duration::from_millis(200),
             evacuations: Vec::new(),
             kills: Vec::new(),
@@ -159,7 +208,7 @@
             callers: 151,
             last_zone_slowness: 1.3,
             read_rate: 50_000.0,
-            long_share: 0.007,
+            long_prompts: vec![(0.007, LONG_OWN_TOKENS)],
             kinds: vec![
                 kind(0.25, 2.2, 10_000, 285),
                 kind(0.42, 1.7, 580, 181),
--- a/crates/direct/tests/load_bound/world.rs
+++ b/crates/direct/tests/load_bound/world.rs
@@ -7,6 +7,7 @@
 use godwitpost_direct::dialect::Part;
 use godwitpost_direct::overloads::{answer_delay, is_news};
 use godwitpost_direct::stats::{Report, SILENCE_TOLD_INTERVAL};
+use godwitpost_standin::batch::{Engine, Work};
 use godwitpost_types::clock::since;
 use godwitpost_types::hash;
 use rand::{RngExt, SeedableRng};
@@ -19,6 +20,12 @@
 /// The time to the head of a response.
 const HEAD_TIME: Duration = Duration::from_millis(40);
 
+/// The time from the arrival of a request to when its engine may read it.
+const QUEUE_TIME: Duration = Duration::from_millis(31);
+
+/// The mean time between two stalls of an engine.
+const STALL_INTERVAL: Duration = Duration::from_secs(10);
+
 /// How long after its start an instance's requests count.
 const CONTACT_TIME: Duration = Duration::from_secs(4);
 
@@ -35,9 +42,6 @@
 /// The tokens of a prompt that it shares with none.
 const OWN_TOKENS: f64 = 300.0;
 
-/// The same of a long prompt.
-const LONG_OWN_TOKENS: f64 = 40_000.0;
-
 /// The period in which the rate rises and falls.
 const WAVE_PERIOD: Duration = Duration::from_secs(11);
 
@@ -55,6 +59,10 @@
         kill: usize,
         up: bool,
     },
+    /// A request has reached the engine of its endpoint.
+    Queued(Run),
+    /// An endpoint's engine takes the next step.
+    Step(u64),
     Head(Run),
     /// The time is over in which responses usually begin.
     LateHead(Run),
@@ -79,6 +87,7 @@
 /// A request at an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Run {
+    number: u64,
     instance: usize,
     start: u32,
     endpoint: u64,
@@ -94,6 +103,8 @@
     // The number after each change of the last second.
     changes: VecDeque<(Duration, u32)>,
     slots_free_at: Vec<Duration>,
+    engine: Option<Engine<Run>>,
+    is_stepping: bool,
     // The prompts that were read here, and when the last of them was or will be.
     read_parts: BTreeSet<u64>,
     reads_until: Duration,
@@ -112,6 +123,9 @@
     popularity: Vec<Vec<f64>>,
     queue: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     pushed: u64,
+    /// The requests at engines that have not begun a response, and their work.
+    unanswered: BTreeMap<u64, Work>,
+    placed: u64,
 }
 
 /// Plays a scenario with one seed.
@@ -138,13 +152,15 @@
             knows_evacuated: vec![false; scenario.instances],
             is_evacuated: false,
             held: (0..u64::from(scenario.endpoints))
-                .map(|endpoint| (endpoint, Held::new(scenario.slots)))
+                .map(|endpoint| (endpoint, Held::new(scenario)))
                 .collect(),
             total: 0,
             judge: Judge::default(),
             popularity: popularity.collect(),
             queue: BinaryHeap::new(),
             pushed: 0,
+            unanswered: BTreeMap::new(),
+            placed: 0,
         };
         for instance in 0..scenario.instances {
             world.start_instance(instance, Duration::ZERO);
@@ -188,6 +204,8 @@
                 self.learn_evacuated(instance, evacuated, now);
             }
             Event::Kill { kill, up } => self.kill(kill, up, now),
+            Event::Queued(run) => self.queue(run, now),
+            Event::Step(endpoint) => self.step(endpoint, now),
             Event::Head(run) => self.head(run, now),
             Event::LateHead(run) => self.late_head(run, now),
             Event::End(run) => self.end(run, now),
@@ -271,7 +289,7 @@
 
     fn arrival(&mut self, caller: u64, now: Duration) {
         let instance = self.draw_instance(caller);
-        let (part, seconds) = self.request(now);
+        let (kind, part, seconds) = self.request(now);
         let endpoints = self.endpoints(instance);
         let draw = self.rng.random();
         let zone = instance as u64 % self.scenario.zones;
@@ -286,7 +304,7 @@
         let start = one.starts;
         let mean = f64::from(self.total) / f64::from(self.scenario.endpoints);
         let work = self.exponential(seconds * self.slowness(endpoint));
-        let is_long = self.rng.random_bool(self.scenario.long_share);
+        let own_tokens = self.own_tokens();
         let held = self.held.get_mut(&endpoint).expect("a known endpoint");
         let arrival = Arrival {
             held: held.count,
@@ -295,21 +313,32 @@
             in_touch,
         };
         self.judge.record(now, arrival);
-        let own_tokens = if is_long { LONG_OWN_TOKENS } else { OWN_TOKENS };
-        let answered = match part {
-            Some(part) => held.read(part, own_tokens, self.scenario.read_rate, now) + HEAD_TIME,
-            None => now + HEAD_TIME,
-        };
-        let end = held.start(now, since(answered, now + HEAD_TIME) + work);
-        self.total += 1;
-        let run = Run {
+        self.placed += 1;
+        let mut run = Run {
+            number: self.placed,
             instance,
             start,
             endpoint,
             sent: now,
-            answered_at: answered.min(end),
+            answered_at: Duration::MAX,
             by_prompt: part.is_some(),
         };
+        if let (Some(part), Some(_)) = (part, &held.engine) {
+            held.change(now, held.count + 1);
+            self.total += 1;
+            let work = self.work(kind, part, endpoint);
+            self.unanswered.insert(run.number, work);
+            self.push(now + QUEUE_TIME, Event::Queued(run));
+            self.push(now + late_head, Event::LateHead(run));
+            return;
+        }
+        let answered = match part {
+            Some(part) => held.read(part, own_tokens, self.scenario.read_rate, now) + HEAD_TIME,
+            None => now + HEAD_TIME,
+        };
+        let end = held.start(now, since(answered, now + HEAD_TIME) + work);
+        self.total += 1;
+        run.answered_at = answered.min(end);
         self.push(run.answered_at, Event::Head(run));
         if run.by_prompt {
             self.push(now + late_head, Event::LateHead(run));
@@ -329,6 +358,16 @@
         *up.iter().max_by_key(score).expect("an instance")
     }
 
+    // Draws the tokens of a prompt that it shares with none.
+    fn own_tokens(&mut self) -> f64 {
+        for (share, tokens) in &self.scenario.long_prompts {
+            if self.rng.random_bool(*share) {
+                return *tokens;
+            }
+        }
+        OWN_TOKENS
+    }
+
     // Returns how many times as long as elsewhere requests take at an endpoint.
     fn slowness(&self, endpoint: u64) -> f64 {
         let zones = self.scenario.zones;
@@ -347,8 +386,8 @@
         Endpoints { usable, evacuated }
     }
 
-    // Draws the prompt of a request, and how long it takes on average.
-    fn request(&mut self, now: Duration) -> (Option<Part>, f64) {
+    // Draws the kind of a request, its prompt, and how long it takes on average.
+    fn request(&mut self, now: Duration) -> (usize, Option<Part>, f64) {
         let mut draw: f64 = self.rng.random();
         let mut kind = 0;
         while kind + 1 < self.scenario.kinds.len() && draw >= self.scenario.kinds[kind].share {
@@ -357,7 +396,7 @@
         }
         let one = self.scenario.kinds[kind];
         if one.tokens == 0 {
-            return (None, one.seconds);
+            return (kind, None, one.seconds);
         }
         let is_hot = kind == 0 && self.scenario.hot.iter().any(|time| time.contains(&now));
         let sums = &self.popularity[kind];
@@ -373,10 +412,73 @@
             id: hash::score(part, kind as u64),
             tokens: one.tokens,
         };
-        (Some(part), one.seconds)
+        (kind, Some(part), one.seconds)
+    }
+
+    // Draws the work of a request at an endpoint's engine.
+    fn work(&mut self, kind: usize, part: Part, endpoint: u64) -> Work {
+        let engine = self.scenario.engine.as_ref().expect("an engine");
+        let lengths = engine.lengths[kind];
+        let shared = lengths.shared.at(deviate(part.id));
+        let own = lengths.own.at(deviate(self.rng.random()));
+        let write = lengths.answer.at(deviate(self.rng.random())).max(1.0);
+        let held = self.held.get_mut(&endpoint).expect("a known endpoint");
+        let is_kept = !held.read_parts.insert(part.id);
+        let (kept, read) = if is_kept {
+            (shared, own)
+        } else {
+            (0.0, shared + own)
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "1 to the greatest length"
+        )]
+        let write = write as u32;
+        Work { kept, read, write }
+    }
+
+    fn queue(&mut self, run: Run, now: Duration) {
+        let work = self.unanswered[&run.number];
+        let held = self.held.get_mut(&run.endpoint).expect("a known endpoint");
+        held.engine.as_mut().expect("an engine").push(run, work);
+        if !std::mem::replace(&mut held.is_stepping, true) {
+            self.step(run.endpoint, now);
+        }
+    }
+
+    // Draws how long an engine stands still after a step.
+    fn stall(&mut self, step: Duration) -> Duration {
+        let max = self.scenario.max_stall;
+        if max.is_zero() {
+            return max;
+        }
+        let probability = step.as_secs_f64() / STALL_INTERVAL.as_secs_f64();
+        if self.rng.random_bool(probability) {
+            max.mul_f64(self.rng.random())
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    fn step(&mut self, endpoint: u64, now: Duration) {
+        let held = self.held.get_mut(&endpoint).expect("a known endpoint");
+        let Some(step) = held.engine.as_mut().expect("an engine").step() else {
+            held.is_stepping = false;
+            return;
+        };
+        let end = now + step.time + self.stall(step.time);
+        for run in step.begun {
+            self.push(end, Event::Head(run));
+        }
+        for run in step.ended {
+            self.push(end, Event::End(run));
+        }
+        self.push(end, Event::Step(endpoint));
     }
 
     fn head(&mut self, run: Run, now: Duration) {
+        self.unanswered.remove(&run.number);
         let held = self.held[&run.endpoint].count_at(since(now, self.scenario.report_lag));
         let slots = self.scenario.slots;
         let report = Report {
@@ -402,11 +504,14 @@
 
     fn late_head(&mut self, run: Run, now: Duration) {
         let tells = self.scenario.tells_silences;
-        let answered_at = run.answered_at;
+        let is_answered = match self.scenario.engine {
+            Some(_) => !self.unanswered.contains_key(&run.number),
+            None => run.answered_at <= now,
+        };
         let Some(one) = self.sender(run) else {
             return;
         };
-        if !tells || answered_at <= now {
+        if !tells || is_answered {
             return;
         }
         let is_news = one.stats.record_late_head(run.endpoint, run.sent, now);
@@ -499,9 +604,11 @@
 }
 
 impl Held {
-    fn new(slots: u32) -> Self {
+    fn new(scenario: &Scenario) -> Self {
+        let engine = scenario.engine.as_ref();
         Self {
-            slots_free_at: vec![Duration::ZERO; slots as usize],
+            slots_free_at: vec![Duration::ZERO; scenario.slots as usize],
+            engine: engine.map(|engine| Engine::new(engine.speed)),
             ..Self::default()
         }
     }
@@ -544,6 +651,16 @@
     }
 }
 
+// Returns a number of mean 0 and standard deviation 1 for a draw.
+fn deviate(draw: u64) -> f64 {
+    let uniform = |salt: u64| {
+        let bits = hash::score(draw, salt) >> 32;
+        f64::from(u32::try_from(bits).unwrap_or(0)) / f64::from(u32::MAX)
+    };
+    // The sum of twelve uniform numbers, as an approximation of a normal distribution.
+    (0..12).map(uniform).sum::<f64>() - 6.0
+}
+
 // Returns the sums of the popularity of prompts, to draw one from.
 fn sums(parts: u64) -> Vec<f64> {
     let mut sum = 0.0;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 //! `PUT /faults`, as the JSON of the module's `Faults`; omitted fields get their
 //! defaults.
 
+pub mod batch;
 pub mod digest;
 pub mod engine;
 
