direct: endpoints that are leaving count for the mean until they are gone

A release leaves no line at warning.

Cause: endpoints that are paused, excluded or in an evacuated zone counted for the mean, those that are leaving didn't. While half of 18 drain, the limit was believed to be 25 to 33, and is 15 to 19 with all that run. The class: one count of endpoints where another one is meant.

They count now, with the load that was last observed, until they are gone. Loads are drawn only if endpoints are out that may return, as before.

prompt_leaves_its_home_while_an_endpoint_that_drains_lowers_the_mean fails on the code before: the home gets 5 of 5 prompts.

--- a/crates/bench/src/direct/instance.rs
+++ b/crates/bench/src/direct/instance.rs
@@ -76,6 +76,7 @@
         }
         let looks = self.book.estimate(ids, now);
         Unavailable {
+            leaving: 0,
             count: u32::try_from(ids.len()).unwrap_or(u32::MAX),
             load: looks.iter().map(|look| look.observed_load).sum(),
         }
--- a/crates/direct/src/place.rs
+++ b/crates/direct/src/place.rs
@@ -190,10 +190,19 @@
 pub struct Unavailable {
     /// The number of these endpoints.
     pub count: u32,
+    /// How many of these are leaving.
+    pub leaving: u32,
     /// The number of requests that they run or queue together.
     pub load: f64,
 }
 
+impl Unavailable {
+    // Returns whether some are out that may be used again.
+    const fn has_returning(self) -> bool {
+        self.count > self.leaving
+    }
+}
+
 /// What an instance believes of the load of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceLoad {
@@ -389,13 +398,13 @@
     }
     let by_rank = affinity.and_then(|affinity| {
         let bound = load_bound(candidates, unavailable, allowed, affinity.cost);
-        // If some endpoints are unavailable, the others are about as loaded as the bound
+        // If some endpoints are out, the others are about as loaded as the bound
         // allows. Without drawing the load, all instances would move from one endpoint to
         // the next at the same time, when they learn a second late that it has passed the
         // bound. While most loads are unknown, as in the first seconds of a fleet, they
         // would all send a prompt in demand to its home, whose load they believe to be the
         // mean.
-        let is_uncertain = unavailable.count > 0 || !are_loads_known(candidates);
+        let is_uncertain = unavailable.has_returning() || !are_loads_known(candidates);
         let load_draw = is_uncertain.then_some(draw);
         let within = |one: &&Candidate| one.draw_load(load_draw) + 1.0 <= bound;
         let within: Vec<&Candidate> = free.iter().copied().filter(within).collect();
--- a/crates/direct/src/place/tests.rs
+++ b/crates/direct/src/place/tests.rs
@@ -400,6 +400,7 @@
 fn unavailable_endpoints_count_towards_the_mean() {
     let candidates = loads(&[12.0; 45]);
     let idle = Unavailable {
+        leaving: 0,
         count: 15,
         load: 0.0,
     };
@@ -407,6 +408,7 @@
     let bound = super::load_bound(&candidates, idle, ALLOWED, 1.0);
     assert!(bound <= ALLOWED * mean + 3.0, "{bound}");
     let busy = Unavailable {
+        leaving: 0,
         count: 15,
         load: 15.0 * 12.0,
     };
@@ -419,6 +421,7 @@
 #[test]
 fn endpoints_near_the_bound_are_left_gradually_with_unavailable_ones() {
     let idle = Unavailable {
+        leaving: 0,
         count: 3,
         load: 0.0,
     };
--- a/crates/direct/src/relay/choose.rs
+++ b/crates/direct/src/relay/choose.rs
@@ -252,8 +252,6 @@
 }
 
 /// The endpoints of a service, grouped by whether the request can be sent to them.
-/// Endpoints that announced that they are leaving, but that the view still lists, are in
-/// no group.
 struct EndpointGroups<'a> {
     /// Endpoints that the request can be sent to.
     usable: Vec<&'a Registration>,
@@ -263,6 +261,8 @@
     resume_at: Option<Moment>,
     /// Endpoints that may not run the request.
     excluded: Vec<&'a Registration>,
+    /// Endpoints that announced that they are leaving, but that the view still lists.
+    leaving: Vec<&'a Arc<Registration>>,
 }
 
 /// The builds of the endpoints that a request may be sent to.
@@ -321,12 +321,13 @@
         paused: Vec::new(),
         resume_at: None,
         excluded: Vec::new(),
+        leaving: Vec::new(),
     };
     let now = boot_time();
     let notices = job.shared.notices();
     for one in registrations {
         match notices.get(one.endpoint.id, now) {
-            Some(Notice::Leaving) => {}
+            Some(Notice::Leaving) => groups.leaving.push(one),
             _ if !may_run(one) => groups.excluded.push(one),
             Some(Notice::Paused { until }) => {
                 groups.paused.push(one);
@@ -343,30 +344,35 @@
 }
 
 // Returns the number and load of the service's endpoints that the request can't be sent
-// to, including those in evacuated zones.
+// to, including those that are leaving or in evacuated zones.
 fn unavailable(job: &Job, view: &View, groups: &EndpointGroups<'_>) -> Unavailable {
-    let evacuated = view.evacuated(job.service);
     let excluded = groups.excluded.iter().chain(&groups.paused);
     let excluded: Vec<EndpointId> = excluded.map(|one| one.endpoint.id).collect();
-    if excluded.is_empty() && evacuated.is_empty() {
+    let ids = |all: &[Arc<Registration>]| all.iter().map(|one| one.endpoint.id).collect();
+    let evacuated: Vec<EndpointId> = ids(view.evacuated(job.service));
+    let mut leaving: Vec<EndpointId> = ids(view.leaving(job.service));
+    leaving.extend(groups.leaving.iter().map(|one| one.endpoint.id));
+    let all = [&excluded, &evacuated, &leaving];
+    if all.iter().all(|group| group.is_empty()) {
         return Unavailable::default();
     }
     let now = boot_time();
-    let evacuated: Vec<EndpointId> = evacuated.iter().map(|one| one.endpoint.id).collect();
     let stats = job.shared.endpoint_stats();
     let excluded_load = stats
         .estimate(&excluded, now)
         .into_iter()
         .map(|estimate| estimate.load);
-    // No new requests are sent to these, so their load is no more than what was last
+    // No new requests are sent to the others, so their load is no more than what was last
     // observed.
-    let evacuated_load = stats
-        .estimate(&evacuated, now)
+    let others_load = [&evacuated, &leaving]
         .into_iter()
+        .flat_map(|group| stats.estimate(group, now))
         .map(|estimate| estimate.observed_load);
+    let number = |count| u32::try_from(count).unwrap_or(u32::MAX);
     Unavailable {
-        count: u32::try_from(excluded.len() + evacuated.len()).unwrap_or(u32::MAX),
-        load: excluded_load.chain(evacuated_load).sum(),
+        count: number(all.iter().map(|group| group.len()).sum()),
+        leaving: number(leaving.len()),
+        load: excluded_load.chain(others_load).sum(),
     }
 }
 
--- a/crates/direct/tests/instance/leaving.rs
+++ b/crates/direct/tests/instance/leaving.rs
@@ -8,6 +8,7 @@
     Endpoint, ReceivedRequest, Step, ok_with_body, response_to, response_to_other_attempt,
 };
 use crate::fleet::TestInstance;
+use crate::overloads::parts_of_first_endpoint;
 
 /// Response header of an endpoint that is leaving.
 const LEAVING_HEADER: &str = "x-leaving: 1\r\n";
@@ -15,6 +16,9 @@
 /// Number of calls after which each usable endpoint has received a request.
 const CALLS_TO_REACH_ALL: usize = 12;
 
+/// Number of prompts, each of them new.
+const PROMPTS: usize = 5;
+
 fn respond_leaving(_: usize, received: &ReceivedRequest) -> Vec<Step> {
     vec![response_to(received, "200 OK", LEAVING_HEADER, "last")]
 }
@@ -115,3 +119,29 @@
     );
     assert_eq!(endpoint.received().len(), 1);
 }
+
+/// Guards against a bound that is too high while an endpoint drains: it counts for the mean until
+/// it is gone.
+#[tokio::test]
+async fn prompt_leaves_its_home_while_an_endpoint_that_drains_lowers_the_mean() {
+    let respond = |headers: &'static str| {
+        move |_: usize, received: &ReceivedRequest| {
+            vec![response_to(received, "200 OK", headers, "ok")]
+        }
+    };
+    let home = Endpoint::start(respond("x-load: 9,0,8\r\n")).await;
+    let other = Endpoint::start(respond("x-load: 4,0,8\r\n")).await;
+    let leaving = Endpoint::start(respond("x-load: 0,0,8\r\nx-leaving: 1\r\n")).await;
+    let endpoints = [&home, &other, &leaving];
+    let instance = TestInstance::start(&endpoints.map(|one| one.address)).await;
+    while endpoints.iter().any(|one| one.received().is_empty()) {
+        instance.call("GET", "/open/1", "").await;
+    }
+    let before = home.received().len();
+    for part in parts_of_first_endpoint().take(PROMPTS) {
+        let header = format!("x-prompt: 5000,{part},5001\r\n");
+        let response = instance.call("POST", "/draft/1", &header).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+    assert_eq!(home.received().len(), before);
+}
--- a/crates/direct/tests/instance/overloads.rs
+++ b/crates/direct/tests/instance/overloads.rs
@@ -18,12 +18,15 @@
     vec![response_to(received, "200 OK", "x-load: 1,0,8\r\n", "ok")]
 }
 
-// Returns a part whose home is the first of three endpoints.
-fn part_of_first_endpoint() -> u64 {
+/// Returns the parts whose home is the first of three endpoints.
+pub(crate) fn parts_of_first_endpoint() -> impl Iterator<Item = u64> {
     let score = |part: u64, n: usize| hash::score(part, id::from_name(&format!("e{n}")));
-    let home = |part| (0..3).min_by_key(|n| Reverse(score(part, *n)));
-    let mut parts = 1..10_000;
-    parts.find(|part| home(*part) == Some(0)).expect("a part")
+    let home = move |part| (0..3).min_by_key(|n| Reverse(score(part, *n)));
+    (1..10_000).filter(move |part| home(*part) == Some(0))
+}
+
+fn part_of_first_endpoint() -> u64 {
+    parts_of_first_endpoint().next().expect("a part")
 }
 
 async fn send_prompt(instance: &TestInstance, part: u64) {
--- a/crates/direct/tests/load_bound/instance.rs
+++ b/crates/direct/tests/load_bound/instance.rs
@@ -96,6 +96,7 @@
             .collect();
         let evacuated = self.stats.estimate(&endpoints.evacuated, now);
         let unavailable = Unavailable {
+            leaving: 0,
             count: u32::try_from(evacuated.len()).unwrap_or(u32::MAX),
             load: evacuated.iter().map(|one| one.observed_load).sum(),
         };
