--- a/crates/direct/tests/instance/busy.rs
+++ b/crates/direct/tests/instance/busy.rs
@@ -15,10 +15,10 @@
 const READ_MS: u64 = 10_000;
 
 /// The objective of the routes. An attempt is given up after twice this time.
-const OBJECTIVE: Duration = Duration::from_millis(50);
+const ROUTE_OBJECTIVE: Duration = Duration::from_millis(50);
 
 /// Requests one after the other, all of which wait in vain before the stream times out.
-const CALLS: usize = 8;
+const CALLS_IN_VAIN: usize = 8;
 
 fn write_one_stream(_: usize, received: &ReceivedRequest) -> Vec<Step> {
     if !received.head.starts_with("POST /draft/") {
@@ -38,7 +38,7 @@
     let instance = TestInstance::start(&[endpoint.address]).await;
     let mut content = content(2);
     for route in &mut content.routes {
-        route.objective = OBJECTIVE;
+        route.objective = ROUTE_OBJECTIVE;
     }
     instance.publish(content);
     let version = async || sample_value(&metrics(&instance).await, "godwitpost_bundle_version");
@@ -74,7 +74,7 @@
 #[tokio::test]
 async fn endpoint_that_begins_no_responses_for_long_is_closed() {
     let (instance, _stream) = start_reading().await;
-    for _ in 0..CALLS {
+    for _ in 0..CALLS_IN_VAIN {
         instance.call("GET", "/stock/1", "").await;
     }
     let text = metrics(&instance).await;
--- a/crates/direct/tests/instance/leaving.rs
+++ b/crates/direct/tests/instance/leaving.rs
@@ -17,7 +17,7 @@
 const CALLS_TO_REACH_ALL: usize = 12;
 
 /// Number of prompts, each of them new.
-const PROMPTS: usize = 5;
+const NEW_PROMPTS: usize = 5;
 
 fn respond_leaving(_: usize, received: &ReceivedRequest) -> Vec<Step> {
     vec![response_to(received, "200 OK", LEAVING_HEADER, "last")]
@@ -138,7 +138,7 @@
         instance.call("GET", "/open/1", "").await;
     }
     let before = home.received().len();
-    for part in parts_of_first_endpoint().take(PROMPTS) {
+    for part in parts_of_first_endpoint().take(NEW_PROMPTS) {
         let header = format!("x-prompt: 5000,{part},5001\r\n");
         let response = instance.call("POST", "/draft/1", &header).await;
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
--- a/crates/direct/tests/load_bound/scenario.rs
+++ b/crates/direct/tests/load_bound/scenario.rs
@@ -34,9 +34,8 @@
     /// How many tokens of prompts an endpoint reads in a second. It answers no other request
     /// meanwhile. Infinite if reading takes no time.
     pub(crate) read_rate: f64,
-    /// Prompts that are longer than others: their share of the requests, and the tokens that
-    /// one shares with none.
-    pub(crate) long_prompts: Vec<(f64, f64)>,
+    /// Prompts that are longer than others.
+    pub(crate) long_prompts: Vec<Long>,
     pub(crate) kinds: Vec<Kind>,
     /// The engine at each endpoint, if its steps are simulated. Its requests take the time that
     /// their tokens need.
@@ -71,6 +70,14 @@
     pub(crate) parts: u64,
 }
 
+/// Prompts of which each has many tokens that it shares with none.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Long {
+    /// Their share of the requests.
+    pub(crate) share: f64,
+    pub(crate) own_tokens: f64,
+}
+
 /// A model engine and the lengths of its requests.
 #[derive(Clone, Debug)]
 pub(crate) struct Engine {
@@ -135,7 +142,11 @@
             callers: 0,
             last_zone_slowness: 1.0,
             read_rate: f64::INFINITY,
-            long_prompts: vec![(0.0, LONG_OWN_TOKENS)],
+            // None, but drawn, so that each seed draws the same as with some.
+            long_prompts: vec![Long {
+                share: 0.0,
+                own_tokens: LONG_OWN_TOKENS,
+            }],
             kinds: vec![
                 Kind {
                     share: 0.19,
@@ -208,7 +219,10 @@
             callers: 151,
             last_zone_slowness: 1.3,
             read_rate: 50_000.0,
-            long_prompts: vec![(0.007, LONG_OWN_TOKENS)],
+            long_prompts: vec![Long {
+                share: 0.007,
+                own_tokens: LONG_OWN_TOKENS,
+            }],
             kinds: vec![
                 kind(0.25, 2.2, 10_000, 285),
                 kind(0.42, 1.7, 580, 181),
--- a/crates/direct/tests/load_bound/small.rs
+++ b/crates/direct/tests/load_bound/small.rs
@@ -4,19 +4,19 @@
 
 use godwitpost_standin::batch::Speed;
 
-use crate::scenario::{Engine, Kind, Length, Lengths, Scenario};
+use crate::scenario::{Engine, Kind, Length, Lengths, Long, Scenario};
 
 /// The longest that an engine stands still: as long as callers may wait for a first event.
 const MAX_STALL: Duration = Duration::from_millis(1_500);
 
 /// How many requests arrive at the same moment, on average.
-const CLUMP: f64 = 3.0;
+const MEAN_CLUMP: f64 = 3.0;
 
 /// How far the rate rises and falls.
-const SWING: f64 = 0.15;
+const RATE_SWING: f64 = 0.15;
 
 /// A large model of many experts.
-const EXPERTS: Speed = Speed {
+const EXPERT_MODEL_SPEED: Speed = Speed {
     step: Duration::from_micros(3_410),
     step_per_request: Duration::from_micros(97),
     chunk: 4_096.0,
@@ -26,7 +26,7 @@
 };
 
 /// A dense model.
-const DENSE: Speed = Speed {
+const DENSE_MODEL_SPEED: Speed = Speed {
     step: Duration::from_micros(3_090),
     step_per_request: Duration::from_nanos(16_500),
     chunk: 2_048.0,
@@ -36,21 +36,21 @@
 };
 
 /// The lengths of long prompts.
-const LONG: Lengths = Lengths {
+const LONG_PROMPT_LENGTHS: Lengths = Lengths {
     shared: length(10_512.0, 0.7, 31_000.0),
     own: length(1_300.0, 1.4, 11_000.0),
     answer: length(382.0, 0.44, 1_120.0),
 };
 
 /// The lengths of questions.
-const QUESTION: Lengths = Lengths {
+const QUESTION_LENGTHS: Lengths = Lengths {
     shared: length(699.0, 0.7, 2_000.0),
     own: length(130.0, 1.0, 660.0),
     answer: length(292.0, 0.69, 955.0),
 };
 
 /// The lengths of prompts with answers of some words.
-const LABEL: Lengths = Lengths {
+const LABEL_LENGTHS: Lengths = Lengths {
     shared: length(2_041.0, 0.7, 6_000.0),
     own: length(360.0, 1.3, 1_400.0),
     answer: length(23.0, 1.4, 90.0),
@@ -60,6 +60,10 @@
     Length { mean, spread, max }
 }
 
+const fn long(share: f64, own_tokens: f64) -> Long {
+    Long { share, own_tokens }
+}
+
 const fn kind(share: f64, seconds: f64, tokens: u32, parts: u64) -> Kind {
     Kind {
         share,
@@ -78,10 +82,10 @@
             seeds: 3,
             endpoints: 9,
             rate,
-            clump: CLUMP,
-            swing: SWING,
+            clump: MEAN_CLUMP,
+            swing: RATE_SWING,
             read_rate: 25_000.0,
-            long_prompts: vec![(0.033, 12_500.0), (0.3, 1_500.0)],
+            long_prompts: vec![long(0.033, 12_500.0), long(0.3, 1_500.0)],
             kinds: vec![
                 kind(0.23, 1.7, 1_050, 28),
                 kind(0.34, 1.3, 70, 94),
@@ -103,8 +107,8 @@
                 kind(0.43, 0.1, 2_041, 78),
             ],
             engine: Some(Engine {
-                speed: EXPERTS,
-                lengths: vec![LONG, QUESTION, LABEL],
+                speed: EXPERT_MODEL_SPEED,
+                lengths: vec![LONG_PROMPT_LENGTHS, QUESTION_LENGTHS, LABEL_LENGTHS],
             }),
             ..Self::prompts_of_few_instances(rate)
         }
@@ -131,15 +135,15 @@
             instances: 9,
             endpoints: 12,
             zones: 3,
-            slots: DENSE.slots.try_into().expect("some slots"),
+            slots: DENSE_MODEL_SPEED.slots.try_into().expect("some slots"),
             kinds: vec![
                 kind(0.18, 1.7, 10_512, 38),
                 kind(0.52, 1.3, 699, 167),
                 kind(0.3, 0.1, 2_041, 95),
             ],
             engine: Some(Engine {
-                speed: DENSE,
-                lengths: vec![LONG, QUESTION, LABEL],
+                speed: DENSE_MODEL_SPEED,
+                lengths: vec![LONG_PROMPT_LENGTHS, QUESTION_LENGTHS, LABEL_LENGTHS],
             }),
             report_lag: Duration::from_millis(100),
             ..Self::prompts_of_few_instances(rate)
@@ -162,8 +166,8 @@
             seeds: 3,
             endpoints,
             rate,
-            clump: CLUMP,
-            swing: SWING,
+            clump: MEAN_CLUMP,
+            swing: RATE_SWING,
             kinds: vec![kind(1.0, 0.02, 0, 1)],
             ..Self::plain(instances)
         }
--- a/crates/direct/tests/load_bound/world.rs
+++ b/crates/direct/tests/load_bound/world.rs
@@ -360,9 +360,9 @@
 
     // Draws the tokens of a prompt that it shares with none.
     fn own_tokens(&mut self) -> f64 {
-        for (share, tokens) in &self.scenario.long_prompts {
-            if self.rng.random_bool(*share) {
-                return *tokens;
+        for long in &self.scenario.long_prompts {
+            if self.rng.random_bool(long.share) {
+                return long.own_tokens;
             }
         }
         OWN_TOKENS
--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// Pairs of tokens that [`Speed::pairs`] is stated for.
-const PAIRS: f64 = 1_000_000.0;
+const PAIRS_UNIT: f64 = 1_000_000.0;
 
 /// How fast an engine is.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -126,7 +126,7 @@
         {
             let tokens = left.min(prompt.work.read - prompt.done);
             let before = prompt.work.kept + prompt.done + tokens / 2.0;
-            let pairs = tokens * before / PAIRS;
+            let pairs = tokens * before / PAIRS_UNIT;
             *time += Duration::from_secs_f64(tokens / self.speed.read_rate)
                 + self.speed.pairs.mul_f64(pairs);
             prompt.done += tokens;
--- a/crates/standin/src/batch/tests.rs
+++ b/crates/standin/src/batch/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-const SPEED: Speed = Speed {
+const ENGINE_SPEED: Speed = Speed {
     step: Duration::from_millis(4),
     step_per_request: Duration::from_millis(1),
     chunk: 1_000.0,
@@ -17,7 +17,7 @@
 
 #[test]
 fn step_writes_a_token_of_each_running_request() {
-    let mut engine = Engine::new(SPEED);
+    let mut engine = Engine::new(ENGINE_SPEED);
     engine.push('a', work(0.0, 0.0, 3));
     let first = engine.step().expect("a step");
     assert_eq!((first.begun, first.ended), (vec!['a'], vec![]));
@@ -30,7 +30,7 @@
 
 #[test]
 fn long_prompt_takes_several_long_steps() {
-    let mut engine = Engine::new(SPEED);
+    let mut engine = Engine::new(ENGINE_SPEED);
     engine.push('a', work(0.0, 0.0, 10));
     engine.step();
     engine.push('b', work(0.0, 2_000.0, 2));
@@ -45,7 +45,7 @@
 
 #[test]
 fn prompt_waits_for_a_slot() {
-    let mut engine = Engine::new(SPEED);
+    let mut engine = Engine::new(ENGINE_SPEED);
     for id in ['a', 'b', 'c'] {
         engine.push(id, work(0.0, 0.0, 2));
     }
