--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod extra;
 mod http;
 mod instance;
+mod leave;
 mod poison;
 mod record;
 mod runner;
@@ -33,6 +34,7 @@
     Some(match name {
         "done" => done::run,
         "extra" => extra::run,
+        "leave" => leave::run,
         "poison" => poison::run,
         "silence" => silence::run,
         "slow" => slow::run,
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -47,6 +47,7 @@
     starts: AtomicU32,
     is_up: AtomicBool,
     is_listening: AtomicBool,
+    is_leaving: AtomicBool,
     // For handlers.
     counter: AtomicUsize,
 }
@@ -88,6 +89,7 @@
             starts: AtomicU32::new(0),
             is_up: AtomicBool::new(false),
             is_listening: AtomicBool::new(false),
+            is_leaving: AtomicBool::new(false),
             counter: AtomicUsize::new(0),
         }));
         runner.begin()?;
@@ -219,12 +221,42 @@
     }
 
     fn write_entry(&self) {
-        let entry = self.entry("ready");
+        let is_leaving = self.0.is_leaving.load(Ordering::SeqCst);
+        let entry = self.entry(if is_leaving { "draining" } else { "ready" });
         self.0
             .store
             .put("keyed.servers", &self.id(), entry.as_bytes());
     }
 
+    /// Reports that it leaves.
+    pub fn drain(&self) {
+        self.0.is_leaving.store(true, Ordering::SeqCst);
+        self.write_entry();
+    }
+
+    /// Ends for good: it accepts nothing more, closes its connections one after the other, in
+    /// the order in which they were opened, and removes its entry.
+    pub fn end(&self, pause: Duration) {
+        let inner = &self.0;
+        inner.is_up.store(false, Ordering::SeqCst);
+        while inner.is_listening.load(Ordering::SeqCst) {
+            thread::sleep(ACCEPT_PAUSE);
+        }
+        inner.record.line(&format!("runner {} ends", self.id()));
+        let connections: Vec<_> = {
+            let mut connections = inner.connections.lock().expect("the connections");
+            connections.drain(..).collect()
+        };
+        for stream in connections {
+            drop(stream.shutdown(Shutdown::Both));
+            thread::sleep(pause);
+        }
+        inner.store.put("keyed.servers", &self.id(), b"");
+        inner
+            .record
+            .line(&format!("runner {} has ended", self.id()));
+    }
+
     /// Ends the process of the runner: it accepts nothing, and its connections close. It is
     /// back under another id after a while, and the store removes the entry that it had.
     pub fn crash(&self, back_after: Duration) {
